--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command.
+
+fn main() {}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of the decision logic over fakes in virtual time.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node that runs on an entry VM.
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,3 @@
+//! The node that runs on an entry VM.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API and VM list.
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,1 @@
+//! The tarpc service between nodes and its message types.
--- /dev/null
+++ b/crates/query/src/lib.rs
@@ -0,0 +1,30 @@
+//! Decision logic of a query at its entry node.
+//!
+//! [`Coordinator`] takes events and a time and pushes actions; it has no I/O,
+//! clock, threads or ambient randomness.
+
+mod answer;
+mod claim;
+mod coordinator;
+mod query_action;
+mod query_counters;
+mod query_event;
+mod requests;
+
+pub use answer::AbsentRange;
+pub use answer::AbsentReason;
+pub use answer::Answer;
+pub use answer::AnswerStatus;
+pub use answer::Coverage;
+pub use claim::Claim;
+pub use claim::ClaimOutcome;
+pub use claim::ClaimResult;
+pub use coordinator::Coordinator;
+pub use coordinator::CoordinatorConfig;
+pub use query_action::QueryAction;
+pub use query_counters::QueryCounters;
+pub use query_event::QueryEvent;
+pub use requests::CoverageDemand;
+pub use requests::QueryId;
+pub use requests::ReadQuery;
+pub use requests::WriteQuery;
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Node settings and the operators' deployment text.
--- /dev/null
+++ b/crates/target/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pooled HTTP client for targets.
--- /dev/null
+++ b/crates/types/src/catalog.rs
@@ -0,0 +1,87 @@
+use crate::ClassKey;
+use crate::DataCentreKey;
+use crate::NodeKey;
+use crate::ReplicaKey;
+use crate::ServiceKey;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Interns the names of one process.
+///
+/// Keys are never reused, so a key stays valid over all generations of the
+/// deployment. Keys differ between processes; names go on the wire.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    classes: NameTable,
+    data_centres: NameTable,
+    nodes: NameTable,
+    replicas: NameTable,
+    services: NameTable,
+}
+
+#[derive(Clone, Debug, Default)]
+struct NameTable {
+    /// Inverse of `names`.
+    index: BTreeMap<Arc<str>, u32>,
+    names: Vec<Arc<str>>,
+}
+
+impl NameTable {
+    fn find(&self, name: &str) -> Option<u32> {
+        self.index.get(name).copied()
+    }
+
+    fn intern(&mut self, name: &str) -> u32 {
+        if let Some(key) = self.find(name) {
+            return key;
+        }
+        let key = self.names.len() as u32;
+        let name = Arc::<str>::from(name);
+        self.names.push(Arc::clone(&name));
+        self.index.insert(name, key);
+        key
+    }
+
+    fn name(&self, index: usize) -> Arc<str> {
+        Arc::clone(&self.names[index])
+    }
+}
+
+macro_rules! names {
+    ($table:ident, $key:ident, $intern:ident, $find:ident, $name:ident) => {
+        /// Returns the key of `name`, adding it if it is new.
+        pub fn $intern(&mut self, name: &str) -> $key {
+            $key(self.$table.intern(name))
+        }
+
+        /// Returns the key of `name` if it is known.
+        #[must_use]
+        pub fn $find(&self, name: &str) -> Option<$key> {
+            self.$table.find(name).map($key)
+        }
+
+        /// Returns the name of `key`.
+        ///
+        /// # Panics
+        ///
+        /// If `key` comes from another catalog.
+        #[must_use]
+        pub fn $name(&self, key: $key) -> Arc<str> {
+            self.$table.name(key.index())
+        }
+    };
+}
+
+impl Catalog {
+    names!(classes, ClassKey, class, find_class, class_name);
+    names!(
+        data_centres,
+        DataCentreKey,
+        data_centre,
+        find_data_centre,
+        data_centre_name
+    );
+    names!(nodes, NodeKey, node, find_node, node_name);
+    names!(replicas, ReplicaKey, replica, find_replica, replica_name);
+    names!(services, ServiceKey, service, find_service, service_name);
+}
--- /dev/null
+++ b/crates/types/src/ownership_table.rs
@@ -0,0 +1,17 @@
+use crate::DataCentreKey;
+use crate::NodeKey;
+use crate::ReplicaKey;
+use std::collections::BTreeMap;
+
+/// Which node owns the limits of each replica of a data centre.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnershipTable {
+    /// Data centre of the replicas and of their owners.
+    pub data_centre: DataCentreKey,
+    /// Version of the object that holds the table; larger is newer.
+    pub epoch: u64,
+    /// Nodes that may own replicas, sorted, without repeats.
+    pub members: Vec<NodeKey>,
+    /// Every owner is a member.
+    pub owners: BTreeMap<ReplicaKey, NodeKey>,
+}
--- /dev/null
+++ b/crates/types/src/query_class.rs
@@ -0,0 +1,37 @@
+use crate::ServiceKey;
+
+/// A service that callers name; its queries go to the services it depends on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct QueryClass {
+    /// Deadline of a query that names none, in milliseconds.
+    pub deadline_ms: u64,
+    /// Services that hold the shards, sorted, without repeats.
+    pub depends_on: Vec<ServiceKey>,
+    /// Whether requests of this class are idempotent.
+    pub kind: ClassKind,
+    /// Target that the burn report measures against.
+    pub level: ServiceLevel,
+    /// Largest share of a replica's slots that this class takes while others
+    /// wait, in percent, from 1 to 100; never rounds down to no slot.
+    pub slot_share_percent: u32,
+    /// Weight among the classes that wait for the same replica, at least 1.
+    pub weight: u32,
+}
+
+/// Whether a request may be sent more than once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClassKind {
+    /// Idempotent: hedged and retried within the budget.
+    Read,
+    /// Not idempotent: at most once.
+    Write,
+}
+
+/// Service-level target of a class.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServiceLevel {
+    /// Answers that count as good arrive within this time, in milliseconds.
+    pub latency_ms: u64,
+    /// Wanted share of good answers, in parts per million.
+    pub objective_ppm: u32,
+}
--- /dev/null
+++ b/crates/types/src/row.rs
@@ -0,0 +1,12 @@
+use serde::Deserialize;
+use serde::Serialize;
+use std::sync::Arc;
+
+/// One record of the index.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Row {
+    /// Position in the key space.
+    pub key: u64,
+    /// Content of the record.
+    pub value: Arc<str>,
+}
