Add the tarpc service between nodes

Cause: the cores exchange sub-requests, reports, gossip and hand-overs between processes, and none of it may carry process-local keys or clock readings.

Change: the protocol package with its service, messages, a connection that is opened on demand, and a server that passes calls to one flume channel.

Ruled out: a server generic over the service trait; its futures are not Send, so the calls of one connection could not run on several threads.

--- /dev/null
+++ b/crates/protocol/src/protocol_error.rs
@@ -0,0 +1,35 @@
+use std::error::Error;
+use std::fmt::Display;
+use std::fmt::Formatter;
+use wigeonhall_types::Verdict;
+
+/// Why a call to another node has no result.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProtocolError {
+    /// No connection could be opened; nothing was sent.
+    Unreachable,
+    /// The connection broke, or the reply did not come in time.
+    ReplyLost,
+}
+
+impl ProtocolError {
+    /// Whether the call may have had an effect.
+    #[must_use]
+    pub const fn verdict(self) -> Verdict {
+        match self {
+            Self::ReplyLost => Verdict::MayHaveRun,
+            Self::Unreachable => Verdict::NotRun,
+        }
+    }
+}
+
+impl Display for ProtocolError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::ReplyLost => "no reply from the node; the call may have had an effect",
+            Self::Unreachable => "the node does not accept connections",
+        })
+    }
+}
+
+impl Error for ProtocolError {}
--- /dev/null
+++ b/crates/protocol/src/server.rs
@@ -0,0 +1,91 @@
+use crate::HandOverMessage;
+use crate::Incoming;
+use crate::NamedReport;
+use crate::NodeService;
+use crate::SubmitMessage;
+use crate::SubmitReply;
+use crate::connection::MAX_FRAME_BYTES;
+use flume::Receiver;
+use flume::Sender;
+use futures::StreamExt;
+use futures::future;
+use std::sync::Arc;
+use tarpc::context::Context;
+use tarpc::serde_transport::tcp;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::TcpListener;
+use wigeonhall_fleet::GossipMessage;
+use wigeonhall_types::AttemptId;
+
+/// Serves the calls of other nodes on `listener` and passes them to `calls`, until
+/// the returned future is dropped.
+///
+/// # Errors
+///
+/// If the listener's address cannot be read.
+pub async fn serve(listener: TcpListener, calls: Sender<Incoming>) -> std::io::Result<()> {
+    let mut incoming = tcp::listen_on(listener, Bincode::default).await?;
+    incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    while let Some(transport) = incoming.next().await {
+        let Ok(transport) = transport else { continue };
+        let _ = transport.get_ref().set_nodelay(true);
+        let server = Server {
+            calls: calls.clone(),
+        };
+        let running = BaseChannel::with_defaults(transport).execute(server.serve());
+        tokio::spawn(running.for_each(|call| {
+            tokio::spawn(call);
+            future::ready(())
+        }));
+    }
+    Ok(())
+}
+
+#[derive(Clone)]
+struct Server {
+    calls: Sender<Incoming>,
+}
+
+impl Server {
+    fn pass(&self, call: Incoming) {
+        // The receiver is gone only while the process exits.
+        let _ = self.calls.send(call);
+    }
+}
+
+/// Waits for a reply; waits for ever if it never comes, so that the call ends by
+/// its own deadline and no reply is made up.
+async fn reply_of<T>(replies: Receiver<T>) -> T {
+    match replies.recv_async().await {
+        Ok(reply) => reply,
+        Err(_) => future::pending().await,
+    }
+}
+
+impl NodeService for Server {
+    async fn cancel(self, _context: Context, attempt: AttemptId) {
+        self.pass(Incoming::Cancel(attempt));
+    }
+
+    async fn gossip(self, _context: Context, from: Arc<str>, message: GossipMessage) {
+        self.pass(Incoming::Gossip { from, message });
+    }
+
+    async fn hand_over(self, _context: Context, message: HandOverMessage) {
+        self.pass(Incoming::HandOver(message));
+    }
+
+    async fn reports(self, _context: Context) -> Vec<NamedReport> {
+        let (reply, replies) = flume::bounded(1);
+        self.pass(Incoming::Reports(reply));
+        reply_of(replies).await
+    }
+
+    async fn submit(self, _context: Context, message: SubmitMessage) -> SubmitReply {
+        let (reply, replies) = flume::bounded(1);
+        self.pass(Incoming::Submit { message, reply });
+        reply_of(replies).await
+    }
+}
