Measure the cores against a baseline in virtual time

Cause: choices about routing, limits and hedging need figures from the same code that production runs, against the plain way.

Change: a world of fake targets, fixed delays and Poisson load around the query and gate cores, a baseline (random replica, retries, no shared limits), the scenarios and the table.

--- /dev/null
+++ b/crates/measure/src/comparison.rs
@@ -0,0 +1,196 @@
+use crate::Baseline;
+use crate::Fault;
+use crate::Network;
+use crate::RunResult;
+use crate::Scenario;
+use crate::World;
+use std::fmt::Write;
+use std::thread;
+use wigeonhall_types::Catalog;
+use wigeonhall_types::ClassKey;
+use wigeonhall_types::Deployment;
+use wigeonhall_types::ReplicaKey;
+
+/// Share of capacity in all scenarios but the overload.
+const LOAD: f64 = 0.6;
+
+/// Slowness of a straggler.
+const STRAGGLER: f64 = 10.0;
+
+/// A deployment with what the measurement needs to know of its place.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// Names of the deployment's keys.
+    pub catalog: Catalog,
+    /// The deployment.
+    pub deployment: Deployment,
+    /// Name in the tables.
+    pub name: &'static str,
+    /// Delays.
+    pub network: Network,
+}
+
+/// How long and how often each scenario runs.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Virtual time of a run, in milliseconds.
+    pub run_ms: u64,
+    /// One run per seed.
+    pub seeds: Vec<u64>,
+    /// Virtual time before anything is counted, in milliseconds.
+    pub warm_up_ms: u64,
+}
+
+/// Results of the baseline and the product in one scenario, one entry a seed.
+#[derive(Clone, Debug)]
+pub struct Comparison {
+    /// Results of the baseline.
+    pub baseline: Vec<RunResult>,
+    /// Results of the product.
+    pub product: Vec<RunResult>,
+    /// Name of the scenario.
+    pub scenario: &'static str,
+}
+
+/// The scenarios for a site.
+#[must_use]
+pub fn scenarios(site: &Site, plan: &Plan) -> Vec<Scenario> {
+    let at_us = |share: f64| {
+        let counted_ms = (plan.run_ms - plan.warm_up_ms) as f64;
+        (plan.warm_up_ms as f64 + counted_ms * share) as u64 * 1_000
+    };
+    let first_replica = |index: usize| -> Option<ReplicaKey> {
+        let service = site.deployment.services.values().nth(index)?;
+        service.replicas.first().copied()
+    };
+    let tenth = (0..site.deployment.services.len()).step_by(10);
+    let slow = tenth.filter_map(first_replica);
+    let stragglers = slow.map(|it| (0, Fault::Slow(it, STRAGGLER))).collect();
+    let one = first_replica(0);
+    let replica_fault = |fault: fn(ReplicaKey) -> Fault| {
+        let faults = one.map(|it| (at_us(0.2), fault(it)));
+        faults.into_iter().collect()
+    };
+    let data_centre = site.deployment.data_centres.keys().next().copied();
+    let out_and_in = data_centre.map_or_else(Vec::new, |it| {
+        vec![
+            (at_us(0.2), Fault::DataCentreOut(it)),
+            (at_us(0.6), Fault::DataCentreIn(it)),
+        ]
+    });
+    let scenario = |name, faults, load| Scenario { faults, load, name };
+    vec![
+        scenario("steady", Vec::new(), LOAD),
+        scenario("straggler", stragglers, LOAD),
+        scenario("replica lost", replica_fault(Fault::Lost), LOAD),
+        scenario("cold restart", replica_fault(Fault::Restart), LOAD),
+        scenario("version roll", vec![(at_us(0.3), Fault::VersionRoll)], LOAD),
+        scenario("data centre out", out_and_in, LOAD),
+        scenario("capacity", Vec::new(), 1.0),
+        scenario("overload 1.5", Vec::new(), 1.5),
+    ]
+}
+
+/// Runs one scenario with both, each seed on a thread of its own.
+#[must_use]
+pub fn compare(site: &Site, scenario: &Scenario, plan: &Plan) -> Comparison {
+    let (warm_up_us, run_us) = (plan.warm_up_ms * 1_000, plan.run_ms * 1_000);
+    let product = |seed| {
+        let world = World::new(site.deployment.clone(), site.network, seed);
+        world.run(scenario, warm_up_us, run_us)
+    };
+    let baseline = |seed| {
+        let baseline = Baseline::new(site.deployment.clone(), site.network, seed);
+        baseline.run(scenario, warm_up_us, run_us)
+    };
+    Comparison {
+        baseline: each_seed(&plan.seeds, baseline),
+        product: each_seed(&plan.seeds, product),
+        scenario: scenario.name,
+    }
+}
+
+fn each_seed(seeds: &[u64], run: impl Fn(u64) -> RunResult + Sync) -> Vec<RunResult> {
+    thread::scope(|scope| {
+        let run = &run;
+        let threads: Vec<_> = seeds
+            .iter()
+            .map(|&seed| scope.spawn(move || run(seed)))
+            .collect();
+        threads
+            .into_iter()
+            .filter_map(|it| it.join().ok())
+            .collect()
+    })
+}
+
+/// The table of one comparison: a line per class and way.
+#[must_use]
+pub fn table(site: &Site, comparison: &Comparison) -> String {
+    let mut text = String::new();
+    let ways = [
+        ("baseline", &comparison.baseline),
+        ("product", &comparison.product),
+    ];
+    for &class in site.deployment.classes.keys() {
+        for (way, results) in ways {
+            if let Some(line) = line(site, class, results) {
+                let name = site.catalog.class_name(class);
+                let scenario = comparison.scenario;
+                let _ = writeln!(
+                    text,
+                    "{:<16} {scenario:<16} {name:<14} {way:<9}{line}",
+                    site.name
+                );
+            }
+        }
+    }
+    for (way, results) in ways {
+        let over = results.iter().map(|it| it.over);
+        let (mut slots, mut connections, mut cold) = (0, 0, 0);
+        for it in over {
+            slots += it.slots;
+            connections += it.connections;
+            cold += it.cold;
+        }
+        let late: u64 = results.iter().map(|it| it.late_starts).sum();
+        let _ = writeln!(
+            text,
+            "{:<16} {:<16} all {way}: over slots {slots}, connections {connections}, cold bound {cold}; starts in a data centre that is out {late}",
+            site.name, comparison.scenario
+        );
+    }
+    text
+}
+
+/// Header of the table.
+pub const HEADER: &str = "site             scenario         service        way       p50 ms   p99 ms p99.9 ms  whole %  goodput/s  partial    wrong sent/query refusal ms  endings";
+
+fn line(site: &Site, class: ClassKey, results: &[RunResult]) -> Option<String> {
+    let mut sum = crate::ClassStats::default();
+    for result in results {
+        let stats = result.classes.get(&class)?;
+        sum.merge(stats);
+    }
+    if sum.offered == 0 {
+        return None;
+    }
+    let _ = site;
+    let ms = |share| sum.quantile_us(share) as f64 / 1e3;
+    let mut line = format!(
+        " {:>7.1} {:>8.1} {:>8.1} {:>8.3} {:>10} {:>8} {:>8} {:>10.3} {:>10.1} ",
+        ms(0.5),
+        ms(0.99),
+        ms(0.999),
+        sum.whole_share() * 100.0,
+        sum.latencies_us.len(),
+        sum.partial,
+        sum.wrong,
+        sum.sent_per_query(),
+        sum.refusal_us as f64 / 1e3,
+    );
+    for (ending, count) in &sum.endings {
+        let _ = write!(line, " {ending}={count}");
+    }
+    Some(line)
+}
--- /dev/null
+++ b/crates/measure/src/event_queue.rs
@@ -0,0 +1,45 @@
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// Events in order of virtual time; events of one time keep their order.
+#[derive(Debug)]
+pub struct EventQueue<T> {
+    events: Vec<Option<T>>,
+    free: Vec<usize>,
+    heap: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    sequence: u64,
+}
+
+impl<T> Default for EventQueue<T> {
+    fn default() -> Self {
+        Self {
+            events: Vec::new(),
+            free: Vec::new(),
+            heap: BinaryHeap::new(),
+            sequence: 0,
+        }
+    }
+}
+
+impl<T> EventQueue<T> {
+    /// Adds an event.
+    pub fn push(&mut self, at_us: u64, event: T) {
+        let index = if let Some(index) = self.free.pop() {
+            self.events[index] = Some(event);
+            index
+        } else {
+            self.events.push(Some(event));
+            self.events.len() - 1
+        };
+        self.sequence += 1;
+        self.heap.push(Reverse((at_us, self.sequence, index)));
+    }
+
+    /// Takes the next event and its time.
+    pub fn pop(&mut self) -> Option<(u64, T)> {
+        let Reverse((at_us, _, index)) = self.heap.pop()?;
+        let event = self.events[index].take()?;
+        self.free.push(index);
+        Some((at_us, event))
+    }
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,1 +1,33 @@
 //! Measurements of the decision logic over fakes in virtual time.
+//!
+//! A [`World`] runs the query and gate cores of every node of a deployment with
+//! fake targets, fixed network delays and a Poisson load. It stands for no real
+//! network and no fleet core; ownership is fixed.
+
+mod baseline;
+mod comparison;
+mod event_queue;
+mod fake_target;
+mod load;
+mod network;
+mod run_result;
+mod scenario;
+mod shards;
+mod stats;
+mod world;
+
+pub use baseline::Baseline;
+pub use comparison::Comparison;
+pub use comparison::HEADER;
+pub use comparison::Plan;
+pub use comparison::Site;
+pub use comparison::compare;
+pub use comparison::scenarios;
+pub use comparison::table;
+pub use fake_target::OverLimit;
+pub use network::Network;
+pub use run_result::RunResult;
+pub use scenario::Fault;
+pub use scenario::Scenario;
+pub use stats::ClassStats;
+pub use world::World;
