Add the settings of nodes and the operators' deployment text

Cause: nodes and the operators' command need one reader of the deployment text, and operators need all mistakes of a text at once.

Change: crates/settings reads a text into a tree with lines (serde-saphyr's Spanned), because typed deserialization stops at the first mistake, and checks the whole. check lists every finding with its line and what would mend it; parse and resolve give the deployment. set_out edits the flag of a data centre or VM in place and verifies by parsing that nothing else changed. parse_node reads the settings of a node. examples/ holds the deployments of both users, a demo deployment and its node settings.

--- /dev/null
+++ b/crates/settings/src/nearest.rs
@@ -0,0 +1,35 @@
+/// The known name that `name` is most likely a typo of.
+///
+/// Names that differ in more than a third of their characters are not offered.
+#[must_use]
+pub fn nearest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    let limit = name.chars().count().div_ceil(3);
+    known
+        .into_iter()
+        .map(|candidate| (distance(name, candidate), candidate))
+        .filter(|(distance, _)| *distance <= limit)
+        .min()
+        .map(|(_, candidate)| candidate)
+}
+
+/// Edit distance in which a swap of two neighbours counts as one edit.
+fn distance(left: &str, right: &str) -> usize {
+    let left = left.chars().collect::<Vec<_>>();
+    let right = right.chars().collect::<Vec<_>>();
+    let mut before = Vec::new();
+    let mut last = (0..=right.len()).collect::<Vec<_>>();
+    for i in 0..left.len() {
+        let mut row = vec![i + 1];
+        for j in 0..right.len() {
+            let substituted = last[j] + usize::from(left[i] != right[j]);
+            let mut best = substituted.min(last[j + 1] + 1).min(row[j] + 1);
+            if i > 0 && j > 0 && left[i] == right[j - 1] && left[i - 1] == right[j] {
+                best = best.min(before[j - 1] + 1);
+            }
+            row.push(best);
+        }
+        before = last;
+        last = row;
+    }
+    last[right.len()]
+}
--- /dev/null
+++ b/crates/settings/src/resolve.rs
@@ -0,0 +1,76 @@
+use crate::DeploymentText;
+use std::collections::BTreeMap;
+use wigeonhall_types::Catalog;
+use wigeonhall_types::DataCentre;
+use wigeonhall_types::Deployment;
+use wigeonhall_types::QueryClass;
+use wigeonhall_types::Replica;
+use wigeonhall_types::Service;
+use wigeonhall_types::Vm;
+
+/// The deployment of one generation, with the names interned in `catalog`.
+#[must_use]
+pub fn resolve(text: &DeploymentText, generation: u64, catalog: &mut Catalog) -> Deployment {
+    let mut deployment = Deployment {
+        generation,
+        ..Deployment::default()
+    };
+    for (name, data_centre) in &text.data_centres {
+        let value = DataCentre {
+            out: data_centre.out,
+            region: data_centre.region.clone(),
+        };
+        let key = catalog.data_centre(name);
+        deployment.data_centres.insert(key, value);
+    }
+    let mut members = BTreeMap::<_, Vec<_>>::new();
+    for (name, replica) in &text.replicas {
+        let key = catalog.replica(name);
+        let service = catalog.service(&replica.service);
+        let value = Replica {
+            address: replica.address,
+            cold: replica.cold,
+            connect_us: replica.connect_us,
+            connections: replica.connections,
+            data_centre: catalog.data_centre(&replica.data_centre),
+            out: replica.out,
+            service,
+            slots: replica.slots,
+        };
+        deployment.replicas.insert(key, value);
+        members.entry(service).or_default().push(key);
+    }
+    for name in &text.services {
+        let key = catalog.service(name);
+        let mut replicas = members.remove(&key).unwrap_or_default();
+        replicas.sort_unstable();
+        deployment.services.insert(key, Service { replicas });
+    }
+    for (name, class) in &text.classes {
+        let mut depends_on = class
+            .depends_on
+            .iter()
+            .map(|service| catalog.service(service))
+            .collect::<Vec<_>>();
+        depends_on.sort_unstable();
+        let value = QueryClass {
+            deadline_ms: class.deadline_ms,
+            depends_on,
+            kind: class.kind,
+            level: class.level,
+            slot_share_percent: class.slot_share_percent,
+            weight: class.weight,
+        };
+        deployment.classes.insert(catalog.class(name), value);
+    }
+    for (name, vm) in &text.vms {
+        let value = Vm {
+            caller_address: vm.caller_address,
+            data_centre: catalog.data_centre(&vm.data_centre),
+            node_address: vm.node_address,
+            out: vm.out,
+        };
+        deployment.vms.insert(catalog.node(name), value);
+    }
+    deployment
+}
--- /dev/null
+++ b/crates/settings/tests/edit.rs
@@ -0,0 +1,118 @@
+//! Edits of the `out` flag in the operators' text.
+
+use std::fmt::Write;
+use wigeonhall_settings::Place;
+use wigeonhall_settings::SettingsError;
+use wigeonhall_settings::parse;
+use wigeonhall_settings::set_out;
+
+const TEXT: &str = "\
+# Kept.
+region: demo   # also kept
+defaults: { slots: 2, connections: 3, connect_us: 0, cold: { slots: 1, requests_per_s: 1 } }
+
+data_centres:
+  plain:             # no entry yet
+  short: demo        # short form
+  flow: {region: demo}
+  spaced: { out: false, region: demo } # has the flag
+  empty: {}
+  block:
+    # a comment inside
+    region: demo
+  \"quoted\": \"demo\"
+  shared: &shared { region: demo }
+  alias: *shared
+
+services:
+  search:
+    kind: read
+    depends_on: [shard]
+    deadline_ms: 100
+    level: { latency_ms: 50, objective: 0.9 }
+  shard:
+    replicas:
+      a: plain 127.0.0.1:1
+      b: short 127.0.0.1:2
+
+vms:
+  v-1: plain 127.0.0.1:3 127.0.0.1:4 # first
+  v-2:
+    data_centre: short
+    node_address: 127.0.0.1:5
+    caller_address: 127.0.0.1:6
+    out: false  # for now
+  v-3: { data_centre: plain, node_address: '127.0.0.1:7', caller_address: '127.0.0.1:8' }
+";
+
+/// Lines that differ, before and after.
+fn changed(before: &str, after: &str) -> String {
+    let mut changes = String::new();
+    for line in before
+        .lines()
+        .filter(|it| !after.lines().any(|new| new == *it))
+    {
+        writeln!(changes, "- {line}").unwrap();
+    }
+    for line in after
+        .lines()
+        .filter(|it| !before.lines().any(|old| old == *it))
+    {
+        writeln!(changes, "+ {line}").unwrap();
+    }
+    changes
+}
+
+/// Guards against an edit that touches comments, layout or another entry, in each
+/// layout of an entry.
+#[test]
+fn only_the_flag_changes() {
+    let data_centres = [
+        "plain", "short", "flow", "spaced", "empty", "block", "quoted",
+    ];
+    let places = data_centres.map(Place::DataCentre).into_iter();
+    let places = places.chain(["v-1", "v-2", "v-3"].map(Place::Vm));
+    let mut changes = String::new();
+    for place in places {
+        let out = set_out(TEXT, place, true).unwrap();
+        assert_eq!(set_out(&out, place, true).unwrap(), out);
+        let back = set_out(&out, place, false).unwrap();
+        assert_eq!(parse(&back).unwrap(), parse(TEXT).unwrap());
+        writeln!(changes, "{place:?} out:\n{}", changed(TEXT, &out)).unwrap();
+        writeln!(changes, "and in again:\n{}", changed(&out, &back)).unwrap();
+    }
+    insta::assert_snapshot!(changes);
+}
+
+/// Guards against an edit that changes the line endings of the text.
+#[test]
+fn line_endings_stay() {
+    let text = TEXT.replace('\n', "\r\n");
+    let out = set_out(&text, Place::DataCentre("block"), true).unwrap();
+    assert_eq!(out.matches('\n').count(), out.matches("\r\n").count());
+    assert!(parse(&out).unwrap().data_centres["block"].out);
+}
+
+/// Guards against an edit of one entry that changes another through an alias, and
+/// against silence about names that do not exist.
+#[test]
+fn edits_that_cannot_be_made_are_refused() {
+    let refused = |place| set_out(TEXT, place, true).unwrap_err().to_string();
+    let list = [
+        refused(Place::DataCentre("shared")),
+        refused(Place::DataCentre("alias")),
+        refused(Place::DataCentre("shrot")),
+        refused(Place::Vm("plain")),
+    ];
+    insta::assert_snapshot!(list.join("\n"));
+}
+
+/// Guards against an operator who takes the last data centre or VM out.
+#[test]
+fn the_last_one_stays_in_service() {
+    let one = set_out(TEXT, Place::Vm("v-1"), true).unwrap();
+    let two = set_out(&one, Place::Vm("v-2"), true).unwrap();
+    let error = set_out(&two, Place::Vm("v-3"), true).unwrap_err();
+    assert!(matches!(error, SettingsError::Rejected(_)));
+    insta::assert_snapshot!(error);
+}
--- /dev/null
+++ b/crates/settings/tests/findings.rs
@@ -0,0 +1,154 @@
+//! Findings on broken texts.
+
+use std::fmt::Write;
+use wigeonhall_settings::Finding;
+use wigeonhall_settings::MAX_TEXT_BYTES;
+use wigeonhall_settings::SettingsError;
+use wigeonhall_settings::check;
+use wigeonhall_settings::check_node;
+use wigeonhall_settings::parse;
+
+fn listed(findings: &[Finding]) -> String {
+    let mut list = String::new();
+    for finding in findings {
+        writeln!(list, "{finding}").unwrap();
+    }
+    list
+}
+
+const BROKEN: &str = "\
+region: demo
+defalts: { slots: 2 }
+defaults:
+  slots: 2
+  connections: 2
+  cold: { slots: 3, request_per_s: 20 }
+data_centres:
+  north:
+  south: { oot: true }
+  east: yes please out
+  north: { out: yes }
+services:
+  search:
+    kind: reads
+    depends_on: [shard-01..03, shard-02, report, 5..1]
+    deadline_ms: 0
+    level: { latency_ms: 200, objective: 99.9 }
+  report:
+    kind: read
+    depends_on: [report, serch]
+    deadline_ms: 100
+    level: { latency_ms: 200, objective: 0.9 }
+    weigth: 3
+  idle: { kind: write, depends_on: [] }
+  shard-01:
+    connect_us: 100
+    replicas:
+      shard-01-a: north 127.0.0.1:9100
+      shard-01-b: { data_centre: north, address: 127.0.0.1:9100 }
+  shard-02:
+    slots: 0
+    replicas:
+      shard-01-a: nroth 127.0.0.1:9101
+      shard-02-b: south 127.0.0.1
+      shard 2c: south 127.0.0.1:9102 out of order
+  unused:
+    depends-on: [shard-01]
+  empty:
+    replicas: {}
+vms:
+  north-1: north 127.0.0.1:4101 127.0.0.1:9100
+  south-1: { data_centre: south, node_address: 127.0.0.1:0 }
+";
+
+/// Guards against a check that stops at the first mistake or loses its line.
+#[test]
+fn every_mistake_is_listed_with_its_line() {
+    insta::assert_snapshot!(listed(&check(BROKEN)));
+    assert!(matches!(parse(BROKEN), Err(SettingsError::Rejected(_))));
+}
+
+const WARNED: &str = "\
+region: demo
+defaults: { slots: 2, connections: 2, connect_us: 0, cold: { slots: 1, requests_per_s: 1 } }
+data_centres: { north: , south: demo out, east: }
+services:
+  search:
+    kind: read
+    depends_on: shard
+    deadline_ms: 100
+    level: { latency_ms: 200, objective: 0.9 }
+  shard: { replicas: { a: 'south 127.0.0.1:1', b: 'south 127.0.0.1:2' } }
+  spare: { replicas: { c: 'east 127.0.0.1:3' } }
+vms: { v: 'north 127.0.0.1:4 127.0.0.1:5' }
+";
+
+/// Guards against warnings that reject a text.
+#[test]
+fn warnings_do_not_reject() {
+    insta::assert_snapshot!(listed(&check(WARNED)));
+    assert!(parse(WARNED).is_ok());
+}
+
+/// Guards against a text that leaves nothing in service.
+#[test]
+fn everything_out_is_an_error() {
+    let text = WARNED
+        .replace("north:", "north: demo out")
+        .replace("east:", "east: demo out");
+    insta::assert_snapshot!(listed(&check(&text)));
+}
+
+/// Guards against texts that the object API does not take, and against a panic on
+/// text that is no YAML or has another form.
+#[test]
+fn texts_of_another_form() {
+    let texts = [
+        "a".repeat(MAX_TEXT_BYTES + 1),
+        String::new(),
+        "- a\n- b".into(),
+        "data_centres: [a\nvms: }".into(),
+        "region: a\n---\nregion: b".into(),
+        "data_centres: 5\nservices: x\nvms: [1]\n".into(),
+        "a: &a [*a]".into(),
+    ];
+    let findings = texts
+        .iter()
+        .map(|text| listed(&check(text)))
+        .collect::<Vec<_>>();
+    insta::assert_snapshot!(findings.join("--\n"));
+}
+
+const BROKEN_NODE: &str = "\
+name: north 1
+regoin: demo
+data_centre: 7
+node_address: localhost:4100
+caller_address: 127.0.0.1:8080
+object_api_address: 0.0.0.0:1
+log_level: inof
+seeds: { south-1: 127.0.0.1 }
+timeouts: { node_call_s: 1, vm_list_ms: 0, shutdown_ms: soon }
+";
+
+/// Guards against a check of node settings that stops at the first mistake.
+#[test]
+fn every_mistake_of_node_settings_is_listed() {
+    insta::assert_snapshot!(listed(&check_node(BROKEN_NODE)));
+}
+
+/// Guards against a node that names itself as a seed under another address.
+#[test]
+fn crossed_addresses_of_node_settings_are_listed() {
+    let text = "\
+name: a
+region: r
+data_centre: d
+node_address: 127.0.0.1:1
+caller_address: 127.0.0.1:1
+object_api_address: 127.0.0.1:3
+vm_list_address: 127.0.0.1:4
+seeds: { a: 127.0.0.1:5, b: 127.0.0.1:1, c: 127.0.0.1:6 }
+";
+    insta::assert_snapshot!(listed(&check_node(text)));
+}
