Add the client of the object API and VM list, and their stand-ins

The cores' owners need something to read configuration, claims and the VM list from, and tests need a store with outages and lost replies.

crates/platform calls the object API over attohttpc. Its errors tell 'not sent or refused' from 'may have taken effect': the request body records whether any of it was handed to a connection. crates/standins has a thread-per-connection server on std::net instead of rouille, because targets must count connections and break them in the middle of a request.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,21 @@
 //! Client of the platform's object API and VM list.
+//!
+//! The HTTP forms are on the page `docs/platform-interface.md`. Every call opens
+//! one connection and blocks its thread for at most the configured time.
+
+mod http;
+mod object_api;
+mod object_calls;
+mod platform_error;
+mod put_outcome;
+mod stored_object;
+mod vm_list;
+
+pub use object_api::MAX_VALUE_BYTES;
+pub use object_api::ObjectApi;
+pub use object_calls::ObjectCalls;
+pub use platform_error::PlatformError;
+pub use put_outcome::PutOutcome;
+pub use stored_object::ObjectHead;
+pub use stored_object::StoredObject;
+pub use vm_list::VmList;
--- /dev/null
+++ b/crates/platform/src/object_api.rs
@@ -0,0 +1,217 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use attohttpc::Method;
+use serde::Deserialize;
+
+use crate::ObjectCalls;
+use crate::ObjectHead;
+use crate::PlatformError;
+use crate::PutOutcome;
+use crate::StoredObject;
+use crate::http::Call;
+use crate::http::Reply;
+use crate::object_calls::CallCounters;
+
+/// Largest value that the platform takes.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// Client of the object API. Clones share their counters.
+#[derive(Clone, Debug)]
+pub struct ObjectApi {
+    address: SocketAddr,
+    calls: Arc<CallCounters>,
+    timeout: Duration,
+}
+
+#[derive(Deserialize)]
+struct VersionBody {
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct ListBody {
+    objects: Vec<ObjectHead>,
+}
+
+impl ObjectApi {
+    /// Makes a client of the store at `address` whose calls take at most
+    /// `timeout_ms`, watches that much longer than their wait.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout_ms: u64) -> Self {
+        Self {
+            address,
+            calls: Arc::default(),
+            timeout: Duration::from_millis(timeout_ms),
+        }
+    }
+
+    /// Calls made so far by this client and its clones.
+    #[must_use]
+    pub fn calls(&self) -> ObjectCalls {
+        self.calls.snapshot()
+    }
+
+    /// Deletes the object at `path` if it is at `expected_version`.
+    ///
+    /// # Errors
+    ///
+    /// If no reply came or the platform refused; see [`PlatformError::verdict`].
+    pub fn delete(&self, path: &str, expected_version: u64) -> Result<PutOutcome, PlatformError> {
+        self.change(
+            Method::DELETE,
+            &self.calls.deletes,
+            path,
+            expected_version,
+            "",
+        )
+    }
+
+    /// Reads the object at `path`.
+    ///
+    /// # Errors
+    ///
+    /// If no reply came or the platform refused.
+    pub fn get(&self, path: &str) -> Result<Option<StoredObject>, PlatformError> {
+        let call = self.call(Method::GET, "/object");
+        let reply = self.count(&self.calls.gets, || {
+            Call {
+                params: &[("path", path)],
+                ..call
+            }
+            .send()
+        })?;
+        match reply.status {
+            200 => reply.json().map(Some),
+            404 => Ok(None),
+            _ => reply.unexpected(),
+        }
+    }
+
+    /// Lists the objects whose path begins with `prefix`, sorted by path.
+    ///
+    /// # Errors
+    ///
+    /// If no reply came or the platform refused.
+    pub fn list(&self, prefix: &str) -> Result<Vec<ObjectHead>, PlatformError> {
+        let call = self.call(Method::GET, "/objects");
+        let reply = self.count(&self.calls.lists, || {
+            Call {
+                params: &[("prefix", prefix)],
+                ..call
+            }
+            .send()
+        })?;
+        match reply.status {
+            200 => reply.json::<ListBody>().map(|body| body.objects),
+            _ => reply.unexpected(),
+        }
+    }
+
+    /// Sets the object at `path` to `value` if it is at `expected_version`; 0
+    /// stands for an object that does not exist.
+    ///
+    /// # Errors
+    ///
+    /// If no reply came or the platform refused; see [`PlatformError::verdict`].
+    pub fn put(
+        &self,
+        path: &str,
+        expected_version: u64,
+        value: &str,
+    ) -> Result<PutOutcome, PlatformError> {
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(PlatformError::TooLarge {
+                size_bytes: value.len(),
+            });
+        }
+        self.change(Method::PUT, &self.calls.puts, path, expected_version, value)
+    }
+
+    /// Waits up to `wait_ms` for the object at `path` to have a version above
+    /// `after_version` and returns it; `None` if no newer one came. A deletion
+    /// is not reported.
+    ///
+    /// # Errors
+    ///
+    /// If the connection broke, no reply came or the platform refused.
+    pub fn watch(
+        &self,
+        path: &str,
+        after_version: u64,
+        wait_ms: u64,
+    ) -> Result<Option<StoredObject>, PlatformError> {
+        let call = self.call(Method::GET, "/watch");
+        let reply = self.count(&self.calls.watches, || {
+            Call {
+                params: &[
+                    ("path", path),
+                    ("after_version", &after_version.to_string()),
+                    ("wait_ms", &wait_ms.to_string()),
+                ],
+                timeout: self.timeout + Duration::from_millis(wait_ms),
+                ..call
+            }
+            .send()
+        })?;
+        match reply.status {
+            200 => reply.json().map(Some),
+            204 => Ok(None),
+            _ => reply.unexpected(),
+        }
+    }
+
+    fn call(&self, method: Method, route: &'static str) -> Call<'static> {
+        Call {
+            address: self.address,
+            body: &[],
+            method,
+            params: &[],
+            route,
+            timeout: self.timeout,
+        }
+    }
+
+    fn change(
+        &self,
+        method: Method,
+        counter: &AtomicU64,
+        path: &str,
+        expected_version: u64,
+        value: &str,
+    ) -> Result<PutOutcome, PlatformError> {
+        let call = self.call(method, "/object");
+        let reply = self.count(counter, || {
+            Call {
+                body: value.as_bytes(),
+                params: &[
+                    ("path", path),
+                    ("expected_version", &expected_version.to_string()),
+                ],
+                ..call
+            }
+            .send()
+        })?;
+        match reply.status {
+            200 => reply.json::<VersionBody>().map(|body| PutOutcome::Stored {
+                version: body.version,
+            }),
+            409 => reply.json().map(PutOutcome::Conflict),
+            _ => reply.unexpected(),
+        }
+    }
+
+    fn count(
+        &self,
+        counter: &AtomicU64,
+        send: impl FnOnce() -> Result<Reply, PlatformError>,
+    ) -> Result<Reply, PlatformError> {
+        counter.fetch_add(1, Ordering::Relaxed);
+        send().inspect_err(|_| {
+            self.calls.errors.fetch_add(1, Ordering::Relaxed);
+        })
+    }
+}
--- /dev/null
+++ b/crates/standins/src/vm_list_server.rs
@@ -0,0 +1,98 @@
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use wigeonhall_types::VmStatus;
+
+use crate::http_message::Reply;
+use crate::http_server::ConnectionPolicy;
+use crate::http_server::HttpServer;
+use crate::http_server::lock;
+
+struct State {
+    /// Lists with the time from which they are the truth, oldest first; never empty.
+    history: Vec<(Instant, Vec<VmStatus>)>,
+    lag: Duration,
+    reads: u64,
+}
+
+/// Stand-in for the platform's list of VMs, which lags; stops when dropped.
+pub struct VmListServer {
+    server: HttpServer,
+    state: Arc<Mutex<State>>,
+}
+
+impl std::fmt::Debug for VmListServer {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.debug_struct("VmListServer")
+            .field("address", &self.address())
+            .finish_non_exhaustive()
+    }
+}
+
+impl VmListServer {
+    /// Starts a list at `address` that shows each change `lag_ms` after it was
+    /// made; port 0 stands for any free port.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be bound.
+    pub fn start(address: SocketAddr, lag_ms: u64, vms: Vec<VmStatus>) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State {
+            history: vec![(Instant::now(), vms)],
+            lag: Duration::from_millis(lag_ms),
+            reads: 0,
+        }));
+        let server = HttpServer::start(address, ConnectionPolicy::default(), {
+            let state = Arc::clone(&state);
+            move |_| {
+                let mut state = lock(&state);
+                state.reads += 1;
+                let body = serde_json::to_string(&BTreeMap::from([("vms", shown(&mut state))]));
+                Reply::Send {
+                    body: body.unwrap_or_default(),
+                    status: 200,
+                }
+            }
+        })?;
+        Ok(Self { server, state })
+    }
+
+    /// Address of the list.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Reads so far.
+    #[must_use]
+    pub fn reads(&self) -> u64 {
+        lock(&self.state).reads
+    }
+
+    /// Starts or ends an outage, in which connections are closed unread.
+    pub fn set_down(&self, down: bool) {
+        self.server.set_refusing(down);
+    }
+
+    /// Sets the time after which a change is shown.
+    pub fn set_lag_ms(&self, lag_ms: u64) {
+        lock(&self.state).lag = Duration::from_millis(lag_ms);
+    }
+
+    /// Changes the list; readers see the change after the lag.
+    pub fn set_vms(&self, vms: Vec<VmStatus>) {
+        lock(&self.state).history.push((Instant::now(), vms));
+    }
+}
+
+fn shown(state: &mut State) -> &[VmStatus] {
+    while state.history.len() > 1 && state.history[1].0.elapsed() >= state.lag {
+        state.history.remove(0);
+    }
+    &state.history[0].1
+}
