Add the pooled client for targets and the stand-in target

A new connection to a target costs about 6 ms and the number of open ones is limited over the whole fleet, so the owner of a replica must hold its connections and count them exactly.

crates/target runs one task per connection, which dials it, uses it for one request at a time and dials it again with back-off. Every send has exactly one reply: a request of which no byte was accepted is unreachable, one that may have been sent is lost. Cancellations and probes have a connection of their own. crates/standins has a target with slots, connection limit, cold start, versions, drain, shedding and faults.

--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -92,11 +92,8 @@
         self.address
     }
 
-    /// Breaks all connections, also in the middle of a request.
-    pub(crate) fn break_connections(&self) {
-        for connection in lock(&self.state).connections.values() {
-            shut(&connection.stream);
-        }
+    pub(crate) fn breaker(&self) -> Breaker {
+        Breaker(Arc::clone(&self.state))
     }
 
     pub(crate) fn counts(&self) -> ConnectionCounts {
@@ -108,6 +105,18 @@
     }
 }
 
+/// Breaks the connections of a server.
+pub(crate) struct Breaker(Arc<Mutex<State>>);
+
+impl Breaker {
+    /// Breaks all connections, also in the middle of a request.
+    pub(crate) fn break_connections(&self) {
+        for connection in lock(&self.0).connections.values() {
+            shut(&connection.stream);
+        }
+    }
+}
+
 impl Drop for HttpServer {
     fn drop(&mut self) {
         lock(&self.state).stopped = true;
@@ -118,7 +127,7 @@
         {
             let _ = accepting.join();
         }
-        self.break_connections();
+        self.breaker().break_connections();
         let mut threads = std::mem::take(&mut lock(&self.state).threads);
         for connection in lock(&self.state).connections.values_mut() {
             threads.extend(connection.thread.take());
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,12 +3,24 @@
 //! Each stand-in runs as threads of the calling process on a loopback address and
 //! stops when dropped. Faults are set by plain methods.
 
+mod cold_start;
 mod http_message;
 mod http_server;
 mod object_store;
+mod target;
+mod target_counts;
+mod target_settings;
+mod target_state;
 mod vm_list_server;
 
 pub use object_store::Availability;
 pub use object_store::ObjectStore;
 pub use object_store::StoreCounts;
+pub use target::Health;
+pub use target::Target;
+pub use target_counts::TargetCounts;
+pub use target_settings::ColdSettings;
+pub use target_settings::ColdViolation;
+pub use target_settings::TargetSettings;
+pub use target_state::rows_of;
 pub use vm_list_server::VmListServer;
--- /dev/null
+++ b/crates/standins/src/target.rs
@@ -0,0 +1,438 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ColdViolation;
+use crate::TargetCounts;
+use crate::TargetSettings;
+use crate::cold_start::ColdStart;
+use crate::http_message::Reply;
+use crate::http_message::Request;
+use crate::http_server::Breaker;
+use crate::http_server::ConnectionPolicy;
+use crate::http_server::HttpServer;
+use crate::http_server::lock;
+use crate::target_state::Intake;
+use crate::target_state::Outcome;
+use crate::target_state::RunBody;
+use crate::target_state::State;
+use wigeonhall_types::IndexVersion;
+use wigeonhall_types::Row;
+use wigeonhall_types::ServedVersion;
+
+/// Retry-after time of a request that was shed.
+const SHED_RETRY_AFTER_US: u64 = 5_000;
+/// Wait of a request without a service end or deadline of its own; events wake it
+/// before.
+const FAR: Duration = Duration::from_hours(1);
+
+/// What the health endpoint shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Health {
+    /// The truth.
+    Current,
+    /// The state after this many changes, for good.
+    Frozen {
+        /// Number of changes of versions, instance or drain since the start.
+        index: usize,
+    },
+    /// The truth of some time ago.
+    Lagging {
+        /// Lag.
+        lag_us: u64,
+    },
+}
+
+/// Stand-in for a target; stops when dropped.
+pub struct Target {
+    server: HttpServer,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    breaker: OnceLock<Breaker>,
+    /// Notified after each change that may end a running request.
+    changed: Condvar,
+    state: Mutex<State>,
+}
+
+impl std::fmt::Debug for Target {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.debug_struct("Target")
+            .field("address", &self.address())
+            .field("counts", &self.counts())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Target {
+    /// Starts a target.
+    ///
+    /// # Errors
+    ///
+    /// If its address cannot be bound.
+    pub fn start(settings: TargetSettings) -> io::Result<Self> {
+        let address = settings.address;
+        let policy = ConnectionPolicy {
+            connect: Duration::from_micros(settings.connect_us),
+            limit: Some(settings.connections),
+            refuse: false,
+        };
+        let shared = Arc::new(Shared {
+            breaker: OnceLock::new(),
+            changed: Condvar::new(),
+            state: Mutex::new(State::new(settings)),
+        });
+        let server = HttpServer::start(address, policy, {
+            let shared = Arc::clone(&shared);
+            move |request| shared.handle(request)
+        })?;
+        let _ = shared.breaker.set(server.breaker());
+        Ok(Self { server, shared })
+    }
+
+    /// Starts several targets, in the order of `settings`.
+    ///
+    /// # Errors
+    ///
+    /// If an address cannot be bound.
+    pub fn start_all(settings: Vec<TargetSettings>) -> io::Result<Vec<Self>> {
+        settings.into_iter().map(Self::start).collect()
+    }
+
+    /// Address of the target.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Breaks all connections, also in the middle of a request. Requests that run
+    /// go on and their replies are lost.
+    pub fn break_connections(&self) {
+        self.shared.break_connections();
+    }
+
+    /// Counts so far.
+    #[must_use]
+    pub fn counts(&self) -> TargetCounts {
+        let connections = self.server.counts();
+        let state = lock(&self.shared.state);
+        TargetCounts {
+            connections_over_limit: connections.over_limit,
+            connections_open: connections.open,
+            connections_opened: connections.opened,
+            max_connections: connections.max_open,
+            running: state.running.len() as u32,
+            ..state.counts
+        }
+    }
+
+    /// Number of times that the write with this request id ran.
+    #[must_use]
+    pub fn executions(&self, request_id: &str) -> u32 {
+        let state = lock(&self.shared.state);
+        state.executions.get(request_id).copied().unwrap_or(0)
+    }
+
+    /// Identity of the process; changes with each restart.
+    #[must_use]
+    pub fn instance(&self) -> u64 {
+        lock(&self.shared.state).instance
+    }
+
+    /// Whether the target still bears only the load of its cold start.
+    #[must_use]
+    pub fn is_cold(&self) -> bool {
+        lock(&self.shared.state).cold.is_some()
+    }
+
+    /// Runs the next `count` requests and closes their connection without a reply.
+    pub fn lose_replies(&self, count: u32) {
+        self.change(|state| state.lose_replies = count);
+    }
+
+    /// Largest number of times that any write ran.
+    #[must_use]
+    pub fn max_executions(&self) -> u32 {
+        let state = lock(&self.shared.state);
+        state.executions.values().copied().max().unwrap_or(0)
+    }
+
+    /// Sends the replies of the next `count` requests with the id of another attempt.
+    pub fn misdirect_replies(&self, count: u32) {
+        self.change(|state| state.misdirect_replies = count);
+    }
+
+    /// Name of the replica.
+    #[must_use]
+    pub fn name(&self) -> Arc<str> {
+        Arc::clone(&lock(&self.shared.state).settings.name)
+    }
+
+    /// Breaks all connections; the target comes back at once with another
+    /// identity and cold.
+    pub fn restart(&self) {
+        self.change(State::restart);
+        self.shared.break_connections();
+    }
+
+    /// Adds `version` with the ranges of the newest one and retires all but the
+    /// newest `keep`.
+    pub fn roll_version(&self, version: IndexVersion, keep: usize) {
+        self.change(|state| {
+            let versions = &mut state.settings.versions;
+            let ranges = versions.last().map(|newest| newest.ranges.clone());
+            versions.push(ServedVersion {
+                ranges: ranges.unwrap_or_default(),
+                version,
+            });
+            let retired = versions.len().saturating_sub(keep);
+            versions.drain(..retired);
+            state.record_health();
+        });
+    }
+
+    /// Starts or ends a drain: new requests are refused, running ones finish.
+    pub fn set_draining(&self, draining: bool) {
+        self.change(|state| {
+            state.intake = if draining {
+                Intake::Draining
+            } else {
+                Intake::Open
+            };
+            state.record_health();
+        });
+    }
+
+    /// While set, no request ends but by cancellation, restart or a lost
+    /// connection; deadlines are ignored.
+    pub fn set_hanging(&self, hanging: bool) {
+        self.change(|state| state.hanging = hanging);
+    }
+
+    /// Sets what the health endpoint shows.
+    pub fn set_health(&self, health: Health) {
+        self.change(|state| state.health = health);
+    }
+
+    /// While set, new connections are closed unread.
+    pub fn set_refusing_connections(&self, refusing: bool) {
+        self.server.set_refusing(refusing);
+    }
+
+    /// While set, every request is shed.
+    pub fn set_shedding(&self, shedding: bool) {
+        self.change(|state| {
+            state.intake = if shedding {
+                Intake::Shedding
+            } else {
+                Intake::Open
+            };
+        });
+    }
+
+    /// Multiplies the service times of later requests; 10 makes a straggler.
+    pub fn set_slowdown(&self, factor: f64) {
+        self.change(|state| state.slowdown = factor);
+    }
+
+    /// Replaces the versions and their key ranges, as a repartition does.
+    pub fn set_versions(&self, versions: Vec<ServedVersion>) {
+        self.change(|state| {
+            state.settings.versions = versions;
+            state.record_health();
+        });
+    }
+
+    /// Ends the cold start.
+    pub fn warm_up(&self) {
+        self.change(|state| state.cold = None);
+    }
+
+    /// Rows written, in order of execution.
+    #[must_use]
+    pub fn written(&self) -> Vec<Row> {
+        lock(&self.shared.state).written.clone()
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        change(&mut lock(&self.shared.state));
+        self.shared.changed.notify_all();
+    }
+}
+
+impl Drop for Target {
+    fn drop(&mut self) {
+        self.change(|state| state.stopped = true);
+    }
+}
+
+impl Shared {
+    fn break_connections(&self) {
+        if let Some(breaker) = self.breaker.get() {
+            breaker.break_connections();
+        }
+    }
+
+    fn handle(&self, request: &Request) -> Reply {
+        let attempt = request.headers.get("x-attempt");
+        match (request.method.as_str(), request.path.as_str(), attempt) {
+            ("GET", "/health", _) => lock(&self.state).health_reply(),
+            ("POST", "/cancel", Some(attempt)) => self.cancel(attempt),
+            ("POST", "/run", Some(attempt)) => self.run(request, attempt),
+            _ => bad_request(),
+        }
+    }
+
+    fn cancel(&self, attempt: &str) -> Reply {
+        let mut state = lock(&self.state);
+        let outcome = if let Some(cancelled) = state.running.get_mut(attempt) {
+            *cancelled = true;
+            Outcome::Cancelled
+        } else {
+            state.counts.unknown_cancels += 1;
+            Outcome::UnknownAttempt
+        };
+        let reply = state.reply(attempt, &outcome);
+        drop(state);
+        self.changed.notify_all();
+        reply
+    }
+
+    fn run(&self, request: &Request, attempt: &str) -> Reply {
+        let (Some(remaining_us), Ok(body)) = (
+            request.header::<u64>("x-remaining-us"),
+            serde_json::from_slice::<RunBody>(&request.body),
+        ) else {
+            return bad_request();
+        };
+        let arrived = Instant::now();
+        let mut state = lock(&self.state);
+        let served = match admit(&mut state, attempt, &body) {
+            Ok(served) => served,
+            Err(reply) => return reply,
+        };
+        let instance = state.instance;
+        state.running.insert(attempt.to_owned(), false);
+        let running = state.running.len() as u32;
+        state.counts.max_running = state.counts.max_running.max(running);
+        let violated = state
+            .cold
+            .as_mut()
+            .is_some_and(|cold| cold.start(arrived, running));
+        // The effect comes first, so that an interrupted write has always run.
+        let mut outcome = state.execute(&body.operation, &served);
+        if violated {
+            self.violate(&mut state);
+        }
+        let service_end = arrived + state.service();
+        let deadline = arrived + Duration::from_micros(remaining_us);
+        state = self.wait(state, attempt, instance, service_end.min(deadline));
+        let cancelled = state.running.remove(attempt).unwrap_or(false);
+        let ended = state.stopped || state.instance != instance;
+        if ended || state.lose_replies > 0 {
+            state.lose_replies -= u32::from(!ended);
+            state.counts.lost += 1;
+            return Reply::Close;
+        }
+        if cancelled {
+            state.counts.cancelled += 1;
+            outcome = Outcome::Cancelled;
+        } else if deadline < service_end {
+            state.counts.deadline_exceeded += 1;
+            outcome = Outcome::DeadlineExceeded;
+        } else {
+            state.counts.answered += 1;
+            if state.cold.as_mut().is_some_and(ColdStart::complete) {
+                state.cold = None;
+            }
+        }
+        if state.misdirect_replies > 0 {
+            state.misdirect_replies -= 1;
+            return state.reply("0000000000000000-0", &outcome);
+        }
+        state.reply(attempt, &outcome)
+    }
+
+    fn violate(&self, state: &mut State) {
+        state.counts.cold_violations += 1;
+        let action = state.cold.as_ref().map(|cold| cold.settings.on_violation);
+        if matches!(action, Some(ColdViolation::FallOver)) {
+            state.restart();
+            self.changed.notify_all();
+            self.break_connections();
+        }
+    }
+
+    /// Waits until `end`, or longer while the target hangs. Ends early if the
+    /// attempt was cancelled or the target restarted or stopped.
+    fn wait<'a>(
+        &self,
+        mut state: MutexGuard<'a, State>,
+        attempt: &str,
+        instance: u64,
+        end: Instant,
+    ) -> MutexGuard<'a, State> {
+        while !state.stopped
+            && state.instance == instance
+            && state.running.get(attempt) == Some(&false)
+        {
+            let left = if state.hanging {
+                FAR
+            } else {
+                end.saturating_duration_since(Instant::now())
+            };
+            if left.is_zero() {
+                break;
+            }
+            state = self
+                .changed
+                .wait_timeout(state, left)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+        state
+    }
+}
+
+/// Decides whether a request runs; the reply says why it does not.
+fn admit(state: &mut State, attempt: &str, body: &RunBody) -> Result<ServedVersion, Reply> {
+    state.counts.requests += 1;
+    if state.intake == Intake::Draining {
+        state.counts.drained += 1;
+        return Err(state.reply(attempt, &Outcome::Draining));
+    }
+    let full = state.running.len() as u32 >= state.settings.slots;
+    if full {
+        state.counts.over_slots += 1;
+    }
+    if full || state.intake == Intake::Shedding {
+        state.counts.shed += 1;
+        let outcome = Outcome::Shed {
+            retry_after_us: SHED_RETRY_AFTER_US,
+        };
+        return Err(state.reply(attempt, &outcome));
+    }
+    if state.running.contains_key(attempt) {
+        state.counts.duplicate_attempts += 1;
+        return Err(bad_request());
+    }
+    state.version(body.version).ok_or_else(|| {
+        state.counts.version_gone += 1;
+        state.reply(attempt, &Outcome::VersionGone)
+    })
+}
+
+fn bad_request() -> Reply {
+    Reply::Send {
+        body: "\"bad request\"".into(),
+        status: 400,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/target_state.rs
@@ -0,0 +1,287 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Health;
+use crate::TargetCounts;
+use crate::TargetSettings;
+use crate::cold_start::ColdStart;
+use crate::http_message::Reply;
+use wigeonhall_types::IndexVersion;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::Operation;
+use wigeonhall_types::Row;
+use wigeonhall_types::ServedVersion;
+
+/// The exponential part of a service time is at most this many times its mean.
+const MAX_JITTER: f64 = 10.0;
+
+/// What the health endpoint shows.
+#[derive(Clone)]
+pub(crate) struct HealthView {
+    pub(crate) draining: bool,
+    pub(crate) instance: u64,
+    pub(crate) served: Vec<ServedVersion>,
+}
+
+/// What happens to new requests.
+#[derive(Clone, Copy, Eq, PartialEq)]
+pub(crate) enum Intake {
+    Draining,
+    Open,
+    Shedding,
+}
+
+pub(crate) struct State {
+    pub(crate) cold: Option<ColdStart>,
+    pub(crate) counts: TargetCounts,
+    /// Executions by request id of a write.
+    pub(crate) executions: BTreeMap<String, u32>,
+    pub(crate) hanging: bool,
+    pub(crate) health: Health,
+    /// Views with the time from which they are true, oldest first; never empty.
+    pub(crate) history: Vec<(Instant, HealthView)>,
+    /// Identity of the process; changes with each restart.
+    pub(crate) instance: u64,
+    pub(crate) intake: Intake,
+    pub(crate) lose_replies: u32,
+    pub(crate) misdirect_replies: u32,
+    pub(crate) random: fastrand::Rng,
+    /// Attempts that run, and whether each was cancelled.
+    pub(crate) running: BTreeMap<String, bool>,
+    pub(crate) settings: TargetSettings,
+    pub(crate) slowdown: f64,
+    pub(crate) stopped: bool,
+    pub(crate) written: Vec<Row>,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct RunBody {
+    pub(crate) operation: Operation,
+    pub(crate) version: Option<IndexVersion>,
+}
+
+#[derive(Serialize)]
+struct ReplyBody<'a> {
+    attempt: Option<&'a str>,
+    instance: u64,
+    outcome: &'a Outcome,
+    served: &'a [ServedVersion],
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Outcome {
+    Answered {
+        ranges: Vec<KeyRange>,
+        rows: Vec<Row>,
+        version: IndexVersion,
+    },
+    Cancelled,
+    DeadlineExceeded,
+    Draining,
+    Ready,
+    Shed {
+        retry_after_us: u64,
+    },
+    UnknownAttempt,
+    VersionGone,
+}
+
+impl Outcome {
+    const fn status(&self) -> u16 {
+        match self {
+            Self::Answered { .. } | Self::Ready => 200,
+            Self::Cancelled => 409,
+            Self::DeadlineExceeded => 504,
+            Self::Draining | Self::Shed { .. } => 503,
+            Self::UnknownAttempt => 404,
+            Self::VersionGone => 410,
+        }
+    }
+}
+
+impl State {
+    pub(crate) fn new(settings: TargetSettings) -> Self {
+        let mut random = fastrand::Rng::with_seed(settings.seed);
+        let instance = random.u64(1..);
+        let slots = settings.slots;
+        Self {
+            cold: settings.cold.map(|cold| ColdStart::new(cold, slots)),
+            counts: TargetCounts::default(),
+            executions: BTreeMap::new(),
+            hanging: false,
+            health: Health::Current,
+            history: vec![(
+                Instant::now(),
+                HealthView {
+                    draining: false,
+                    instance,
+                    served: settings.versions.clone(),
+                },
+            )],
+            instance,
+            intake: Intake::Open,
+            lose_replies: 0,
+            misdirect_replies: 0,
+            random,
+            running: BTreeMap::new(),
+            settings,
+            slowdown: 1.0,
+            stopped: false,
+            written: Vec::new(),
+        }
+    }
+
+    /// Records what the health endpoint shows once its lag has passed.
+    pub(crate) fn record_health(&mut self) {
+        let view = HealthView {
+            draining: self.intake == Intake::Draining,
+            instance: self.instance,
+            served: self.settings.versions.clone(),
+        };
+        self.history.push((Instant::now(), view));
+    }
+
+    pub(crate) fn health_reply(&mut self) -> Reply {
+        self.counts.probes += 1;
+        let shown = match self.health {
+            Health::Current => self.history.len() - 1,
+            Health::Frozen { index } => index.min(self.history.len() - 1),
+            Health::Lagging { lag_us } => self
+                .history
+                .iter()
+                .rposition(|(since, _)| since.elapsed() >= Duration::from_micros(lag_us))
+                .unwrap_or(0),
+        };
+        let view = &self.history[shown].1;
+        let outcome = if view.draining {
+            Outcome::Draining
+        } else {
+            Outcome::Ready
+        };
+        reply(None, view.instance, &outcome, &view.served)
+    }
+
+    pub(crate) fn reply(&self, attempt: &str, outcome: &Outcome) -> Reply {
+        let served = &self.settings.versions;
+        reply(Some(attempt), self.instance, outcome, served)
+    }
+
+    pub(crate) fn restart(&mut self) {
+        self.counts.restarts += 1;
+        self.instance = self.random.u64(1..);
+        self.intake = Intake::Open;
+        // The requests that ran belong to the process that ended.
+        self.running.clear();
+        let slots = self.settings.slots;
+        self.cold = self
+            .settings
+            .cold
+            .map(|settings| ColdStart::new(settings, slots));
+        self.record_health();
+    }
+
+    /// Draws the service time of one request.
+    pub(crate) fn service(&mut self) -> Duration {
+        let jitter = (-(1.0 - self.random.f64()).ln()).min(MAX_JITTER);
+        let settings = &self.settings;
+        let us = settings.service_us as f64 + settings.jitter_us as f64 * jitter;
+        let cold = self.cold.as_ref().filter(|cold| cold.violated);
+        let slow = match cold.map(|cold| cold.settings.on_violation) {
+            Some(crate::ColdViolation::Slow(factor)) => factor,
+            _ => 1.0,
+        };
+        Duration::from_micros((us * self.slowdown * slow) as u64)
+    }
+
+    /// The version that answers, with its ranges; `None` if it is not served.
+    pub(crate) fn version(&self, pinned: Option<IndexVersion>) -> Option<ServedVersion> {
+        let versions = &self.settings.versions;
+        pinned
+            .map_or_else(
+                || versions.last(),
+                |pinned| versions.iter().find(|it| it.version == pinned),
+            )
+            .cloned()
+    }
+
+    /// Runs an operation.
+    pub(crate) fn execute(&mut self, operation: &Operation, served: &ServedVersion) -> Outcome {
+        let version = served.version;
+        match operation {
+            Operation::Read { range } => {
+                let ranges = served
+                    .ranges
+                    .iter()
+                    .filter_map(|held| held.intersection(*range))
+                    .collect::<Vec<_>>();
+                let spacing = self.settings.row_spacing;
+                let rows = ranges
+                    .iter()
+                    .flat_map(|&range| rows_of(range, version, spacing))
+                    .collect();
+                Outcome::Answered {
+                    ranges,
+                    rows,
+                    version,
+                }
+            }
+            Operation::Write {
+                body,
+                key,
+                request_id,
+            } => {
+                *self.executions.entry(request_id.to_string()).or_default() += 1;
+                let row = Row {
+                    key: *key,
+                    value: body.clone(),
+                };
+                self.written.push(row.clone());
+                Outcome::Answered {
+                    ranges: vec![KeyRange {
+                        start: *key,
+                        end: key.saturating_add(1),
+                    }],
+                    rows: vec![row],
+                    version,
+                }
+            }
+        }
+    }
+}
+
+fn reply(
+    attempt: Option<&str>,
+    instance: u64,
+    outcome: &Outcome,
+    served: &[ServedVersion],
+) -> Reply {
+    let body = serde_json::to_string(&ReplyBody {
+        attempt,
+        instance,
+        outcome,
+        served,
+    });
+    Reply::Send {
+        body: body.unwrap_or_default(),
+        status: outcome.status(),
+    }
+}
+
+/// Rows that every target holds for the keys of `range` at `version`: one for
+/// each multiple of `spacing`.
+#[must_use]
+pub fn rows_of(range: KeyRange, version: IndexVersion, spacing: u64) -> Vec<Row> {
+    let first = range.start.div_ceil(spacing);
+    (first..range.end.div_ceil(spacing))
+        .map(|multiple| multiple * spacing)
+        .map(|key| Row {
+            key,
+            value: format!("{key}@{}", version.0).into(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/target/src/replica.rs
@@ -0,0 +1,134 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+
+use crate::connection;
+use crate::job::Job;
+use crate::job::JobKind;
+use crate::lane::Lane;
+use crate::target_counters::Counters;
+
+/// Connections of one replica and the jobs that wait for them.
+pub(crate) struct Replica {
+    pub(crate) address: SocketAddr,
+    /// Cancellations and probes; served by connection 0 alone.
+    control: Lane,
+    pub(crate) counters: Counters,
+    /// Requests; served by the connections from 1.
+    requests: Lane,
+    /// Whether there are two lanes; a single connection serves all in one.
+    split: bool,
+    /// Counters of the whole pool.
+    totals: Arc<Counters>,
+    /// Number of connections to hold; those with a higher index close once idle.
+    wanted: watch::Sender<u32>,
+    /// Whether the task of each connection runs. At most one does, also when the
+    /// replica is closed and opened again, so the count is never exceeded.
+    workers: Mutex<Vec<bool>>,
+}
+
+impl Replica {
+    pub(crate) fn new(address: SocketAddr, split: bool, totals: Arc<Counters>) -> Arc<Self> {
+        Arc::new(Self {
+            address,
+            control: Lane::new(),
+            counters: Counters::default(),
+            requests: Lane::new(),
+            split,
+            totals,
+            wanted: watch::channel(0).0,
+            workers: Mutex::default(),
+        })
+    }
+
+    pub(crate) fn count(&self, counter: impl Fn(&Counters) -> &AtomicU64) {
+        counter(&self.counters).fetch_add(1, Ordering::Relaxed);
+        counter(&self.totals).fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_closed(&self) {
+        self.counters.open.fetch_sub(1, Ordering::Relaxed);
+        self.totals.open.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        *self.wanted.borrow() == 0
+    }
+
+    pub(crate) fn lane(&self, index: u32) -> &Lane {
+        if self.split && index == 0 {
+            &self.control
+        } else {
+            &self.requests
+        }
+    }
+
+    pub(crate) fn lane_of(&self, kind: &JobKind) -> &Lane {
+        match kind {
+            JobKind::Cancel { .. } | JobKind::Probe => self.lane(0),
+            JobKind::Run { .. } => &self.requests,
+        }
+    }
+
+    pub(crate) fn matches(&self, address: SocketAddr, split: bool) -> bool {
+        self.address == address && self.split == split
+    }
+
+    /// Ends the task of connection `index` if it is no longer wanted.
+    pub(crate) fn retire(&self, index: u32) -> bool {
+        let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
+        let retired = index >= *self.wanted.borrow();
+        workers[index as usize] = !retired;
+        retired
+    }
+
+    pub(crate) fn set_wanted(self: &Arc<Self>, count: u32, handle: &Handle) {
+        let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
+        self.wanted.send_replace(count);
+        if workers.len() < count as usize {
+            workers.resize(count as usize, false);
+        }
+        for (index, running) in (0..count).zip(workers.iter_mut()) {
+            if !std::mem::replace(running, true) {
+                handle.spawn(connection::run(Arc::clone(self), index));
+            }
+        }
+        drop(workers);
+        if count == 0 {
+            self.control.fail_all();
+            self.requests.fail_all();
+        }
+    }
+
+    /// Queues a job; it ends as not sent if no connection takes it in time.
+    pub(crate) fn submit(self: &Arc<Self>, job: Job, handle: &Handle) {
+        let lane = self.lane_of(&job.kind);
+        let deadline = job.deadline;
+        let control = !matches!(job.kind, JobKind::Run { .. });
+        let ticket = lane.push(job);
+        if self.is_closed() {
+            lane.expire(ticket);
+            return;
+        }
+        let replica = Arc::clone(self);
+        handle.spawn(async move {
+            tokio::time::sleep_until(deadline).await;
+            let lane = if control {
+                replica.lane(0)
+            } else {
+                &replica.requests
+            };
+            lane.expire(ticket);
+        });
+    }
+
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u32> {
+        self.wanted.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/target/src/target_counters.rs
@@ -0,0 +1,51 @@
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+/// Counts of one replica or of the whole pool.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TargetCounters {
+    /// Connections lost, or discarded since they could not be used further.
+    pub broken: u64,
+    /// Cancellations sent.
+    pub cancels: u64,
+    /// Dials that opened no connection.
+    pub dial_failures: u64,
+    /// Connections open now.
+    pub open: u64,
+    /// Connections opened.
+    pub opened: u64,
+    /// Probes sent.
+    pub probes: u64,
+    /// Requests sent, at least in part.
+    pub requests: u64,
+    /// Requests that moved to another connection because the first was found
+    /// closed before it accepted any byte.
+    pub requeued: u64,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+    pub(crate) broken: AtomicU64,
+    pub(crate) cancels: AtomicU64,
+    pub(crate) dial_failures: AtomicU64,
+    pub(crate) open: AtomicU64,
+    pub(crate) opened: AtomicU64,
+    pub(crate) probes: AtomicU64,
+    pub(crate) requests: AtomicU64,
+    pub(crate) requeued: AtomicU64,
+}
+
+impl Counters {
+    pub(crate) fn snapshot(&self) -> TargetCounters {
+        TargetCounters {
+            broken: self.broken.load(Ordering::Relaxed),
+            cancels: self.cancels.load(Ordering::Relaxed),
+            dial_failures: self.dial_failures.load(Ordering::Relaxed),
+            open: self.open.load(Ordering::Relaxed),
+            opened: self.opened.load(Ordering::Relaxed),
+            probes: self.probes.load(Ordering::Relaxed),
+            requests: self.requests.load(Ordering::Relaxed),
+            requeued: self.requeued.load(Ordering::Relaxed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/target/tests/cold_start.rs
@@ -0,0 +1,78 @@
+//! The cold start of the stand-in target.
+
+mod common;
+
+use common::AMPLE_US;
+use common::Fixture;
+use common::read;
+use common::wait;
+use wigeonhall_standins::ColdSettings;
+use wigeonhall_standins::ColdViolation;
+use wigeonhall_standins::TargetSettings;
+use wigeonhall_types::ColdBound;
+use wigeonhall_types::TargetOutcome;
+
+fn start(on_violation: ColdViolation) -> Fixture {
+    Fixture::start(TargetSettings {
+        cold: Some(ColdSettings {
+            bound: ColdBound {
+                requests_per_s: 1_000,
+                slots: 1,
+            },
+            on_violation,
+        }),
+        connections: 5,
+        slots: 4,
+        ..TargetSettings::default()
+    })
+}
+
+/// Guards against a stand-in that lets a cold-start violation pass: it could not
+/// prove that there is none.
+#[test]
+fn load_above_the_cold_bound_is_counted() {
+    let fixture = start(ColdViolation::Count);
+    fixture.target.set_hanging(true);
+    let replies = [1, 2, 3].map(|it| fixture.send(&read(it, 0, 1), AMPLE_US));
+    wait(|| fixture.target.counts().running == 3);
+    assert_eq!(fixture.target.counts().cold_violations, 2);
+    fixture.target.set_hanging(false);
+    for reply in replies {
+        reply.recv().unwrap();
+    }
+}
+
+/// Guards against a violation counted for an owner that keeps to the bound.
+#[test]
+fn load_that_follows_the_ramp_is_no_violation() {
+    let fixture = start(ColdViolation::Count);
+    for (round, allowed) in [1, 2, 4].into_iter().enumerate() {
+        let replies = (0..allowed)
+            .map(|it| fixture.send(&read(round as u64 * 10 + it, 0, 1), AMPLE_US))
+            .collect::<Vec<_>>();
+        for reply in replies {
+            reply.recv().unwrap();
+        }
+    }
+    assert_eq!(fixture.target.counts().cold_violations, 0);
+    assert!(!fixture.target.is_cold());
+    fixture.target.restart();
+    assert!(fixture.target.is_cold());
+}
+
+/// Guards against a violation without the consequence that targets have.
+#[test]
+fn violated_target_falls_over() {
+    let fixture = start(ColdViolation::FallOver);
+    let instance = fixture.target.instance();
+    fixture.target.set_hanging(true);
+    let first = fixture.send(&read(1, 0, 1), AMPLE_US);
+    wait(|| fixture.target.counts().running == 1);
+    let second = fixture.send(&read(2, 0, 1), AMPLE_US);
+    for reply in [first, second] {
+        let outcome = reply.recv().unwrap().outcome;
+        assert_eq!(outcome, TargetOutcome::ConnectionLost);
+    }
+    assert_ne!(fixture.target.instance(), instance);
+    assert_eq!(fixture.target.counts().restarts, 1);
+}
--- /dev/null
+++ b/crates/target/tests/deadlines.rs
@@ -0,0 +1,88 @@
+//! Deadlines and late replies.
+
+mod common;
+
+use common::AMPLE_US;
+use common::Fixture;
+use common::answered_range;
+use common::read;
+use common::wait;
+use wigeonhall_standins::TargetSettings;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::TargetOutcome;
+
+/// Guards against a request without an end when the target does not reply.
+#[test]
+fn missing_reply_ends_at_the_deadline_and_costs_the_connection() {
+    let fixture = Fixture::start(TargetSettings::default());
+    fixture.target.set_hanging(true);
+    let reply = fixture.call(&read(1, 0, 1), 50_000);
+    assert_eq!(reply.outcome, TargetOutcome::DeadlineExceeded);
+    assert_eq!(reply.instance, None);
+    wait(|| fixture.target.counts().requests == 1);
+    wait(|| fixture.pool.counters().broken == 1);
+    fixture.target.set_hanging(false);
+}
+
+/// Guards against a target that works on after the deadline since it was not
+/// told the remaining time.
+#[test]
+fn target_stops_at_the_deadline() {
+    let fixture = Fixture::start(TargetSettings {
+        service_us: AMPLE_US,
+        ..TargetSettings::default()
+    });
+    let reply = fixture.call(&read(1, 0, 1), 50_000);
+    assert_eq!(reply.outcome, TargetOutcome::DeadlineExceeded);
+    wait(|| fixture.target.counts().deadline_exceeded == 1);
+    assert_eq!(fixture.target.counts().running, 0);
+}
+
+/// Guards against a request that is sent after its budget has passed.
+#[test]
+fn request_that_waits_too_long_is_not_sent() {
+    let fixture = Fixture::start(TargetSettings::default());
+    fixture.target.set_hanging(true);
+    let running = [1, 2].map(|it| fixture.send(&read(it, 0, 1), AMPLE_US));
+    wait(|| fixture.target.counts().running == 2);
+    let outcome = fixture.call(&read(3, 0, 1), 20_000).outcome;
+    assert_eq!(outcome, TargetOutcome::Unreachable);
+    fixture.target.set_hanging(false);
+    for reply in running {
+        reply.recv().unwrap();
+    }
+    assert_eq!(fixture.target.counts().requests, 2);
+}
+
+/// Guards against a late reply that reaches a later request: budgets lie around
+/// the service times, so that many replies come after their deadline.
+#[test]
+fn late_replies_never_reach_another_request() {
+    let fixture = Fixture::start(TargetSettings {
+        jitter_us: 2_000,
+        seed: 11,
+        service_us: 500,
+        ..TargetSettings::default()
+    });
+    let mut random = fastrand::Rng::with_seed(12);
+    for round in 0..100 {
+        let replies = (0..3)
+            .map(|it| {
+                let start = (round * 3 + it) * 10;
+                let budget_us = random.u64(500..6_000);
+                let sub = read(round * 3 + it, start, start + 10);
+                (start, fixture.send(&sub, budget_us))
+            })
+            .collect::<Vec<_>>();
+        for (start, reply) in replies {
+            let reply = reply.recv().unwrap();
+            if let Some(range) = answered_range(&reply) {
+                let end = start + 10;
+                assert_eq!(range, KeyRange { start, end });
+            }
+        }
+    }
+    let counts = fixture.target.counts();
+    assert_eq!(counts.connections_over_limit, 0);
+    assert!(counts.max_connections <= 3);
+}
--- /dev/null
+++ b/crates/target/tests/lost_connections.rs
@@ -0,0 +1,93 @@
+//! Connections that break around a request, and what is true of it then.
+
+mod common;
+
+use std::thread;
+use std::time::Duration;
+
+use common::AMPLE_US;
+use common::Fixture;
+use common::REPLICA;
+use common::read;
+use common::request_id;
+use common::wait;
+use common::write;
+use wigeonhall_standins::TargetSettings;
+use wigeonhall_types::TargetOutcome;
+
+/// Guards against a request reported as "not run" although the target ran it and
+/// closed the connection instead of replying.
+#[test]
+fn connection_closed_in_the_middle_of_a_request_is_lost() {
+    let fixture = Fixture::start(TargetSettings::default());
+    fixture.target.lose_replies(1);
+    let outcome = fixture.call(&write(1), AMPLE_US).outcome;
+    assert_eq!(outcome, TargetOutcome::ConnectionLost);
+    fixture.target.set_hanging(true);
+    let reply = fixture.send(&write(2), AMPLE_US);
+    wait(|| fixture.target.counts().running == 1);
+    fixture.target.restart();
+    let outcome = reply.recv().unwrap().outcome;
+    assert_eq!(outcome, TargetOutcome::ConnectionLost);
+    let executions = [1, 2].map(|it| fixture.target.executions(&request_id(it)));
+    assert_eq!(executions, [1, 1]);
+}
+
+/// Guards against a target restart that goes unnoticed.
+#[test]
+fn restart_shows_in_the_instance() {
+    let fixture = Fixture::start(TargetSettings::default());
+    let before = fixture.call(&read(1, 0, 1), AMPLE_US).instance;
+    fixture.target.restart();
+    wait(|| fixture.target.counts().connections_opened == 6);
+    let after = fixture.call(&read(2, 0, 1), AMPLE_US).instance;
+    assert_eq!(after, Some(fixture.target.instance()));
+    assert_ne!(before, after);
+    assert_eq!(fixture.target.counts().restarts, 1);
+}
+
+/// Guards against a write that runs twice or is reported wrongly while its
+/// connections are found closed: "not sent" must mean that it has not run.
+#[test]
+fn breaking_connections_never_make_an_outcome_untrue() {
+    let fixture = Fixture::start(TargetSettings {
+        jitter_us: 300,
+        seed: 21,
+        ..TargetSettings::default()
+    });
+    let mut random = fastrand::Rng::with_seed(22);
+    for sequence in 0..300 {
+        let reply = fixture.send(&write(sequence), AMPLE_US);
+        if random.u8(..) < 64 {
+            thread::sleep(Duration::from_micros(random.u64(..400)));
+            fixture.target.break_connections();
+        }
+        let outcome = reply.recv().unwrap().outcome;
+        let executions = fixture.target.executions(&request_id(sequence));
+        match outcome {
+            TargetOutcome::Answered { .. } => assert_eq!(executions, 1),
+            TargetOutcome::ConnectionLost => assert!(executions <= 1),
+            TargetOutcome::Shed { .. } | TargetOutcome::Unreachable => assert_eq!(executions, 0),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(fixture.target.max_executions(), 1);
+}
+
+/// Guards against a request without any reply when the process shuts down.
+#[test]
+fn end_of_the_runtime_still_brings_one_reply() {
+    let fixture = Fixture::start(TargetSettings::default());
+    fixture.target.set_hanging(true);
+    let sent = [1, 2].map(|it| fixture.send(&write(it), AMPLE_US));
+    wait(|| fixture.target.counts().running == 2);
+    let waiting = fixture.send(&write(3), AMPLE_US);
+    fixture.runtime.shutdown_background();
+    for reply in sent {
+        let outcome = reply.recv().unwrap().outcome;
+        assert_eq!(outcome, TargetOutcome::ConnectionLost);
+    }
+    fixture.pool.close(REPLICA);
+    let outcome = waiting.recv().unwrap().outcome;
+    assert_eq!(outcome, TargetOutcome::Unreachable);
+}
--- /dev/null
+++ b/crates/target/tests/outcomes.rs
@@ -0,0 +1,150 @@
+//! Replies of a target and the outcomes they become.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::AMPLE_US;
+use common::Fixture;
+use common::REPLICA;
+use common::read;
+use common::request_id;
+use common::wait;
+use common::write;
+use wigeonhall_standins::Health;
+use wigeonhall_standins::TargetSettings;
+use wigeonhall_standins::rows_of;
+use wigeonhall_types::IndexVersion;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::ServedVersion;
+use wigeonhall_types::TargetOutcome;
+
+/// Guards against rows of another version or of keys that the target does not hold.
+#[test]
+fn answer_holds_the_rows_of_the_pinned_version() {
+    let held = KeyRange {
+        start: 1 << 30,
+        end: 1 << 31,
+    };
+    let served = vec![ServedVersion {
+        ranges: vec![held],
+        version: IndexVersion(1),
+    }];
+    let fixture = Fixture::start(TargetSettings {
+        versions: served.clone(),
+        ..TargetSettings::default()
+    });
+    fixture.target.roll_version(IndexVersion(2), 2);
+    let reply = fixture.call(&read(1, 0, 3 << 29), AMPLE_US);
+    let range = KeyRange {
+        start: 1 << 30,
+        end: 3 << 29,
+    };
+    let rows = rows_of(range, IndexVersion(1), 1 << 24);
+    assert_eq!(rows.len(), 32);
+    let expected = TargetOutcome::Answered {
+        ranges: vec![range],
+        rows,
+        version: IndexVersion(1),
+    };
+    assert_eq!(reply.outcome, expected);
+    assert_eq!(reply.instance, Some(fixture.target.instance()));
+    assert_eq!(reply.served.len(), 2);
+    assert_eq!(reply.served[0], served[0]);
+}
+
+/// Guards against a request for a retired version that is reported as run.
+#[test]
+fn retired_version_is_gone_and_not_run() {
+    let fixture = Fixture::start(TargetSettings::default());
+    fixture.target.roll_version(IndexVersion(2), 1);
+    let reply = fixture.call(&write(1), AMPLE_US);
+    assert_eq!(reply.outcome, TargetOutcome::VersionGone);
+    assert_eq!(reply.served[0].version, IndexVersion(2));
+    assert_eq!(fixture.target.executions(&request_id(1)), 0);
+}
+
+/// Guards against a drain or a shed request that is reported as run, and against
+/// a drain that interrupts a running request.
+#[test]
+fn draining_and_shedding_targets_run_nothing() {
+    let fixture = Fixture::start(TargetSettings::default());
+    fixture.target.set_hanging(true);
+    let running = fixture.send(&write(1), AMPLE_US);
+    wait(|| fixture.target.counts().running == 1);
+    fixture.target.set_draining(true);
+    let outcome = fixture.call(&write(2), AMPLE_US).outcome;
+    assert_eq!(outcome, TargetOutcome::Draining);
+    assert_eq!(fixture.probe().outcome, TargetOutcome::Draining);
+    fixture.target.set_hanging(false);
+    let outcome = running.recv().unwrap().outcome;
+    assert!(
+        matches!(outcome, TargetOutcome::Answered { .. }),
+        "{outcome:?}"
+    );
+    fixture.target.set_shedding(true);
+    let outcome = fixture.call(&write(3), AMPLE_US).outcome;
+    assert!(matches!(outcome, TargetOutcome::Shed { .. }), "{outcome:?}");
+    let executions = [1, 2, 3].map(|it| fixture.target.executions(&request_id(it)));
+    assert_eq!(executions, [1, 0, 0]);
+    let counts = fixture.target.counts();
+    assert_eq!((counts.drained, counts.shed), (1, 1));
+    assert_eq!(fixture.pool.counters().broken, 0);
+}
+
+/// Guards against the reply to one request being taken for the reply to another.
+#[test]
+fn misdirected_reply_is_not_an_answer() {
+    let fixture = Fixture::start(TargetSettings::default());
+    fixture.target.misdirect_replies(1);
+    let reply = fixture.call(&read(1, 0, 1), AMPLE_US);
+    assert_eq!(reply.outcome, TargetOutcome::BadReply);
+    assert_eq!(reply.instance, None);
+    wait(|| fixture.pool.counters().broken == 1);
+    let outcome = fixture.call(&read(2, 0, 1), AMPLE_US).outcome;
+    assert!(
+        matches!(outcome, TargetOutcome::Answered { .. }),
+        "{outcome:?}"
+    );
+}
+
+/// Guards against a request that waits for its whole budget although nobody
+/// listens, and against one that is never answered.
+#[test]
+fn unreachable_target_is_reported_as_such() {
+    let fixture = Fixture::start(TargetSettings::default());
+    let nobody = SocketAddr::from(([127, 0, 0, 9], 1));
+    fixture.pool.open(REPLICA, nobody, 3);
+    let outcome = fixture.call(&write(1), AMPLE_US).outcome;
+    assert_eq!(outcome, TargetOutcome::Unreachable);
+    assert!(fixture.pool.counters().dial_failures > 0);
+    assert_eq!(fixture.probe().outcome, TargetOutcome::Unreachable);
+    fixture.pool.close(REPLICA);
+    let outcome = fixture.call(&write(2), AMPLE_US).outcome;
+    assert_eq!(outcome, TargetOutcome::Unreachable);
+    assert_eq!(fixture.target.counts().requests, 0);
+}
+
+/// Guards against a stand-in whose health endpoint is better than the platform's.
+#[test]
+fn health_lags_or_misleads() {
+    let fixture = Fixture::start(TargetSettings::default());
+    fixture.target.set_health(Health::Frozen { index: 0 });
+    fixture.target.set_draining(true);
+    let outcome = fixture.probe().outcome;
+    assert!(
+        matches!(outcome, TargetOutcome::Answered { .. }),
+        "{outcome:?}"
+    );
+    let an_hour = 3_600_000_000;
+    fixture
+        .target
+        .set_health(Health::Lagging { lag_us: an_hour });
+    let outcome = fixture.probe().outcome;
+    assert!(
+        matches!(outcome, TargetOutcome::Answered { .. }),
+        "{outcome:?}"
+    );
+    fixture.target.set_health(Health::Current);
+    assert_eq!(fixture.probe().outcome, TargetOutcome::Draining);
+}
