Decide in the gate when each sub-request starts

Cause: the gate was a placeholder, so no node could enforce the slots, connections and cold-start bound of the replicas it owns.

Change: one record per owned replica with slots, waiting list (weighted fair by class, then earliest deadline; a treap, because admission needs ranks), cold-start ramp with a sliding window of starts, latency estimate, probes and hand-over. An ordered index of wake-ups keeps the cost of an event independent of the number of replicas.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,13 +1,41 @@
 use crate::GateAction;
 use crate::GateCounters;
 use crate::GateEvent;
+use crate::replica_gate::ReplicaGate;
+use crate::turn::Place;
+use crate::turn::Turn;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use wigeonhall_types::AttemptId;
+use wigeonhall_types::Deployment;
+use wigeonhall_types::RefusalReason;
 use wigeonhall_types::ReplicaKey;
 use wigeonhall_types::ReplicaReport;
+use wigeonhall_types::SubRequest;
 
 /// Decides when each sub-request to an owned replica starts.
+///
+/// A slot is held from `Send` until the `TargetReply`. Work starts only while
+/// the lease is valid and the replica takes work.
 #[derive(Debug, Default)]
 pub struct Gate {
     counters: GateCounters,
+    deployment: Arc<Deployment>,
+    /// Work starts only before this time.
+    lease_until_us: u64,
+    /// Largest time given so far.
+    now_us: u64,
+    /// Every sub-request that waits or runs.
+    places: BTreeMap<AttemptId, Place>,
+    /// Owned replicas, and revoked ones with requests that still run.
+    replicas: BTreeMap<ReplicaKey, ReplicaGate>,
+    /// Replicas for which a sub-request waits.
+    waiting: BTreeSet<ReplicaKey>,
+    /// Each replica's next wake-up, in order.
+    wakes: BTreeSet<(u64, ReplicaKey)>,
+    /// Inverse of `wakes`.
+    wakes_by_replica: BTreeMap<ReplicaKey, u64>,
 }
 
 impl Gate {
@@ -24,23 +52,193 @@
     }
 
     /// Takes one event and pushes what follows from it.
-    pub fn handle(&mut self, _now_us: u64, _event: GateEvent, _actions: &mut Vec<GateAction>) {}
+    ///
+    /// A `now_us` below an earlier one is taken as the earlier one.
+    pub fn handle(&mut self, now_us: u64, event: GateEvent, actions: &mut Vec<GateAction>) {
+        self.now_us = self.now_us.max(now_us);
+        // A reply that is already here counts before the deadline it just missed.
+        if !matches!(event, GateEvent::TargetReply { .. }) {
+            self.run_due(actions);
+        }
+        match event {
+            GateEvent::Cancel(attempt) => self.cancel(attempt, actions),
+            GateEvent::Deployment(deployment) => self.deploy(&deployment, actions),
+            GateEvent::Grant {
+                epoch,
+                replica,
+                state,
+            } => {
+                let spec = self.deployment.replicas.get(&replica).copied();
+                let out = self.deployment.replica_out(replica);
+                self.replicas
+                    .entry(replica)
+                    .or_insert_with(|| ReplicaGate::new(replica, spec, out));
+                self.update(replica, actions, |it, turn| it.grant(turn, epoch, state));
+            }
+            GateEvent::LeaseUntil(until_us) => self.lease_until_us = until_us,
+            GateEvent::ProbeReply { replica, reply } => {
+                let known = self.update(replica, actions, |it, turn| it.probe_reply(turn, &reply));
+                self.counters.unknown_replies += u64::from(!known);
+            }
+            GateEvent::Revoke {
+                epoch,
+                replica,
+                successor,
+            } => {
+                let known = self.update(replica, actions, |it, turn| {
+                    it.revoke(turn, epoch, successor);
+                });
+                self.counters.stale_ownership += u64::from(!known);
+            }
+            GateEvent::Submit(request) => self.submit(request, actions),
+            GateEvent::TargetReply { attempt, reply } => {
+                if let Some(place) = self.places.get(&attempt).copied() {
+                    self.update(place.replica, actions, |it, turn| {
+                        it.target_reply(turn, attempt, reply);
+                    });
+                } else {
+                    self.counters.unknown_replies += 1;
+                }
+            }
+            GateEvent::Tick => {}
+        }
+        self.run_due(actions);
+    }
 
     /// Local time at which the next `Tick` is due.
     #[must_use]
-    pub const fn next_wake_us(&self) -> Option<u64> {
-        None
+    pub fn next_wake_us(&self) -> Option<u64> {
+        let lease_us = (!self.waiting.is_empty()).then_some(self.lease_until_us);
+        let wake_us = self.wakes.first().map(|(wake_us, _)| *wake_us);
+        lease_us.into_iter().chain(wake_us).min()
     }
 
     /// Reports of all owned replicas.
     #[must_use]
-    pub const fn reports(&self, _now_us: u64) -> Vec<(ReplicaKey, ReplicaReport)> {
-        Vec::new()
+    pub fn reports(&self, now_us: u64) -> Vec<(ReplicaKey, ReplicaReport)> {
+        let now_us = self.now_us.max(now_us);
+        let has_lease = now_us < self.lease_until_us;
+        self.replicas
+            .iter()
+            .filter_map(|(key, replica)| Some((*key, replica.report(now_us, has_lease)?)))
+            .collect()
     }
 
-    /// Number of sub-requests waiting or running.
+    /// Number of sub-requests waiting or running. A running one counts until its
+    /// `TargetReply`, also when it was answered before.
     #[must_use]
-    pub const fn open_requests(&self) -> usize {
-        0
+    pub fn open_requests(&self) -> usize {
+        self.places.len()
+    }
+
+    fn cancel(&mut self, attempt: AttemptId, actions: &mut Vec<GateAction>) {
+        if let Some(place) = self.places.get(&attempt).copied() {
+            self.update(place.replica, actions, |it, turn| {
+                it.cancel(turn, attempt, place);
+            });
+        } else {
+            self.counters.unknown_cancels += 1;
+        }
+    }
+
+    fn deploy(&mut self, deployment: &Arc<Deployment>, actions: &mut Vec<GateAction>) {
+        if deployment.generation < self.deployment.generation {
+            self.counters.stale_deployments += 1;
+            return;
+        }
+        self.deployment = Arc::clone(deployment);
+        let replicas = self.replicas.keys().copied().collect::<Vec<_>>();
+        for replica in replicas {
+            let spec = deployment.replicas.get(&replica).copied();
+            let out = deployment.replica_out(replica);
+            self.update(replica, actions, |it, turn| it.deploy(turn, spec, out));
+        }
+    }
+
+    fn submit(&mut self, request: SubRequest, actions: &mut Vec<GateAction>) {
+        self.counters.submitted += 1;
+        if self.places.contains_key(&request.attempt) {
+            self.counters.duplicate_submits += 1;
+            return;
+        }
+        let (attempt, replica) = (request.attempt, request.replica);
+        if self.update(replica, actions, |it, turn| it.submit(turn, request)) {
+            return;
+        }
+        let reason = if self.deployment.replicas.contains_key(&replica) {
+            RefusalReason::NotOwner
+        } else {
+            RefusalReason::UnknownReplica
+        };
+        self.turn(actions).refuse(attempt, reason, 0, None);
+    }
+
+    /// Brings every replica to the present whose wake-up is due, and those with
+    /// waiting sub-requests once the lease has ended.
+    fn run_due(&mut self, actions: &mut Vec<GateAction>) {
+        if self.now_us >= self.lease_until_us {
+            for replica in std::mem::take(&mut self.waiting) {
+                self.update(replica, actions, |_, _| {});
+            }
+        }
+        let due = self
+            .wakes
+            .range(..=(self.now_us, ReplicaKey(u32::MAX)))
+            .map(|(_, replica)| *replica)
+            .collect::<Vec<_>>();
+        for replica in due {
+            self.update(replica, actions, |_, _| {});
+        }
+    }
+
+    fn turn<'a>(&'a mut self, actions: &'a mut Vec<GateAction>) -> Turn<'a> {
+        Turn {
+            actions,
+            counters: &mut self.counters,
+            deployment: &self.deployment,
+            lease_until_us: self.lease_until_us,
+            now_us: self.now_us,
+            places: &mut self.places,
+        }
+    }
+
+    /// Applies `change` to a record, settles it and schedules its next wake-up.
+    /// Returns whether there is a record.
+    fn update(
+        &mut self,
+        key: ReplicaKey,
+        actions: &mut Vec<GateAction>,
+        change: impl FnOnce(&mut ReplicaGate, &mut Turn<'_>),
+    ) -> bool {
+        let Some(mut replica) = self.replicas.remove(&key) else {
+            return false;
+        };
+        let mut turn = self.turn(actions);
+        change(&mut replica, &mut turn);
+        replica.settle(&mut turn);
+        let wake_us = replica.wake_us(self.now_us);
+        self.schedule(key, wake_us);
+        if replica.waiting.len() > 0 {
+            self.waiting.insert(key);
+        } else {
+            self.waiting.remove(&key);
+        }
+        if !replica.is_idle() {
+            self.replicas.insert(key, replica);
+        }
+        true
+    }
+
+    fn schedule(&mut self, key: ReplicaKey, wake_us: Option<u64>) {
+        let old_us = match wake_us {
+            Some(wake_us) => self.wakes_by_replica.insert(key, wake_us),
+            None => self.wakes_by_replica.remove(&key),
+        };
+        if let Some(old_us) = old_us {
+            self.wakes.remove(&(old_us, key));
+        }
+        if let Some(wake_us) = wake_us {
+            self.wakes.insert((wake_us, key));
+        }
     }
 }
--- a/crates/gate/src/gate_counters.rs
+++ b/crates/gate/src/gate_counters.rs
@@ -1,6 +1,154 @@
+use wigeonhall_types::FailureReason;
+use wigeonhall_types::RefusalReason;
+use wigeonhall_types::SubOutcome;
+
 /// Counters of decisions, since the start of the process.
+///
+/// Fields named `*_high` are the largest value seen.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct GateCounters {
+    /// Sub-requests answered with rows.
+    pub answered: u64,
+    /// Targets that began to drain.
+    pub became_leaving: u64,
+    /// Targets that stopped accepting connections or replying.
+    pub became_unreachable: u64,
+    /// Ramps that reached the slots.
+    pub became_warm: u64,
+    /// Running requests that a target was asked to stop.
+    pub cancelled_at_target: u64,
+    /// Replicas that became cold because a connection broke.
+    pub cold_connection_lost: u64,
+    /// Replicas that became cold because the instance identity changed.
+    pub cold_instance: u64,
+    /// Replicas that became cold because the latency jumped.
+    pub cold_latency: u64,
+    /// Starts beyond the rate of a cold start within one second; must stay 0.
+    pub cold_rate_exceeded_high: u64,
+    /// Starts at one cold replica within one second.
+    pub cold_rate_high: u64,
+    /// Replicas that became cold because a probe reached them again.
+    pub cold_reachable: u64,
+    /// Replicas that became cold because operators returned them to service.
+    pub cold_returned: u64,
+    /// Requests running at one cold replica at a start.
+    pub cold_running_high: u64,
+    /// Requests beyond the concurrency of a cold start at a start; must stay 0.
+    pub cold_slots_exceeded_high: u64,
+    /// Submissions of an attempt that already waits or runs; ignored.
+    pub duplicate_submits: u64,
+    /// Sub-requests that failed: the reply could not be read.
+    pub failed_bad_reply: u64,
+    /// Sub-requests that failed: cancelled while running.
+    pub failed_cancelled: u64,
+    /// Sub-requests that failed: the connection broke.
+    pub failed_connection_lost: u64,
+    /// Sub-requests that failed: no reply within the deadline.
+    pub failed_deadline_exceeded: u64,
+    /// Replicas granted without state of a previous owner.
+    pub granted_cold: u64,
+    /// Replicas granted with state of a previous owner.
+    pub granted_handed_over: u64,
+    /// Hand-overs sent.
+    pub handed_over: u64,
+    /// Probes sent.
+    pub probes: u64,
+    /// Probes without a usable reply.
+    pub probes_failed: u64,
+    /// Probes that no event ended; also in `probes_failed`.
+    pub probes_lost: u64,
+    /// Full rounds of successful replies that doubled a ramp.
+    pub ramp_doubled: u64,
+    /// Shed requests or errors that halved a ramp.
+    pub ramp_halved: u64,
+    /// Refusals: cancelled while waiting.
+    pub refused_cancelled: u64,
+    /// Refusals: the cold-start allowance would not serve it in time.
+    pub refused_cold_start: u64,
+    /// Refusals: the deadline had passed.
+    pub refused_deadline_passed: u64,
+    /// Refusals: the target drains.
+    pub refused_leaving: u64,
+    /// Refusals: no valid lease.
+    pub refused_no_lease: u64,
+    /// Refusals: not the owner.
+    pub refused_not_owner: u64,
+    /// Refusals: out by the deployment.
+    pub refused_out: u64,
+    /// Refusals: the expected end lies past the deadline.
+    pub refused_overloaded: u64,
+    /// Refusals: shed by the target.
+    pub refused_shed: u64,
+    /// Refusals: not in the deployment.
+    pub refused_unknown_replica: u64,
+    /// Refusals: the target accepts no connection.
+    pub refused_unreachable: u64,
+    /// Target replies to requests that were already answered at their deadline.
+    pub replies_after_response: u64,
+    /// Replicas revoked.
+    pub revoked: u64,
+    /// Requests running at one replica at a start, with inherited ones.
+    pub running_high: u64,
+    /// Requests beyond the slots of a replica at a start; must stay 0.
+    pub slots_exceeded_high: u64,
+    /// Deployments of an older generation; ignored.
+    pub stale_deployments: u64,
+    /// Grants and revocations of an older epoch or without effect; ignored.
+    pub stale_ownership: u64,
+    /// Sub-requests sent to a target.
+    pub started: u64,
+    /// Starts without ownership or lease, past the deadline, or at a replica that
+    /// is out, leaving or unreachable; must stay 0.
+    pub started_forbidden: u64,
     /// Sub-requests received.
     pub submitted: u64,
+    /// Cancellations of attempts that neither wait nor run; ignored.
+    pub unknown_cancels: u64,
+    /// Replies to requests or probes that are not open; ignored.
+    pub unknown_replies: u64,
+    /// Sub-requests whose version is gone.
+    pub version_gone: u64,
+    /// Of these, the ones answered without asking the target.
+    pub version_gone_unasked: u64,
+    /// Sub-requests waiting for one replica.
+    pub waiting_high: u64,
+}
+
+impl GateCounters {
+    pub(crate) const fn count_outcome(&mut self, outcome: &SubOutcome) {
+        match outcome {
+            SubOutcome::Answered { .. } => self.answered += 1,
+            SubOutcome::Failed { reason } => self.count_failure(*reason),
+            SubOutcome::Refused { reason, .. } => self.count_refusal(*reason),
+            SubOutcome::VersionGone => self.version_gone += 1,
+        }
+    }
+
+    const fn count_failure(&mut self, reason: FailureReason) {
+        match reason {
+            FailureReason::BadReply => self.failed_bad_reply += 1,
+            FailureReason::Cancelled => self.failed_cancelled += 1,
+            FailureReason::ConnectionLost => self.failed_connection_lost += 1,
+            FailureReason::DeadlineExceeded => self.failed_deadline_exceeded += 1,
+            // Only entry nodes give this reason.
+            FailureReason::OwnerLost => {}
+        }
+    }
+
+    const fn count_refusal(&mut self, reason: RefusalReason) {
+        let counter = match reason {
+            RefusalReason::Cancelled => &mut self.refused_cancelled,
+            RefusalReason::ColdStart => &mut self.refused_cold_start,
+            RefusalReason::DeadlinePassed => &mut self.refused_deadline_passed,
+            RefusalReason::Leaving => &mut self.refused_leaving,
+            RefusalReason::NoLease => &mut self.refused_no_lease,
+            RefusalReason::NotOwner => &mut self.refused_not_owner,
+            RefusalReason::Out => &mut self.refused_out,
+            RefusalReason::Overloaded => &mut self.refused_overloaded,
+            RefusalReason::Shed => &mut self.refused_shed,
+            RefusalReason::UnknownReplica => &mut self.refused_unknown_replica,
+            RefusalReason::Unreachable => &mut self.refused_unreachable,
+        };
+        *counter += 1;
+    }
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -3,10 +3,24 @@
 //! [`Gate`] takes events and a time and pushes actions; it has no I/O, clock,
 //! threads or ambient randomness.
 
+mod admission;
 mod gate;
 mod gate_action;
 mod gate_counters;
 mod gate_event;
+mod inherited;
+mod latency;
+mod ownership;
+mod prober;
+mod ramp;
+mod ranked_queue;
+mod replica_gate;
+mod replies;
+mod running;
+mod start_window;
+mod time;
+mod turn;
+mod waiting_list;
 
 pub use gate::Gate;
 pub use gate_action::GateAction;
--- /dev/null
+++ b/crates/gate/src/replies.rs
@@ -0,0 +1,248 @@
+//! What the replies of a target change in the record of its replica.
+
+use crate::GateAction;
+use crate::ramp::RampChange;
+use crate::replica_gate::Condition;
+use crate::replica_gate::ReplicaGate;
+use crate::replica_gate::connections;
+use crate::running::Running;
+use crate::turn::Turn;
+use wigeonhall_types::AttemptId;
+use wigeonhall_types::FailureReason;
+use wigeonhall_types::RefusalReason;
+use wigeonhall_types::SubOutcome;
+use wigeonhall_types::TargetOutcome;
+use wigeonhall_types::TargetReply;
+
+/// Probes without an answer in a row that make a replica unreachable, if the
+/// target accepted the connection. One can be a connection that the target
+/// closed for idleness.
+const FAILED_PROBES: u32 = 2;
+
+/// Why a replica became cold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ColdCause {
+    ConnectionLost,
+    Instance,
+    Latency,
+    Reachable,
+    Returned,
+}
+
+impl ReplicaGate {
+    /// Takes the end of a request: frees its slot, learns, answers.
+    pub(crate) fn target_reply(
+        &mut self,
+        turn: &mut Turn<'_>,
+        attempt: AttemptId,
+        reply: TargetReply,
+    ) {
+        turn.places.remove(&attempt);
+        let Some(running) = self.running.remove(&attempt) else {
+            return;
+        };
+        if self.owned {
+            self.learn_identity(turn, running.step, &reply);
+            self.learn_outcome(turn, &running, &reply.outcome);
+        }
+        if running.responded {
+            turn.counters.replies_after_response += 1;
+        } else {
+            let retry_after_us = self.prober.wait_us(turn.now_us);
+            let report = self.report(turn.now_us, turn.has_lease());
+            turn.respond(attempt, sub_outcome(reply.outcome, retry_after_us), report);
+        }
+    }
+
+    /// Takes the end of a probe.
+    pub(crate) fn probe_reply(&mut self, turn: &mut Turn<'_>, reply: &TargetReply) {
+        let Some(step) = self.prober.take().filter(|_| self.owned) else {
+            turn.counters.unknown_replies += 1;
+            return;
+        };
+        let was = self.instance;
+        let is_current = self.ramp.is_current(step);
+        self.learn_identity(turn, step, reply);
+        match reply.outcome {
+            TargetOutcome::Draining => {
+                self.prober.succeed(turn.now_us);
+                self.leave(turn);
+            }
+            TargetOutcome::Unreachable => self.unreachable(turn),
+            TargetOutcome::BadReply
+            | TargetOutcome::Cancelled
+            | TargetOutcome::ConnectionLost
+            | TargetOutcome::DeadlineExceeded => self.probe_failed(turn),
+            _ if !is_current => self.prober.request(turn.now_us),
+            _ => {
+                self.prober.succeed(turn.now_us);
+                self.recover(turn, reply.instance.is_some() && reply.instance == was);
+            }
+        }
+    }
+
+    /// Records a probe that brought no usable reply.
+    pub(crate) fn probe_failed(&mut self, turn: &mut Turn<'_>) {
+        turn.counters.probes_failed += 1;
+        if self.prober.fail(turn.now_us) >= FAILED_PROBES {
+            self.set_unreachable(turn);
+        }
+    }
+
+    /// Returns to the cold bound.
+    pub(crate) fn turn_cold(&mut self, turn: &mut Turn<'_>, cause: ColdCause) {
+        self.ramp.restart(self.bound());
+        self.latency.restart();
+        let counters = &mut *turn.counters;
+        match cause {
+            ColdCause::ConnectionLost => counters.cold_connection_lost += 1,
+            ColdCause::Instance => counters.cold_instance += 1,
+            ColdCause::Latency => counters.cold_latency += 1,
+            ColdCause::Reachable => counters.cold_reachable += 1,
+            ColdCause::Returned => counters.cold_returned += 1,
+        }
+    }
+
+    pub(crate) fn open_connections(&self, turn: &mut Turn<'_>) {
+        if let Some(spec) = self.spec {
+            turn.actions.push(GateAction::OpenConnections {
+                count: connections(&spec),
+                replica: self.key,
+            });
+        }
+    }
+
+    /// Takes identity and versions from whatever was sent at `step`. A reply to
+    /// something sent to an earlier process says nothing about the present one.
+    fn learn_identity(&mut self, turn: &mut Turn<'_>, step: u64, reply: &TargetReply) {
+        if self.condition == Condition::Usable {
+            self.prober.heard(turn.now_us);
+        }
+        if !self.ramp.is_current(step) {
+            if reply.instance.is_some() && reply.instance != self.instance {
+                self.prober.request(turn.now_us);
+            }
+            return;
+        }
+        if !reply.served.is_empty() {
+            self.served.clone_from(&reply.served);
+            self.served_us = Some(turn.now_us);
+        }
+        let Some(instance) = reply.instance else {
+            return;
+        };
+        if self.instance.is_some_and(|known| known != instance) {
+            self.turn_cold(turn, ColdCause::Instance);
+        }
+        self.instance = Some(instance);
+    }
+
+    fn learn_outcome(&mut self, turn: &mut Turn<'_>, running: &Running, outcome: &TargetOutcome) {
+        let now_us = turn.now_us;
+        let elapsed_us = now_us.saturating_sub(running.started_us);
+        let is_current = self.ramp.is_current(running.step);
+        match outcome {
+            TargetOutcome::Draining => self.leave(turn),
+            TargetOutcome::ConnectionLost | TargetOutcome::Unreachable if !is_current => {
+                self.prober.request(now_us);
+            }
+            _ if !is_current => {}
+            TargetOutcome::Answered { .. } => {
+                if self.latency.observe(now_us, elapsed_us) {
+                    self.turn_cold(turn, ColdCause::Latency);
+                }
+                let change = self.ramp.succeed(running.step, self.slots());
+                count_ramp(turn, change);
+            }
+            TargetOutcome::BadReply | TargetOutcome::Shed { .. } => {
+                let change = self.ramp.fail(running.step, self.slots());
+                count_ramp(turn, change);
+            }
+            TargetOutcome::Cancelled | TargetOutcome::DeadlineExceeded => {
+                if self.latency.observe_unfinished(now_us, elapsed_us) {
+                    self.turn_cold(turn, ColdCause::Latency);
+                }
+            }
+            TargetOutcome::ConnectionLost => {
+                self.turn_cold(turn, ColdCause::ConnectionLost);
+                self.prober.request(now_us);
+            }
+            TargetOutcome::Unreachable => self.unreachable(turn),
+            TargetOutcome::VersionGone => {}
+        }
+    }
+
+    /// The target drains.
+    fn leave(&mut self, turn: &mut Turn<'_>) {
+        if self.condition != Condition::Leaving {
+            turn.counters.became_leaving += 1;
+            self.condition = Condition::Leaving;
+            // A probe that is in flight may have been answered before the drain.
+            self.ramp.rebase();
+        }
+    }
+
+    /// A connection was not accepted.
+    fn unreachable(&mut self, turn: &mut Turn<'_>) {
+        self.prober.fail(turn.now_us);
+        self.set_unreachable(turn);
+    }
+
+    fn set_unreachable(&mut self, turn: &mut Turn<'_>) {
+        if self.condition != Condition::Unreachable {
+            turn.counters.became_unreachable += 1;
+            self.condition = Condition::Unreachable;
+            self.ramp.rebase();
+        }
+    }
+
+    /// A probe was answered by a target that does not drain.
+    fn recover(&mut self, turn: &mut Turn<'_>, same_instance: bool) {
+        let was = self.condition;
+        self.condition = Condition::Usable;
+        match was {
+            Condition::Usable => {}
+            Condition::Leaving if same_instance => self.open_connections(turn),
+            Condition::Leaving | Condition::Unreachable => {
+                self.turn_cold(turn, ColdCause::Reachable);
+                self.open_connections(turn);
+            }
+        }
+    }
+}
+
+fn count_ramp(turn: &mut Turn<'_>, change: RampChange) {
+    match change {
+        RampChange::Doubled => turn.counters.ramp_doubled += 1,
+        RampChange::Full => turn.counters.became_warm += 1,
+        RampChange::Halved => turn.counters.ramp_halved += 1,
+        RampChange::None => {}
+    }
+}
+
+fn sub_outcome(outcome: TargetOutcome, probe_wait_us: u64) -> SubOutcome {
+    let failed = |reason| SubOutcome::Failed { reason };
+    let refused = |reason, retry_after_us| SubOutcome::Refused {
+        reason,
+        retry_after_us,
+    };
+    match outcome {
+        TargetOutcome::Answered {
+            ranges,
+            rows,
+            version,
+        } => SubOutcome::Answered {
+            ranges,
+            rows,
+            version,
+        },
+        TargetOutcome::BadReply => failed(FailureReason::BadReply),
+        TargetOutcome::Cancelled => failed(FailureReason::Cancelled),
+        TargetOutcome::ConnectionLost => failed(FailureReason::ConnectionLost),
+        TargetOutcome::DeadlineExceeded => failed(FailureReason::DeadlineExceeded),
+        TargetOutcome::Draining => refused(RefusalReason::Leaving, probe_wait_us),
+        TargetOutcome::Shed { retry_after_us } => refused(RefusalReason::Shed, retry_after_us),
+        TargetOutcome::Unreachable => refused(RefusalReason::Unreachable, probe_wait_us),
+        TargetOutcome::VersionGone => SubOutcome::VersionGone,
+    }
+}
--- /dev/null
+++ b/crates/gate/src/time.rs
@@ -0,0 +1,2 @@
+/// One second.
+pub(crate) const SECOND_US: u64 = 1_000_000;
