--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -138,22 +138,21 @@
 
     /// Refuses the last waiting sub-requests that the present capacity cannot
     /// serve in time, for example after a ramp was halved.
-    pub(crate) fn refuse_excess(&mut self, turn: &mut Turn<'_>) {
-        let now_us = turn.now_us;
-        let needed_us = self.retention_us(now_us);
-        let is_excess = |(class, key): &(ClassKey, RankKey)| {
-            let rank = self.waiting.rank_of(*class, *key);
-            self.class_start_us(turn, *class, rank) + needed_us > key.0
-        };
-        let excess = self.waiting.tails().filter(is_excess).collect::<Vec<_>>();
-        for (class, key) in excess {
+    /// Returns whether it refused any.
+    pub(crate) fn refuse_excess(&mut self, turn: &mut Turn<'_>) -> bool {
+        let needed_us = self.retention_us(turn.now_us);
+        let mut refused = false;
+        loop {
+            let excess = self.waiting.tails().find(|(class, key)| {
+                let rank = self.waiting.rank_of(*class, *key);
+                let start_us = self.class_start_us(turn, *class, rank);
+                start_us.saturating_add(needed_us) > key.0
+            });
+            let Some((class, key)) = excess else {
+                return refused;
+            };
             self.drop_waiting(turn, class, key, self.overload_reason());
-            while let Some(key) = self.waiting.last(class)
-                && self.class_start_us(turn, class, self.waiting.rank_of(class, key)) + needed_us
-                    > key.0
-            {
-                self.drop_waiting(turn, class, key, self.overload_reason());
-            }
+            refused = true;
         }
     }
 
@@ -161,7 +160,7 @@
     fn excess_us(&self, turn: &Turn<'_>, request: &SubRequest) -> Option<u64> {
         let now_us = turn.now_us;
         let start_us = self.class_start_us(turn, request.class, self.waiting.rank(request));
-        let end_us = start_us + self.latency.admission_us(now_us).max(1);
+        let end_us = start_us.saturating_add(self.latency.admission_us(now_us).max(1));
         if end_us > request.deadline_us {
             return Some(end_us - request.deadline_us);
         }
@@ -171,7 +170,8 @@
         }
         // The newcomer must not push out the last one, which has waited longer.
         let rank = self.waiting.rank_of(request.class, last) + 1;
-        let end_us = self.class_start_us(turn, request.class, rank) + self.retention_us(now_us);
+        let start_us = self.class_start_us(turn, request.class, rank);
+        let end_us = start_us.saturating_add(self.retention_us(now_us));
         (end_us > last.0).then(|| end_us - last.0)
     }
 
@@ -208,7 +208,7 @@
         let first_us = (ahead % capacity)
             .checked_sub(free)
             .map_or(now_us, |index| ends_us[surplus + index]);
-        first_us + (ahead / capacity) as u64 * typical_us
+        first_us.saturating_add((ahead / capacity) as u64 * typical_us)
     }
 
     /// Takes the sub-request that starts next. While several classes wait, a
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -12,6 +12,7 @@
 use wigeonhall_types::RefusalReason;
 use wigeonhall_types::ReplicaKey;
 use wigeonhall_types::ReplicaReport;
+use wigeonhall_types::SubOutcome;
 use wigeonhall_types::SubRequest;
 
 /// Decides when each sub-request to an owned replica starts.
@@ -34,8 +35,6 @@
     waiting: BTreeSet<ReplicaKey>,
     /// Each replica's next wake-up, in order.
     wakes: BTreeSet<(u64, ReplicaKey)>,
-    /// Inverse of `wakes`.
-    wakes_by_replica: BTreeMap<ReplicaKey, u64>,
 }
 
 impl Gate {
@@ -170,7 +169,16 @@
         } else {
             RefusalReason::UnknownReplica
         };
-        self.turn(actions).refuse(attempt, reason, 0, None);
+        let outcome = SubOutcome::Refused {
+            reason,
+            retry_after_us: 0,
+        };
+        self.counters.count_outcome(&outcome);
+        actions.push(GateAction::Respond {
+            attempt,
+            outcome,
+            report: None,
+        });
     }
 
     /// Brings every replica to the present whose wake-up is due, and those with
@@ -191,17 +199,6 @@
         }
     }
 
-    fn turn<'a>(&'a mut self, actions: &'a mut Vec<GateAction>) -> Turn<'a> {
-        Turn {
-            actions,
-            counters: &mut self.counters,
-            deployment: &self.deployment,
-            lease_until_us: self.lease_until_us,
-            now_us: self.now_us,
-            places: &mut self.places,
-        }
-    }
-
     /// Applies `change` to a record, settles it and schedules its next wake-up.
     /// Returns whether there is a record.
     fn update(
@@ -210,35 +207,35 @@
         actions: &mut Vec<GateAction>,
         change: impl FnOnce(&mut ReplicaGate, &mut Turn<'_>),
     ) -> bool {
-        let Some(mut replica) = self.replicas.remove(&key) else {
+        let Some(replica) = self.replicas.get_mut(&key) else {
             return false;
         };
-        let mut turn = self.turn(actions);
-        change(&mut replica, &mut turn);
+        let mut turn = Turn {
+            actions,
+            counters: &mut self.counters,
+            deployment: &self.deployment,
+            lease_until_us: self.lease_until_us,
+            now_us: self.now_us,
+            places: &mut self.places,
+        };
+        change(replica, &mut turn);
         replica.settle(&mut turn);
         let wake_us = replica.wake_us(self.now_us);
-        self.schedule(key, wake_us);
+        let old_us = std::mem::replace(&mut replica.scheduled_us, wake_us);
+        if wake_us != old_us {
+            if let Some(old_us) = old_us {
+                self.wakes.remove(&(old_us, key));
+            }
+            self.wakes.extend(wake_us.map(|wake_us| (wake_us, key)));
+        }
         if replica.waiting.len() > 0 {
             self.waiting.insert(key);
         } else {
             self.waiting.remove(&key);
         }
-        if !replica.is_idle() {
-            self.replicas.insert(key, replica);
+        if replica.is_idle() {
+            self.replicas.remove(&key);
         }
         true
     }
-
-    fn schedule(&mut self, key: ReplicaKey, wake_us: Option<u64>) {
-        let old_us = match wake_us {
-            Some(wake_us) => self.wakes_by_replica.insert(key, wake_us),
-            None => self.wakes_by_replica.remove(&key),
-        };
-        if let Some(old_us) = old_us {
-            self.wakes.remove(&(old_us, key));
-        }
-        if let Some(wake_us) = wake_us {
-            self.wakes.insert((wake_us, key));
-        }
-    }
 }
--- a/crates/gate/src/ownership.rs
+++ b/crates/gate/src/ownership.rs
@@ -131,7 +131,7 @@
         let inherited = std::mem::take(&mut self.inherited);
         let deadlines = self.running.values().map(|running| running.deadline_us);
         let mut until_us = deadlines.max().map_or(0, |deadline_us| {
-            deadline_us.max(now_us) + HAND_OVER_MARGIN_US
+            deadline_us.max(now_us).saturating_add(HAND_OVER_MARGIN_US)
         });
         if inherited.running(now_us) > 0 {
             until_us = until_us.max(inherited.until_us());
--- a/crates/gate/src/replica_gate.rs
+++ b/crates/gate/src/replica_gate.rs
@@ -62,6 +62,8 @@
     pub(crate) prober: Prober,
     pub(crate) ramp: Ramp,
     pub(crate) running: BTreeMap<AttemptId, Running>,
+    /// Entry of the record in the index of wake-ups.
+    pub(crate) scheduled_us: Option<u64>,
     pub(crate) served: Vec<ServedVersion>,
     /// Time at which `served` was stated.
     pub(crate) served_us: Option<u64>,
@@ -86,6 +88,7 @@
             prober: Prober::default(),
             ramp: Ramp::cold(bound),
             running: BTreeMap::new(),
+            scheduled_us: None,
             served: Vec::new(),
             served_us: None,
             spec,
@@ -169,7 +172,7 @@
         if self.waiting.len() > 0 {
             let needed_us = self.retention_us(now_us);
             for (_, (deadline_us, _)) in self.waiting.heads() {
-                add((deadline_us + 1).saturating_sub(needed_us));
+                add(deadline_us.saturating_sub(needed_us - 1));
             }
             if self.inherited.running(now_us) > 0 {
                 add(self.inherited.until_us());
@@ -191,7 +194,10 @@
         } else {
             self.refuse_late(turn);
             self.start(turn);
-            self.refuse_excess(turn);
+            // A refusal can leave one class alone, which lifts its share.
+            while self.refuse_excess(turn) {
+                self.start(turn);
+            }
         }
         self.probe(turn);
     }
@@ -199,10 +205,9 @@
     /// Answers running requests whose deadline passed; their slots stay taken.
     fn expire_running(&mut self, turn: &mut Turn<'_>) {
         let now_us = turn.now_us;
-        let late = |running: &&mut Running| !running.responded && running.deadline_us <= now_us;
         let mut expired = Vec::new();
         for (attempt, running) in &mut self.running {
-            if late(&running) {
+            if !running.responded && running.deadline_us <= now_us {
                 running.responded = true;
                 expired.push((*attempt, running.cancelled));
                 running.cancelled = true;
--- a/crates/gate/src/replies.rs
+++ b/crates/gate/src/replies.rs
@@ -43,7 +43,7 @@
         };
         if self.owned {
             self.learn_identity(turn, running.step, &reply);
-            self.learn_outcome(turn, &running, &reply.outcome);
+            self.learn_outcome(turn, &running, &reply);
         }
         if running.responded {
             turn.counters.replies_after_response += 1;
@@ -76,7 +76,7 @@
             _ if !is_current => self.prober.request(turn.now_us),
             _ => {
                 self.prober.succeed(turn.now_us);
-                self.recover(turn, reply.instance.is_some() && reply.instance == was);
+                self.recover(turn, was.is_some() && reply.instance.is_some());
             }
         }
     }
@@ -91,7 +91,12 @@
 
     /// Returns to the cold bound.
     pub(crate) fn turn_cold(&mut self, turn: &mut Turn<'_>, cause: ColdCause) {
-        self.ramp.restart(self.bound());
+        match cause {
+            ColdCause::ConnectionLost | ColdCause::Latency => self.ramp.restart(self.bound()),
+            ColdCause::Instance | ColdCause::Reachable | ColdCause::Returned => {
+                self.ramp.reset(self.bound());
+            }
+        }
         self.latency.restart();
         let counters = &mut *turn.counters;
         match cause {
@@ -115,9 +120,6 @@
     /// Takes identity and versions from whatever was sent at `step`. A reply to
     /// something sent to an earlier process says nothing about the present one.
     fn learn_identity(&mut self, turn: &mut Turn<'_>, step: u64, reply: &TargetReply) {
-        if self.condition == Condition::Usable {
-            self.prober.heard(turn.now_us);
-        }
         if !self.ramp.is_current(step) {
             if reply.instance.is_some() && reply.instance != self.instance {
                 self.prober.request(turn.now_us);
@@ -137,12 +139,18 @@
         self.instance = Some(instance);
     }
 
-    fn learn_outcome(&mut self, turn: &mut Turn<'_>, running: &Running, outcome: &TargetOutcome) {
+    fn learn_outcome(&mut self, turn: &mut Turn<'_>, running: &Running, reply: &TargetReply) {
         let now_us = turn.now_us;
         let elapsed_us = now_us.saturating_sub(running.started_us);
         let is_current = self.ramp.is_current(running.step);
-        match outcome {
-            TargetOutcome::Draining => self.leave(turn),
+        if self.condition == Condition::Usable && is_from_target(&reply.outcome) {
+            self.prober.heard(now_us);
+        }
+        match &reply.outcome {
+            TargetOutcome::Draining if is_current || reply.instance == self.instance => {
+                self.leave(turn);
+            }
+            TargetOutcome::Draining => self.prober.request(now_us),
             TargetOutcome::ConnectionLost | TargetOutcome::Unreachable if !is_current => {
                 self.prober.request(now_us);
             }
@@ -196,13 +204,14 @@
         }
     }
 
-    /// A probe was answered by a target that does not drain.
-    fn recover(&mut self, turn: &mut Turn<'_>, same_instance: bool) {
+    /// A probe was answered by a target that does not drain. With a known
+    /// identity a restart was already noticed.
+    fn recover(&mut self, turn: &mut Turn<'_>, known_identity: bool) {
         let was = self.condition;
         self.condition = Condition::Usable;
         match was {
             Condition::Usable => {}
-            Condition::Leaving if same_instance => self.open_connections(turn),
+            Condition::Leaving if known_identity => self.open_connections(turn),
             Condition::Leaving | Condition::Unreachable => {
                 self.turn_cold(turn, ColdCause::Reachable);
                 self.open_connections(turn);
@@ -211,6 +220,17 @@
     }
 }
 
+/// Whether the target itself sent the reply.
+const fn is_from_target(outcome: &TargetOutcome) -> bool {
+    !matches!(
+        outcome,
+        TargetOutcome::BadReply
+            | TargetOutcome::ConnectionLost
+            | TargetOutcome::DeadlineExceeded
+            | TargetOutcome::Unreachable
+    )
+}
+
 fn count_ramp(turn: &mut Turn<'_>, change: RampChange) {
     match change {
         RampChange::Doubled => turn.counters.ramp_doubled += 1,
