--- a/crates/query/src/answer.rs
+++ b/crates/query/src/answer.rs
@@ -69,6 +69,8 @@
     DeadlinePassed,
     /// A sub-request failed.
     Failed(FailureReason),
+    /// The issue time of the write lies further in the future than clocks may differ.
+    IssuedInFuture,
     /// No replica is known that holds the keys at one common version.
     NoReplica,
     /// The node does not know the newest configuration yet.
--- /dev/null
+++ b/crates/query/src/class_view.rs
@@ -0,0 +1,68 @@
+use crate::QueryId;
+use crate::version_plan::VersionPlan;
+use std::collections::BTreeSet;
+use wigeonhall_types::ClassKind;
+use wigeonhall_types::IndexVersion;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::NodeKey;
+use wigeonhall_types::ServiceKey;
+
+/// What this node knows of a query class.
+#[derive(Clone, Debug)]
+pub struct ClassView {
+    /// Newest version that every usable replica with known versions reports.
+    pub common: Option<IndexVersion>,
+    /// The plans are older than the reports.
+    pub dirty: bool,
+    /// Kind of the class.
+    pub kind: ClassKind,
+    /// Newest version first.
+    pub plans: Vec<VersionPlan>,
+    /// A `Recheck` timer is set.
+    pub recheck_set: bool,
+    /// Services that hold the shards.
+    pub services: Vec<ServiceKey>,
+    /// Owners of replicas without a report.
+    pub unreported: BTreeSet<NodeKey>,
+    /// Requests that wait for reports.
+    pub waiting: BTreeSet<QueryId>,
+}
+
+impl ClassView {
+    /// A view without reports.
+    pub fn new(kind: ClassKind, services: Vec<ServiceKey>) -> Self {
+        Self {
+            common: None,
+            dirty: true,
+            kind,
+            plans: Vec::new(),
+            recheck_set: false,
+            services,
+            unreported: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+        }
+    }
+
+    /// Plan of the newest version that covers `range`, else of the widest, the newest
+    /// on a tie; `None` if no key of `range` is held anywhere.
+    pub fn choose(&self, range: KeyRange) -> Option<&VersionPlan> {
+        if let Some(whole) = self.plans.iter().find(|plan| plan.covered.covers(range)) {
+            return Some(whole);
+        }
+        let mut best: Option<(u64, &VersionPlan)> = None;
+        for plan in &self.plans {
+            let width = plan.width_within(range);
+            if width > best.map_or(0, |(width, _)| width) {
+                best = Some((width, plan));
+            }
+        }
+        best.map(|(_, plan)| plan)
+    }
+
+    /// Version and service that take a write of `key`.
+    pub fn place(&self, key: u64) -> Option<(IndexVersion, ServiceKey)> {
+        let common = self.common?;
+        let plan = self.plans.iter().find(|plan| plan.version == common)?;
+        Some((common, plan.service_of(key)?))
+    }
+}
--- /dev/null
+++ b/crates/query/src/latency_quantile.rs
@@ -0,0 +1,94 @@
+/// Buckets per doubling of the latency; a bucket is at most 12.5% wide.
+const STEPS: u32 = 8;
+
+/// Doublings covered, from 64 µs to 67 s.
+const DOUBLINGS: u32 = 20;
+
+/// Log2 of the lowest latency that is told apart, in microseconds.
+const LOWEST_LOG2: u32 = 6;
+
+/// Samples after which all counts are halved, so that old latencies fade.
+const FADE_AT: u32 = 1_024;
+
+/// Samples between two computations of the quantile.
+const REFRESH_EVERY: u32 = 16;
+
+/// Fewest samples that a quantile is taken from.
+const FEWEST: u32 = 32;
+
+/// Largest ratio of the delay to the median. It keeps a straggler that serves a
+/// large share of the samples from raising the delay to its own latency.
+const MEDIAN_FACTOR: u64 = 4;
+
+/// Latencies of a service as this node observed them.
+#[derive(Clone, Debug)]
+pub struct LatencyQuantile {
+    counts: Vec<u32>,
+    /// 95th percentile, bounded by the median; `None` before `FEWEST` samples.
+    delay_us: Option<u64>,
+    since_refresh: u32,
+    /// Sum of `counts`.
+    total: u32,
+}
+
+impl Default for LatencyQuantile {
+    fn default() -> Self {
+        Self {
+            counts: vec![0; (STEPS * DOUBLINGS) as usize],
+            delay_us: None,
+            since_refresh: 0,
+            total: 0,
+        }
+    }
+}
+
+impl LatencyQuantile {
+    /// Adds a sample.
+    pub fn observe(&mut self, latency_us: u64) {
+        self.counts[bucket(latency_us)] += 1;
+        self.total += 1;
+        self.since_refresh += 1;
+        if self.total >= FADE_AT {
+            for count in &mut self.counts {
+                *count /= 2;
+            }
+            self.total = self.counts.iter().sum();
+        }
+        if self.total >= FEWEST && self.since_refresh >= REFRESH_EVERY {
+            self.since_refresh = 0;
+            let bound = self.quantile_us(50) * MEDIAN_FACTOR;
+            self.delay_us = Some(self.quantile_us(95).min(bound));
+        }
+    }
+
+    /// Time after which a sub-request counts as late, in microseconds.
+    pub const fn delay_us(&self) -> Option<u64> {
+        self.delay_us
+    }
+
+    fn quantile_us(&self, percent: u32) -> u64 {
+        let rank = self.total * percent / 100;
+        let mut below = 0;
+        for (index, count) in self.counts.iter().enumerate() {
+            below += count;
+            if below > rank {
+                return upper_us(index as u32);
+            }
+        }
+        upper_us(STEPS * DOUBLINGS - 1)
+    }
+}
+
+fn bucket(latency_us: u64) -> usize {
+    let latency_us = latency_us.max(1 << LOWEST_LOG2);
+    let log2 = latency_us.ilog2();
+    let step = (latency_us >> (log2 - STEPS.ilog2())) as u32 - STEPS;
+    let index = (log2 - LOWEST_LOG2) * STEPS + step;
+    index.min(STEPS * DOUBLINGS - 1) as usize
+}
+
+/// First latency above bucket `index`.
+fn upper_us(index: u32) -> u64 {
+    let next = index + 1;
+    u64::from(STEPS + next % STEPS) << (next / STEPS + LOWEST_LOG2 - STEPS.ilog2())
+}
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -4,12 +4,33 @@
 //! clock, threads or ambient randomness.
 
 mod answer;
+mod attempt;
 mod claim;
+mod class_view;
 mod coordinator;
+mod hedge_budget;
+mod latency_quantile;
+mod limits;
+mod node_view;
+mod observe;
+mod open_read;
+mod open_write;
+mod part;
+mod pay;
 mod query_action;
 mod query_counters;
 mod query_event;
+mod reads;
+mod replica_view;
 mod requests;
+mod restarts;
+mod retries;
+mod routes;
+mod service_view;
+mod timers;
+mod version_plan;
+mod write_claims;
+mod writes;
 
 pub use answer::AbsentRange;
 pub use answer::AbsentReason;
--- /dev/null
+++ b/crates/query/src/node_view.rs
@@ -0,0 +1,26 @@
+use crate::limits::REPORT_WAIT_US;
+use std::collections::BTreeSet;
+use wigeonhall_types::ReplicaKey;
+
+/// What this node knows of an owner.
+#[derive(Clone, Debug, Default)]
+pub struct NodeView {
+    /// Local time of the first ask that no report followed.
+    pub asked_since_us: Option<u64>,
+    /// Local time of the last ask.
+    pub last_ask_us: Option<u64>,
+    /// Found dead, and not heard from since.
+    pub lost: bool,
+    /// A `Refresh` timer is set.
+    pub refresh_set: bool,
+    /// Replicas that the node owns.
+    pub replicas: BTreeSet<ReplicaKey>,
+}
+
+impl NodeView {
+    /// Whether the owner was asked and let the wait for reports pass.
+    pub fn silent(&self, now_us: u64) -> bool {
+        self.asked_since_us
+            .is_some_and(|since| now_us >= since + REPORT_WAIT_US)
+    }
+}
--- /dev/null
+++ b/crates/query/src/open_read.rs
@@ -0,0 +1,208 @@
+use crate::AbsentRange;
+use crate::AbsentReason;
+use crate::Answer;
+use crate::AnswerStatus;
+use crate::Coverage;
+use crate::CoverageDemand;
+use crate::ReadQuery;
+use crate::part::Part;
+use crate::part::PartState;
+use crate::version_plan::VersionPlan;
+use wigeonhall_types::FailureReason;
+use wigeonhall_types::IndexVersion;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::RangeSet;
+use wigeonhall_types::Row;
+use wigeonhall_types::Verdict;
+
+/// A read that is not answered yet.
+#[derive(Clone, Debug)]
+pub struct OpenRead {
+    /// Parts on which something can still arrive.
+    pub live_parts: usize,
+    /// A sub-request ran, or may run: an answer may not say "not run".
+    pub may_have_run: bool,
+    /// Parts at the pinned version; empty before one is pinned.
+    pub parts: Vec<Part>,
+    /// Version that every row comes from.
+    pub pin: Option<IndexVersion>,
+    /// The request.
+    pub query: ReadQuery,
+    /// Restarts so far.
+    pub restarts: u32,
+    /// Stamp of the `Wait` timer while no version is pinned.
+    pub wait_stamp: u64,
+}
+
+impl OpenRead {
+    /// A read without a pinned version.
+    pub const fn new(query: ReadQuery) -> Self {
+        Self {
+            live_parts: 0,
+            may_have_run: false,
+            parts: Vec::new(),
+            pin: None,
+            query,
+            restarts: 0,
+            wait_stamp: 0,
+        }
+    }
+
+    /// Whether the caller insists on the whole range.
+    pub fn demands_full(&self) -> bool {
+        self.query.demand == CoverageDemand::Full
+    }
+
+    /// Parts of a query at the version of `plan`, one for each service group.
+    pub fn parts_of(plan: &VersionPlan, range: KeyRange) -> Vec<Part> {
+        let mut part_of_group: Vec<Option<usize>> = vec![None; plan.groups.len()];
+        let mut parts: Vec<Part> = Vec::new();
+        for segment in plan.within(range) {
+            let index = *part_of_group[segment.group].get_or_insert_with(|| {
+                parts.push(Part::new(plan.groups[segment.group]));
+                parts.len() - 1
+            });
+            match parts[index].gaps.last_mut() {
+                Some(last) if last.end == segment.range.start => last.end = segment.range.end,
+                _ => parts[index].gaps.push(segment.range),
+            }
+        }
+        parts
+    }
+
+    /// Number of keys that the parts speak for, read or not.
+    pub fn planned_width(&self) -> u64 {
+        let ranges = self
+            .parts
+            .iter()
+            .flat_map(|part| part.gaps.iter().chain(&part.read));
+        ranges.map(|range| range.width()).sum()
+    }
+
+    /// Ends a part for which nothing more can arrive.
+    pub fn end_part(&mut self, index: usize, state: PartState) {
+        if !self.parts[index].ended() {
+            self.live_parts -= 1;
+        }
+        self.parts[index].state = state;
+    }
+
+    /// Verdict of an answer without any key read.
+    pub fn verdict(&self) -> Verdict {
+        let open = self.parts.iter().any(|part| !part.attempts.is_empty());
+        if self.may_have_run || open {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        }
+    }
+
+    /// A refusal or failure for `reason`, without rows.
+    pub fn refusal(&self, reason: AbsentReason, retry_after_ms: u64) -> Answer {
+        let verdict = self.verdict();
+        let status = match reason {
+            AbsentReason::Failed(failure) => AnswerStatus::Failed(failure),
+            AbsentReason::DeadlinePassed if verdict != Verdict::NotRun => {
+                AnswerStatus::Failed(FailureReason::DeadlineExceeded)
+            }
+            other => AnswerStatus::Refused(other),
+        };
+        let requested = self.query.range;
+        let absent = AbsentRange {
+            range: requested,
+            reason,
+            service: None,
+        };
+        Answer {
+            coverage: Coverage {
+                absent: vec![absent],
+                read: Vec::new(),
+                requested,
+            },
+            retry_after_ms: Some(retry_after_ms),
+            rows: Vec::new(),
+            snapshot: None,
+            status,
+            verdict,
+        }
+    }
+
+    /// Answer from what was read; `late` is the reason for keys that were still to
+    /// come, `absent` that for keys that no part speaks for.
+    pub fn answer(&mut self, late: AbsentReason, absent: AbsentReason, retry_ms: u64) -> Answer {
+        let requested = self.query.range;
+        let read: Vec<KeyRange> = self.parts.iter().flat_map(|it| it.read.clone()).collect();
+        let read = union(read);
+        if read.width() == 0 && !requested.is_empty() {
+            let reason = self.first_reason().unwrap_or(late);
+            return self.refusal(reason, retry_ms);
+        }
+        let missing = self.missing(late, absent);
+        let whole = missing.is_empty();
+        Answer {
+            coverage: Coverage {
+                absent: missing,
+                read: read.ranges().to_vec(),
+                requested,
+            },
+            retry_after_ms: (!whole).then_some(retry_ms),
+            rows: self.take_rows(),
+            snapshot: self.pin,
+            status: if whole {
+                AnswerStatus::Whole
+            } else {
+                AnswerStatus::Partial
+            },
+            verdict: Verdict::Ran,
+        }
+    }
+
+    /// Reason of the first part that failed.
+    pub fn first_reason(&self) -> Option<AbsentReason> {
+        self.parts.iter().find_map(|part| match part.state {
+            PartState::Failed(reason) => Some(reason),
+            _ => None,
+        })
+    }
+
+    fn missing(&self, late: AbsentReason, absent: AbsentReason) -> Vec<AbsentRange> {
+        let mut missing = Vec::new();
+        let mut planned = Vec::new();
+        for part in &self.parts {
+            let reason = match part.state {
+                PartState::Failed(reason) | PartState::Waiting(reason) => reason,
+                PartState::Done | PartState::Open => late,
+            };
+            missing.extend(part.gaps.iter().map(|gap| AbsentRange {
+                range: *gap,
+                reason,
+                service: Some(part.service),
+            }));
+            planned.extend(part.gaps.iter().chain(&part.read));
+        }
+        let unplanned = union(planned).gaps(self.query.range);
+        missing.extend(unplanned.into_iter().map(|range| AbsentRange {
+            range,
+            reason: absent,
+            service: None,
+        }));
+        missing.sort_unstable_by_key(|absent| absent.range);
+        missing
+    }
+
+    fn take_rows(&mut self) -> Vec<Row> {
+        let count = self.parts.iter().map(|part| part.rows.len()).sum();
+        let mut rows = Vec::with_capacity(count);
+        for part in &mut self.parts {
+            rows.append(&mut part.rows);
+        }
+        // Parts are in key order in the common case, which this sort passes in one scan.
+        rows.sort();
+        rows
+    }
+}
+
+fn union(mut ranges: Vec<KeyRange>) -> RangeSet {
+    ranges.sort_unstable();
+    RangeSet::from_ranges(&ranges)
+}
--- /dev/null
+++ b/crates/query/src/pay.rs
@@ -0,0 +1,64 @@
+use crate::Coordinator;
+use crate::limits::FREE_RETRIES;
+use wigeonhall_types::RefusalReason;
+use wigeonhall_types::ServiceKey;
+
+/// What the next send of a part or write draws on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Pay {
+    /// The service's budget.
+    Budget,
+    /// Nothing, as the send is the first and earns credit.
+    First,
+    /// The bounded number of tries after refusals that placed no load on a target.
+    Free,
+}
+
+impl Pay {
+    /// What a try after `reason` draws on. Owners give the free reasons from their own
+    /// state, before a target hears of the sub-request.
+    pub const fn after(reason: RefusalReason) -> Self {
+        match reason {
+            RefusalReason::ColdStart
+            | RefusalReason::Leaving
+            | RefusalReason::NoLease
+            | RefusalReason::NotOwner
+            | RefusalReason::Out
+            | RefusalReason::Overloaded
+            | RefusalReason::UnknownReplica => Self::Free,
+            RefusalReason::Cancelled
+            | RefusalReason::DeadlinePassed
+            | RefusalReason::Shed
+            | RefusalReason::Unreachable => Self::Budget,
+        }
+    }
+}
+
+impl Coordinator {
+    /// Pays for a send; `false` if neither free tries nor budget are left.
+    pub(crate) fn pay(&mut self, service: ServiceKey, pay: Pay, free_retries: &mut u32) -> bool {
+        let budget = &mut self.routes.service_mut(service).budget;
+        match pay {
+            Pay::First => {
+                budget.earn();
+                self.counters.subs_first += 1;
+                true
+            }
+            Pay::Free if *free_retries < FREE_RETRIES => {
+                *free_retries += 1;
+                self.counters.retries_free += 1;
+                true
+            }
+            Pay::Budget | Pay::Free => {
+                let paid = budget.take();
+                let counter = if paid {
+                    &mut self.counters.retries_budget
+                } else {
+                    &mut self.counters.budget_refusals
+                };
+                *counter += 1;
+                paid
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/query/src/reads.rs
@@ -0,0 +1,495 @@
+//! The course of a read, from arrival to answer.
+
+use crate::AbsentReason;
+use crate::Answer;
+use crate::Coordinator;
+use crate::QueryAction;
+use crate::QueryId;
+use crate::ReadQuery;
+use crate::attempt::Attempt;
+use crate::attempt::Parent;
+use crate::coordinator::Sending;
+use crate::limits::HEDGE_FACTOR;
+use crate::limits::HEDGE_SHORTEST_US;
+use crate::limits::REPORT_WAIT_US;
+use crate::limits::RETRY_AFTER_LAST_MS;
+use crate::limits::RETRY_AFTER_MS;
+use crate::open_read::OpenRead;
+use crate::part::Part;
+use crate::part::PartState;
+use crate::pay::Pay;
+use crate::routes::Pick;
+use crate::routes::Route;
+use crate::timers::Timer;
+use wigeonhall_types::ClassKey;
+use wigeonhall_types::ClassKind;
+use wigeonhall_types::IndexVersion;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::NodeKey;
+use wigeonhall_types::Operation;
+use wigeonhall_types::RefusalReason;
+use wigeonhall_types::Row;
+use wigeonhall_types::SubOutcome;
+
+/// Whether a request was answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Progress {
+    Answered,
+    Open,
+}
+
+/// First step of a part.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Start {
+    Absent { reason: AbsentReason, retry_ms: u64 },
+    Send(Route),
+    Wait { until_us: u64 },
+}
+
+impl Coordinator {
+    pub(crate) fn read(&mut self, now_us: u64, query: ReadQuery, actions: &mut Vec<QueryAction>) {
+        self.counters.requests += 1;
+        let id = query.id;
+        if self.reads.contains_key(&id) || self.writes.contains_key(&id) {
+            self.counters.duplicate_requests += 1;
+            return;
+        }
+        let kind = self.routes.classes.get(&query.class).map(|it| it.kind);
+        let deadline_us = query.deadline_us;
+        let mut read = OpenRead::new(query);
+        let refused = if deadline_us <= now_us {
+            self.counters.deadlines += 1;
+            Some(AbsentReason::DeadlinePassed)
+        } else if !self.routes.ready() {
+            Some(AbsentReason::NotReady)
+        } else if kind != Some(ClassKind::Read) {
+            Some(AbsentReason::UnknownClass)
+        } else {
+            None
+        };
+        if let Some(reason) = refused {
+            let answer = read.refusal(reason, RETRY_AFTER_MS);
+            self.answer(id, answer, actions);
+            return;
+        }
+        self.timers.set(deadline_us, Timer::Deadline(id));
+        if self.begin(now_us, &mut read, true, actions) == Progress::Open {
+            self.reads.insert(id, read);
+        }
+    }
+
+    /// Runs `step` on an open read and drops the read once it is answered.
+    fn step(&mut self, id: QueryId, step: impl FnOnce(&mut Self, &mut OpenRead) -> Progress) {
+        let Some(mut read) = self.reads.remove(&id) else {
+            return;
+        };
+        if step(self, &mut read) == Progress::Open {
+            self.reads.insert(id, read);
+        }
+    }
+
+    /// Pins a version and sends, or waits for reports.
+    fn begin(
+        &mut self,
+        now_us: u64,
+        read: &mut OpenRead,
+        may_wait: bool,
+        actions: &mut Vec<QueryAction>,
+    ) -> Progress {
+        let range = read.query.range;
+        let class = read.query.class;
+        let Some(view) = self.routes.class(class) else {
+            return self.refuse(read, AbsentReason::UnknownClass, RETRY_AFTER_MS, actions);
+        };
+        let plan = view.choose(range);
+        let full = plan.is_some_and(|plan| plan.covered.covers(range));
+        let plan = plan.map(|plan| (plan.version, OpenRead::parts_of(plan, range)));
+        if !full && may_wait {
+            let unknown = self.unknown_owners(now_us, class);
+            if !unknown.is_empty() {
+                self.wait_for_reports(now_us, read, &unknown, actions);
+                return Progress::Open;
+            }
+        }
+        self.wait_out(class, read.query.id);
+        match plan {
+            Some((version, parts)) if full || !read.demands_full() => {
+                match self.launch(now_us, read, version, parts, actions) {
+                    Ok(()) => self.progress(read, actions),
+                    Err((reason, retry_ms)) => self.refuse(read, reason, retry_ms, actions),
+                }
+            }
+            _ => self.refuse(read, AbsentReason::NoReplica, RETRY_AFTER_MS, actions),
+        }
+    }
+
+    /// Owners without reports that may still answer.
+    pub(crate) fn unknown_owners(&mut self, now_us: u64, class: ClassKey) -> Vec<NodeKey> {
+        let Some(view) = self.routes.classes.get(&class) else {
+            return Vec::new();
+        };
+        let nodes = &self.routes.nodes;
+        let heard_soon = |node: &&NodeKey| nodes.get(*node).is_some_and(|it| !it.silent(now_us));
+        view.unreported.iter().filter(heard_soon).copied().collect()
+    }
+
+    fn wait_for_reports(
+        &mut self,
+        now_us: u64,
+        read: &mut OpenRead,
+        owners: &[NodeKey],
+        actions: &mut Vec<QueryAction>,
+    ) {
+        for owner in owners {
+            self.ask(now_us, *owner, actions);
+        }
+        if read.wait_stamp != 0 {
+            return;
+        }
+        self.counters.waits_reports += 1;
+        let id = read.query.id;
+        self.wait_in(read.query.class, id);
+        read.wait_stamp = self.stamp();
+        let stamp = read.wait_stamp;
+        let until_us = (now_us + REPORT_WAIT_US).min(read.query.deadline_us);
+        self.timers.set(until_us, Timer::Wait { id, stamp });
+    }
+
+    /// Sends the parts of a read at `version`, replacing those it had. Changes nothing
+    /// if the read cannot be answered as the caller demands.
+    pub(crate) fn launch(
+        &mut self,
+        now_us: u64,
+        read: &mut OpenRead,
+        version: IndexVersion,
+        parts: Vec<Part>,
+        actions: &mut Vec<QueryAction>,
+    ) -> Result<(), (AbsentReason, u64)> {
+        let deadline_us = read.query.deadline_us;
+        let starts: Vec<Start> = parts
+            .iter()
+            .map(|part| self.start_of(now_us, deadline_us, version, part))
+            .collect();
+        let mut absent = starts.iter().filter_map(|start| match start {
+            Start::Absent { reason, retry_ms } => Some((*reason, *retry_ms)),
+            Start::Send(_) | Start::Wait { .. } => None,
+        });
+        let hopeless = read.demands_full() || absent.clone().count() == starts.len();
+        if hopeless && let Some(worst) = absent.by_ref().max_by_key(|(_, retry_ms)| *retry_ms) {
+            return Err(worst);
+        }
+        self.cancel_all(read, actions);
+        read.live_parts = parts.len();
+        read.parts = parts;
+        read.pin = Some(version);
+        for (index, start) in starts.into_iter().enumerate() {
+            match start {
+                Start::Absent { reason, .. } => read.end_part(index, PartState::Failed(reason)),
+                Start::Send(route) => self.send_part(now_us, read, index, route, actions),
+                Start::Wait { until_us } => {
+                    let reason = AbsentReason::Refused(RefusalReason::Shed);
+                    self.wait_part(read, index, until_us, reason);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn start_of(&self, now_us: u64, deadline_us: u64, version: IndexVersion, part: &Part) -> Start {
+        match self
+            .routes
+            .pick(now_us, part.service, version, &part.gaps, &part.tried)
+        {
+            Pick::To(route) if now_us + route.expected_us <= deadline_us => Start::Send(route),
+            Pick::To(route) => Start::Absent {
+                reason: AbsentReason::TooLate,
+                retry_ms: retry_after_ms(now_us + route.expected_us - deadline_us),
+            },
+            Pick::BackedOff { until_us } if until_us < deadline_us => Start::Wait { until_us },
+            Pick::BackedOff { until_us } => Start::Absent {
+                reason: AbsentReason::TooLate,
+                retry_ms: retry_after_ms(until_us - now_us),
+            },
+            Pick::Nowhere => Start::Absent {
+                reason: AbsentReason::NoReplica,
+                retry_ms: RETRY_AFTER_MS,
+            },
+        }
+    }
+
+    /// Pays for a sub-request of a part, if it can, and sends it.
+    pub(crate) fn pay_and_send(
+        &mut self,
+        now_us: u64,
+        read: &mut OpenRead,
+        index: usize,
+        route: Route,
+        actions: &mut Vec<QueryAction>,
+    ) -> bool {
+        let part = &mut read.parts[index];
+        let paid = self.pay(part.service, part.pay, &mut part.free_retries);
+        if paid {
+            self.dispatch_part(now_us, read, index, route, actions);
+        }
+        paid
+    }
+
+    fn send_part(
+        &mut self,
+        now_us: u64,
+        read: &mut OpenRead,
+        index: usize,
+        route: Route,
+        actions: &mut Vec<QueryAction>,
+    ) {
+        read.parts[index].pay = Pay::First;
+        self.pay_and_send(now_us, read, index, route, actions);
+    }
+
+    /// Sends a sub-request of a part and sets the time of its hedge.
+    pub(crate) fn dispatch_part(
+        &mut self,
+        now_us: u64,
+        read: &mut OpenRead,
+        index: usize,
+        route: Route,
+        actions: &mut Vec<QueryAction>,
+    ) {
+        let Some(version) = read.pin else {
+            return;
+        };
+        let id = read.query.id;
+        let part = &mut read.parts[index];
+        let range = part.hull();
+        let sending = Sending {
+            class: read.query.class,
+            deadline_us: read.query.deadline_us,
+            operation: Operation::Read { range },
+            parent: Parent::Read { id, part: index },
+            route,
+            service: part.service,
+            version,
+        };
+        let sequence = self.send(now_us, sending, actions);
+        part.attempts.push(sequence);
+        part.sends += 1;
+        part.state = PartState::Open;
+        part.tried.push(route.replica);
+        let latency = &self.routes.services[part.service.index()].latency;
+        let delay_us = latency
+            .delay_us()
+            .unwrap_or(route.expected_us * HEDGE_FACTOR);
+        let delay_us = delay_us.max(route.expected_us).max(HEDGE_SHORTEST_US);
+        self.part_timer(read, index, now_us + delay_us);
+    }
+
+    /// Sets the timer of a part, in place of the one before.
+    pub(crate) fn part_timer(&mut self, read: &mut OpenRead, index: usize, at_us: u64) {
+        let stamp = self.stamp();
+        read.parts[index].stamp = stamp;
+        if at_us < read.query.deadline_us {
+            let id = read.query.id;
+            let part = index as u32;
+            self.timers.set(at_us, Timer::Part { id, part, stamp });
+        }
+    }
+
+    /// Lets a part without an open sub-request wait.
+    pub(crate) fn wait_part(
+        &mut self,
+        read: &mut OpenRead,
+        index: usize,
+        until_us: u64,
+        reason: AbsentReason,
+    ) {
+        self.counters.waits_backed_off += 1;
+        read.parts[index].waits += 1;
+        read.parts[index].state = PartState::Waiting(reason);
+        self.part_timer(read, index, until_us);
+    }
+
+    /// Takes the outcome of a sub-request.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "every part of the event is needed"
+    )]
+    pub(crate) fn part_reply(
+        &mut self,
+        now_us: u64,
+        id: QueryId,
+        index: usize,
+        sequence: u64,
+        attempt: Attempt,
+        outcome: SubOutcome,
+        actions: &mut Vec<QueryAction>,
+    ) {
+        self.step(id, |this, read| {
+            read.parts[index].attempts.retain(|it| *it != sequence);
+            match outcome {
+                SubOutcome::Answered {
+                    ranges,
+                    rows,
+                    version,
+                } => {
+                    read.may_have_run = true;
+                    if Some(version) == read.pin {
+                        return this.merge(now_us, read, index, &ranges, rows, actions);
+                    }
+                    this.counters.replies_wrong_version += 1;
+                    this.version_gone(now_us, read, index, attempt, actions)
+                }
+                SubOutcome::Failed { reason } => {
+                    read.may_have_run = true;
+                    read.parts[index].pay = Pay::Budget;
+                    let reason = AbsentReason::Failed(reason);
+                    this.try_again(now_us, read, index, reason, actions)
+                }
+                SubOutcome::Refused { reason, .. } => {
+                    this.part_refused(now_us, read, index, attempt, reason, actions)
+                }
+                SubOutcome::VersionGone => this.version_gone(now_us, read, index, attempt, actions),
+            }
+        });
+    }
+
+    fn merge(
+        &mut self,
+        now_us: u64,
+        read: &mut OpenRead,
+        index: usize,
+        ranges: &[KeyRange],
+        rows: Vec<Row>,
+        actions: &mut Vec<QueryAction>,
+    ) -> Progress {
+        let part = &mut read.parts[index];
+        self.counters.rows_dropped += part.merge(ranges, rows);
+        if !part.gaps.is_empty() {
+            self.counters.replies_short += 1;
+            part.pay = Pay::Budget;
+            return self.try_again(now_us, read, index, AbsentReason::NoReplica, actions);
+        }
+        for sequence in std::mem::take(&mut part.attempts) {
+            self.cancel(sequence, actions);
+        }
+        read.end_part(index, PartState::Done);
+        self.progress(read, actions)
+    }
+
+    /// Answers the read if nothing more can arrive.
+    pub(crate) fn progress(
+        &mut self,
+        read: &mut OpenRead,
+        actions: &mut Vec<QueryAction>,
+    ) -> Progress {
+        if read.demands_full()
+            && let Some(reason) = read.first_reason()
+        {
+            return self.refuse(read, reason, RETRY_AFTER_MS, actions);
+        }
+        if read.live_parts > 0 {
+            return Progress::Open;
+        }
+        let late = AbsentReason::DeadlinePassed;
+        let answer = read.answer(late, AbsentReason::NoReplica, RETRY_AFTER_MS);
+        self.finish(read, answer, actions)
+    }
+
+    /// Answers the read without rows.
+    pub(crate) fn refuse(
+        &mut self,
+        read: &mut OpenRead,
+        reason: AbsentReason,
+        retry_ms: u64,
+        actions: &mut Vec<QueryAction>,
+    ) -> Progress {
+        let answer = read.refusal(reason, retry_ms);
+        self.finish(read, answer, actions)
+    }
+
+    fn finish(
+        &mut self,
+        read: &mut OpenRead,
+        answer: Answer,
+        actions: &mut Vec<QueryAction>,
+    ) -> Progress {
+        self.cancel_all(read, actions);
+        self.wait_out(read.query.class, read.query.id);
+        self.answer(read.query.id, answer, actions);
+        Progress::Answered
+    }
+
+    /// Cancels every open sub-request of the read.
+    pub(crate) fn cancel_all(&mut self, read: &mut OpenRead, actions: &mut Vec<QueryAction>) {
+        for part in &mut read.parts {
+            for sequence in std::mem::take(&mut part.attempts) {
+                read.may_have_run = true;
+                self.cancel(sequence, actions);
+            }
+        }
+    }
+
+    pub(crate) fn read_deadline(
+        &mut self,
+        at_us: u64,
+        id: QueryId,
+        actions: &mut Vec<QueryAction>,
+    ) {
+        self.step(id, |this, read| {
+            if read.query.deadline_us != at_us {
+                return Progress::Open;
+            }
+            this.counters.deadlines += 1;
+            let late = AbsentReason::DeadlinePassed;
+            if read.demands_full() {
+                return this.refuse(read, late, RETRY_AFTER_MS, actions);
+            }
+            let answer = read.answer(late, AbsentReason::NoReplica, RETRY_AFTER_MS);
+            this.finish(read, answer, actions)
+        });
+    }
+
+    pub(crate) fn read_gone(&mut self, id: QueryId, actions: &mut Vec<QueryAction>) {
+        self.step(id, |this, read| {
+            this.counters.callers_gone += 1;
+            this.cancel_all(read, actions);
+            this.wait_out(read.query.class, id);
+            Progress::Answered
+        });
+    }
+
+    pub(crate) fn read_wait_due(
+        &mut self,
+        now_us: u64,
+        id: QueryId,
+        stamp: u64,
+        actions: &mut Vec<QueryAction>,
+    ) {
+        self.step(id, |this, read| {
+            if read.wait_stamp != stamp || read.pin.is_some() {
+                return Progress::Open;
+            }
+            this.begin(now_us, read, false, actions)
+        });
+    }
+
+    /// Looks again at a read that waits for reports.
+    pub(crate) fn read_recheck(
+        &mut self,
+        now_us: u64,
+        id: QueryId,
+        actions: &mut Vec<QueryAction>,
+    ) {
+        self.step(id, |this, read| {
+            if read.pin.is_none() {
+                return this.begin(now_us, read, true, actions);
+            }
+            this.restart_if_possible(now_us, read, actions);
+            this.progress(read, actions)
+        });
+    }
+}
+
+/// Retry-after time for a wait, in milliseconds.
+pub(crate) fn retry_after_ms(wait_us: u64) -> u64 {
+    wait_us.div_ceil(1_000).clamp(1, RETRY_AFTER_LAST_MS)
+}
--- /dev/null
+++ b/crates/query/src/retries.rs
@@ -0,0 +1,189 @@
+//! Second tries of a part: hedges, and retries after a refusal or a failure.
+
+use crate::AbsentReason;
+use crate::Coordinator;
+use crate::QueryAction;
+use crate::QueryId;
+use crate::attempt::Attempt;
+use crate::limits::HEDGE_SHORTEST_US;
+use crate::limits::PART_SENDS;
+use crate::limits::PART_WAITS;
+use crate::limits::RETRY_AFTER_MS;
+use crate::open_read::OpenRead;
+use crate::part::PartState;
+use crate::pay::Pay;
+use crate::reads::Progress;
+use crate::routes::Pick;
+use wigeonhall_types::RefusalReason;
+
+impl Coordinator {
+    /// Hedges a late part, or ends its wait.
+    pub(crate) fn part_due(
+        &mut self,
+        now_us: u64,
+        id: QueryId,
+        index: usize,
+        stamp: u64,
+        actions: &mut Vec<QueryAction>,
+    ) {
+        let Some(mut read) = self.reads.remove(&id) else {
+            return;
+        };
+        let progress = match read.parts.get(index) {
+            Some(part) if part.stamp == stamp => match part.state {
+                PartState::Done | PartState::Failed(_) => Progress::Open,
+                PartState::Open => {
+                    self.hedge(now_us, &mut read, index, actions);
+                    Progress::Open
+                }
+                PartState::Waiting(AbsentReason::VersionGone) => {
+                    self.counters.restarts_refused += 1;
+                    let reason = AbsentReason::VersionGone;
+                    self.fail_part(&mut read, index, reason, actions)
+                }
+                PartState::Waiting(reason) => {
+                    self.try_again(now_us, &mut read, index, reason, actions)
+                }
+            },
+            _ => Progress::Open,
+        };
+        if progress == Progress::Open {
+            self.reads.insert(id, read);
+        }
+    }
+
+    fn hedge(
+        &mut self,
+        now_us: u64,
+        read: &mut OpenRead,
+        index: usize,
+        actions: &mut Vec<QueryAction>,
+    ) {
+        let part = &read.parts[index];
+        let Some(version) = read.pin else {
+            return;
+        };
+        if part.attempts.len() != 1 || part.sends >= PART_SENDS {
+            return;
+        }
+        let service = part.service;
+        let picked = self
+            .routes
+            .pick(now_us, service, version, &part.gaps, &part.tried);
+        match picked {
+            Pick::To(route) if now_us + route.expected_us <= read.query.deadline_us => {
+                if self.routes.service_mut(service).budget.take() {
+                    self.counters.hedges += 1;
+                    self.dispatch_part(now_us, read, index, route, actions);
+                } else {
+                    self.counters.budget_refusals += 1;
+                    let delay = self.routes.services[service.index()].latency.delay_us();
+                    let delay_us = delay.unwrap_or(0).max(HEDGE_SHORTEST_US);
+                    self.part_timer(read, index, now_us + delay_us);
+                }
+            }
+            Pick::BackedOff { until_us } => self.part_timer(read, index, until_us),
+            Pick::Nowhere | Pick::To(_) => {}
+        }
+    }
+
+    /// Takes a refusal, which proves that the sub-request did not run.
+    pub(crate) fn part_refused(
+        &mut self,
+        now_us: u64,
+        read: &mut OpenRead,
+        index: usize,
+        attempt: Attempt,
+        reason: RefusalReason,
+        actions: &mut Vec<QueryAction>,
+    ) -> Progress {
+        let part = &mut read.parts[index];
+        part.pay = Pay::after(reason);
+        if reason == RefusalReason::NotOwner && self.owner_changed(attempt) {
+            part.tried.retain(|replica| *replica != attempt.replica);
+        }
+        let reason = AbsentReason::Refused(reason);
+        self.try_again(now_us, read, index, reason, actions)
+    }
+
+    /// Whether the replica has another owner than the one that was asked.
+    pub(crate) fn owner_changed(&mut self, attempt: Attempt) -> bool {
+        let owner = self.routes.replica_mut(attempt.replica).owner;
+        owner.is_some_and(|(node, _)| node != attempt.node)
+    }
+
+    /// Sends the gaps of a part to another replica, waits for one, or gives up.
+    pub(crate) fn try_again(
+        &mut self,
+        now_us: u64,
+        read: &mut OpenRead,
+        index: usize,
+        reason: AbsentReason,
+        actions: &mut Vec<QueryAction>,
+    ) -> Progress {
+        let part = &mut read.parts[index];
+        let Some(version) = read.pin else {
+            return Progress::Open;
+        };
+        if !part.attempts.is_empty() {
+            return Progress::Open;
+        }
+        let deadline_us = read.query.deadline_us;
+        let service = part.service;
+        let mut picked = self
+            .routes
+            .pick(now_us, service, version, &part.gaps, &part.tried);
+        if matches!(picked, Pick::Nowhere) && worth_a_wait(reason) {
+            part.tried.clear();
+            picked = self.routes.pick(now_us, service, version, &part.gaps, &[]);
+        }
+        let may_send = part.sends < PART_SENDS;
+        let may_wait = part.waits < PART_WAITS;
+        match picked {
+            Pick::To(route) if may_send && now_us + route.expected_us <= deadline_us => {
+                let paid = self.pay_and_send(now_us, read, index, route, actions);
+                if paid {
+                    return Progress::Open;
+                }
+            }
+            Pick::BackedOff { until_us } if may_send && may_wait && until_us < deadline_us => {
+                self.wait_part(read, index, until_us, reason);
+                return Progress::Open;
+            }
+            _ => {}
+        }
+        self.give_up(now_us, read, index, reason, actions)
+    }
+
+    /// Ends a part that failed; answers at once if the caller insists on every key.
+    pub(crate) fn fail_part(
+        &mut self,
+        read: &mut OpenRead,
+        index: usize,
+        reason: AbsentReason,
+        actions: &mut Vec<QueryAction>,
+    ) -> Progress {
+        read.end_part(index, PartState::Failed(reason));
+        if read.demands_full() {
+            return self.refuse(read, reason, RETRY_AFTER_MS, actions);
+        }
+        self.progress(read, actions)
+    }
+}
+
+/// Whether a replica that gave this reason may take the sub-request a little later. A
+/// replica that fails or accepts no connection gives no such hope, and the caller hears
+/// of it at once.
+fn worth_a_wait(reason: AbsentReason) -> bool {
+    let AbsentReason::Refused(reason) = reason else {
+        return false;
+    };
+    matches!(
+        reason,
+        RefusalReason::ColdStart
+            | RefusalReason::NoLease
+            | RefusalReason::NotOwner
+            | RefusalReason::Shed
+            | RefusalReason::UnknownReplica
+    )
+}
--- /dev/null
+++ b/crates/query/src/routes.rs
@@ -0,0 +1,374 @@
+use crate::class_view::ClassView;
+use crate::node_view::NodeView;
+use crate::replica_view::ReplicaView;
+use crate::service_view::ServiceView;
+use crate::version_plan::Held;
+use crate::version_plan::VersionPlan;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use wigeonhall_types::ClassKey;
+use wigeonhall_types::DataCentreKey;
+use wigeonhall_types::Deployment;
+use wigeonhall_types::IndexVersion;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::NodeKey;
+use wigeonhall_types::OwnershipTable;
+use wigeonhall_types::ReplicaKey;
+use wigeonhall_types::ReplicaReport;
+use wigeonhall_types::ReplicaState;
+use wigeonhall_types::ServiceKey;
+
+/// A replica to send to.
+#[derive(Clone, Copy, Debug)]
+pub struct Route {
+    /// Epoch of the table that names the owner.
+    pub epoch: u64,
+    /// Time until its answer.
+    pub expected_us: u64,
+    /// The replica is in the node's data centre.
+    pub local: bool,
+    /// Owner.
+    pub node: NodeKey,
+    /// The replica.
+    pub replica: ReplicaKey,
+}
+
+/// Result of a choice of replica.
+#[derive(Clone, Copy, Debug)]
+pub enum Pick {
+    /// Every fitting replica is put back; the first returns at this local time.
+    BackedOff { until_us: u64 },
+    /// No usable replica fits.
+    Nowhere,
+    /// The best replica.
+    To(Route),
+}
+
+/// What this node knows of classes, services, replicas and owners.
+#[derive(Debug)]
+pub struct Routes {
+    /// Classes of the deployment.
+    pub classes: BTreeMap<ClassKey, ClassView>,
+    data_centre: DataCentreKey,
+    deployment: Option<Arc<Deployment>>,
+    /// Owners; an owner stays here after its table is replaced.
+    pub nodes: BTreeMap<NodeKey, NodeView>,
+    /// By replica key.
+    pub replicas: Vec<ReplicaView>,
+    rng: fastrand::Rng,
+    /// By service key.
+    pub services: Vec<ServiceView>,
+    tables: BTreeMap<DataCentreKey, Arc<OwnershipTable>>,
+}
+
+impl Routes {
+    pub fn new(data_centre: DataCentreKey, rng: fastrand::Rng) -> Self {
+        Self {
+            classes: BTreeMap::new(),
+            data_centre,
+            deployment: None,
+            nodes: BTreeMap::new(),
+            replicas: Vec::new(),
+            rng,
+            services: Vec::new(),
+            tables: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a deployment and an ownership table are known.
+    pub fn ready(&self) -> bool {
+        self.deployment.is_some() && !self.tables.is_empty()
+    }
+
+    /// Takes a deployment; what is known of its replicas stays.
+    pub fn set_deployment(&mut self, deployment: Arc<Deployment>) {
+        let mut waiting: BTreeMap<ClassKey, (BTreeSet<_>, bool)> = BTreeMap::new();
+        for (key, class) in std::mem::take(&mut self.classes) {
+            waiting.insert(key, (class.waiting, class.recheck_set));
+        }
+        for service in &mut self.services {
+            service.classes.clear();
+            service.ranks.clear();
+        }
+        for view in &mut self.replicas {
+            view.out = true;
+            view.rank = None;
+            view.service = None;
+        }
+        for (key, class) in &deployment.classes {
+            let mut view = ClassView::new(class.kind, class.depends_on.clone());
+            (view.waiting, view.recheck_set) = waiting.remove(key).unwrap_or_default();
+            self.classes.insert(*key, view);
+            for service in &class.depends_on {
+                self.service_mut(*service).classes.push(*key);
+            }
+        }
+        for (key, replica) in &deployment.replicas {
+            let local = replica.data_centre == self.data_centre;
+            let view = self.replica_mut(*key);
+            view.local = local;
+            view.out = deployment.replica_out(*key);
+            view.service = Some(replica.service);
+            view.slots = replica.slots;
+            self.service_mut(replica.service);
+        }
+        self.deployment = Some(deployment);
+        self.set_owners_of_replicas();
+    }
+
+    /// Takes an ownership table; `false` if a newer one is known.
+    pub fn set_owners(&mut self, table: Arc<OwnershipTable>) -> bool {
+        let known = self.tables.get(&table.data_centre);
+        if known.is_some_and(|known| known.epoch > table.epoch) {
+            return false;
+        }
+        self.tables.insert(table.data_centre, table);
+        self.set_owners_of_replicas();
+        true
+    }
+
+    fn set_owners_of_replicas(&mut self) {
+        for node in self.nodes.values_mut() {
+            node.replicas.clear();
+        }
+        let Some(deployment) = self.deployment.clone() else {
+            return;
+        };
+        for (key, replica) in &deployment.replicas {
+            let table = self.tables.get(&replica.data_centre);
+            let owner = table.and_then(|table| Some((*table.owners.get(key)?, table.epoch)));
+            let mut lost = false;
+            if let Some((node, _)) = owner {
+                let node = self.nodes.entry(node).or_default();
+                node.replicas.insert(*key);
+                lost = node.lost;
+            }
+            let view = self.replica_mut(*key);
+            view.owner = owner;
+            view.owner_lost = lost;
+            self.rerank(*key);
+        }
+        for class in self.classes.values_mut() {
+            class.dirty = true;
+        }
+    }
+
+    /// Marks a node as lost; its replicas get nothing until it is heard from.
+    pub fn lose_node(&mut self, node: NodeKey) {
+        self.set_lost(node, true);
+    }
+
+    fn set_lost(&mut self, node: NodeKey, lost: bool) {
+        let view = self.nodes.entry(node).or_default();
+        if view.lost == lost {
+            return;
+        }
+        view.lost = lost;
+        for replica in view.replicas.clone() {
+            self.replica_mut(replica).owner_lost = lost;
+            self.rerank(replica);
+            self.mark_dirty(replica);
+        }
+    }
+
+    /// Takes a report; `false` if it is older than what is known. `from` is the node
+    /// that sent it, if the caller knows.
+    pub fn take_report(
+        &mut self,
+        now_us: u64,
+        replica: ReplicaKey,
+        report: ReplicaReport,
+        from: Option<NodeKey>,
+    ) -> bool {
+        let view = self.replica_mut(replica);
+        let old = view.report.as_ref();
+        if old.is_some_and(|old| old.epoch > report.epoch) {
+            return false;
+        }
+        let owner = view.owner;
+        if let (Some(from), Some((node, epoch))) = (from, owner)
+            && from != node
+            && report.epoch <= epoch
+        {
+            return false;
+        }
+        let changed = old.is_none_or(|old| old.served != report.served);
+        view.heard_us = Some(now_us);
+        view.report = Some(report);
+        if changed {
+            self.mark_dirty(replica);
+        }
+        self.rerank(replica);
+        if let Some((node, _)) = owner {
+            self.nodes.entry(node).or_default().asked_since_us = None;
+            self.set_lost(node, false);
+        }
+        true
+    }
+
+    /// Notes that the replica takes no new work, until its next report.
+    pub fn set_state(&mut self, replica: ReplicaKey, state: ReplicaState) {
+        if let Some(report) = &mut self.replica_mut(replica).report {
+            report.state = state;
+        }
+        self.rerank(replica);
+    }
+
+    /// Notes that the replica no longer serves `version`.
+    pub fn drop_version(&mut self, replica: ReplicaKey, version: IndexVersion) {
+        if let Some(report) = &mut self.replica_mut(replica).report {
+            report.served.retain(|served| served.version != version);
+        }
+        self.mark_dirty(replica);
+    }
+
+    /// Puts the replica back for a growing time.
+    pub fn put_back(&mut self, now_us: u64, replica: ReplicaKey, at_least_us: u64) {
+        self.replica_mut(replica).put_back(now_us, at_least_us);
+    }
+
+    /// Counts an open sub-request.
+    pub fn started(&mut self, replica: ReplicaKey) {
+        self.replica_mut(replica).in_flight += 1;
+        self.rerank(replica);
+    }
+
+    /// Counts the end of a sub-request.
+    pub fn ended(&mut self, replica: ReplicaKey) {
+        let view = self.replica_mut(replica);
+        view.in_flight = view.in_flight.saturating_sub(1);
+        self.rerank(replica);
+    }
+
+    /// Best replica of `service` that holds all of `ranges` at `version`.
+    pub fn pick(
+        &self,
+        now_us: u64,
+        service: ServiceKey,
+        version: IndexVersion,
+        ranges: &[KeyRange],
+        tried: &[ReplicaKey],
+    ) -> Pick {
+        let mut until_us: Option<u64> = None;
+        for rank in &self.services[service.index()].ranks {
+            let view = &self.replicas[rank.replica.index()];
+            if tried.contains(&rank.replica) || !view.holds(version, ranges) {
+                continue;
+            }
+            if view.back_until_us > now_us {
+                let until = until_us.unwrap_or(u64::MAX).min(view.back_until_us);
+                until_us = Some(until);
+                continue;
+            }
+            let Some((node, epoch)) = view.owner else {
+                continue;
+            };
+            return Pick::To(Route {
+                epoch,
+                expected_us: view.expected_us(),
+                local: view.local,
+                node,
+                replica: rank.replica,
+            });
+        }
+        until_us.map_or(Pick::Nowhere, |until_us| Pick::BackedOff { until_us })
+    }
+
+    /// The class with plans as new as the reports.
+    pub fn class(&mut self, class: ClassKey) -> Option<&ClassView> {
+        if self.classes.get(&class)?.dirty {
+            self.plan(class);
+        }
+        self.classes.get(&class)
+    }
+
+    fn plan(&mut self, class: ClassKey) {
+        let (Some(deployment), Some(view)) = (&self.deployment, self.classes.get_mut(&class))
+        else {
+            return;
+        };
+        let mut held: BTreeMap<IndexVersion, Vec<Held>> = BTreeMap::new();
+        let mut counts: BTreeMap<IndexVersion, usize> = BTreeMap::new();
+        let mut known = 0;
+        view.unreported.clear();
+        for service in &view.services {
+            for replica in &deployment.services[service].replicas {
+                let seen = &self.replicas[replica.index()];
+                view.unreported.extend(seen.unreported());
+                let Some(report) = seen.report.as_ref().filter(|_| seen.usable()) else {
+                    continue;
+                };
+                known += usize::from(!report.served.is_empty());
+                for served in &report.served {
+                    *counts.entry(served.version).or_default() += 1;
+                    let ranges = served.ranges.iter().filter(|range| !range.is_empty());
+                    held.entry(served.version)
+                        .or_default()
+                        .extend(ranges.map(|range| Held {
+                            range: *range,
+                            replica: *replica,
+                            service: *service,
+                        }));
+                }
+            }
+        }
+        let common = counts.iter().rev().find(|(_, count)| **count == known);
+        view.common = common.map(|(version, _)| *version);
+        view.plans = held
+            .iter()
+            .rev()
+            .map(|(version, held)| VersionPlan::new(*version, held))
+            .collect();
+        view.dirty = false;
+    }
+
+    fn mark_dirty(&mut self, replica: ReplicaKey) {
+        let Some(service) = self.replicas[replica.index()].service else {
+            return;
+        };
+        for class in &self.services[service.index()].classes {
+            if let Some(class) = self.classes.get_mut(class) {
+                class.dirty = true;
+            }
+        }
+    }
+
+    fn rerank(&mut self, replica: ReplicaKey) {
+        let tie = self.rng.u32(..);
+        let view = &mut self.replicas[replica.index()];
+        let Some(service) = view.service else {
+            return;
+        };
+        let ranks = &mut self.services[service.index()].ranks;
+        let old = view.rank.take();
+        if let Some(old) = &old {
+            ranks.remove(old);
+        }
+        if view.usable() {
+            let rank = view.ranked(replica, tie);
+            ranks.insert(rank);
+            view.rank = Some(rank);
+        }
+        if old.is_some() != view.rank.is_some() {
+            self.mark_dirty(replica);
+        }
+    }
+
+    /// The view of a replica, made when it is first named.
+    pub fn replica_mut(&mut self, replica: ReplicaKey) -> &mut ReplicaView {
+        let length = self.replicas.len().max(replica.index() + 1);
+        self.replicas.resize_with(length, || ReplicaView {
+            out: true,
+            ..ReplicaView::default()
+        });
+        &mut self.replicas[replica.index()]
+    }
+
+    /// The view of a service, made when it is first named.
+    pub fn service_mut(&mut self, service: ServiceKey) -> &mut ServiceView {
+        let length = self.services.len().max(service.index() + 1);
+        self.services.resize_with(length, ServiceView::default);
+        &mut self.services[service.index()]
+    }
+}
--- /dev/null
+++ b/crates/query/tests/support/mod.rs
@@ -0,0 +1,310 @@
+//! A coordinator with a small deployment, and short forms of events and actions.
+#![allow(dead_code, reason = "each test file uses a part of the module")]
+#![allow(unreachable_pub, reason = "the module is compiled into each test file")]
+
+use std::sync::Arc;
+use wigeonhall_query::Answer;
+use wigeonhall_query::Coordinator;
+use wigeonhall_query::CoordinatorConfig;
+use wigeonhall_query::CoverageDemand;
+use wigeonhall_query::QueryAction;
+use wigeonhall_query::QueryEvent;
+use wigeonhall_query::QueryId;
+use wigeonhall_query::ReadQuery;
+use wigeonhall_query::WriteQuery;
+use wigeonhall_types::AttemptId;
+use wigeonhall_types::ClassKey;
+use wigeonhall_types::ClassKind;
+use wigeonhall_types::ColdBound;
+use wigeonhall_types::DataCentre;
+use wigeonhall_types::DataCentreKey;
+use wigeonhall_types::Deployment;
+use wigeonhall_types::IndexVersion;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::NodeKey;
+use wigeonhall_types::OwnershipTable;
+use wigeonhall_types::QueryClass;
+use wigeonhall_types::RefusalReason;
+use wigeonhall_types::Replica;
+use wigeonhall_types::ReplicaKey;
+use wigeonhall_types::ReplicaReport;
+use wigeonhall_types::ReplicaState;
+use wigeonhall_types::Row;
+use wigeonhall_types::ServedVersion;
+use wigeonhall_types::Service;
+use wigeonhall_types::ServiceKey;
+use wigeonhall_types::ServiceLevel;
+use wigeonhall_types::SubOutcome;
+use wigeonhall_types::SubRequest;
+
+pub const BOOT: u64 = 77;
+pub const READ: ClassKey = ClassKey(0);
+pub const WRITE: ClassKey = ClassKey(1);
+/// Keys of one service at the start.
+pub const WIDTH: u64 = 1_000;
+pub const HOUR_MS: u64 = 3_600_000;
+/// Time of `received_unix_ms`.
+pub const UNIX_MS: u64 = 1_000 * HOUR_MS;
+
+pub struct World {
+    pub core: Coordinator,
+    pub now_us: u64,
+    pub services: u32,
+}
+
+pub fn range(start: u64, end: u64) -> KeyRange {
+    KeyRange { start, end }
+}
+
+pub fn row(key: u64, value: &str) -> Row {
+    let value = Arc::from(value);
+    Row { key, value }
+}
+
+/// Services with replicas `per` * service + n, each in data centre n modulo 2.
+pub fn deployment(services: u32, per: u32) -> Deployment {
+    let mut deployment = Deployment::default();
+    let keys: Vec<ServiceKey> = (0..services).map(ServiceKey).collect();
+    for (key, kind) in [(READ, ClassKind::Read), (WRITE, ClassKind::Write)] {
+        let level = ServiceLevel {
+            latency_ms: 100,
+            objective_ppm: 999_000,
+        };
+        let class = QueryClass {
+            deadline_ms: 1_000,
+            depends_on: keys.clone(),
+            kind,
+            level,
+            slot_share_percent: 100,
+            weight: 1,
+        };
+        deployment.classes.insert(key, class);
+    }
+    for data_centre in 0..2 {
+        let value = DataCentre {
+            out: false,
+            region: Arc::from("region"),
+        };
+        deployment
+            .data_centres
+            .insert(DataCentreKey(data_centre), value);
+    }
+    for service in keys {
+        let replicas = (0..per).map(|n| ReplicaKey(service.0 * per + n));
+        for replica in replicas.clone() {
+            let value = Replica {
+                address: ([127, 0, 0, 1], 9).into(),
+                cold: ColdBound {
+                    requests_per_s: 1,
+                    slots: 1,
+                },
+                connect_us: 6_000,
+                connections: 3,
+                data_centre: DataCentreKey(replica.0 % 2),
+                out: false,
+                service,
+                slots: 2,
+            };
+            deployment.replicas.insert(replica, value);
+        }
+        let replicas = replicas.collect();
+        deployment.services.insert(service, Service { replicas });
+    }
+    deployment
+}
+
+/// Table of data centre `key`, whose replicas all belong to `node`.
+pub fn table(deployment: &Deployment, key: u32, epoch: u64, node: u32) -> Arc<OwnershipTable> {
+    let here = deployment
+        .replicas
+        .iter()
+        .filter(|(_, replica)| replica.data_centre.0 == key);
+    Arc::new(OwnershipTable {
+        data_centre: DataCentreKey(key),
+        epoch,
+        members: vec![NodeKey(node)],
+        owners: here.map(|(replica, _)| (*replica, NodeKey(node))).collect(),
+    })
+}
+
+pub fn report(served: &[(u64, &[KeyRange])], wait_us: u64, service_us: u64) -> ReplicaReport {
+    let served = served.iter().map(|(version, ranges)| ServedVersion {
+        ranges: ranges.to_vec(),
+        version: IndexVersion(*version),
+    });
+    ReplicaReport {
+        epoch: 1,
+        expected_wait_us: wait_us,
+        served: served.collect(),
+        service_us,
+        state: ReplicaState::Warm,
+    }
+}
+
+pub fn sends(actions: &[QueryAction]) -> Vec<(NodeKey, SubRequest)> {
+    let sends = actions.iter().filter_map(|action| match action {
+        QueryAction::Send { node, sub } => Some((*node, sub.clone())),
+        _ => None,
+    });
+    sends.collect()
+}
+
+pub fn cancels(actions: &[QueryAction]) -> Vec<AttemptId> {
+    let cancels = actions.iter().filter_map(|action| match action {
+        QueryAction::Cancel { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    cancels.collect()
+}
+
+pub fn answers(actions: &[QueryAction]) -> Vec<Answer> {
+    let answers = actions.iter().filter_map(|action| match action {
+        QueryAction::Answer { answer, .. } => Some(answer.clone()),
+        _ => None,
+    });
+    answers.collect()
+}
+
+pub fn only_answer(actions: &[QueryAction]) -> Answer {
+    let answers = answers(actions);
+    assert_eq!(answers.len(), 1, "{actions:?}");
+    answers[0].clone()
+}
+
+pub fn refused(reason: RefusalReason) -> SubOutcome {
+    SubOutcome::Refused {
+        reason,
+        retry_after_us: 0,
+    }
+}
+
+pub fn answered(version: u64, ranges: &[KeyRange], rows: &[Row]) -> SubOutcome {
+    SubOutcome::Answered {
+        ranges: ranges.to_vec(),
+        rows: rows.to_vec(),
+        version: IndexVersion(version),
+    }
+}
+
+/// What service `sub.replica / 2` of a world answers.
+pub fn whole_of(sub: &SubRequest) -> SubOutcome {
+    let service = u64::from(sub.replica.0 / 2);
+    let held = range(service * WIDTH, (service + 1) * WIDTH);
+    let version = sub.version.expect("every sub-request is pinned").0;
+    answered(version, &[held], &[row(held.start, "x")])
+}
+
+impl World {
+    /// Node 0 owns data centre 0, its own, and node 1 owns data centre 1. Nothing is
+    /// reported yet.
+    pub fn silent(services: u32, per: u32) -> Self {
+        let config = CoordinatorConfig {
+            boot: BOOT,
+            data_centre: DataCentreKey(0),
+            node: NodeKey(0),
+        };
+        let mut world = Self {
+            core: Coordinator::new(config, 1),
+            now_us: 1_000_000,
+            services,
+        };
+        let deployment = deployment(services, per);
+        world.event(QueryEvent::Owners(table(&deployment, 0, 1, 0)));
+        world.event(QueryEvent::Owners(table(&deployment, 1, 1, 1)));
+        world.event(QueryEvent::Deployment(Arc::new(deployment)));
+        world
+    }
+
+    /// Two replicas a service, all at version 1 with 5 ms.
+    pub fn new(services: u32) -> Self {
+        let mut world = Self::silent(services, 2);
+        world.report_all(&[1]);
+        world
+    }
+
+    pub fn event(&mut self, event: QueryEvent) -> Vec<QueryAction> {
+        let mut actions = Vec::new();
+        self.core.handle(self.now_us, event, &mut actions);
+        actions
+    }
+
+    pub fn tick_at(&mut self, now_us: u64) -> Vec<QueryAction> {
+        self.now_us = now_us;
+        self.event(QueryEvent::Tick)
+    }
+
+    /// Runs every wake up to and including `now_us`.
+    pub fn run_to(&mut self, now_us: u64) -> Vec<QueryAction> {
+        let mut actions = Vec::new();
+        while let Some(wake_us) = self.core.next_wake_us().filter(|wake| *wake <= now_us) {
+            actions.extend(self.tick_at(wake_us.max(self.now_us)));
+        }
+        self.now_us = now_us;
+        actions
+    }
+
+    pub fn report_all(&mut self, versions: &[u64]) -> Vec<QueryAction> {
+        let mut actions = Vec::new();
+        for replica in 0..self.services * 2 {
+            let start = u64::from(replica / 2) * WIDTH;
+            let held = [range(start, start + WIDTH)];
+            let served: Vec<_> = versions.iter().map(|it| (*it, &held[..])).collect();
+            actions.extend(self.report(replica, report(&served, 0, 5_000)));
+        }
+        actions
+    }
+
+    pub fn report(&mut self, replica: u32, report: ReplicaReport) -> Vec<QueryAction> {
+        let replica = ReplicaKey(replica);
+        self.event(QueryEvent::Report { replica, report })
+    }
+
+    /// Reads every key within 200 ms.
+    pub fn read(&mut self, id: u64, demand: CoverageDemand) -> Vec<QueryAction> {
+        let whole = range(0, u64::from(self.services) * WIDTH);
+        self.read_range(id, demand, whole, 200_000)
+    }
+
+    pub fn read_range(
+        &mut self,
+        id: u64,
+        demand: CoverageDemand,
+        range: KeyRange,
+        within_us: u64,
+    ) -> Vec<QueryAction> {
+        self.event(QueryEvent::Read(ReadQuery {
+            class: READ,
+            deadline_us: self.now_us + within_us,
+            demand,
+            id: QueryId(id),
+            range,
+        }))
+    }
+
+    pub fn write_query(&self, id: u64, first_attempt: bool) -> WriteQuery {
+        WriteQuery {
+            body: Arc::from("body"),
+            class: WRITE,
+            deadline_us: self.now_us + 200_000,
+            first_attempt,
+            id: QueryId(id),
+            issued_unix_ms: UNIX_MS,
+            key: 10,
+            received_unix_ms: UNIX_MS,
+            request_id: Arc::from("r"),
+        }
+    }
+
+    pub fn write(&mut self, id: u64, first_attempt: bool) -> Vec<QueryAction> {
+        let query = self.write_query(id, first_attempt);
+        self.event(QueryEvent::Write(query))
+    }
+
+    pub fn reply(&mut self, sub: &SubRequest, outcome: SubOutcome) -> Vec<QueryAction> {
+        self.event(QueryEvent::SubReply {
+            attempt: sub.attempt,
+            outcome,
+            report: None,
+        })
+    }
+}
--- /dev/null
+++ b/crates/query/tests/writes.rs
@@ -0,0 +1,315 @@
+//! Guards against writes that run twice and verdicts on writes that are not true.
+
+mod support;
+
+use support::HOUR_MS;
+use support::UNIX_MS;
+use support::World;
+use support::answered;
+use support::answers;
+use support::only_answer;
+use support::range;
+use support::refused;
+use support::report;
+use support::sends;
+use wigeonhall_query::AbsentReason;
+use wigeonhall_query::AnswerStatus;
+use wigeonhall_query::Claim;
+use wigeonhall_query::ClaimOutcome;
+use wigeonhall_query::ClaimResult;
+use wigeonhall_query::QueryAction;
+use wigeonhall_query::QueryEvent;
+use wigeonhall_query::QueryId;
+use wigeonhall_types::FailureReason;
+use wigeonhall_types::IndexVersion;
+use wigeonhall_types::NodeKey;
+use wigeonhall_types::RefusalReason;
+use wigeonhall_types::SubOutcome;
+use wigeonhall_types::SubRequest;
+use wigeonhall_types::Verdict;
+
+const ID: QueryId = QueryId(1);
+
+fn claims(actions: &[QueryAction]) -> Vec<Claim> {
+    let claims = actions.iter().filter_map(|action| match action {
+        QueryAction::CreateClaim { claim, .. } | QueryAction::UpdateClaim { claim, .. } => {
+            Some(claim.clone())
+        }
+        _ => None,
+    });
+    claims.collect()
+}
+
+fn claim_result(world: &mut World, result: ClaimResult) -> Vec<QueryAction> {
+    world.event(QueryEvent::Claim { id: ID, result })
+}
+
+/// A write that holds its claim, and its sub-request.
+fn sent() -> (World, SubRequest) {
+    let mut world = World::new(1);
+    let claims = claims(&world.write(1, true));
+    assert_eq!(claims[0].outcome, ClaimOutcome::Open);
+    let subs = sends(&claim_result(
+        &mut world,
+        ClaimResult::Stored { version: 1 },
+    ));
+    assert_eq!(subs.len(), 1);
+    (world, subs[0].1.clone())
+}
+
+fn held_by_other(outcome: ClaimOutcome) -> ClaimResult {
+    let held = Claim {
+        issued_unix_ms: UNIX_MS,
+        outcome,
+        request_id: "r".into(),
+        token: 0,
+    };
+    ClaimResult::Conflict { held, version: 7 }
+}
+
+#[test]
+fn stores_the_outcome_in_the_claim() {
+    let (mut world, sub) = sent();
+    let actions = world.reply(&sub, answered(1, &[range(10, 11)], &[]));
+    assert_eq!(
+        claims(&actions)[0].outcome,
+        ClaimOutcome::Ran(IndexVersion(1))
+    );
+    let answer = only_answer(&actions);
+    assert_eq!(answer.status, AnswerStatus::Whole);
+    assert_eq!(answer.verdict, Verdict::Ran);
+    assert_eq!(world.core.open_requests(), 0);
+}
+
+// A create whose reply is lost must neither lose the write nor send it twice.
+#[test]
+fn settles_a_lost_claim_reply_by_its_token() {
+    let mut world = World::new(1);
+    let own = claims(&world.write(1, true)).remove(0);
+    let conflict = ClaimResult::Conflict {
+        held: own,
+        version: 3,
+    };
+    assert_eq!(sends(&claim_result(&mut world, conflict.clone())).len(), 1);
+    assert!(claim_result(&mut world, conflict).is_empty());
+}
+
+#[test]
+fn answers_a_repeat_from_its_claim() {
+    let cases = [
+        (
+            ClaimOutcome::Ran(IndexVersion(4)),
+            AnswerStatus::Whole,
+            Verdict::Ran,
+        ),
+        (
+            ClaimOutcome::Open,
+            AnswerStatus::Refused(AbsentReason::ClaimOpen),
+            Verdict::MayHaveRun,
+        ),
+    ];
+    for (outcome, status, verdict) in cases {
+        // The first attempt flag is wrong here: the claim is what counts.
+        let mut world = World::new(1);
+        world.write(1, true);
+        let actions = claim_result(&mut world, held_by_other(outcome));
+        let answer = only_answer(&actions);
+        assert_eq!((answer.status, answer.verdict), (status, verdict));
+        assert!(sends(&actions).is_empty());
+    }
+}
+
+// A repeat finds its answer even where no replica takes writes now.
+#[test]
+fn reads_the_claim_of_a_repeat_before_it_looks_for_a_replica() {
+    let mut world = World::silent(1, 2);
+    assert_eq!(claims(&world.write(1, false)).len(), 1);
+    let outcome = ClaimOutcome::Ran(IndexVersion(4));
+    let answer = only_answer(&claim_result(&mut world, held_by_other(outcome)));
+    assert_eq!(answer.verdict, Verdict::Ran);
+}
+
+#[test]
+fn takes_over_a_released_claim() {
+    let mut world = World::new(1);
+    let own = claims(&world.write(1, false)).remove(0);
+    let actions = claim_result(&mut world, held_by_other(ClaimOutcome::Released));
+    let update = QueryAction::UpdateClaim {
+        claim: own,
+        id: ID,
+        version: 7,
+    };
+    assert_eq!(actions, [update]);
+    let stored = ClaimResult::Stored { version: 8 };
+    assert_eq!(sends(&claim_result(&mut world, stored)).len(), 1);
+    assert_eq!(world.core.counters().claims_taken_over, 1);
+}
+
+// Another attempt took the released claim over first.
+#[test]
+fn does_not_send_after_a_lost_take_over() {
+    let mut world = World::new(1);
+    world.write(1, false);
+    claim_result(&mut world, held_by_other(ClaimOutcome::Released));
+    let actions = claim_result(&mut world, held_by_other(ClaimOutcome::Open));
+    assert_eq!(only_answer(&actions).verdict, Verdict::MayHaveRun);
+    assert!(sends(&actions).is_empty());
+}
+
+#[test]
+fn refuses_while_the_store_is_down() {
+    for (first, verdict) in [(true, Verdict::NotRun), (false, Verdict::MayHaveRun)] {
+        let mut world = World::new(1);
+        world.write(1, first);
+        let answer = only_answer(&claim_result(&mut world, ClaimResult::Unknown));
+        assert_eq!(
+            answer.status,
+            AnswerStatus::Refused(AbsentReason::StoreDown)
+        );
+        assert_eq!(answer.verdict, verdict);
+    }
+}
+
+#[test]
+fn refuses_issue_times_outside_the_life_of_a_claim() {
+    let cases = [
+        (UNIX_MS - 24 * HOUR_MS, None),
+        (UNIX_MS - 24 * HOUR_MS - 1, Some(Verdict::MayHaveRun)),
+        (UNIX_MS + HOUR_MS / 12, None),
+        (UNIX_MS + HOUR_MS / 12 + 1, Some(Verdict::NotRun)),
+    ];
+    for (issued_unix_ms, verdict) in cases {
+        let mut world = World::new(1);
+        let mut query = world.write_query(1, true);
+        query.issued_unix_ms = issued_unix_ms;
+        let actions = world.event(QueryEvent::Write(query));
+        let answer = answers(&actions).pop();
+        assert_eq!(answer.map(|it| it.verdict), verdict);
+        assert_eq!(claims(&actions).len(), usize::from(verdict.is_none()));
+    }
+}
+
+// After these outcomes the target may have run the write, so it is not sent again.
+#[test]
+fn does_not_resend_without_proof() {
+    let reasons = [
+        FailureReason::BadReply,
+        FailureReason::Cancelled,
+        FailureReason::ConnectionLost,
+        FailureReason::DeadlineExceeded,
+        FailureReason::OwnerLost,
+    ];
+    for reason in reasons {
+        let (mut world, sub) = sent();
+        let mut actions = world.reply(&sub, SubOutcome::Failed { reason });
+        actions.extend(world.run_to(1_300_000));
+        let answer = only_answer(&actions);
+        assert_eq!(answer.status, AnswerStatus::Failed(reason));
+        assert_eq!(answer.verdict, Verdict::MayHaveRun);
+        assert!(sends(&actions).is_empty() && claims(&actions).is_empty());
+    }
+}
+
+#[test]
+fn resends_after_a_refusal_and_releases_when_all_refuse() {
+    for reason in [RefusalReason::Shed, RefusalReason::Leaving] {
+        let (mut world, sub) = sent();
+        let again = sends(&world.reply(&sub, refused(reason)));
+        assert_eq!(again.len(), 1);
+        assert_ne!(again[0].1.replica, sub.replica);
+        let mut actions = world.reply(&again[0].1, refused(reason));
+        actions.extend(world.run_to(1_300_000));
+        let answer = only_answer(&actions);
+        assert_eq!(answer.verdict, Verdict::NotRun);
+        assert_eq!(
+            claims(&actions).pop().expect("release").outcome,
+            ClaimOutcome::Released
+        );
+    }
+}
+
+#[test]
+fn never_hedges() {
+    let (mut world, _) = sent();
+    assert!(sends(&world.run_to(1_199_999)).is_empty());
+}
+
+// The caller's repeat must find the outcome although the first answer was "may have run".
+#[test]
+fn settles_the_claim_by_a_late_reply() {
+    for lose_node in [false, true] {
+        for ran in [true, false] {
+            let (mut world, sub) = sent();
+            let actions = if lose_node {
+                let owner = NodeKey(sub.replica.0 % 2);
+                world.event(QueryEvent::NodeLost(owner))
+            } else {
+                world.run_to(1_200_000)
+            };
+            assert_eq!(only_answer(&actions).verdict, Verdict::MayHaveRun);
+            assert_eq!(world.core.open_requests(), 0);
+            let (outcome, settled) = if ran {
+                let outcome = answered(1, &[range(10, 11)], &[]);
+                (outcome, ClaimOutcome::Ran(IndexVersion(1)))
+            } else {
+                let outcome = refused(RefusalReason::DeadlinePassed);
+                (outcome, ClaimOutcome::Released)
+            };
+            let actions = world.reply(&sub, outcome.clone());
+            assert!(answers(&actions).is_empty());
+            assert_eq!(claims(&actions)[0].outcome, settled);
+            assert!(world.reply(&sub, outcome).is_empty());
+        }
+    }
+}
+
+#[test]
+fn releases_a_claim_that_is_stored_after_the_deadline() {
+    let mut world = World::new(1);
+    world.write(1, true);
+    let answer = only_answer(&world.run_to(1_200_000));
+    assert_eq!(answer.verdict, Verdict::NotRun);
+    let actions = claim_result(&mut world, ClaimResult::Stored { version: 1 });
+    assert!(sends(&actions).is_empty());
+    assert_eq!(claims(&actions)[0].outcome, ClaimOutcome::Released);
+}
+
+// The caller's end must not hide the outcome from a repeat, nor start new work.
+#[test]
+fn settles_the_claim_of_a_caller_that_is_gone() {
+    let (mut world, sub) = sent();
+    assert!(world.event(QueryEvent::CallerGone(ID)).is_empty());
+    let actions = world.reply(&sub, answered(1, &[range(10, 11)], &[]));
+    assert!(answers(&actions).is_empty());
+    assert_eq!(claims(&actions).len(), 1);
+
+    let mut world = World::new(1);
+    world.write(1, true);
+    world.event(QueryEvent::CallerGone(ID));
+    let actions = claim_result(&mut world, ClaimResult::Stored { version: 1 });
+    assert!(sends(&actions).is_empty());
+    assert_eq!(claims(&actions)[0].outcome, ClaimOutcome::Released);
+}
+
+// While shards are repartitioned, two services may hold the key at different versions.
+#[test]
+fn picks_the_service_at_the_newest_version_that_all_report() {
+    let mut world = World::new(2);
+    let (low, high) = ([range(0, 1_000)], [range(1_000, 2_000)]);
+    let (new_low, new_high) = ([range(0, 5)], [range(5, 2_000)]);
+    for replica in 0..2 {
+        let served = [(1, &low[..]), (2, &new_low[..]), (3, &low[..])];
+        world.report(replica, report(&served, 0, 5_000));
+    }
+    for replica in 2..4 {
+        let served = [(1, &high[..]), (2, &new_high[..])];
+        world.report(replica, report(&served, 0, 5_000));
+    }
+    world.write(1, true);
+    let subs = sends(&claim_result(
+        &mut world,
+        ClaimResult::Stored { version: 1 },
+    ));
+    assert_eq!(subs[0].1.version, Some(IndexVersion(2)));
+    assert_eq!(subs[0].1.replica.0 / 2, 1);
+}
