Add the counters and the report of service-level burn

Cause: operators need to see how fast each class spends its error budget and on what.

BurnReport adds up the samples of many nodes, computes burn rates over 5 min/1 h (threshold 14.4) and 30 min/6 h (threshold 6), and lists what each cause took of the budget.

--- /dev/null
+++ b/crates/burn/src/burn_report.rs
@@ -0,0 +1,207 @@
+use crate::BurnSample;
+use crate::ClassSample;
+use crate::Outcome;
+use crate::WindowSample;
+use serde::Deserialize;
+use serde::Serialize;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Window pairs and thresholds in thousandths of the sustainable burn rate. Over a
+/// budget of 30 days, 14.4 for an hour spends 2% of it and 6 for six hours 5%; the
+/// short window ends the alert soon after the cause ends.
+const ALERTS: [(u64, u64, u64); 2] = [(300, 3_600, 14_400), (1_800, 21_600, 6_000)];
+
+/// Service-level burn of a fleet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BurnReport {
+    /// Classes by name.
+    pub classes: Vec<ClassReport>,
+    /// Nodes whose counts are in the report, by name.
+    pub nodes: Vec<Arc<str>>,
+}
+
+/// Service-level burn of one class.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClassReport {
+    /// One per window pair.
+    pub alerts: Vec<AlertReport>,
+    /// Name of the class.
+    pub class: Arc<str>,
+    /// Good answers arrive within this time, in milliseconds.
+    pub latency_ms: u64,
+    /// Whether nodes count against different service levels, as they do while a
+    /// changed configuration spreads; the strictest one is reported.
+    pub levels_differ: bool,
+    /// Wanted share of good answers, in parts per million.
+    pub objective_ppm: u32,
+    /// By rising window.
+    pub windows: Vec<WindowReport>,
+}
+
+/// Whether the budget is spent too fast over a pair of windows.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AlertReport {
+    /// Whether the burn rates of both windows are at least the threshold.
+    pub firing: bool,
+    /// Burn rate over the long window, in thousandths.
+    pub long_burn_milli: u64,
+    /// Length of the long window in seconds.
+    pub long_s: u64,
+    /// Burn rate over the short window, in thousandths.
+    pub short_burn_milli: u64,
+    /// Length of the short window in seconds.
+    pub short_s: u64,
+    /// Threshold in thousandths.
+    pub threshold_milli: u64,
+}
+
+/// Counts of all nodes over one window.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WindowReport {
+    /// Share of bad requests over the share that the objective allows, in
+    /// thousandths; 1000 spends the budget exactly.
+    pub burn_milli: u64,
+    /// What spent the budget, by falling count.
+    pub causes: Vec<CauseReport>,
+    /// Longest part of the window in which one of the nodes ran, in seconds.
+    pub covered_s: u64,
+    /// Requests that met the service level.
+    pub good: u64,
+    /// All requests.
+    pub requests: u64,
+    /// Length in seconds.
+    pub window_s: u64,
+}
+
+/// What one cause spent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CauseReport {
+    /// Share of the window's error budget, in thousandths; above 1000 the cause
+    /// alone spent more than the budget.
+    pub budget_milli: u64,
+    /// What caused it.
+    pub cause: Arc<str>,
+    /// Number of requests.
+    pub count: u64,
+    /// How they ended.
+    pub outcome: Outcome,
+}
+
+#[derive(Default)]
+struct Totals {
+    covered_s: u64,
+    good: u64,
+    spent: BTreeMap<(Outcome, Arc<str>), u64>,
+}
+
+impl BurnReport {
+    /// Adds up the samples of many nodes; a node that is given twice counts once.
+    #[must_use]
+    pub fn new(samples: &[BurnSample]) -> Self {
+        let by_node = samples.iter().map(|sample| (&sample.node, sample));
+        let by_node = by_node.collect::<BTreeMap<_, _>>();
+        let mut by_class = BTreeMap::<&Arc<str>, Vec<&ClassSample>>::new();
+        for class in by_node.values().flat_map(|sample| &sample.classes) {
+            by_class.entry(&class.class).or_default().push(class);
+        }
+        Self {
+            classes: by_class.values().map(|it| class_report(it)).collect(),
+            nodes: by_node.into_keys().cloned().collect(),
+        }
+    }
+
+    /// Whether an alert of any class fires.
+    #[must_use]
+    pub fn is_firing(&self) -> bool {
+        let mut alerts = self.classes.iter().flat_map(|class| &class.alerts);
+        alerts.any(|alert| alert.firing)
+    }
+}
+
+/// `samples` are of one class and not empty.
+fn class_report(samples: &[&ClassSample]) -> ClassReport {
+    let first = samples[0];
+    let level = |it: &ClassSample| (it.objective_ppm, Reverse(it.latency_ms));
+    let strictest = samples.iter().copied().max_by_key(|it| level(it));
+    let strictest = strictest.unwrap_or(first);
+    let mut totals = BTreeMap::<u64, Totals>::new();
+    for window in samples.iter().flat_map(|sample| &sample.windows) {
+        add(totals.entry(window.window_s).or_default(), window);
+    }
+    let windows = totals
+        .into_iter()
+        .map(|(window_s, totals)| window_report(window_s, totals, strictest.objective_ppm))
+        .collect::<Vec<_>>();
+    let alerts = ALERTS.map(|pair| alert_report(pair, &windows));
+    ClassReport {
+        alerts: alerts.into(),
+        class: Arc::clone(&first.class),
+        latency_ms: strictest.latency_ms,
+        levels_differ: samples.iter().any(|it| level(it) != level(first)),
+        objective_ppm: strictest.objective_ppm,
+        windows,
+    }
+}
+
+fn add(totals: &mut Totals, window: &WindowSample) {
+    totals.covered_s = totals.covered_s.max(window.covered_s);
+    totals.good += window.good;
+    for spent in &window.spent {
+        let key = (spent.outcome, Arc::clone(&spent.cause));
+        *totals.spent.entry(key).or_default() += spent.count;
+    }
+}
+
+fn window_report(window_s: u64, totals: Totals, objective_ppm: u32) -> WindowReport {
+    let bad = totals.spent.values().sum::<u64>();
+    let requests = totals.good + bad;
+    let milli = |count| burn_milli(count, requests, objective_ppm);
+    let mut causes = totals
+        .spent
+        .into_iter()
+        .map(|((outcome, cause), count)| CauseReport {
+            budget_milli: milli(count),
+            cause,
+            count,
+            outcome,
+        })
+        .collect::<Vec<_>>();
+    causes.sort_by_key(|it| Reverse(it.count));
+    WindowReport {
+        burn_milli: milli(bad),
+        causes,
+        covered_s: totals.covered_s,
+        good: totals.good,
+        requests,
+        window_s,
+    }
+}
+
+/// Share of `bad` in `requests` over the share that the objective allows.
+fn burn_milli(bad: u64, requests: u64, objective_ppm: u32) -> u64 {
+    let allowed_ppm = 1_000_000_u128.saturating_sub(objective_ppm.into()).max(1);
+    let bad = u128::from(bad) * 1_000 * 1_000_000;
+    let burn = bad / (u128::from(requests.max(1)) * allowed_ppm);
+    u64::try_from(burn).unwrap_or(u64::MAX)
+}
+
+fn alert_report(
+    (short_s, long_s, threshold_milli): (u64, u64, u64),
+    windows: &[WindowReport],
+) -> AlertReport {
+    let burn = |window_s| {
+        let window = windows.iter().find(|it| it.window_s == window_s);
+        window.map_or(0, |it| it.burn_milli)
+    };
+    let (short_burn_milli, long_burn_milli) = (burn(short_s), burn(long_s));
+    AlertReport {
+        firing: short_burn_milli.min(long_burn_milli) >= threshold_milli,
+        long_burn_milli,
+        long_s,
+        short_burn_milli,
+        short_s,
+        threshold_milli,
+    }
+}
--- a/crates/burn/src/lib.rs
+++ b/crates/burn/src/lib.rs
@@ -1,1 +1,26 @@
 //! Service-level burn: counters of outcomes over time windows and the report on them.
+//!
+//! A node fills a [`Recorder`] and serves its [`BurnSample`] at `GET /burn`. The
+//! operators' command builds a [`BurnReport`] from the samples of many nodes. Nothing
+//! here reads a clock.
+
+mod burn_report;
+mod burn_sample;
+mod outcome;
+mod recorder;
+mod report_text;
+mod ring;
+
+pub use burn_report::AlertReport;
+pub use burn_report::BurnReport;
+pub use burn_report::CauseReport;
+pub use burn_report::ClassReport;
+pub use burn_report::WindowReport;
+pub use burn_sample::BurnSample;
+pub use burn_sample::ClassSample;
+pub use burn_sample::SpentCount;
+pub use burn_sample::WindowSample;
+pub use outcome::Outcome;
+pub use recorder::MAX_CAUSES;
+pub use recorder::MAX_CLASSES;
+pub use recorder::Recorder;
