--- a/crates/platform/tests/outage.rs
+++ b/crates/platform/tests/outage.rs
@@ -40,6 +40,19 @@
     assert_eq!(api.calls().errors, 1);
 }
 
+/// Guards against a caller that takes a write it gave up on for one without
+/// effect: a slow store may apply it later.
+#[test]
+fn slow_write_takes_effect_after_its_caller_gave_up() {
+    let (store, api) = start(50);
+    store.set_delay_ms(300);
+    let error = api.put("a", 0, "b").unwrap_err();
+    assert_eq!(error.verdict(), Verdict::MayHaveRun);
+    while store.object("a").is_none() {
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// Guards against a call to a store that nobody listens for being reported as
 /// one that may have taken effect.
 #[test]
--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -39,8 +39,30 @@
     pub(crate) refused: u64,
 }
 
+/// Times that a new connection waits a millisecond for a connection thread to
+/// read what its peer sent, as only then an end behind it can be seen.
+const MAX_RECHECKS: u32 = 1_000;
+
 type Handler = dyn Fn(&Request) -> Reply + Send + Sync;
 
+/// What happens to a new connection.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Admission {
+    Full,
+    Open,
+    Refusing,
+    /// The limit is reached, but some connections may have been closed.
+    Unclear,
+}
+
+/// What the receiving side of a connection shows.
+enum PeerState {
+    Closed,
+    Open,
+    /// Bytes that nobody has read; an end may lie behind them.
+    Unread,
+}
+
 struct Connection {
     stream: TcpStream,
     thread: Option<JoinHandle<()>>,
@@ -111,8 +133,11 @@
 impl Breaker {
     /// Breaks all connections, also in the middle of a request.
     pub(crate) fn break_connections(&self) {
-        for connection in lock(&self.0).connections.values() {
-            shut(&connection.stream);
+        let mut state = lock(&self.0);
+        let ids = state.connections.keys().copied().collect::<Vec<_>>();
+        for id in ids {
+            shut(&state.connections[&id].stream);
+            state.remove(id);
         }
     }
 }
@@ -128,10 +153,7 @@
             let _ = accepting.join();
         }
         self.breaker().break_connections();
-        let mut threads = std::mem::take(&mut lock(&self.state).threads);
-        for connection in lock(&self.state).connections.values_mut() {
-            threads.extend(connection.thread.take());
-        }
+        let threads = std::mem::take(&mut lock(&self.state).threads);
         for thread in threads {
             let _ = thread.join();
         }
@@ -157,7 +179,15 @@
             continue;
         };
         id += 1;
-        if !admit(&mut guard, id, &stream) {
+        for _ in 0..MAX_RECHECKS {
+            if guard.can_admit() != Admission::Unclear {
+                break;
+            }
+            drop(guard);
+            thread::sleep(Duration::from_millis(1));
+            guard = lock(state);
+        }
+        if !guard.admit(id, &stream) {
             shut(&stream);
             continue;
         }
@@ -177,77 +207,83 @@
                     connection.thread = Some(thread);
                 }
             }
-            Err(_) => remove(&mut guard, id),
+            Err(_) => guard.remove(id),
         }
     }
 }
 
-fn admit(state: &mut State, id: u64, stream: &TcpStream) -> bool {
-    let Ok(clone) = stream.try_clone() else {
-        return false;
-    };
-    if state.policy.refuse {
-        state.counts.refused += 1;
-        return false;
+impl State {
+    fn admit(&mut self, id: u64, stream: &TcpStream) -> bool {
+        match (self.can_admit(), stream.try_clone()) {
+            (Admission::Open, Ok(stream)) => {
+                let thread = None;
+                self.connections.insert(id, Connection { stream, thread });
+                self.counts.opened += 1;
+                self.counts.open += 1;
+                self.counts.max_open = self.counts.max_open.max(self.counts.open);
+                return true;
+            }
+            (Admission::Refusing, _) => self.counts.refused += 1,
+            (Admission::Full | Admission::Unclear, _) => self.counts.over_limit += 1,
+            (Admission::Open, Err(_)) => (),
+        }
+        false
     }
-    if let Some(limit) = state.policy.limit {
-        if state.counts.open >= limit {
-            remove_closed(state);
+
+    /// Decides on a new connection. Connections that the peer has closed while
+    /// their thread was still busy with a request do not count as open.
+    fn can_admit(&mut self) -> Admission {
+        if self.policy.refuse {
+            return Admission::Refusing;
+        }
+        let limit = self.policy.limit.unwrap_or(u32::MAX);
+        if self.counts.open < limit {
+            return Admission::Open;
+        }
+        let mut unclear = false;
+        let mut closed = Vec::new();
+        for (&id, connection) in &self.connections {
+            match look(&connection.stream) {
+                PeerState::Closed => closed.push(id),
+                PeerState::Open => (),
+                PeerState::Unread => unclear = true,
+            }
+        }
+        for id in closed {
+            self.remove(id);
         }
-        if state.counts.open >= limit {
-            state.counts.over_limit += 1;
-            return false;
+        match (self.counts.open < limit, unclear) {
+            (true, _) => Admission::Open,
+            (false, true) => Admission::Unclear,
+            (false, false) => Admission::Full,
         }
     }
-    state.connections.insert(
-        id,
-        Connection {
-            stream: clone,
-            thread: None,
-        },
-    );
-    state.counts.opened += 1;
-    state.counts.open += 1;
-    state.counts.max_open = state.counts.max_open.max(state.counts.open);
-    true
-}
 
-/// Drops the connections that the peer has closed while their thread was still
-/// busy with a request, so that they do not count as open.
-fn remove_closed(state: &mut State) {
-    let closed = state
-        .connections
-        .iter()
-        .filter(|(_, connection)| is_closed(&connection.stream))
-        .map(|(&id, _)| id)
-        .collect::<Vec<_>>();
-    for id in closed {
-        remove(state, id);
+    fn remove(&mut self, id: u64) {
+        if let Some(connection) = self.connections.remove(&id) {
+            self.counts.open -= 1;
+            self.threads.extend(connection.thread);
+        }
     }
 }
 
-fn is_closed(stream: &TcpStream) -> bool {
+fn look(stream: &TcpStream) -> PeerState {
     if stream.set_nonblocking(true).is_err() {
-        return true;
+        return PeerState::Closed;
     }
     let peeked = stream.peek(&mut [0]);
     let _ = stream.set_nonblocking(false);
     match peeked {
-        Ok(size) => size == 0,
-        Err(error) => error.kind() != ErrorKind::WouldBlock,
-    }
-}
-
-fn remove(state: &mut State, id: u64) {
-    if let Some(connection) = state.connections.remove(&id) {
-        state.counts.open -= 1;
-        state.threads.extend(connection.thread);
+        Ok(0) => PeerState::Closed,
+        Ok(_) => PeerState::Unread,
+        Err(error) if error.kind() == ErrorKind::WouldBlock => PeerState::Open,
+        Err(_) => PeerState::Closed,
     }
 }
 
 /// Takes the connection off the count before the peer can see that it closes.
 fn close(state: &Mutex<State>, id: u64) {
-    remove(&mut lock(state), id);
+    lock(state).remove(id);
 }
 
 fn serve(stream: &TcpStream, ready: Instant, handler: &Arc<Handler>) {
--- a/crates/target/src/replica.rs
+++ b/crates/target/src/replica.rs
@@ -21,7 +21,7 @@
     control: Lane,
     pub(crate) counters: Counters,
     /// Requests; served by the connections from 1.
-    requests: Lane,
+    pub(crate) requests: Lane,
     /// Whether there are two lanes; a single connection serves all in one.
     split: bool,
     /// Counters of the whole pool.
@@ -69,10 +69,11 @@
         }
     }
 
-    pub(crate) fn lane_of(&self, kind: &JobKind) -> &Lane {
-        match kind {
-            JobKind::Cancel { .. } | JobKind::Probe => self.lane(0),
-            JobKind::Run { .. } => &self.requests,
+    fn lane_of(&self, control: bool) -> &Lane {
+        if control {
+            self.lane(0)
+        } else {
+            &self.requests
         }
     }
 
@@ -108,23 +109,17 @@
 
     /// Queues a job; it ends as not sent if no connection takes it in time.
     pub(crate) fn submit(self: &Arc<Self>, job: Job, handle: &Handle) {
-        let lane = self.lane_of(&job.kind);
-        let deadline = job.deadline;
         let control = !matches!(job.kind, JobKind::Run { .. });
-        let ticket = lane.push(job);
+        let deadline = job.deadline;
+        let ticket = self.lane_of(control).push(job);
         if self.is_closed() {
-            lane.expire(ticket);
+            self.lane_of(control).expire(ticket);
             return;
         }
         let replica = Arc::clone(self);
         handle.spawn(async move {
             tokio::time::sleep_until(deadline).await;
-            let lane = if control {
-                replica.lane(0)
-            } else {
-                &replica.requests
-            };
-            lane.expire(ticket);
+            replica.lane_of(control).expire(ticket);
         });
     }
 
--- a/crates/target/src/target_pool.rs
+++ b/crates/target/src/target_pool.rs
@@ -17,6 +17,7 @@
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::ReplicaKey;
 use wigeonhall_types::SubRequest;
+use wigeonhall_types::TargetOutcome;
 use wigeonhall_types::TargetReply;
 
 /// Longest time for a cancellation or a probe, the wait for a connection included.
@@ -56,13 +57,9 @@
         let Some(replica) = self.find(replica) else {
             return;
         };
-        let kind = JobKind::Cancel { attempt };
-        let waiting = replica.lane_of(&JobKind::Run {
-            attempt,
-            body: hyper::body::Bytes::new(),
-        });
-        if !waiting.cancel(attempt) {
-            let job = Job::new(kind, Instant::now() + CONTROL_BUDGET, |_| ());
+        if !replica.requests.cancel(attempt) {
+            let deadline = Instant::now() + CONTROL_BUDGET;
+            let job = Job::new(JobKind::Cancel { attempt }, deadline, |_| ());
             replica.submit(job, &self.handle);
         }
     }
@@ -132,7 +129,7 @@
         let Some(body) = message::run_body(sub, class_name) else {
             on_reply(TargetReply {
                 instance: None,
-                outcome: wigeonhall_types::TargetOutcome::Unreachable,
+                outcome: TargetOutcome::Unreachable,
                 served: Vec::new(),
             });
             return;
