Tell discarded connections from broken ones in the target pool

The owner of a replica must notice when its connections are reset, since the target is then cold, but the counter of broken connections also held those that the pool gave up itself after a late or unreadable reply. They now have a counter of their own. Opening a replica again with the same count no longer wakes connections in back-off.

--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -38,8 +38,9 @@
 enum Ended {
     /// The connection broke or was discarded.
     Broken {
-        /// Whether it brought a reply before that.
-        replied: bool,
+        /// Whether the target is worth another dial at once: it replied, or took
+        /// a request whose reply was late or unreadable.
+        usable: bool,
     },
     /// It is no longer wanted.
     Unwanted,
@@ -51,6 +52,8 @@
     Discard,
     /// The job has ended.
     Keep,
+    /// The job has ended; the connection is broken.
+    Lost,
     /// The target accepted no byte of the job, which must move to another connection.
     Unsent(Job),
 }
@@ -84,12 +87,12 @@
             ended
         } else {
             replica.count(|counters| &counters.dial_failures);
-            Ended::Broken { replied: false }
+            Ended::Broken { usable: false }
         };
-        let Ended::Broken { replied } = ended else {
+        let Ended::Broken { usable } = ended else {
             continue;
         };
-        if replied {
+        if usable {
             back_off = Duration::ZERO;
             continue;
         }
@@ -127,7 +130,7 @@
     wanted: &mut watch::Receiver<u32>,
 ) -> Ended {
     let lane = replica.lane(index);
-    let mut replied = false;
+    let mut usable = false;
     loop {
         if index >= *wanted.borrow_and_update() {
             return Ended::Unwanted;
@@ -148,19 +151,24 @@
             continue;
         }
         match exchange(replica, &mut connection, job).await {
-            Exchange::Discard => break,
-            Exchange::Keep => replied = true,
+            Exchange::Discard => {
+                drop(connection);
+                replica.count(|counters| &counters.discarded);
+                return Ended::Broken { usable: true };
+            }
+            Exchange::Lost => break,
+            Exchange::Keep => usable = true,
             Exchange::Unsent(job) => {
                 drop(connection);
                 replica.count(|counters| &counters.broken);
                 requeue(replica, lane, job);
-                return Ended::Broken { replied };
+                return Ended::Broken { usable };
             }
         }
     }
     drop(connection);
     replica.count(|counters| &counters.broken);
-    Ended::Broken { replied }
+    Ended::Broken { usable }
 }
 
 fn requeue(replica: &Replica, lane: &Lane, mut job: Job) {
@@ -219,7 +227,10 @@
         },
         Ok(Err(ExchangeError::NotSent)) => return Exchange::Unsent(job),
         Ok(Err(ExchangeError::Unreadable)) => job.reply.finish(TargetOutcome::BadReply),
-        Ok(Err(ExchangeError::Lost)) => job.reply.finish(TargetOutcome::ConnectionLost),
+        Ok(Err(ExchangeError::Lost)) => {
+            job.reply.finish(TargetOutcome::ConnectionLost);
+            return Exchange::Lost;
+        }
         Err(_) if job.reply.sent => job.reply.finish(TargetOutcome::DeadlineExceeded),
         Err(_) => job.reply.finish(TargetOutcome::Unreachable),
     }
--- a/crates/target/src/replica.rs
+++ b/crates/target/src/replica.rs
@@ -91,7 +91,9 @@
 
     pub(crate) fn set_wanted(self: &Arc<Self>, count: u32, handle: &Handle) {
         let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
-        self.wanted.send_replace(count);
+        // An unchanged count must not wake connections that wait before they dial.
+        self.wanted
+            .send_if_modified(|wanted| std::mem::replace(wanted, count) != count);
         if workers.len() < count as usize {
             workers.resize(count as usize, false);
         }
--- a/crates/target/src/target_counters.rs
+++ b/crates/target/src/target_counters.rs
@@ -4,12 +4,15 @@
 /// Counts of one replica or of the whole pool.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TargetCounters {
-    /// Connections lost, or discarded since they could not be used further.
+    /// Connections that the target or the network broke; after a restart of the
+    /// target all of them break.
     pub broken: u64,
     /// Cancellations sent.
     pub cancels: u64,
     /// Dials that opened no connection.
     pub dial_failures: u64,
+    /// Connections given up since their reply was late or could not be read.
+    pub discarded: u64,
     /// Connections open now.
     pub open: u64,
     /// Connections opened.
@@ -28,6 +31,7 @@
     pub(crate) broken: AtomicU64,
     pub(crate) cancels: AtomicU64,
     pub(crate) dial_failures: AtomicU64,
+    pub(crate) discarded: AtomicU64,
     pub(crate) open: AtomicU64,
     pub(crate) opened: AtomicU64,
     pub(crate) probes: AtomicU64,
@@ -41,6 +45,7 @@
             broken: self.broken.load(Ordering::Relaxed),
             cancels: self.cancels.load(Ordering::Relaxed),
             dial_failures: self.dial_failures.load(Ordering::Relaxed),
+            discarded: self.discarded.load(Ordering::Relaxed),
             open: self.open.load(Ordering::Relaxed),
             opened: self.opened.load(Ordering::Relaxed),
             probes: self.probes.load(Ordering::Relaxed),
--- a/crates/target/tests/lost_connections.rs
+++ b/crates/target/tests/lost_connections.rs
@@ -44,6 +44,8 @@
     assert_eq!(after, Some(fixture.target.instance()));
     assert_ne!(before, after);
     assert_eq!(fixture.target.counts().restarts, 1);
+    let counters = fixture.pool.replica_counters(REPLICA);
+    assert_eq!((counters.broken, counters.discarded), (3, 0));
 }
 
 /// Guards against a write that runs twice or is reported wrongly while its
