--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -13,6 +13,7 @@
 mod run_result;
 mod scenario;
 mod shards;
+mod sites;
 mod stats;
 mod world;
 
@@ -29,5 +30,6 @@
 pub use run_result::RunResult;
 pub use scenario::Fault;
 pub use scenario::Scenario;
+pub use sites::sites;
 pub use stats::ClassStats;
 pub use world::World;
--- /dev/null
+++ b/crates/measure/src/sites.rs
@@ -0,0 +1,42 @@
+use crate::Network;
+use crate::Site;
+use wigeonhall_settings::SettingsError;
+use wigeonhall_types::Catalog;
+
+const CANOPY_VENDING: &str = include_str!("../../../examples/canopy-vending.yaml");
+const DELTA_FURROW: &str = include_str!("../../../examples/delta-furrow.yaml");
+
+/// Delay between a caller and an entry node, from the users' description.
+const CALLER_US: u64 = 3_000;
+
+/// Delay within a data centre; the users state none.
+const WITHIN_US: u64 = 100;
+
+/// The deployments of both users.
+///
+/// # Errors
+///
+/// If an example is not accepted.
+pub fn sites() -> Result<Vec<Site>, SettingsError> {
+    let delays = |between_us| Network {
+        between_us,
+        caller_us: CALLER_US,
+        within_us: WITHIN_US,
+    };
+    Ok(vec![
+        site("delta-furrow", DELTA_FURROW, delays(1_000))?,
+        site("canopy-vending", CANOPY_VENDING, delays(500))?,
+    ])
+}
+
+fn site(name: &'static str, text: &str, network: Network) -> Result<Site, SettingsError> {
+    let text = wigeonhall_settings::parse(text)?;
+    let mut catalog = Catalog::default();
+    let deployment = wigeonhall_settings::resolve(&text, 1, &mut catalog);
+    Ok(Site {
+        catalog,
+        deployment,
+        name,
+        network,
+    })
+}
