Write the first fleet core: configuration, membership, ownership

Cause: the package held a placeholder only. Change: configuration, overrides, membership, dissemination, ownership, lease and start-up in files of their own, with a world of fakes in virtual time.

--- a/crates/fleet/src/gossip_message.rs
+++ b/crates/fleet/src/gossip_message.rs
@@ -1,3 +1,6 @@
+use crate::ConfigRecord;
+use crate::Digest;
+use crate::MemberUpdate;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -6,10 +9,114 @@
 /// A message between nodes; one way, answers are messages too.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum GossipMessage {
+    /// Asks a peer for the generation it knows; sent during start-up only.
+    AskConfig {
+        /// First-hand state of the sender.
+        sender: MemberUpdate,
+    },
+    /// A configuration.
+    Config(ConfigRecord),
+    /// Answers `AskConfig`.
+    ConfigKnown {
+        /// Newest generation, `None` while the sender itself is not sure.
+        generation: Option<u64>,
+    },
+    /// The sender stops acknowledging the table `epoch` of its data centre.
+    Consent {
+        /// Epoch of the table that may be replaced.
+        epoch: u64,
+        /// Number of the request.
+        sequence: u64,
+    },
+    /// Asks a member of the table `epoch` to agree to its replacement.
+    ConsentAsk {
+        /// Epoch of the table to replace.
+        epoch: u64,
+        /// Number of the request.
+        sequence: u64,
+    },
+    /// What the sender knows; the receiver pulls what is new to it.
+    Digest {
+        /// True if this answers a digest; it is not answered again.
+        answer: bool,
+        /// The digest.
+        digest: Digest,
+        /// Member updates; the first is first-hand of the sender.
+        updates: Vec<MemberUpdate>,
+    },
     /// Takes work away from a data centre or VM while the store is down.
     Evacuate(EvacuationOverride),
+    /// Answers `LeaseAsk`.
+    LeaseAnswer {
+        /// Whether the sender knows no newer table and will not consent to one
+        /// for the next `LEASE_MS`.
+        acknowledged: bool,
+        /// Epoch of the table.
+        epoch: u64,
+        /// Whether that proof came from the store, directly or through others.
+        from_store: bool,
+        /// When the table was last proved the newest, relative to the arrival of
+        /// the request, in microseconds; negative means before.
+        proof_offset_us: Option<i64>,
+        /// Number of the request.
+        sequence: u64,
+    },
+    /// Asks a node of the same data centre to confirm a table.
+    LeaseAsk {
+        /// Whether an acknowledgement is wanted if there is no proof.
+        acknowledge: bool,
+        /// Epoch of the table.
+        epoch: u64,
+        /// Number of the request.
+        sequence: u64,
+    },
+    /// Overrides that ended with a configuration.
+    OverridesEnded {
+        /// Ids of the overrides.
+        change_ids: Vec<Arc<str>>,
+        /// A receiver with this generation or a newer one in force drops them.
+        generation: u64,
+    },
+    /// Probes the receiver.
+    Ping {
+        /// Number of the probe.
+        sequence: u64,
+        /// Member updates; the first is first-hand of the sender.
+        updates: Vec<MemberUpdate>,
+    },
+    /// Answers a probe.
+    PingAnswer {
+        /// Number of the probe.
+        sequence: u64,
+        /// Member updates; the first is first-hand of the probed member.
+        updates: Vec<MemberUpdate>,
+    },
+    /// Asks the receiver to probe another member.
+    PingRequest {
+        /// Number of the probe.
+        sequence: u64,
+        /// Name of the member.
+        target: Arc<str>,
+        /// Member updates; the first is first-hand of the sender.
+        updates: Vec<MemberUpdate>,
+    },
+    /// Asks for a record.
+    Pull(PullItem),
     /// An ownership table.
     Table(TableRecord),
+    /// Member updates; the first is first-hand of the sender.
+    Updates(Vec<MemberUpdate>),
+}
+
+/// A record that one node asks another for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PullItem {
+    /// The newest configuration.
+    Config,
+    /// The override with this id.
+    Override(Arc<str>),
+    /// The table of the data centre with this name.
+    Table(Arc<str>),
 }
 
 /// Takes a data centre or VM out without the store; it never brings one back.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,13 +4,32 @@
 //! threads or ambient randomness.
 
 mod config_record;
+mod configuration;
+mod digest;
+mod dissemination;
 mod fleet;
 mod fleet_action;
 mod fleet_counters;
 mod fleet_event;
 mod gossip_message;
+mod lease;
+mod limits;
+mod member_update;
+mod membership;
+mod message_size;
+mod overrides;
+mod ownership;
+mod proposal;
+mod rendezvous;
+mod startup;
+mod step;
+mod stop;
+mod views;
 
 pub use config_record::ConfigRecord;
+pub use digest::Digest;
+pub use digest::TableVersion;
+pub use dissemination::PushShape;
 pub use fleet::Fleet;
 pub use fleet::FleetConfig;
 pub use fleet_action::FleetAction;
@@ -19,4 +38,12 @@
 pub use fleet_event::FleetEvent;
 pub use gossip_message::EvacuationOverride;
 pub use gossip_message::GossipMessage;
+pub use gossip_message::PullItem;
 pub use gossip_message::TableRecord;
+pub use member_update::MemberState;
+pub use member_update::MemberUpdate;
+
+/// Validity of an ownership lease in milliseconds.
+pub const LEASE_MS: u64 = 3000;
+/// Nodes of a region that hold a watch on the configuration.
+pub const WATCHERS_PER_REGION: usize = 3;
--- /dev/null
+++ b/crates/fleet/tests/common/mod.rs
@@ -0,0 +1,645 @@
+//! Nodes, a store and a message bus in virtual time, with seeded loss and delay.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use wigeonhall_fleet::*;
+use wigeonhall_types::*;
+
+pub const MS: u64 = 1000;
+pub const S: u64 = 1_000_000;
+
+type Task = Box<dyn FnOnce(&mut World)>;
+
+pub struct Node {
+    pub boot: u64,
+    catalog: Catalog,
+    /// Microseconds that the clock gains in a second, and its reading at time 0.
+    clock: (i64, u64),
+    pub data_centre: usize,
+    pub fleet: Option<Fleet>,
+    /// Generation that a restarted node may not fall behind.
+    floor: u64,
+    /// Replicas granted in this boot.
+    pub grants: BTreeSet<Arc<str>>,
+    pub in_force: Option<Arc<Deployment>>,
+    pub lease_until: u64,
+    pub lost: Vec<Arc<str>>,
+    pub name: Arc<str>,
+    paused_until: u64,
+    pub ready: Option<Option<NotReadyReason>>,
+    pub stopped: bool,
+    pub tables: BTreeMap<Arc<str>, Arc<OwnershipTable>>,
+    wake_at: u64,
+}
+
+impl Node {
+    pub fn generation(&self) -> u64 {
+        self.in_force.as_ref().map_or(0, |it| it.generation)
+    }
+
+    fn local(&self, now: u64) -> u64 {
+        self.clock.1 + (now as i128 * (1_000_000 + self.clock.0) as i128 / 1_000_000) as u64
+    }
+
+    fn global(&self, local: u64) -> u64 {
+        let passed = local.saturating_sub(self.clock.1) as i128 * 1_000_000;
+        (passed / (1_000_000 + self.clock.0) as i128) as u64 + 1
+    }
+}
+
+#[derive(Default)]
+pub struct Store {
+    pub config: Option<ConfigRecord>,
+    pub down: bool,
+    /// Chance that a write takes effect but its reply is lost, in percent.
+    pub lost_replies: u8,
+    /// Every write id that took effect, by epoch of each table.
+    pub written: BTreeMap<(Arc<str>, u64), u64>,
+    pub tables: BTreeMap<Arc<str>, TableRecord>,
+    watches: Vec<(usize, u64, u64)>,
+}
+
+pub struct World {
+    pub busy: Duration,
+    pub bytes: u64,
+    pub cut_from_store: BTreeSet<usize>,
+    pub dcs: Vec<(&'static str, String)>,
+    /// Group of each node; nodes of different groups hear nothing of each other.
+    pub group: Vec<u8>,
+    holders: BTreeMap<Arc<str>, BTreeSet<usize>>,
+    /// Chance that a message is lost, in percent.
+    pub loss: u8,
+    pub messages: u64,
+    pub nodes: Vec<Node>,
+    pub now: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    replicas_per_dc: usize,
+    pub rng: fastrand::Rng,
+    sequence: u64,
+    pub shape: PushShape,
+    pub store: Store,
+    tasks: BTreeMap<u64, Task>,
+    pub vms: BTreeMap<Arc<str>, VmState>,
+}
+
+impl World {
+    /// `dcs` names region and data centre; nodes are dealt to them in turn.
+    pub fn new(dcs: &[(&'static str, &str)], count: usize, replicas: usize, seed: u64) -> Self {
+        let mut world = Self {
+            busy: Duration::ZERO,
+            bytes: 0,
+            cut_from_store: BTreeSet::new(),
+            dcs: dcs.iter().map(|it| (it.0, it.1.to_owned())).collect(),
+            group: vec![0; count],
+            holders: BTreeMap::new(),
+            loss: 0,
+            messages: 0,
+            nodes: Vec::new(),
+            now: 0,
+            queue: BinaryHeap::new(),
+            replicas_per_dc: replicas,
+            rng: fastrand::Rng::with_seed(seed),
+            sequence: 0,
+            shape: PushShape::default(),
+            store: Store::default(),
+            tasks: BTreeMap::new(),
+            vms: BTreeMap::new(),
+        };
+        for index in 0..count {
+            let name = Arc::<str>::from(format!("vm-{index:03}"));
+            world.vms.insert(Arc::clone(&name), VmState::Live);
+            let clock = (world.rng.i64(-20_000..20_000), world.rng.u64(1..1000 * S));
+            world.nodes.push(Node {
+                boot: 0,
+                catalog: Catalog::default(),
+                clock,
+                data_centre: index % dcs.len(),
+                fleet: None,
+                floor: 0,
+                grants: BTreeSet::new(),
+                in_force: None,
+                lease_until: 0,
+                lost: Vec::new(),
+                name,
+                paused_until: 0,
+                ready: None,
+                stopped: false,
+                tables: BTreeMap::new(),
+                wake_at: 0,
+            });
+        }
+        world
+    }
+
+    /// A fleet of 3 data centres with a configuration, started and settled.
+    pub fn settled(count: usize, seed: u64) -> Self {
+        let mut world = Self::new(
+            &[("south", "dc-a"), ("south", "dc-b"), ("south", "dc-c")],
+            count,
+            20,
+            seed,
+        );
+        world.apply("", &[]);
+        (0..count).for_each(|it| world.start(it));
+        world.run(15 * S);
+        world
+    }
+
+    pub fn at(&mut self, time: u64, task: impl FnOnce(&mut Self) + 'static) {
+        self.sequence += 1;
+        self.queue
+            .push(Reverse((time.max(self.now), self.sequence)));
+        self.tasks.insert(self.sequence, Box::new(task));
+    }
+
+    pub fn run(&mut self, time: u64) {
+        let end = self.now + time;
+        while let Some(&Reverse((at, id))) = self.queue.peek().filter(|it| it.0.0 <= end) {
+            self.queue.pop();
+            self.now = at;
+            if let Some(task) = self.tasks.remove(&id) {
+                task(self);
+            }
+        }
+        self.now = end;
+    }
+
+    pub fn start(&mut self, node: usize) {
+        let dc = self.dcs[self.nodes[node].data_centre].clone();
+        let seeds = [0, 1, 2].map(|it| Arc::clone(&self.nodes[it % self.nodes.len()].name));
+        let (boot, seed) = (self.rng.u64(1..), self.rng.u64(..));
+        let it = &mut self.nodes[node];
+        // Keys of different nodes differ.
+        it.catalog = Catalog::default();
+        it.catalog.node(&format!("pad-{}", boot % 7));
+        it.boot = boot;
+        it.in_force = None;
+        it.lease_until = 0;
+        it.ready = None;
+        it.stopped = false;
+        it.tables.clear();
+        it.wake_at = 0;
+        it.paused_until = 0;
+        let config = FleetConfig {
+            boot,
+            data_centre: it.catalog.data_centre(&dc.1),
+            node: it.catalog.node(&it.name),
+            seeds: seeds.iter().map(|name| it.catalog.node(name)).collect(),
+            region: dc.0.into(),
+        };
+        let mut fleet = Fleet::new(config, seed);
+        fleet.set_push_shape(self.shape);
+        it.fleet = Some(fleet);
+        self.handle(node, boot, |_| FleetEvent::Tick);
+    }
+
+    pub fn crash(&mut self, node: usize) {
+        let generation = self.nodes[node].floor;
+        let know = self.nodes.iter().filter(|it| it.fleet.is_some());
+        let know = know.filter(|it| it.generation() >= generation).count();
+        // A generation that no majority knew may be lost with the node until the
+        // store answers again.
+        if know * 2 <= self.nodes.len() {
+            self.nodes[node].floor = 0;
+        }
+        self.nodes[node].fleet = None;
+        for replica in std::mem::take(&mut self.nodes[node].grants) {
+            self.holders.entry(replica).or_default().remove(&node);
+        }
+    }
+
+    pub fn pause(&mut self, node: usize, time: u64) {
+        self.nodes[node].paused_until = self.now + time;
+    }
+
+    /// Writes a configuration, as the operators' command does.
+    pub fn apply(&mut self, text: &str, contains: &[&str]) -> u64 {
+        let generation = self.store.config.as_ref().map_or(0, |it| it.generation) + 1;
+        self.store.config = Some(ConfigRecord {
+            author: "operator".into(),
+            change_id: format!("change-{generation}").into(),
+            contains: contains.iter().map(|&it| it.into()).collect(),
+            generation,
+            text: text.into(),
+        });
+        for (node, boot, _) in std::mem::take(&mut self.store.watches) {
+            self.store_call(node, move |world| {
+                let record = world.store.config.clone();
+                world.answer(node, boot, move |_| FleetEvent::ConfigRead(record));
+            });
+        }
+        generation
+    }
+
+    pub fn set_store_down(&mut self, down: bool) {
+        self.store.down = down;
+        if down {
+            for (node, boot, _) in std::mem::take(&mut self.store.watches) {
+                self.answer(node, boot, |_| FleetEvent::ConfigReadFailed);
+            }
+        }
+    }
+
+    pub fn evacuate(&mut self, node: usize, id: &str, dc: Option<&str>, vm: Option<&str>) {
+        let order = EvacuationOverride {
+            author: "operator".into(),
+            change_id: id.into(),
+            data_centre: dc.map(Into::into),
+            vm: vm.map(Into::into),
+        };
+        let boot = self.nodes[node].boot;
+        self.handle(node, boot, |_| FleetEvent::Evacuate(order));
+    }
+
+    pub fn stop(&mut self, node: usize) {
+        let boot = self.nodes[node].boot;
+        self.handle(node, boot, |_| FleetEvent::Stop);
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.iter().filter(|it| it.fleet.is_some())
+    }
+
+    /// Running nodes that hold a valid lease and a grant for the replica.
+    pub fn holders(&self, replica: &str) -> Vec<usize> {
+        let holders = self.holders.get(replica).into_iter().flatten().copied();
+        holders.filter(|&it| self.leased(it)).collect()
+    }
+
+    pub fn leased(&self, node: usize) -> bool {
+        let it = &self.nodes[node];
+        it.fleet.is_some() && it.local(self.now) < it.lease_until
+    }
+
+    pub fn replicas(&self, dc: usize) -> Vec<String> {
+        let name = &self.dcs[dc].1;
+        (0..self.replicas_per_dc)
+            .map(|it| format!("{name}-r{it:03}"))
+            .collect()
+    }
+
+    pub fn all_owned(&self) -> bool {
+        let all = (0..self.dcs.len()).flat_map(|dc| self.replicas(dc));
+        all.into_iter().all(|it| self.holders(&it).len() == 1)
+    }
+
+    fn deployment(&self, node: usize, catalog: &mut Catalog, record: &ConfigRecord) -> Deployment {
+        let mut deployment = Deployment {
+            generation: record.generation,
+            ..Deployment::default()
+        };
+        let out = |name: &str| record.text.split_whitespace().any(|it| it == name);
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        for offset in 0..self.nodes.len() {
+            let it = &self.nodes[(node + offset) % self.nodes.len()];
+            let vm = Vm {
+                caller_address: address,
+                data_centre: catalog.data_centre(&self.dcs[it.data_centre].1),
+                node_address: address,
+                out: out(&it.name),
+            };
+            deployment.vms.insert(catalog.node(&it.name), vm);
+        }
+        for (index, (region, name)) in self.dcs.iter().enumerate() {
+            let data_centre = catalog.data_centre(name);
+            let (out, region) = (out(name), (*region).into());
+            deployment
+                .data_centres
+                .insert(data_centre, DataCentre { out, region });
+            for replica in self.replicas(index) {
+                let cold = ColdBound {
+                    requests_per_s: 1,
+                    slots: 1,
+                };
+                let service = catalog.service("service");
+                let it = Replica {
+                    address,
+                    cold,
+                    connect_us: 1,
+                    connections: 1,
+                    data_centre,
+                    out: false,
+                    service,
+                    slots: 2,
+                };
+                deployment.replicas.insert(catalog.replica(&replica), it);
+            }
+        }
+        deployment
+    }
+
+    fn handle(&mut self, node: usize, boot: u64, event: impl FnOnce(&mut Catalog) -> FleetEvent) {
+        let now = self.now;
+        let it = &mut self.nodes[node];
+        let Some(fleet) = it.fleet.as_mut().filter(|_| it.boot == boot) else {
+            return;
+        };
+        let local =
+            it.clock.1 + (now as i128 * (1_000_000 + it.clock.0) as i128 / 1_000_000) as u64;
+        let event = event(&mut it.catalog);
+        let mut actions = Vec::new();
+        let begin = Instant::now();
+        fleet.handle(local, event, &mut it.catalog, &mut actions);
+        self.busy += begin.elapsed();
+        let wake = fleet.next_wake_us();
+        for action in actions {
+            self.act(node, boot, local, action);
+        }
+        self.check(node);
+        let it = &mut self.nodes[node];
+        let wake = wake.map_or(u64::MAX, |wake| it.global(wake).max(now + 1));
+        if wake != u64::MAX && (it.wake_at != wake) {
+            it.wake_at = wake;
+            self.at(wake, move |world| world.wake(node, boot, wake));
+        }
+    }
+
+    fn wake(&mut self, node: usize, boot: u64, wake: u64) {
+        let it = &self.nodes[node];
+        if it.boot != boot || it.wake_at != wake {
+            return;
+        }
+        if it.paused_until > self.now {
+            let until = it.paused_until;
+            self.at(until, move |world| world.wake(node, boot, wake));
+            return;
+        }
+        self.nodes[node].wake_at = 0;
+        self.handle(node, boot, |_| FleetEvent::Tick);
+    }
+
+    /// Gives an event to a node, after its pause if it is paused.
+    fn deliver(
+        &mut self,
+        node: usize,
+        boot: u64,
+        event: impl FnOnce(&mut Catalog) -> FleetEvent + 'static,
+    ) {
+        let until = self.nodes[node].paused_until;
+        if until > self.now {
+            self.at(until, move |world| world.deliver(node, boot, event));
+        } else {
+            self.handle(node, boot, event);
+        }
+    }
+
+    fn answer(
+        &mut self,
+        node: usize,
+        boot: u64,
+        event: impl FnOnce(&mut Catalog) -> FleetEvent + 'static,
+    ) {
+        let delay = self.rng.u64(MS..3 * MS);
+        self.at(self.now + delay, move |world| {
+            world.deliver(node, boot, event)
+        });
+    }
+
+    fn store_call(&mut self, _node: usize, call: impl FnOnce(&mut Self) + 'static) {
+        let delay = self.rng.u64(MS..3 * MS);
+        self.at(self.now + delay, call);
+    }
+
+    fn store_reachable(&self, node: usize) -> bool {
+        !self.store.down && !self.cut_from_store.contains(&node)
+    }
+
+    /// A call that fails after a timeout when the store is out of reach.
+    fn read(
+        &mut self,
+        node: usize,
+        boot: u64,
+        ok: impl FnOnce(&mut Self) -> Box<dyn FnOnce(&mut Catalog) -> FleetEvent> + 'static,
+        failed: impl FnOnce(&mut Catalog) -> FleetEvent + 'static,
+    ) {
+        self.store_call(node, move |world| {
+            if world.store_reachable(node) {
+                let event = ok(world);
+                world.answer(node, boot, event);
+            } else {
+                world.at(world.now + S, move |world| {
+                    world.deliver(node, boot, failed)
+                });
+            }
+        });
+    }
+
+    fn act(&mut self, node: usize, boot: u64, local: u64, action: FleetAction) {
+        match action {
+            FleetAction::AdoptConfig(record) => {
+                let mut catalog = std::mem::take(&mut self.nodes[node].catalog);
+                let deployment = Arc::new(self.deployment(node, &mut catalog, &record));
+                self.nodes[node].catalog = catalog;
+                self.at(self.now, move |world| {
+                    world.deliver(node, boot, |_| FleetEvent::Deployment(deployment));
+                });
+            }
+            FleetAction::Deployment(deployment) => {
+                let it = &mut self.nodes[node];
+                let generation = deployment.generation;
+                assert!(
+                    generation >= it.generation(),
+                    "{}: generation went back",
+                    it.name
+                );
+                it.in_force = Some(deployment);
+                self.check_floor(node);
+            }
+            FleetAction::Grant { replica, .. } => {
+                let it = &mut self.nodes[node];
+                let name = it.catalog.replica_name(replica);
+                it.grants.insert(Arc::clone(&name));
+                self.holders.entry(name).or_default().insert(node);
+            }
+            FleetAction::LeaseUntil(until) => self.nodes[node].lease_until = until,
+            FleetAction::NodeLost(lost) => {
+                let it = &mut self.nodes[node];
+                it.lost.push(it.catalog.node_name(lost));
+            }
+            FleetAction::NotReady(reason) => {
+                self.nodes[node].ready = Some(reason);
+                self.check_floor(node);
+            }
+            FleetAction::Owners(table) => {
+                let it = &mut self.nodes[node];
+                let name = it.catalog.data_centre_name(table.data_centre);
+                let old = it.tables.insert(name, Arc::clone(&table));
+                assert!(
+                    old.is_none_or(|it| it.epoch < table.epoch),
+                    "epoch went back"
+                );
+            }
+            FleetAction::ReadConfig => self.read(
+                node,
+                boot,
+                |world| {
+                    let record = world.store.config.clone();
+                    Box::new(move |_| FleetEvent::ConfigRead(record))
+                },
+                |_| FleetEvent::ConfigReadFailed,
+            ),
+            FleetAction::ReadTable(data_centre) => {
+                let name = self.nodes[node].catalog.data_centre_name(data_centre);
+                self.read(
+                    node,
+                    boot,
+                    move |world| {
+                        let table = world.store.tables.get(&name).cloned();
+                        let sent_us = local;
+                        Box::new(move |_| FleetEvent::TableRead {
+                            data_centre,
+                            sent_us,
+                            table,
+                        })
+                    },
+                    move |_| FleetEvent::TableReadFailed(data_centre),
+                );
+            }
+            FleetAction::ReadVmList => {
+                let vms = self.vms.iter().map(|(name, &state)| VmStatus {
+                    name: Arc::clone(name),
+                    state,
+                });
+                let list = vms.collect();
+                self.answer(node, boot, |_| FleetEvent::VmList(list));
+            }
+            FleetAction::Revoke {
+                epoch,
+                replica,
+                successor,
+            } => self.revoke(node, epoch, replica, successor),
+            FleetAction::Send { message, to } => {
+                let name = self.nodes[node].catalog.node_name(to);
+                self.messages += 1;
+                self.bytes += message.size_bytes() as u64;
+                self.post(node, &name, |from| FleetEvent::Gossip { from, message });
+            }
+            FleetAction::Stopped => self.nodes[node].stopped = true,
+            FleetAction::WatchConfig(generation) => {
+                let newer = self.store.config.as_ref().map_or(0, |it| it.generation) > generation;
+                if !self.store_reachable(node) {
+                    let failed = |_: &mut Catalog| FleetEvent::ConfigReadFailed;
+                    self.at(self.now + S, move |world| world.deliver(node, boot, failed));
+                } else if newer {
+                    let record = self.store.config.clone();
+                    self.answer(node, boot, |_| FleetEvent::ConfigRead(record));
+                } else {
+                    self.store.watches.push((node, boot, generation));
+                }
+            }
+            FleetAction::WriteTable {
+                expected_epoch,
+                table,
+                ..
+            } => self.write(node, boot, expected_epoch, table),
+        }
+    }
+
+    fn write(&mut self, node: usize, boot: u64, expected: u64, mut table: TableRecord) {
+        let slow = self.store.lost_replies > 0 && self.rng.u8(..100) < 10;
+        let delay = if slow {
+            self.rng.u64(..1500 * MS)
+        } else {
+            2 * MS
+        };
+        self.at(self.now + delay, move |world| {
+            let name = Arc::clone(&table.data_centre);
+            let current = world.store.tables.get(&name).map_or(0, |it| it.epoch);
+            let ok = world.store_reachable(node) && current == expected;
+            if ok {
+                table.epoch = current + 1;
+                let key = (Arc::clone(&name), table.epoch);
+                let twice = world.store.written.insert(key, table.write_id);
+                assert_eq!(twice, None, "two writes of one epoch took effect");
+                world.store.tables.insert(name, table.clone());
+            }
+            let lost = world.rng.u8(..100) < world.store.lost_replies;
+            let epoch = (ok && !lost).then_some(table.epoch);
+            world.answer(node, boot, move |catalog| FleetEvent::TableWritten {
+                data_centre: catalog.data_centre(&table.data_centre),
+                epoch,
+            });
+        });
+    }
+
+    fn revoke(&mut self, node: usize, epoch: u64, replica: ReplicaKey, to: Option<NodeKey>) {
+        let it = &mut self.nodes[node];
+        let name = it.catalog.replica_name(replica);
+        assert!(it.grants.remove(&name), "revoked without a grant");
+        let to = to.map(|to| it.catalog.node_name(to));
+        self.holders
+            .entry(Arc::clone(&name))
+            .or_default()
+            .remove(&node);
+        let state = HandOverState {
+            allowance: 2,
+            instance: None,
+            running: 0,
+            running_for_us: 0,
+            served: Vec::new(),
+            service_us: 1,
+        };
+        if let Some(to) = to
+            && let Some((index, boot)) = self.route(node, &to)
+        {
+            self.answer(index, boot, move |catalog| FleetEvent::HandOver {
+                epoch,
+                replica: catalog.replica(&name),
+                state,
+            });
+        }
+    }
+
+    /// Receiver of a message, `None` if it is lost.
+    fn route(&mut self, from: usize, to: &str) -> Option<(usize, u64)> {
+        let index = self.nodes.iter().position(|it| *it.name == *to)?;
+        let lost = self.rng.u8(..100) < self.loss || self.group[from] != self.group[index];
+        (!lost).then_some((index, self.nodes[index].boot))
+    }
+
+    fn post(&mut self, node: usize, to: &str, event: impl FnOnce(NodeKey) -> FleetEvent + 'static) {
+        let from = Arc::clone(&self.nodes[node].name);
+        if let Some((index, boot)) = self.route(node, to) {
+            self.answer(index, boot, move |catalog| event(catalog.node(&from)));
+        }
+    }
+
+    fn check_floor(&mut self, node: usize) {
+        let it = &mut self.nodes[node];
+        if it
+            .ready
+            .is_some_and(|it| it != Some(NotReadyReason::ConfigurationUnknown))
+        {
+            let generation = it.generation();
+            assert!(
+                generation >= it.floor,
+                "{}: ready with an old generation",
+                it.name
+            );
+            it.floor = generation;
+        }
+    }
+
+    /// Nobody else may hold a valid lease and a grant for what this node holds.
+    fn check(&self, node: usize) {
+        if !self.leased(node) {
+            return;
+        }
+        for replica in &self.nodes[node].grants {
+            let holders = self.holders(replica);
+            assert!(
+                holders.len() < 2,
+                "{replica} held by {holders:?} at {}",
+                self.now
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/configuration.rs
@@ -0,0 +1,40 @@
+//! A new configuration is in force everywhere in time, and only newer ones count.
+
+mod common;
+
+use common::MS;
+use common::S;
+use common::World;
+
+fn spreads(count: usize, loss: u8, down: bool, seed: u64) {
+    let mut world = World::settled(count, seed);
+    world.loss = loss;
+    for _ in 0..5 {
+        world.set_store_down(false);
+        world.run(5 * S);
+        let generation = world.apply("", &[]);
+        world.run(10 * MS);
+        world.set_store_down(down);
+        world.run(3 * S - 10 * MS);
+        let late = world
+            .nodes
+            .iter()
+            .filter(|it| it.generation() != generation);
+        assert_eq!(late.count(), 0, "{count} nodes, seed {seed}");
+    }
+}
+
+/// Guards against changes that need longer than the 3 s that operators count on.
+#[test]
+fn in_force_within_3_s_at_15_nodes() {
+    for seed in 0..10 {
+        spreads(15, 10, seed % 2 == 0, seed);
+    }
+}
+
+/// Guards against a spread that works only in a small fleet.
+#[test]
+fn in_force_within_3_s_at_150_nodes() {
+    spreads(150, 10, false, 1);
+    spreads(150, 10, true, 2);
+}
--- /dev/null
+++ b/crates/fleet/tests/ownership.rs
@@ -0,0 +1,68 @@
+//! Tables and grants follow the members.
+
+mod common;
+
+use common::S;
+use common::World;
+use wigeonhall_types::VmState;
+
+/// Guards against a start that leaves replicas without an owner.
+#[test]
+fn every_replica_gets_one_owner() {
+    let world = World::settled(15, 1);
+    assert!(world.all_owned());
+    for node in world.running() {
+        assert_eq!(node.ready, Some(None));
+        assert_eq!(
+            node.tables.len(),
+            3,
+            "every node knows the tables of all data centres"
+        );
+    }
+}
+
+/// Guards against a lost node that keeps its replicas, and against moving others.
+#[test]
+fn a_lost_node_moves_only_its_share() {
+    let mut world = World::settled(15, 2);
+    let before = world.store.tables["dc-a"].clone();
+    world.crash(3);
+    world.run(12 * S);
+    assert!(world.all_owned());
+    let after = &world.store.tables["dc-a"];
+    assert!(!after.members.iter().any(|it| &**it == "vm-003"));
+    for (replica, owner) in &before.owners {
+        if &**owner != "vm-003" {
+            assert_eq!(&after.owners[replica], owner);
+        }
+    }
+}
+
+/// Guards against a table whose members are all gone and block their successors.
+#[test]
+fn a_data_centre_of_gone_nodes_is_taken_over() {
+    let mut world = World::new(&[("south", "dc-a")], 6, 20, 3);
+    world.apply("", &[]);
+    (0..3).for_each(|it| world.start(it));
+    world.run(15 * S);
+    assert!(world.all_owned());
+    for node in 0..3 {
+        world.crash(node);
+        let name = world.nodes[node].name.clone();
+        world.vms.remove(&name);
+    }
+    (3..6).for_each(|it| world.start(it));
+    world.run(20 * S);
+    assert!(world.all_owned());
+}
+
+/// Guards against a leaving VM that is given new ownership.
+#[test]
+fn a_leaving_vm_hands_over() {
+    let mut world = World::settled(15, 4);
+    let name = world.nodes[0].name.clone();
+    world.vms.insert(name, VmState::Leaving);
+    world.run(12 * S);
+    assert!(world.all_owned());
+    assert!(world.nodes[0].grants.is_empty());
+}
