Test the query core against an oracle and by feature

A fuzz test runs random sessions with lost, late, repeated and misdirected replies, version rolls, repartitions, owner changes and a store that loses replies against an oracle; further tests cover routing, hedging, admission, owners, reports and replies. A hedge that wins is counted now, and a hedge that the budget does not pay for is tried again after its full delay.

--- a/crates/query/src/reads.rs
+++ b/crates/query/src/reads.rs
@@ -29,6 +29,7 @@
 use wigeonhall_types::Operation;
 use wigeonhall_types::RefusalReason;
 use wigeonhall_types::Row;
+use wigeonhall_types::ServiceKey;
 use wigeonhall_types::SubOutcome;
 
 /// Whether a request was answered.
@@ -275,14 +276,17 @@
         part.sends += 1;
         part.state = PartState::Open;
         part.tried.push(route.replica);
-        let latency = &self.routes.services[part.service.index()].latency;
-        let delay_us = latency
-            .delay_us()
-            .unwrap_or(route.expected_us * HEDGE_FACTOR);
-        let delay_us = delay_us.max(route.expected_us).max(HEDGE_SHORTEST_US);
+        let delay_us = self.hedge_delay_us(part.service, route);
         self.part_timer(read, index, now_us + delay_us);
     }
 
+    /// Time after which a sub-request of `service` is late.
+    pub(crate) fn hedge_delay_us(&self, service: ServiceKey, route: Route) -> u64 {
+        let observed = self.routes.services[service.index()].latency.delay_us();
+        let delay_us = observed.unwrap_or(route.expected_us * HEDGE_FACTOR);
+        delay_us.max(route.expected_us).max(HEDGE_SHORTEST_US)
+    }
+
     /// Sets the timer of a part, in place of the one before.
     pub(crate) fn part_timer(&mut self, read: &mut OpenRead, index: usize, at_us: u64) {
         let stamp = self.stamp();
@@ -333,6 +337,8 @@
                 } => {
                     read.may_have_run = true;
                     if Some(version) == read.pin {
+                        let mut others = read.parts[index].attempts.iter();
+                        this.counters.hedges_won += u64::from(others.any(|it| *it < sequence));
                         return this.merge(now_us, read, index, &ranges, rows, actions);
                     }
                     this.counters.replies_wrong_version += 1;
--- a/crates/query/src/requests.rs
+++ b/crates/query/src/requests.rs
@@ -39,7 +39,9 @@
     pub class: ClassKey,
     /// Local time by which the caller wants the answer.
     pub deadline_us: u64,
-    /// The caller states that it never sent this request id before.
+    /// The caller states that it never sent this request id before, and that it repeats
+    /// it only after this attempt was answered or its connection closed. A refusal of a
+    /// first attempt whose claim is unknown says "not run" on this ground alone.
     pub first_attempt: bool,
     /// Id of the request within this process.
     pub id: QueryId,
--- a/crates/query/src/retries.rs
+++ b/crates/query/src/retries.rs
@@ -5,7 +5,6 @@
 use crate::QueryAction;
 use crate::QueryId;
 use crate::attempt::Attempt;
-use crate::limits::HEDGE_SHORTEST_US;
 use crate::limits::PART_SENDS;
 use crate::limits::PART_WAITS;
 use crate::limits::RETRY_AFTER_MS;
@@ -77,8 +76,7 @@
                     self.dispatch_part(now_us, read, index, route, actions);
                 } else {
                     self.counters.budget_refusals += 1;
-                    let delay = self.routes.services[service.index()].latency.delay_us();
-                    let delay_us = delay.unwrap_or(0).max(HEDGE_SHORTEST_US);
+                    let delay_us = self.hedge_delay_us(service, route);
                     self.part_timer(read, index, now_us + delay_us);
                 }
             }
--- /dev/null
+++ b/crates/query/tests/admission.rs
@@ -0,0 +1,98 @@
+//! Guards against requests that wait although they cannot be answered in time.
+
+mod support;
+
+use std::sync::Arc;
+use support::BOOT;
+use support::READ;
+use support::WRITE;
+use support::World;
+use support::only_answer;
+use support::range;
+use support::report;
+use support::sends;
+use wigeonhall_query::AbsentReason;
+use wigeonhall_query::AnswerStatus;
+use wigeonhall_query::Coordinator;
+use wigeonhall_query::CoordinatorConfig;
+use wigeonhall_query::CoverageDemand::Full;
+use wigeonhall_query::CoverageDemand::Partial;
+use wigeonhall_query::QueryEvent;
+use wigeonhall_query::QueryId;
+use wigeonhall_query::ReadQuery;
+use wigeonhall_types::ClassKey;
+use wigeonhall_types::DataCentreKey;
+use wigeonhall_types::NodeKey;
+use wigeonhall_types::Verdict;
+
+fn slow(world: &mut World) {
+    let held = [range(1_000, 2_000)];
+    for replica in 2..4 {
+        world.report(replica, report(&[(1, &held[..])], 300_000, 5_000));
+    }
+}
+
+#[test]
+fn refuses_at_once_what_cannot_be_in_time() {
+    let mut world = World::new(2);
+    slow(&mut world);
+    let actions = world.read(1, Full);
+    assert!(sends(&actions).is_empty());
+    let answer = only_answer(&actions);
+    assert_eq!(answer.status, AnswerStatus::Refused(AbsentReason::TooLate));
+    assert_eq!(answer.verdict, Verdict::NotRun);
+    assert_eq!(answer.retry_after_ms, Some(105));
+}
+
+#[test]
+fn reads_the_part_that_can_be_in_time() {
+    let mut world = World::new(2);
+    slow(&mut world);
+    let subs = sends(&world.read(1, Partial));
+    assert_eq!(subs.len(), 1);
+    let answer = only_answer(&world.reply(&subs[0].1, support::whole_of(&subs[0].1)));
+    assert_eq!(answer.status, AnswerStatus::Partial);
+    assert_eq!(answer.coverage.absent[0].reason, AbsentReason::TooLate);
+}
+
+#[test]
+fn refuses_requests_that_have_no_class_or_no_time() {
+    let cases = [
+        (READ, 0, AbsentReason::DeadlinePassed),
+        (WRITE, 1_000_000, AbsentReason::UnknownClass),
+        (ClassKey(9), 1_000_000, AbsentReason::UnknownClass),
+    ];
+    for (class, within_us, reason) in cases {
+        let mut world = World::new(1);
+        let query = ReadQuery {
+            class,
+            deadline_us: world.now_us + within_us,
+            demand: Full,
+            id: QueryId(1),
+            range: range(0, 1_000),
+        };
+        let answer = only_answer(&world.event(QueryEvent::Read(query)));
+        assert_eq!(answer.status, AnswerStatus::Refused(reason));
+        assert_eq!(answer.verdict, Verdict::NotRun);
+    }
+}
+
+#[test]
+fn refuses_before_a_deployment_and_owners_are_known() {
+    let config = CoordinatorConfig {
+        boot: BOOT,
+        data_centre: DataCentreKey(0),
+        node: NodeKey(0),
+    };
+    let core = Coordinator::new(config, 1);
+    let mut world = World {
+        core,
+        now_us: 1,
+        services: 1,
+    };
+    let not_ready = AnswerStatus::Refused(AbsentReason::NotReady);
+    assert_eq!(only_answer(&world.read(1, Full)).status, not_ready);
+    let deployment = Arc::new(support::deployment(1, 2));
+    world.event(QueryEvent::Deployment(deployment));
+    assert_eq!(only_answer(&world.read(2, Full)).status, not_ready);
+}
--- /dev/null
+++ b/crates/query/tests/fuzz.rs
@@ -0,0 +1,156 @@
+//! Runs random sessions against an oracle that knows what every shard holds.
+//!
+//! Guards against mixed versions, wrong coverage, repeated rows, a false "not run",
+//! missing or repeated answers, writes sent again without proof, and sends to replicas
+//! that are out. `WIGEONHALL_FUZZ_CASES` sets the number of cases.
+
+mod oracle;
+mod support;
+
+use oracle::KEYS;
+use oracle::Oracle;
+use oracle::REPLICAS;
+use oracle::StoreCourse;
+use oracle::Treatment;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use wigeonhall_query::CoverageDemand;
+use wigeonhall_types::ReplicaState;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Advance(u64),
+    CallerGone(usize),
+    DataCentreOut(u32, bool),
+    Deliver(usize),
+    NodeLost(u32),
+    Out(u32, bool),
+    Owners(u32, u32),
+    Read(u64, u64, bool, u64),
+    Repartition(u64, u64, u64),
+    Reply(usize, Treatment, usize, bool),
+    Report(u32),
+    Roll(u32, bool, u64),
+    RollAll(bool),
+    State(u32, ReplicaState),
+    Store(usize, StoreCourse),
+    Stray(usize, bool),
+    Write(u8, u64, u64),
+}
+
+fn treatment() -> impl Strategy<Value = Treatment> {
+    prop_oneof![
+        8 => Just(Treatment::Answer),
+        1 => any::<bool>().prop_map(|ran| Treatment::Fail { ran }),
+        1 => Just(Treatment::Gone),
+        1 => Just(Treatment::OtherVersion),
+        2 => Just(Treatment::Refuse),
+        1 => Just(Treatment::Short),
+    ]
+}
+
+fn course() -> impl Strategy<Value = StoreCourse> {
+    prop_oneof![
+        8 => Just(StoreCourse::Act),
+        2 => Just(StoreCourse::ActLoseReply),
+        1 => Just(StoreCourse::ActUnknown),
+        1 => Just(StoreCourse::Drop),
+    ]
+}
+
+fn state() -> impl Strategy<Value = ReplicaState> {
+    prop_oneof![
+        4 => Just(ReplicaState::Warm),
+        1 => Just(ReplicaState::Cold),
+        1 => Just(ReplicaState::Leaving),
+        1 => Just(ReplicaState::Out),
+        1 => Just(ReplicaState::Unreachable),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let replica = 0..REPLICAS;
+    let index = any::<usize>();
+    prop_oneof![
+        6 => prop_oneof![0..2_000_u64, 0..150_000_u64].prop_map(Step::Advance),
+        1 => index.prop_map(Step::CallerGone),
+        1 => (0..2_u32, prop::bool::weighted(0.3)).prop_map(|(a, b)| Step::DataCentreOut(a, b)),
+        4 => (1..6_usize).prop_map(Step::Deliver),
+        1 => (0..4_u32).prop_map(Step::NodeLost),
+        1 => (replica.clone(), prop::bool::weighted(0.4)).prop_map(|(a, b)| Step::Out(a, b)),
+        1 => (0..2_u32, 0..4_u32).prop_map(|(a, b)| Step::Owners(a, b)),
+        6 => (0..KEYS, 1..=KEYS, any::<bool>(), 1_000..300_000_u64)
+            .prop_map(|(start, width, full, within)| Step::Read(start, width, full, within)),
+        1 => (0..KEYS, 0..KEYS, prop_oneof![Just(0_u64), 0..16_u64])
+            .prop_map(|(a, b, c)| Step::Repartition(a, b, c)),
+        20 => (index, treatment(), index, prop::bool::weighted(0.05))
+            .prop_map(|(a, b, c, d)| Step::Reply(a, b, c, d)),
+        3 => replica.clone().prop_map(Step::Report),
+        2 => (replica.clone(), any::<bool>(), prop_oneof![3 => Just(0_u64), 1 => 0..20_u64])
+            .prop_map(|(a, b, c)| Step::Roll(a, b, c)),
+        2 => any::<bool>().prop_map(Step::RollAll),
+        1 => (replica, state()).prop_map(|(a, b)| Step::State(a, b)),
+        8 => (index, course()).prop_map(|(a, b)| Step::Store(a, b)),
+        2 => (index, any::<bool>()).prop_map(|(a, b)| Step::Stray(a, b)),
+        3 => (0..3_u8, 0..KEYS, 1_000..300_000_u64).prop_map(|(a, b, c)| Step::Write(a, b, c)),
+    ]
+}
+
+fn run(oracle: &mut Oracle, step: Step) {
+    match step {
+        Step::Advance(by_us) => oracle.advance(by_us),
+        Step::CallerGone(index) => oracle.caller_gone(index),
+        Step::DataCentreOut(data_centre, out) => oracle.set_data_centre_out(data_centre, out),
+        Step::Deliver(count) => oracle.deliver_reports(count),
+        Step::NodeLost(node) => oracle.node_lost(node),
+        Step::Out(replica, out) => oracle.set_out(replica, out),
+        Step::Owners(data_centre, shift) => oracle.change_owners(data_centre, shift),
+        Step::Read(start, width, full, within_us) => {
+            let demand = if full {
+                CoverageDemand::Full
+            } else {
+                CoverageDemand::Partial
+            };
+            oracle.read(start, (start + width).min(KEYS), demand, within_us);
+        }
+        Step::Repartition(first, second, overlap) => oracle.repartition(first, second, overlap),
+        Step::Reply(index, how, pick, lose) => oracle.reply(index, how, pick, lose),
+        Step::Report(replica) => oracle.report(replica),
+        Step::Roll(replica, drop_oldest, shrink) => oracle.roll(replica, drop_oldest, shrink),
+        Step::RollAll(drop_oldest) => {
+            for replica in 0..REPLICAS {
+                oracle.roll(replica, drop_oldest, 0);
+                oracle.report(replica);
+            }
+        }
+        Step::State(replica, state) => oracle.set_state(replica, state),
+        Step::Store(index, course) => oracle.store(index, course),
+        Step::Stray(index, misdirect) => oracle.stray_reply(index, misdirect),
+        Step::Write(request, key, within_us) => oracle.write(request, key, within_us),
+    }
+}
+
+fn cases() -> u32 {
+    let cases = std::env::var("WIGEONHALL_FUZZ_CASES");
+    cases.map_or(400, |it| {
+        it.parse().expect("WIGEONHALL_FUZZ_CASES is a number")
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: cases(),
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn agrees_with_the_oracle(seed in any::<u64>(), steps in prop::collection::vec(step(), 1..150)) {
+        let mut oracle = Oracle::new(seed);
+        for step in steps {
+            run(&mut oracle, step);
+        }
+        oracle.finish();
+    }
+}
--- /dev/null
+++ b/crates/query/tests/hedging.rs
@@ -0,0 +1,96 @@
+//! Guards against stragglers that hold up an answer, and against extra load.
+
+mod support;
+
+use support::World;
+use support::answers;
+use support::cancels;
+use support::range;
+use support::refused;
+use support::report;
+use support::sends;
+use support::whole_of;
+use wigeonhall_query::AnswerStatus;
+use wigeonhall_query::CoverageDemand::Full;
+use wigeonhall_types::RefusalReason;
+
+#[test]
+fn hedges_a_late_sub_request_and_cancels_the_slower_one() {
+    let mut world = World::new(1);
+    for id in 0..64 {
+        let (_, sub) = sends(&world.read(id, Full)).remove(0);
+        world.now_us += 5_000;
+        world.reply(&sub, whole_of(&sub));
+    }
+    let (_, first) = sends(&world.read(100, Full)).remove(0);
+    let sent_us = world.now_us;
+    let mut hedges = Vec::new();
+    while hedges.is_empty() {
+        let wake_us = world.core.next_wake_us().expect("a hedge is due");
+        hedges = sends(&world.run_to(wake_us));
+    }
+    let delay_us = world.now_us - sent_us;
+    assert!((5_000..6_000).contains(&delay_us), "{delay_us}");
+    assert_ne!(hedges[0].1.replica, first.replica);
+    let actions = world.reply(&hedges[0].1, whole_of(&hedges[0].1));
+    assert_eq!(cancels(&actions), [first.attempt]);
+    assert_eq!(answers(&actions)[0].status, AnswerStatus::Whole);
+    assert_eq!(world.core.counters().hedges_won, 1);
+}
+
+// Stragglers in a fifth of the requests must not raise the load by a fifth.
+#[test]
+fn hedges_at_most_one_in_twenty_after_the_burst() {
+    let mut world = World::new(1);
+    for id in 0..1_000 {
+        let (_, sub) = sends(&world.read(id, Full)).remove(0);
+        let takes_us = if id % 5 == 0 { 100_000 } else { 5_000 };
+        world.run_to(world.now_us + takes_us);
+        world.reply(&sub, whole_of(&sub));
+    }
+    let hedges = world.core.counters().hedges;
+    assert!((50..=55).contains(&hedges), "{hedges}");
+    assert!(world.core.counters().budget_refusals > 0);
+}
+
+#[test]
+fn retries_draw_on_the_budget_unless_no_target_was_loaded() {
+    let cases = [
+        (RefusalReason::Overloaded, true),
+        (RefusalReason::ColdStart, true),
+        (RefusalReason::NoLease, true),
+        (RefusalReason::Leaving, true),
+        (RefusalReason::Shed, false),
+        (RefusalReason::Unreachable, false),
+    ];
+    for (reason, free) in cases {
+        let mut world = World::new(1);
+        let (_, sub) = sends(&world.read(1, Full)).remove(0);
+        let retry = sends(&world.reply(&sub, refused(reason)));
+        assert_ne!(retry[0].1.replica, sub.replica);
+        let counters = world.core.counters();
+        let counts = (counters.retries_free, counters.retries_budget);
+        assert_eq!(counts, if free { (1, 0) } else { (0, 1) }, "{reason:?}");
+    }
+}
+
+// Owners that keep refusing must not make a sub-request go round for ever.
+#[test]
+fn bounds_the_free_retries_of_a_sub_request() {
+    let mut world = World::silent(1, 14);
+    let held = [range(0, 1_000)];
+    for replica in 0..14 {
+        world.report(replica, report(&[(1, &held[..])], 0, 5_000));
+    }
+    let mut open = sends(&world.read(1, Full));
+    let mut count = 0;
+    while let Some((_, sub)) = open.pop() {
+        count += 1;
+        open.extend(sends(
+            &world.reply(&sub, refused(RefusalReason::Overloaded)),
+        ));
+    }
+    assert_eq!(world.core.counters().retries_free, 3);
+    assert_eq!(count, 8);
+    assert_eq!(world.core.open_requests(), 0);
+}
