Share names in the tests of the query core through a prelude

Each test file repeated up to 40 lines of imports.

The prelude re-exports the types; the tests are unchanged.

--- a/crates/query/tests/admission.rs
+++ b/crates/query/tests/admission.rs
@@ -1,29 +1,8 @@
 //! Guards against requests that wait although they cannot be answered in time.
 
-mod support;
+mod prelude;
 
-use std::sync::Arc;
-use support::BOOT;
-use support::READ;
-use support::WRITE;
-use support::World;
-use support::only_answer;
-use support::range;
-use support::report;
-use support::sends;
-use wigeonhall_query::AbsentReason;
-use wigeonhall_query::AnswerStatus;
-use wigeonhall_query::Coordinator;
-use wigeonhall_query::CoordinatorConfig;
-use wigeonhall_query::CoverageDemand::Full;
-use wigeonhall_query::CoverageDemand::Partial;
-use wigeonhall_query::QueryEvent;
-use wigeonhall_query::QueryId;
-use wigeonhall_query::ReadQuery;
-use wigeonhall_types::ClassKey;
-use wigeonhall_types::DataCentreKey;
-use wigeonhall_types::NodeKey;
-use wigeonhall_types::Verdict;
+use prelude::*;
 
 fn slow(world: &mut World) {
     let held = [range(1_000, 2_000)];
@@ -50,7 +29,7 @@
     slow(&mut world);
     let subs = sends(&world.read(1, Partial));
     assert_eq!(subs.len(), 1);
-    let answer = only_answer(&world.reply(&subs[0].1, support::whole_of(&subs[0].1)));
+    let answer = only_answer(&world.reply(&subs[0].1, whole_of(&subs[0].1)));
     assert_eq!(answer.status, AnswerStatus::Partial);
     assert_eq!(answer.coverage.absent[0].reason, AbsentReason::TooLate);
 }
@@ -92,7 +71,7 @@
     };
     let not_ready = AnswerStatus::Refused(AbsentReason::NotReady);
     assert_eq!(only_answer(&world.read(1, Full)).status, not_ready);
-    let deployment = Arc::new(support::deployment(1, 2));
+    let deployment = Arc::new(deployment(1, 2));
     world.event(QueryEvent::Deployment(deployment));
     assert_eq!(only_answer(&world.read(2, Full)).status, not_ready);
 }
--- a/crates/query/tests/coverage.rs
+++ b/crates/query/tests/coverage.rs
@@ -1,25 +1,8 @@
 //! Guards against coverage that is not true and rows that count twice.
 
-mod support;
+mod prelude;
 
-use support::World;
-use support::answered;
-use support::cancels;
-use support::only_answer;
-use support::range;
-use support::refused;
-use support::report;
-use support::row;
-use support::sends;
-use support::whole_of;
-use wigeonhall_query::AbsentReason;
-use wigeonhall_query::AnswerStatus;
-use wigeonhall_query::CoverageDemand::Full;
-use wigeonhall_query::CoverageDemand::Partial;
-use wigeonhall_types::FailureReason;
-use wigeonhall_types::RefusalReason;
-use wigeonhall_types::SubOutcome;
-use wigeonhall_types::Verdict;
+use prelude::*;
 
 // While a shard is split, old and new owner may both report the moved keys.
 #[test]
--- a/crates/query/tests/fuzz.rs
+++ b/crates/query/tests/fuzz.rs
@@ -5,17 +5,16 @@
 //! that are out. `WIGEONHALL_FUZZ_CASES` sets the number of cases.
 
 mod oracle;
-mod support;
+mod prelude;
 
 use oracle::KEYS;
 use oracle::Oracle;
 use oracle::REPLICAS;
 use oracle::StoreCourse;
 use oracle::Treatment;
+use prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use wigeonhall_query::CoverageDemand;
-use wigeonhall_types::ReplicaState;
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
--- a/crates/query/tests/hedging.rs
+++ b/crates/query/tests/hedging.rs
@@ -1,18 +1,8 @@
 //! Guards against stragglers that hold up an answer, and against extra load.
 
-mod support;
+mod prelude;
 
-use support::World;
-use support::answers;
-use support::cancels;
-use support::range;
-use support::refused;
-use support::report;
-use support::sends;
-use support::whole_of;
-use wigeonhall_query::AnswerStatus;
-use wigeonhall_query::CoverageDemand::Full;
-use wigeonhall_types::RefusalReason;
+use prelude::*;
 
 #[test]
 fn hedges_a_late_sub_request_and_cancels_the_slower_one() {
--- a/crates/query/tests/oracle/mod.rs
+++ b/crates/query/tests/oracle/mod.rs
@@ -1,47 +1,7 @@
 //! Shards, targets and a store that know the truth, and the checks of the actions of a
 //! coordinator against it.
 
-use crate::support;
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::sync::Arc;
-use support::BOOT;
-use support::READ;
-use support::UNIX_MS;
-use support::WRITE;
-use support::answered;
-use support::range;
-use support::row;
-use wigeonhall_query::Answer;
-use wigeonhall_query::AnswerStatus;
-use wigeonhall_query::Claim;
-use wigeonhall_query::ClaimOutcome;
-use wigeonhall_query::ClaimResult;
-use wigeonhall_query::Coordinator;
-use wigeonhall_query::CoordinatorConfig;
-use wigeonhall_query::CoverageDemand;
-use wigeonhall_query::QueryAction;
-use wigeonhall_query::QueryEvent;
-use wigeonhall_query::QueryId;
-use wigeonhall_query::ReadQuery;
-use wigeonhall_query::WriteQuery;
-use wigeonhall_types::AttemptId;
-use wigeonhall_types::DataCentreKey;
-use wigeonhall_types::Deployment;
-use wigeonhall_types::FailureReason;
-use wigeonhall_types::KeyRange;
-use wigeonhall_types::NodeKey;
-use wigeonhall_types::Operation;
-use wigeonhall_types::OwnershipTable;
-use wigeonhall_types::RangeSet;
-use wigeonhall_types::RefusalReason;
-use wigeonhall_types::ReplicaKey;
-use wigeonhall_types::ReplicaReport;
-use wigeonhall_types::ReplicaState;
-use wigeonhall_types::Row;
-use wigeonhall_types::SubOutcome;
-use wigeonhall_types::SubRequest;
-use wigeonhall_types::Verdict;
+use crate::prelude::*;
 
 pub const KEYS: u64 = 64;
 pub const SERVICES: u32 = 3;
@@ -170,7 +130,7 @@
         };
         let mut oracle = Self {
             core: Coordinator::new(config, seed),
-            deployment: support::deployment(SERVICES, PER_SERVICE),
+            deployment: crate::prelude::deployment(SERVICES, PER_SERVICE),
             epochs: [0, 0],
             executed: BTreeMap::new(),
             layouts: BTreeMap::from([(1, layout(20, 40, 0))]),
@@ -535,7 +495,7 @@
         ReplicaReport {
             epoch: self.epochs[replica.index() % 2],
             state: target.state,
-            ..support::report(&held, 0, 5_000)
+            ..crate::prelude::report(&held, 0, 5_000)
         }
     }
 
--- a/crates/query/tests/owners.rs
+++ b/crates/query/tests/owners.rs
@@ -1,19 +1,8 @@
 //! Guards against work lost or misplaced while owners change or fail.
 
-mod support;
+mod prelude;
 
-use support::World;
-use support::answers;
-use support::deployment;
-use support::refused;
-use support::sends;
-use support::table;
-use support::whole_of;
-use wigeonhall_query::AnswerStatus;
-use wigeonhall_query::CoverageDemand::Full;
-use wigeonhall_query::QueryEvent;
-use wigeonhall_types::NodeKey;
-use wigeonhall_types::RefusalReason;
+use prelude::*;
 
 #[test]
 fn leaves_open_sub_requests_with_the_old_owner() {
--- a/crates/query/tests/support/mod.rs
+++ b/crates/query/tests/prelude/mod.rs
@@ -1,41 +1,15 @@
 //! A coordinator with a small deployment, and short forms of events and actions.
 #![allow(dead_code, reason = "each test file uses a part of the module")]
 #![allow(unreachable_pub, reason = "the module is compiled into each test file")]
+#![allow(unused_imports, reason = "each test file uses a part of the types")]
 
-use std::sync::Arc;
-use wigeonhall_query::Answer;
-use wigeonhall_query::Coordinator;
-use wigeonhall_query::CoordinatorConfig;
-use wigeonhall_query::CoverageDemand;
-use wigeonhall_query::QueryAction;
-use wigeonhall_query::QueryEvent;
-use wigeonhall_query::QueryId;
-use wigeonhall_query::ReadQuery;
-use wigeonhall_query::WriteQuery;
-use wigeonhall_types::AttemptId;
-use wigeonhall_types::ClassKey;
-use wigeonhall_types::ClassKind;
-use wigeonhall_types::ColdBound;
-use wigeonhall_types::DataCentre;
-use wigeonhall_types::DataCentreKey;
-use wigeonhall_types::Deployment;
-use wigeonhall_types::IndexVersion;
-use wigeonhall_types::KeyRange;
-use wigeonhall_types::NodeKey;
-use wigeonhall_types::OwnershipTable;
-use wigeonhall_types::QueryClass;
-use wigeonhall_types::RefusalReason;
-use wigeonhall_types::Replica;
-use wigeonhall_types::ReplicaKey;
-use wigeonhall_types::ReplicaReport;
-use wigeonhall_types::ReplicaState;
-use wigeonhall_types::Row;
-use wigeonhall_types::ServedVersion;
-use wigeonhall_types::Service;
-use wigeonhall_types::ServiceKey;
-use wigeonhall_types::ServiceLevel;
-use wigeonhall_types::SubOutcome;
-use wigeonhall_types::SubRequest;
+pub use std::collections::BTreeMap;
+pub use std::collections::BTreeSet;
+pub use std::sync::Arc;
+pub use wigeonhall_query::CoverageDemand::Full;
+pub use wigeonhall_query::CoverageDemand::Partial;
+pub use wigeonhall_query::*;
+pub use wigeonhall_types::*;
 
 pub const BOOT: u64 = 77;
 pub const READ: ClassKey = ClassKey(0);
--- a/crates/query/tests/replies.rs
+++ b/crates/query/tests/replies.rs
@@ -1,15 +1,8 @@
 //! Guards against replies that reach the wrong request, and work for callers that left.
 
-mod support;
+mod prelude;
 
-use support::World;
-use support::answers;
-use support::cancels;
-use support::sends;
-use support::whole_of;
-use wigeonhall_query::CoverageDemand::Full;
-use wigeonhall_query::QueryEvent;
-use wigeonhall_query::QueryId;
+use prelude::*;
 
 #[test]
 fn counts_and_drops_late_repeated_and_misdirected_replies() {
--- a/crates/query/tests/reports.rs
+++ b/crates/query/tests/reports.rs
@@ -1,22 +1,8 @@
 //! Guards against decisions on reports that are missing or old.
 
-mod support;
+mod prelude;
 
-use support::World;
-use support::answers;
-use support::deployment;
-use support::only_answer;
-use support::range;
-use support::report;
-use support::sends;
-use support::table;
-use wigeonhall_query::AbsentReason;
-use wigeonhall_query::AnswerStatus;
-use wigeonhall_query::CoverageDemand::Full;
-use wigeonhall_query::CoverageDemand::Partial;
-use wigeonhall_query::QueryAction;
-use wigeonhall_query::QueryEvent;
-use wigeonhall_types::NodeKey;
+use prelude::*;
 
 fn asks(actions: &[QueryAction]) -> Vec<u32> {
     let asks = actions.iter().filter_map(|action| match action {
--- a/crates/query/tests/routing.rs
+++ b/crates/query/tests/routing.rs
@@ -1,25 +1,8 @@
 //! Guards against work for replicas that take none, and against slow choices.
 
-mod support;
+mod prelude;
 
-use std::sync::Arc;
-use support::World;
-use support::deployment;
-use support::only_answer;
-use support::range;
-use support::refused;
-use support::report;
-use support::sends;
-use support::whole_of;
-use wigeonhall_query::AbsentReason;
-use wigeonhall_query::AnswerStatus;
-use wigeonhall_query::CoverageDemand::Full;
-use wigeonhall_query::QueryEvent;
-use wigeonhall_types::DataCentreKey;
-use wigeonhall_types::NodeKey;
-use wigeonhall_types::RefusalReason;
-use wigeonhall_types::ReplicaKey;
-use wigeonhall_types::ReplicaState;
+use prelude::*;
 
 /// Replica that a read of the one service goes to; the read is answered.
 fn chosen(world: &mut World, id: u64) -> u32 {
--- a/crates/query/tests/snapshot.rs
+++ b/crates/query/tests/snapshot.rs
@@ -1,23 +1,8 @@
 //! Guards against answers that mix index versions.
 
-mod support;
+mod prelude;
 
-use support::World;
-use support::answered;
-use support::answers;
-use support::cancels;
-use support::only_answer;
-use support::range;
-use support::report;
-use support::row;
-use support::sends;
-use support::whole_of;
-use wigeonhall_query::AnswerStatus;
-use wigeonhall_query::CoverageDemand::Full;
-use wigeonhall_query::CoverageDemand::Partial;
-use wigeonhall_types::IndexVersion;
-use wigeonhall_types::SubOutcome;
-use wigeonhall_types::Verdict;
+use prelude::*;
 
 // A version that only some shards serve would leave holes.
 #[test]
--- a/crates/query/tests/writes.rs
+++ b/crates/query/tests/writes.rs
@@ -1,32 +1,8 @@
 //! Guards against writes that run twice and verdicts on writes that are not true.
 
-mod support;
+mod prelude;
 
-use support::HOUR_MS;
-use support::UNIX_MS;
-use support::World;
-use support::answered;
-use support::answers;
-use support::only_answer;
-use support::range;
-use support::refused;
-use support::report;
-use support::sends;
-use wigeonhall_query::AbsentReason;
-use wigeonhall_query::AnswerStatus;
-use wigeonhall_query::Claim;
-use wigeonhall_query::ClaimOutcome;
-use wigeonhall_query::ClaimResult;
-use wigeonhall_query::QueryAction;
-use wigeonhall_query::QueryEvent;
-use wigeonhall_query::QueryId;
-use wigeonhall_types::FailureReason;
-use wigeonhall_types::IndexVersion;
-use wigeonhall_types::NodeKey;
-use wigeonhall_types::RefusalReason;
-use wigeonhall_types::SubOutcome;
-use wigeonhall_types::SubRequest;
-use wigeonhall_types::Verdict;
+use prelude::*;
 
 const ID: QueryId = QueryId(1);
 
