Rank replicas by what answers and lost hedges show of their latency

A straggler whose replies always lost to hedges was never heard from in replies, so its rank stayed as good as its last report, and every request to it drew on the hedge budget. The expected time also counted sub-requests twice that the last report already included.

A replica's rank now includes the time by which its answers came late or are late when a hedge overtakes them; it halves with each refreshed report. Only sub-requests sent after the last report add to the expected time. Refusals pass on the owners' retry-after time, and only the owner's own report ends its state as lost.

--- a/crates/query/src/attempt.rs
+++ b/crates/query/src/attempt.rs
@@ -17,6 +17,8 @@
 pub struct Attempt {
     /// Counted as in flight at the replica.
     pub counted: bool,
+    /// Time until its answer, as expected at the send.
+    pub expected_us: u64,
     /// Owner that it was sent to.
     pub node: NodeKey,
     /// Request that it belongs to.
@@ -28,3 +30,10 @@
     /// Service of the replica.
     pub service: ServiceKey,
 }
+
+impl Attempt {
+    /// Time by which it is later than expected.
+    pub const fn excess_us(&self, now_us: u64) -> u64 {
+        now_us.saturating_sub(self.sent_us + self.expected_us)
+    }
+}
--- a/crates/query/src/coordinator.rs
+++ b/crates/query/src/coordinator.rs
@@ -223,6 +223,7 @@
         }
         let attempt = Attempt {
             counted: true,
+            expected_us: route.expected_us,
             node: route.node,
             parent: sending.parent,
             replica: route.replica,
@@ -299,12 +300,13 @@
             self.counters.late_replies += 1;
             return;
         };
-        if attempt.counted {
-            self.routes.ended(attempt.replica);
-        }
         if let Some(report) = report {
             self.take_report(now_us, attempt.replica, report, Some(attempt.node));
         }
+        self.observe(now_us, attempt, &outcome);
+        if attempt.counted {
+            self.routes.ended(attempt.replica);
+        }
         self.ended(now_us, id.sequence, attempt, outcome, actions);
     }
 
@@ -317,7 +319,6 @@
         outcome: SubOutcome,
         actions: &mut Vec<QueryAction>,
     ) {
-        self.observe(now_us, attempt, &outcome);
         match attempt.parent {
             Parent::Read { id, part } => {
                 self.part_reply(now_us, id, part, sequence, attempt, outcome, actions);
@@ -354,14 +355,15 @@
         }
         attempt.counted = false;
         self.counters.owner_lost += 1;
+        let reason = FailureReason::OwnerLost;
+        let outcome = SubOutcome::Failed { reason };
+        self.observe(now_us, attempt, &outcome);
         self.routes.ended(attempt.replica);
         if let Parent::Write(id) = attempt.parent {
             self.attempts.insert(sequence, attempt);
             self.write_owner_lost(now_us, id, actions);
             return;
         }
-        let reason = FailureReason::OwnerLost;
-        let outcome = SubOutcome::Failed { reason };
         self.ended(now_us, sequence, attempt, outcome, actions);
     }
 
--- a/crates/query/src/observe.rs
+++ b/crates/query/src/observe.rs
@@ -21,7 +21,8 @@
         let replica = attempt.replica;
         match outcome {
             SubOutcome::Answered { .. } => {
-                self.routes.replica_mut(replica).answered();
+                let excess_us = attempt.excess_us(now_us);
+                self.routes.replica_mut(replica).answered(excess_us);
                 let latency_us = now_us.saturating_sub(attempt.sent_us);
                 let service = self.routes.service_mut(attempt.service);
                 service.latency.observe(latency_us);
--- a/crates/query/src/open_write.rs
+++ b/crates/query/src/open_write.rs
@@ -46,6 +46,8 @@
     pub pay: Pay,
     /// The request.
     pub query: WriteQuery,
+    /// Longest time that a refusal named for another try.
+    pub retry_after_us: u64,
     /// Sub-requests sent.
     pub sends: u32,
     /// Version that the last sub-request was pinned to.
@@ -79,6 +81,7 @@
             not_run_before: query.first_attempt,
             pay: Pay::First,
             query,
+            retry_after_us: 0,
             sends: 0,
             sent_version: None,
             stage: WriteStage::Choosing,
--- a/crates/query/src/part.rs
+++ b/crates/query/src/part.rs
@@ -31,6 +31,8 @@
     pub pay: Pay,
     /// Keys that were read; disjoint from `gaps`.
     pub read: Vec<KeyRange>,
+    /// Longest time that a refusal named for another try.
+    pub retry_after_us: u64,
     /// Rows of `read`.
     pub rows: Vec<Row>,
     /// Sub-requests sent.
@@ -56,6 +58,7 @@
             gaps: Vec::new(),
             pay: Pay::First,
             read: Vec::new(),
+            retry_after_us: 0,
             rows: Vec::new(),
             sends: 0,
             service,
--- a/crates/query/src/reads.rs
+++ b/crates/query/src/reads.rs
@@ -350,7 +350,12 @@
                     let reason = AbsentReason::Failed(reason);
                     this.try_again(now_us, read, index, reason, actions)
                 }
-                SubOutcome::Refused { reason, .. } => {
+                SubOutcome::Refused {
+                    reason,
+                    retry_after_us,
+                } => {
+                    let part = &mut read.parts[index];
+                    part.retry_after_us = part.retry_after_us.max(retry_after_us);
                     this.part_refused(now_us, read, index, attempt, reason, actions)
                 }
                 SubOutcome::VersionGone => this.version_gone(now_us, read, index, attempt, actions),
@@ -375,6 +380,11 @@
             return self.try_again(now_us, read, index, AbsentReason::NoReplica, actions);
         }
         for sequence in std::mem::take(&mut part.attempts) {
+            if let Some(slower) = self.attempts.get(&sequence) {
+                let excess_us = slower.excess_us(now_us);
+                let replica = self.routes.replica_mut(slower.replica);
+                replica.overtaken(excess_us);
+            }
             self.cancel(sequence, actions);
         }
         read.end_part(index, PartState::Done);
@@ -495,6 +505,14 @@
     }
 }
 
+/// Retry-after time of a request that owners refused, in milliseconds.
+pub(crate) fn retry_after_refusal_ms(retry_after_us: u64) -> u64 {
+    match retry_after_us {
+        0 => RETRY_AFTER_MS,
+        named_us => retry_after_ms(named_us),
+    }
+}
+
 /// Retry-after time for a wait, in milliseconds.
 pub(crate) fn retry_after_ms(wait_us: u64) -> u64 {
     wait_us.div_ceil(1_000).clamp(1, RETRY_AFTER_LAST_MS)
--- a/crates/query/src/replica_view.rs
+++ b/crates/query/src/replica_view.rs
@@ -30,6 +30,9 @@
     pub back_streak: u32,
     /// Local time until which the replica is put back.
     pub back_until_us: u64,
+    /// Time by which answers lately came later than expected. It falls by half with each
+    /// refreshed report, so that a replica that gets nothing is tried again.
+    pub excess_us: u64,
     /// Local time of the last report.
     pub heard_us: Option<u64>,
     /// Open sub-requests of this node at the replica.
@@ -50,6 +53,8 @@
     pub service: Option<ServiceKey>,
     /// Slots in the deployment, at least 1.
     pub slots: u32,
+    /// Part of `in_flight` that was sent after the last report, which thus cannot count it.
+    pub unseen: u32,
 }
 
 impl ReplicaView {
@@ -61,9 +66,15 @@
         self.back_until_us = self.back_until_us.max(now_us + time);
     }
 
-    /// Ends the growth of the back-off.
-    pub fn answered(&mut self) {
+    /// Ends the growth of the back-off, and learns how late the answer came.
+    pub fn answered(&mut self, excess_us: u64) {
         self.back_streak = 0;
+        self.excess_us = (self.excess_us * 3 + excess_us) / 4;
+    }
+
+    /// Learns that an answer is late by at least `excess_us`.
+    pub fn overtaken(&mut self, excess_us: u64) {
+        self.excess_us = self.excess_us.max(excess_us);
     }
 
     /// Whether the owner can be asked and has not reported yet.
@@ -83,12 +94,12 @@
         takes_work && !self.out && !self.owner_lost && self.owner.is_some()
     }
 
-    /// Time until an answer of the replica, as reported and as loaded by this node.
+    /// Time until an answer of the replica, as reported and as loaded by this node since.
     pub fn expected_us(&self) -> u64 {
         let Some(report) = &self.report else {
             return 0;
         };
-        let queued = report.service_us * u64::from(self.in_flight) / u64::from(self.slots.max(1));
+        let queued = report.service_us * u64::from(self.unseen) / u64::from(self.slots.max(1));
         let hop = if self.local { 0 } else { REMOTE_HOP_US };
         report.expected_wait_us + report.service_us + queued + hop
     }
@@ -96,7 +107,7 @@
     /// Rank among the replicas of the service.
     pub fn ranked(&self, replica: ReplicaKey, tie: u32) -> Rank {
         Rank {
-            steps: self.expected_us() / SCORE_STEP_US,
+            steps: (self.expected_us() + self.excess_us) / SCORE_STEP_US,
             remote: !self.local,
             tie,
             replica,
--- a/crates/query/src/retries.rs
+++ b/crates/query/src/retries.rs
@@ -7,11 +7,11 @@
 use crate::attempt::Attempt;
 use crate::limits::PART_SENDS;
 use crate::limits::PART_WAITS;
-use crate::limits::RETRY_AFTER_MS;
 use crate::open_read::OpenRead;
 use crate::part::PartState;
 use crate::pay::Pay;
 use crate::reads::Progress;
+use crate::reads::retry_after_refusal_ms;
 use crate::routes::Pick;
 use wigeonhall_types::RefusalReason;
 
@@ -163,7 +163,8 @@
     ) -> Progress {
         read.end_part(index, PartState::Failed(reason));
         if read.demands_full() {
-            return self.refuse(read, reason, RETRY_AFTER_MS, actions);
+            let retry_ms = retry_after_refusal_ms(read.parts[index].retry_after_us);
+            return self.refuse(read, reason, retry_ms, actions);
         }
         self.progress(read, actions)
     }
--- a/crates/query/src/routes.rs
+++ b/crates/query/src/routes.rs
@@ -196,11 +196,17 @@
         let changed = old.is_none_or(|old| old.served != report.served);
         view.heard_us = Some(now_us);
         view.report = Some(report);
+        view.unseen = 0;
+        if from.is_none() {
+            view.excess_us /= 2;
+        }
         if changed {
             self.mark_dirty(replica);
         }
         self.rerank(replica);
-        if let Some((node, _)) = owner {
+        if let Some((node, _)) = owner
+            && from.is_none_or(|from| from == node)
+        {
             self.nodes.entry(node).or_default().asked_since_us = None;
             self.set_lost(node, false);
         }
@@ -230,7 +236,9 @@
 
     /// Counts an open sub-request.
     pub fn started(&mut self, replica: ReplicaKey) {
-        self.replica_mut(replica).in_flight += 1;
+        let view = self.replica_mut(replica);
+        view.in_flight += 1;
+        view.unseen += 1;
         self.rerank(replica);
     }
 
@@ -238,6 +246,7 @@
     pub fn ended(&mut self, replica: ReplicaKey) {
         let view = self.replica_mut(replica);
         view.in_flight = view.in_flight.saturating_sub(1);
+        view.unseen = view.unseen.min(view.in_flight);
         self.rerank(replica);
     }
 
--- a/crates/query/src/write_claims.rs
+++ b/crates/query/src/write_claims.rs
@@ -7,12 +7,12 @@
 use crate::Coordinator;
 use crate::QueryAction;
 use crate::QueryId;
-use crate::limits::RETRY_AFTER_MS;
 use crate::limits::SETTLE_US;
 use crate::limits::TAKEOVERS;
 use crate::open_write::OpenWrite;
 use crate::open_write::WriteStage;
 use crate::reads::Progress;
+use crate::reads::retry_after_refusal_ms;
 use crate::timers::Timer;
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::Verdict;
@@ -130,7 +130,8 @@
         actions: &mut Vec<QueryAction>,
     ) -> Progress {
         if !write.answered {
-            let answer = write.refusal(reason, verdict, RETRY_AFTER_MS);
+            let retry_ms = retry_after_refusal_ms(write.retry_after_us);
+            let answer = write.refusal(reason, verdict, retry_ms);
             self.answer(write.query.id, answer, actions);
         }
         Progress::Answered
--- a/crates/query/src/writes.rs
+++ b/crates/query/src/writes.rs
@@ -313,7 +313,11 @@
                 }
                 Progress::Answered
             }
-            SubOutcome::Refused { reason, .. } => {
+            SubOutcome::Refused {
+                reason,
+                retry_after_us,
+            } => {
+                write.retry_after_us = write.retry_after_us.max(*retry_after_us);
                 write.pay = Pay::after(*reason);
                 if *reason == RefusalReason::NotOwner && self.owner_changed(attempt) {
                     write.tried.retain(|replica| *replica != attempt.replica);
--- a/crates/query/tests/routing.rs
+++ b/crates/query/tests/routing.rs
@@ -108,3 +108,21 @@
     }
     assert_eq!(times, [5_000, 10_000, 20_000]);
 }
+
+// A straggler whose replies always lose to hedges is never heard from in replies.
+#[test]
+fn learns_from_hedges_that_a_replica_is_slow() {
+    let mut world = World::new(1);
+    let mut to_straggler = 0;
+    for id in 0..100 {
+        let (_, mut sub) = sends(&world.read(id, Full)).remove(0);
+        while sub.replica == ReplicaKey(0) {
+            to_straggler += 1;
+            let wake_us = world.core.next_wake_us().expect("a hedge is due");
+            (_, sub) = sends(&world.run_to(wake_us)).remove(0);
+        }
+        world.now_us += 5_000;
+        world.reply(&sub, whole_of(&sub));
+    }
+    assert_eq!(to_straggler, 1);
+}
