--- a/crates/query/src/reads.rs
+++ b/crates/query/src/reads.rs
@@ -29,6 +29,7 @@
 use wigeonhall_types::Operation;
 use wigeonhall_types::RefusalReason;
 use wigeonhall_types::Row;
+use wigeonhall_types::ServiceKey;
 use wigeonhall_types::SubOutcome;
 
 /// Whether a request was answered.
@@ -275,14 +276,17 @@
         part.sends += 1;
         part.state = PartState::Open;
         part.tried.push(route.replica);
-        let latency = &self.routes.services[part.service.index()].latency;
-        let delay_us = latency
-            .delay_us()
-            .unwrap_or(route.expected_us * HEDGE_FACTOR);
-        let delay_us = delay_us.max(route.expected_us).max(HEDGE_SHORTEST_US);
+        let delay_us = self.hedge_delay_us(part.service, route);
         self.part_timer(read, index, now_us + delay_us);
     }
 
+    /// Time after which a sub-request of `service` is late.
+    pub(crate) fn hedge_delay_us(&self, service: ServiceKey, route: Route) -> u64 {
+        let observed = self.routes.services[service.index()].latency.delay_us();
+        let delay_us = observed.unwrap_or(route.expected_us * HEDGE_FACTOR);
+        delay_us.max(route.expected_us).max(HEDGE_SHORTEST_US)
+    }
+
     /// Sets the timer of a part, in place of the one before.
     pub(crate) fn part_timer(&mut self, read: &mut OpenRead, index: usize, at_us: u64) {
         let stamp = self.stamp();
@@ -333,6 +337,8 @@
                 } => {
                     read.may_have_run = true;
                     if Some(version) == read.pin {
+                        let mut others = read.parts[index].attempts.iter();
+                        this.counters.hedges_won += u64::from(others.any(|it| *it < sequence));
                         return this.merge(now_us, read, index, &ranges, rows, actions);
                     }
                     this.counters.replies_wrong_version += 1;
@@ -344,7 +350,12 @@
                     let reason = AbsentReason::Failed(reason);
                     this.try_again(now_us, read, index, reason, actions)
                 }
-                SubOutcome::Refused { reason, .. } => {
+                SubOutcome::Refused {
+                    reason,
+                    retry_after_us,
+                } => {
+                    let part = &mut read.parts[index];
+                    part.retry_after_us = part.retry_after_us.max(retry_after_us);
                     this.part_refused(now_us, read, index, attempt, reason, actions)
                 }
                 SubOutcome::VersionGone => this.version_gone(now_us, read, index, attempt, actions),
@@ -369,6 +380,11 @@
             return self.try_again(now_us, read, index, AbsentReason::NoReplica, actions);
         }
         for sequence in std::mem::take(&mut part.attempts) {
+            if let Some(slower) = self.attempts.get(&sequence) {
+                let excess_us = slower.excess_us(now_us);
+                let replica = self.routes.replica_mut(slower.replica);
+                replica.overtaken(excess_us);
+            }
             self.cancel(sequence, actions);
         }
         read.end_part(index, PartState::Done);
@@ -489,6 +505,14 @@
     }
 }
 
+/// Retry-after time of a request that owners refused, in milliseconds.
+pub(crate) fn retry_after_refusal_ms(retry_after_us: u64) -> u64 {
+    match retry_after_us {
+        0 => RETRY_AFTER_MS,
+        named_us => retry_after_ms(named_us),
+    }
+}
+
 /// Retry-after time for a wait, in milliseconds.
 pub(crate) fn retry_after_ms(wait_us: u64) -> u64 {
     wait_us.div_ceil(1_000).clamp(1, RETRY_AFTER_LAST_MS)
--- a/crates/query/src/retries.rs
+++ b/crates/query/src/retries.rs
@@ -5,14 +5,13 @@
 use crate::QueryAction;
 use crate::QueryId;
 use crate::attempt::Attempt;
-use crate::limits::HEDGE_SHORTEST_US;
 use crate::limits::PART_SENDS;
 use crate::limits::PART_WAITS;
-use crate::limits::RETRY_AFTER_MS;
 use crate::open_read::OpenRead;
 use crate::part::PartState;
 use crate::pay::Pay;
 use crate::reads::Progress;
+use crate::reads::retry_after_refusal_ms;
 use crate::routes::Pick;
 use wigeonhall_types::RefusalReason;
 
@@ -77,8 +76,7 @@
                     self.dispatch_part(now_us, read, index, route, actions);
                 } else {
                     self.counters.budget_refusals += 1;
-                    let delay = self.routes.services[service.index()].latency.delay_us();
-                    let delay_us = delay.unwrap_or(0).max(HEDGE_SHORTEST_US);
+                    let delay_us = self.hedge_delay_us(service, route);
                     self.part_timer(read, index, now_us + delay_us);
                 }
             }
@@ -165,7 +163,8 @@
     ) -> Progress {
         read.end_part(index, PartState::Failed(reason));
         if read.demands_full() {
-            return self.refuse(read, reason, RETRY_AFTER_MS, actions);
+            let retry_ms = retry_after_refusal_ms(read.parts[index].retry_after_us);
+            return self.refuse(read, reason, retry_ms, actions);
         }
         self.progress(read, actions)
     }
