--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -29,7 +29,7 @@
     now_us: u64,
     /// Every sub-request that waits or runs.
     places: BTreeMap<AttemptId, Place>,
-    /// Owned replicas, and revoked ones with requests that still run.
+    /// Owned replicas, and revoked ones with requests or a probe that still run.
     replicas: BTreeMap<ReplicaKey, ReplicaGate>,
     /// Replicas for which a sub-request waits.
     waiting: BTreeSet<ReplicaKey>,
--- a/crates/gate/src/gate_counters.rs
+++ b/crates/gate/src/gate_counters.rs
@@ -19,7 +19,8 @@
     pub cancelled_at_target: u64,
     /// Replicas that became cold because a connection broke.
     pub cold_connection_lost: u64,
-    /// Replicas that became cold because the instance identity changed.
+    /// Replicas that became cold because the instance identity changed, or is not
+    /// stated after a drain.
     pub cold_instance: u64,
     /// Replicas that became cold because the latency jumped.
     pub cold_latency: u64,
@@ -27,12 +28,12 @@
     pub cold_rate_exceeded_high: u64,
     /// Starts at one cold replica within one second.
     pub cold_rate_high: u64,
-    /// Replicas that became cold because a probe reached them again.
-    pub cold_reachable: u64,
     /// Replicas that became cold because operators returned them to service.
     pub cold_returned: u64,
     /// Requests running at one cold replica at a start.
     pub cold_running_high: u64,
+    /// Replicas that became cold because they were unreachable.
+    pub cold_unreachable: u64,
     /// Requests beyond the concurrency of a cold start at a start; must stay 0.
     pub cold_slots_exceeded_high: u64,
     /// Submissions of an attempt that already waits or runs; ignored.
--- a/crates/gate/src/ownership.rs
+++ b/crates/gate/src/ownership.rs
@@ -2,7 +2,6 @@
 
 use crate::GateAction;
 use crate::latency::Latency;
-use crate::prober::Prober;
 use crate::replica_gate::Condition;
 use crate::replica_gate::ReplicaGate;
 use crate::replica_gate::connections;
@@ -33,7 +32,7 @@
         }
         self.owned = true;
         self.condition = Condition::Usable;
-        self.prober = Prober::default();
+        self.prober.restart();
         if let Some(state) = state {
             turn.counters.granted_handed_over += 1;
             self.adopt(turn.now_us, state);
@@ -78,6 +77,7 @@
             self.close_if_out(turn, was_out);
             return;
         };
+        self.ramp.set_bound(new.cold);
         if old.is_none_or(|old| old.address != new.address) {
             self.forget();
         }
@@ -108,7 +108,7 @@
     /// Continues with what the previous owner knew.
     fn adopt(&mut self, now_us: u64, state: HandOverState) {
         let bound = self.bound();
-        self.ramp.hand_over(bound, self.slots(), state.allowance);
+        self.ramp.hand_over(self.slots(), state.allowance);
         // The starts of the previous owner within the last second are not known.
         let rate = self.ramp.rate().unwrap_or(bound.requests_per_s);
         self.window.fill(now_us, rate.max(bound.requests_per_s));
@@ -120,7 +120,7 @@
 
     /// Treats the target as one that nothing is known about.
     fn forget(&mut self) {
-        self.ramp.reset(self.bound());
+        self.ramp.reset();
         self.latency = Latency::default();
         self.instance = None;
         self.served.clear();
--- a/crates/gate/src/prober.rs
+++ b/crates/gate/src/prober.rs
@@ -15,9 +15,10 @@
 
 /// A probe that was sent.
 #[derive(Clone, Copy, Debug)]
-struct Sent {
+pub(crate) struct Sent {
     sent_us: u64,
-    step: u64,
+    /// Step of the ramp; `None` if its answer may predate what is known.
+    pub(crate) step: Option<u64>,
 }
 
 /// Decides when to probe one replica.
@@ -53,9 +54,28 @@
         self.due_us = now_us + IDLE_US;
     }
 
-    /// Takes the probe in flight and returns the step at which it was sent.
-    pub(crate) fn take(&mut self) -> Option<u64> {
-        self.in_flight.take().map(|sent| sent.step)
+    /// Ends the probe in flight.
+    pub(crate) const fn take(&mut self) -> Option<Sent> {
+        self.in_flight.take()
+    }
+
+    /// Starts over with a probe as soon as possible. One that is in flight from
+    /// an earlier grant still ends first: replies to probes carry no id.
+    pub(crate) const fn restart(&mut self) {
+        self.due_us = 0;
+        self.failures = 0;
+        self.distrust();
+    }
+
+    pub(crate) const fn is_in_flight(&self) -> bool {
+        self.in_flight.is_some()
+    }
+
+    /// The probe in flight may have been answered before the drain.
+    pub(crate) const fn distrust(&mut self) {
+        if let Some(sent) = &mut self.in_flight {
+            sent.step = None;
+        }
     }
 
     /// Whether the probe in flight is overdue beyond any transport limit.
@@ -71,7 +91,7 @@
         }
         self.in_flight = Some(Sent {
             sent_us: now_us,
-            step,
+            step: Some(step),
         });
         true
     }
--- a/crates/gate/src/ramp.rs
+++ b/crates/gate/src/ramp.rs
@@ -1,5 +1,8 @@
 use wigeonhall_types::ColdBound;
 
+/// Lowest level of a cold ramp; both limits are 1 there for any likely bound.
+const LEVEL_MIN: i32 = -10;
+
 /// What a round of replies or a failure did to the allowance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RampChange {
@@ -13,20 +16,29 @@
     None,
 }
 
+/// Load that a ramp allows.
+#[derive(Clone, Copy, Debug)]
+enum Limit {
+    /// The cold bound, both concurrency and rate, times two to this power.
+    Cold(i32),
+    /// The slots, at any rate.
+    Full,
+    /// Fewer than the slots after a failure, at any rate.
+    Reduced(u32),
+}
+
 /// Concurrency and rate allowed at a replica.
 ///
 /// Requests and probes carry the `step` in force when they were sent. A reply
-/// moves the allowance only if it carries the current step.
+/// moves the limit only if it carries the current step.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Ramp {
-    /// Requests that may run at once; `u32::MAX` once it reached the slots.
-    allowance: u32,
     /// First step of the current state of the target: replies of earlier steps
     /// say nothing about it.
     base_step: u64,
-    /// Starts allowed in any one second, at least 1; `None` unless cold.
-    rate: Option<u32>,
-    /// Increases with each change of the allowance and each new base.
+    bound: ColdBound,
+    limit: Limit,
+    /// Increases with each change of the limit and each new base.
     step: u64,
     /// Successful replies of the current step.
     successes: u32,
@@ -34,75 +46,78 @@
 
 impl Ramp {
     /// A ramp at the cold bound.
-    pub(crate) fn cold(bound: ColdBound) -> Self {
+    pub(crate) const fn cold(bound: ColdBound) -> Self {
         Self {
-            allowance: bound.slots.max(1),
             base_step: 0,
-            rate: Some(bound.requests_per_s.max(1)),
+            bound,
+            limit: Limit::Cold(0),
             step: 0,
             successes: 0,
         }
     }
 
-    /// Returns to the cold bound, or to half of the allowance if that is less.
-    pub(crate) fn restart(&mut self, bound: ColdBound) {
-        let halved = (self.allowance / 2, self.rate.map(|rate| rate / 2));
-        self.allowance = bound.slots.min(halved.0).max(1);
-        self.rate = Some(
-            bound
-                .requests_per_s
-                .min(halved.1.unwrap_or(u32::MAX))
-                .max(1),
-        );
-        self.rebase();
+    /// Returns to the cold bound.
+    pub(crate) const fn reset(&mut self) {
+        self.rebase(Limit::Cold(0));
+    }
+
+    /// Returns to the cold bound, or halves a limit that is already that low.
+    pub(crate) fn restart(&mut self) {
+        self.rebase(match self.limit {
+            Limit::Cold(level) => Limit::Cold((level - 1).clamp(LEVEL_MIN, 0)),
+            Limit::Full | Limit::Reduced(_) => Limit::Cold(0),
+        });
     }
 
     /// Continues where a previous owner stopped; an allowance below the slots
     /// means that the replica is cold.
-    pub(crate) fn hand_over(&mut self, bound: ColdBound, slots: u32, allowance: u32) {
+    pub(crate) fn hand_over(&mut self, slots: u32, allowance: u32) {
         if allowance >= slots {
-            self.allowance = u32::MAX;
-            self.rate = None;
-        } else {
-            let allowance = allowance.max(1);
-            let rate = u64::from(bound.requests_per_s) * u64::from(allowance)
-                / u64::from(bound.slots.max(1));
-            self.allowance = allowance;
-            self.rate = Some(u32::try_from(rate).unwrap_or(u32::MAX).max(1));
+            return self.rebase(Limit::Full);
+        }
+        self.reset();
+        if allowance == 0 {
+            return;
+        }
+        while self.capacity(slots) > allowance {
+            self.step_level(-1);
+        }
+        while self.capacity(slots).saturating_mul(2) <= allowance {
+            self.step_level(1);
         }
-        self.rebase();
     }
 
-    /// Sets the cold bound without regard to the past.
-    pub(crate) fn reset(&mut self, bound: ColdBound) {
-        self.allowance = bound.slots.max(1);
-        self.rate = Some(bound.requests_per_s.max(1));
-        self.rebase();
-    }
-
-    /// Disregards replies to whatever was sent before.
-    pub(crate) const fn rebase(&mut self) {
-        self.advance();
-        self.base_step = self.step;
+    /// Takes the bound of a deployment.
+    pub(crate) const fn set_bound(&mut self, bound: ColdBound) {
+        self.bound = bound;
     }
 
     /// Takes a successful reply.
     pub(crate) fn succeed(&mut self, step: u64, slots: u32) -> RampChange {
-        if step != self.step || self.allowance == u32::MAX {
+        if step != self.step || matches!(self.limit, Limit::Full) {
             return RampChange::None;
         }
         self.successes += 1;
-        if self.successes < self.allowance {
+        if self.successes < self.capacity(slots) {
             return RampChange::None;
         }
         self.advance();
-        self.allowance = self.allowance.saturating_mul(2);
-        if self.allowance >= slots {
-            self.allowance = u32::MAX;
-            self.rate = None;
+        let is_full = match &mut self.limit {
+            Limit::Cold(level) => {
+                *level += 1;
+                // A halved ramp first completes a round at the bound itself.
+                *level > 0 && self.capacity(slots) >= slots
+            }
+            Limit::Full => true,
+            Limit::Reduced(allowance) => {
+                *allowance = allowance.saturating_mul(2);
+                *allowance >= slots
+            }
+        };
+        if is_full {
+            self.limit = Limit::Full;
             return RampChange::Full;
         }
-        self.rate = self.rate.map(|rate| rate.saturating_mul(2));
         RampChange::Doubled
     }
 
@@ -112,27 +127,32 @@
             return RampChange::None;
         }
         self.advance();
-        self.allowance = (self.allowance.min(slots) / 2).max(1);
-        self.rate = self.rate.map(|rate| (rate / 2).max(1));
+        self.limit = match self.limit {
+            Limit::Cold(level) => Limit::Cold((level - 1).max(LEVEL_MIN)),
+            Limit::Full | Limit::Reduced(_) => Limit::Reduced((self.capacity(slots) / 2).max(1)),
+        };
         RampChange::Halved
     }
 
     /// Requests that may run at once.
     pub(crate) fn capacity(&self, slots: u32) -> u32 {
-        self.allowance.min(slots)
+        match self.limit {
+            Limit::Cold(level) => scale(self.bound.slots, level).min(slots),
+            Limit::Full => slots,
+            Limit::Reduced(allowance) => allowance.min(slots),
+        }
     }
 
     /// Allowance for a new owner: below the slots unless the ramp is full.
     pub(crate) fn allowance(&self, slots: u32) -> u32 {
-        if self.rate.is_some() {
-            self.allowance.min(slots.saturating_sub(1))
-        } else {
-            self.capacity(slots)
+        match self.limit {
+            Limit::Full => slots,
+            Limit::Cold(_) | Limit::Reduced(_) => self.capacity(slots).min(slots.saturating_sub(1)),
         }
     }
 
     pub(crate) const fn is_cold(&self) -> bool {
-        self.rate.is_some()
+        matches!(self.limit, Limit::Cold(_))
     }
 
     /// Whether something sent at `step` was sent to the target as it is now.
@@ -140,8 +160,12 @@
         step >= self.base_step
     }
 
-    pub(crate) const fn rate(&self) -> Option<u32> {
-        self.rate
+    /// Starts allowed in any one second; `None` unless cold.
+    pub(crate) fn rate(&self) -> Option<u32> {
+        match self.limit {
+            Limit::Cold(level) => Some(scale(self.bound.requests_per_s, level)),
+            Limit::Full | Limit::Reduced(_) => None,
+        }
     }
 
     pub(crate) const fn step(&self) -> u64 {
@@ -152,4 +176,26 @@
         self.step += 1;
         self.successes = 0;
     }
+
+    const fn rebase(&mut self, limit: Limit) {
+        self.limit = limit;
+        self.advance();
+        self.base_step = self.step;
+    }
+
+    const fn step_level(&mut self, change: i32) {
+        if let Limit::Cold(level) = &mut self.limit {
+            *level += change;
+        }
+    }
+}
+
+/// `value` times two to the power of `level`, at least 1.
+fn scale(value: u32, level: i32) -> u32 {
+    let scaled = if level < 0 {
+        value.checked_shr(level.unsigned_abs()).unwrap_or(0)
+    } else {
+        value.saturating_mul(2_u32.saturating_pow(level.unsigned_abs()))
+    };
+    scaled.max(1)
 }
--- a/crates/gate/src/replica_gate.rs
+++ b/crates/gate/src/replica_gate.rs
@@ -44,7 +44,7 @@
     Usable,
 }
 
-/// Record of one replica that this node owns, or owned while requests run.
+/// Record of one replica that this node owns, or owned while requests or a probe run.
 #[derive(Debug)]
 pub(crate) struct ReplicaGate {
     pub(crate) condition: Condition,
@@ -99,7 +99,7 @@
 
     /// Whether the record holds nothing of use.
     pub(crate) fn is_idle(&self) -> bool {
-        !self.owned && self.running.is_empty()
+        !self.owned && self.running.is_empty() && !self.prober.is_in_flight()
     }
 
     pub(crate) fn bound(&self) -> ColdBound {
--- a/crates/gate/src/replies.rs
+++ b/crates/gate/src/replies.rs
@@ -25,8 +25,8 @@
     ConnectionLost,
     Instance,
     Latency,
-    Reachable,
     Returned,
+    Unreachable,
 }
 
 impl ReplicaGate {
@@ -42,7 +42,8 @@
             return;
         };
         if self.owned {
-            self.learn_identity(turn, running.step, &reply);
+            let is_current = self.ramp.is_current(running.step);
+            self.learn_identity(turn, is_current, &reply);
             self.learn_outcome(turn, &running, &reply);
         }
         if running.responded {
@@ -56,13 +57,13 @@
 
     /// Takes the end of a probe.
     pub(crate) fn probe_reply(&mut self, turn: &mut Turn<'_>, reply: &TargetReply) {
-        let Some(step) = self.prober.take().filter(|_| self.owned) else {
+        let Some(sent) = self.prober.take().filter(|_| self.owned) else {
             turn.counters.unknown_replies += 1;
             return;
         };
         let was = self.instance;
-        let is_current = self.ramp.is_current(step);
-        self.learn_identity(turn, step, reply);
+        let is_current = sent.step.is_some_and(|step| self.ramp.is_current(step));
+        self.learn_identity(turn, is_current, reply);
         match reply.outcome {
             TargetOutcome::Draining => {
                 self.prober.succeed(turn.now_us);
@@ -92,9 +93,9 @@
     /// Returns to the cold bound.
     pub(crate) fn turn_cold(&mut self, turn: &mut Turn<'_>, cause: ColdCause) {
         match cause {
-            ColdCause::ConnectionLost | ColdCause::Latency => self.ramp.restart(self.bound()),
-            ColdCause::Instance | ColdCause::Reachable | ColdCause::Returned => {
-                self.ramp.reset(self.bound());
+            ColdCause::ConnectionLost | ColdCause::Latency => self.ramp.restart(),
+            ColdCause::Instance | ColdCause::Returned | ColdCause::Unreachable => {
+                self.ramp.reset();
             }
         }
         self.latency.restart();
@@ -103,8 +104,8 @@
             ColdCause::ConnectionLost => counters.cold_connection_lost += 1,
             ColdCause::Instance => counters.cold_instance += 1,
             ColdCause::Latency => counters.cold_latency += 1,
-            ColdCause::Reachable => counters.cold_reachable += 1,
             ColdCause::Returned => counters.cold_returned += 1,
+            ColdCause::Unreachable => counters.cold_unreachable += 1,
         }
     }
 
@@ -117,10 +118,10 @@
         }
     }
 
-    /// Takes identity and versions from whatever was sent at `step`. A reply to
-    /// something sent to an earlier process says nothing about the present one.
-    fn learn_identity(&mut self, turn: &mut Turn<'_>, step: u64, reply: &TargetReply) {
-        if !self.ramp.is_current(step) {
+    /// Takes identity and versions from a reply. One that is not current was
+    /// perhaps sent by an earlier process and says nothing about the present one.
+    fn learn_identity(&mut self, turn: &mut Turn<'_>, is_current: bool, reply: &TargetReply) {
+        if !is_current {
             if reply.instance.is_some() && reply.instance != self.instance {
                 self.prober.request(turn.now_us);
             }
@@ -185,8 +186,7 @@
         if self.condition != Condition::Leaving {
             turn.counters.became_leaving += 1;
             self.condition = Condition::Leaving;
-            // A probe that is in flight may have been answered before the drain.
-            self.ramp.rebase();
+            self.prober.distrust();
         }
     }
 
@@ -200,7 +200,7 @@
         if self.condition != Condition::Unreachable {
             turn.counters.became_unreachable += 1;
             self.condition = Condition::Unreachable;
-            self.ramp.rebase();
+            self.turn_cold(turn, ColdCause::Unreachable);
         }
     }
 
@@ -209,13 +209,11 @@
     fn recover(&mut self, turn: &mut Turn<'_>, known_identity: bool) {
         let was = self.condition;
         self.condition = Condition::Usable;
-        match was {
-            Condition::Usable => {}
-            Condition::Leaving if known_identity => self.open_connections(turn),
-            Condition::Leaving | Condition::Unreachable => {
-                self.turn_cold(turn, ColdCause::Reachable);
-                self.open_connections(turn);
-            }
+        if was == Condition::Leaving && !known_identity {
+            self.turn_cold(turn, ColdCause::Instance);
+        }
+        if was != Condition::Usable {
+            self.open_connections(turn);
         }
     }
 }
