Take an unseen identity from any reply as a restart

Cause: the fuzz with 10,000 cases found two faults. A probe sent before the replica turned cold named a new process, but was disregarded, so the ramp went on at a restarted target. A refused connection on a probe that was given up as lost was disregarded too.

Change: a reply of an earlier step counts if it names a process other than the present and the replaced one; an unmatched probe reply can still close a replica, not open it.

--- a/crates/gate/src/gate_counters.rs
+++ b/crates/gate/src/gate_counters.rs
@@ -105,7 +105,8 @@
     pub submitted: u64,
     /// Cancellations of attempts that neither wait nor run; ignored.
     pub unknown_cancels: u64,
-    /// Replies to requests or probes that are not open; ignored.
+    /// Replies to requests or probes that are not open; those to requests are
+    /// ignored.
     pub unknown_replies: u64,
     /// Sub-requests whose version is gone.
     pub version_gone: u64,
--- a/crates/gate/src/ownership.rs
+++ b/crates/gate/src/ownership.rs
@@ -114,6 +114,7 @@
         self.window.fill(now_us, rate.max(bound.requests_per_s));
         self.latency = Latency::handed_over(now_us, state.service_us);
         self.instance = state.instance;
+        self.replaced = None;
         self.served_us = (!state.served.is_empty()).then_some(now_us);
         self.served = state.served;
     }
@@ -123,6 +124,7 @@
         self.ramp.reset();
         self.latency = Latency::default();
         self.instance = None;
+        self.replaced = None;
         self.served.clear();
         self.served_us = None;
     }
--- a/crates/gate/src/replica_gate.rs
+++ b/crates/gate/src/replica_gate.rs
@@ -61,6 +61,8 @@
     pub(crate) owned: bool,
     pub(crate) prober: Prober,
     pub(crate) ramp: Ramp,
+    /// Identity of the target process before `instance`.
+    pub(crate) replaced: Option<u64>,
     pub(crate) running: BTreeMap<AttemptId, Running>,
     /// Entry of the record in the index of wake-ups.
     pub(crate) scheduled_us: Option<u64>,
@@ -87,6 +89,7 @@
             owned: false,
             prober: Prober::default(),
             ramp: Ramp::cold(bound),
+            replaced: None,
             running: BTreeMap::new(),
             scheduled_us: None,
             served: Vec::new(),
--- a/crates/gate/src/replies.rs
+++ b/crates/gate/src/replies.rs
@@ -55,14 +55,17 @@
         }
     }
 
-    /// Takes the end of a probe.
+    /// Takes the end of a probe. One that was given up as lost can still show that
+    /// the target takes no work.
     pub(crate) fn probe_reply(&mut self, turn: &mut Turn<'_>, reply: &TargetReply) {
-        let Some(sent) = self.prober.take().filter(|_| self.owned) else {
-            turn.counters.unknown_replies += 1;
+        let sent = self.prober.take();
+        turn.counters.unknown_replies += u64::from(sent.is_none());
+        if !self.owned {
             return;
-        };
+        }
         let was = self.instance;
-        let is_current = sent.step.is_some_and(|step| self.ramp.is_current(step));
+        let step = sent.and_then(|sent| sent.step);
+        let is_current = step.is_some_and(|step| self.ramp.is_current(step));
         self.learn_identity(turn, is_current, reply);
         match reply.outcome {
             TargetOutcome::Draining => {
@@ -118,26 +121,24 @@
         }
     }
 
-    /// Takes identity and versions from a reply. One that is not current was
-    /// perhaps sent by an earlier process and says nothing about the present one.
+    /// Takes identity and versions from a reply. One that is not current may come
+    /// from an earlier process; it counts only if it names one not seen before.
     fn learn_identity(&mut self, turn: &mut Turn<'_>, is_current: bool, reply: &TargetReply) {
-        if !is_current {
-            if reply.instance.is_some() && reply.instance != self.instance {
-                self.prober.request(turn.now_us);
-            }
+        let changed = reply
+            .instance
+            .is_some_and(|it| self.instance.is_some_and(|known| known != it));
+        if !is_current && (!changed || reply.instance == self.replaced) {
             return;
         }
+        if changed {
+            self.replaced = self.instance;
+            self.turn_cold(turn, ColdCause::Instance);
+        }
+        self.instance = reply.instance.or(self.instance);
         if !reply.served.is_empty() {
             self.served.clone_from(&reply.served);
             self.served_us = Some(turn.now_us);
         }
-        let Some(instance) = reply.instance else {
-            return;
-        };
-        if self.instance.is_some_and(|known| known != instance) {
-            self.turn_cold(turn, ColdCause::Instance);
-        }
-        self.instance = Some(instance);
     }
 
     fn learn_outcome(&mut self, turn: &mut Turn<'_>, running: &Running, reply: &TargetReply) {
