--- a/crates/gate/src/replica_gate.rs
+++ b/crates/gate/src/replica_gate.rs
@@ -44,7 +44,7 @@
     Usable,
 }
 
-/// Record of one replica that this node owns, or owned while requests run.
+/// Record of one replica that this node owns, or owned while requests or a probe run.
 #[derive(Debug)]
 pub(crate) struct ReplicaGate {
     pub(crate) condition: Condition,
@@ -61,6 +61,8 @@
     pub(crate) owned: bool,
     pub(crate) prober: Prober,
     pub(crate) ramp: Ramp,
+    /// Identity of the target process before `instance`.
+    pub(crate) replaced: Option<u64>,
     pub(crate) running: BTreeMap<AttemptId, Running>,
     /// Entry of the record in the index of wake-ups.
     pub(crate) scheduled_us: Option<u64>,
@@ -87,6 +89,7 @@
             owned: false,
             prober: Prober::default(),
             ramp: Ramp::cold(bound),
+            replaced: None,
             running: BTreeMap::new(),
             scheduled_us: None,
             served: Vec::new(),
@@ -99,7 +102,7 @@
 
     /// Whether the record holds nothing of use.
     pub(crate) fn is_idle(&self) -> bool {
-        !self.owned && self.running.is_empty()
+        !self.owned && self.running.is_empty() && !self.prober.is_in_flight()
     }
 
     pub(crate) fn bound(&self) -> ColdBound {
--- a/crates/gate/src/replies.rs
+++ b/crates/gate/src/replies.rs
@@ -25,8 +25,8 @@
     ConnectionLost,
     Instance,
     Latency,
-    Reachable,
     Returned,
+    Unreachable,
 }
 
 impl ReplicaGate {
@@ -42,7 +42,8 @@
             return;
         };
         if self.owned {
-            self.learn_identity(turn, running.step, &reply);
+            let is_current = self.ramp.is_current(running.step);
+            self.learn_identity(turn, is_current, &reply);
             self.learn_outcome(turn, &running, &reply);
         }
         if running.responded {
@@ -54,15 +55,18 @@
         }
     }
 
-    /// Takes the end of a probe.
+    /// Takes the end of a probe. One that was given up as lost can still show that
+    /// the target takes no work.
     pub(crate) fn probe_reply(&mut self, turn: &mut Turn<'_>, reply: &TargetReply) {
-        let Some(step) = self.prober.take().filter(|_| self.owned) else {
-            turn.counters.unknown_replies += 1;
+        let sent = self.prober.take();
+        turn.counters.unknown_replies += u64::from(sent.is_none());
+        if !self.owned {
             return;
-        };
+        }
         let was = self.instance;
-        let is_current = self.ramp.is_current(step);
-        self.learn_identity(turn, step, reply);
+        let step = sent.and_then(|sent| sent.step);
+        let is_current = step.is_some_and(|step| self.ramp.is_current(step));
+        self.learn_identity(turn, is_current, reply);
         match reply.outcome {
             TargetOutcome::Draining => {
                 self.prober.succeed(turn.now_us);
@@ -92,9 +96,9 @@
     /// Returns to the cold bound.
     pub(crate) fn turn_cold(&mut self, turn: &mut Turn<'_>, cause: ColdCause) {
         match cause {
-            ColdCause::ConnectionLost | ColdCause::Latency => self.ramp.restart(self.bound()),
-            ColdCause::Instance | ColdCause::Reachable | ColdCause::Returned => {
-                self.ramp.reset(self.bound());
+            ColdCause::ConnectionLost | ColdCause::Latency => self.ramp.restart(),
+            ColdCause::Instance | ColdCause::Returned | ColdCause::Unreachable => {
+                self.ramp.reset();
             }
         }
         self.latency.restart();
@@ -103,8 +107,8 @@
             ColdCause::ConnectionLost => counters.cold_connection_lost += 1,
             ColdCause::Instance => counters.cold_instance += 1,
             ColdCause::Latency => counters.cold_latency += 1,
-            ColdCause::Reachable => counters.cold_reachable += 1,
             ColdCause::Returned => counters.cold_returned += 1,
+            ColdCause::Unreachable => counters.cold_unreachable += 1,
         }
     }
 
@@ -117,26 +121,24 @@
         }
     }
 
-    /// Takes identity and versions from whatever was sent at `step`. A reply to
-    /// something sent to an earlier process says nothing about the present one.
-    fn learn_identity(&mut self, turn: &mut Turn<'_>, step: u64, reply: &TargetReply) {
-        if !self.ramp.is_current(step) {
-            if reply.instance.is_some() && reply.instance != self.instance {
-                self.prober.request(turn.now_us);
-            }
+    /// Takes identity and versions from a reply. One that is not current may come
+    /// from an earlier process; it counts only if it names one not seen before.
+    fn learn_identity(&mut self, turn: &mut Turn<'_>, is_current: bool, reply: &TargetReply) {
+        let changed = reply
+            .instance
+            .is_some_and(|it| self.instance.is_some_and(|known| known != it));
+        if !is_current && (!changed || reply.instance == self.replaced) {
             return;
         }
+        if changed {
+            self.replaced = self.instance;
+            self.turn_cold(turn, ColdCause::Instance);
+        }
+        self.instance = reply.instance.or(self.instance);
         if !reply.served.is_empty() {
             self.served.clone_from(&reply.served);
             self.served_us = Some(turn.now_us);
         }
-        let Some(instance) = reply.instance else {
-            return;
-        };
-        if self.instance.is_some_and(|known| known != instance) {
-            self.turn_cold(turn, ColdCause::Instance);
-        }
-        self.instance = Some(instance);
     }
 
     fn learn_outcome(&mut self, turn: &mut Turn<'_>, running: &Running, reply: &TargetReply) {
@@ -185,8 +187,7 @@
         if self.condition != Condition::Leaving {
             turn.counters.became_leaving += 1;
             self.condition = Condition::Leaving;
-            // A probe that is in flight may have been answered before the drain.
-            self.ramp.rebase();
+            self.prober.distrust();
         }
     }
 
@@ -200,7 +201,7 @@
         if self.condition != Condition::Unreachable {
             turn.counters.became_unreachable += 1;
             self.condition = Condition::Unreachable;
-            self.ramp.rebase();
+            self.turn_cold(turn, ColdCause::Unreachable);
         }
     }
 
@@ -209,13 +210,11 @@
     fn recover(&mut self, turn: &mut Turn<'_>, known_identity: bool) {
         let was = self.condition;
         self.condition = Condition::Usable;
-        match was {
-            Condition::Usable => {}
-            Condition::Leaving if known_identity => self.open_connections(turn),
-            Condition::Leaving | Condition::Unreachable => {
-                self.turn_cold(turn, ColdCause::Reachable);
-                self.open_connections(turn);
-            }
+        if was == Condition::Leaving && !known_identity {
+            self.turn_cold(turn, ColdCause::Instance);
+        }
+        if was != Condition::Usable {
+            self.open_connections(turn);
         }
     }
 }
