--- a/crates/burn/src/burn_report.rs
+++ b/crates/burn/src/burn_report.rs
@@ -1,12 +1,14 @@
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::BurnSample;
 use crate::ClassSample;
 use crate::Outcome;
 use crate::WindowSample;
-use serde::Deserialize;
-use serde::Serialize;
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
-use std::sync::Arc;
 
 /// Window pairs and thresholds in thousandths of the sustainable burn rate. Over a
 /// budget of 30 days, 14.4 for an hour spends 2% of it and 6 for six hours 5%; the
--- a/crates/burn/src/burn_sample.rs
+++ b/crates/burn/src/burn_sample.rs
@@ -1,7 +1,9 @@
-use crate::Outcome;
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
+
+use crate::Outcome;
 
 /// What a node serves at `GET /burn`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/burn/src/recorder.rs
+++ b/crates/burn/src/recorder.rs
@@ -1,3 +1,6 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use crate::BurnSample;
 use crate::ClassSample;
 use crate::Outcome;
@@ -6,8 +9,6 @@
 use crate::ring::Ring;
 use crate::ring::Spent;
 use crate::ring::WINDOWS_S;
-use std::collections::BTreeMap;
-use std::sync::Arc;
 use wigeonhall_types::Catalog;
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::Deployment;
--- a/crates/burn/src/report_text.rs
+++ b/crates/burn/src/report_text.rs
@@ -1,8 +1,9 @@
+use std::fmt::Display;
+use std::fmt::Formatter;
+
 use crate::BurnReport;
 use crate::ClassReport;
 use crate::WindowReport;
-use std::fmt::Display;
-use std::fmt::Formatter;
 
 /// Causes that the text lists per class; JSON holds all.
 const LISTED_CAUSES: usize = 8;
--- a/crates/burn/src/ring.rs
+++ b/crates/burn/src/ring.rs
@@ -1,6 +1,7 @@
-use crate::Outcome;
 use std::collections::BTreeMap;
 
+use crate::Outcome;
+
 /// Width of a bucket in seconds; a tenth of the shortest window.
 pub(crate) const BUCKET_S: u64 = 30;
 /// Windows of the burn rates in seconds, rising.
--- a/crates/burn/tests/report.rs
+++ b/crates/burn/tests/report.rs
@@ -1,6 +1,7 @@
 //! The report over the samples of many nodes.
 
 use std::sync::Arc;
+
 use wigeonhall_burn::BurnReport;
 use wigeonhall_burn::BurnSample;
 use wigeonhall_burn::ClassSample;
--- a/crates/burn/tests/windows.rs
+++ b/crates/burn/tests/windows.rs
@@ -1,6 +1,7 @@
 //! Counting over windows and its bounds.
 
 use std::sync::Arc;
+
 use wigeonhall_burn::BurnSample;
 use wigeonhall_burn::MAX_CAUSES;
 use wigeonhall_burn::MAX_CLASSES;
--- /dev/null
+++ b/crates/protocol/src/decision_trace.rs
@@ -0,0 +1,148 @@
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::Decision;
+use crate::Explanation;
+use crate::Subject;
+
+/// Longest text of a decision in bytes; the rest is cut off.
+const MAX_TEXT_BYTES: usize = 200;
+
+/// The newest decisions of one node, in bounded memory.
+///
+/// Decisions on requests and those on replicas alone have a list each, so that a
+/// burst of requests does not push out why a replica changed its state. An entry
+/// takes at most about 1 kB.
+#[derive(Clone, Debug)]
+pub struct DecisionTrace {
+    replicas: Ring,
+    requests: Ring,
+}
+
+#[derive(Clone, Debug)]
+struct Ring {
+    capacity: usize,
+    /// By rising time; at most `capacity`.
+    entries: VecDeque<Entry>,
+    forgotten: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    at_us: u64,
+    reason: Arc<str>,
+    replica: Option<Arc<str>>,
+    request: Option<Arc<str>>,
+    what: Arc<str>,
+}
+
+impl DecisionTrace {
+    /// A trace that holds this many decisions on requests, and on replicas.
+    #[must_use]
+    pub const fn new(request_capacity: usize, replica_capacity: usize) -> Self {
+        Self {
+            replicas: Ring::new(replica_capacity),
+            requests: Ring::new(request_capacity),
+        }
+    }
+
+    /// Records a decision on a request, and on a replica if one was concerned.
+    pub fn record_request(
+        &mut self,
+        now_us: u64,
+        request: &Arc<str>,
+        replica: Option<&Arc<str>>,
+        what: &str,
+        reason: &str,
+    ) {
+        self.requests.push(Entry {
+            at_us: now_us,
+            reason: cut(reason),
+            replica: replica.cloned(),
+            request: Some(cut_arc(request)),
+            what: cut(what),
+        });
+    }
+
+    /// Records a decision on a replica that no single request caused.
+    pub fn record_replica(&mut self, now_us: u64, replica: &Arc<str>, what: &str, reason: &str) {
+        self.replicas.push(Entry {
+            at_us: now_us,
+            reason: cut(reason),
+            replica: Some(Arc::clone(replica)),
+            request: None,
+            what: cut(what),
+        });
+    }
+
+    /// The decisions that are still held on this subject.
+    #[must_use]
+    pub fn explain(&self, now_us: u64, node: &Arc<str>, subject: &Subject) -> Explanation {
+        let (mut entries, forgotten) = match subject {
+            Subject::Replica(name) => (
+                matching(&self.replicas, |it| it.replica.as_ref() == Some(name))
+                    .chain(matching(&self.requests, |it| {
+                        it.replica.as_ref() == Some(name)
+                    }))
+                    .collect::<Vec<_>>(),
+                self.replicas.forgotten,
+            ),
+            Subject::Request(id) => {
+                let id = cut_arc(id);
+                let found = matching(&self.requests, |it| it.request.as_ref() == Some(&id));
+                (found.collect(), self.requests.forgotten)
+            }
+        };
+        entries.sort_by_key(|entry| entry.at_us);
+        Explanation {
+            decisions: entries.iter().map(|it| it.decision(now_us)).collect(),
+            forgotten,
+            node: Arc::clone(node),
+        }
+    }
+}
+
+impl Ring {
+    const fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            entries: VecDeque::new(),
+            forgotten: 0,
+        }
+    }
+
+    fn push(&mut self, entry: Entry) {
+        self.entries.push_back(entry);
+        if self.entries.len() > self.capacity {
+            self.entries.pop_front();
+            self.forgotten += 1;
+        }
+    }
+}
+
+impl Entry {
+    fn decision(&self, now_us: u64) -> Decision {
+        Decision {
+            age_us: now_us.saturating_sub(self.at_us),
+            reason: Arc::clone(&self.reason),
+            replica: self.replica.clone(),
+            request: self.request.clone(),
+            what: Arc::clone(&self.what),
+        }
+    }
+}
+
+fn matching(ring: &Ring, wanted: impl Fn(&Entry) -> bool) -> impl Iterator<Item = &Entry> {
+    ring.entries.iter().filter(move |entry| wanted(entry))
+}
+
+fn cut(text: &str) -> Arc<str> {
+    Arc::from(&text[..text.floor_char_boundary(MAX_TEXT_BYTES)])
+}
+
+fn cut_arc(text: &Arc<str>) -> Arc<str> {
+    if text.len() <= MAX_TEXT_BYTES {
+        return Arc::clone(text);
+    }
+    cut(text)
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,3 +1,8 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use crate::DeploymentText;
 use crate::Finding;
 use crate::SettingsError;
@@ -8,10 +13,6 @@
 use crate::nearest;
 use crate::reader::Reader;
 use crate::tree::Tree;
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
-use std::sync::Arc;
 
 /// Longest text in bytes; the object API takes values up to a megabyte.
 pub const MAX_TEXT_BYTES: usize = 1_000_000;
--- a/crates/settings/src/deployment_reader.rs
+++ b/crates/settings/src/deployment_reader.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use crate::ClassText;
 use crate::DataCentreText;
 use crate::DeploymentText;
@@ -14,7 +16,6 @@
 use crate::tree::Entry;
 use crate::tree::Item;
 use crate::tree::Tree;
-use std::sync::Arc;
 use wigeonhall_types::ClassKind;
 use wigeonhall_types::ServiceLevel;
 
--- a/crates/settings/src/deployment_text.rs
+++ b/crates/settings/src/deployment_text.rs
@@ -2,6 +2,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+
 use wigeonhall_types::ClassKind;
 use wigeonhall_types::ColdBound;
 use wigeonhall_types::ServiceLevel;
--- a/crates/settings/src/edit.rs
+++ b/crates/settings/src/edit.rs
@@ -1,3 +1,5 @@
+use serde_saphyr::Location;
+
 use crate::DeploymentText;
 use crate::SettingsError;
 use crate::nearest;
@@ -6,7 +8,6 @@
 use crate::tree::Entry;
 use crate::tree::Item;
 use crate::tree::Tree;
-use serde_saphyr::Location;
 
 /// What operators take out of service or return to it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -1,3 +1,6 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use crate::Finding;
 use crate::SettingsError;
 use crate::nearest;
@@ -7,8 +10,6 @@
 use crate::tree::Entry;
 use crate::tree::Item;
 use crate::tree::Tree;
-use std::net::SocketAddr;
-use std::sync::Arc;
 
 const KEYS: [&str; 10] = [
     "caller_address",
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -1,13 +1,14 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+
 use crate::Finding;
 use crate::Severity;
 use crate::nearest;
 use crate::tree::Entry;
 use crate::tree::Item;
 use crate::tree::Tree;
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::ops::RangeInclusive;
-use std::sync::Arc;
 
 /// Longest name in bytes; names are parts of object paths and metric labels.
 const MAX_NAME_BYTES: usize = 64;
--- a/crates/settings/src/resolve.rs
+++ b/crates/settings/src/resolve.rs
@@ -1,5 +1,6 @@
-use crate::DeploymentText;
 use std::collections::BTreeMap;
+
+use crate::DeploymentText;
 use wigeonhall_types::Catalog;
 use wigeonhall_types::DataCentre;
 use wigeonhall_types::Deployment;
--- a/crates/settings/src/settings_error.rs
+++ b/crates/settings/src/settings_error.rs
@@ -1,7 +1,8 @@
-use crate::Finding;
 use std::fmt::Display;
 use std::fmt::Formatter;
 
+use crate::Finding;
+
 /// Why a text was not accepted or not edited.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SettingsError {
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -1,5 +1,5 @@
-use crate::Finding;
-use crate::Severity;
+use std::fmt::Formatter;
+
 use serde::Deserialize;
 use serde::Deserializer;
 use serde::de::MapAccess;
@@ -7,7 +7,9 @@
 use serde::de::Visitor;
 use serde_saphyr::DuplicateKeyPolicy;
 use serde_saphyr::Spanned;
-use std::fmt::Formatter;
+
+use crate::Finding;
+use crate::Severity;
 
 /// A node of a YAML document with its place in the text.
 pub(crate) type Item = Spanned<Tree>;
--- a/crates/settings/tests/edit.rs
+++ b/crates/settings/tests/edit.rs
@@ -1,6 +1,7 @@
 //! Edits of the `out` flag in the operators' text.
 
 use std::fmt::Write;
+
 use wigeonhall_settings::Place;
 use wigeonhall_settings::SettingsError;
 use wigeonhall_settings::parse;
--- a/crates/settings/tests/examples.rs
+++ b/crates/settings/tests/examples.rs
@@ -2,6 +2,7 @@
 
 use std::fs::read_to_string;
 use std::path::Path;
+
 use wigeonhall_settings::check;
 use wigeonhall_settings::check_node;
 use wigeonhall_settings::parse;
--- a/crates/settings/tests/findings.rs
+++ b/crates/settings/tests/findings.rs
@@ -1,6 +1,7 @@
 //! Findings on broken texts.
 
 use std::fmt::Write;
+
 use wigeonhall_settings::Finding;
 use wigeonhall_settings::MAX_TEXT_BYTES;
 use wigeonhall_settings::SettingsError;
