Add the operators' command

Cause: operators apply the deployment text, look at the fleet and take data centres and VMs out of service and return them.

Change: binary wigeonhall with the commands check, apply, diff, history, status, out, in, explain, burn and completion. The commands are a library of functions over closures for store, nodes and time. apply makes one conditional update and settles a lost reply by the change id: it sends the same conditional update again while the object is unchanged, and looks into the history if another change was accepted since. For that, each change first writes the generation that it replaces to the history.

--- /dev/null
+++ b/crates/ctl/src/burn.rs
@@ -0,0 +1,56 @@
+use std::fmt::Write;
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use crate::Context;
+use crate::CtlError;
+use crate::MissingNode;
+use crate::Report;
+use crate::report::BURN_ALERT;
+use crate::report::DONE;
+use crate::report::NOT_EVERYWHERE;
+use wigeonhall_burn::BurnReport;
+use wigeonhall_burn::BurnSample;
+
+#[derive(Serialize)]
+struct Burn {
+    missing: Vec<MissingNode>,
+    #[serde(flatten)]
+    report: BurnReport,
+}
+
+/// Reports how fast each class spends its error budget, over all nodes.
+///
+/// # Errors
+///
+/// If neither the command line nor the store names the nodes.
+pub fn burn(context: &Context) -> Result<Report, CtlError> {
+    let nodes = context.find_nodes()?;
+    let answers = context.nodes.ask::<BurnSample>(&nodes, "/burn", &[]);
+    let mut missing = Vec::new();
+    let mut samples = Vec::new();
+    for (node, answer) in nodes.iter().zip(answers) {
+        match answer {
+            Ok(sample) => samples.push(sample),
+            Err(reason) => {
+                let name = Arc::clone(&node.name);
+                missing.push(MissingNode { name, reason });
+            }
+        }
+    }
+    let burn = Burn {
+        missing,
+        report: BurnReport::new(&samples),
+    };
+    let mut text = burn.report.to_string();
+    for node in &burn.missing {
+        let _ = writeln!(text, "no answer: {}: {}", node.name, node.reason);
+    }
+    let exit_code = match (burn.report.is_firing(), burn.missing.is_empty()) {
+        (true, _) => BURN_ALERT,
+        (false, true) => DONE,
+        (false, false) => NOT_EVERYWHERE,
+    };
+    Ok(Report::new(exit_code, &burn, text))
+}
--- /dev/null
+++ b/crates/ctl/src/difference.rs
@@ -0,0 +1,168 @@
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::fmt::Formatter;
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use wigeonhall_settings::ClassText;
+use wigeonhall_settings::DataCentreText;
+use wigeonhall_settings::DeploymentText;
+use wigeonhall_settings::ReplicaText;
+use wigeonhall_settings::VmText;
+
+/// One difference between two deployments.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "change")]
+pub enum Change {
+    /// Only the new text has it.
+    Added {
+        /// Kind and name.
+        entry: String,
+    },
+    /// A value differs.
+    Changed {
+        /// Kind and name.
+        entry: String,
+        /// Name of the value.
+        field: &'static str,
+        /// Old value.
+        from: String,
+        /// New value.
+        to: String,
+    },
+    /// Only the old text has it.
+    Removed {
+        /// Kind and name.
+        entry: String,
+    },
+}
+
+impl Display for Change {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Added { entry } => write!(f, "+ {entry}"),
+            Self::Changed {
+                entry,
+                field,
+                from,
+                to,
+            } => write!(f, "~ {entry}: {field} {from} -> {to}"),
+            Self::Removed { entry } => write!(f, "- {entry}"),
+        }
+    }
+}
+
+type Fields = Vec<(&'static str, String)>;
+
+/// What differs between two deployments, by kind and name.
+#[must_use]
+pub fn difference(old: &DeploymentText, new: &DeploymentText) -> Vec<Change> {
+    let mut changes = Vec::new();
+    compare(
+        "data centre",
+        &old.data_centres,
+        &new.data_centres,
+        data_centre,
+        &mut changes,
+    );
+    compare("class", &old.classes, &new.classes, class, &mut changes);
+    let services = |text: &DeploymentText| {
+        let names = text.services.iter();
+        names.map(|name| (Arc::clone(name), ())).collect()
+    };
+    let (old_services, new_services) = (services(old), services(new));
+    compare(
+        "service",
+        &old_services,
+        &new_services,
+        |()| Vec::new(),
+        &mut changes,
+    );
+    compare(
+        "replica",
+        &old.replicas,
+        &new.replicas,
+        replica,
+        &mut changes,
+    );
+    compare("VM", &old.vms, &new.vms, vm, &mut changes);
+    changes
+}
+
+fn compare<T>(
+    kind: &str,
+    old: &BTreeMap<Arc<str>, T>,
+    new: &BTreeMap<Arc<str>, T>,
+    fields: fn(&T) -> Fields,
+    changes: &mut Vec<Change>,
+) {
+    for (name, before) in old {
+        let entry = format!("{kind} {name}");
+        let Some(after) = new.get(name) else {
+            changes.push(Change::Removed { entry });
+            continue;
+        };
+        for ((field, from), (_, to)) in fields(before).into_iter().zip(fields(after)) {
+            if from != to {
+                changes.push(Change::Changed {
+                    entry: entry.clone(),
+                    field,
+                    from,
+                    to,
+                });
+            }
+        }
+    }
+    for name in new.keys().filter(|name| !old.contains_key(*name)) {
+        let entry = format!("{kind} {name}");
+        changes.push(Change::Added { entry });
+    }
+}
+
+fn class(it: &ClassText) -> Fields {
+    let services = it.depends_on.iter().map(AsRef::as_ref).collect::<Vec<_>>();
+    let kind = format!("{:?}", it.kind).to_lowercase();
+    vec![
+        ("deadline_ms", it.deadline_ms.to_string()),
+        ("depends_on", format!("[{}]", services.join(", "))),
+        ("kind", kind),
+        ("latency_ms", it.level.latency_ms.to_string()),
+        (
+            "objective",
+            (f64::from(it.level.objective_ppm) / 1e6).to_string(),
+        ),
+        ("slot_share_percent", it.slot_share_percent.to_string()),
+        ("weight", it.weight.to_string()),
+    ]
+}
+
+fn data_centre(it: &DataCentreText) -> Fields {
+    vec![
+        ("out", it.out.to_string()),
+        ("region", it.region.to_string()),
+    ]
+}
+
+fn replica(it: &ReplicaText) -> Fields {
+    vec![
+        ("address", it.address.to_string()),
+        ("cold.requests_per_s", it.cold.requests_per_s.to_string()),
+        ("cold.slots", it.cold.slots.to_string()),
+        ("connect_us", it.connect_us.to_string()),
+        ("connections", it.connections.to_string()),
+        ("data_centre", it.data_centre.to_string()),
+        ("out", it.out.to_string()),
+        ("service", it.service.to_string()),
+        ("slots", it.slots.to_string()),
+    ]
+}
+
+fn vm(it: &VmText) -> Fields {
+    vec![
+        ("caller_address", it.caller_address.to_string()),
+        ("data_centre", it.data_centre.to_string()),
+        ("node_address", it.node_address.to_string()),
+        ("out", it.out.to_string()),
+    ]
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,224 @@
 //! The operators' command.
 
-fn main() {}
+mod command;
+
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
+use std::io::Read;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::Duration;
+use std::time::Instant;
+
+use bpaf::Args;
+use bpaf::ParseFailure;
+
+use crate::command::ChangeOptions;
+use crate::command::Command;
+use crate::command::Connection;
+use crate::command::PlaceOption;
+use crate::command::Shell;
+use crate::command::SubjectOption;
+use crate::command::TextFile;
+use crate::command::command;
+use wigeonhall_ctl::Context;
+use wigeonhall_ctl::CtlError;
+use wigeonhall_ctl::Patience;
+use wigeonhall_ctl::Report;
+use wigeonhall_ctl::Store;
+use wigeonhall_ctl::apply;
+use wigeonhall_ctl::burn;
+use wigeonhall_ctl::check_text;
+use wigeonhall_ctl::diff;
+use wigeonhall_ctl::evacuate;
+use wigeonhall_ctl::explain;
+use wigeonhall_ctl::history;
+use wigeonhall_ctl::http_nodes;
+use wigeonhall_ctl::set_place;
+use wigeonhall_ctl::show;
+use wigeonhall_ctl::status;
+use wigeonhall_platform::ObjectApi;
+use wigeonhall_protocol::Subject;
+use wigeonhall_settings::Place;
+
+/// Between two tries of a wait.
+const PAUSE: Duration = Duration::from_millis(200);
+
+fn main() -> ExitCode {
+    let command = command().run();
+    let json = is_json(&command);
+    match run(command) {
+        Ok(report) if json => {
+            println!("{:#}", report.json);
+            report.exit_code.into()
+        }
+        Ok(report) => {
+            print!("{}", report.text);
+            report.exit_code.into()
+        }
+        Err(error) => {
+            let exit_code = error.exit_code();
+            if json {
+                let text = error.to_string();
+                let value = serde_json::json!({ "error": text, "exit_code": exit_code });
+                println!("{value:#}");
+            } else {
+                eprintln!("{error}");
+            }
+            exit_code.into()
+        }
+    }
+}
+
+fn is_json(command: &Command) -> bool {
+    match command {
+        Command::Apply { connection, .. }
+        | Command::Burn { connection }
+        | Command::Diff { connection, .. }
+        | Command::Explain { connection, .. }
+        | Command::History { connection, .. }
+        | Command::In { connection, .. }
+        | Command::Out { connection, .. }
+        | Command::Status { connection } => connection.json,
+        Command::Check { json, .. } => *json,
+        Command::Completion { .. } => false,
+    }
+}
+
+fn run(command: Command) -> Result<Report, CtlError> {
+    match command {
+        Command::Apply {
+            connection,
+            change,
+            file,
+        } => {
+            let text = read(&file)?;
+            Ok(apply(&context(&connection, Some(&change)), &text)?.report())
+        }
+        Command::Burn { connection } => burn(&context(&connection, None)),
+        Command::Check { node, file, .. } => Ok(check_text(&read(&file)?, node)),
+        Command::Completion { shell } => Ok(completion(shell)),
+        Command::Diff {
+            connection,
+            generation,
+            file,
+        } => diff(&context(&connection, None), &read(&file)?, generation),
+        Command::Explain {
+            connection,
+            subject,
+        } => explain(&context(&connection, None), &subject_of(subject)),
+        Command::History {
+            connection,
+            limit,
+            generation,
+        } => {
+            let context = context(&connection, None);
+            generation.map_or_else(|| history(&context, limit), |it| show(&context, it))
+        }
+        Command::In {
+            connection,
+            change,
+            place,
+        } => {
+            let context = context(&connection, Some(&change));
+            Ok(set_place(&context, place_of(&place), false)?.report())
+        }
+        Command::Out {
+            connection,
+            change,
+            without_store,
+            place,
+        } => {
+            let context = context(&connection, Some(&change));
+            if without_store {
+                return evacuate(&context, place_of(&place));
+            }
+            Ok(set_place(&context, place_of(&place), true)?.report())
+        }
+        Command::Status { connection } => status(&context(&connection, None)),
+    }
+}
+
+fn context(connection: &Connection, change: Option<&ChangeOptions>) -> Context {
+    let api = connection
+        .store
+        .map(|address| ObjectApi::new(address, connection.timeout_ms));
+    let json = connection.json;
+    let nodes = connection.nodes.as_ref();
+    Context {
+        author: Arc::from(change.map_or("", |change| &change.author)),
+        new_id: Box::new(random_id),
+        node_addresses: nodes.map_or_else(Vec::new, |list| list.0.clone()),
+        nodes: http_nodes(connection.timeout_ms),
+        patience: patience(change.map_or(0, |change| change.wait_s)),
+        say: Box::new(move |line| {
+            if !json {
+                println!("{line}");
+            }
+        }),
+        store: api.as_ref().map(Store::over),
+    }
+}
+
+fn patience(wait_s: u64) -> Patience {
+    Box::new(move || {
+        let end = Instant::now() + Duration::from_secs(wait_s);
+        Box::new(move || {
+            sleep(PAUSE);
+            Instant::now() < end
+        })
+    })
+}
+
+/// 128 bits in hexadecimal; the standard library seeds its hashers from the system's
+/// source of randomness.
+fn random_id() -> Arc<str> {
+    let half = || RandomState::new().hash_one(std::process::id());
+    Arc::from(format!("{:016x}{:016x}", half(), half()))
+}
+
+fn read(file: &TextFile) -> Result<String, CtlError> {
+    let text = if file.path == "-" {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).map(|_| text)
+    } else {
+        std::fs::read_to_string(&file.path)
+    };
+    text.map_err(|error| CtlError::File {
+        path: file.path.clone(),
+        reason: error.to_string(),
+    })
+}
+
+fn place_of(place: &PlaceOption) -> Place<'_> {
+    match place {
+        PlaceOption::DataCentre { data_centre } => Place::DataCentre(data_centre),
+        PlaceOption::Vm { vm } => Place::Vm(vm),
+    }
+}
+
+fn subject_of(subject: SubjectOption) -> Subject {
+    match subject {
+        SubjectOption::Replica { replica } => Subject::Replica(Arc::from(replica)),
+        SubjectOption::Request { request } => Subject::Request(Arc::from(request)),
+    }
+}
+
+fn completion(shell: Shell) -> Report {
+    let flag: &[&str] = match shell {
+        Shell::Bash => &["--bpaf-complete-style-bash"],
+        Shell::Elvish => &["--bpaf-complete-style-elvish"],
+        Shell::Fish => &["--bpaf-complete-style-fish"],
+        Shell::Zsh => &["--bpaf-complete-style-zsh"],
+    };
+    let text = match command().run_inner(Args::from(flag).set_name("wigeonhall")) {
+        Err(ParseFailure::Completion(script)) => script,
+        _ => String::new(),
+    };
+    Report {
+        exit_code: 0,
+        json: serde_json::Value::Null,
+        text,
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/report.rs
@@ -0,0 +1,32 @@
+use serde::Serialize;
+use serde_json::Value;
+
+/// Result of a command.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Exit code.
+    pub exit_code: u8,
+    /// For programs.
+    pub json: Value,
+    /// For people.
+    pub text: String,
+}
+
+/// Exit code of a command that did what it was asked.
+pub(crate) const DONE: u8 = 0;
+/// Exit code if a text has errors.
+pub(crate) const REJECTED: u8 = 2;
+/// Exit code if a node is missing, behind or not ready.
+pub(crate) const NOT_EVERYWHERE: u8 = 4;
+/// Exit code if an alert on service-level burn fires.
+pub(crate) const BURN_ALERT: u8 = 7;
+
+impl Report {
+    pub(crate) fn new(exit_code: u8, value: &impl Serialize, text: String) -> Self {
+        Self {
+            exit_code,
+            json: serde_json::to_value(value).unwrap_or_default(),
+            text,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/status.rs
@@ -0,0 +1,176 @@
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use crate::Context;
+use crate::CtlError;
+use crate::MissingNode;
+use crate::Report;
+use crate::overrides::describe;
+use crate::report::DONE;
+use crate::report::NOT_EVERYWHERE;
+use wigeonhall_fleet::EvacuationOverride;
+use wigeonhall_protocol::MemberState;
+use wigeonhall_protocol::NodeStatus;
+use wigeonhall_protocol::ReplicaStatus;
+use wigeonhall_types::ReplicaState;
+
+#[derive(Serialize)]
+struct Fleet {
+    missing: Vec<MissingNode>,
+    nodes: Vec<NodeStatus>,
+}
+
+/// Shows the state of every node, and the replicas that do not work as usual.
+///
+/// # Errors
+///
+/// If neither the command line nor the store names the nodes.
+pub fn status(context: &Context) -> Result<Report, CtlError> {
+    let nodes = context.find_nodes()?;
+    let answers = context.nodes.ask::<NodeStatus>(&nodes, "/status", &[]);
+    let mut fleet = Fleet {
+        missing: Vec::new(),
+        nodes: Vec::new(),
+    };
+    for (node, answer) in nodes.iter().zip(answers) {
+        match answer {
+            Ok(status) => fleet.nodes.push(status),
+            Err(reason) => {
+                let name = Arc::clone(&node.name);
+                fleet.missing.push(MissingNode { name, reason });
+            }
+        }
+    }
+    let newest = fleet.nodes.iter().map(|node| node.generation).max();
+    let usual = |node: &NodeStatus| node.not_ready.is_none() && Some(node.generation) == newest;
+    let exit_code = if fleet.missing.is_empty() && fleet.nodes.iter().all(usual) {
+        DONE
+    } else {
+        NOT_EVERYWHERE
+    };
+    Ok(Report::new(exit_code, &fleet, text_of(&fleet)))
+}
+
+fn text_of(fleet: &Fleet) -> String {
+    let mut text = format!(
+        "{:<20}  {:<16}  {:>10}  {:>8}  {:>7}  {:>7}  state\n",
+        "node", "data centre", "generation", "replicas", "running", "waiting"
+    );
+    for node in &fleet.nodes {
+        let sum = |count: fn(&ReplicaStatus) -> u32| node.replicas.iter().map(count).sum::<u32>();
+        let _ = writeln!(
+            text,
+            "{:<20}  {:<16}  {:>10}  {:>8}  {:>7}  {:>7}  {}",
+            node.name,
+            node.data_centre,
+            node.generation,
+            node.replicas.len(),
+            sum(|it| it.running),
+            sum(|it| it.waiting),
+            node.not_ready.as_deref().unwrap_or("ready")
+        );
+    }
+    for node in &fleet.missing {
+        let _ = writeln!(text, "{:<20}  no answer: {}", node.name, node.reason);
+    }
+    write_replicas(&mut text, fleet);
+    write_suspicions(&mut text, fleet);
+    write_overrides(&mut text, fleet);
+    text
+}
+
+fn write_replicas(text: &mut String, fleet: &Fleet) {
+    let owned = fleet.nodes.iter();
+    let mut unusual = owned
+        .flat_map(|node| node.replicas.iter().map(move |it| (it, &node.name)))
+        .filter(|(it, _)| it.state != ReplicaState::Warm || it.waiting > 0)
+        .collect::<Vec<_>>();
+    if unusual.is_empty() {
+        return;
+    }
+    unusual.sort_by_key(|(it, node)| (&it.name, *node));
+    let _ = writeln!(text, "\nreplicas that are not warm or have work waiting:");
+    for (it, node) in unusual {
+        let _ = writeln!(
+            text,
+            "  {}: {}{}, {} of {} slots used, {} allowed, {} waiting, {} ms expected wait, \
+             owned by {node}",
+            it.name,
+            state_name(it.state),
+            it.reason
+                .as_ref()
+                .map_or_else(String::new, |why| format!(" ({why})")),
+            it.running,
+            it.slots,
+            it.allowance,
+            it.waiting,
+            it.expected_wait_us.div_ceil(1_000)
+        );
+    }
+}
+
+const fn state_name(state: ReplicaState) -> &'static str {
+    match state {
+        ReplicaState::Cold => "cold",
+        ReplicaState::Leaving => "leaving",
+        ReplicaState::Out => "out",
+        ReplicaState::Unreachable => "unreachable",
+        ReplicaState::Warm => "warm",
+    }
+}
+
+fn write_suspicions(text: &mut String, fleet: &Fleet) {
+    let mut believed = BTreeMap::<_, Vec<&str>>::new();
+    for node in &fleet.nodes {
+        for member in node
+            .members
+            .iter()
+            .filter(|it| it.state != MemberState::Alive)
+        {
+            let key = (&member.name, member.state);
+            believed.entry(key).or_default().push(&node.name);
+        }
+    }
+    if believed.is_empty() {
+        return;
+    }
+    let _ = writeln!(text, "\nmembers that are not alive:");
+    for ((name, state), by) in believed {
+        let state = match state {
+            MemberState::Alive => "alive",
+            MemberState::Dead => "dead",
+            MemberState::Leaving => "leaving",
+            MemberState::Suspect => "suspect",
+        };
+        let _ = writeln!(
+            text,
+            "  {name}: {state}, say {} nodes: {}",
+            by.len(),
+            by.join(", ")
+        );
+    }
+}
+
+fn write_overrides(text: &mut String, fleet: &Fleet) {
+    let mut known = BTreeMap::<&EvacuationOverride, usize>::new();
+    for it in fleet.nodes.iter().flat_map(|node| &node.overrides) {
+        *known.entry(it).or_default() += 1;
+    }
+    if known.is_empty() {
+        return;
+    }
+    let _ = writeln!(text, "\nevacuations without the store:");
+    for (it, count) in known {
+        let _ = writeln!(
+            text,
+            "  {} by {}, change {}, on {count} of {} nodes",
+            describe(it),
+            it.author,
+            it.change_id,
+            fleet.nodes.len()
+        );
+    }
+}
