Test the operators' command over fakes and loopback HTTP

Cause: apply must tell truthfully whether a change was accepted, also when replies are lost or operators race, and a text edited from an older generation must not revert a later change unnoticed.

Change: tests of apply, out, in, evacuation, status, explain, burn and check over an in-memory store, and of the HTTP calls over loopback. apply takes the generation that the text was edited from (--base). history listed the newest generation only, because it skipped every older one; the test found it.

--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -60,15 +60,27 @@
 
 /// Makes `text` the accepted configuration and waits until every node reports it.
 ///
+/// With `base`, the generation that the text was edited from, the text does not replace
+/// a later one.
+///
 /// # Errors
 ///
 /// - [`CtlError::Settings`] if the text has errors.
 /// - [`CtlError::Conflict`] if another change was accepted first.
 /// - [`CtlError::Unsettled`] if the outcome cannot be told.
 /// - [`CtlError::Store`] if nothing was changed for another reason.
-pub fn apply(context: &Context, text: &str) -> Result<Applied, CtlError> {
+pub fn apply(context: &Context, text: &str, base: Option<u64>) -> Result<Applied, CtlError> {
     let deployment = parse(text)?;
     let current = read(context.store()?)?;
+    if let (Some(base), Some(current)) = (base, &current)
+        && current.record.generation != base
+    {
+        return Err(CtlError::Conflict {
+            author: Arc::clone(&current.record.author),
+            change_id: Arc::clone(&current.record.change_id),
+            generation: current.record.generation,
+        });
+    }
     let draft = Draft {
         content: deployment,
         current,
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -21,6 +21,9 @@
         connection: Connection,
         #[bpaf(external(change_options))]
         change: ChangeOptions,
+        /// Generation that the text was edited from; a later one is not replaced
+        #[bpaf(argument("GENERATION"))]
+        base: Option<u64>,
         #[bpaf(external(text_file))]
         file: TextFile,
     },
--- a/crates/ctl/src/history.rs
+++ b/crates/ctl/src/history.rs
@@ -53,7 +53,7 @@
         if entries.len() >= limit {
             break;
         }
-        if entries.iter().any(|it| it.generation >= generation) {
+        if entries.iter().any(|it| it.generation == generation) {
             continue;
         }
         let path = path_of(generation);
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -91,10 +91,12 @@
         Command::Apply {
             connection,
             change,
+            base,
             file,
         } => {
             let text = read(&file)?;
-            Ok(apply(&context(&connection, Some(&change)), &text)?.report())
+            let context = context(&connection, Some(&change));
+            Ok(apply(&context, &text, base)?.report())
         }
         Command::Burn { connection } => burn(&context(&connection, None)),
         Command::Check { node, file, .. } => Ok(check_text(&read(&file)?, node)),
--- /dev/null
+++ b/crates/ctl/tests/fake/mod.rs
@@ -0,0 +1,294 @@
+//! An in-memory store and nodes behind the closures of a command's context.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use wigeonhall_ctl::Context;
+use wigeonhall_ctl::Nodes;
+use wigeonhall_ctl::Store;
+use wigeonhall_fleet::EvacuationOverride;
+use wigeonhall_platform::ObjectHead;
+use wigeonhall_platform::PlatformError;
+use wigeonhall_platform::PutOutcome;
+use wigeonhall_platform::StoredObject;
+use wigeonhall_protocol::CURRENT_PATH;
+use wigeonhall_protocol::NodeStatus;
+use wigeonhall_protocol::StoredConfig;
+
+pub const TEXT: &str = "\
+region: demo
+defaults: { slots: 2, connections: 3, connect_us: 0, cold: { slots: 1, requests_per_s: 1 } }
+data_centres:
+  north:  # the first one
+  south:
+services:
+  search:
+    kind: read
+    depends_on: [shard]
+    deadline_ms: 100
+    level: { latency_ms: 50, objective: 0.9 }
+  shard:
+    replicas:
+      a: north 127.0.0.1:1
+      b: south 127.0.0.1:2
+vms:
+  n-1: north 127.0.0.1:11 127.0.0.1:21
+  s-1: south 127.0.0.1:12 127.0.0.1:22
+";
+
+/// What happens to the next conditional update of `config/current`.
+pub enum PutFate {
+    /// Runs this first, as another operator would.
+    After(Box<dyn FnOnce(&Fake) + Send>),
+    /// Runs this first, as another operator would; the reply is lost.
+    LostAfter(Box<dyn FnOnce(&Fake) + Send>),
+    /// Takes effect only after the next read; the reply is lost.
+    Late,
+    /// Is lost before it takes effect.
+    RequestLost,
+    /// Takes effect; the reply is lost.
+    ReplyLost,
+    /// Takes effect, then this runs; the reply is lost.
+    ReplyLostThen(Box<dyn FnOnce(&Fake) + Send>),
+    /// Takes effect, the reply is lost and the store goes down.
+    ReplyLostThenDown,
+}
+
+#[derive(Default)]
+pub struct State {
+    pub answers: BTreeMap<(SocketAddr, String), String>,
+    pub deaf: Vec<SocketAddr>,
+    pub down: bool,
+    pub fates: VecDeque<PutFate>,
+    pub history_fails: bool,
+    pub late: Vec<(u64, String)>,
+    pub objects: BTreeMap<String, StoredObject>,
+    pub overrides: Vec<EvacuationOverride>,
+    pub puts: u32,
+    pub said: Vec<String>,
+    pub version: u64,
+}
+
+/// Store, nodes and operators of one test; clones share their state.
+#[derive(Clone, Default)]
+pub struct Fake {
+    state: Arc<Mutex<State>>,
+}
+
+impl Fake {
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    /// The context of an operator whose change ids are `<author>-1` and so on.
+    pub fn operator(&self, author: &str) -> Context {
+        let ids = Mutex::new(0);
+        let id_author = author.to_owned();
+        let said = self.clone();
+        Context {
+            author: Arc::from(author),
+            new_id: Box::new(move || {
+                let mut last = ids.lock().unwrap();
+                *last += 1;
+                Arc::from(format!("{id_author}-{last}"))
+            }),
+            node_addresses: Vec::new(),
+            nodes: self.nodes(),
+            patience: Box::new(|| {
+                let mut tries = 3;
+                Box::new(move || {
+                    tries -= 1;
+                    tries > 0
+                })
+            }),
+            say: Box::new(move |line| said.state().said.push(line.to_owned())),
+            store: Some(self.store()),
+        }
+    }
+
+    fn nodes(&self) -> Nodes {
+        let (get, post) = (self.clone(), self.clone());
+        Nodes {
+            get: Box::new(move |address, path, params| get.node_get(address, path, params)),
+            post: Box::new(move |address, path, body| {
+                if get_deaf(&post, address) {
+                    return Err("connection refused".into());
+                }
+                assert_eq!(path, "/evacuate");
+                let order = serde_json::from_str(body).unwrap();
+                post.state().overrides.push(order);
+                Ok(String::new())
+            }),
+        }
+    }
+
+    fn node_get(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        params: &[(&str, &str)],
+    ) -> Result<String, String> {
+        if get_deaf(self, address) {
+            return Err("connection refused".into());
+        }
+        let params = params.iter().map(|(key, value)| format!("?{key}={value}"));
+        let path = format!("{path}{}", params.collect::<String>());
+        if let Some(answer) = self.state().answers.get(&(address, path)) {
+            return Ok(answer.clone());
+        }
+        Ok(serde_json::to_string(&self.node_status(address)).unwrap())
+    }
+
+    /// Nodes have the accepted generation in force at once.
+    fn node_status(&self, address: SocketAddr) -> NodeStatus {
+        let current = self.current();
+        let contains = current
+            .as_ref()
+            .map_or(Vec::new(), |(it, _)| it.contains.clone());
+        let state = self.state();
+        let open = state.overrides.iter();
+        NodeStatus {
+            boot: Arc::from("1f"),
+            change_id: current.as_ref().map(|(it, _)| Arc::clone(&it.change_id)),
+            data_centre: Arc::from("north"),
+            generation: current.map_or(0, |(_, version)| version),
+            members: Vec::new(),
+            name: Arc::from(address.to_string()),
+            not_ready: None,
+            overrides: open
+                .filter(|it| !contains.contains(&it.change_id))
+                .cloned()
+                .collect(),
+            replicas: Vec::new(),
+        }
+    }
+
+    /// The accepted configuration and its generation.
+    pub fn current(&self) -> Option<(StoredConfig, u64)> {
+        let state = self.state();
+        let object = state.objects.get(CURRENT_PATH)?;
+        Some((serde_json::from_str(&object.value).unwrap(), object.version))
+    }
+
+    /// Generations in the history and the change id of each.
+    pub fn kept(&self) -> Vec<String> {
+        let state = self.state();
+        let kept = state
+            .objects
+            .iter()
+            .filter(|(path, _)| path.starts_with("config/history/"));
+        kept.map(|(path, object)| {
+            let config = serde_json::from_str::<StoredConfig>(&object.value).unwrap();
+            format!("{path} {}", config.change_id)
+        })
+        .collect()
+    }
+
+    fn store(&self) -> Store {
+        let (delete, get, list, put) = (self.clone(), self.clone(), self.clone(), self.clone());
+        Store {
+            delete: Box::new(move |path, _| {
+                delete.state().objects.remove(path);
+                Ok(PutOutcome::Stored { version: 0 })
+            }),
+            get: Box::new(move |path| get.read(path)),
+            list: Box::new(move |prefix| list.list(prefix)),
+            put: Box::new(move |path, expected, value| put.put(path, expected, value)),
+        }
+    }
+
+    fn read(&self, path: &str) -> Result<Option<StoredObject>, PlatformError> {
+        if self.state().down {
+            return Err(not_sent());
+        }
+        let object = self.state().objects.get(path).cloned();
+        let late = std::mem::take(&mut self.state().late);
+        for (expected, value) in late {
+            self.set(CURRENT_PATH, expected, &value);
+        }
+        Ok(object)
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<ObjectHead>, PlatformError> {
+        let state = self.state();
+        if state.down {
+            return Err(not_sent());
+        }
+        let found = state
+            .objects
+            .iter()
+            .filter(|(path, _)| path.starts_with(prefix));
+        Ok(found
+            .map(|(path, object)| ObjectHead {
+                path: Arc::from(path.as_str()),
+                version: object.version,
+            })
+            .collect())
+    }
+
+    fn put(&self, path: &str, expected: u64, value: &str) -> Result<PutOutcome, PlatformError> {
+        if self.state().down || (path != CURRENT_PATH && self.state().history_fails) {
+            return Err(not_sent());
+        }
+        if path != CURRENT_PATH {
+            return Ok(self.set(path, expected, value));
+        }
+        self.state().puts += 1;
+        let fate = self.state().fates.pop_front();
+        match fate {
+            None => return Ok(self.set(path, expected, value)),
+            Some(PutFate::After(other)) => {
+                other(self);
+                return Ok(self.set(path, expected, value));
+            }
+            Some(PutFate::LostAfter(other)) => {
+                other(self);
+                self.set(path, expected, value);
+            }
+            Some(PutFate::Late) => self.state().late.push((expected, value.to_owned())),
+            Some(PutFate::RequestLost) => {}
+            Some(PutFate::ReplyLost) => drop(self.set(path, expected, value)),
+            Some(PutFate::ReplyLostThen(other)) => {
+                self.set(path, expected, value);
+                other(self);
+            }
+            Some(PutFate::ReplyLostThenDown) => {
+                self.set(path, expected, value);
+                self.state().down = true;
+            }
+        }
+        Err(PlatformError::ReplyLost {
+            reason: "timed out".into(),
+        })
+    }
+
+    fn set(&self, path: &str, expected: u64, value: &str) -> PutOutcome {
+        let mut state = self.state();
+        let object = state.objects.get(path).cloned();
+        if object.as_ref().map_or(0, |it| it.version) != expected {
+            return PutOutcome::Conflict(object);
+        }
+        state.version += 1;
+        let version = state.version;
+        let value = Arc::from(value);
+        state
+            .objects
+            .insert(path.to_owned(), StoredObject { value, version });
+        PutOutcome::Stored { version }
+    }
+}
+
+fn get_deaf(fake: &Fake, address: SocketAddr) -> bool {
+    fake.state().deaf.contains(&address)
+}
+
+fn not_sent() -> PlatformError {
+    PlatformError::NotSent {
+        reason: "connection refused".into(),
+    }
+}
