Test the deployment text with random mutations

Cause: operators' texts break in ways that no list of cases holds.

Change: 500 texts mutated from the demo deployment by fixed seeds are checked and edited: no panic, every rejection has a finding within the text, and an edit sets its flag only.

--- /dev/null
+++ b/crates/settings/tests/mutations.rs
@@ -0,0 +1,97 @@
+//! Texts broken at random, from fixed seeds.
+
+use wigeonhall_settings::Finding;
+use wigeonhall_settings::Place;
+use wigeonhall_settings::SettingsError;
+use wigeonhall_settings::check;
+use wigeonhall_settings::parse;
+use wigeonhall_settings::set_out;
+
+const DEMO: &str = include_str!("../../../examples/demo.yaml");
+const CASES: u64 = 500;
+/// Pieces that change the structure of a text.
+const PIECES: [&str; 12] = [
+    ":", "{", "}", "[", "- ", "#", "\n", "  ", "&a ", "*a", "out", "\"",
+];
+
+/// The splitmix64 generator.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, limit: usize) -> usize {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (mixed ^ (mixed >> 31)) as usize % limit
+    }
+}
+
+fn mutated(random: &mut Random) -> String {
+    let mut lines = DEMO.lines().map(str::to_owned).collect::<Vec<_>>();
+    for _ in 0..=random.below(3) {
+        let at = random.below(lines.len());
+        let other = random.below(lines.len());
+        match random.below(4) {
+            0 => drop(lines.remove(at)),
+            1 => lines.insert(at, lines[other].clone()),
+            2 => lines.swap(at, other),
+            _ => {
+                let column = random.below(lines[at].len() + 1);
+                lines[at].insert_str(column, PIECES[random.below(PIECES.len())]);
+            }
+        }
+    }
+    lines.join("\n")
+}
+
+/// Guards against a panic on a text of any form, against a text that is rejected without
+/// a finding or accepted with an error, and against lines outside the text.
+#[test]
+fn every_rejection_has_a_finding() {
+    let mut accepted = 0;
+    for seed in 0..CASES {
+        let text = mutated(&mut Random(seed));
+        let findings = check(&text);
+        let rejected = findings.iter().any(Finding::is_error);
+        assert_eq!(parse(&text).is_err(), rejected, "seed {seed}");
+        let last = text.lines().count() as u64 + 1;
+        assert!(findings.iter().all(|it| it.line <= last), "seed {seed}");
+        accepted += u64::from(!rejected);
+    }
+    // Both outcomes must occur often, or the mutations test nothing.
+    assert!(
+        accepted > CASES / 20 && accepted < CASES - CASES / 20,
+        "{accepted}"
+    );
+}
+
+/// Guards against an edit that changes more than the flag, or that cannot be undone.
+#[test]
+fn an_edit_sets_the_flag_or_fails() {
+    let mut edited = 0;
+    for seed in 0..CASES {
+        let text = mutated(&mut Random(seed));
+        let Ok(before) = parse(&text) else {
+            continue;
+        };
+        let out = match set_out(&text, Place::DataCentre("north"), true) {
+            Ok(out) => out,
+            Err(SettingsError::UnknownName { .. } | SettingsError::EditUnsupported { .. }) => {
+                continue;
+            }
+            Err(error) => panic!("seed {seed}: {error}"),
+        };
+        let mut after = parse(&out).unwrap();
+        assert!(after.data_centres["north"].out, "seed {seed}");
+        after.data_centres.get_mut("north").unwrap().out = before.data_centres["north"].out;
+        assert_eq!(before, after, "seed {seed}");
+        let back = set_out(&out, Place::DataCentre("north"), false).unwrap();
+        assert!(
+            !parse(&back).unwrap().data_centres["north"].out,
+            "seed {seed}"
+        );
+        edited += 1;
+    }
+    assert!(edited > CASES / 20, "{edited}");
+}
