--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,25 +1,41 @@
-//! The tarpc service between nodes and its message types.
+//! The tarpc service between nodes and its message types, and the forms that the
+//! operators' command reads.
 //!
 //! Messages carry names instead of keys, and durations instead of clock
 //! readings, because keys and clocks differ between processes. The transport is
 //! TCP with bincode frames; a frame that does not decode closes the connection.
 
 mod connection;
+mod decision_trace;
+mod explanation;
 mod hand_over_message;
 mod incoming;
 mod named_report;
+mod node_status;
 mod protocol_error;
 mod server;
 mod service;
+mod stored_config;
 mod submit_message;
 
 pub use connection::Connection;
+pub use decision_trace::DecisionTrace;
+pub use explanation::Decision;
+pub use explanation::Explanation;
+pub use explanation::Subject;
 pub use hand_over_message::HandOverMessage;
 pub use incoming::Incoming;
 pub use named_report::NamedReport;
+pub use node_status::MemberState;
+pub use node_status::MemberStatus;
+pub use node_status::NodeStatus;
+pub use node_status::ReplicaStatus;
 pub use protocol_error::ProtocolError;
 pub use server::serve;
 pub use service::NodeService;
 pub use service::NodeServiceClient;
+pub use stored_config::CURRENT_PATH;
+pub use stored_config::HISTORY_PREFIX;
+pub use stored_config::StoredConfig;
 pub use submit_message::SubmitMessage;
 pub use submit_message::SubmitReply;
