Add the node and the demonstration

Cause: the cores, the clients and the protocol need a process that serves callers; a new user needs one command that shows it.

Change: the node (HTTP front, decision thread, calls to peers, store and targets, metrics, planned stop) and `wigeonhall demo`, which runs three nodes and 16 stand-in targets in one process.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -50,6 +50,12 @@
         #[bpaf(positional("SHELL"))]
         shell: Shell,
     },
+    /// Start stand-ins and a small fleet in this process and send queries
+    #[bpaf(command)]
+    Demo {
+        /// Print the result as JSON
+        json: bool,
+    },
     /// List what a text would change
     #[bpaf(command)]
     Diff {
--- a/crates/ctl/src/ctl_error.rs
+++ b/crates/ctl/src/ctl_error.rs
@@ -24,6 +24,8 @@
         /// Generation of the other change.
         generation: u64,
     },
+    /// The demonstration ended early.
+    Demo(String),
     /// A file cannot be read.
     File {
         /// The file.
@@ -62,6 +64,7 @@
             Self::Settings(_) => 2,
             Self::Conflict { .. } => 3,
             Self::BadRecord { .. }
+            | Self::Demo(_)
             | Self::File { .. }
             | Self::NoConfiguration
             | Self::NoGeneration(_)
@@ -89,6 +92,7 @@
                 "nothing was written: generation {generation} by {author} (change {change_id}) \
                  was accepted first; look at it with `wigeonhall diff` and apply again"
             ),
+            Self::Demo(reason) => write!(f, "demonstration: {reason}"),
             Self::File { path, reason } => write!(f, "cannot read {path}: {reason}"),
             Self::NoConfiguration => write!(f, "the store holds no configuration yet"),
             Self::NoGeneration(generation) => {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -30,6 +30,7 @@
 use wigeonhall_ctl::apply;
 use wigeonhall_ctl::burn;
 use wigeonhall_ctl::check_text;
+use wigeonhall_ctl::demo;
 use wigeonhall_ctl::diff;
 use wigeonhall_ctl::evacuate;
 use wigeonhall_ctl::explain;
@@ -81,7 +82,7 @@
         | Command::In { connection, .. }
         | Command::Out { connection, .. }
         | Command::Status { connection } => connection.json,
-        Command::Check { json, .. } => *json,
+        Command::Check { json, .. } | Command::Demo { json } => *json,
         Command::Completion { .. } => false,
     }
 }
@@ -101,6 +102,7 @@
         Command::Burn { connection } => burn(&context(&connection, None)),
         Command::Check { node, file, .. } => Ok(check_text(&read(&file)?, node)),
         Command::Completion { shell } => Ok(completion(shell)),
+        Command::Demo { .. } => demo().map_err(|error| CtlError::Demo(error.to_string())),
         Command::Diff {
             connection,
             generation,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod fleet_counters;
 mod fleet_event;
 mod gossip_message;
+mod inspect;
 mod lease;
 mod limits;
 mod member_update;
@@ -40,6 +41,7 @@
 pub use gossip_message::GossipMessage;
 pub use gossip_message::PullItem;
 pub use gossip_message::TableRecord;
+pub use inspect::MemberView;
 pub use member_update::MemberState;
 pub use member_update::MemberUpdate;
 
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -30,7 +30,7 @@
     /// Every sub-request that waits or runs.
     places: BTreeMap<AttemptId, Place>,
     /// Owned replicas, and revoked ones with requests or a probe that still run.
-    replicas: BTreeMap<ReplicaKey, ReplicaGate>,
+    pub(crate) replicas: BTreeMap<ReplicaKey, ReplicaGate>,
     /// Replicas for which a sub-request waits.
     waiting: BTreeSet<ReplicaKey>,
     /// Each replica's next wake-up, in order.
--- a/crates/gate/src/gate_counters.rs
+++ b/crates/gate/src/gate_counters.rs
@@ -1,3 +1,5 @@
+use serde::Serialize;
+
 use wigeonhall_types::FailureReason;
 use wigeonhall_types::RefusalReason;
 use wigeonhall_types::SubOutcome;
@@ -5,7 +7,7 @@
 /// Counters of decisions, since the start of the process.
 ///
 /// Fields named `*_high` are the largest value seen.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct GateCounters {
     /// Sub-requests answered with rows.
     pub answered: u64,
--- /dev/null
+++ b/crates/node/src/engine_query.rs
@@ -0,0 +1,311 @@
+use crate::CallerAnswer;
+use crate::CoverageName;
+use crate::ReadRequest;
+use crate::StatusName;
+use crate::WriteRequest;
+use crate::clock::unix_ms;
+use crate::engine::Engine;
+use crate::engine::Input;
+use crate::engine::OpenRequest;
+use crate::engine::Stage;
+use crate::engine::Submitter;
+use flume::Sender;
+use wigeonhall_burn::Outcome;
+use wigeonhall_gate::GateEvent;
+use wigeonhall_protocol::NamedReport;
+use wigeonhall_protocol::ProtocolError;
+use wigeonhall_protocol::SubmitMessage;
+use wigeonhall_protocol::SubmitReply;
+use wigeonhall_query::CoverageDemand;
+use wigeonhall_query::QueryAction;
+use wigeonhall_query::QueryEvent;
+use wigeonhall_query::QueryId;
+use wigeonhall_query::ReadQuery;
+use wigeonhall_query::WriteQuery;
+use wigeonhall_types::AttemptId;
+use wigeonhall_types::ClassKey;
+use wigeonhall_types::ClassKind;
+use wigeonhall_types::FailureReason;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::NodeKey;
+use wigeonhall_types::RefusalReason;
+use wigeonhall_types::SubOutcome;
+use wigeonhall_types::SubRequest;
+use wigeonhall_types::Verdict;
+
+/// Time after which a caller that met a node that is not ready should try again.
+const NOT_READY_RETRY_MS: u64 = 500;
+
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE_MS: u64 = 60_000;
+
+impl Engine {
+    pub(crate) fn run_query(&mut self, now_us: u64, event: QueryEvent) {
+        let mut actions = Vec::new();
+        self.coordinator.handle(now_us, event, &mut actions);
+        for action in actions {
+            self.do_query_action(now_us, action);
+        }
+    }
+
+    fn do_query_action(&mut self, now_us: u64, action: QueryAction) {
+        match action {
+            QueryAction::Answer { id, answer } => {
+                let answer = CallerAnswer::from_answer(answer, &self.catalog);
+                self.answer(now_us, id, answer);
+            }
+            QueryAction::AskReports(node) if node == self.node => self.report_locally(now_us),
+            QueryAction::AskReports(node) => self.peers.ask_reports(node),
+            QueryAction::Cancel { attempt, node } if node == self.node => {
+                self.pending
+                    .push_back(Input::Gate(GateEvent::Cancel(attempt)));
+            }
+            QueryAction::Cancel { attempt, node } => self.peers.cancel(node, attempt),
+            QueryAction::CreateClaim { claim, id } => self.store.put_claim(id, claim, 0),
+            QueryAction::Send { node, sub } => self.send(now_us, node, sub),
+            QueryAction::UpdateClaim { claim, id, version } => {
+                self.store.put_claim(id, claim, version);
+            }
+        }
+    }
+
+    fn send(&mut self, now_us: u64, node: NodeKey, sub: SubRequest) {
+        if node == self.node {
+            self.submitted.insert(sub.attempt, Submitter::Local);
+            self.pending.push_back(Input::Gate(GateEvent::Submit(sub)));
+        } else {
+            let message = SubmitMessage::from_sub(&sub, now_us, &self.catalog);
+            self.peers.submit(node, message);
+        }
+    }
+
+    fn report_locally(&mut self, now_us: u64) {
+        for (replica, report) in self.gate.reports(now_us) {
+            let event = QueryEvent::Report { replica, report };
+            self.pending.push_back(Input::Query(event));
+        }
+    }
+
+    pub(crate) fn take_reports(&mut self, reports: Vec<NamedReport>) {
+        for NamedReport { replica, report } in reports {
+            let replica = self.catalog.replica(&replica);
+            let event = QueryEvent::Report { replica, report };
+            self.pending.push_back(Input::Query(event));
+        }
+    }
+
+    pub(crate) fn take_sub_reply(
+        &mut self,
+        attempt: AttemptId,
+        node: NodeKey,
+        reply: Result<SubmitReply, ProtocolError>,
+    ) {
+        let event = match reply {
+            Ok(reply) => QueryEvent::SubReply {
+                attempt,
+                outcome: reply.outcome,
+                report: reply.report,
+            },
+            Err(error) => {
+                self.metrics.count("node_call_failed");
+                log::debug!("call to {} failed: {error}", self.catalog.node_name(node));
+                QueryEvent::SubReply {
+                    attempt,
+                    outcome: outcome_without_reply(error),
+                    report: None,
+                }
+            }
+        };
+        self.pending.push_back(Input::Query(event));
+    }
+
+    pub(crate) fn read(&mut self, request: &ReadRequest, reply: Sender<CallerAnswer>) {
+        let now_us = self.clock.now_us();
+        let Some((class, deadline_ms)) = self.admit(
+            &request.service,
+            ClassKind::Read,
+            request.deadline_ms,
+            &reply,
+        ) else {
+            return;
+        };
+        let range = request.range.unwrap_or(KeyRange::WHOLE);
+        let whole = KeyRange::WHOLE;
+        if range.is_empty() || range.start < whole.start || range.end > whole.end {
+            refuse(
+                &reply,
+                &CallerAnswer::invalid("range is empty or outside the key space"),
+            );
+            return;
+        }
+        let id = self.open_request(now_us, class, reply);
+        let demand = match request.coverage {
+            CoverageName::Full => CoverageDemand::Full,
+            CoverageName::Partial => CoverageDemand::Partial,
+        };
+        self.pending
+            .push_back(Input::Query(QueryEvent::Read(ReadQuery {
+                class,
+                deadline_us: now_us + deadline_ms * 1_000,
+                demand,
+                id,
+                range,
+            })));
+    }
+
+    pub(crate) fn write(&mut self, request: WriteRequest, reply: Sender<CallerAnswer>) {
+        let now_us = self.clock.now_us();
+        let Some((class, deadline_ms)) = self.admit(
+            &request.service,
+            ClassKind::Write,
+            request.deadline_ms,
+            &reply,
+        ) else {
+            return;
+        };
+        if !request.has_valid_id() {
+            let reason = "request_id must be 1 to 128 of A-Z a-z 0-9 . _ - and not only dots";
+            refuse(&reply, &CallerAnswer::invalid(reason));
+            return;
+        }
+        if !KeyRange::WHOLE.contains(request.key) {
+            refuse(
+                &reply,
+                &CallerAnswer::invalid("key is outside the key space"),
+            );
+            return;
+        }
+        let id = self.open_request(now_us, class, reply);
+        self.pending
+            .push_back(Input::Query(QueryEvent::Write(WriteQuery {
+                body: request.body,
+                class,
+                deadline_us: now_us + deadline_ms * 1_000,
+                first_attempt: request.first_attempt,
+                id,
+                issued_unix_ms: request.issued_unix_ms,
+                key: request.key,
+                received_unix_ms: unix_ms(),
+                request_id: request.request_id,
+            })));
+    }
+
+    /// Checks what can be checked before the query core sees the request; answers
+    /// the caller if it is refused.
+    fn admit(
+        &self,
+        service: &str,
+        kind: ClassKind,
+        deadline_ms: Option<u64>,
+        reply: &Sender<CallerAnswer>,
+    ) -> Option<(ClassKey, u64)> {
+        // A write refused here may have run under an earlier try with its id.
+        let verdict = match kind {
+            ClassKind::Read => Verdict::NotRun,
+            ClassKind::Write => Verdict::MayHaveRun,
+        };
+        if !self.is_serving() {
+            refuse(
+                reply,
+                &CallerAnswer::refused("leaving", NOT_READY_RETRY_MS, verdict),
+            );
+            return None;
+        }
+        if self.stage == Stage::Serving
+            && let Some(reason) = self.readiness.reason()
+        {
+            refuse(
+                reply,
+                &CallerAnswer::refused(reason, NOT_READY_RETRY_MS, verdict),
+            );
+            return None;
+        }
+        let class = self.catalog.find_class(service);
+        let known = class.and_then(|key| Some((key, self.deployment.classes.get(&key)?)));
+        let Some((key, class)) = known else {
+            refuse(
+                reply,
+                &CallerAnswer::invalid("no such service; see `wigeonhall status`"),
+            );
+            return None;
+        };
+        if class.kind != kind {
+            let reason = match class.kind {
+                ClassKind::Read => "the service takes reads: use POST /query",
+                ClassKind::Write => "the service takes writes: use POST /write",
+            };
+            refuse(reply, &CallerAnswer::invalid(reason));
+            return None;
+        }
+        let deadline_ms = deadline_ms.unwrap_or(class.deadline_ms);
+        if !(1..=MAX_DEADLINE_MS).contains(&deadline_ms) {
+            refuse(
+                reply,
+                &CallerAnswer::invalid("deadline_ms must be from 1 to 60000"),
+            );
+            return None;
+        }
+        Some((key, deadline_ms))
+    }
+
+    fn open_request(
+        &mut self,
+        started_us: u64,
+        class: ClassKey,
+        reply: Sender<CallerAnswer>,
+    ) -> QueryId {
+        let id = QueryId(self.next_query);
+        self.next_query += 1;
+        let request = OpenRequest {
+            class,
+            reply,
+            started_us,
+        };
+        self.open.insert(id, request);
+        id
+    }
+
+    fn answer(&mut self, now_us: u64, id: QueryId, answer: CallerAnswer) {
+        let Some(request) = self.open.remove(&id) else {
+            return;
+        };
+        let took_us = now_us.saturating_sub(request.started_us);
+        let class = self.catalog.class_name(request.class);
+        self.metrics.answered(&class, &answer, took_us);
+        self.record_burn(now_us, request.class, &answer, took_us);
+        // The receiver is gone if the caller closed its connection.
+        let _ = request.reply.send(answer);
+    }
+
+    fn record_burn(&mut self, now_us: u64, key: ClassKey, answer: &CallerAnswer, took_us: u64) {
+        let Some(class) = self.deployment.classes.get(&key) else {
+            return;
+        };
+        let outcome = match answer.status {
+            StatusName::Whole if took_us <= class.level.latency_ms * 1_000 => Outcome::Good,
+            StatusName::Whole => Outcome::Slow,
+            StatusName::Partial => Outcome::Partial,
+            StatusName::Failed => Outcome::Failed,
+            StatusName::Refused | StatusName::Invalid => Outcome::Refused,
+        };
+        let cause = answer.reason.as_deref().unwrap_or("latency");
+        self.burn.record(now_us, key, outcome, cause);
+    }
+}
+
+fn refuse(reply: &Sender<CallerAnswer>, answer: &CallerAnswer) {
+    // The receiver is gone if the caller closed its connection.
+    let _ = reply.send(answer.clone());
+}
+
+fn outcome_without_reply(error: ProtocolError) -> SubOutcome {
+    match error.verdict() {
+        Verdict::NotRun => SubOutcome::Refused {
+            reason: RefusalReason::NotOwner,
+            retry_after_us: 0,
+        },
+        Verdict::MayHaveRun | Verdict::Ran => SubOutcome::Failed {
+            reason: FailureReason::OwnerLost,
+        },
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,3 +1,62 @@
 //! The node that runs on an entry VM.
 
-fn main() {}
+use bpaf::Bpaf;
+use flexi_logger::Logger;
+use flexi_logger::WriteMode;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use wigeonhall_node::Node;
+use wigeonhall_settings::parse_node;
+
+/// Wigeonhall's node: answers callers from every shard in time.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+struct Options {
+    /// Check the settings file and exit
+    check: bool,
+    /// Settings file in YAML
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    match run(&options().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("wigeonhall-node: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(options: &Options) -> Result<(), String> {
+    let path = options.settings.display();
+    let text = fs::read_to_string(&options.settings)
+        .map_err(|error| format!("cannot read {path}: {error}"))?;
+    let settings = parse_node(&text).map_err(|error| format!("{path}: {error}"))?;
+    if options.check {
+        println!("{path}: ok");
+        return Ok(());
+    }
+    let _logger = Logger::try_with_env_or_str(settings.log_level.as_str())
+        .and_then(|logger| logger.write_mode(WriteMode::Direct).start())
+        .map_err(|error| format!("cannot start logging: {error}"))?;
+    let mut signals = Signals::new([SIGINT, SIGTERM])
+        .map_err(|error| format!("cannot watch for signals: {error}"))?;
+    let node = Node::start(&settings).map_err(|error| error.to_string())?;
+    log::info!(
+        "node {} listens for callers on {}",
+        settings.name,
+        node.address()
+    );
+    if let Some(signal) = signals.forever().next() {
+        log::info!("signal {signal}: planned stop");
+        node.request_stop();
+    }
+    node.join();
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,165 @@
+use crate::Event;
+use flume::Sender;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use tarpc::context;
+use tarpc::context::Context;
+use tokio::runtime::Handle;
+use wigeonhall_fleet::GossipMessage;
+use wigeonhall_protocol::Connection;
+use wigeonhall_protocol::HandOverMessage;
+use wigeonhall_protocol::ProtocolError;
+use wigeonhall_protocol::SubmitMessage;
+use wigeonhall_types::AttemptId;
+use wigeonhall_types::NodeKey;
+
+/// Time after which a control message counts as lost.
+const CONTROL_TIMEOUT_MS: u64 = 1_000;
+
+/// Time past a sub-request's deadline for which its reply is still awaited, so
+/// that a report is not lost to a reply that is only a little late.
+const LATE_REPLY_MS: u64 = 500;
+
+/// Outgoing calls to other nodes.
+#[derive(Debug)]
+pub struct Peers {
+    connections: BTreeMap<NodeKey, Arc<Connection>>,
+    events: Sender<Event>,
+    handle: Handle,
+    name: Arc<str>,
+}
+
+impl Peers {
+    /// Calls that run on `handle` and report to `events`.
+    #[must_use]
+    pub const fn new(name: Arc<str>, events: Sender<Event>, handle: Handle) -> Self {
+        Self {
+            connections: BTreeMap::new(),
+            events,
+            handle,
+            name,
+        }
+    }
+
+    /// Sets the address of a node; a changed address opens a new connection.
+    pub fn set_address(&mut self, node: NodeKey, address: SocketAddr) {
+        let held = self.connections.get(&node);
+        if held.is_none_or(|held| held.address() != address) {
+            self.connections
+                .insert(node, Arc::new(Connection::new(address)));
+        }
+    }
+
+    /// Asks a node for the reports of its replicas.
+    pub fn ask_reports(&self, node: NodeKey) {
+        let Some(connection) = self.connection(node) else {
+            return;
+        };
+        let events = self.events.clone();
+        self.handle.spawn(async move {
+            let Ok(client) = connection.client().await else {
+                return;
+            };
+            match client.reports(context_for_ms(CONTROL_TIMEOUT_MS)).await {
+                Ok(reports) => drop(events.send(Event::Reports(reports))),
+                Err(_) => connection.discard(&client).await,
+            }
+        });
+    }
+
+    /// Cancels a sub-request.
+    pub fn cancel(&self, node: NodeKey, attempt: AttemptId) {
+        let Some(connection) = self.connection(node) else {
+            return;
+        };
+        self.handle.spawn(async move {
+            if let Ok(client) = connection.client().await {
+                let result = client
+                    .cancel(context_for_ms(CONTROL_TIMEOUT_MS), attempt)
+                    .await;
+                if result.is_err() {
+                    connection.discard(&client).await;
+                }
+            }
+        });
+    }
+
+    /// Sends a message of the fleet core; it may be lost.
+    pub fn gossip(&self, node: NodeKey, message: GossipMessage) {
+        let Some(connection) = self.connection(node) else {
+            return;
+        };
+        let name = Arc::clone(&self.name);
+        self.handle.spawn(async move {
+            if let Ok(client) = connection.client().await {
+                let context = context_for_ms(CONTROL_TIMEOUT_MS);
+                if client.gossip(context, name, message).await.is_err() {
+                    connection.discard(&client).await;
+                }
+            }
+        });
+    }
+
+    /// Hands a replica over to its new owner; it may be lost.
+    pub fn hand_over(&self, node: NodeKey, message: HandOverMessage) {
+        let Some(connection) = self.connection(node) else {
+            return;
+        };
+        self.handle.spawn(async move {
+            if let Ok(client) = connection.client().await {
+                let context = context_for_ms(CONTROL_TIMEOUT_MS);
+                if client.hand_over(context, message).await.is_err() {
+                    connection.discard(&client).await;
+                }
+            }
+        });
+    }
+
+    /// Sends a sub-request; exactly one `Event::SubReply` follows.
+    pub fn submit(&self, node: NodeKey, message: SubmitMessage) {
+        let attempt = message.attempt;
+        let events = self.events.clone();
+        let connection = self.connection(node);
+        self.handle.spawn(async move {
+            let reply = match connection {
+                Some(connection) => submit(&connection, message).await,
+                None => Err(ProtocolError::Unreachable),
+            };
+            // The receiver is gone only while the process exits.
+            let _ = events.send(Event::SubReply {
+                attempt,
+                node,
+                reply,
+            });
+        });
+    }
+
+    fn connection(&self, node: NodeKey) -> Option<Arc<Connection>> {
+        self.connections.get(&node).map(Arc::clone)
+    }
+}
+
+async fn submit(
+    connection: &Connection,
+    message: SubmitMessage,
+) -> Result<wigeonhall_protocol::SubmitReply, ProtocolError> {
+    let client = connection.client().await?;
+    let context = context_for_ms(message.remaining_us / 1_000 + LATE_REPLY_MS);
+    match client.submit(context, message).await {
+        Ok(reply) => Ok(reply),
+        Err(tarpc::client::RpcError::DeadlineExceeded) => Err(ProtocolError::ReplyLost),
+        Err(_) => {
+            connection.discard(&client).await;
+            Err(ProtocolError::ReplyLost)
+        }
+    }
+}
+
+fn context_for_ms(timeout_ms: u64) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + Duration::from_millis(timeout_ms);
+    context
+}
--- /dev/null
+++ b/crates/node/src/store.rs
@@ -0,0 +1,283 @@
+use crate::Event;
+use crate::clock::Clock;
+use flume::Receiver;
+use flume::Sender;
+use std::thread;
+use wigeonhall_fleet::ConfigRecord;
+use wigeonhall_fleet::FleetEvent;
+use wigeonhall_fleet::TableRecord;
+use wigeonhall_platform::ObjectApi;
+use wigeonhall_platform::PutOutcome;
+use wigeonhall_platform::StoredObject;
+use wigeonhall_platform::VmList;
+use wigeonhall_protocol::CURRENT_PATH;
+use wigeonhall_protocol::StoredConfig;
+use wigeonhall_query::Claim;
+use wigeonhall_query::ClaimResult;
+use wigeonhall_query::QueryEvent;
+use wigeonhall_query::QueryId;
+use wigeonhall_types::DataCentreKey;
+
+/// Longest time that a watch waits at the store, in milliseconds.
+const WATCH_WAIT_MS: u64 = 10_000;
+
+/// Threads for claims; each blocks for one store call of a few milliseconds.
+const CLAIM_THREADS: usize = 8;
+
+/// Claims that wait for a thread; more are refused as unknown, since a store that
+/// falls this far behind is down for the callers that wait for it.
+const CLAIM_QUEUE: usize = 64;
+
+/// Calls to the platform, made on threads of their own because they block.
+#[derive(Debug)]
+pub struct Store {
+    claims: Sender<ClaimJob>,
+    control: Sender<ControlJob>,
+    events: Sender<Event>,
+    watch: Sender<u64>,
+}
+
+#[derive(Debug)]
+struct ClaimJob {
+    claim: Claim,
+    /// Version of the object that is replaced, 0 to create it.
+    expected_version: u64,
+    id: QueryId,
+}
+
+#[derive(Debug)]
+enum ControlJob {
+    ReadConfig,
+    ReadTable {
+        data_centre: DataCentreKey,
+        path: String,
+    },
+    ReadVmList,
+    WriteTable {
+        data_centre: DataCentreKey,
+        expected_epoch: u64,
+        table: TableRecord,
+    },
+}
+
+impl Store {
+    /// Starts the threads; they end when the store is dropped.
+    #[must_use]
+    pub fn start(api: &ObjectApi, vms: VmList, clock: Clock, events: &Sender<Event>) -> Self {
+        let (claims, claim_jobs) = flume::bounded(CLAIM_QUEUE);
+        let (control, control_jobs) = flume::unbounded();
+        let (watch, watches) = flume::unbounded();
+        for _ in 0..CLAIM_THREADS {
+            let (api, events) = (api.clone(), events.clone());
+            let jobs: Receiver<ClaimJob> = claim_jobs.clone();
+            thread::spawn(move || run_claims(&api, &jobs, &events));
+        }
+        let (watch_api, watch_events) = (api.clone(), events.clone());
+        thread::spawn(move || run_watches(&watch_api, &watches, &watch_events));
+        let (api, control_events) = (api.clone(), events.clone());
+        thread::spawn(move || run_control(&api, &vms, clock, &control_jobs, &control_events));
+        Self {
+            claims,
+            control,
+            events: events.clone(),
+            watch,
+        }
+    }
+
+    /// Creates a claim if there is none, or replaces it at `expected_version`.
+    pub fn put_claim(&self, id: QueryId, claim: Claim, expected_version: u64) {
+        let job = ClaimJob {
+            claim,
+            expected_version,
+            id,
+        };
+        if self.claims.try_send(job).is_err() {
+            let result = ClaimResult::Unknown;
+            let _ = self
+                .events
+                .send(Event::Query(QueryEvent::Claim { id, result }));
+        }
+    }
+
+    /// Reads the configuration.
+    pub fn read_config(&self) {
+        self.control_job(ControlJob::ReadConfig);
+    }
+
+    /// Reads an ownership table.
+    pub fn read_table(&self, data_centre: DataCentreKey, name: &str) {
+        let path = table_path(name);
+        self.control_job(ControlJob::ReadTable { data_centre, path });
+    }
+
+    /// Reads the list of VMs.
+    pub fn read_vm_list(&self) {
+        self.control_job(ControlJob::ReadVmList);
+    }
+
+    /// Waits for a configuration after `generation`.
+    pub fn watch_config(&self, generation: u64) {
+        let _ = self.watch.send(generation);
+    }
+
+    /// Writes an ownership table if its version is still `expected_epoch`.
+    pub fn write_table(&self, data_centre: DataCentreKey, expected_epoch: u64, table: TableRecord) {
+        self.control_job(ControlJob::WriteTable {
+            data_centre,
+            expected_epoch,
+            table,
+        });
+    }
+
+    fn control_job(&self, job: ControlJob) {
+        let _ = self.control.send(job);
+    }
+}
+
+fn table_path(data_centre: &str) -> String {
+    format!("owners/{data_centre}")
+}
+
+fn claim_path(claim: &Claim) -> String {
+    const HOUR_MS: u64 = 3_600_000;
+    format!(
+        "claims/{}/{}",
+        claim.issued_unix_ms / HOUR_MS,
+        claim.request_id
+    )
+}
+
+fn run_claims(api: &ObjectApi, jobs: &Receiver<ClaimJob>, events: &Sender<Event>) {
+    for job in jobs {
+        let result = put_claim(api, &job);
+        let event = QueryEvent::Claim { id: job.id, result };
+        let _ = events.send(Event::Query(event));
+    }
+}
+
+fn put_claim(api: &ObjectApi, job: &ClaimJob) -> ClaimResult {
+    let path = claim_path(&job.claim);
+    let Ok(value) = serde_json::to_string(&job.claim) else {
+        return ClaimResult::Unknown;
+    };
+    match api.put(&path, job.expected_version, &value) {
+        Ok(PutOutcome::Stored { version }) => ClaimResult::Stored { version },
+        Ok(PutOutcome::Conflict(Some(held))) => held_claim(&held),
+        Ok(PutOutcome::Conflict(None)) => ClaimResult::Unknown,
+        Err(_) => read_claim_back(api, &path, &job.claim),
+    }
+}
+
+/// Settles a put whose reply was lost. An object that is not there settles
+/// nothing, since the put may still take effect.
+fn read_claim_back(api: &ObjectApi, path: &str, wanted: &Claim) -> ClaimResult {
+    let Ok(Some(object)) = api.get(path) else {
+        return ClaimResult::Unknown;
+    };
+    match held_claim(&object) {
+        ClaimResult::Conflict { held, version } if held == *wanted => {
+            ClaimResult::Stored { version }
+        }
+        // The put may still be on its way and replace this version.
+        ClaimResult::Conflict { held, .. } if held.token == wanted.token => ClaimResult::Unknown,
+        other => other,
+    }
+}
+
+fn held_claim(object: &StoredObject) -> ClaimResult {
+    match serde_json::from_str(&object.value) {
+        Ok(held) => ClaimResult::Conflict {
+            held,
+            version: object.version,
+        },
+        Err(_) => ClaimResult::Unknown,
+    }
+}
+
+fn run_control(
+    api: &ObjectApi,
+    vms: &VmList,
+    clock: Clock,
+    jobs: &Receiver<ControlJob>,
+    events: &Sender<Event>,
+) {
+    for job in jobs {
+        let event = match job {
+            ControlJob::ReadConfig => Some(config_event(api.get(CURRENT_PATH))),
+            ControlJob::ReadTable { data_centre, path } => {
+                Some(read_table(api, clock, data_centre, &path))
+            }
+            ControlJob::ReadVmList => vms.read().ok().map(FleetEvent::VmList),
+            ControlJob::WriteTable {
+                data_centre,
+                expected_epoch,
+                table,
+            } => Some(write_table(api, data_centre, expected_epoch, &table)),
+        };
+        if let Some(event) = event {
+            let _ = events.send(Event::Fleet(event));
+        }
+    }
+}
+
+fn run_watches(api: &ObjectApi, generations: &Receiver<u64>, events: &Sender<Event>) {
+    for generation in generations {
+        let event = config_event(api.watch(CURRENT_PATH, generation, WATCH_WAIT_MS));
+        let _ = events.send(Event::Fleet(event));
+    }
+}
+
+fn config_event<E>(result: Result<Option<StoredObject>, E>) -> FleetEvent {
+    match result {
+        Ok(None) => FleetEvent::ConfigRead(None),
+        Ok(Some(object)) => match parse_config(&object) {
+            Some(record) => FleetEvent::ConfigRead(Some(record)),
+            None => FleetEvent::ConfigReadFailed,
+        },
+        Err(_) => FleetEvent::ConfigReadFailed,
+    }
+}
+
+fn parse_config(object: &StoredObject) -> Option<ConfigRecord> {
+    let stored: StoredConfig = serde_json::from_str(&object.value).ok()?;
+    Some(stored.into_record(object.version))
+}
+
+fn read_table(api: &ObjectApi, clock: Clock, data_centre: DataCentreKey, path: &str) -> FleetEvent {
+    let sent_us = clock.now_us();
+    let table = match api.get(path) {
+        Ok(None) => None,
+        Ok(Some(object)) => match serde_json::from_str::<TableRecord>(&object.value) {
+            Ok(mut table) => {
+                table.epoch = object.version;
+                Some(table)
+            }
+            Err(_) => return FleetEvent::TableReadFailed(data_centre),
+        },
+        Err(_) => return FleetEvent::TableReadFailed(data_centre),
+    };
+    FleetEvent::TableRead {
+        data_centre,
+        sent_us,
+        table,
+    }
+}
+
+fn write_table(
+    api: &ObjectApi,
+    data_centre: DataCentreKey,
+    expected_epoch: u64,
+    table: &TableRecord,
+) -> FleetEvent {
+    let epoch = serde_json::to_string(table)
+        .ok()
+        .and_then(|value| {
+            api.put(&table_path(&table.data_centre), expected_epoch, &value)
+                .ok()
+        })
+        .and_then(|outcome| match outcome {
+            PutOutcome::Stored { version } => Some(version),
+            PutOutcome::Conflict(_) => None,
+        });
+    FleetEvent::TableWritten { data_centre, epoch }
+}
--- a/crates/query/src/query_counters.rs
+++ b/crates/query/src/query_counters.rs
@@ -1,5 +1,7 @@
+use serde::Serialize;
+
 /// Counters of decisions, since the start of the process.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct QueryCounters {
     /// `AskReports` sent, for refresh or because a request met an owner without reports.
     pub asks: u64,
