Guard nested reply ranges and cancelled sub-requests by tests

Two deliberate breaks of the code left every test green: reply ranges that lie within one another were counted from the inner end again, and a restart that cancelled a sub-request could be followed by a false "not run".

The fuzz test and the coverage test reply with nested ranges now, and a test restarts onto merged shards. The immediate refusal of a full read has one place instead of two.

--- a/crates/query/src/open_read.rs
+++ b/crates/query/src/open_read.rs
@@ -134,7 +134,7 @@
         let read: Vec<KeyRange> = self.parts.iter().flat_map(|it| it.read.clone()).collect();
         let read = union(read);
         if read.width() == 0 && !requested.is_empty() {
-            let reason = self.first_reason().unwrap_or(late);
+            let reason = self.first_failure().map_or(late, |(reason, _)| reason);
             return self.refusal(reason, retry_ms);
         }
         let missing = self.missing(late, absent);
@@ -157,10 +157,11 @@
         }
     }
 
-    /// Reason of the first part that failed.
-    pub fn first_reason(&self) -> Option<AbsentReason> {
+    /// Reason of the first part that failed, and the time that owners named for another
+    /// try of it, in microseconds.
+    pub fn first_failure(&self) -> Option<(AbsentReason, u64)> {
         self.parts.iter().find_map(|part| match part.state {
-            PartState::Failed(reason) => Some(reason),
+            PartState::Failed(reason) => Some((reason, part.retry_after_us)),
             _ => None,
         })
     }
--- a/crates/query/src/reads.rs
+++ b/crates/query/src/reads.rs
@@ -398,9 +398,10 @@
         actions: &mut Vec<QueryAction>,
     ) -> Progress {
         if read.demands_full()
-            && let Some(reason) = read.first_reason()
+            && let Some((reason, retry_after_us)) = read.first_failure()
         {
-            return self.refuse(read, reason, RETRY_AFTER_MS, actions);
+            let retry_ms = retry_after_refusal_ms(retry_after_us);
+            return self.refuse(read, reason, retry_ms, actions);
         }
         if read.live_parts > 0 {
             return Progress::Open;
--- a/crates/query/src/retries.rs
+++ b/crates/query/src/retries.rs
@@ -11,7 +11,6 @@
 use crate::part::PartState;
 use crate::pay::Pay;
 use crate::reads::Progress;
-use crate::reads::retry_after_refusal_ms;
 use crate::routes::Pick;
 use wigeonhall_types::RefusalReason;
 
@@ -162,10 +161,6 @@
         actions: &mut Vec<QueryAction>,
     ) -> Progress {
         read.end_part(index, PartState::Failed(reason));
-        if read.demands_full() {
-            let retry_ms = retry_after_refusal_ms(read.parts[index].retry_after_us);
-            return self.refuse(read, reason, retry_ms, actions);
-        }
         self.progress(read, actions)
     }
 }
--- a/crates/query/tests/coverage.rs
+++ b/crates/query/tests/coverage.rs
@@ -28,7 +28,7 @@
     let mut world = World::new(1);
     let subs = sends(&world.read(1, Full));
     let rows = [row(10, "a"), row(10, "a"), row(1_700, "stray")];
-    let reply = answered(1, &[range(0, 1_000), range(0, 1_000)], &rows);
+    let reply = answered(1, &[range(0, 1_000), range(100, 200)], &rows);
     let answer = only_answer(&world.reply(&subs[0].1, reply));
     assert_eq!(answer.rows, [row(10, "a")]);
     assert_eq!(world.core.counters().rows_dropped, 2);
--- a/crates/query/tests/oracle/mod.rs
+++ b/crates/query/tests/oracle/mod.rs
@@ -427,7 +427,8 @@
         let mut rows = rows(held, version);
         rows.extend(rows.clone());
         rows.push(row(held.end, "stray"));
-        answered(version, &[held, held], &rows)
+        let within = range(held.start + 1, held.end - 1);
+        answered(version, &[held, held, within], &rows)
     }
 
     fn execute(&mut self, sub: &SubRequest, ran: bool) {
--- a/crates/query/tests/snapshot.rs
+++ b/crates/query/tests/snapshot.rs
@@ -118,3 +118,23 @@
     assert_eq!(answer.verdict, Verdict::NotRun);
     assert!(answer.retry_after_ms.is_some());
 }
+
+// The sub-requests that a restart cancels may have run, and their shard may be merged
+// into another at the newer version.
+#[test]
+fn does_not_say_not_run_after_a_restart_cancelled_sub_requests() {
+    let mut world = World::new(2);
+    let subs = sends(&world.read(1, Full));
+    for replica in 0..4 {
+        let held = [range(0, if replica < 2 { 2_000 } else { 0 })];
+        world.report(replica, report(&[(2, &held[..])], 0, 5_000));
+    }
+    let actions = world.reply(&subs[1].1, SubOutcome::VersionGone);
+    assert_eq!(cancels(&actions), [subs[0].1.attempt]);
+    let restarted = sends(&actions);
+    assert_eq!(restarted.len(), 1);
+    let refusal = refused(RefusalReason::Overloaded);
+    let retry = sends(&world.reply(&restarted[0].1, refusal.clone()));
+    let answer = only_answer(&world.reply(&retry[0].1, refusal));
+    assert_eq!(answer.verdict, Verdict::MayHaveRun);
+}
