--- a/crates/gate/tests/cold_start.rs
+++ b/crates/gate/tests/cold_start.rs
@@ -187,3 +187,20 @@
     assert!(sent(&driver.advance(SECOND)).is_empty());
     assert_eq!(sent(&driver.advance(SECOND + 1)), [2]);
 }
+
+/// Guards against a halved ramp whose bound equals the slots becoming warm below
+/// its bound.
+#[test]
+fn halved_ramp_is_not_full_below_its_bound() {
+    let mut driver = Driver::new(deployment(2, cold(2, 10)), None);
+    driver.submit(1, SECOND);
+    driver.reply(1, reply(TargetOutcome::Shed { retry_after_us: 1 }));
+    for it in 2..4 {
+        driver.submit(it, SECOND);
+        driver.reply(it, answered());
+        assert_eq!(driver.report().state, ReplicaState::Cold);
+    }
+    driver.submit(4, SECOND);
+    driver.reply(4, answered());
+    assert_eq!(driver.report().state, ReplicaState::Warm);
+}
--- a/crates/gate/tests/ownership.rs
+++ b/crates/gate/tests/ownership.rs
@@ -23,7 +23,7 @@
 use wigeonhall_types::SubRequest;
 
 fn set_out(driver: &mut Driver, out: bool) -> Vec<GateAction> {
-    let mut deployment = deployment(1, cold(1, 10));
+    let mut deployment = deployment(2, cold(2, 10));
     deployment.replicas.get_mut(&REPLICA).unwrap().out = out;
     driver.handle(GateEvent::Deployment(Arc::new(deployment)))
 }
@@ -79,6 +79,13 @@
     let actions = set_out(&mut driver, false);
     assert_eq!(probes(&actions), 1);
     assert_eq!(driver.report().state, ReplicaState::Cold);
+    for it in 4..6 {
+        assert_eq!(
+            sent(&driver.submit(it, 9 * SECOND)),
+            [it],
+            "below the bound"
+        );
+    }
 }
 
 /// Guards against a deployment that arrives late reverting a newer one.
--- a/crates/gate/tests/probes.rs
+++ b/crates/gate/tests/probes.rs
@@ -118,3 +118,35 @@
     driver.probe_reply(silent());
     assert_eq!(driver.report().state, ReplicaState::Unreachable);
 }
+
+/// Guards against a restart seen only by a probe from before the cold start, and
+/// against late replies of the replaced process being taken for another restart.
+#[test]
+fn unseen_identity_counts_in_any_reply() {
+    let mut driver = Driver::warm(4);
+    for it in 1..4 {
+        driver.submit(it, SECOND);
+    }
+    driver.reply(1, reply(TargetOutcome::ConnectionLost));
+    driver.probe_reply(answered_by(2));
+    driver.reply(2, answered_by(1));
+    driver.reply(3, reply(TargetOutcome::Draining));
+    assert_eq!(driver.gate.counters().cold_instance, 1);
+    assert_eq!(driver.report().state, ReplicaState::Cold);
+}
+
+/// Guards against requests that time out keeping a silent target from its probe,
+/// and against ignoring the refused connection of a probe given up as lost.
+#[test]
+fn silent_target_is_probed() {
+    let mut driver = Driver::warm(1);
+    driver.probe_reply(answered());
+    driver.submit(1, 900 * MS);
+    driver.advance(900 * MS);
+    driver.reply(1, reply(TargetOutcome::DeadlineExceeded));
+    assert_eq!(probes(&driver.advance(SECOND)), 1);
+    driver.advance(6 * SECOND);
+    assert_eq!(driver.report().state, ReplicaState::Warm);
+    driver.probe_reply(reply(TargetOutcome::Unreachable));
+    assert_eq!(driver.report().state, ReplicaState::Unreachable);
+}
--- a/crates/gate/tests/slots.rs
+++ b/crates/gate/tests/slots.rs
@@ -71,6 +71,27 @@
     assert_eq!(sent(&driver.advance(40 * MS)), [2]);
 }
 
+/// Guards against a third owner overlooking what the first one still runs.
+#[test]
+fn inherited_requests_are_handed_on() {
+    let state = HandOverState {
+        running: 2,
+        running_for_us: 40 * MS,
+        ..warm()
+    };
+    let mut driver = Driver::new(deployment(2, cold(1, 10)), Some(state));
+    driver.now_us = 10 * MS;
+    let actions = driver.handle(GateEvent::Revoke {
+        epoch: 2,
+        replica: REPLICA,
+        successor: Some(NodeKey(9)),
+    });
+    let GateAction::HandOver { state, .. } = &actions[0] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!((state.running, state.running_for_us), (2, 30 * MS));
+}
+
 /// Guards against a hand-over that omits running requests or keeps waiting ones.
 #[test]
 fn revoke_hands_over_the_running_count_at_once() {
--- a/crates/gate/tests/waiting.rs
+++ b/crates/gate/tests/waiting.rs
@@ -12,6 +12,7 @@
 use common::sent;
 use wigeonhall_gate::GateAction;
 use wigeonhall_gate::GateEvent;
+use wigeonhall_types::ClassKey;
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::RefusalReason;
 use wigeonhall_types::SubOutcome;
@@ -150,3 +151,24 @@
     let actions = driver.reply(0, common::reply(shed));
     assert_eq!(refused(&actions)[1..], [(5, RefusalReason::Overloaded)]);
 }
+
+/// Guards against a free slot left unused after a refusal ends the competition
+/// that held a class to its share.
+#[test]
+fn refusal_of_one_class_starts_the_other() {
+    let mut driver = Driver::warm(3);
+    for (it, class) in [(1, 0), (2, 1), (3, 0), (4, 0)] {
+        driver.submit_class(it, class);
+    }
+    let doomed = SubRequest {
+        class: ClassKey(1),
+        ..request(5, 31 * MS)
+    };
+    driver.handle(GateEvent::Submit(doomed));
+    driver.advance(MS);
+    assert!(sent(&driver.reply(3, answered())).is_empty());
+    driver.advance(21 * MS);
+    let actions = driver.submit(6, 0);
+    assert_eq!(refused(&actions)[1..], [(5, RefusalReason::Overloaded)]);
+    assert_eq!(sent(&actions), [4]);
+}
