--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -15,12 +15,11 @@
 use wigeonhall_types::HandOverState;
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::KeyRange;
+use wigeonhall_types::NodeKey;
 use wigeonhall_types::Operation;
 use wigeonhall_types::QueryClass;
-use wigeonhall_types::RefusalReason;
 use wigeonhall_types::Replica;
 use wigeonhall_types::ReplicaKey;
-use wigeonhall_types::ReplicaReport;
 use wigeonhall_types::ServedVersion;
 use wigeonhall_types::ServiceKey;
 use wigeonhall_types::ServiceLevel;
@@ -115,42 +114,30 @@
     }
 }
 
-pub fn reply(outcome: TargetOutcome) -> TargetReply {
-    TargetReply {
-        instance: Some(1),
-        outcome,
-        served: served(),
-    }
-}
-
-pub fn answered() -> TargetReply {
-    reply(TargetOutcome::Answered {
+pub fn answered() -> TargetOutcome {
+    TargetOutcome::Answered {
         ranges: vec![KeyRange::WHOLE],
         rows: Vec::new(),
         version: VERSION,
-    })
-}
-
-pub fn answered_by(instance: u64) -> TargetReply {
-    TargetReply {
-        instance: Some(instance),
-        ..answered()
     }
 }
 
-/// A gate with a log of its actions.
+/// A gate that owns `REPLICA`, driven by scripts.
 #[derive(Default)]
 pub struct Driver {
+    pub deployment: Deployment,
     pub gate: Gate,
     pub now_us: u64,
 }
 
 impl Driver {
-    /// An owner of `REPLICA` with a lease of an hour.
-    pub fn new(deployment: Deployment, state: Option<HandOverState>) -> Self {
-        let mut driver = Self::default();
-        driver.handle(GateEvent::Deployment(Arc::new(deployment)));
-        driver.handle(GateEvent::LeaseUntil(3_600 * SECOND));
+    /// With a lease of an hour.
+    pub fn new(slots: u32, cold: ColdBound, state: Option<HandOverState>) -> Self {
+        let mut driver = Self {
+            deployment: deployment(slots, cold),
+            ..Self::default()
+        };
+        driver.run("deploy\nlease 3600000");
         driver.handle(GateEvent::Grant {
             epoch: 1,
             replica: REPLICA,
@@ -160,79 +147,155 @@
     }
 
     pub fn warm(slots: u32) -> Self {
-        Self::new(deployment(slots, cold(1, 10)), Some(warm()))
+        Self::new(slots, cold(1, 10), Some(warm()))
     }
 
-    pub fn handle(&mut self, event: GateEvent) -> Vec<GateAction> {
-        let mut actions = Vec::new();
-        self.gate.handle(self.now_us, event, &mut actions);
-        actions
+    /// Runs one command per line and returns each with the actions it caused.
+    /// Times are in milliseconds, a range of ids `1..3` stands for 1 and 2.
+    pub fn run(&mut self, script: &str) -> String {
+        let lines = script.lines().map(str::trim).filter(|it| !it.is_empty());
+        let log = lines.map(|line| {
+            let words = line.split_whitespace().collect::<Vec<_>>();
+            format!("{line}: {}\n", self.command(&words).join(", "))
+        });
+        log.collect()
     }
 
-    /// Ticks at each wake-up until `now_us`.
-    pub fn advance(&mut self, now_us: u64) -> Vec<GateAction> {
+    pub fn handle(&mut self, event: GateEvent) -> Vec<String> {
         let mut actions = Vec::new();
-        while let Some(wake_us) = self.gate.next_wake_us().filter(|wake| *wake <= now_us) {
-            self.now_us = self.now_us.max(wake_us);
-            actions.extend(self.handle(GateEvent::Tick));
-        }
-        self.now_us = now_us;
-        actions
-    }
-
-    pub fn submit(&mut self, sequence: u64, deadline_us: u64) -> Vec<GateAction> {
-        self.handle(GateEvent::Submit(request(sequence, deadline_us)))
+        self.gate.handle(self.now_us, event, &mut actions);
+        actions.iter().map(describe).collect()
     }
 
-    pub fn submit_class(&mut self, sequence: u64, class: u32) -> Vec<GateAction> {
-        self.handle(GateEvent::Submit(SubRequest {
-            class: ClassKey(class),
-            ..request(sequence, self.now_us + SECOND)
-        }))
+    fn command(&mut self, words: &[&str]) -> Vec<String> {
+        let event = match *words {
+            ["at", ms] => return self.advance(time(ms)),
+            ["cancel", id] => GateEvent::Cancel(attempt(id.parse().unwrap())),
+            ["deploy"] => GateEvent::Deployment(Arc::new(self.deployment.clone())),
+            ["grant", epoch] => GateEvent::Grant {
+                epoch: epoch.parse().unwrap(),
+                replica: REPLICA,
+                state: None,
+            },
+            ["lease", ms] => GateEvent::LeaseUntil(time(ms)),
+            ["probed", kind] => GateEvent::ProbeReply {
+                replica: REPLICA,
+                reply: reply(kind),
+            },
+            ["reply", ids, kind] => {
+                return self.each(ids, |id| GateEvent::TargetReply {
+                    attempt: attempt(id),
+                    reply: reply(kind),
+                });
+            }
+            ["report"] => {
+                let reports = self.gate.reports(self.now_us);
+                let it = &reports[0].1;
+                return vec![format!("{:?}, wait {} us", it.state, it.expected_wait_us)];
+            }
+            ["revoke", epoch, ref to @ ..] => GateEvent::Revoke {
+                epoch: epoch.parse().unwrap(),
+                replica: REPLICA,
+                successor: to.first().map(|to| NodeKey(to.parse().unwrap())),
+            },
+            ["skip", ms] => {
+                self.now_us = time(ms);
+                return Vec::new();
+            }
+            ["submit", ids, ms, ref rest @ ..] => {
+                let number = |letter| rest.iter().find_map(|it| it.strip_prefix(letter));
+                let parse = |letter, or| number(letter).map_or(or, |it| it.parse().unwrap());
+                return self.each(ids, |id| {
+                    GateEvent::Submit(SubRequest {
+                        class: ClassKey(parse('c', 0)),
+                        replica: ReplicaKey(parse('r', 0)),
+                        version: Some(IndexVersion(parse('v', 7).into())),
+                        ..request(id, time(ms))
+                    })
+                });
+            }
+            _ => panic!("unknown command {words:?}"),
+        };
+        self.handle(event)
     }
 
-    pub fn reply(&mut self, sequence: u64, reply: TargetReply) -> Vec<GateAction> {
-        self.handle(GateEvent::TargetReply {
-            attempt: attempt(sequence),
-            reply,
-        })
+    fn each(&mut self, ids: &str, event: impl Fn(u64) -> GateEvent) -> Vec<String> {
+        let (first, end) = ids.split_once("..").unwrap_or((ids, ""));
+        let first = first.parse().unwrap();
+        let end = end.parse().unwrap_or(first + 1);
+        (first..end).flat_map(|id| self.handle(event(id))).collect()
     }
 
-    pub fn probe_reply(&mut self, reply: TargetReply) -> Vec<GateAction> {
-        self.handle(GateEvent::ProbeReply {
-            replica: REPLICA,
-            reply,
-        })
+    /// Ticks at each wake-up until `now_us`.
+    fn advance(&mut self, now_us: u64) -> Vec<String> {
+        let mut log = Vec::new();
+        while let Some(wake_us) = self.gate.next_wake_us().filter(|it| *it <= now_us) {
+            self.now_us = self.now_us.max(wake_us);
+            let actions = self.handle(GateEvent::Tick);
+            log.extend(actions.iter().map(|it| format!("{it} @{wake_us} us")));
+        }
+        self.now_us = now_us;
+        log
     }
+}
 
-    pub fn report(&self) -> ReplicaReport {
-        self.gate.reports(self.now_us)[0].1.clone()
-    }
+fn time(ms: &str) -> u64 {
+    (ms.parse::<f64>().unwrap() * 1_000.0).round() as u64
 }
 
-/// Sequences of the attempts sent.
-pub fn sent(actions: &[GateAction]) -> Vec<u64> {
-    let sequence = |action: &GateAction| match action {
-        GateAction::Send(request) => Some(request.attempt.sequence),
-        _ => None,
+/// A reply by its name, from instance 1 unless `@` states another.
+pub fn reply(kind: &str) -> TargetReply {
+    let (kind, instance) = kind.split_once('@').unwrap_or((kind, "1"));
+    let outcome = match kind {
+        "bad" => TargetOutcome::BadReply,
+        "cancelled" => TargetOutcome::Cancelled,
+        "draining" => TargetOutcome::Draining,
+        "lost" => TargetOutcome::ConnectionLost,
+        "ok" => answered(),
+        "shed" => TargetOutcome::Shed { retry_after_us: 9 },
+        "timeout" => TargetOutcome::DeadlineExceeded,
+        "unreachable" => TargetOutcome::Unreachable,
+        _ => panic!("unknown reply {kind}"),
     };
-    actions.iter().filter_map(sequence).collect()
+    let silent = ["lost", "timeout", "unreachable"].contains(&kind);
+    TargetReply {
+        instance: (!silent).then(|| instance.parse().unwrap()),
+        outcome,
+        served: if silent { Vec::new() } else { served() },
+    }
 }
 
-/// Sequences of the attempts refused, with the reason.
-pub fn refused(actions: &[GateAction]) -> Vec<(u64, RefusalReason)> {
-    let refusal = |action: &GateAction| match action {
+fn describe(action: &GateAction) -> String {
+    match action {
+        GateAction::CancelAtTarget { attempt, .. } => format!("cancel {}", attempt.sequence),
+        GateAction::CloseConnections(_) => "close".into(),
+        GateAction::HandOver {
+            epoch, state, to, ..
+        } => format!(
+            "hand over to {} in {epoch}: allowance {}, running {} for {} us, typical {} us",
+            to.0, state.allowance, state.running, state.running_for_us, state.service_us
+        ),
+        GateAction::OpenConnections { count, .. } => format!("open {count}"),
+        GateAction::Probe(_) => "probe".into(),
         GateAction::Respond {
             attempt,
-            outcome: SubOutcome::Refused { reason, .. },
-            ..
-        } => Some((attempt.sequence, *reason)),
-        _ => None,
-    };
-    actions.iter().filter_map(refusal).collect()
-}
-
-pub fn probes(actions: &[GateAction]) -> usize {
-    let is_probe = |action: &&GateAction| matches!(action, GateAction::Probe(_));
-    actions.iter().filter(is_probe).count()
+            outcome,
+            report,
+        } => {
+            let outcome = match outcome {
+                SubOutcome::Answered { .. } => "answered".into(),
+                SubOutcome::Failed { reason } => format!("failed {reason:?}"),
+                SubOutcome::Refused {
+                    reason,
+                    retry_after_us,
+                } => {
+                    format!("refused {reason:?} for {retry_after_us} us")
+                }
+                SubOutcome::VersionGone => "version gone".into(),
+            };
+            let owner = if report.is_some() { "" } else { " (not owner)" };
+            format!("{} {outcome}{owner}", attempt.sequence)
+        }
+        GateAction::Send(request) => format!("send {}", request.attempt.sequence),
+    }
 }
--- a/crates/gate/tests/fuzz.rs
+++ b/crates/gate/tests/fuzz.rs
@@ -6,6 +6,7 @@
 
 use common::MS;
 use common::SECOND;
+use common::answered;
 use common::cold;
 use common::deployment;
 use common::request;
@@ -431,7 +432,7 @@
             Op::Restart(replica) => self.targets[replica].instance += 1,
             Op::Stray(index) => {
                 let attempt = common::attempt(1_000_000 + index as u64);
-                let reply = common::answered();
+                let reply = common::reply("ok");
                 self.handle(0, GateEvent::TargetReply { attempt, reply });
             }
             Op::Submit {
@@ -602,10 +603,6 @@
     }
 }
 
-fn answered() -> TargetOutcome {
-    common::answered().outcome
-}
-
 /// Guards against any interleaving that exceeds a limit, starts forbidden work,
 /// loses or doubles an answer, or lets work wait for a free slot.
 #[test]
--- a/crates/gate/tests/ownership.rs
+++ b/crates/gate/tests/ownership.rs
@@ -3,143 +3,65 @@
 mod common;
 
 use common::Driver;
-use common::MS;
 use common::REPLICA;
-use common::SECOND;
-use common::answered;
 use common::cold;
-use common::deployment;
-use common::probes;
-use common::refused;
-use common::request;
-use common::sent;
 use common::warm;
-use std::sync::Arc;
-use wigeonhall_gate::GateAction;
-use wigeonhall_gate::GateEvent;
-use wigeonhall_types::RefusalReason;
-use wigeonhall_types::ReplicaKey;
-use wigeonhall_types::ReplicaState;
-use wigeonhall_types::SubRequest;
-
-fn set_out(driver: &mut Driver, out: bool) -> Vec<GateAction> {
-    let mut deployment = deployment(2, cold(2, 10));
-    deployment.replicas.get_mut(&REPLICA).unwrap().out = out;
-    driver.handle(GateEvent::Deployment(Arc::new(deployment)))
-}
+use insta::assert_snapshot;
 
 /// Guards against a start at the end of the lease or after it, and against work
 /// that waits without a lease.
 #[test]
 fn nothing_starts_or_waits_without_a_lease() {
-    let mut driver = Driver::warm(1);
-    driver.handle(GateEvent::LeaseUntil(30 * MS));
-    assert_eq!(sent(&driver.submit(1, SECOND)), [1]);
-    driver.submit(2, SECOND);
-    assert!(refused(&driver.advance(30 * MS - 1)).is_empty());
-    let actions = driver.advance(30 * MS);
-    assert_eq!(refused(&actions), [(2, RefusalReason::NoLease)]);
-    let actions = driver.submit(3, SECOND);
-    assert_eq!(refused(&actions), [(3, RefusalReason::NoLease)]);
-    assert_eq!(driver.reply(1, answered()).len(), 1);
-    driver.handle(GateEvent::LeaseUntil(SECOND));
-    assert_eq!(sent(&driver.submit(4, SECOND)), [4]);
+    let script = "lease 30\n submit 1..3 1000\n at 29.999\n at 30\n submit 3 1000
+        reply 1 ok\n lease 1000\n submit 4 1000";
+    assert_snapshot!(Driver::warm(1).run(script));
 }
 
 /// Guards against a paused owner: the reply that frees the slot comes before the
 /// tick that would have noticed the end of the lease.
 #[test]
 fn reply_after_the_lease_starts_nothing() {
-    let mut driver = Driver::warm(1);
-    driver.handle(GateEvent::LeaseUntil(30 * MS));
-    driver.submit(1, SECOND);
-    driver.submit(2, SECOND);
-    driver.now_us = 40 * MS;
-    let actions = driver.reply(1, answered());
-    assert!(sent(&actions).is_empty());
-    assert_eq!(refused(&actions), [(2, RefusalReason::NoLease)]);
+    let script = "lease 30\n submit 1..3 1000\n skip 40\n reply 1 ok";
+    assert_snapshot!(Driver::warm(1).run(script));
 }
 
 /// Guards against new work to a replica that operators took out, against ending
-/// its running work, and against full load when it returns.
+/// its running work, and against its return above or below the cold bound.
 #[test]
 fn replica_out_of_service() {
-    let mut driver = Driver::warm(1);
-    driver.submit(1, SECOND);
-    driver.submit(2, SECOND);
-    let actions = set_out(&mut driver, true);
-    assert_eq!(refused(&actions), [(2, RefusalReason::Out)]);
-    assert!(actions.contains(&GateAction::CloseConnections(REPLICA)));
-    assert_eq!(driver.report().state, ReplicaState::Out);
-    let actions = driver.submit(3, SECOND);
-    assert_eq!(refused(&actions), [(3, RefusalReason::Out)]);
-    assert_eq!(driver.reply(1, answered()).len(), 1);
-    driver.probe_reply(answered());
-    assert_eq!(probes(&driver.advance(5 * SECOND)), 0);
-    let actions = set_out(&mut driver, false);
-    assert_eq!(probes(&actions), 1);
-    assert_eq!(driver.report().state, ReplicaState::Cold);
-    for it in 4..6 {
-        assert_eq!(
-            sent(&driver.submit(it, 9 * SECOND)),
-            [it],
-            "below the bound"
-        );
-    }
+    let mut driver = Driver::new(3, cold(2, 10), Some(warm()));
+    driver.run("probed ok\n submit 1..5 1000");
+    driver.deployment.replicas.get_mut(&REPLICA).unwrap().out = true;
+    let script = "deploy\n report\n submit 5 1000\n reply 1..4 ok\n at 5000";
+    let mut log = driver.run(script);
+    driver.deployment.replicas.get_mut(&REPLICA).unwrap().out = false;
+    log += &driver.run("deploy\n report\n submit 6..9 9000");
+    assert_snapshot!(log);
 }
 
 /// Guards against a deployment that arrives late reverting a newer one.
 #[test]
 fn older_deployment_is_ignored() {
     let mut driver = Driver::warm(1);
-    let mut older = deployment(9, cold(1, 10));
-    older.generation = 0;
-    driver.handle(GateEvent::Deployment(Arc::new(older)));
+    driver.deployment = common::deployment(9, cold(1, 10));
+    driver.deployment.generation = 0;
+    assert_snapshot!(driver.run("deploy\n submit 1..3 1000"));
     assert_eq!(driver.gate.counters().stale_deployments, 1);
-    assert_eq!(sent(&driver.submit(1, SECOND)), [1]);
-    assert!(sent(&driver.submit(2, SECOND)).is_empty());
 }
 
 /// Guards against answering for a replica that another node owns.
 #[test]
 fn replica_that_is_not_owned() {
-    let mut driver = Driver::warm(1);
-    let revoke = GateEvent::Revoke {
-        epoch: 3,
-        replica: REPLICA,
-        successor: None,
-    };
-    driver.handle(revoke);
-    let actions = driver.submit(1, SECOND);
-    assert_eq!(refused(&actions), [(1, RefusalReason::NotOwner)]);
-    assert!(matches!(
-        actions[0],
-        GateAction::Respond { report: None, .. }
-    ));
-    let unknown = SubRequest {
-        replica: ReplicaKey(5),
-        ..request(2, SECOND)
-    };
-    let actions = driver.handle(GateEvent::Submit(unknown));
-    assert_eq!(refused(&actions), [(2, RefusalReason::UnknownReplica)]);
+    let script = "revoke 3\n submit 1 1000\n submit 2 1000 r5";
+    assert_snapshot!(Driver::warm(1).run(script));
 }
 
 /// Guards against a message that is repeated or late taking a replica away or
 /// resetting what is known of it.
 #[test]
 fn stale_ownership_is_ignored() {
-    let mut driver = Driver::new(deployment(1, cold(1, 10)), Some(warm()));
-    driver.handle(GateEvent::Grant {
-        epoch: 4,
-        replica: REPLICA,
-        state: None,
-    });
-    driver.handle(GateEvent::Revoke {
-        epoch: 3,
-        replica: REPLICA,
-        successor: None,
-    });
-    assert_eq!(driver.report().epoch, 4);
-    assert_eq!(driver.report().state, ReplicaState::Warm);
+    let mut driver = Driver::warm(1);
+    assert_snapshot!(driver.run("grant 4\n revoke 3\n report"));
+    assert_eq!(driver.gate.reports(0)[0].1.epoch, 4);
     assert_eq!(driver.gate.counters().stale_ownership, 1);
 }
