--- a/crates/ctl/tests/fake/mod.rs
+++ b/crates/ctl/tests/fake/mod.rs
@@ -49,6 +49,8 @@
     LostAfter(Box<dyn FnOnce(&Fake) + Send>),
     /// Takes effect only after the next read; the reply is lost.
     Late,
+    /// Takes effect only when [`Fake::deliver`] is called.
+    Stuck,
     /// Is lost before it takes effect.
     RequestLost,
     /// Takes effect; the reply is lost.
@@ -63,10 +65,15 @@
 pub struct State {
     pub answers: BTreeMap<(SocketAddr, String), String>,
     pub deaf: Vec<SocketAddr>,
+    /// Version and change id of each value that `config/current` had.
+    pub effects: Vec<(u64, String)>,
     pub down: bool,
+    /// Reads and lists that fail before the next one succeeds.
+    pub failing_reads: u32,
     pub fates: VecDeque<PutFate>,
     pub history_fails: bool,
     pub late: Vec<(u64, String)>,
+    pub stuck: Vec<(u64, String)>,
     pub objects: BTreeMap<String, StoredObject>,
     pub overrides: Vec<EvacuationOverride>,
     pub puts: u32,
@@ -203,7 +210,7 @@
     }
 
     fn read(&self, path: &str) -> Result<Option<StoredObject>, PlatformError> {
-        if self.state().down {
+        if self.fails_read() {
             return Err(not_sent());
         }
         let object = self.state().objects.get(path).cloned();
@@ -214,11 +221,26 @@
         Ok(object)
     }
 
+    fn fails_read(&self) -> bool {
+        let mut state = self.state();
+        let fails = state.failing_reads > 0;
+        state.failing_reads = state.failing_reads.saturating_sub(1);
+        fails || state.down
+    }
+
+    /// Lets the stuck updates arrive.
+    pub fn deliver(&self) {
+        let stuck = std::mem::take(&mut self.state().stuck);
+        for (expected, value) in stuck {
+            self.set(CURRENT_PATH, expected, &value);
+        }
+    }
+
     fn list(&self, prefix: &str) -> Result<Vec<ObjectHead>, PlatformError> {
-        let state = self.state();
-        if state.down {
+        if self.fails_read() {
             return Err(not_sent());
         }
+        let state = self.state();
         let found = state
             .objects
             .iter()
@@ -251,6 +273,7 @@
                 self.set(path, expected, value);
             }
             Some(PutFate::Late) => self.state().late.push((expected, value.to_owned())),
+            Some(PutFate::Stuck) => self.state().stuck.push((expected, value.to_owned())),
             Some(PutFate::RequestLost) => {}
             Some(PutFate::ReplyLost) => drop(self.set(path, expected, value)),
             Some(PutFate::ReplyLostThen(other)) => {
@@ -275,6 +298,10 @@
         }
         state.version += 1;
         let version = state.version;
+        if path == CURRENT_PATH {
+            let config = serde_json::from_str::<StoredConfig>(value).unwrap();
+            state.effects.push((version, config.change_id.to_string()));
+        }
         let value = Arc::from(value);
         state
             .objects
