Tell proofs by age only, and hint at new ones

Cause: a node pushed each new proof to the peers that had asked, relative to the arrival of their request. Clocks of different rates made the time of one proof grow with every hop, so two peers kept proving to each other: 4.96 million answers in 1 s at 60 nodes, and a lease longer than its proof. Change: an answer carries the age of the proof, which grows with time at every hop, and a hint without a proof makes the receiver ask.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -253,14 +253,14 @@
                 acknowledged,
                 epoch,
                 from_store,
-                proof_offset_us,
+                proof_age_us,
                 sequence,
             } => {
                 let answer = LeaseAnswer {
                     acknowledged,
                     epoch,
                     from_store,
-                    proof_offset_us,
+                    proof_age_us,
                     sequence,
                 };
                 self.on_lease_answer(step, from, &answer);
@@ -270,6 +270,7 @@
                 epoch,
                 sequence,
             } => self.on_lease_ask(step, from, epoch, sequence, acknowledge),
+            GossipMessage::LeaseHint => self.on_lease_hint(step, from),
             GossipMessage::OverridesEnded {
                 change_ids,
                 generation,
--- a/crates/fleet/src/gossip_message.rs
+++ b/crates/fleet/src/gossip_message.rs
@@ -55,9 +55,8 @@
         epoch: u64,
         /// Whether that proof came from the store, directly or through others.
         from_store: bool,
-        /// When the table was last proved the newest, relative to the arrival of
-        /// the request, in microseconds; negative means before.
-        proof_offset_us: Option<i64>,
+        /// Time since the table was proved the newest, in microseconds.
+        proof_age_us: Option<u64>,
         /// Number of the request.
         sequence: u64,
     },
@@ -70,6 +69,9 @@
         /// Number of the request.
         sequence: u64,
     },
+    /// Tells a node that asked lately that a newer proof can be asked for. It
+    /// carries no proof: nobody knows how long it was under way.
+    LeaseHint,
     /// Overrides that ended with a configuration.
     OverridesEnded {
         /// Ids of the overrides.
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -19,8 +19,12 @@
 
 /// Requests to peers whose answers are still taken.
 const ASKS_MAX: usize = 16;
+/// Progress of a proof that is worth a hint; less may be an error of clock rates.
+const HINT_US: u64 = 200_000;
 /// Delay of a node's own efforts for each node that ranks before it.
 const RANK_STEP_US: u64 = 200_000;
+/// Time for which a peer that asked is told of newer proofs.
+const SUBSCRIPTION_US: u64 = 2_500_000;
 
 #[derive(Debug)]
 pub(crate) struct Lease {
@@ -46,8 +50,8 @@
     pub(crate) store_ok_us: Option<u64>,
     /// Latest sign that this node or a peer reaches the store.
     store_seen_us: Option<u64>,
-    /// Peers that asked, with the number and arrival time of the request.
-    subscribers: BTreeMap<NodeKey, (u64, u64)>,
+    /// Peers that asked, with the time of the last request.
+    subscribers: BTreeMap<NodeKey, u64>,
     /// Work may start before this time.
     pub(crate) until_us: u64,
 }
@@ -125,7 +129,7 @@
         if known.table.epoch != epoch || known.proof_us.is_some_and(|it| it >= at_us) {
             return;
         }
-        known.proof_us = Some(at_us);
+        let before = known.proof_us.replace(at_us);
         known.from_store = from_store;
         if key != self.config.data_centre {
             return;
@@ -142,39 +146,26 @@
             self.lease.until_us = until_us;
             step.push(FleetAction::LeaseUntil(until_us));
         }
-        self.tell_subscribers(step);
+        if before.is_none_or(|it| at_us >= it + HINT_US) {
+            self.hint_subscribers(step);
+        }
     }
 
-    /// Passes a new proof on to the peers that asked recently.
-    fn tell_subscribers(&mut self, step: &mut Step<'_>) {
-        let oldest = step.now_us.saturating_sub(limits::STALE_US);
-        self.lease.subscribers.retain(|_, it| it.1 >= oldest);
+    /// Lets the peers that asked lately ask again for the new proof.
+    fn hint_subscribers(&mut self, step: &mut Step<'_>) {
+        let oldest = step.now_us.saturating_sub(SUBSCRIPTION_US);
+        self.lease.subscribers.retain(|_, asked| *asked >= oldest);
         let subscribers: Vec<_> = self.lease.subscribers.keys().copied().collect();
         for peer in subscribers {
-            self.answer_lease(step, peer, false);
+            self.send(step, peer, GossipMessage::LeaseHint);
         }
     }
 
-    fn answer_lease(&mut self, step: &mut Step<'_>, to: NodeKey, acknowledge: bool) {
-        let Some(&(sequence, arrived_us)) = self.lease.subscribers.get(&to) else {
-            return;
-        };
-        let Some(known) = self.own_table() else {
-            return;
-        };
-        let epoch = known.table.epoch;
-        let proof = known.proof_us;
-        let fresh = proof.filter(|at| step.now_us < at + limits::LEASE_US);
-        let from_store = known.from_store;
-        let acknowledged = acknowledge && self.acknowledge(step.now_us, epoch);
-        let message = GossipMessage::LeaseAnswer {
-            acknowledged,
-            epoch,
-            from_store,
-            proof_offset_us: fresh.map(|at| at as i64 - arrived_us as i64),
-            sequence,
-        };
-        self.send(step, to, message);
+    pub(crate) fn on_lease_hint(&mut self, step: &mut Step<'_>, from: NodeKey) {
+        let age_us = self.own_table().and_then(|it| it.proof_us);
+        if age_us.is_none_or(|at| step.now_us >= at + HINT_US) {
+            self.ask_lease(step, &[from], false);
+        }
     }
 
     /// Acknowledges `epoch` if that is allowed, with the promise not to consent.
@@ -198,12 +189,21 @@
             self.settle_epoch(step, from, epoch);
             return;
         }
-        let asked = (sequence, step.now_us);
-        let known = self.lease.subscribers.get(&from);
-        if known.is_none_or(|it| it.0 < sequence) {
-            self.lease.subscribers.insert(from, asked);
-            self.answer_lease(step, from, acknowledge);
-        }
+        let Some(known) = self.own_table() else {
+            return;
+        };
+        let from_store = known.from_store;
+        let age = known.proof_us.map(|at| step.now_us.saturating_sub(at));
+        let acknowledged = acknowledge && self.acknowledge(step.now_us, epoch);
+        self.lease.subscribers.insert(from, step.now_us);
+        let message = GossipMessage::LeaseAnswer {
+            acknowledged,
+            epoch,
+            from_store,
+            proof_age_us: age.filter(|&age| age < limits::LEASE_US),
+            sequence,
+        };
+        self.send(step, from, message);
     }
 
     /// Sends or pulls the newer table when a peer of the data centre has another.
@@ -234,9 +234,9 @@
             return;
         }
         let key = self.config.data_centre;
-        if let Some(offset) = answer.proof_offset_us {
+        if let Some(age_us) = answer.proof_age_us {
             self.counters.peer_proofs += 1;
-            let at_us = sent_us.saturating_add_signed(offset);
+            let at_us = sent_us.saturating_sub(age_us);
             self.prove(step, key, answer.epoch, at_us, answer.from_store);
         }
         let round = (answer.epoch, answer.sequence, sent_us);
@@ -309,7 +309,7 @@
             self.read_own_table(step, limits::STALE_READ_US);
         }
         let mut peers = Vec::new();
-        if rank > 0 {
+        if rank > 0 && age > limits::STORE_RETRY_US {
             peers.push(self.views.ranked[(rank - 1) / limits::LEASE_FAN_OUT]);
         }
         if stale {
@@ -365,6 +365,6 @@
     pub(crate) acknowledged: bool,
     pub(crate) epoch: u64,
     pub(crate) from_store: bool,
-    pub(crate) proof_offset_us: Option<i64>,
+    pub(crate) proof_age_us: Option<u64>,
     pub(crate) sequence: u64,
 }
--- a/crates/fleet/src/message_size.rs
+++ b/crates/fleet/src/message_size.rs
@@ -27,6 +27,7 @@
             Self::Evacuate(order) => evacuation(order),
             Self::LeaseAnswer { .. } => 2 + 3 * NUMBER,
             Self::LeaseAsk { .. } => 1 + 2 * NUMBER,
+            Self::LeaseHint => 0,
             Self::OverridesEnded { change_ids, .. } => 2 * NUMBER + texts(change_ids),
             Self::Ping { updates: list, .. } | Self::PingAnswer { updates: list, .. } => {
                 NUMBER + updates(list)
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -1,6 +1,12 @@
 //! Nodes, a store and a message bus in virtual time, with seeded loss and delay.
 
 #![allow(dead_code, reason = "each test file uses its own part")]
+#![allow(missing_docs, reason = "a harness of tests")]
+#![allow(
+    clippy::cast_lossless,
+    clippy::option_option,
+    reason = "short code in tests"
+)]
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -10,8 +16,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
-use wigeonhall_fleet::*;
-use wigeonhall_types::*;
+use wigeonhall_fleet::ConfigRecord;
+use wigeonhall_fleet::EvacuationOverride;
+use wigeonhall_fleet::Fleet;
+use wigeonhall_fleet::FleetAction;
+use wigeonhall_fleet::FleetConfig;
+use wigeonhall_fleet::FleetEvent;
+use wigeonhall_fleet::NotReadyReason;
+use wigeonhall_fleet::PushShape;
+use wigeonhall_fleet::TableRecord;
+use wigeonhall_types::Catalog;
+use wigeonhall_types::ColdBound;
+use wigeonhall_types::DataCentre;
+use wigeonhall_types::Deployment;
+use wigeonhall_types::HandOverState;
+use wigeonhall_types::NodeKey;
+use wigeonhall_types::OwnershipTable;
+use wigeonhall_types::Replica;
+use wigeonhall_types::ReplicaKey;
+use wigeonhall_types::Vm;
+use wigeonhall_types::VmState;
+use wigeonhall_types::VmStatus;
 
 pub const MS: u64 = 1000;
 pub const S: u64 = 1_000_000;
@@ -399,7 +424,7 @@
     ) {
         let delay = self.rng.u64(MS..3 * MS);
         self.at(self.now + delay, move |world| {
-            world.deliver(node, boot, event)
+            world.deliver(node, boot, event);
         });
     }
 
@@ -426,7 +451,7 @@
                 world.answer(node, boot, event);
             } else {
                 world.at(world.now + S, move |world| {
-                    world.deliver(node, boot, failed)
+                    world.deliver(node, boot, failed);
                 });
             }
         });
@@ -477,6 +502,24 @@
                     "epoch went back"
                 );
             }
+            FleetAction::Revoke {
+                epoch,
+                replica,
+                successor,
+            } => self.revoke(node, epoch, replica, successor),
+            FleetAction::Send { message, to } => {
+                let name = self.nodes[node].catalog.node_name(to);
+                self.messages += 1;
+                self.bytes += message.size_bytes() as u64;
+                self.post(node, &name, |from| FleetEvent::Gossip { from, message });
+            }
+            FleetAction::Stopped => self.nodes[node].stopped = true,
+            store => self.act_on_store(node, boot, local, store),
+        }
+    }
+
+    fn act_on_store(&mut self, node: usize, boot: u64, local: u64, action: FleetAction) {
+        match action {
             FleetAction::ReadConfig => self.read(
                 node,
                 boot,
@@ -511,18 +554,6 @@
                 let list = vms.collect();
                 self.answer(node, boot, |_| FleetEvent::VmList(list));
             }
-            FleetAction::Revoke {
-                epoch,
-                replica,
-                successor,
-            } => self.revoke(node, epoch, replica, successor),
-            FleetAction::Send { message, to } => {
-                let name = self.nodes[node].catalog.node_name(to);
-                self.messages += 1;
-                self.bytes += message.size_bytes() as u64;
-                self.post(node, &name, |from| FleetEvent::Gossip { from, message });
-            }
-            FleetAction::Stopped => self.nodes[node].stopped = true,
             FleetAction::WatchConfig(generation) => {
                 let newer = self.store.config.as_ref().map_or(0, |it| it.generation) > generation;
                 if !self.store_reachable(node) {
@@ -540,6 +571,7 @@
                 table,
                 ..
             } => self.write(node, boot, expected_epoch, table),
+            other => unreachable!("{other:?}"),
         }
     }
 
