--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -197,7 +197,10 @@
             }
             FleetEvent::TableReadFailed(key) => self.end_table_read(key),
             FleetEvent::Tick => {}
-            FleetEvent::VmList(list) => self.on_vm_list(step, &list),
+            FleetEvent::VmList(list) => {
+                self.on_vm_list(step, &list);
+                self.count_consents(step);
+            }
         }
     }
 
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -67,6 +67,8 @@
 pub(crate) const UPDATES_MAX: usize = 8;
 /// Time between two readings of the VM list by the reader of a data centre.
 pub(crate) const VM_LIST_US: u64 = 2_000_000;
+/// Time after which a reading of the VM list is not answered any more.
+pub(crate) const VM_LIST_TIMEOUT_US: u64 = 5_000_000;
 /// Time between two readings of the VM list by any other node.
 pub(crate) const VM_LIST_SLOW_US: u64 = 60_000_000;
 /// Time after which an unanswered watch is asked for again.
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -102,6 +102,10 @@
     /// Members whose state is news, with the number of messages left to carry it.
     updates: VecDeque<(NodeKey, u32)>,
     vm_list_due_us: u64,
+    /// Times at which the VM list was asked for without an answer yet.
+    vm_list_asked_us: VecDeque<u64>,
+    /// When the newest VM list was asked for.
+    pub(crate) vm_list_us: Option<u64>,
 }
 
 impl Membership {
@@ -121,6 +125,8 @@
             suspicions: BTreeMap::new(),
             updates: VecDeque::new(),
             vm_list_due_us: 0,
+            vm_list_asked_us: VecDeque::new(),
+            vm_list_us: None,
         }
     }
 
@@ -180,6 +186,9 @@
 
     /// Takes the platform's list; a VM that is not on it is gone.
     pub(crate) fn on_vm_list(&mut self, step: &mut Step<'_>, list: &[VmStatus]) {
+        if let Some(asked_us) = self.membership.vm_list_asked_us.pop_front() {
+            self.membership.vm_list_us = Some(asked_us);
+        }
         let mut listed = BTreeMap::new();
         for vm in list {
             let node = step.catalog.node(&vm.name);
@@ -394,8 +403,7 @@
             self.start_probe(step);
         }
         if self.membership.vm_list_due_us <= now {
-            self.counters.store_reads += 1;
-            step.push(FleetAction::ReadVmList);
+            self.read_vm_list(step);
             let period = if self.views.own_rank() < 2 {
                 limits::VM_LIST_US * (1 + self.views.own_rank() as u64 * 2)
             } else {
@@ -405,6 +413,17 @@
         }
     }
 
+    /// Asks for the VM list. A read that fails is not reported, so an answer is
+    /// taken for one to the oldest question that can still be under way.
+    pub(crate) fn read_vm_list(&mut self, step: &mut Step<'_>) {
+        let now = step.now_us;
+        let asked = &mut self.membership.vm_list_asked_us;
+        asked.retain(|at| now < at + limits::VM_LIST_TIMEOUT_US);
+        asked.push_back(now);
+        self.counters.store_reads += 1;
+        step.push(FleetAction::ReadVmList);
+    }
+
     fn run_indirect_probe(&mut self, step: &mut Step<'_>) {
         let Some(probe) = &mut self.membership.probe else {
             return;
--- a/crates/fleet/src/proposal.rs
+++ b/crates/fleet/src/proposal.rs
@@ -255,6 +255,11 @@
 
     fn begin_consent(&mut self, step: &mut Step<'_>) {
         self.proposal_sequence += 1;
+        let members = self.own_table().map(|it| it.table.members.clone());
+        let gone = |it: &NodeKey| self.membership.members.get(it).is_some_and(Member::gone);
+        if members.iter().flatten().any(gone) {
+            self.read_vm_list(step);
+        }
         self.proposal.stage = Stage::Consent {
             consents: BTreeSet::new(),
             epoch: self.own_epoch(),
@@ -340,7 +345,7 @@
         }
     }
 
-    fn count_consents(&mut self, step: &mut Step<'_>) {
+    pub(crate) fn count_consents(&mut self, step: &mut Step<'_>) {
         let Stage::Consent {
             consents,
             epoch,
@@ -354,7 +359,12 @@
             return;
         };
         let members = &known.table.members;
+        // A gone node may have come back since an older list; a list asked for in
+        // this round is as recent as the consents, and a node that came back later
+        // is in quarantine until the write landed.
+        let listed = self.membership.vm_list_us.is_some_and(|at| at >= *sent_us);
         let gone = |it: &NodeKey| self.membership.members.get(it).is_some_and(Member::gone);
+        let gone = |it: &NodeKey| listed && gone(it);
         let agree = |it: &&NodeKey| consents.contains(it) || gone(it);
         let count = members.iter().filter(agree).count();
         let fresh = step.now_us <= sent_us + limits::CONSENT_US;
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -57,6 +57,8 @@
     pub in_force: Option<Arc<Deployment>>,
     pub lease_until: u64,
     pub lost: Vec<Arc<str>>,
+    /// Ids of the overrides seen in effect in this boot.
+    orders: BTreeSet<Arc<str>>,
     pub name: Arc<str>,
     paused_until: u64,
     pub ready: Option<Option<NotReadyReason>>,
@@ -104,6 +106,8 @@
     pub loss: u8,
     pub messages: u64,
     pub nodes: Vec<Node>,
+    /// Overrides of VMs: id, VM and the generation that contains the id.
+    pub orders: Vec<(Arc<str>, Arc<str>, Option<u64>)>,
     pub now: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     replicas_per_dc: usize,
@@ -128,6 +132,7 @@
             loss: 0,
             messages: 0,
             nodes: Vec::new(),
+            orders: Vec::new(),
             now: 0,
             queue: BinaryHeap::new(),
             replicas_per_dc: replicas,
@@ -153,6 +158,7 @@
                 in_force: None,
                 lease_until: 0,
                 lost: Vec::new(),
+                orders: BTreeSet::new(),
                 name,
                 paused_until: 0,
                 ready: None,
@@ -208,6 +214,8 @@
         it.boot = boot;
         it.in_force = None;
         it.lease_until = 0;
+        it.lost.clear();
+        it.orders.clear();
         it.ready = None;
         it.stopped = false;
         it.tables.clear();
@@ -248,6 +256,10 @@
     /// Writes a configuration, as the operators' command does.
     pub fn apply(&mut self, text: &str, contains: &[&str]) -> u64 {
         let generation = self.store.config.as_ref().map_or(0, |it| it.generation) + 1;
+        let contained = |it: &&mut (Arc<str>, _, _)| contains.contains(&&*it.0);
+        for order in self.orders.iter_mut().filter(contained) {
+            order.2.get_or_insert(generation);
+        }
         self.store.config = Some(ConfigRecord {
             author: "operator".into(),
             change_id: format!("change-{generation}").into(),
@@ -273,7 +285,29 @@
         }
     }
 
+    /// Overrides that this node has shown must last until a configuration has them.
+    fn check_orders(&mut self, node: usize, deployment: &Deployment) {
+        let it = &mut self.nodes[node];
+        for (id, vm, contained) in &self.orders {
+            let ended = contained.is_some_and(|it| it <= deployment.generation);
+            let key = it.catalog.find_node(vm);
+            let out = key.is_some_and(|it| deployment.vms[&it].out);
+            if ended {
+                it.orders.remove(id);
+            } else if out {
+                it.orders.insert(Arc::clone(id));
+            }
+            assert!(
+                ended || out || !it.orders.contains(id),
+                "override {id} disappeared"
+            );
+        }
+    }
+
     pub fn evacuate(&mut self, node: usize, id: &str, dc: Option<&str>, vm: Option<&str>) {
+        if let Some(vm) = vm {
+            self.orders.push((id.into(), vm.into(), None));
+        }
         let order = EvacuationOverride {
             author: "operator".into(),
             change_id: id.into(),
@@ -475,7 +509,8 @@
                     "{}: generation went back",
                     it.name
                 );
-                it.in_force = Some(deployment);
+                it.in_force = Some(Arc::clone(&deployment));
+                self.check_orders(node, &deployment);
                 self.check_floor(node);
             }
             FleetAction::Grant { replica, .. } => {
--- /dev/null
+++ b/crates/fleet/tests/fuzz.rs
@@ -0,0 +1,163 @@
+//! Random failures against the oracle in the world of fakes.
+//!
+//! At every event the world checks that generations and epochs never go back, that
+//! one write of an epoch takes effect, that no two nodes hold a valid lease and a
+//! grant for one replica, and that overrides last until a configuration has them.
+
+mod common;
+
+use common::MS;
+use common::S;
+use common::World;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use wigeonhall_types::VmState;
+
+const NODES: usize = 8;
+
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    Apply(bool),
+    Crash(usize),
+    CutFromStore(usize),
+    Evacuate(usize, usize),
+    Gone(usize),
+    Loss(u8),
+    LostReplies(u8),
+    Partition(u8),
+    Pause(usize, u64),
+    Run(u64),
+    Start(usize),
+    Stop(usize),
+    StoreDown(bool),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let node = 0..NODES;
+    prop_oneof![
+        2 => any::<bool>().prop_map(Op::Apply),
+        3 => node.clone().prop_map(Op::Crash),
+        2 => node.clone().prop_map(Op::CutFromStore),
+        1 => (node.clone(), node.clone()).prop_map(|it| Op::Evacuate(it.0, it.1)),
+        2 => node.clone().prop_map(Op::Gone),
+        1 => prop_oneof![Just(0_u8), Just(10), Just(40)].prop_map(Op::Loss),
+        1 => prop_oneof![Just(0_u8), Just(50)].prop_map(Op::LostReplies),
+        3 => any::<u8>().prop_map(Op::Partition),
+        3 => (node.clone(), 100 * MS..12 * S).prop_map(|it| Op::Pause(it.0, it.1)),
+        12 => (MS..6 * S).prop_map(Op::Run),
+        5 => node.clone().prop_map(Op::Start),
+        1 => node.prop_map(Op::Stop),
+        3 => any::<bool>().prop_map(Op::StoreDown),
+    ]
+}
+
+fn act(world: &mut World, op: Op) {
+    match op {
+        Op::Apply(contain) => {
+            if world.store.down {
+                return;
+            }
+            let ids: Vec<_> = world.orders.iter().map(|it| it.0.clone()).collect();
+            let ids: Vec<_> = ids.iter().map(|it| &**it).collect();
+            world.apply("", if contain { &ids } else { &[] });
+        }
+        Op::Crash(node) => world.crash(node),
+        Op::CutFromStore(node) => {
+            if !world.cut_from_store.remove(&node) {
+                world.cut_from_store.insert(node);
+            }
+        }
+        Op::Evacuate(node, vm) => {
+            let id = format!("order-{}", world.orders.len());
+            if world.nodes[node].fleet.is_some() {
+                let vm = world.nodes[vm].name.clone();
+                world.evacuate(node, &id, None, Some(&vm));
+            }
+        }
+        Op::Gone(node) => {
+            world.crash(node);
+            let name = world.nodes[node].name.clone();
+            world.vms.remove(&name);
+        }
+        Op::Loss(percent) => world.loss = percent,
+        Op::LostReplies(percent) => world.store.lost_replies = percent,
+        Op::Partition(mask) => {
+            for node in 0..NODES {
+                world.group[node] = mask >> node & 1;
+            }
+        }
+        Op::Pause(node, time) => world.pause(node, time),
+        Op::Run(time) => world.run(time),
+        Op::Start(node) => start(world, node),
+        Op::Stop(node) => world.stop(node),
+        Op::StoreDown(down) => world.set_store_down(down),
+    }
+}
+
+fn start(world: &mut World, node: usize) {
+    if world.nodes[node].fleet.is_none() || world.nodes[node].stopped {
+        world.crash(node);
+        let name = world.nodes[node].name.clone();
+        world.vms.insert(name, VmState::Live);
+        world.start(node);
+    }
+}
+
+/// Ends all failures; then everything must be owned and everybody up to date.
+fn heal(world: &mut World) {
+    world.loss = 0;
+    world.store.lost_replies = 0;
+    world.group.fill(0);
+    world.cut_from_store.clear();
+    world.set_store_down(false);
+    let ids: Vec<_> = world.orders.iter().map(|it| it.0.clone()).collect();
+    let ids: Vec<_> = ids.iter().map(|it| &**it).collect();
+    let generation = world.apply("", &ids);
+    world.run(15 * S);
+    (0..NODES).for_each(|node| start(world, node));
+    world.run(45 * S);
+    for node in &world.nodes {
+        assert_eq!(node.generation(), generation, "{}", node.name);
+        assert_eq!(node.ready, Some(None), "{}", node.name);
+        let mut vms = node.in_force.iter().flat_map(|it| it.vms.values());
+        assert!(
+            vms.all(|it| !it.out),
+            "an override outlived its configuration"
+        );
+    }
+    assert!(world.all_owned(), "a replica has no owner");
+}
+
+/// Guards against double ownership, lost and reverted changes under any failures.
+#[test]
+fn failures_never_break_the_invariants() {
+    let cases = std::env::var("WIGEONHALL_FUZZ_CASES");
+    let cases = cases.map_or(40, |it| it.parse().expect("a number of cases"));
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 500,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let ops = proptest::collection::vec(op(), 5..40);
+    let case = (any::<u64>(), ops);
+    let result = runner.run(&case, |(seed, ops)| {
+        let mut world = World::new(&[("south", "dc-a"), ("north", "dc-b")], NODES, 6, seed);
+        world.apply("", &[]);
+        (0..NODES).for_each(|it| world.start(it));
+        world.run(8 * S);
+        for op in ops {
+            act(&mut world, op);
+        }
+        heal(&mut world);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
