Deliver fuzzed messages and replies late and twice

Cause: delays of 1 to 3 ms could not show a lease counted from the arrival of a reply. Change: a chance of seconds of delay and of a second delivery.

--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -102,6 +102,9 @@
     /// Group of each node; nodes of different groups hear nothing of each other.
     pub group: Vec<u8>,
     holders: BTreeMap<Arc<str>, BTreeSet<usize>>,
+    /// Chance that a message or reply is seconds late, and that a message comes
+    /// twice, in percent.
+    pub late: u8,
     /// Chance that a message is lost, in percent.
     pub loss: u8,
     pub messages: u64,
@@ -129,6 +132,7 @@
             dcs: dcs.iter().map(|it| (it.0, it.1.to_owned())).collect(),
             group: vec![0; count],
             holders: BTreeMap::new(),
+            late: 0,
             loss: 0,
             messages: 0,
             nodes: Vec::new(),
@@ -456,7 +460,8 @@
         boot: u64,
         event: impl FnOnce(&mut Catalog) -> FleetEvent + 'static,
     ) {
-        let delay = self.rng.u64(MS..3 * MS);
+        let late = self.rng.u8(..100) < self.late;
+        let delay = self.rng.u64(MS..if late { 5 * S } else { 3 * MS });
         self.at(self.now + delay, move |world| {
             world.deliver(node, boot, event);
         });
@@ -546,6 +551,10 @@
                 let name = self.nodes[node].catalog.node_name(to);
                 self.messages += 1;
                 self.bytes += message.size_bytes() as u64;
+                if self.rng.u8(..100) < self.late {
+                    let message = message.clone();
+                    self.post(node, &name, |from| FleetEvent::Gossip { from, message });
+                }
                 self.post(node, &name, |from| FleetEvent::Gossip { from, message });
             }
             FleetAction::Stopped => self.nodes[node].stopped = true,
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -26,6 +26,7 @@
     Evacuate(usize, usize),
     Gone(usize),
     Loss(u8),
+    Late(u8),
     LostReplies(u8),
     Partition(u8),
     Pause(usize, u64),
@@ -44,6 +45,7 @@
         1 => (node.clone(), node.clone()).prop_map(|it| Op::Evacuate(it.0, it.1)),
         2 => node.clone().prop_map(Op::Gone),
         1 => prop_oneof![Just(0_u8), Just(10), Just(40)].prop_map(Op::Loss),
+        1 => prop_oneof![Just(0_u8), Just(20)].prop_map(Op::Late),
         1 => prop_oneof![Just(0_u8), Just(50)].prop_map(Op::LostReplies),
         3 => any::<u8>().prop_map(Op::Partition),
         3 => (node.clone(), 100 * MS..12 * S).prop_map(|it| Op::Pause(it.0, it.1)),
@@ -83,6 +85,7 @@
             world.vms.remove(&name);
         }
         Op::Loss(percent) => world.loss = percent,
+        Op::Late(percent) => world.late = percent,
         Op::LostReplies(percent) => world.store.lost_replies = percent,
         Op::Partition(mask) => {
             for node in 0..NODES {
@@ -108,6 +111,7 @@
 
 /// Ends all failures; then everything must be owned and everybody up to date.
 fn heal(world: &mut World) {
+    world.late = 0;
     world.loss = 0;
     world.store.lost_replies = 0;
     world.group.fill(0);
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -15,7 +15,7 @@
     world
 }
 
-fn runs_on_with_loss(world: &mut World, seconds: u64) {
+fn stays_owned(world: &mut World, seconds: u64) {
     for _ in 0..seconds * 4 {
         world.run(250 * MS);
         assert!(world.all_owned(), "a lease lapsed at {}", world.now);
@@ -27,9 +27,9 @@
 fn leases_last_through_an_outage() {
     let mut world = one_data_centre(1);
     world.set_store_down(true);
-    runs_on_with_loss(&mut world, 60);
+    stays_owned(&mut world, 60);
     world.set_store_down(false);
-    runs_on_with_loss(&mut world, 20);
+    stays_owned(&mut world, 20);
 }
 
 /// Guards against a node that needs the store itself although its peers have it.
@@ -38,7 +38,7 @@
     for node in 0..5 {
         let mut world = one_data_centre(2);
         world.cut_from_store.insert(node);
-        runs_on_with_loss(&mut world, 20);
+        stays_owned(&mut world, 20);
     }
 }
 
