--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -1,6 +1,12 @@
 //! Nodes, a store and a message bus in virtual time, with seeded loss and delay.
 
 #![allow(dead_code, reason = "each test file uses its own part")]
+#![allow(missing_docs, reason = "a harness of tests")]
+#![allow(
+    clippy::cast_lossless,
+    clippy::option_option,
+    reason = "short code in tests"
+)]
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -10,8 +16,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
-use wigeonhall_fleet::*;
-use wigeonhall_types::*;
+use wigeonhall_fleet::ConfigRecord;
+use wigeonhall_fleet::EvacuationOverride;
+use wigeonhall_fleet::Fleet;
+use wigeonhall_fleet::FleetAction;
+use wigeonhall_fleet::FleetConfig;
+use wigeonhall_fleet::FleetEvent;
+use wigeonhall_fleet::NotReadyReason;
+use wigeonhall_fleet::PushShape;
+use wigeonhall_fleet::TableRecord;
+use wigeonhall_types::Catalog;
+use wigeonhall_types::ColdBound;
+use wigeonhall_types::DataCentre;
+use wigeonhall_types::Deployment;
+use wigeonhall_types::HandOverState;
+use wigeonhall_types::NodeKey;
+use wigeonhall_types::OwnershipTable;
+use wigeonhall_types::Replica;
+use wigeonhall_types::ReplicaKey;
+use wigeonhall_types::Vm;
+use wigeonhall_types::VmState;
+use wigeonhall_types::VmStatus;
 
 pub const MS: u64 = 1000;
 pub const S: u64 = 1_000_000;
@@ -32,6 +57,8 @@
     pub in_force: Option<Arc<Deployment>>,
     pub lease_until: u64,
     pub lost: Vec<Arc<str>>,
+    /// Ids of the overrides seen in effect in this boot.
+    orders: BTreeSet<Arc<str>>,
     pub name: Arc<str>,
     paused_until: u64,
     pub ready: Option<Option<NotReadyReason>>,
@@ -75,10 +102,15 @@
     /// Group of each node; nodes of different groups hear nothing of each other.
     pub group: Vec<u8>,
     holders: BTreeMap<Arc<str>, BTreeSet<usize>>,
+    /// Chance that a message or reply is seconds late, and that a message comes
+    /// twice, in percent.
+    pub late: u8,
     /// Chance that a message is lost, in percent.
     pub loss: u8,
     pub messages: u64,
     pub nodes: Vec<Node>,
+    /// Overrides of VMs: id, VM and the generation that contains the id.
+    pub orders: Vec<(Arc<str>, Arc<str>, Option<u64>)>,
     pub now: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     replicas_per_dc: usize,
@@ -100,9 +132,11 @@
             dcs: dcs.iter().map(|it| (it.0, it.1.to_owned())).collect(),
             group: vec![0; count],
             holders: BTreeMap::new(),
+            late: 0,
             loss: 0,
             messages: 0,
             nodes: Vec::new(),
+            orders: Vec::new(),
             now: 0,
             queue: BinaryHeap::new(),
             replicas_per_dc: replicas,
@@ -128,6 +162,7 @@
                 in_force: None,
                 lease_until: 0,
                 lost: Vec::new(),
+                orders: BTreeSet::new(),
                 name,
                 paused_until: 0,
                 ready: None,
@@ -183,6 +218,8 @@
         it.boot = boot;
         it.in_force = None;
         it.lease_until = 0;
+        it.lost.clear();
+        it.orders.clear();
         it.ready = None;
         it.stopped = false;
         it.tables.clear();
@@ -223,6 +260,10 @@
     /// Writes a configuration, as the operators' command does.
     pub fn apply(&mut self, text: &str, contains: &[&str]) -> u64 {
         let generation = self.store.config.as_ref().map_or(0, |it| it.generation) + 1;
+        let contained = |it: &&mut (Arc<str>, _, _)| contains.contains(&&*it.0);
+        for order in self.orders.iter_mut().filter(contained) {
+            order.2.get_or_insert(generation);
+        }
         self.store.config = Some(ConfigRecord {
             author: "operator".into(),
             change_id: format!("change-{generation}").into(),
@@ -248,7 +289,29 @@
         }
     }
 
+    /// Overrides that this node has shown must last until a configuration has them.
+    fn check_orders(&mut self, node: usize, deployment: &Deployment) {
+        let it = &mut self.nodes[node];
+        for (id, vm, contained) in &self.orders {
+            let ended = contained.is_some_and(|it| it <= deployment.generation);
+            let key = it.catalog.find_node(vm);
+            let out = key.is_some_and(|it| deployment.vms[&it].out);
+            if ended {
+                it.orders.remove(id);
+            } else if out {
+                it.orders.insert(Arc::clone(id));
+            }
+            assert!(
+                ended || out || !it.orders.contains(id),
+                "override {id} disappeared"
+            );
+        }
+    }
+
     pub fn evacuate(&mut self, node: usize, id: &str, dc: Option<&str>, vm: Option<&str>) {
+        if let Some(vm) = vm {
+            self.orders.push((id.into(), vm.into(), None));
+        }
         let order = EvacuationOverride {
             author: "operator".into(),
             change_id: id.into(),
@@ -397,9 +460,10 @@
         boot: u64,
         event: impl FnOnce(&mut Catalog) -> FleetEvent + 'static,
     ) {
-        let delay = self.rng.u64(MS..3 * MS);
+        let late = self.rng.u8(..100) < self.late;
+        let delay = self.rng.u64(MS..if late { 5 * S } else { 3 * MS });
         self.at(self.now + delay, move |world| {
-            world.deliver(node, boot, event)
+            world.deliver(node, boot, event);
         });
     }
 
@@ -426,7 +490,7 @@
                 world.answer(node, boot, event);
             } else {
                 world.at(world.now + S, move |world| {
-                    world.deliver(node, boot, failed)
+                    world.deliver(node, boot, failed);
                 });
             }
         });
@@ -450,7 +514,8 @@
                     "{}: generation went back",
                     it.name
                 );
-                it.in_force = Some(deployment);
+                it.in_force = Some(Arc::clone(&deployment));
+                self.check_orders(node, &deployment);
                 self.check_floor(node);
             }
             FleetAction::Grant { replica, .. } => {
@@ -477,6 +542,28 @@
                     "epoch went back"
                 );
             }
+            FleetAction::Revoke {
+                epoch,
+                replica,
+                successor,
+            } => self.revoke(node, epoch, replica, successor),
+            FleetAction::Send { message, to } => {
+                let name = self.nodes[node].catalog.node_name(to);
+                self.messages += 1;
+                self.bytes += message.size_bytes() as u64;
+                if self.rng.u8(..100) < self.late {
+                    let message = message.clone();
+                    self.post(node, &name, |from| FleetEvent::Gossip { from, message });
+                }
+                self.post(node, &name, |from| FleetEvent::Gossip { from, message });
+            }
+            FleetAction::Stopped => self.nodes[node].stopped = true,
+            store => self.act_on_store(node, boot, local, store),
+        }
+    }
+
+    fn act_on_store(&mut self, node: usize, boot: u64, local: u64, action: FleetAction) {
+        match action {
             FleetAction::ReadConfig => self.read(
                 node,
                 boot,
@@ -511,18 +598,6 @@
                 let list = vms.collect();
                 self.answer(node, boot, |_| FleetEvent::VmList(list));
             }
-            FleetAction::Revoke {
-                epoch,
-                replica,
-                successor,
-            } => self.revoke(node, epoch, replica, successor),
-            FleetAction::Send { message, to } => {
-                let name = self.nodes[node].catalog.node_name(to);
-                self.messages += 1;
-                self.bytes += message.size_bytes() as u64;
-                self.post(node, &name, |from| FleetEvent::Gossip { from, message });
-            }
-            FleetAction::Stopped => self.nodes[node].stopped = true,
             FleetAction::WatchConfig(generation) => {
                 let newer = self.store.config.as_ref().map_or(0, |it| it.generation) > generation;
                 if !self.store_reachable(node) {
@@ -540,6 +615,7 @@
                 table,
                 ..
             } => self.write(node, boot, expected_epoch, table),
+            other => unreachable!("{other:?}"),
         }
     }
 
