Count every refusal of a request by its reason

Refusals for the claim, the store, the class and the version had no counter. Parts that wait from the start for a replica that is put back named a shed request as their reason, which nobody had seen; they say too late now.

--- a/crates/query/src/coordinator.rs
+++ b/crates/query/src/coordinator.rs
@@ -269,16 +269,32 @@
     /// Answers a request.
     pub(crate) fn answer(&mut self, id: QueryId, answer: Answer, actions: &mut Vec<QueryAction>) {
         match answer.status {
+            AnswerStatus::Failed(_) => self.counters.failed += 1,
             AnswerStatus::Partial => self.counters.partial += 1,
+            AnswerStatus::Refused(reason) => self.count_refusal(reason),
             AnswerStatus::Whole => self.counters.whole += 1,
-            AnswerStatus::Refused(AbsentReason::NoReplica) => self.counters.refused_no_replica += 1,
-            AnswerStatus::Refused(AbsentReason::NotReady) => self.counters.refused_not_ready += 1,
-            AnswerStatus::Refused(AbsentReason::TooLate) => self.counters.refused_too_late += 1,
-            AnswerStatus::Failed(_) | AnswerStatus::Refused(_) => {}
         }
         actions.push(QueryAction::Answer { id, answer });
     }
 
+    fn count_refusal(&mut self, reason: AbsentReason) {
+        let counters = &mut self.counters;
+        let counter = match reason {
+            AbsentReason::ClaimOpen => &mut counters.refused_claim_open,
+            AbsentReason::ClaimTooOld => &mut counters.refused_claim_too_old,
+            AbsentReason::Failed(_) | AbsentReason::Refused(_) => &mut counters.refused_by_owner,
+            AbsentReason::NoReplica => &mut counters.refused_no_replica,
+            AbsentReason::NotReady => &mut counters.refused_not_ready,
+            AbsentReason::StoreDown => &mut counters.refused_store_down,
+            AbsentReason::TooLate => &mut counters.refused_too_late,
+            AbsentReason::UnknownClass => &mut counters.refused_unknown_class,
+            AbsentReason::VersionGone => &mut counters.refused_version_gone,
+            // Counted as `deadlines` and `future_writes` where they arise.
+            AbsentReason::DeadlinePassed | AbsentReason::IssuedInFuture => return,
+        };
+        *counter += 1;
+    }
+
     fn caller_gone(&mut self, now_us: u64, id: QueryId, actions: &mut Vec<QueryAction>) {
         self.read_gone(id, actions);
         self.write_gone(now_us, id, actions);
--- a/crates/query/src/query_counters.rs
+++ b/crates/query/src/query_counters.rs
@@ -23,6 +23,8 @@
     pub deadlines: u64,
     /// Requests with the id of an open request; dropped.
     pub duplicate_requests: u64,
+    /// Requests that ended as failed: a sub-request may have run, but has no answer.
+    pub failed: u64,
     /// Writes whose issue time lies too far in the future.
     pub future_writes: u64,
     /// Sub-requests sent to a second replica because the first was late.
@@ -41,12 +43,24 @@
     pub partial: u64,
     /// Times that a replica was put back after a shed request or an error.
     pub put_back: u64,
+    /// Requests refused because owners refused a sub-request.
+    pub refused_by_owner: u64,
+    /// Writes refused because another attempt holds their claim.
+    pub refused_claim_open: u64,
+    /// Writes refused because their request id is older than claims are kept.
+    pub refused_claim_too_old: u64,
     /// Requests refused because no replica is known that holds the keys.
     pub refused_no_replica: u64,
     /// Requests refused because the node knows no deployment or no owners.
     pub refused_not_ready: u64,
+    /// Writes refused because the store gave no result for their claim.
+    pub refused_store_down: u64,
     /// Requests refused because their expected time exceeds the deadline.
     pub refused_too_late: u64,
+    /// Requests refused because their class is not known or of another kind.
+    pub refused_unknown_class: u64,
+    /// Reads refused because their version is gone and no newer one serves.
+    pub refused_version_gone: u64,
     /// Replies whose ranges left keys of the sub-request open.
     pub replies_short: u64,
     /// Replies of another version than the pinned one; not merged.
@@ -69,14 +83,14 @@
     /// Rows outside the ranges that their reply speaks for, outside the gaps of the
     /// read, or repeated; dropped.
     pub rows_dropped: u64,
-    /// First sub-requests of a part; the base of the budgets.
-    pub subs_first: u64,
     /// Reports or ownership tables older than what is known; dropped.
     pub stale_facts: u64,
-    /// Sub-requests that the owner refused.
-    pub subs_refused: u64,
     /// Sub-requests that ended without a known outcome.
     pub subs_failed: u64,
+    /// First sub-requests of a part; the base of the budgets.
+    pub subs_first: u64,
+    /// Sub-requests that the owner refused.
+    pub subs_refused: u64,
     /// Sub-requests refused because the pinned version is gone.
     pub subs_version_gone: u64,
     /// Requests or parts of them that waited for a replica that was put back.
--- a/crates/query/src/reads.rs
+++ b/crates/query/src/reads.rs
@@ -27,7 +27,6 @@
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::NodeKey;
 use wigeonhall_types::Operation;
-use wigeonhall_types::RefusalReason;
 use wigeonhall_types::Row;
 use wigeonhall_types::ServiceKey;
 use wigeonhall_types::SubOutcome;
@@ -188,7 +187,7 @@
                 Start::Absent { reason, .. } => read.end_part(index, PartState::Failed(reason)),
                 Start::Send(route) => self.send_part(now_us, read, index, route, actions),
                 Start::Wait { until_us } => {
-                    let reason = AbsentReason::Refused(RefusalReason::Shed);
+                    let reason = AbsentReason::TooLate;
                     self.wait_part(read, index, until_us, reason);
                 }
             }
