Keep the claim tokens of nodes with one seed apart

A claim's token was drawn from the seed alone. Two nodes with equal seeds drew equal tokens, and each could take the other's claim for its own.

The boot id, random per process, is mixed into the seed. Timers drop an assertion that guarded nothing.

--- a/crates/query/src/coordinator.rs
+++ b/crates/query/src/coordinator.rs
@@ -55,9 +55,10 @@
     pub(crate) attempts: FixedMap<u64, Attempt>,
     pub(crate) config: CoordinatorConfig,
     pub(crate) counters: QueryCounters,
-    /// Sequence number of the next sub-request; also the stamp of the next timer.
+    /// Last stamp given to a timer.
+    pub(crate) last_stamp: u64,
+    /// Sequence number of the next sub-request.
     pub(crate) next_sequence: u64,
-    pub(crate) next_stamp: u64,
     /// Reads without an answer.
     pub(crate) reads: FixedMap<QueryId, OpenRead>,
     pub(crate) rng: fastrand::Rng,
@@ -81,18 +82,21 @@
 }
 
 impl Coordinator {
-    /// A coordinator that draws its choices from `seed`.
+    /// A coordinator that draws its choices from `seed` and the boot id.
+    ///
+    /// The boot id keeps the claim tokens of two nodes apart even if they have one seed;
+    /// with equal tokens, each would take the claim of the other for its own.
     #[must_use]
     pub fn new(config: CoordinatorConfig, seed: u64) -> Self {
-        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut rng = fastrand::Rng::with_seed(seed ^ config.boot);
         Self {
             asks: 0,
             asks_from_us: 0,
             attempts: FixedMap::default(),
             config,
             counters: QueryCounters::default(),
+            last_stamp: 0,
             next_sequence: 1,
-            next_stamp: 1,
             reads: FixedMap::default(),
             routes: Routes::new(config.data_centre, rng.fork()),
             rng,
@@ -177,7 +181,7 @@
 
     /// Removes timers of ended requests from the front, so that they cause no wake.
     fn drop_stale_timers(&mut self) {
-        while let Some((at_us, timer)) = self.timers.peek() {
+        while let Some(timer) = self.timers.peek() {
             let live = match timer {
                 Timer::Deadline(id) => {
                     self.reads.contains_key(&id) || self.writes.contains_key(&id)
@@ -196,14 +200,14 @@
             if live {
                 break;
             }
-            debug_assert!(at_us > 0, "no timer is set for the start of the clock");
             self.timers.drop_first();
         }
     }
 
+    /// A stamp that no timer has yet; never 0.
     pub(crate) fn stamp(&mut self) -> u64 {
-        self.next_stamp += 1;
-        self.next_stamp
+        self.last_stamp += 1;
+        self.last_stamp
     }
 
     /// Sends a sub-request and returns its sequence number.
--- a/crates/query/src/timers.rs
+++ b/crates/query/src/timers.rs
@@ -40,8 +40,8 @@
     }
 
     /// First timer.
-    pub fn peek(&self) -> Option<(u64, Timer)> {
-        self.heap.peek().map(|Reverse(first)| *first)
+    pub fn peek(&self) -> Option<Timer> {
+        self.heap.peek().map(|Reverse((_, timer))| *timer)
     }
 
     /// Removes the first timer if it is due before `before_us`.
--- a/crates/query/tests/prelude/mod.rs
+++ b/crates/query/tests/prelude/mod.rs
@@ -172,8 +172,12 @@
     /// Node 0 owns data centre 0, its own, and node 1 owns data centre 1. Nothing is
     /// reported yet.
     pub fn silent(services: u32, per: u32) -> Self {
+        Self::booted(services, per, BOOT)
+    }
+
+    pub fn booted(services: u32, per: u32, boot: u64) -> Self {
         let config = CoordinatorConfig {
-            boot: BOOT,
+            boot,
             data_centre: DataCentreKey(0),
             node: NodeKey(0),
         };
--- a/crates/query/tests/writes.rs
+++ b/crates/query/tests/writes.rs
@@ -125,6 +125,16 @@
     assert_eq!(world.core.counters().claims_taken_over, 1);
 }
 
+// Nodes with equal tokens would each take the claim of the other for its own.
+#[test]
+fn draws_other_tokens_on_nodes_with_the_same_seed() {
+    let tokens = [1, 2].map(|boot| {
+        let mut world = World::booted(1, 2, boot);
+        claims(&world.write(1, false)).remove(0).token
+    });
+    assert_ne!(tokens[0], tokens[1]);
+}
+
 // Another attempt took the released claim over first.
 #[test]
 fn does_not_send_after_a_lost_take_over() {
