--- a/crates/query/tests/prelude/mod.rs
+++ b/crates/query/tests/prelude/mod.rs
@@ -172,8 +172,12 @@
     /// Node 0 owns data centre 0, its own, and node 1 owns data centre 1. Nothing is
     /// reported yet.
     pub fn silent(services: u32, per: u32) -> Self {
+        Self::booted(services, per, BOOT)
+    }
+
+    pub fn booted(services: u32, per: u32, boot: u64) -> Self {
         let config = CoordinatorConfig {
-            boot: BOOT,
+            boot,
             data_centre: DataCentreKey(0),
             node: NodeKey(0),
         };
@@ -202,16 +206,12 @@
         actions
     }
 
-    pub fn tick_at(&mut self, now_us: u64) -> Vec<QueryAction> {
-        self.now_us = now_us;
-        self.event(QueryEvent::Tick)
-    }
-
     /// Runs every wake up to and including `now_us`.
     pub fn run_to(&mut self, now_us: u64) -> Vec<QueryAction> {
         let mut actions = Vec::new();
         while let Some(wake_us) = self.core.next_wake_us().filter(|wake| *wake <= now_us) {
-            actions.extend(self.tick_at(wake_us.max(self.now_us)));
+            self.now_us = wake_us.max(self.now_us);
+            actions.extend(self.event(QueryEvent::Tick));
         }
         self.now_us = now_us;
         actions
