Bound the burn counters tighter and ask nodes for brief statuses

Cause: one ring of 721 buckets per class could take over 100 MB with 64 classes and all causes, against 32 MB per node. A wait for 5,600 nodes would read over a gigabyte of member lists. A text in force that this version rejects made status report an empty fleet as well.

Change: 121 buckets of 30 s up to an hour and 73 of 5 minutes for six hours, at most 32 classes; the window of six hours is up to 5 minutes longer. Waits ask for /status?brief=true, without members and replicas. status, explain, burn and diff fail on a text in force that is rejected; apply replaces it with a note.

--- a/crates/burn/src/recorder.rs
+++ b/crates/burn/src/recorder.rs
@@ -6,7 +6,7 @@
 use crate::Outcome;
 use crate::SpentCount;
 use crate::WindowSample;
-use crate::ring::Ring;
+use crate::ring::Rings;
 use crate::ring::Spent;
 use crate::ring::WINDOWS_S;
 use wigeonhall_types::Catalog;
@@ -17,15 +17,14 @@
 /// Most causes that are told apart; the last one stands for all others.
 pub const MAX_CAUSES: usize = 32;
 /// Most classes that are counted.
-pub const MAX_CLASSES: usize = 64;
+pub const MAX_CLASSES: usize = 32;
 
 const OTHER: &str = "other";
 
 /// Counts how the requests of each class ended.
 ///
-/// Memory is bounded by the classes, the buckets of six hours and the causes:
-/// at most `MAX_CLASSES` × 721 buckets × 4 outcomes × `MAX_CAUSES` counts; a bucket
-/// holds only the pairs of outcome and cause that occurred in it.
+/// Memory is bounded: at most `MAX_CLASSES` classes of 194 buckets, and a bucket holds
+/// at most one count per outcome and cause that occurred in it.
 #[derive(Clone, Debug)]
 pub struct Recorder {
     /// At most `MAX_CAUSES` names; the last one is `OTHER` when the list is full.
@@ -40,7 +39,7 @@
 #[derive(Clone, Debug)]
 struct ClassRecord {
     level: ServiceLevel,
-    ring: Ring,
+    rings: Rings,
 }
 
 impl Recorder {
@@ -65,7 +64,7 @@
             } else if self.classes.len() < MAX_CLASSES {
                 let record = ClassRecord {
                     level: class.level,
-                    ring: Ring::new(now_us),
+                    rings: Rings::new(now_us),
                 };
                 self.classes.insert(*key, record);
             }
@@ -80,7 +79,7 @@
             _ => cause_index(&mut self.causes, cause),
         };
         match self.classes.get_mut(&class) {
-            Some(record) => record.ring.add(now_us, outcome, cause),
+            Some(record) => record.rings.add(now_us, outcome, cause),
             None => self.uncounted += 1,
         }
     }
@@ -105,7 +104,7 @@
         let mut classes = Vec::new();
         for (key, record) in &mut self.classes {
             let windows = WINDOWS_S.map(|window_s| {
-                let (good, spent) = record.ring.window(now_us, window_s);
+                let (good, spent) = record.rings.window(now_us, window_s);
                 WindowSample {
                     covered_s: up_s.min(window_s),
                     good,
--- a/crates/burn/src/ring.rs
+++ b/crates/burn/src/ring.rs
@@ -2,20 +2,53 @@
 
 use crate::Outcome;
 
-/// Width of a bucket in seconds; a tenth of the shortest window.
-pub(crate) const BUCKET_S: u64 = 30;
 /// Windows of the burn rates in seconds, rising.
 pub(crate) const WINDOWS_S: [u64; 4] = [300, 1_800, 3_600, 21_600];
-/// Buckets of the longest window and the one that is being filled.
-const BUCKETS: usize = (WINDOWS_S[3] / BUCKET_S) as usize + 1;
+/// Width of a bucket of the windows up to `FINE_S`; a tenth of the shortest window.
+const FINE_BUCKET_S: u64 = 30;
+/// Longest window that is counted in fine buckets.
+const FINE_S: u64 = WINDOWS_S[2];
+/// Width of a bucket of the longest window. Wider buckets there keep a class to 194
+/// buckets instead of 721.
+const COARSE_BUCKET_S: u64 = 300;
 
 /// Counts of requests that spent error budget, by outcome and index of the cause.
 pub(crate) type Spent = BTreeMap<(Outcome, u8), u64>;
 
-/// Counts of one class over the longest window.
+/// Counts of one class over all windows.
 #[derive(Clone, Debug)]
-pub(crate) struct Ring {
-    /// Position `n % BUCKETS` holds bucket `n` for the newest `BUCKETS` numbers.
+pub(crate) struct Rings {
+    coarse: Ring,
+    fine: Ring,
+}
+
+impl Rings {
+    pub(crate) fn new(now_us: u64) -> Self {
+        Self {
+            coarse: Ring::new(now_us, COARSE_BUCKET_S, WINDOWS_S[3]),
+            fine: Ring::new(now_us, FINE_BUCKET_S, FINE_S),
+        }
+    }
+
+    pub(crate) fn add(&mut self, now_us: u64, outcome: Outcome, cause: u8) {
+        self.coarse.add(now_us, outcome, cause);
+        self.fine.add(now_us, outcome, cause);
+    }
+
+    /// Good requests and spent counts of the last `window_s` seconds and of the
+    /// bucket that is being filled.
+    pub(crate) fn window(&mut self, now_us: u64, window_s: u64) -> (u64, Spent) {
+        if window_s <= FINE_S {
+            return self.fine.window(now_us, window_s);
+        }
+        self.coarse.window(now_us, window_s)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Ring {
+    bucket_s: u64,
+    /// Position `n % buckets.len()` holds bucket `n` for the newest numbers.
     buckets: Vec<Bucket>,
     /// Number of the bucket that is being filled.
     newest: u64,
@@ -28,16 +61,26 @@
 }
 
 impl Ring {
-    pub(crate) fn new(now_us: u64) -> Self {
+    /// Holds the buckets of `window_s` seconds and the one that is being filled.
+    fn new(now_us: u64, bucket_s: u64, window_s: u64) -> Self {
+        let count = (window_s / bucket_s) as usize + 1;
         Self {
-            buckets: vec![Bucket::default(); BUCKETS],
-            newest: bucket_number(now_us),
+            bucket_s,
+            buckets: vec![Bucket::default(); count],
+            newest: bucket_number(now_us, bucket_s),
         }
     }
 
-    pub(crate) fn add(&mut self, now_us: u64, outcome: Outcome, cause: u8) {
+    fn position(&self, number: u64) -> usize {
+        (number % self.buckets.len() as u64) as usize
+    }
+
+    fn add(&mut self, now_us: u64, outcome: Outcome, cause: u8) {
         self.advance(now_us);
-        let bucket = &mut self.buckets[position(self.newest)];
+        let bucket = {
+            let position = self.position(self.newest);
+            &mut self.buckets[position]
+        };
         if outcome == Outcome::Good {
             bucket.good += 1;
         } else {
@@ -47,23 +90,22 @@
 
     /// Clears the buckets that time has passed over. Time never goes back.
     fn advance(&mut self, now_us: u64) {
-        let number = bucket_number(now_us).max(self.newest);
-        let passed = (number - self.newest).min(BUCKETS as u64);
+        let number = bucket_number(now_us, self.bucket_s).max(self.newest);
+        let passed = (number - self.newest).min(self.buckets.len() as u64);
         for step in 0..passed {
-            self.buckets[position(number - step)] = Bucket::default();
+            let position = self.position(number - step);
+            self.buckets[position] = Bucket::default();
         }
         self.newest = number;
     }
 
-    /// Good requests and spent counts of the last `window_s` seconds and of the
-    /// bucket that is being filled.
-    pub(crate) fn window(&mut self, now_us: u64, window_s: u64) -> (u64, Spent) {
+    fn window(&mut self, now_us: u64, window_s: u64) -> (u64, Spent) {
         self.advance(now_us);
         let mut good = 0;
         let mut spent = Spent::new();
-        let oldest = self.newest.saturating_sub(window_s / BUCKET_S);
+        let oldest = self.newest.saturating_sub(window_s / self.bucket_s);
         for number in oldest..=self.newest {
-            let bucket = &self.buckets[position(number)];
+            let bucket = &self.buckets[self.position(number)];
             good += bucket.good;
             for (key, count) in &bucket.spent {
                 *spent.entry(*key).or_default() += count;
@@ -73,10 +115,6 @@
     }
 }
 
-const fn bucket_number(now_us: u64) -> u64 {
-    now_us / (BUCKET_S * 1_000_000)
-}
-
-const fn position(number: u64) -> usize {
-    (number % BUCKETS as u64) as usize
+const fn bucket_number(now_us: u64, bucket_s: u64) -> u64 {
+    now_us / (bucket_s * 1_000_000)
 }
--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -96,7 +96,8 @@
     let store = context.store()?;
     let record = draft.current.as_ref().map(|current| &current.record);
     let old_ids = record.map_or(&[][..], |record| &record.contains);
-    let old_content = draft.current.as_ref().map(Current::content);
+    let old_content = draft.current.as_ref().and_then(Current::content);
+    let unreadable = draft.current.is_some() && old_content.is_none();
     let old_content = old_content.unwrap_or_default();
     let changes = difference(&old_content, &draft.content);
     for change in &changes {
@@ -114,6 +115,10 @@
         missing: Vec::new(),
         nodes: nodes.len(),
     };
+    if unreadable {
+        let note = "this version rejects the text in force, so every entry is listed as new";
+        applied.notes.push(note.into());
+    }
     let unchanged = record.is_some_and(|record| record.text == draft.text);
     if unchanged && applied.ended_overrides.is_empty() {
         return Ok(applied);
--- a/crates/ctl/src/context.rs
+++ b/crates/ctl/src/context.rs
@@ -8,6 +8,7 @@
 use crate::Nodes;
 use crate::Store;
 use wigeonhall_settings::DeploymentText;
+use wigeonhall_settings::parse;
 
 /// Starts a bounded wait.
 pub type Patience = Box<dyn Fn() -> Wait>;
@@ -58,7 +59,7 @@
             return Ok(self.given_nodes());
         }
         let current = crate::current::read(self.store()?)?.ok_or(CtlError::NoConfiguration)?;
-        Ok(self.node_list(&current.content()))
+        Ok(self.node_list(&parse(&current.record.text)?))
     }
 
     fn given_nodes(&self) -> Vec<NodeAddress> {
--- a/crates/ctl/src/current.rs
+++ b/crates/ctl/src/current.rs
@@ -18,9 +18,9 @@
 }
 
 impl Current {
-    /// Content of the text; empty if this version of the command rejects the text.
-    pub(crate) fn content(&self) -> DeploymentText {
-        parse(&self.record.text).unwrap_or_default()
+    /// Content of the text; `None` if this version of the command rejects the text.
+    pub(crate) fn content(&self) -> Option<DeploymentText> {
+        parse(&self.record.text).ok()
     }
 }
 
--- a/crates/ctl/src/list_changes.rs
+++ b/crates/ctl/src/list_changes.rs
@@ -7,6 +7,7 @@
 use crate::difference;
 use crate::history::text_of;
 use crate::report::DONE;
+use wigeonhall_settings::DeploymentText;
 use wigeonhall_settings::parse;
 
 /// Lists what `text` would change in the accepted configuration, or in an earlier
@@ -20,8 +21,11 @@
     let new = parse(text)?;
     let store = context.store()?;
     let old = match generation {
-        Some(generation) => parse(&text_of(store, generation)?).unwrap_or_default(),
-        None => read(store)?.map_or_else(Default::default, |current| current.content()),
+        Some(generation) => parse(&text_of(store, generation)?)?,
+        None => match read(store)? {
+            Some(current) => parse(&current.record.text)?,
+            None => DeploymentText::default(),
+        },
     };
     let changes = difference(&old, &new);
     let mut text = String::new();
--- a/crates/ctl/src/overrides.rs
+++ b/crates/ctl/src/overrides.rs
@@ -3,6 +3,7 @@
 
 use crate::Context;
 use crate::NodeAddress;
+use crate::wait::BRIEF;
 use wigeonhall_fleet::EvacuationOverride;
 use wigeonhall_protocol::NodeStatus;
 use wigeonhall_settings::DeploymentText;
@@ -23,7 +24,7 @@
 pub(crate) fn pending(context: &Context, nodes: &[NodeAddress], contains: &[Arc<str>]) -> Pending {
     let mut overrides = BTreeMap::new();
     let mut unasked = 0;
-    for answer in context.nodes.ask::<NodeStatus>(nodes, "/status", &[]) {
+    for answer in context.nodes.ask::<NodeStatus>(nodes, "/status", &BRIEF) {
         let Ok(status) = answer else {
             unasked += 1;
             continue;
--- a/crates/ctl/src/wait.rs
+++ b/crates/ctl/src/wait.rs
@@ -6,6 +6,10 @@
 use crate::NodeAddress;
 use wigeonhall_protocol::NodeStatus;
 
+/// Asks for a status without members and replicas; those of 5,600 nodes would be more
+/// than a gigabyte.
+pub(crate) const BRIEF: [(&str, &str); 1] = [("brief", "true")];
+
 /// A node that did not confirm in time.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct MissingNode {
@@ -25,7 +29,7 @@
     let mut wait = (context.patience)();
     let mut open = nodes.to_vec();
     loop {
-        let answers = context.nodes.ask::<NodeStatus>(&open, "/status", &[]);
+        let answers = context.nodes.ask::<NodeStatus>(&open, "/status", &BRIEF);
         let mut missing = Vec::new();
         let mut still_open = Vec::new();
         for (node, answer) in open.into_iter().zip(answers) {
--- a/crates/ctl/tests/views.rs
+++ b/crates/ctl/tests/views.rs
@@ -15,6 +15,8 @@
 use wigeonhall_ctl::explain;
 use wigeonhall_ctl::status;
 use wigeonhall_fleet::EvacuationOverride;
+use wigeonhall_platform::StoredObject;
+use wigeonhall_protocol::CURRENT_PATH;
 use wigeonhall_protocol::DecisionTrace;
 use wigeonhall_protocol::MemberState;
 use wigeonhall_protocol::MemberStatus;
@@ -184,3 +186,18 @@
     assert_eq!(report.exit_code, 2);
     insta::assert_json_snapshot!(check_text(&warned, false).json);
 }
+
+/// Guards against a fleet that is reported as well because the text in force names no
+/// node that this version can read, and against a text that then cannot be replaced.
+#[test]
+fn a_text_in_force_that_is_rejected_is_reported() {
+    let fake = applied();
+    let object = fake.state().objects[CURRENT_PATH].clone();
+    let value = Arc::from(object.value.replace("vms:", "vmz:"));
+    let broken = StoredObject { value, ..object };
+    fake.state().objects.insert(CURRENT_PATH.into(), broken);
+    assert_eq!(status(&fake.operator("ada")).unwrap_err().exit_code(), 2);
+    let applied = apply(&fake.operator("ada"), TEXT, None).unwrap();
+    assert_eq!(applied.notes.len(), 1);
+    assert_eq!(applied.changes.len(), 8);
+}
--- a/crates/protocol/src/node_status.rs
+++ b/crates/protocol/src/node_status.rs
@@ -6,7 +6,8 @@
 use wigeonhall_fleet::EvacuationOverride;
 use wigeonhall_types::ReplicaState;
 
-/// What a node serves at `GET /status`, as JSON.
+/// What a node serves at `GET /status`, as JSON. With `?brief=true`, `members` and
+/// `replicas` are empty.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct NodeStatus {
     /// Random id of this run of the process, in hexadecimal.
--- a/crates/settings/tests/findings.rs
+++ b/crates/settings/tests/findings.rs
@@ -3,11 +3,13 @@
 use std::fmt::Write;
 
 use wigeonhall_settings::Finding;
+use wigeonhall_settings::LogLevel;
 use wigeonhall_settings::MAX_TEXT_BYTES;
 use wigeonhall_settings::SettingsError;
 use wigeonhall_settings::check;
 use wigeonhall_settings::check_node;
 use wigeonhall_settings::parse;
+use wigeonhall_settings::parse_node;
 
 fn listed(findings: &[Finding]) -> String {
     let mut list = String::new();
@@ -153,3 +155,23 @@
 ";
     insta::assert_snapshot!(listed(&check_node(text)));
 }
+
+/// Guards against plain `off`, `no` and `on` that YAML 1.1 reads as flags.
+#[test]
+fn words_of_older_yaml_are_text() {
+    let text = "\
+name: no
+region: on
+data_centre: y
+node_address: 127.0.0.1:1
+caller_address: 127.0.0.1:2
+object_api_address: 127.0.0.1:3
+vm_list_address: 127.0.0.1:4
+log_level: off
+seeds: { yes: 127.0.0.1:5 }
+";
+    let settings = parse_node(text).unwrap();
+    assert_eq!(&*settings.name, "no");
+    assert_eq!(settings.log_level, LogLevel::Off);
+    assert_eq!(&*settings.seeds[0].name, "yes");
+}
