--- a/crates/gate/src/ownership.rs
+++ b/crates/gate/src/ownership.rs
@@ -81,7 +81,9 @@
         if old.is_none_or(|old| old.address != new.address) {
             self.forget();
         }
-        if old.is_some_and(|old| old.cold.requests_per_s < new.cold.requests_per_s) {
+        let raised = old.is_some_and(|old| old.cold.requests_per_s < new.cold.requests_per_s);
+        if raised && !self.ramp.is_cold() {
+            // The window holds fewer starts than the new rate needs.
             self.window.fill(turn.now_us, new.cold.requests_per_s);
         }
         if !self.owned || out {
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -250,6 +250,7 @@
         "bad" => TargetOutcome::BadReply,
         "cancelled" => TargetOutcome::Cancelled,
         "draining" => TargetOutcome::Draining,
+        "gone" => TargetOutcome::VersionGone,
         "lost" => TargetOutcome::ConnectionLost,
         "ok" => answered(),
         "shed" => TargetOutcome::Shed { retry_after_us: 9 },
--- a/crates/gate/tests/waiting.rs
+++ b/crates/gate/tests/waiting.rs
@@ -91,3 +91,12 @@
         at 1\n reply 3 ok\n at 21\n submit 6 0";
     assert_snapshot!(Driver::warm(3).run(script));
 }
+
+/// Guards against an estimate above every deadline refusing the work that could
+/// correct it: it is halved for each second without a reply.
+#[test]
+fn estimate_ages_without_replies() {
+    let script = "submit 1 9000\n at 70\n reply 1 ok\n submit 2 100\n submit 3 9000\n at 140
+        reply 3 ok\n submit 4 190\n at 1140\n submit 5 1190";
+    assert_snapshot!(Driver::warm(1).run(script));
+}
