Bound the wake-ups of the gate's test driver

Cause: with the lease check removed on trial, a scripted test never ended, because the wake-up at the end of the lease stayed due.

Change: the driver fails after 1,000 wake-ups in one command.

--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -33,6 +33,9 @@
 pub const MS: u64 = 1_000;
 pub const SECOND: u64 = 1_000_000;
 
+/// Wake-ups in one command after which a test fails instead of running for ever.
+const WAKES_MAX: u32 = 1_000;
+
 /// Class 0 has weight 3 and class 1 weight 1; each may take half of the slots
 /// while the other waits.
 pub fn deployment(slots: u32, cold: ColdBound) -> Deployment {
@@ -229,13 +232,16 @@
     /// Ticks at each wake-up until `now_us`.
     fn advance(&mut self, now_us: u64) -> Vec<String> {
         let mut log = Vec::new();
-        while let Some(wake_us) = self.gate.next_wake_us().filter(|it| *it <= now_us) {
+        for _ in 0..WAKES_MAX {
+            let Some(wake_us) = self.gate.next_wake_us().filter(|it| *it <= now_us) else {
+                self.now_us = now_us;
+                return log;
+            };
             self.now_us = self.now_us.max(wake_us);
             let actions = self.handle(GateEvent::Tick);
             log.extend(actions.iter().map(|it| format!("{it} @{wake_us} us")));
         }
-        self.now_us = now_us;
-        log
+        panic!("wake-ups without end");
     }
 }
 
