Keep the back-off of probes when several requests find a target unreachable

Cause: the second request that found a target unreachable asked for a probe at once and so cut the back-off short.

Change: only a replica that takes work asks for a probe outside the schedule; the test of the back-off has two such requests.

--- a/crates/gate/src/replies.rs
+++ b/crates/gate/src/replies.rs
@@ -152,9 +152,9 @@
             TargetOutcome::Draining if is_current || reply.instance == self.instance => {
                 self.leave(turn);
             }
-            TargetOutcome::Draining => self.prober.request(now_us),
+            TargetOutcome::Draining => self.request_probe(now_us),
             TargetOutcome::ConnectionLost | TargetOutcome::Unreachable if !is_current => {
-                self.prober.request(now_us);
+                self.request_probe(now_us);
             }
             _ if !is_current => {}
             TargetOutcome::Answered { .. } => {
@@ -175,13 +175,20 @@
             }
             TargetOutcome::ConnectionLost => {
                 self.turn_cold(turn, ColdCause::ConnectionLost);
-                self.prober.request(now_us);
+                self.request_probe(now_us);
             }
             TargetOutcome::Unreachable => self.unreachable(turn),
             TargetOutcome::VersionGone => {}
         }
     }
 
+    /// Asks for a probe now, but keeps the back-off of a replica that takes no work.
+    fn request_probe(&mut self, now_us: u64) {
+        if self.condition == Condition::Usable {
+            self.prober.request(now_us);
+        }
+    }
+
     /// The target drains.
     fn leave(&mut self, turn: &mut Turn<'_>) {
         if self.condition != Condition::Leaving {
--- a/crates/gate/tests/probes.rs
+++ b/crates/gate/tests/probes.rs
@@ -21,13 +21,15 @@
 /// against full load right after it returns.
 #[test]
 fn unreachable_backs_off_and_returns_cold() {
-    let mut driver = Driver::warm(2);
-    let mut log = driver.run("probed ok\n submit 1..4 99000\n reply 1 unreachable\n report");
+    let mut driver = Driver::warm(3);
+    let script = "probed ok\n submit 1..5 99000\n reply 1 unreachable\n reply 3 unreachable
+        report";
+    let mut log = driver.run(script);
     for _ in 0..8 {
         let due_us = driver.gate.next_wake_us().unwrap();
         log += &driver.run(&format!("at {}\n probed unreachable", due_us / 1_000));
     }
-    let script = "reply 2 ok\n submit 4 99000\n at 20000\n probed ok\n report";
+    let script = "reply 2 ok\n submit 5 99000\n at 20000\n probed ok\n report";
     assert_snapshot!(log + &driver.run(script));
 }
 
