Ask for a slot before waiting for it, ramp by seconds, roll by capacity

Change: a first try names the longest wait that it takes; an owner that cannot start it so soon refuses it as busy, with a fresh report and at no cost to the target, and the entry node takes the best replica it now knows. A version is chosen by the share of replicas that can serve it. A round of a cold ramp is a second's worth of replies at the present rate.

--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -33,6 +33,8 @@
                 self.overload_reason(),
                 retry_after_us,
             );
+        } else if let Some(wait_us) = self.long_wait_us(turn, &request) {
+            self.refuse(turn, request.attempt, RefusalReason::Busy, wait_us);
         } else {
             let place = Place {
                 class: request.class,
@@ -175,6 +177,14 @@
         (end_us > last.0).then(|| end_us - last.0)
     }
 
+    /// Expected wait of `request` for a slot, if it is longer than the sender wants.
+    fn long_wait_us(&self, turn: &Turn<'_>, request: &SubRequest) -> Option<u64> {
+        let within_us = request.start_within_us?;
+        let rank = self.waiting.rank(request);
+        let wait_us = self.class_start_us(turn, request.class, rank) - turn.now_us;
+        (wait_us > within_us).then_some(wait_us)
+    }
+
     /// Expected start of a sub-request of `class` that `rank` others of the
     /// class precede.
     fn class_start_us(&self, turn: &Turn<'_>, class: ClassKey, rank: usize) -> u64 {
--- a/crates/gate/src/gate_counters.rs
+++ b/crates/gate/src/gate_counters.rs
@@ -64,6 +64,8 @@
     pub ramp_doubled: u64,
     /// Shed requests or errors that halved a ramp.
     pub ramp_halved: u64,
+    /// No slot free as soon as the sender wants.
+    pub refused_busy: u64,
     /// Refusals: cancelled while waiting.
     pub refused_cancelled: u64,
     /// Refusals: the cold-start allowance would not serve it in time.
@@ -148,6 +150,7 @@
             RefusalReason::NoLease => &mut self.refused_no_lease,
             RefusalReason::NotOwner => &mut self.refused_not_owner,
             RefusalReason::Out => &mut self.refused_out,
+            RefusalReason::Busy => &mut self.refused_busy,
             RefusalReason::Overloaded => &mut self.refused_overloaded,
             RefusalReason::Shed => &mut self.refused_shed,
             RefusalReason::UnknownReplica => &mut self.refused_unknown_replica,
--- a/crates/gate/src/ramp.rs
+++ b/crates/gate/src/ramp.rs
@@ -92,27 +92,34 @@
         self.bound = bound;
     }
 
-    /// Takes a successful reply.
-    pub(crate) fn succeed(&mut self, step: u64, slots: u32) -> RampChange {
+    /// Takes a successful reply. `full_rate` is what the slots do in a second.
+    ///
+    /// A round of a cold ramp is a second's worth of replies at the present rate. A
+    /// shorter round would lift the bound of a replica with 2 slots after one reply,
+    /// while the target still fills its caches.
+    pub(crate) fn succeed(&mut self, step: u64, slots: u32, full_rate: u32) -> RampChange {
         if step != self.step || matches!(self.limit, Limit::Full) {
             return RampChange::None;
         }
         self.successes += 1;
-        if self.successes < self.capacity(slots) {
+        let round = self.rate().unwrap_or(0).max(self.capacity(slots));
+        if self.successes < round {
             return RampChange::None;
         }
         self.advance();
-        let is_full = match &mut self.limit {
+        self.limit = match self.limit {
+            Limit::Cold(level) => Limit::Cold(level + 1),
+            Limit::Full => Limit::Full,
+            Limit::Reduced(allowance) => Limit::Reduced(allowance.saturating_mul(2)),
+        };
+        let is_full = match self.limit {
+            // A halved ramp first completes a round at the bound itself.
             Limit::Cold(level) => {
-                *level += 1;
-                // A halved ramp first completes a round at the bound itself.
-                *level > 0 && self.capacity(slots) >= slots
+                let rate = self.rate().unwrap_or(u32::MAX);
+                level > 0 && self.capacity(slots) >= slots && rate >= full_rate
             }
             Limit::Full => true,
-            Limit::Reduced(allowance) => {
-                *allowance = allowance.saturating_mul(2);
-                *allowance >= slots
-            }
+            Limit::Reduced(allowance) => allowance >= slots,
         };
         if is_full {
             self.limit = Limit::Full;
--- a/crates/gate/src/replica_gate.rs
+++ b/crates/gate/src/replica_gate.rs
@@ -105,6 +105,12 @@
         !self.owned && self.running.is_empty() && !self.prober.is_in_flight()
     }
 
+    /// Requests that the slots do in a second at the typical service time.
+    pub(crate) fn full_rate(&self) -> u32 {
+        let per_slot = SECOND_US / self.latency.typical_us().max(1);
+        u32::try_from(per_slot * u64::from(self.slots())).unwrap_or(u32::MAX)
+    }
+
     pub(crate) fn bound(&self) -> ColdBound {
         self.spec.map_or(UNKNOWN_BOUND, |spec| spec.cold)
     }
--- a/crates/gate/src/replies.rs
+++ b/crates/gate/src/replies.rs
@@ -161,7 +161,9 @@
                 if self.latency.observe(now_us, elapsed_us) {
                     self.turn_cold(turn, ColdCause::Latency);
                 }
-                let change = self.ramp.succeed(running.step, self.slots());
+                let change = self
+                    .ramp
+                    .succeed(running.step, self.slots(), self.full_rate());
                 count_ramp(turn, change);
             }
             TargetOutcome::BadReply | TargetOutcome::Shed { .. } => {
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -113,6 +113,7 @@
             range: KeyRange::WHOLE,
         },
         replica: REPLICA,
+        start_within_us: None,
         version: Some(VERSION),
     }
 }
@@ -212,6 +213,7 @@
                     GateEvent::Submit(SubRequest {
                         class: ClassKey(parse('c', 0)),
                         replica: ReplicaKey(parse('r', 0)),
+                        start_within_us: None,
                         version: Some(IndexVersion(parse('v', 7).into())),
                         ..request(id, time(ms))
                     })
--- a/crates/gate/tests/fuzz.rs
+++ b/crates/gate/tests/fuzz.rs
@@ -411,6 +411,7 @@
                 let request = SubRequest {
                     class: ClassKey(class),
                     replica: ReplicaKey(replica as u32),
+                    start_within_us: None,
                     version: Some(IndexVersion(version)),
                     ..request(self.submitted, self.now_us + us)
                 };
--- a/crates/measure/src/fake_target.rs
+++ b/crates/measure/src/fake_target.rs
@@ -1,5 +1,6 @@
 use std::collections::VecDeque;
 use wigeonhall_types::AttemptId;
+use wigeonhall_types::HandOverState;
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::Replica;
@@ -93,6 +94,19 @@
         }
     }
 
+    /// What an owner that saw only a warm target hands over.
+    #[must_use]
+    pub fn warm_state(&self) -> HandOverState {
+        HandOverState {
+            allowance: self.limits.slots,
+            instance: Some(self.instance),
+            running: 0,
+            running_for_us: 0,
+            served: self.served.clone(),
+            service_us: SERVICE_US,
+        }
+    }
+
     /// Whether it still ramps after a start.
     #[must_use]
     pub const fn is_cold(&self) -> bool {
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -210,7 +210,7 @@
                 let grant = GateEvent::Grant {
                     epoch: table.epoch,
                     replica,
-                    state: None,
+                    state: Some(self.targets[&replica].warm_state()),
                 };
                 self.events.push(0, Event::Gate(node, grant));
             }
--- a/crates/protocol/src/submit_message.rs
+++ b/crates/protocol/src/submit_message.rs
@@ -26,6 +26,8 @@
     pub remaining_us: u64,
     /// Name of the replica.
     pub replica: Arc<str>,
+    /// Longest wait for a slot, in microseconds.
+    pub start_within_us: Option<u64>,
     /// Version that the reply must come from.
     pub version: Option<IndexVersion>,
 }
@@ -50,6 +52,7 @@
             operation: sub.operation.clone(),
             remaining_us: sub.deadline_us.saturating_sub(now_us),
             replica: catalog.replica_name(sub.replica),
+            start_within_us: sub.start_within_us,
             version: sub.version,
         }
     }
@@ -65,6 +68,7 @@
             epoch: self.epoch,
             operation: self.operation,
             replica: catalog.replica(&self.replica),
+            start_within_us: self.start_within_us,
             version: self.version,
         }
     }
--- a/crates/query/src/class_view.rs
+++ b/crates/query/src/class_view.rs
@@ -43,11 +43,18 @@
         }
     }
 
-    /// Plan of the newest version that covers `range`, else of the widest, the newest
-    /// on a tie; `None` if no key of `range` is held anywhere.
+    /// Plan of a version that covers `range`: the one that the most replicas can serve,
+    /// the newest on a tie. Else the plan of the widest, the newest on a tie; `None` if no
+    /// key of `range` is held anywhere.
+    ///
+    /// The newest version alone would send every query to the first replica that a roll
+    /// reaches.
     pub fn choose(&self, range: KeyRange) -> Option<&VersionPlan> {
-        if let Some(whole) = self.plans.iter().find(|plan| plan.covered.covers(range)) {
-            return Some(whole);
+        let whole = self.plans.iter().rev();
+        let whole = whole.filter(|plan| plan.covered.covers(range));
+        // Of equals the last one wins, which is the newest.
+        if let Some(best) = whole.max_by_key(|plan| plan.holders_percent) {
+            return Some(best);
         }
         let mut best: Option<(u64, &VersionPlan)> = None;
         for plan in &self.plans {
--- a/crates/query/src/coordinator.rs
+++ b/crates/query/src/coordinator.rs
@@ -78,6 +78,8 @@
     pub parent: Parent,
     pub route: Route,
     pub service: ServiceKey,
+    /// Longest wait for a slot; a longer one is refused.
+    pub start_within_us: Option<u64>,
     pub version: IndexVersion,
 }
 
@@ -243,6 +245,7 @@
             epoch: route.epoch,
             operation: sending.operation,
             replica: route.replica,
+            start_within_us: sending.start_within_us,
             version: Some(sending.version),
         };
         let node = route.node;
--- a/crates/query/src/hedge_budget.rs
+++ b/crates/query/src/hedge_budget.rs
@@ -25,6 +25,11 @@
         self.credit = (self.credit + 1).min(BURST * COST);
     }
 
+    /// Returns what an extra sub-request paid that placed no load on a target.
+    pub fn refund(&mut self) {
+        self.credit = (self.credit + COST).min(BURST * COST);
+    }
+
     /// Pays for an extra sub-request, if the credit allows it.
     pub fn take(&mut self) -> bool {
         let Some(rest) = self.credit.checked_sub(COST) else {
--- a/crates/query/src/limits.rs
+++ b/crates/query/src/limits.rs
@@ -19,8 +19,12 @@
 /// Lead of a caller's clock that is tolerated.
 pub const CLOCK_LEAD_MS: u64 = 5 * 60 * 1_000;
 
+/// Replicas of a part that are asked for a slot without delay. After these refusals as
+/// busy the part waits at the replica with the shortest expected time.
+pub const BUSY_TRIES: u32 = 2;
+
 /// Tries of one sub-request that placed no load on a target and draw on no budget.
-pub const FREE_RETRIES: u32 = 3;
+pub const FREE_RETRIES: u32 = 5;
 
 /// Hedge delay of a service without observed latencies is this many expected times.
 pub const HEDGE_FACTOR: u64 = 3;
@@ -60,6 +64,10 @@
 /// Expected times that differ by less than this count as equal in routing.
 pub const SCORE_STEP_US: u64 = 250;
 
+/// Wait for a slot above which another replica is asked. It is what the way to an owner
+/// in another data centre and back takes, so a shorter wait is not worth a move.
+pub const START_WITHIN_US: u64 = 2_000;
+
 /// Time for which an answered write waits for a late reply that settles its claim.
 pub const SETTLE_US: u64 = 60_000_000;
 
--- a/crates/query/src/observe.rs
+++ b/crates/query/src/observe.rs
@@ -50,8 +50,9 @@
         retry_after_us: u64,
     ) {
         match reason {
-            // The refusal depends on the deadline of the one sub-request.
-            RefusalReason::Cancelled
+            // The refusal depends on the times of the one sub-request.
+            RefusalReason::Busy
+            | RefusalReason::Cancelled
             | RefusalReason::DeadlinePassed
             | RefusalReason::Overloaded => {}
             RefusalReason::Leaving => self
--- a/crates/query/src/part.rs
+++ b/crates/query/src/part.rs
@@ -23,6 +23,10 @@
 pub struct Part {
     /// Sequence numbers of the open sub-requests.
     pub attempts: Vec<u64>,
+    /// Refusals as busy.
+    pub busy: u32,
+    /// Replica of the last refusal as busy.
+    pub busy_at: Option<ReplicaKey>,
     /// Tries that drew on no budget.
     pub free_retries: u32,
     /// Keys not read yet; sorted, not overlapping.
@@ -54,6 +58,8 @@
     pub const fn new(service: ServiceKey) -> Self {
         Self {
             attempts: Vec::new(),
+            busy: 0,
+            busy_at: None,
             free_retries: 0,
             gaps: Vec::new(),
             pay: Pay::First,
--- a/crates/query/src/pay.rs
+++ b/crates/query/src/pay.rs
@@ -19,7 +19,8 @@
     /// state, before a target hears of the sub-request.
     pub const fn after(reason: RefusalReason) -> Self {
         match reason {
-            RefusalReason::ColdStart
+            RefusalReason::Busy
+            | RefusalReason::ColdStart
             | RefusalReason::Leaving
             | RefusalReason::NoLease
             | RefusalReason::NotOwner
--- a/crates/query/src/query_counters.rs
+++ b/crates/query/src/query_counters.rs
@@ -9,6 +9,8 @@
     pub asks_put_off: u64,
     /// Hedges and retries that were wanted but not paid for by the service's budget.
     pub budget_refusals: u64,
+    /// First tries that moved on because no slot was free soon.
+    pub busy: u64,
     /// Requests whose caller went away before the answer.
     pub callers_gone: u64,
     /// Sub-requests cancelled because their result was no longer wanted.
@@ -31,6 +33,8 @@
     pub future_writes: u64,
     /// Sub-requests sent to a second replica because the first was late.
     pub hedges: u64,
+    /// Hedges that found no free slot.
+    pub hedges_refused: u64,
     /// Hedges whose reply came before that of the first sub-request.
     pub hedges_won: u64,
     /// Replies with an unknown attempt id of this boot: late or repeated; dropped.
--- a/crates/query/src/reads.rs
+++ b/crates/query/src/reads.rs
@@ -9,11 +9,13 @@
 use crate::attempt::Attempt;
 use crate::attempt::Parent;
 use crate::coordinator::Sending;
+use crate::limits::BUSY_TRIES;
 use crate::limits::HEDGE_FACTOR;
 use crate::limits::HEDGE_SHORTEST_US;
 use crate::limits::REPORT_WAIT_US;
 use crate::limits::RETRY_AFTER_LAST_MS;
 use crate::limits::RETRY_AFTER_MS;
+use crate::limits::START_WITHIN_US;
 use crate::open_read::OpenRead;
 use crate::part::Part;
 use crate::part::PartState;
@@ -259,6 +261,7 @@
             return;
         };
         let id = read.query.id;
+        let start_within_us = self.start_within_us(now_us, read, index, route);
         let part = &mut read.parts[index];
         let range = part.hull();
         let sending = Sending {
@@ -268,6 +271,7 @@
             parent: Parent::Read { id, part: index },
             route,
             service: part.service,
+            start_within_us,
             version,
         };
         let sequence = self.send(now_us, sending, actions);
@@ -279,6 +283,34 @@
         self.part_timer(read, index, now_us + delay_us);
     }
 
+    /// Longest wait for a slot at `route`. A hedge takes only a slot that is free; a first
+    /// try moves on while another replica may answer sooner.
+    fn start_within_us(
+        &self,
+        now_us: u64,
+        read: &OpenRead,
+        index: usize,
+        route: Route,
+    ) -> Option<u64> {
+        let part = &read.parts[index];
+        if !part.attempts.is_empty() {
+            return Some(START_WITHIN_US);
+        }
+        if part.busy >= BUSY_TRIES || part.busy_at == Some(route.replica) {
+            return None;
+        }
+        // A part that found one replica busy can return to it.
+        if part.busy > 0 {
+            return Some(START_WITHIN_US);
+        }
+        let mut tried = part.tried.clone();
+        tried.push(route.replica);
+        let other = self
+            .routes
+            .pick(now_us, part.service, read.pin?, &part.gaps, &tried);
+        matches!(other, Pick::To(_)).then_some(START_WITHIN_US)
+    }
+
     /// Time after which a sub-request of `service` is late.
     pub(crate) fn hedge_delay_us(&self, service: ServiceKey, route: Route) -> u64 {
         let observed = self.routes.services[service.index()].latency.delay_us();
--- a/crates/query/src/retries.rs
+++ b/crates/query/src/retries.rs
@@ -5,6 +5,7 @@
 use crate::QueryAction;
 use crate::QueryId;
 use crate::attempt::Attempt;
+use crate::limits::HEDGE_SHORTEST_US;
 use crate::limits::PART_SENDS;
 use crate::limits::PART_WAITS;
 use crate::open_read::OpenRead;
@@ -94,8 +95,19 @@
         reason: RefusalReason,
         actions: &mut Vec<QueryAction>,
     ) -> Progress {
+        if reason == RefusalReason::Busy && !read.parts[index].attempts.is_empty() {
+            self.hedge_refused(now_us, read, index, attempt);
+            return Progress::Open;
+        }
         let part = &mut read.parts[index];
         part.pay = Pay::after(reason);
+        if reason == RefusalReason::Busy {
+            self.counters.busy += 1;
+            // The replica may still be the best one, now that its wait is known.
+            part.busy += 1;
+            part.busy_at = Some(attempt.replica);
+            part.tried.retain(|replica| *replica != attempt.replica);
+        }
         if reason == RefusalReason::NotOwner && self.owner_changed(attempt) {
             part.tried.retain(|replica| *replica != attempt.replica);
         }
@@ -103,6 +115,17 @@
         self.try_again(now_us, read, index, reason, actions)
     }
 
+    /// Takes back a hedge that found no free slot, and plans another one.
+    fn hedge_refused(&mut self, now_us: u64, read: &mut OpenRead, index: usize, attempt: Attempt) {
+        self.counters.hedges_refused += 1;
+        let part = &mut read.parts[index];
+        part.tried.retain(|replica| *replica != attempt.replica);
+        let service = self.routes.service_mut(part.service);
+        service.budget.refund();
+        let delay_us = service.latency.delay_us().unwrap_or(HEDGE_SHORTEST_US);
+        self.part_timer(read, index, now_us + delay_us);
+    }
+
     /// Whether the replica has another owner than the one that was asked.
     pub(crate) fn owner_changed(&mut self, attempt: Attempt) -> bool {
         let owner = self.routes.replica_mut(attempt.replica).owner;
@@ -174,7 +197,8 @@
     };
     matches!(
         reason,
-        RefusalReason::ColdStart
+        RefusalReason::Busy
+            | RefusalReason::ColdStart
             | RefusalReason::NoLease
             | RefusalReason::NotOwner
             | RefusalReason::Shed
--- a/crates/query/src/routes.rs
+++ b/crates/query/src/routes.rs
@@ -300,6 +300,7 @@
         let mut held: BTreeMap<IndexVersion, Vec<Held>> = BTreeMap::new();
         let mut counts: BTreeMap<IndexVersion, usize> = BTreeMap::new();
         let mut known = 0;
+        let mut usable: BTreeMap<ServiceKey, usize> = BTreeMap::new();
         view.unreported.clear();
         for service in &view.services {
             for replica in &deployment.services[service].replicas {
@@ -309,6 +310,7 @@
                     continue;
                 };
                 known += usize::from(!report.served.is_empty());
+                *usable.entry(*service).or_default() += 1;
                 for served in &report.served {
                     *counts.entry(served.version).or_default() += 1;
                     let ranges = served.ranges.iter().filter(|range| !range.is_empty());
@@ -327,7 +329,9 @@
         view.plans = held
             .iter()
             .rev()
-            .map(|(version, held)| VersionPlan::new(*version, held))
+            .map(|(version, held)| {
+                VersionPlan::new(*version, held, |it| usable.get(&it).copied().unwrap_or(0))
+            })
             .collect();
         view.dirty = false;
     }
--- a/crates/query/src/version_plan.rs
+++ b/crates/query/src/version_plan.rs
@@ -29,6 +29,8 @@
 pub struct VersionPlan {
     /// Union of the segments.
     pub covered: RangeSet,
+    /// Smallest share of a service's usable replicas that hold their part, in percent.
+    pub holders_percent: u32,
     /// Service of each group; a group is asked with one sub-request.
     pub groups: Vec<ServiceKey>,
     /// Sorted, not overlapping.
@@ -46,7 +48,9 @@
 
 impl VersionPlan {
     /// Plan from what usable replicas report; `held` is grouped by service.
-    pub fn new(version: IndexVersion, held: &[Held]) -> Self {
+    ///
+    /// `usable` tells the number of usable replicas of a service.
+    pub fn new(version: IndexVersion, held: &[Held], usable: impl Fn(ServiceKey) -> usize) -> Self {
         let mut pieces: Vec<Piece> = held
             .chunk_by(|left, right| left.service == right.service)
             .flat_map(pieces_of)
@@ -55,6 +59,7 @@
         let mut plan = Self {
             covered: RangeSet::default(),
             groups: Vec::new(),
+            holders_percent: 100,
             segments: Vec::new(),
             version,
         };
@@ -75,6 +80,8 @@
             let known = groups
                 .iter()
                 .find(|group| replicas_of_group[**group] == piece.replicas);
+            let holders = piece.replicas.len() * 100 / usable(piece.service).max(1);
+            plan.holders_percent = plan.holders_percent.min(holders as u32);
             let group = known.copied().unwrap_or_else(|| {
                 groups.push(plan.groups.len());
                 plan.groups.push(piece.service);
--- a/crates/query/src/writes.rs
+++ b/crates/query/src/writes.rs
@@ -281,6 +281,7 @@
             parent: Parent::Write(query.id),
             route,
             service,
+            start_within_us: None,
             version,
         };
         self.wait_out(query.class, query.id);
--- a/crates/target/examples/connection_cost.rs
+++ b/crates/target/examples/connection_cost.rs
@@ -136,6 +136,7 @@
             range: KeyRange { start: 0, end: 1 },
         },
         replica: REPLICA,
+        start_within_us: None,
         version: None,
     };
     let (sender, receiver) = mpsc::sync_channel(1);
--- a/crates/target/tests/common/mod.rs
+++ b/crates/target/tests/common/mod.rs
@@ -107,6 +107,7 @@
         epoch: 1,
         operation,
         replica: REPLICA,
+        start_within_us: None,
         version: Some(IndexVersion(1)),
     }
 }
--- a/crates/types/src/reasons.rs
+++ b/crates/types/src/reasons.rs
@@ -5,6 +5,8 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
+    /// A slot is not free soon enough for the sender, who knows another replica.
+    Busy,
     /// Cancelled by the entry node before it started.
     Cancelled,
     /// The replica is in cold start and has no allowance left.
--- a/crates/types/src/sub_request.rs
+++ b/crates/types/src/sub_request.rs
@@ -19,6 +19,9 @@
     pub operation: Operation,
     /// Replica to ask.
     pub replica: ReplicaKey,
+    /// Longest wait for a slot, in microseconds; a longer one is refused with `Busy`.
+    /// Without it, the deadline alone decides.
+    pub start_within_us: Option<u64>,
     /// Version that the reply must come from; `None` lets the target choose.
     pub version: Option<IndexVersion>,
 }
