Bound the wait of a class and learn from cancelled requests

With a straggler, the requests that could tell how slow it is were all cancelled by their hedges, so its owner reported 4 to 18 ms in place of 40 and first tries went there.

Change: a sub-request waits for at most a quarter of its class's service-level latency; a reported queue is taken to shrink as the report ages; two replicas that refuse as overloaded end the free retries. The time at which a request was cancelled counts as a lower bound of its service time. A first try takes a wait up to the lead over the next best replica.

--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -163,8 +163,11 @@
         let now_us = turn.now_us;
         let start_us = self.class_start_us(turn, request.class, self.waiting.rank(request));
         let end_us = start_us.saturating_add(self.latency.admission_us(now_us).max(1));
-        if end_us > request.deadline_us {
-            return Some(end_us - request.deadline_us);
+        let longest_us = turn.longest_wait_us(request.class);
+        let late_us = end_us.saturating_sub(request.deadline_us);
+        let long_us = (start_us - now_us).saturating_sub(longest_us);
+        if late_us > 0 || long_us > 0 {
+            return Some(late_us.max(long_us));
         }
         let last = self.waiting.last(request.class)?;
         if last < rank_key(request) {
--- a/crates/gate/src/latency.rs
+++ b/crates/gate/src/latency.rs
@@ -67,8 +67,11 @@
 
     /// Takes the time after which a request ended without a reply, a lower
     /// bound of its service time; returns whether it completes a jump.
+    ///
+    /// The requests of a slow replica are mostly cancelled, because their hedges
+    /// win. Without them, only its fastest replies would count.
     pub(crate) const fn observe_unfinished(&mut self, now_us: u64, elapsed_us: u64) -> bool {
-        self.is_slow(elapsed_us) && self.count_slow(now_us, elapsed_us)
+        elapsed_us > self.typical_us && self.observe(now_us, elapsed_us)
     }
 
     /// Keeps the typical time, but asks for new samples before a reply counts as
--- a/crates/gate/src/turn.rs
+++ b/crates/gate/src/turn.rs
@@ -4,6 +4,7 @@
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::Deployment;
+use wigeonhall_types::QueryClass;
 use wigeonhall_types::RefusalReason;
 use wigeonhall_types::ReplicaKey;
 use wigeonhall_types::ReplicaReport;
@@ -72,6 +73,12 @@
         class.map_or(1, |class| class.weight.max(1))
     }
 
+    /// Longest wait for a slot; unbounded if the deployment does not hold the class.
+    pub(crate) fn longest_wait_us(&self, class: ClassKey) -> u64 {
+        let class = self.deployment.classes.get(&class);
+        class.map_or(u64::MAX, QueryClass::longest_wait_us)
+    }
+
     /// Slots that a class may take while others wait: its share rounded down,
     /// but at least one.
     pub(crate) fn class_slots(&self, class: ClassKey, slots: u32) -> u32 {
--- a/crates/gate/tests/waiting.rs
+++ b/crates/gate/tests/waiting.rs
@@ -14,6 +14,36 @@
     assert_eq!(driver.gate.open_requests(), 2);
 }
 
+/// Guards against a sub-request waiting although its sender knows another replica.
+/// The typical time is 10 ms, so the second one of a slot waits that long.
+#[test]
+fn refuses_as_busy_what_cannot_start_soon() {
+    let script = "submit 1 1000 w0\n submit 2 1000 w9999\n submit 3 1000 w10000\n submit 4 1000";
+    assert_snapshot!(Driver::warm(1).run(script));
+}
+
+/// Guards against a standing queue that moves every answer towards its deadline.
+/// Class 0 may wait 100 s, and each of its requests takes 10 ms.
+#[test]
+fn bounds_the_wait_of_a_class() {
+    let mut driver = Driver::warm(1);
+    driver.run("submit 0..10002 900000");
+    assert_eq!(driver.gate.counters().refused_overloaded, 1);
+}
+
+/// Guards against a slow replica whose requests are all cancelled being taken for a
+/// fast one.
+#[test]
+fn learns_from_cancelled_requests() {
+    let mut driver = Driver::warm(1);
+    for id in 0..20 {
+        let at_ms = 40 * (id + 1);
+        driver.run(&format!("submit {id} 9000\n skip {at_ms}\n reply {id} cancelled"));
+    }
+    let report = driver.gate.reports(driver.now_us).remove(0).1;
+    assert!(report.service_us > 30_000, "{report:?}");
+}
+
 /// Guards against a hopeless sub-request being held until its deadline.
 #[test]
 fn refuses_what_no_longer_fits_before_its_deadline() {
--- a/crates/query/src/class_view.rs
+++ b/crates/query/src/class_view.rs
@@ -5,6 +5,7 @@
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::NodeKey;
+use wigeonhall_types::QueryClass;
 use wigeonhall_types::ServiceKey;
 
 /// What this node knows of a query class.
@@ -16,6 +17,8 @@
     pub dirty: bool,
     /// Kind of the class.
     pub kind: ClassKind,
+    /// Longest wait for a slot that a read starts with.
+    pub longest_wait_us: u64,
     /// Newest version first.
     pub plans: Vec<VersionPlan>,
     /// A `Recheck` timer is set.
@@ -30,14 +33,15 @@
 
 impl ClassView {
     /// A view without reports.
-    pub fn new(kind: ClassKind, services: Vec<ServiceKey>) -> Self {
+    pub fn new(class: &QueryClass) -> Self {
         Self {
             common: None,
             dirty: true,
-            kind,
+            kind: class.kind,
+            longest_wait_us: class.longest_wait_us(),
             plans: Vec::new(),
             recheck_set: false,
-            services,
+            services: class.depends_on.clone(),
             unreported: BTreeSet::new(),
             waiting: BTreeSet::new(),
         }
--- a/crates/query/src/limits.rs
+++ b/crates/query/src/limits.rs
@@ -32,6 +32,9 @@
 /// Shortest hedge delay; below it a hedge costs more than the hop it saves.
 pub const HEDGE_SHORTEST_US: u64 = 1_000;
 
+/// Replicas that refuse a part as overloaded before further tries draw on the budget.
+pub const OVERLOADED_TRIES: u32 = 2;
+
 /// Sends of one part of a request, over all reasons.
 pub const PART_SENDS: u32 = 8;
 
--- a/crates/query/src/part.rs
+++ b/crates/query/src/part.rs
@@ -31,6 +31,8 @@
     pub free_retries: u32,
     /// Keys not read yet; sorted, not overlapping.
     pub gaps: Vec<KeyRange>,
+    /// Refusals as overloaded.
+    pub overloaded: u32,
     /// What the next send draws on.
     pub pay: Pay,
     /// Keys that were read; disjoint from `gaps`.
@@ -62,6 +64,7 @@
             busy_at: None,
             free_retries: 0,
             gaps: Vec::new(),
+            overloaded: 0,
             pay: Pay::First,
             read: Vec::new(),
             retry_after_us: 0,
--- a/crates/query/src/reads.rs
+++ b/crates/query/src/reads.rs
@@ -168,9 +168,11 @@
         actions: &mut Vec<QueryAction>,
     ) -> Result<(), (AbsentReason, u64)> {
         let deadline_us = read.query.deadline_us;
+        let class = self.routes.classes.get(&read.query.class);
+        let longest_wait_us = class.map_or(u64::MAX, |it| it.longest_wait_us);
         let starts: Vec<Start> = parts
             .iter()
-            .map(|part| self.start_of(now_us, deadline_us, version, part))
+            .map(|part| self.start_of(now_us, deadline_us, longest_wait_us, version, part))
             .collect();
         let mut absent = starts.iter().filter_map(|start| match start {
             Start::Absent { reason, retry_ms } => Some((*reason, *retry_ms)),
@@ -197,16 +199,30 @@
         Ok(())
     }
 
-    fn start_of(&self, now_us: u64, deadline_us: u64, version: IndexVersion, part: &Part) -> Start {
+    fn start_of(
+        &self,
+        now_us: u64,
+        deadline_us: u64,
+        longest_wait_us: u64,
+        version: IndexVersion,
+        part: &Part,
+    ) -> Start {
         match self
             .routes
             .pick(now_us, part.service, version, &part.gaps, &part.tried)
         {
-            Pick::To(route) if now_us + route.expected_us <= deadline_us => Start::Send(route),
-            Pick::To(route) => Start::Absent {
-                reason: AbsentReason::TooLate,
-                retry_ms: retry_after_ms(now_us + route.expected_us - deadline_us),
-            },
+            Pick::To(route) => {
+                let end_us = now_us + route.expected_us;
+                let late_us = end_us.saturating_sub(deadline_us);
+                let long_us = route.wait_us.saturating_sub(longest_wait_us);
+                match late_us.max(long_us) {
+                    0 => Start::Send(route),
+                    excess_us => Start::Absent {
+                        reason: AbsentReason::TooLate,
+                        retry_ms: retry_after_ms(excess_us),
+                    },
+                }
+            }
             Pick::BackedOff { until_us } if until_us < deadline_us => Start::Wait { until_us },
             Pick::BackedOff { until_us } => Start::Absent {
                 reason: AbsentReason::TooLate,
@@ -299,16 +315,16 @@
         if part.busy >= BUSY_TRIES || part.busy_at == Some(route.replica) {
             return None;
         }
-        // A part that found one replica busy can return to it.
-        if part.busy > 0 {
-            return Some(START_WITHIN_US);
-        }
         let mut tried = part.tried.clone();
         tried.push(route.replica);
         let other = self
             .routes
             .pick(now_us, part.service, read.pin?, &part.gaps, &tried);
-        matches!(other, Pick::To(_)).then_some(START_WITHIN_US)
+        let Pick::To(other) = other else {
+            return None;
+        };
+        let lead_us = other.expected_us.saturating_sub(route.expected_us);
+        Some(START_WITHIN_US + lead_us)
     }
 
     /// Time after which a sub-request of `service` is late.
--- a/crates/query/src/replica_view.rs
+++ b/crates/query/src/replica_view.rs
@@ -94,6 +94,17 @@
         takes_work && !self.out && !self.owner_lost && self.owner.is_some()
     }
 
+    /// Time that a sub-request would wait for a slot now. The queue of the report has
+    /// shrunk since by as much as the report is old; without that, a node that was told
+    /// of a long queue would refuse everything until it is told otherwise.
+    pub fn wait_us(&self, now_us: u64) -> u64 {
+        let Some(report) = &self.report else {
+            return 0;
+        };
+        let age_us = now_us.saturating_sub(self.heard_us.unwrap_or(now_us));
+        report.expected_wait_us.saturating_sub(age_us)
+    }
+
     /// Time until an answer of the replica, as reported and as loaded by this node since.
     pub fn expected_us(&self) -> u64 {
         let Some(report) = &self.report else {
--- a/crates/query/src/retries.rs
+++ b/crates/query/src/retries.rs
@@ -6,6 +6,7 @@
 use crate::QueryId;
 use crate::attempt::Attempt;
 use crate::limits::HEDGE_SHORTEST_US;
+use crate::limits::OVERLOADED_TRIES;
 use crate::limits::PART_SENDS;
 use crate::limits::PART_WAITS;
 use crate::open_read::OpenRead;
@@ -108,6 +109,13 @@
             part.busy_at = Some(attempt.replica);
             part.tried.retain(|replica| *replica != attempt.replica);
         }
+        if reason == RefusalReason::Overloaded {
+            // Two full replicas mean overload: the caller hears of it at once.
+            part.overloaded += 1;
+            if part.overloaded >= OVERLOADED_TRIES {
+                part.pay = Pay::Budget;
+            }
+        }
         if reason == RefusalReason::NotOwner && self.owner_changed(attempt) {
             part.tried.retain(|replica| *replica != attempt.replica);
         }
--- a/crates/query/src/routes.rs
+++ b/crates/query/src/routes.rs
@@ -32,6 +32,8 @@
     pub node: NodeKey,
     /// The replica.
     pub replica: ReplicaKey,
+    /// Part of `expected_us` before a slot is free, as far as reports tell.
+    pub wait_us: u64,
 }
 
 /// Result of a choice of replica.
@@ -97,7 +99,7 @@
             view.service = None;
         }
         for (key, class) in &deployment.classes {
-            let mut view = ClassView::new(class.kind, class.depends_on.clone());
+            let mut view = ClassView::new(class);
             (view.waiting, view.recheck_set) = waiting.remove(key).unwrap_or_default();
             self.classes.insert(*key, view);
             for service in &class.depends_on {
@@ -276,6 +278,7 @@
             return Pick::To(Route {
                 epoch,
                 expected_us: view.expected_us(),
+                wait_us: view.wait_us(now_us),
                 local: view.local,
                 node,
                 replica: rank.replica,
--- a/crates/query/tests/admission.rs
+++ b/crates/query/tests/admission.rs
@@ -23,6 +23,23 @@
     assert_eq!(answer.retry_after_ms, Some(105));
 }
 
+// A node that was told of a long queue must not refuse until it is told otherwise.
+#[test]
+fn expects_a_reported_queue_to_shrink() {
+    let mut world = World::new(1);
+    let held = [range(0, 1_000)];
+    let longest_us = deployment(1, 2).classes[&READ].longest_wait_us();
+    let whole = range(0, 1_000);
+    let within_us = 2 * longest_us;
+    for replica in 0..2 {
+        world.report(replica, report(&[(1, &held[..])], longest_us + 1_000, 5));
+    }
+    let answer = only_answer(&world.read_range(1, Full, whole, within_us));
+    assert_eq!(answer.status, AnswerStatus::Refused(AbsentReason::TooLate));
+    world.now_us += 1_000;
+    assert_eq!(sends(&world.read_range(2, Full, whole, within_us)).len(), 1);
+}
+
 #[test]
 fn reads_the_part_that_can_be_in_time() {
     let mut world = World::new(2);
--- a/crates/query/tests/snapshot.rs
+++ b/crates/query/tests/snapshot.rs
@@ -4,6 +4,27 @@
 
 use prelude::*;
 
+// During a roll, the newest version alone would send every query to the first replica
+// that has it.
+#[test]
+fn pins_the_version_that_most_replicas_serve() {
+    let mut world = World::silent(1, 3);
+    let held = [range(0, 1_000)];
+    let old = [(1, &held[..]), (2, &held[..])];
+    let new = [(2, &held[..]), (3, &held[..])];
+    for replica in 0..2 {
+        world.report(replica, report(&old, 0, 5_000));
+    }
+    world.report(2, report(&new, 0, 5_000));
+    let (_, sub) = sends(&world.read(1, Full)).remove(0);
+    assert_eq!(sub.version, Some(IndexVersion(2)));
+    for replica in 0..2 {
+        world.report(replica, report(&new, 0, 5_000));
+    }
+    let (_, sub) = sends(&world.read(2, Full)).remove(0);
+    assert_eq!(sub.version, Some(IndexVersion(3)));
+}
+
 // A version that only some shards serve would leave holes.
 #[test]
 fn pins_the_newest_version_that_every_shard_serves() {
--- a/crates/types/src/query_class.rs
+++ b/crates/types/src/query_class.rs
@@ -18,6 +18,19 @@
     pub weight: u32,
 }
 
+/// Share of the service level's latency that a sub-request may wait for a slot: one
+/// part in this many. Callers give up when they notice a queue, and a longer one only
+/// moves every answer towards its deadline.
+const WAIT_PART: u64 = 4;
+
+impl QueryClass {
+    /// Longest time that a sub-request waits for a slot, in microseconds.
+    #[must_use]
+    pub const fn longest_wait_us(&self) -> u64 {
+        self.level.latency_ms * 1_000 / WAIT_PART
+    }
+}
+
 /// Whether a request may be sent more than once.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ClassKind {
