--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -62,6 +62,11 @@
         self.state != MemberState::Dead
     }
 
+    /// Whether it was ever heard of, not only named.
+    pub(crate) fn heard(&self) -> bool {
+        self.boot != 0
+    }
+
     /// Whether it counts as consenting: it runs no more.
     pub(crate) fn gone(&self) -> bool {
         self.listing == Listing::Gone
@@ -104,6 +109,7 @@
     vm_list_due_us: u64,
     /// Times at which the VM list was asked for without an answer yet.
     vm_list_asked_us: VecDeque<u64>,
+    vm_list_last_us: u64,
     /// When the newest VM list was asked for.
     pub(crate) vm_list_us: Option<u64>,
 }
@@ -126,6 +132,7 @@
             updates: VecDeque::new(),
             vm_list_due_us: 0,
             vm_list_asked_us: VecDeque::new(),
+            vm_list_last_us: 0,
             vm_list_us: None,
         }
     }
@@ -148,7 +155,9 @@
     /// Makes the next reading of the VM list come soon.
     pub(crate) fn hurry_vm_list(&mut self, now_us: u64) {
         let due = &mut self.vm_list_due_us;
-        *due = (*due).min(now_us + limits::VM_LIST_US);
+        *due = (*due)
+            .min(self.vm_list_last_us + limits::VM_LIST_US)
+            .max(now_us);
     }
 
     fn next_sequence(&mut self) -> u64 {
@@ -324,6 +333,9 @@
         let known = (member.incarnation, member.state);
         let told = (update.incarnation, update.state);
         let first = member.state == MemberState::Unknown;
+        if update.boot == 0 && member.heard() {
+            return false;
+        }
         if !first && told <= known {
             return told < known || member.boot != update.boot;
         }
@@ -417,6 +429,7 @@
     /// taken for one to the oldest question that can still be under way.
     pub(crate) fn read_vm_list(&mut self, step: &mut Step<'_>) {
         let now = step.now_us;
+        self.membership.vm_list_last_us = now;
         let asked = &mut self.membership.vm_list_asked_us;
         asked.retain(|at| now < at + limits::VM_LIST_TIMEOUT_US);
         asked.push_back(now);
--- a/crates/fleet/src/proposal.rs
+++ b/crates/fleet/src/proposal.rs
@@ -124,15 +124,15 @@
         let Some(member) = self.membership.members.get(&node) else {
             return false;
         };
-        let heard = match member.state {
-            MemberState::Alive | MemberState::Suspect => true,
-            MemberState::Dead => false,
-            // A member that was never heard of stays until probes find it dead.
-            MemberState::Unknown => self
+        // A member that was never heard of stays until probes find it dead.
+        let heard = member.heard()
+            || self
                 .own_table()
-                .is_some_and(|it| it.table.members.contains(&node)),
-        };
-        heard && !member.leaving && !matches!(member.listing, Listing::Gone | Listing::Leaving)
+                .is_some_and(|it| it.table.members.contains(&node));
+        heard
+            && member.state != MemberState::Dead
+            && !member.leaving
+            && !matches!(member.listing, Listing::Gone | Listing::Leaving)
     }
 
     /// Members and owners that the own data centre's table should have.
@@ -180,6 +180,10 @@
             self.proposal.due_us = u64::MAX;
             return;
         }
+        if self.proposal.changed_us.is_none() {
+            // Most nodes read the list rarely; an old one shows changes that are none.
+            self.membership.hurry_vm_list(step.now_us);
+        }
         let since = *self.proposal.changed_us.get_or_insert(step.now_us);
         let rank = if self.membership.leaving {
             0
--- a/crates/fleet/src/views.rs
+++ b/crates/fleet/src/views.rs
@@ -1,7 +1,6 @@
 //! Orders and groups of members that are derived from their states.
 
 use crate::Fleet;
-use crate::MemberState;
 use crate::limits;
 use crate::membership::Listing;
 use crate::membership::Member;
@@ -114,10 +113,10 @@
                 _ => &mut views.remote,
             };
             group.push(node);
-            if !leads(member) {
+            if !stays(member) {
                 continue;
             }
-            if near {
+            if near && member.heard() {
                 ranked.push((rendezvous::rank(self.dc_hash, member.hash), node));
             }
             let watch = rendezvous::rank(self.region_hash, member.hash);
@@ -150,10 +149,11 @@
     }
 }
 
-/// Whether the node counts for watching, reading and proposing.
-fn leads(member: &Member) -> bool {
-    let state = matches!(member.state, MemberState::Alive | MemberState::Suspect);
-    state && !member.leaving && !matches!(member.listing, Listing::Gone | Listing::Leaving)
+/// Whether the node counts for watching, reading and proposing while it lives.
+/// Named nodes count as watchers until probes find them dead, so that a starting
+/// fleet does not watch from every node.
+fn stays(member: &Member) -> bool {
+    !member.leaving && !matches!(member.listing, Listing::Gone | Listing::Leaving)
 }
 
 pub(crate) fn choose(rng: &mut Rng, from: &[NodeKey], count: usize) -> Vec<NodeKey> {
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -56,6 +56,20 @@
     assert!(world.all_owned());
 }
 
+/// Guards against members that were named but never heard of: once suspected they
+/// counted as live, joined the table and blocked the majority.
+#[test]
+fn a_named_node_that_never_ran_is_no_member() {
+    let mut world = World::new(&[("south", "dc-a")], 6, 20, 3);
+    world.apply("", &[]);
+    (0..3).for_each(|it| world.start(it));
+    for _ in 0..30 {
+        world.run(S);
+        let members = world.store.tables.get("dc-a").map(|it| it.members.len());
+        assert!(members.is_none_or(|it| it <= 3));
+    }
+}
+
 /// Guards against a leaving VM that is given new ownership.
 #[test]
 fn a_leaving_vm_hands_over() {
