--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -32,6 +32,16 @@
     stays_owned(&mut world, 20);
 }
 
+/// Guards against leases that lapse when single messages are lost.
+#[test]
+fn leases_last_on_a_lossy_network() {
+    let mut world = one_data_centre(7);
+    world.loss = 10;
+    stays_owned(&mut world, 60);
+    world.set_store_down(true);
+    stays_owned(&mut world, 60);
+}
+
 /// Guards against a node that needs the store itself although its peers have it.
 #[test]
 fn a_node_cut_off_from_the_store_relies_on_peers() {
