--- a/crates/fleet/tests/consent.rs
+++ b/crates/fleet/tests/consent.rs
@@ -61,6 +61,10 @@
     }
 
     fn read_table(&mut self, now_us: u64, epoch: u64) -> Vec<FleetAction> {
+        self.read_table_late(now_us, now_us, epoch)
+    }
+
+    fn read_table_late(&mut self, sent_us: u64, now_us: u64, epoch: u64) -> Vec<FleetAction> {
         let names = ["vm-a", "vm-b", "vm-c"].map(Arc::<str>::from);
         let table = TableRecord {
             data_centre: "dc-a".into(),
@@ -70,7 +74,6 @@
             write_id: epoch,
         };
         let data_centre = self.catalog.data_centre("dc-a");
-        let sent_us = now_us;
         let table = Some(table);
         self.handle(
             now_us,
@@ -82,6 +85,44 @@
         )
     }
 
+    /// Ticks until the member asks for acknowledgements; returns the time and number.
+    fn asks(&mut self, mut now_us: u64) -> (u64, u64) {
+        loop {
+            for action in self.handle(now_us, FleetEvent::Tick) {
+                if let FleetAction::Send { message, .. } = action
+                    && let GossipMessage::LeaseAsk {
+                        acknowledge,
+                        sequence,
+                        ..
+                    } = message
+                    && acknowledge
+                {
+                    return (now_us, sequence);
+                }
+            }
+            now_us += S / 100;
+        }
+    }
+
+    /// Answers from `name` and returns the lease that follows.
+    fn answer(
+        &mut self,
+        now_us: u64,
+        name: &str,
+        sequence: u64,
+        proof_age_us: Option<u64>,
+    ) -> Option<u64> {
+        let from = self.catalog.node(name);
+        let message = GossipMessage::LeaseAnswer {
+            acknowledged: proof_age_us.is_none(),
+            epoch: 5,
+            from_store: proof_age_us.is_some(),
+            proof_age_us,
+            sequence,
+        };
+        lease(&self.handle(now_us, FleetEvent::Gossip { from, message }))
+    }
+
     fn consents(&mut self, now_us: u64, epoch: u64) -> bool {
         let sequence = now_us;
         let message = GossipMessage::ConsentAsk { epoch, sequence };
@@ -107,6 +148,31 @@
     }
 }
 
+fn lease(actions: &[FleetAction]) -> Option<u64> {
+    actions.iter().find_map(|it| match it {
+        FleetAction::LeaseUntil(until_us) => Some(*until_us),
+        _ => None,
+    })
+}
+
+/// Guards against a lease that counts from the arrival of a late reply: the table
+/// may have been replaced while the reply was under way.
+#[test]
+fn a_lease_counts_from_sending_the_request() {
+    let lease_us = LEASE_MS * 1000;
+    let mut member = Member::new();
+    let read = member.read_table_late(START + 10 * S, START + 12 * S, 5);
+    assert_eq!(lease(&read), Some(START + 10 * S + lease_us));
+    // The proof of a peer was half a second old when it answered.
+    let (sent_us, sequence) = member.asks(START + 13 * S);
+    let until_us = member.answer(sent_us + S, "vm-b", sequence, Some(S / 2));
+    assert_eq!(until_us, Some(sent_us - S / 2 + lease_us));
+    // A majority of three is the member itself and one acknowledgement.
+    let (sent_us, sequence) = member.asks(START + 30 * S);
+    let until_us = member.answer(sent_us + S, "vm-c", sequence, None);
+    assert_eq!(until_us, Some(sent_us + lease_us));
+}
+
 /// Guards against a restarted member that consents while an acknowledgement of its
 /// previous run still counts.
 #[test]
