--- a/crates/fleet/src/dissemination.rs
+++ b/crates/fleet/src/dissemination.rs
@@ -6,6 +6,7 @@
 use crate::PullItem;
 use crate::TableVersion;
 use crate::limits;
+use crate::rendezvous;
 use crate::step::Step;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -97,14 +98,14 @@
             PushShape::FullMesh if from_store => self.views.peers(),
             PushShape::FullMesh => Vec::new(),
             PushShape::Neighbours => self.neighbours(),
-            PushShape::Tree => self.tree_children(from_store),
+            PushShape::Tree => self.tree_children(step, from_store),
         };
         for peer in peers {
             self.send_digest(step, peer, false);
         }
     }
 
-    fn tree_children(&self, from_store: bool) -> Vec<NodeKey> {
+    fn tree_children(&self, step: &Step<'_>, from_store: bool) -> Vec<NodeKey> {
         let own = self.config.node;
         let rank = self.views.own_rank() * limits::LEASE_FAN_OUT;
         let children = self.views.ranked.iter().skip(rank + 1);
@@ -112,9 +113,15 @@
         if from_store {
             let mut firsts = BTreeMap::new();
             for (&node, member) in self.membership.members.iter().filter(|it| it.1.reachable()) {
-                firsts.entry(member.data_centre).or_insert(node);
+                let Some(key) = member.data_centre else {
+                    continue;
+                };
+                let hash = rendezvous::name_hash(&step.catalog.data_centre_name(key));
+                let rank = rendezvous::rank(hash, member.hash);
+                let first = firsts.entry(key).or_insert((rank, node));
+                *first = (*first).min((rank, node));
             }
-            peers.extend(firsts.into_values());
+            peers.extend(firsts.into_values().map(|it| it.1));
             peers.extend(self.views.ranked.first());
         }
         peers.retain(|&it| it != own);
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -19,6 +19,8 @@
 
 /// Requests to peers whose answers are still taken.
 const ASKS_MAX: usize = 16;
+/// Ranks that need no chance to read the store or to ask for acknowledgements.
+const FIRST_RANKS: usize = 4;
 /// Progress of a proof that is worth a hint; less may be an error of clock rates.
 const HINT_US: u64 = 200_000;
 /// Delay of a node's own efforts for each node that ranks before it.
@@ -303,9 +305,13 @@
         let age = known.proof_us.map_or(u64::MAX, |at| now - at.min(now));
         let from_store = known.from_store;
         let stale = age > limits::STALE_US;
+        // Behind the first ranks only a few nodes act by themselves, so that a large
+        // data centre does not turn to the store and to all members at once.
+        let alone = now >= self.membership.contact_us + limits::STALE_US;
+        let acts = rank < FIRST_RANKS || alone || self.rng.usize(..rank) < FIRST_RANKS;
         if rank == 0 {
             self.read_own_table(step, limits::STORE_RETRY_US);
-        } else if age > limits::STALE_US + rank.min(4) as u64 * RANK_STEP_US {
+        } else if acts && age > limits::STALE_US + rank.min(FIRST_RANKS) as u64 * RANK_STEP_US {
             self.read_own_table(step, limits::STALE_READ_US);
         }
         let mut peers = Vec::new();
@@ -324,9 +330,9 @@
         let wait = if rank == 0 && !from_store {
             limits::LEASE_STEP_US
         } else {
-            limits::STALE_US + rank.min(4) as u64 * RANK_STEP_US
+            limits::STALE_US + rank.min(FIRST_RANKS) as u64 * RANK_STEP_US
         };
-        if age > wait {
+        if acts && age > wait {
             let members = self.own_table().map(|it| it.table.members.clone());
             peers = members.unwrap_or_default();
             peers.retain(|&it| it != self.config.node);
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -80,3 +80,36 @@
     assert!(world.all_owned());
     assert!(world.nodes[0].grants.is_empty());
 }
+
+/// Guards against a change of the hash: nodes of two releases would then replace
+/// each other's tables without end.
+#[test]
+fn assignment_is_the_same_in_all_releases() {
+    let world = World::settled(15, 5);
+    let owners = world.store.tables["dc-a"].owners.iter();
+    let owners: Vec<_> = owners
+        .map(|(replica, owner)| format!("{replica} {owner}"))
+        .collect();
+    insta::assert_snapshot!(owners.join("\n"), @r"
+    dc-a-r000 vm-006
+    dc-a-r001 vm-003
+    dc-a-r002 vm-009
+    dc-a-r003 vm-006
+    dc-a-r004 vm-003
+    dc-a-r005 vm-003
+    dc-a-r006 vm-006
+    dc-a-r007 vm-012
+    dc-a-r008 vm-003
+    dc-a-r009 vm-003
+    dc-a-r010 vm-000
+    dc-a-r011 vm-012
+    dc-a-r012 vm-003
+    dc-a-r013 vm-000
+    dc-a-r014 vm-003
+    dc-a-r015 vm-009
+    dc-a-r016 vm-000
+    dc-a-r017 vm-012
+    dc-a-r018 vm-012
+    dc-a-r019 vm-000
+    ");
+}
