Test epochs with gaps, early hand-overs and old generations at one member

Cause: three deliberate breaks (an older record adopted, an older deployment put in force, grants kept over a gap of epochs) turned no test red, since other checks hid them. Change: direct tests of each.

--- a/crates/fleet/tests/consent.rs
+++ b/crates/fleet/tests/one_member.rs
@@ -1,7 +1,8 @@
-//! What a member answers when it is asked to confirm or to give up a table.
+//! What a single member does with records, tables, hand-overs and requests.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::Fleet;
 use wigeonhall_fleet::FleetAction;
 use wigeonhall_fleet::FleetConfig;
@@ -10,6 +11,8 @@
 use wigeonhall_fleet::LEASE_MS;
 use wigeonhall_fleet::TableRecord;
 use wigeonhall_types::Catalog;
+use wigeonhall_types::Deployment;
+use wigeonhall_types::HandOverState;
 
 const S: u64 = 1_000_000;
 const START: u64 = 100 * S;
@@ -123,6 +126,24 @@
         lease(&self.handle(now_us, FleetEvent::Gossip { from, message }))
     }
 
+    fn hand_over(&mut self, now_us: u64, epoch: u64) -> Vec<FleetAction> {
+        let replica = self.catalog.replica("replica");
+        let state = HandOverState {
+            allowance: 1,
+            instance: None,
+            running: 0,
+            running_for_us: 0,
+            served: Vec::new(),
+            service_us: 1,
+        };
+        let event = FleetEvent::HandOver {
+            epoch,
+            replica,
+            state,
+        };
+        self.handle(now_us, event)
+    }
+
     fn consents(&mut self, now_us: u64, epoch: u64) -> bool {
         let sequence = now_us;
         let message = GossipMessage::ConsentAsk { epoch, sequence };
@@ -234,3 +255,83 @@
     let proved = member.read_table(START + 61 * S, 5);
     assert!(proved.iter().any(granted));
 }
+
+fn grants(actions: &[FleetAction]) -> bool {
+    actions
+        .iter()
+        .any(|it| matches!(it, FleetAction::Grant { .. }))
+}
+
+/// Guards against a node that keeps a replica although an epoch that it missed may
+/// have given it to another node, or that takes a hand-over of such an epoch.
+#[test]
+fn a_gap_of_epochs_renews_grants() {
+    let mut member = Member::new();
+    member.read_table(START + S, 5);
+    assert!(grants(&member.read_table(START + 5 * S, 5)));
+    let next = member.read_table(START + 6 * S, 6);
+    assert!(
+        !next
+            .iter()
+            .any(|it| matches!(it, FleetAction::Revoke { .. }))
+    );
+    let gap = member.read_table(START + 7 * S, 8);
+    let revoked = |it: &FleetAction| {
+        matches!(
+            it,
+            FleetAction::Revoke {
+                successor: None,
+                ..
+            }
+        )
+    };
+    assert!(gap.iter().any(revoked) && !grants(&gap));
+    assert!(!grants(&member.hand_over(START + 7 * S, 6)));
+    assert!(!grants(&member.hand_over(START + 7 * S, 7)));
+    assert!(grants(&member.hand_over(START + 7 * S, 8)));
+}
+
+/// Guards against a hand-over that is lost because it comes before its table.
+#[test]
+fn an_early_hand_over_waits_for_its_table() {
+    let mut member = Member::new();
+    assert!(!grants(&member.hand_over(START + S, 5)));
+    assert!(grants(&member.read_table(START + 2 * S, 5)));
+}
+
+/// Guards against an old record or deployment that replaces a newer one.
+#[test]
+fn only_larger_generations_are_adopted() {
+    let mut member = Member::new();
+    let from = member.catalog.node("vm-b");
+    let mut adopts = |generation| {
+        let record = ConfigRecord {
+            author: "operator".into(),
+            change_id: "change".into(),
+            contains: Vec::new(),
+            generation,
+            text: "".into(),
+        };
+        let message = GossipMessage::Config(record);
+        let actions = member.handle(START + S, FleetEvent::Gossip { from, message });
+        actions
+            .iter()
+            .any(|it| matches!(it, FleetAction::AdoptConfig(_)))
+    };
+    assert!(adopts(5));
+    assert!(!adopts(3));
+    assert!(!adopts(5));
+    assert!(adopts(6));
+    let mut puts_in_force = |generation| {
+        let deployment = Arc::new(Deployment {
+            generation,
+            ..Deployment::default()
+        });
+        let actions = member.handle(START + S, FleetEvent::Deployment(deployment));
+        actions
+            .iter()
+            .any(|it| matches!(it, FleetAction::Deployment(_)))
+    };
+    assert!(puts_in_force(6));
+    assert!(!puts_in_force(5));
+}
