Read the VM list one at a time, and count unanswered reads as failed

Cause: an answer of the VM list was taken for the oldest question under way, so one lost answer made every later one count as old and gone members never counted as consenting; a table read that is never answered blocked all later ones. Change: one list read at a time, and a table read expires after 10 s.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -46,7 +46,8 @@
     /// No consent before this time, as promised with an acknowledgement.
     promised_us: u64,
     read_due_us: u64,
-    read_pending: bool,
+    /// When the own table was asked for, if there is no answer yet.
+    read_pending_us: Option<u64>,
     sequence: u64,
     step_due_us: u64,
     pub(crate) store_ok_us: Option<u64>,
@@ -69,7 +70,7 @@
             consented: 0,
             promised_us: 0,
             read_due_us: 0,
-            read_pending: false,
+            read_pending_us: None,
             sequence: 0,
             step_due_us: 0,
             store_ok_us: None,
@@ -343,12 +344,14 @@
     }
 
     pub(crate) fn read_own_table(&mut self, step: &mut Step<'_>, period_us: u64) {
-        if self.lease.read_pending || self.lease.read_due_us > step.now_us {
+        let pending = self.lease.read_pending_us;
+        let pending = pending.is_some_and(|at| step.now_us < at + limits::READ_TIMEOUT_US);
+        if pending || self.lease.read_due_us > step.now_us {
             return;
         }
         // A small allowance keeps a period that is a multiple of the step whole.
         self.lease.read_due_us = step.now_us + period_us - limits::LEASE_STEP_US / 4;
-        self.lease.read_pending = true;
+        self.lease.read_pending_us = Some(step.now_us);
         self.counters.store_reads += 1;
         step.push(FleetAction::ReadTable(self.config.data_centre));
     }
@@ -361,7 +364,7 @@
 
     pub(crate) fn end_table_read(&mut self, key: DataCentreKey) {
         if key == self.config.data_centre {
-            self.lease.read_pending = false;
+            self.lease.read_pending_us = None;
         }
     }
 }
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -23,6 +23,8 @@
 pub(crate) const INDIRECT_PROBES: usize = 3;
 /// Children of a node in the tree that lease confirmations follow.
 pub(crate) const LEASE_FAN_OUT: usize = 8;
+/// Time after which a read of a table is not expected to be answered any more.
+pub(crate) const READ_TIMEOUT_US: u64 = 10_000_000;
 /// Time between two steps of lease renewal.
 pub(crate) const LEASE_STEP_US: u64 = 500_000;
 /// Validity of a lease, from the moment its proof was asked for.
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -112,8 +112,8 @@
     /// Members whose state is news, with the number of messages left to carry it.
     updates: VecDeque<(NodeKey, u32)>,
     vm_list_due_us: u64,
-    /// Times at which the VM list was asked for without an answer yet.
-    vm_list_asked_us: VecDeque<u64>,
+    /// When the VM list was asked for, if there is no answer yet.
+    vm_list_asked_us: Option<u64>,
     vm_list_last_us: u64,
     /// When the newest VM list was asked for.
     pub(crate) vm_list_us: Option<u64>,
@@ -136,7 +136,7 @@
             suspicions: BTreeMap::new(),
             updates: VecDeque::new(),
             vm_list_due_us: 0,
-            vm_list_asked_us: VecDeque::new(),
+            vm_list_asked_us: None,
             vm_list_last_us: 0,
             vm_list_us: None,
         }
@@ -200,7 +200,7 @@
 
     /// Takes the platform's list; a VM that is not on it is gone.
     pub(crate) fn on_vm_list(&mut self, step: &mut Step<'_>, list: &[VmStatus]) {
-        if let Some(asked_us) = self.membership.vm_list_asked_us.pop_front() {
+        if let Some(asked_us) = self.membership.vm_list_asked_us.take() {
             self.membership.vm_list_us = Some(asked_us);
         }
         let mut listed = BTreeMap::new();
@@ -432,14 +432,16 @@
         }
     }
 
-    /// Asks for the VM list. A read that fails is not reported, so an answer is
-    /// taken for one to the oldest question that can still be under way.
+    /// Asks for the VM list, unless that is under way. A read that fails is not
+    /// reported; with one read at a time an answer never counts for a later one.
     pub(crate) fn read_vm_list(&mut self, step: &mut Step<'_>) {
         let now = step.now_us;
+        let asked = self.membership.vm_list_asked_us;
+        if asked.is_some_and(|at| now < at + limits::VM_LIST_TIMEOUT_US) {
+            return;
+        }
         self.membership.vm_list_last_us = now;
-        let asked = &mut self.membership.vm_list_asked_us;
-        asked.retain(|at| now < at + limits::VM_LIST_TIMEOUT_US);
-        asked.push_back(now);
+        self.membership.vm_list_asked_us = Some(now);
         self.counters.store_reads += 1;
         step.push(FleetAction::ReadVmList);
     }
--- a/crates/fleet/tests/one_member.rs
+++ b/crates/fleet/tests/one_member.rs
@@ -11,8 +11,12 @@
 use wigeonhall_fleet::LEASE_MS;
 use wigeonhall_fleet::TableRecord;
 use wigeonhall_types::Catalog;
+use wigeonhall_types::DataCentre;
 use wigeonhall_types::Deployment;
 use wigeonhall_types::HandOverState;
+use wigeonhall_types::Vm;
+use wigeonhall_types::VmState;
+use wigeonhall_types::VmStatus;
 
 const S: u64 = 1_000_000;
 const START: u64 = 100 * S;
@@ -144,6 +148,56 @@
         self.handle(now_us, event)
     }
 
+    /// Puts a configuration in force that names this node only.
+    fn configure(&mut self, now_us: u64) {
+        let record = record(1);
+        self.handle(now_us, FleetEvent::ConfigRead(Some(record)));
+        let data_centre = self.catalog.data_centre("dc-a");
+        let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+        let vm = Vm {
+            caller_address: address,
+            data_centre,
+            node_address: address,
+            out: false,
+        };
+        let place = DataCentre {
+            out: false,
+            region: "south".into(),
+        };
+        let deployment = Deployment {
+            data_centres: BTreeMap::from([(data_centre, place)]),
+            generation: 1,
+            vms: BTreeMap::from([(self.catalog.node("vm-a"), vm)]),
+            ..Deployment::default()
+        };
+        self.handle(now_us, FleetEvent::Deployment(Arc::new(deployment)));
+    }
+
+    /// Ticks and answers all reads of the store; those of the VM list on demand.
+    fn run(&mut self, now_us: u64, answer_list: bool) -> Vec<FleetAction> {
+        let mut actions = self.handle(now_us, FleetEvent::Tick);
+        let mut next = 0;
+        while let Some(action) = actions.get(next) {
+            let more = match action {
+                FleetAction::ReadTable(_) => self.read_table(now_us, 5),
+                FleetAction::ReadVmList if answer_list => self.list(now_us),
+                _ => Vec::new(),
+            };
+            actions.extend(more);
+            next += 1;
+        }
+        actions
+    }
+
+    /// A list of VMs that holds this node only.
+    fn list(&mut self, now_us: u64) -> Vec<FleetAction> {
+        let own = VmStatus {
+            name: "vm-a".into(),
+            state: VmState::Live,
+        };
+        self.handle(now_us, FleetEvent::VmList(vec![own]))
+    }
+
     fn consents(&mut self, now_us: u64, epoch: u64) -> bool {
         let sequence = now_us;
         let message = GossipMessage::ConsentAsk { epoch, sequence };
@@ -169,6 +223,16 @@
     }
 }
 
+fn record(generation: u64) -> ConfigRecord {
+    ConfigRecord {
+        author: "operator".into(),
+        change_id: "change".into(),
+        contains: Vec::new(),
+        generation,
+        text: "".into(),
+    }
+}
+
 fn lease(actions: &[FleetAction]) -> Option<u64> {
     actions.iter().find_map(|it| match it {
         FleetAction::LeaseUntil(until_us) => Some(*until_us),
@@ -305,14 +369,7 @@
     let mut member = Member::new();
     let from = member.catalog.node("vm-b");
     let mut adopts = |generation| {
-        let record = ConfigRecord {
-            author: "operator".into(),
-            change_id: "change".into(),
-            contains: Vec::new(),
-            generation,
-            text: "".into(),
-        };
-        let message = GossipMessage::Config(record);
+        let message = GossipMessage::Config(record(generation));
         let actions = member.handle(START + S, FleetEvent::Gossip { from, message });
         actions
             .iter()
@@ -335,3 +392,26 @@
     assert!(puts_in_force(6));
     assert!(!puts_in_force(5));
 }
+
+/// Guards against a member that counts as gone by an old VM list although it came
+/// back since and acknowledges the table; and against a lost answer of the list
+/// that makes every later answer count as old.
+#[test]
+fn gone_members_count_by_a_list_of_the_same_round_only() {
+    let mut member = Member::new();
+    member.read_table(START, 5);
+    member.configure(START + S);
+    member.list(START + S);
+    let writes = |it: &FleetAction| matches!(it, FleetAction::WriteTable { .. });
+    let mut now_us = START + S;
+    while now_us < START + 20 * S {
+        now_us += S / 100;
+        assert!(!member.run(now_us, false).iter().any(writes));
+    }
+    let mut written = false;
+    while now_us < START + 60 * S && !written {
+        now_us += S / 100;
+        written = member.run(now_us, true).iter().any(writes);
+    }
+    assert!(written);
+}
