--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -19,6 +19,8 @@
 
 /// Requests to peers whose answers are still taken.
 const ASKS_MAX: usize = 16;
+/// Ranks that need no chance to read the store or to ask for acknowledgements.
+const FIRST_RANKS: usize = 4;
 /// Progress of a proof that is worth a hint; less may be an error of clock rates.
 const HINT_US: u64 = 200_000;
 /// Delay of a node's own efforts for each node that ranks before it.
@@ -44,7 +46,8 @@
     /// No consent before this time, as promised with an acknowledgement.
     promised_us: u64,
     read_due_us: u64,
-    read_pending: bool,
+    /// When the own table was asked for, if there is no answer yet.
+    read_pending_us: Option<u64>,
     sequence: u64,
     step_due_us: u64,
     pub(crate) store_ok_us: Option<u64>,
@@ -67,7 +70,7 @@
             consented: 0,
             promised_us: 0,
             read_due_us: 0,
-            read_pending: false,
+            read_pending_us: None,
             sequence: 0,
             step_due_us: 0,
             store_ok_us: None,
@@ -303,9 +306,13 @@
         let age = known.proof_us.map_or(u64::MAX, |at| now - at.min(now));
         let from_store = known.from_store;
         let stale = age > limits::STALE_US;
+        // Behind the first ranks only a few nodes act by themselves, so that a large
+        // data centre does not turn to the store and to all members at once.
+        let alone = now >= self.membership.contact_us + limits::STALE_US;
+        let acts = rank < FIRST_RANKS || alone || self.rng.usize(..rank) < FIRST_RANKS;
         if rank == 0 {
             self.read_own_table(step, limits::STORE_RETRY_US);
-        } else if age > limits::STALE_US + rank.min(4) as u64 * RANK_STEP_US {
+        } else if acts && age > limits::STALE_US + rank.min(FIRST_RANKS) as u64 * RANK_STEP_US {
             self.read_own_table(step, limits::STALE_READ_US);
         }
         let mut peers = Vec::new();
@@ -324,9 +331,9 @@
         let wait = if rank == 0 && !from_store {
             limits::LEASE_STEP_US
         } else {
-            limits::STALE_US + rank.min(4) as u64 * RANK_STEP_US
+            limits::STALE_US + rank.min(FIRST_RANKS) as u64 * RANK_STEP_US
         };
-        if age > wait {
+        if acts && age > wait {
             let members = self.own_table().map(|it| it.table.members.clone());
             peers = members.unwrap_or_default();
             peers.retain(|&it| it != self.config.node);
@@ -337,12 +344,14 @@
     }
 
     pub(crate) fn read_own_table(&mut self, step: &mut Step<'_>, period_us: u64) {
-        if self.lease.read_pending || self.lease.read_due_us > step.now_us {
+        let pending = self.lease.read_pending_us;
+        let pending = pending.is_some_and(|at| step.now_us < at + limits::READ_TIMEOUT_US);
+        if pending || self.lease.read_due_us > step.now_us {
             return;
         }
         // A small allowance keeps a period that is a multiple of the step whole.
         self.lease.read_due_us = step.now_us + period_us - limits::LEASE_STEP_US / 4;
-        self.lease.read_pending = true;
+        self.lease.read_pending_us = Some(step.now_us);
         self.counters.store_reads += 1;
         step.push(FleetAction::ReadTable(self.config.data_centre));
     }
@@ -355,7 +364,7 @@
 
     pub(crate) fn end_table_read(&mut self, key: DataCentreKey) {
         if key == self.config.data_centre {
-            self.lease.read_pending = false;
+            self.lease.read_pending_us = None;
         }
     }
 }
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -62,6 +62,16 @@
         self.state != MemberState::Dead
     }
 
+    /// Whether it was ever heard of, not only named.
+    pub(crate) fn heard(&self) -> bool {
+        self.boot != 0
+    }
+
+    /// What the views depend on; a suspicion and its refutation change none.
+    fn viewed(&self) -> (bool, bool, bool) {
+        (self.reachable(), self.heard(), self.leaving)
+    }
+
     /// Whether it counts as consenting: it runs no more.
     pub(crate) fn gone(&self) -> bool {
         self.listing == Listing::Gone
@@ -102,8 +112,9 @@
     /// Members whose state is news, with the number of messages left to carry it.
     updates: VecDeque<(NodeKey, u32)>,
     vm_list_due_us: u64,
-    /// Times at which the VM list was asked for without an answer yet.
-    vm_list_asked_us: VecDeque<u64>,
+    /// When the VM list was asked for, if there is no answer yet.
+    vm_list_asked_us: Option<u64>,
+    vm_list_last_us: u64,
     /// When the newest VM list was asked for.
     pub(crate) vm_list_us: Option<u64>,
 }
@@ -125,7 +136,8 @@
             suspicions: BTreeMap::new(),
             updates: VecDeque::new(),
             vm_list_due_us: 0,
-            vm_list_asked_us: VecDeque::new(),
+            vm_list_asked_us: None,
+            vm_list_last_us: 0,
             vm_list_us: None,
         }
     }
@@ -148,7 +160,9 @@
     /// Makes the next reading of the VM list come soon.
     pub(crate) fn hurry_vm_list(&mut self, now_us: u64) {
         let due = &mut self.vm_list_due_us;
-        *due = (*due).min(now_us + limits::VM_LIST_US);
+        *due = (*due)
+            .min(self.vm_list_last_us + limits::VM_LIST_US)
+            .max(now_us);
     }
 
     fn next_sequence(&mut self) -> u64 {
@@ -186,7 +200,7 @@
 
     /// Takes the platform's list; a VM that is not on it is gone.
     pub(crate) fn on_vm_list(&mut self, step: &mut Step<'_>, list: &[VmStatus]) {
-        if let Some(asked_us) = self.membership.vm_list_asked_us.pop_front() {
+        if let Some(asked_us) = self.membership.vm_list_asked_us.take() {
             self.membership.vm_list_us = Some(asked_us);
         }
         let mut listed = BTreeMap::new();
@@ -221,6 +235,7 @@
         if member.state != MemberState::Dead {
             member.state = MemberState::Dead;
             self.counters.deaths += 1;
+            self.views.dirty = true;
             self.after_change(step, node);
         }
     }
@@ -324,11 +339,15 @@
         let known = (member.incarnation, member.state);
         let told = (update.incarnation, update.state);
         let first = member.state == MemberState::Unknown;
+        if update.boot == 0 && member.heard() {
+            return false;
+        }
         if !first && told <= known {
             return told < known || member.boot != update.boot;
         }
         let restarted = member.boot != 0 && member.boot != update.boot;
         let was_lost = member.lost;
+        let viewed = member.viewed();
         member.incarnation = update.incarnation;
         member.state = update.state;
         member.leaving = update.leaving;
@@ -336,6 +355,7 @@
             member.boot = update.boot;
             member.lost = false;
         }
+        self.views.dirty |= viewed != member.viewed();
         if restarted && !was_lost {
             step.push(FleetAction::NodeLost(node));
         }
@@ -381,7 +401,6 @@
             self.membership.suspicions.insert(node, due);
         } else {
             self.membership.suspicions.remove(&node);
-            self.views.dirty = true;
         }
         let known = self.membership.members.len() + 1;
         let news = 3 * (known.ilog2() + 1);
@@ -413,13 +432,16 @@
         }
     }
 
-    /// Asks for the VM list. A read that fails is not reported, so an answer is
-    /// taken for one to the oldest question that can still be under way.
+    /// Asks for the VM list, unless that is under way. A read that fails is not
+    /// reported; with one read at a time an answer never counts for a later one.
     pub(crate) fn read_vm_list(&mut self, step: &mut Step<'_>) {
         let now = step.now_us;
-        let asked = &mut self.membership.vm_list_asked_us;
-        asked.retain(|at| now < at + limits::VM_LIST_TIMEOUT_US);
-        asked.push_back(now);
+        let asked = self.membership.vm_list_asked_us;
+        if asked.is_some_and(|at| now < at + limits::VM_LIST_TIMEOUT_US) {
+            return;
+        }
+        self.membership.vm_list_last_us = now;
+        self.membership.vm_list_asked_us = Some(now);
         self.counters.store_reads += 1;
         step.push(FleetAction::ReadVmList);
     }
