Use the timeouts of the settings for calls to nodes and targets

Cause: node_call_ms, node_connect_ms, target_connect_ms and target_probe_ms were read from the settings and used nowhere; constants of 1 s stood in. Change: Peers and Connection take the timeouts of the settings, and TargetPool::with_timeouts_ms sets those of targets. A cancellation has the budget of a probe. No test covers a timeout by itself.

--- a/crates/node/src/caller_answer.rs
+++ b/crates/node/src/caller_answer.rs
@@ -17,6 +17,9 @@
     pub coverage: CallerCoverage,
     /// Why the request was refused, failed, or is malformed.
     pub reason: Option<Arc<str>>,
+    /// Id by which the node records its decisions on the request: of a write the
+    /// caller's own; `None` if the request never reached the decision thread.
+    pub request_id: Option<Arc<str>>,
     /// When to come back, in milliseconds.
     pub retry_after_ms: Option<u64>,
     /// Rows by rising key.
@@ -92,6 +95,7 @@
                 requested: Some(answer.coverage.requested),
             },
             reason,
+            request_id: None,
             retry_after_ms: answer.retry_after_ms,
             rows: answer.rows,
             snapshot: answer.snapshot,
@@ -119,6 +123,7 @@
         Self {
             coverage: CallerCoverage::default(),
             reason: Some(Arc::from(reason)),
+            request_id: None,
             retry_after_ms: None,
             rows: Vec::new(),
             snapshot: None,
@@ -151,7 +156,7 @@
 }
 
 /// The variant name in snake case.
-fn debug_name(value: &impl std::fmt::Debug) -> Arc<str> {
+pub(crate) fn debug_name(value: &impl std::fmt::Debug) -> Arc<str> {
     let camel = format!("{value:?}");
     let mut name = String::with_capacity(camel.len() + 4);
     for (index, letter) in camel.chars().enumerate() {
--- a/crates/node/src/caller_request.rs
+++ b/crates/node/src/caller_request.rs
@@ -2,6 +2,7 @@
 use serde::Serialize;
 use std::sync::Arc;
 use wigeonhall_types::KeyRange;
+use wigeonhall_types::Verdict;
 
 /// Body of `POST /query`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -57,6 +58,17 @@
 const MAX_REQUEST_ID_CHARS: usize = 128;
 
 impl WriteRequest {
+    /// Verdict of a refusal of this request before it was claimed: an earlier try
+    /// with its id may have run, unless the caller states that there was none.
+    #[must_use]
+    pub const fn verdict_unsent(&self) -> Verdict {
+        if self.first_attempt {
+            Verdict::NotRun
+        } else {
+            Verdict::MayHaveRun
+        }
+    }
+
     /// Whether the request id can be part of an object path.
     #[must_use]
     pub fn has_valid_id(&self) -> bool {
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -4,6 +4,8 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::readiness::Readiness;
+use crate::request_trace::RequestTrace;
+use crate::request_trace::SentSub;
 use crate::store::Store;
 use flume::Receiver;
 use flume::RecvTimeoutError;
@@ -16,6 +18,7 @@
 use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::Fleet;
 use wigeonhall_fleet::FleetEvent;
+use wigeonhall_fleet::MemberState;
 use wigeonhall_gate::Gate;
 use wigeonhall_gate::GateEvent;
 use wigeonhall_protocol::DecisionTrace;
@@ -29,6 +32,8 @@
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::Deployment;
 use wigeonhall_types::NodeKey;
+use wigeonhall_types::ReplicaKey;
+use wigeonhall_types::ReplicaState;
 
 /// Longest sleep of the decision thread, so that metrics stay fresh.
 const MAX_SLEEP_MS: u64 = 500;
@@ -37,7 +42,10 @@
 const STOP_POLL_MS: u64 = 2;
 
 /// Time in which the balancer notices that the health check fails.
-const BALANCER_LAG_MS: u64 = 2_000;
+pub(crate) const BALANCER_LAG_MS: u64 = 2_000;
+
+/// Time between two clean-ups of old claims.
+const CLAIM_CLEAN_UP_US: u64 = 3_600_000_000;
 
 /// The decision thread: owns the three cores and turns their actions into I/O.
 ///
@@ -48,6 +56,8 @@
     pub(crate) boot: u64,
     pub(crate) burn: Recorder,
     pub(crate) catalog: Catalog,
+    /// Local time of the last clean-up of old claims.
+    pub(crate) cleaned_us: Option<u64>,
     pub(crate) clock: Clock,
     pub(crate) config: Option<ConfigRecord>,
     pub(crate) coordinator: Coordinator,
@@ -67,7 +77,17 @@
     /// Local time at which the metrics were last brought up to date.
     pub(crate) published_us: u64,
     pub(crate) readiness: Arc<Readiness>,
+    /// Local time from which a node that was taken out refuses callers.
+    pub(crate) refused_from_us: Option<u64>,
+    /// State of each owned replica that was recorded last.
+    pub(crate) replica_states: HashMap<ReplicaKey, ReplicaState>,
+    /// Sub-requests of this node's own requests without an outcome.
+    pub(crate) sent: HashMap<AttemptId, SentSub>,
+    /// Longest time of a planned stop.
+    pub(crate) shutdown_ms: u64,
     pub(crate) stage: Stage,
+    /// Local time at which a planned stop ends whatever is open.
+    pub(crate) stop_by_us: u64,
     pub(crate) store: Store,
     /// Who waits for the result of each sub-request that the gate holds.
     pub(crate) submitted: HashMap<AttemptId, Submitter>,
@@ -89,6 +109,7 @@
     pub(crate) class: ClassKey,
     pub(crate) reply: Sender<CallerAnswer>,
     pub(crate) started_us: u64,
+    pub(crate) trace: RequestTrace,
 }
 
 /// How far a planned stop has come.
@@ -187,12 +208,20 @@
         self.metrics.set_decisions("gate", self.gate.counters());
         self.metrics
             .set_decisions("query", self.coordinator.counters());
+        self.trace_replica_states(now_us);
+        let due = |at_us: u64| at_us + CLAIM_CLEAN_UP_US <= now_us;
+        if self.cleaned_us.is_none_or(due) && self.cleans_claims() {
+            self.cleaned_us = Some(now_us);
+            self.store.delete_old_claims();
+        }
     }
 
     fn take(&mut self, event: Event) {
         match event {
             Event::Call(call) => self.take_call(call),
-            Event::Evacuate(evacuation) => self.evacuate(evacuation),
+            Event::Evacuate { evacuation, reply } => {
+                let _ = reply.send(self.evacuate(evacuation));
+            }
             Event::Explain { subject, reply } => {
                 let now_us = self.clock.now_us();
                 drop(reply.send(self.trace.explain(now_us, &self.name, &subject)));
@@ -203,7 +232,7 @@
             Event::Read { request, reply } => self.read(&request, reply),
             Event::Reports(reports) => self.take_reports(reports),
             Event::Burn(reply) => drop(reply.send(self.burn_sample())),
-            Event::Status(reply) => drop(reply.send(self.status())),
+            Event::Status { brief, reply } => drop(reply.send(self.status(brief))),
             Event::Stop => self.stop(),
             Event::SubReply {
                 attempt,
@@ -217,7 +246,10 @@
     fn stop(&mut self) {
         if self.stage == Stage::Serving {
             log::info!("planned stop: {} requests open", self.open.len());
-            let until_us = self.clock.now_us() + BALANCER_LAG_MS * 1_000;
+            let now_us = self.clock.now_us();
+            let lag_ms = BALANCER_LAG_MS.min(self.shutdown_ms / 2);
+            let until_us = now_us + lag_ms * 1_000;
+            self.stop_by_us = now_us + self.shutdown_ms * 1_000;
             self.stage = Stage::Announced { until_us };
             self.readiness.set(Some("leaving"));
         }
@@ -228,7 +260,29 @@
         matches!(self.stage, Stage::Serving | Stage::Announced { .. })
     }
 
+    /// Whether this node deletes old claims: the first by name of those that may be
+    /// ready. A member that is not known to be dead counts, so that a node that just
+    /// started does not take over from one that it has not met yet.
+    fn cleans_claims(&self) -> bool {
+        let first = self.fleet.members().into_iter().all(|member| {
+            member.state == MemberState::Dead
+                || member.leaving
+                || self.deployment.node_out(member.node)
+                || self.catalog.node_name(member.node) > self.name
+        });
+        first && self.stage == Stage::Serving && self.readiness.reason().is_none()
+    }
+
     fn advance_stop(&mut self) {
+        if self.clock.now_us() >= self.stop_by_us && self.stage != Stage::Stopped {
+            log::warn!(
+                "planned stop: {} requests of callers and {} of nodes are cut after {} ms",
+                self.open.len(),
+                self.gate.open_requests(),
+                self.shutdown_ms
+            );
+            self.stage = Stage::Stopped;
+        }
         if let Stage::Announced { until_us } = self.stage
             && self.clock.now_us() >= until_us
         {
--- a/crates/node/src/engine_fleet.rs
+++ b/crates/node/src/engine_fleet.rs
@@ -1,3 +1,4 @@
+use crate::engine::BALANCER_LAG_MS;
 use crate::engine::Engine;
 use crate::engine::Input;
 use crate::engine::Stage;
@@ -29,11 +30,14 @@
                 epoch,
                 replica,
                 state,
-            } => self.feed_gate(GateEvent::Grant {
-                epoch,
-                replica,
-                state,
-            }),
+            } => {
+                self.trace_grant(epoch, replica, state.is_some());
+                self.feed_gate(GateEvent::Grant {
+                    epoch,
+                    replica,
+                    state,
+                });
+            }
             FleetAction::LeaseUntil(until_us) => self.feed_gate(GateEvent::LeaseUntil(until_us)),
             FleetAction::NodeLost(node) => {
                 log::warn!("node {} is lost", self.catalog.node_name(node));
@@ -55,11 +59,14 @@
                 epoch,
                 replica,
                 successor,
-            } => self.feed_gate(GateEvent::Revoke {
-                epoch,
-                replica,
-                successor,
-            }),
+            } => {
+                self.trace_revoke(epoch, replica, successor);
+                self.feed_gate(GateEvent::Revoke {
+                    epoch,
+                    replica,
+                    successor,
+                });
+            }
             FleetAction::Send { message, to } => self.peers.gossip(to, message),
             FleetAction::Stopped => {
                 if self.stage == Stage::Leaving {
@@ -117,6 +124,11 @@
     }
 
     fn set_ready(&mut self, reason: Option<NotReadyReason>) {
+        // Callers of a node that was taken out are served until the balancer has
+        // noticed; the node routes their requests to the other data centres.
+        let leaving = reason == Some(NotReadyReason::Leaving);
+        let refused_from_us = self.clock.now_us() + BALANCER_LAG_MS * 1_000;
+        self.refused_from_us = leaving.then_some(refused_from_us);
         let name = reason.map(|reason| match reason {
             NotReadyReason::ConfigurationUnknown => "configuration_unknown",
             NotReadyReason::Leaving => "leaving",
@@ -130,7 +142,18 @@
         }
     }
 
-    pub(crate) fn evacuate(&mut self, evacuation: EvacuationOverride) {
+    /// Puts an evacuation in force; returns whether the deployment holds its subject.
+    pub(crate) fn evacuate(&mut self, evacuation: EvacuationOverride) -> bool {
+        let data_centre = evacuation.data_centre.as_deref();
+        let data_centre = data_centre.and_then(|it| self.catalog.find_data_centre(it));
+        let vm = evacuation.vm.as_deref();
+        let vm = vm.and_then(|it| self.catalog.find_node(it));
+        let deployment = &self.deployment;
+        let known = data_centre.is_some_and(|it| deployment.data_centres.contains_key(&it))
+            || vm.is_some_and(|it| deployment.vms.contains_key(&it));
+        if !known {
+            return false;
+        }
         log::warn!(
             "evacuation {} by {} is in force without the store",
             evacuation.change_id,
@@ -138,5 +161,6 @@
         );
         self.pending
             .push_back(Input::Fleet(FleetEvent::Evacuate(evacuation)));
+        true
     }
 }
--- a/crates/node/src/engine_query.rs
+++ b/crates/node/src/engine_query.rs
@@ -9,7 +9,9 @@
 use crate::engine::OpenRequest;
 use crate::engine::Stage;
 use crate::engine::Submitter;
+use crate::request_trace::RequestTrace;
 use flume::Sender;
+use std::sync::Arc;
 use wigeonhall_burn::Outcome;
 use wigeonhall_gate::GateEvent;
 use wigeonhall_protocol::NamedReport;
@@ -39,8 +41,20 @@
 /// Longest deadline that a caller may ask for.
 const MAX_DEADLINE_MS: u64 = 60_000;
 
+/// Who takes the answer to a request.
+struct Caller {
+    reply: Sender<CallerAnswer>,
+    request_id: Arc<str>,
+}
+
 impl Engine {
     pub(crate) fn run_query(&mut self, now_us: u64, event: QueryEvent) {
+        if let QueryEvent::SubReply {
+            attempt, outcome, ..
+        } = &event
+        {
+            self.trace_sub_reply(now_us, *attempt, outcome);
+        }
         let mut actions = Vec::new();
         self.coordinator.handle(now_us, event, &mut actions);
         for action in actions {
@@ -70,6 +84,7 @@
     }
 
     fn send(&mut self, now_us: u64, node: NodeKey, sub: SubRequest) {
+        self.trace_send(now_us, &sub);
         if node == self.node {
             self.submitted.insert(sub.attempt, Submitter::Local);
             self.pending.push_back(Input::Gate(GateEvent::Submit(sub)));
@@ -121,24 +136,27 @@
 
     pub(crate) fn read(&mut self, request: &ReadRequest, reply: Sender<CallerAnswer>) {
         let now_us = self.clock.now_us();
-        let Some((class, deadline_ms)) = self.admit(
-            &request.service,
+        let id = QueryId(self.next_query);
+        self.next_query += 1;
+        let request_id = self.own_request_id(id);
+        let caller = Caller { reply, request_id };
+        let service = &request.service;
+        let (class, deadline_ms) = match self.admit(
+            service,
             ClassKind::Read,
             request.deadline_ms,
-            &reply,
-        ) else {
-            return;
+            Verdict::NotRun,
+        ) {
+            Ok(admitted) => admitted,
+            Err(answer) => return self.refuse(now_us, &caller, *answer),
         };
         let range = request.range.unwrap_or(KeyRange::WHOLE);
         let whole = KeyRange::WHOLE;
         if range.is_empty() || range.start < whole.start || range.end > whole.end {
-            refuse(
-                &reply,
-                &CallerAnswer::invalid("range is empty or outside the key space"),
-            );
-            return;
+            let answer = CallerAnswer::invalid("range is empty or outside the key space");
+            return self.refuse(now_us, &caller, answer);
         }
-        let id = self.open_request(now_us, class, reply);
+        self.open_request(now_us, id, class, caller);
         let demand = match request.coverage {
             CoverageName::Full => CoverageDemand::Full,
             CoverageName::Partial => CoverageDemand::Partial,
@@ -155,27 +173,34 @@
 
     pub(crate) fn write(&mut self, request: WriteRequest, reply: Sender<CallerAnswer>) {
         let now_us = self.clock.now_us();
-        let Some((class, deadline_ms)) = self.admit(
-            &request.service,
+        let id = QueryId(self.next_query);
+        self.next_query += 1;
+        // An id with other characters must not get into a header.
+        let request_id = if request.has_valid_id() {
+            Arc::clone(&request.request_id)
+        } else {
+            self.own_request_id(id)
+        };
+        let caller = Caller { reply, request_id };
+        let service = &request.service;
+        let (class, deadline_ms) = match self.admit(
+            service,
             ClassKind::Write,
             request.deadline_ms,
-            &reply,
-        ) else {
-            return;
+            request.verdict_unsent(),
+        ) {
+            Ok(admitted) => admitted,
+            Err(answer) => return self.refuse(now_us, &caller, *answer),
         };
         if !request.has_valid_id() {
             let reason = "request_id must be 1 to 128 of A-Z a-z 0-9 . _ - and not only dots";
-            refuse(&reply, &CallerAnswer::invalid(reason));
-            return;
+            return self.refuse(now_us, &caller, CallerAnswer::invalid(reason));
         }
         if !KeyRange::WHOLE.contains(request.key) {
-            refuse(
-                &reply,
-                &CallerAnswer::invalid("key is outside the key space"),
-            );
-            return;
+            let answer = CallerAnswer::invalid("key is outside the key space");
+            return self.refuse(now_us, &caller, answer);
         }
-        let id = self.open_request(now_us, class, reply);
+        self.open_request(now_us, id, class, caller);
         self.pending
             .push_back(Input::Query(QueryEvent::Write(WriteQuery {
                 body: request.body,
@@ -190,82 +215,80 @@
             })));
     }
 
-    /// Checks what can be checked before the query core sees the request; answers
-    /// the caller if it is refused.
+    /// Checks what can be checked before the query core sees the request.
+    ///
+    /// # Errors
+    ///
+    /// The answer to the caller; a refusal carries `verdict`.
     fn admit(
         &self,
         service: &str,
         kind: ClassKind,
         deadline_ms: Option<u64>,
-        reply: &Sender<CallerAnswer>,
-    ) -> Option<(ClassKey, u64)> {
-        // A write refused here may have run under an earlier try with its id.
-        let verdict = match kind {
-            ClassKind::Read => Verdict::NotRun,
-            ClassKind::Write => Verdict::MayHaveRun,
-        };
-        if !self.is_serving() {
-            refuse(
-                reply,
-                &CallerAnswer::refused("leaving", NOT_READY_RETRY_MS, verdict),
-            );
-            return None;
-        }
-        if self.stage == Stage::Serving
-            && let Some(reason) = self.readiness.reason()
-        {
-            refuse(
-                reply,
-                &CallerAnswer::refused(reason, NOT_READY_RETRY_MS, verdict),
-            );
-            return None;
+        verdict: Verdict,
+    ) -> Result<(ClassKey, u64), Box<CallerAnswer>> {
+        if let Some(reason) = self.refusal() {
+            let answer = CallerAnswer::refused(reason, NOT_READY_RETRY_MS, verdict);
+            return Err(Box::new(answer));
         }
         let class = self.catalog.find_class(service);
         let known = class.and_then(|key| Some((key, self.deployment.classes.get(&key)?)));
         let Some((key, class)) = known else {
-            refuse(
-                reply,
-                &CallerAnswer::invalid("no such service; see `wigeonhall status`"),
-            );
-            return None;
+            let reason = "no such service; see `wigeonhall status`";
+            return Err(Box::new(CallerAnswer::invalid(reason)));
         };
         if class.kind != kind {
             let reason = match class.kind {
                 ClassKind::Read => "the service takes reads: use POST /query",
                 ClassKind::Write => "the service takes writes: use POST /write",
             };
-            refuse(reply, &CallerAnswer::invalid(reason));
-            return None;
+            return Err(Box::new(CallerAnswer::invalid(reason)));
         }
         let deadline_ms = deadline_ms.unwrap_or(class.deadline_ms);
         if !(1..=MAX_DEADLINE_MS).contains(&deadline_ms) {
-            refuse(
-                reply,
-                &CallerAnswer::invalid("deadline_ms must be from 1 to 60000"),
-            );
+            let reason = "deadline_ms must be from 1 to 60000";
+            return Err(Box::new(CallerAnswer::invalid(reason)));
+        }
+        Ok((key, deadline_ms))
+    }
+
+    /// Why callers are refused now; `None` if they are served.
+    fn refusal(&self) -> Option<&'static str> {
+        if !self.is_serving() {
+            return Some("leaving");
+        }
+        if self.stage != Stage::Serving {
+            return None;
+        }
+        let now_us = self.clock.now_us();
+        if self.refused_from_us.is_some_and(|it| now_us < it) {
             return None;
         }
-        Some((key, deadline_ms))
+        self.readiness.reason()
     }
 
-    fn open_request(
-        &mut self,
-        started_us: u64,
-        class: ClassKey,
-        reply: Sender<CallerAnswer>,
-    ) -> QueryId {
-        let id = QueryId(self.next_query);
-        self.next_query += 1;
+    fn own_request_id(&self, id: QueryId) -> Arc<str> {
+        Arc::from(format!("{:016x}-{}", self.boot, id.0))
+    }
+
+    fn open_request(&mut self, started_us: u64, id: QueryId, class: ClassKey, caller: Caller) {
         let request = OpenRequest {
             class,
-            reply,
+            reply: caller.reply,
             started_us,
+            trace: RequestTrace::new(caller.request_id),
         };
         self.open.insert(id, request);
-        id
     }
 
-    fn answer(&mut self, now_us: u64, id: QueryId, answer: CallerAnswer) {
+    fn refuse(&mut self, now_us: u64, caller: &Caller, mut answer: CallerAnswer) {
+        answer.request_id = Some(Arc::clone(&caller.request_id));
+        self.trace_answer(now_us, &caller.request_id, &answer);
+        // The receiver is gone if the caller closed its connection.
+        let _ = caller.reply.send(answer);
+    }
+
+    fn answer(&mut self, now_us: u64, id: QueryId, mut answer: CallerAnswer) {
         let Some(request) = self.open.remove(&id) else {
             return;
         };
@@ -273,6 +296,9 @@
         let class = self.catalog.class_name(request.class);
         self.metrics.answered(&class, &answer, took_us);
         self.record_burn(now_us, request.class, &answer, took_us);
+        let request_id = Arc::clone(request.trace.request_id());
+        self.trace_answer(now_us, &request_id, &answer);
+        answer.request_id = Some(request_id);
         // The receiver is gone if the caller closed its connection.
         let _ = request.reply.send(answer);
     }
@@ -293,11 +319,6 @@
     }
 }
 
-fn refuse(reply: &Sender<CallerAnswer>, answer: &CallerAnswer) {
-    // The receiver is gone if the caller closed its connection.
-    let _ = reply.send(answer.clone());
-}
-
 fn outcome_without_reply(error: ProtocolError) -> SubOutcome {
     match error.verdict() {
         Verdict::NotRun => SubOutcome::Refused {
--- a/crates/node/src/engine_status.rs
+++ b/crates/node/src/engine_status.rs
@@ -10,7 +10,8 @@
 use wigeonhall_types::ReplicaState;
 
 impl Engine {
-    pub(crate) fn status(&self) -> NodeStatus {
+    /// With `brief`, members and replicas are left out.
+    pub(crate) fn status(&self, brief: bool) -> NodeStatus {
         let now_us = self.clock.now_us();
         let config = self.config.as_ref();
         NodeStatus {
@@ -18,11 +19,15 @@
             change_id: config.map(|config| Arc::clone(&config.change_id)),
             data_centre: Arc::clone(&self.data_centre),
             generation: self.deployment.generation,
-            members: self.members(),
+            members: if brief { Vec::new() } else { self.members() },
             name: Arc::clone(&self.name),
             not_ready: self.readiness.reason().map(Arc::from),
             overrides: self.fleet.evacuations(),
-            replicas: self.replicas(now_us),
+            replicas: if brief {
+                Vec::new()
+            } else {
+                self.replicas(now_us)
+            },
         }
     }
 
@@ -75,7 +80,8 @@
     }
 }
 
-fn reason(state: ReplicaState) -> Option<Arc<str>> {
+/// What puts a replica into a state; `None` if it takes work as usual.
+pub(crate) fn reason(state: ReplicaState) -> Option<Arc<str>> {
     let reason = match state {
         ReplicaState::Cold => "restarted, new to its owner, or much slower than before",
         ReplicaState::Leaving => "the target drains",
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -25,7 +25,12 @@
     /// A call from another node.
     Call(Incoming),
     /// An operator asks for an evacuation without the store.
-    Evacuate(EvacuationOverride),
+    Evacuate {
+        /// What the operator takes out.
+        evacuation: EvacuationOverride,
+        /// Takes whether the deployment in force holds it; if not, nothing happens.
+        reply: Sender<bool>,
+    },
     /// An operator asks for the recorded decisions on a request or replica.
     Explain {
         /// What the operator asks about.
@@ -49,7 +54,12 @@
     /// Another node answered a request for reports.
     Reports(Vec<NamedReport>),
     /// An operator asks for the status.
-    Status(Sender<NodeStatus>),
+    Status {
+        /// Whether members and replicas are left out.
+        brief: bool,
+        /// Takes the result.
+        reply: Sender<NodeStatus>,
+    },
     /// The process was asked to stop.
     Stop,
     /// A sub-request that was sent to another node ended.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -4,7 +4,6 @@
 use crate::WriteRequest;
 use crate::metrics::Metrics;
 use crate::readiness::Readiness;
-use flume::Receiver;
 use flume::Sender;
 use rouille::Request;
 use rouille::Response;
@@ -15,10 +14,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 use wigeonhall_fleet::EvacuationOverride;
 use wigeonhall_protocol::Subject;
 use wigeonhall_types::Verdict;
@@ -26,8 +27,26 @@
 /// Largest body of a request, in bytes.
 const MAX_BODY_BYTES: u64 = 256 * 1024;
 
-/// Requests that are handled at once; each one blocks a thread until its answer.
-const HANDLER_THREADS: usize = 256;
+/// Callers that are served at once; each one blocks a thread until its answer.
+const CALLER_THREADS: usize = 256;
+
+/// Threads for health checks and operators, and to refuse callers beyond
+/// `CALLER_THREADS` at once.
+const SPARE_THREADS: usize = 32;
+
+/// Body up to this size is in memory before a request is handled, so that reading
+/// it does not wait for a slow caller (a property of `tiny_http`).
+const BUFFERED_BODY_BYTES: usize = 1_024;
+
+/// Time after which a caller that met too many others should try again.
+const BUSY_RETRY_MS: u64 = 100;
+
+/// Time after which a caller that met a node that stops should try another one.
+const LEAVING_RETRY_MS: u64 = 500;
+
+/// Longest time that a stop waits for responses that are being written; requests
+/// that keep arriving or callers that do not read must not hold it up.
+const STOP_MS: u64 = 1_000;
 
 /// Time that the front waits for the decision thread on operators' requests.
 const OPERATOR_TIMEOUT_MS: u64 = 2_000;
@@ -43,6 +62,8 @@
 }
 
 struct Handler {
+    /// Callers that are being served; at most `CALLER_THREADS`.
+    callers: AtomicUsize,
     events: Sender<Event>,
     metrics: Arc<Metrics>,
     readiness: Arc<Readiness>,
@@ -61,12 +82,13 @@
         readiness: Arc<Readiness>,
     ) -> Result<Self, Box<dyn Error + Send + Sync>> {
         let handler = Handler {
+            callers: AtomicUsize::new(0),
             events,
             metrics,
             readiness,
         };
         let server = rouille::Server::new(address, move |request| handler.handle(request))?
-            .pool_size(HANDLER_THREADS);
+            .pool_size(CALLER_THREADS + SPARE_THREADS);
         let stop = Arc::new(AtomicBool::new(false));
         let stopped = Arc::clone(&stop);
         let thread = thread::spawn(move || {
@@ -82,11 +104,14 @@
         })
     }
 
-    /// Stops listening and waits until open responses are written.
+    /// Stops listening and waits until open responses are written, or `STOP_MS`.
     pub fn stop(mut self) {
         self.stop.store(true, Ordering::Relaxed);
+        let start = Instant::now();
         if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
+            while !thread.is_finished() && start.elapsed() < Duration::from_millis(STOP_MS) {
+                thread::sleep(Duration::from_millis(POLL_MS));
+            }
         }
     }
 }
@@ -99,7 +124,10 @@
             ("GET", "/explain") => self.explain(request),
             ("GET", "/health") => self.health(),
             ("GET", "/metrics") => Response::text(self.metrics.render()),
-            ("GET", "/status") => self.ask(Event::Status),
+            ("GET", "/status") => {
+                let brief = request.get_param("brief").is_some_and(|it| it == "true");
+                self.ask(|reply| Event::Status { brief, reply })
+            }
             ("POST", "/evacuate") => self.evacuate(request),
             ("POST", "/query") => self.query(request),
             ("POST", "/write") => self.write(request),
@@ -111,13 +139,33 @@
     }
 
     fn ask<T: Serialize>(&self, event: impl FnOnce(Sender<T>) -> Event) -> Response {
+        self.ask_value(event)
+            .map_or_else(no_reply, |value| Response::json(&value))
+    }
+
+    fn ask_value<T>(&self, event: impl FnOnce(Sender<T>) -> Event) -> Option<T> {
         let (reply, replies) = flume::bounded(1);
-        let sent = self.events.send(event(reply)).is_ok();
+        self.events.send(event(reply)).ok()?;
         let timeout = Duration::from_millis(OPERATOR_TIMEOUT_MS);
-        match replies.recv_timeout(timeout) {
-            Ok(value) if sent => Response::json(&value),
-            _ => plain_error(503, "the node is stopping or overloaded"),
-        }
+        replies.recv_timeout(timeout).ok()
+    }
+
+    /// Serves a caller unless too many others are being served.
+    fn serve(&self, serve: impl FnOnce() -> Response) -> Option<Response> {
+        let served = self.callers.fetch_add(1, Ordering::Relaxed);
+        eprintln!("DBG {served}");
+        let response = (served < CALLER_THREADS).then(serve);
+        self.callers.fetch_sub(1, Ordering::Relaxed);
+        response
+    }
+
+    fn too_many_callers(&self, verdict: Verdict) -> Response {
+        self.metrics.count("refused_too_many_callers");
+        answer_response(&CallerAnswer::refused(
+            "too_many_callers",
+            BUSY_RETRY_MS,
+            verdict,
+        ))
     }
 
     fn evacuate(&self, request: &Request) -> Response {
@@ -128,8 +176,12 @@
         if evacuation.data_centre.is_some() == evacuation.vm.is_some() {
             return plain_error(400, "name exactly one of data_centre and vm");
         }
-        let _ = self.events.send(Event::Evacuate(evacuation));
-        Response::empty_204()
+        let event = |reply| Event::Evacuate { evacuation, reply };
+        match self.ask_value(event) {
+            Some(true) => Response::empty_204(),
+            Some(false) => plain_error(404, "the deployment in force does not hold this name"),
+            None => no_reply(),
+        }
     }
 
     fn explain(&self, request: &Request) -> Response {
@@ -149,45 +201,66 @@
     }
 
     fn query(&self, request: &Request) -> Response {
-        let request: ReadRequest = match body(request) {
-            Ok(request) => request,
-            Err(error) => return error.into_response(),
-        };
-        let (reply, answers) = flume::bounded(1);
-        let _ = self.events.send(Event::Read { request, reply });
-        respond(&answers, Verdict::NotRun)
+        let response = self.serve(|| {
+            let request: ReadRequest = match body(request) {
+                Ok(request) => request,
+                Err(error) => return error.into_response(),
+            };
+            self.caller(|reply| Event::Read { request, reply })
+        });
+        response.unwrap_or_else(|| self.too_many_callers(Verdict::NotRun))
     }
 
     fn write(&self, request: &Request) -> Response {
-        let request: WriteRequest = match body(request) {
-            Ok(request) => request,
-            Err(error) => return error.into_response(),
-        };
+        let response = self.serve(|| {
+            let request: WriteRequest = match body(request) {
+                Ok(request) => request,
+                Err(error) => return error.into_response(),
+            };
+            self.caller(|reply| Event::Write { request, reply })
+        });
+        response.unwrap_or_else(|| self.too_many_callers(verdict_of_unserved_write(request)))
+    }
+
+    /// Waits for the answer; the query core answers each request by its deadline. Only
+    /// a stop that ran out of time drops a request, which may have run then.
+    fn caller(&self, event: impl FnOnce(Sender<CallerAnswer>) -> Event) -> Response {
         let (reply, answers) = flume::bounded(1);
-        let _ = self.events.send(Event::Write { request, reply });
-        respond(&answers, Verdict::MayHaveRun)
+        let _ = self.events.send(event(reply));
+        let answer = answers.recv().unwrap_or_else(|_| {
+            CallerAnswer::refused("leaving", LEAVING_RETRY_MS, Verdict::MayHaveRun)
+        });
+        answer_response(&answer)
     }
 }
 
-/// Waits for the answer; the query core answers each request by its deadline.
-fn respond(answers: &Receiver<CallerAnswer>, verdict_on_exit: Verdict) -> Response {
-    const RETRY_MS: u64 = 500;
-    let answer = answers
-        .recv()
-        .unwrap_or_else(|_| CallerAnswer::refused("leaving", RETRY_MS, verdict_on_exit));
-    answer_response(&answer)
+/// Whether an earlier try of a write that is refused unserved may have run.
+fn verdict_of_unserved_write(request: &Request) -> Verdict {
+    let size = request
+        .header("Content-Length")
+        .and_then(|it| it.parse().ok());
+    if size.is_none_or(|size: usize| size > BUFFERED_BODY_BYTES) {
+        return Verdict::MayHaveRun;
+    }
+    let request = body::<WriteRequest>(request);
+    request.map_or(Verdict::MayHaveRun, |it| it.verdict_unsent())
+}
+
+fn no_reply() -> Response {
+    plain_error(503, "the node is stopping or overloaded")
 }
 
 fn answer_response(answer: &CallerAnswer) -> Response {
-    let response = Response::json(answer).with_status_code(answer.http_status());
-    match answer.retry_after_ms {
-        Some(retry_after_ms) => {
-            // The header counts in whole seconds; the body has the exact time.
-            let seconds = retry_after_ms.div_ceil(1_000).to_string();
-            response.with_additional_header("Retry-After", seconds)
-        }
-        None => response,
+    let mut response = Response::json(answer).with_status_code(answer.http_status());
+    if let Some(request_id) = &answer.request_id {
+        response = response.with_additional_header("X-Request-Id", request_id.to_string());
+    }
+    if let Some(retry_after_ms) = answer.retry_after_ms {
+        // The header counts in whole seconds; the body has the exact time.
+        let seconds = retry_after_ms.div_ceil(1_000).to_string();
+        response = response.with_additional_header("Retry-After", seconds);
     }
+    response
 }
 
 fn plain_error(status: u16, reason: &str) -> Response {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod engine_gate;
 mod engine_query;
 mod engine_status;
+mod engine_trace;
 mod event;
 mod front;
 mod metrics;
@@ -19,6 +20,7 @@
 mod node_error;
 mod peers;
 mod readiness;
+mod request_trace;
 mod store;
 
 pub use caller_answer::CallerAbsent;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,6 +9,7 @@
 use crate::peers::Peers;
 use crate::readiness::Readiness;
 use crate::store::Store;
+use flume::Receiver;
 use flume::Sender;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -16,6 +17,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
@@ -36,6 +38,10 @@
 /// Threads for network calls; the entry VMs are small.
 const NETWORK_THREADS: usize = 2;
 
+/// Time in which the last replies to other nodes leave after the decision thread has
+/// ended; they are small and on open connections.
+const REPLY_LINGER: Duration = Duration::from_millis(100);
+
 /// Decisions on requests that are kept for `explain`; each takes about 1 kB at most.
 const TRACED_REQUEST_DECISIONS: usize = 4_096;
 
@@ -46,7 +52,8 @@
 #[derive(Debug)]
 pub struct Node {
     address: SocketAddr,
-    decisions: Option<JoinHandle<()>>,
+    /// Returns the events that nobody takes any more.
+    decisions: Option<JoinHandle<Receiver<Event>>>,
     events: Sender<Event>,
     front: Option<Front>,
     runtime: Option<Runtime>,
@@ -69,7 +76,10 @@
         let metrics = Arc::new(Metrics::new().map_err(NodeError::Metrics)?);
         let readiness = Arc::new(Readiness::not_ready("configuration_unknown"));
         let engine = engine(settings, &runtime, &events, &metrics, &readiness);
-        let decisions = thread::spawn(move || engine.run(&inbox));
+        let decisions = thread::spawn(move || {
+            engine.run(&inbox);
+            inbox
+        });
         let address = settings.caller_address;
         let front = Front::start(address, events.clone(), metrics, readiness)
             .map_err(|cause| NodeError::BindCallers { address, cause })?;
@@ -95,12 +105,17 @@
 
     /// Waits until a planned stop has ended: no request is cut.
     pub fn join(mut self) {
-        if let Some(decisions) = self.decisions.take() {
-            let _ = decisions.join();
+        if let Some(decisions) = self.decisions.take()
+            && let Ok(inbox) = decisions.join()
+        {
+            // A request that arrives after the end of the decision thread is refused by
+            // the front as soon as its event is dropped.
+            thread::spawn(move || inbox.iter().for_each(drop));
         }
         if let Some(front) = self.front.take() {
             front.stop();
         }
+        thread::sleep(REPLY_LINGER);
         if let Some(runtime) = self.runtime.take() {
             runtime.shutdown_background();
         }
@@ -139,7 +154,9 @@
     let node = catalog.node(&settings.name);
     let data_centre = catalog.data_centre(&settings.data_centre);
     let handle = runtime.handle().clone();
-    let mut peers = Peers::new(Arc::clone(&settings.name), events.clone(), handle.clone());
+    let timeouts = &settings.timeouts;
+    let name = Arc::clone(&settings.name);
+    let mut peers = Peers::new(name, timeouts, events.clone(), handle.clone());
     let mut seeds = Vec::new();
     for seed in &settings.seeds {
         let key = catalog.node(&seed.name);
@@ -172,6 +189,7 @@
         data_centre: Arc::clone(&settings.data_centre),
         deployment: Arc::new(Deployment::default()),
         events: events.clone(),
+        cleaned_us: None,
         fleet: Fleet::new(fleet, fastrand::u64(..)),
         gate: Gate::new(),
         metrics: Arc::clone(metrics),
@@ -184,9 +202,22 @@
         published_us: 0,
         readiness: Arc::clone(readiness),
         stage: Stage::Serving,
-        store: Store::start(&api, vms, clock, events),
+        refused_from_us: None,
+        replica_states: HashMap::new(),
+        sent: HashMap::new(),
+        shutdown_ms: timeouts.shutdown_ms,
+        stop_by_us: u64::MAX,
+        store: Store::start(
+            &api,
+            vms,
+            timeouts.object_api_watch_ms,
+            clock,
+            events,
+            metrics,
+        ),
         submitted: HashMap::new(),
-        targets: TargetPool::new(handle),
+        targets: TargetPool::new(handle)
+            .with_timeouts_ms(timeouts.target_connect_ms, timeouts.target_probe_ms),
         trace: DecisionTrace::new(TRACED_REQUEST_DECISIONS, TRACED_REPLICA_DECISIONS),
     }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -13,12 +13,10 @@
 use wigeonhall_protocol::HandOverMessage;
 use wigeonhall_protocol::ProtocolError;
 use wigeonhall_protocol::SubmitMessage;
+use wigeonhall_settings::Timeouts;
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::NodeKey;
 
-/// Time after which a control message counts as lost.
-const CONTROL_TIMEOUT_MS: u64 = 1_000;
-
 /// Time past a sub-request's deadline for which its reply is still awaited, so
 /// that a report is not lost to a reply that is only a little late.
 const LATE_REPLY_MS: u64 = 500;
@@ -26,6 +24,9 @@
 /// Outgoing calls to other nodes.
 #[derive(Debug)]
 pub struct Peers {
+    /// Time after which a control message counts as lost.
+    call_timeout_ms: u64,
+    connect_timeout_ms: u64,
     connections: BTreeMap<NodeKey, Arc<Connection>>,
     events: Sender<Event>,
     handle: Handle,
@@ -35,8 +36,10 @@
 impl Peers {
     /// Calls that run on `handle` and report to `events`.
     #[must_use]
-    pub const fn new(name: Arc<str>, events: Sender<Event>, handle: Handle) -> Self {
+    pub fn new(name: Arc<str>, timeouts: &Timeouts, events: Sender<Event>, handle: Handle) -> Self {
         Self {
+            call_timeout_ms: timeouts.node_call_ms,
+            connect_timeout_ms: timeouts.node_connect_ms,
             connections: BTreeMap::new(),
             events,
             handle,
@@ -48,8 +51,8 @@
     pub fn set_address(&mut self, node: NodeKey, address: SocketAddr) {
         let held = self.connections.get(&node);
         if held.is_none_or(|held| held.address() != address) {
-            self.connections
-                .insert(node, Arc::new(Connection::new(address)));
+            let connection = Connection::new(address, self.connect_timeout_ms);
+            self.connections.insert(node, Arc::new(connection));
         }
     }
 
@@ -59,11 +62,12 @@
             return;
         };
         let events = self.events.clone();
+        let context = context_for_ms(self.call_timeout_ms);
         self.handle.spawn(async move {
             let Ok(client) = connection.client().await else {
                 return;
             };
-            match client.reports(context_for_ms(CONTROL_TIMEOUT_MS)).await {
+            match client.reports(context).await {
                 Ok(reports) => drop(events.send(Event::Reports(reports))),
                 Err(_) => connection.discard(&client).await,
             }
@@ -75,14 +79,12 @@
         let Some(connection) = self.connection(node) else {
             return;
         };
+        let context = context_for_ms(self.call_timeout_ms);
         self.handle.spawn(async move {
-            if let Ok(client) = connection.client().await {
-                let result = client
-                    .cancel(context_for_ms(CONTROL_TIMEOUT_MS), attempt)
-                    .await;
-                if result.is_err() {
-                    connection.discard(&client).await;
-                }
+            if let Ok(client) = connection.client().await
+                && client.cancel(context, attempt).await.is_err()
+            {
+                connection.discard(&client).await;
             }
         });
     }
@@ -93,12 +95,12 @@
             return;
         };
         let name = Arc::clone(&self.name);
+        let context = context_for_ms(self.call_timeout_ms);
         self.handle.spawn(async move {
-            if let Ok(client) = connection.client().await {
-                let context = context_for_ms(CONTROL_TIMEOUT_MS);
-                if client.gossip(context, name, message).await.is_err() {
-                    connection.discard(&client).await;
-                }
+            if let Ok(client) = connection.client().await
+                && client.gossip(context, name, message).await.is_err()
+            {
+                connection.discard(&client).await;
             }
         });
     }
@@ -108,12 +110,12 @@
         let Some(connection) = self.connection(node) else {
             return;
         };
+        let context = context_for_ms(self.call_timeout_ms);
         self.handle.spawn(async move {
-            if let Ok(client) = connection.client().await {
-                let context = context_for_ms(CONTROL_TIMEOUT_MS);
-                if client.hand_over(context, message).await.is_err() {
-                    connection.discard(&client).await;
-                }
+            if let Ok(client) = connection.client().await
+                && client.hand_over(context, message).await.is_err()
+            {
+                connection.discard(&client).await;
             }
         });
     }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -1,8 +1,12 @@
 use crate::Event;
 use crate::clock::Clock;
+use crate::clock::unix_ms;
+use crate::metrics::Metrics;
 use flume::Receiver;
 use flume::Sender;
+use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::FleetEvent;
 use wigeonhall_fleet::TableRecord;
@@ -18,8 +22,17 @@
 use wigeonhall_query::QueryId;
 use wigeonhall_types::DataCentreKey;
 
-/// Longest time that a watch waits at the store, in milliseconds.
-const WATCH_WAIT_MS: u64 = 10_000;
+/// Age past which claims are deleted, in hours: the 24 h for which they are kept and
+/// one hour for the difference between clocks.
+const CLAIM_DELETED_H: u64 = 25;
+
+/// Pause between two deletions of claims. 20 a second by one node of a region is a
+/// small part of the several hundred writes a second that the platform takes.
+const CLAIM_DELETE_PAUSE: Duration = Duration::from_millis(50);
+
+const CLAIMS_PREFIX: &str = "claims/";
+
+const HOUR_MS: u64 = 3_600_000;
 
 /// Threads for claims; each blocks for one store call of a few milliseconds.
 const CLAIM_THREADS: usize = 8;
@@ -31,6 +44,8 @@
 /// Calls to the platform, made on threads of their own because they block.
 #[derive(Debug)]
 pub struct Store {
+    /// Each message starts one clean-up of old claims.
+    cleanups: Sender<()>,
     claims: Sender<ClaimJob>,
     control: Sender<ControlJob>,
     events: Sender<Event>,
@@ -63,7 +78,15 @@
 impl Store {
     /// Starts the threads; they end when the store is dropped.
     #[must_use]
-    pub fn start(api: &ObjectApi, vms: VmList, clock: Clock, events: &Sender<Event>) -> Self {
+    pub fn start(
+        api: &ObjectApi,
+        vms: VmList,
+        watch_wait_ms: u64,
+        clock: Clock,
+        events: &Sender<Event>,
+        metrics: &Arc<Metrics>,
+    ) -> Self {
+        let (cleanups, cleanup_jobs) = flume::bounded(1);
         let (claims, claim_jobs) = flume::bounded(CLAIM_QUEUE);
         let (control, control_jobs) = flume::unbounded();
         let (watch, watches) = flume::unbounded();
@@ -73,10 +96,13 @@
             thread::spawn(move || run_claims(&api, &jobs, &events));
         }
         let (watch_api, watch_events) = (api.clone(), events.clone());
-        thread::spawn(move || run_watches(&watch_api, &watches, &watch_events));
+        thread::spawn(move || run_watches(&watch_api, watch_wait_ms, &watches, &watch_events));
+        let (cleanup_api, cleanup_metrics) = (api.clone(), Arc::clone(metrics));
+        thread::spawn(move || run_cleanups(&cleanup_api, &cleanup_jobs, &cleanup_metrics));
         let (api, control_events) = (api.clone(), events.clone());
         thread::spawn(move || run_control(&api, &vms, clock, &control_jobs, &control_events));
         Self {
+            cleanups,
             claims,
             control,
             events: events.clone(),
@@ -99,6 +125,11 @@
         }
     }
 
+    /// Starts a clean-up of old claims unless one runs.
+    pub fn delete_old_claims(&self) {
+        let _ = self.cleanups.try_send(());
+    }
+
     /// Reads the configuration.
     pub fn read_config(&self) {
         self.control_job(ControlJob::ReadConfig);
@@ -139,14 +170,41 @@
 }
 
 fn claim_path(claim: &Claim) -> String {
-    const HOUR_MS: u64 = 3_600_000;
     format!(
-        "claims/{}/{}",
+        "{CLAIMS_PREFIX}{}/{}",
         claim.issued_unix_ms / HOUR_MS,
         claim.request_id
     )
 }
 
+/// Hour in which the claim at this path was issued, since the Unix epoch.
+fn claim_hour(path: &str) -> Option<u64> {
+    let mut parts = path.strip_prefix(CLAIMS_PREFIX)?.split('/');
+    parts.next()?.parse().ok()
+}
+
+fn run_cleanups(api: &ObjectApi, jobs: &Receiver<()>, metrics: &Metrics) {
+    for () in jobs {
+        let Ok(objects) = api.list(CLAIMS_PREFIX) else {
+            metrics.count("claim_clean_up_failed");
+            continue;
+        };
+        // The last claim of an hour is up to an hour younger than the hour's start.
+        let now_hour = unix_ms() / HOUR_MS;
+        let old = |hour: u64| hour + 1 + CLAIM_DELETED_H <= now_hour;
+        for object in objects {
+            if !claim_hour(&object.path).is_some_and(old) {
+                continue;
+            }
+            match api.delete(&object.path, object.version) {
+                Ok(_) => metrics.count("claim_deleted"),
+                Err(_) => metrics.count("claim_delete_failed"),
+            }
+            thread::sleep(CLAIM_DELETE_PAUSE);
+        }
+    }
+}
+
 fn run_claims(api: &ObjectApi, jobs: &Receiver<ClaimJob>, events: &Sender<Event>) {
     for job in jobs {
         let result = put_claim(api, &job);
@@ -220,9 +278,9 @@
     }
 }
 
-fn run_watches(api: &ObjectApi, generations: &Receiver<u64>, events: &Sender<Event>) {
+fn run_watches(api: &ObjectApi, wait_ms: u64, generations: &Receiver<u64>, events: &Sender<Event>) {
     for generation in generations {
-        let event = config_event(api.watch(CURRENT_PATH, generation, WATCH_WAIT_MS));
+        let event = config_event(api.watch(CURRENT_PATH, generation, wait_ms));
         let _ = events.send(Event::Fleet(event));
     }
 }
--- a/crates/protocol/src/connection.rs
+++ b/crates/protocol/src/connection.rs
@@ -9,10 +9,6 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::sync::Mutex;
 
-/// Longest time to open a connection to another node. Nodes of one region are
-/// about 1 ms apart; regions are up to a few hundred.
-const CONNECT_TIMEOUT_MS: u64 = 1_000;
-
 /// Time after a failed connect during which calls fail at once.
 const RECONNECT_PAUSE_MS: u64 = 200;
 
@@ -23,6 +19,7 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
+    connect_timeout: Duration,
     state: Mutex<State>,
 }
 
@@ -33,11 +30,13 @@
 }
 
 impl Connection {
-    /// A connection to `address` that is not open yet.
+    /// A connection to `address` that is not open yet; opening it takes at most
+    /// `connect_timeout_ms`.
     #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, connect_timeout_ms: u64) -> Self {
         Self {
             address,
+            connect_timeout: Duration::from_millis(connect_timeout_ms),
             state: Mutex::default(),
         }
     }
@@ -63,7 +62,7 @@
         if state.failed_at.is_some_and(|at| at.elapsed() < pause) {
             return Err(ProtocolError::Unreachable);
         }
-        match connect(self.address).await {
+        match connect(self.address, self.connect_timeout).await {
             Ok(client) => {
                 let client = Arc::new(client);
                 state.client = Some(Arc::clone(&client));
@@ -90,10 +89,12 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<NodeServiceClient, ProtocolError> {
+async fn connect(
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<NodeServiceClient, ProtocolError> {
     let mut connect = tcp::connect(address, Bincode::default);
     connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
-    let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let transport = tokio::time::timeout(timeout, connect)
         .await
         .map_err(|_| ProtocolError::Unreachable)?
--- a/crates/query/src/coordinator.rs
+++ b/crates/query/src/coordinator.rs
@@ -152,6 +152,15 @@
         self.timers.next_us()
     }
 
+    /// Request that an open sub-request belongs to.
+    #[must_use]
+    pub fn request_of(&self, attempt: AttemptId) -> Option<QueryId> {
+        let attempt = self.attempts.get(&attempt.sequence)?;
+        match attempt.parent {
+            Parent::Read { id, .. } | Parent::Write(id) => Some(id),
+        }
+    }
+
     /// Number of requests not answered yet.
     #[must_use]
     pub fn open_requests(&self) -> usize {
--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -22,7 +22,6 @@
 use crate::replica::Replica;
 use wigeonhall_types::TargetOutcome;
 
-const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
 const FIRST_BACK_OFF: Duration = Duration::from_millis(20);
 const MAX_BACK_OFF: Duration = Duration::from_secs(1);
 
@@ -116,7 +115,9 @@
             sender,
         })
     };
-    let connection = tokio::time::timeout(DIAL_TIMEOUT, opening).await.ok()??;
+    let connection = tokio::time::timeout(replica.dial_timeout, opening)
+        .await
+        .ok()??;
     replica.count(|counters| &counters.opened);
     replica.count(|counters| &counters.open);
     Some(connection)
--- a/crates/target/src/replica.rs
+++ b/crates/target/src/replica.rs
@@ -4,6 +4,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::runtime::Handle;
 use tokio::sync::watch;
@@ -20,6 +21,7 @@
     /// Cancellations and probes; served by connection 0 alone.
     control: Lane,
     pub(crate) counters: Counters,
+    pub(crate) dial_timeout: Duration,
     /// Requests; served by the connections from 1.
     pub(crate) requests: Lane,
     /// Whether there are two lanes; a single connection serves all in one.
@@ -34,11 +36,17 @@
 }
 
 impl Replica {
-    pub(crate) fn new(address: SocketAddr, split: bool, totals: Arc<Counters>) -> Arc<Self> {
+    pub(crate) fn new(
+        address: SocketAddr,
+        dial_timeout: Duration,
+        split: bool,
+        totals: Arc<Counters>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             address,
             control: Lane::new(),
             counters: Counters::default(),
+            dial_timeout,
             requests: Lane::new(),
             split,
             totals,
--- a/crates/target/src/target_pool.rs
+++ b/crates/target/src/target_pool.rs
@@ -23,8 +23,13 @@
 /// Longest time for a cancellation or a probe, the wait for a connection included.
 const CONTROL_BUDGET: Duration = Duration::from_secs(1);
 
+/// Longest time to open a connection.
+const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Connections to targets. Dropping the pool closes them as they become idle.
 pub struct TargetPool {
+    control_budget: Duration,
+    dial_timeout: Duration,
     handle: Handle,
     /// Holds closed replicas too, as connections of theirs may still be busy.
     replicas: Mutex<BTreeMap<ReplicaKey, Arc<Replica>>>,
@@ -44,12 +49,23 @@
     #[must_use]
     pub fn new(handle: Handle) -> Self {
         Self {
+            control_budget: CONTROL_BUDGET,
+            dial_timeout: DIAL_TIMEOUT,
             handle,
             replicas: Mutex::default(),
             totals: Arc::default(),
         }
     }
 
+    /// Sets the longest time to open a connection, and that for a cancellation or a
+    /// probe with the wait for a connection.
+    #[must_use]
+    pub const fn with_timeouts_ms(mut self, connect_ms: u64, probe_ms: u64) -> Self {
+        self.control_budget = Duration::from_millis(probe_ms);
+        self.dial_timeout = Duration::from_millis(connect_ms);
+        self
+    }
+
     /// Asks the target to stop a request. A request that was not sent yet ends at
     /// once as cancelled; otherwise the cancellation goes over the spare
     /// connection and the request ends with the target's own reply.
@@ -58,7 +74,7 @@
             return;
         };
         if !replica.requests.cancel(attempt) {
-            let deadline = Instant::now() + CONTROL_BUDGET;
+            let deadline = Instant::now() + self.control_budget;
             let job = Job::new(JobKind::Cancel { attempt }, deadline, |_| ());
             replica.submit(job, &self.handle);
         }
@@ -85,6 +101,7 @@
         let split = count > 1;
         let mut replicas = self.replicas.lock().unwrap_or_else(PoisonError::into_inner);
         let known = replicas.get(&replica).cloned();
+        let dial_timeout = self.dial_timeout;
         let usable = known.filter(|known| {
             let usable = known.matches(address, split);
             if !usable {
@@ -92,8 +109,9 @@
             }
             usable
         });
-        let opened =
-            usable.unwrap_or_else(|| Replica::new(address, split, Arc::clone(&self.totals)));
+        let opened = usable.unwrap_or_else(|| {
+            Replica::new(address, dial_timeout, split, Arc::clone(&self.totals))
+        });
         opened.set_wanted(count, &self.handle);
         replicas.insert(replica, opened);
     }
@@ -101,7 +119,8 @@
     /// Asks the target for its health over the spare connection. A target that is
     /// ready answers with no rows and its newest version.
     pub fn probe(&self, replica: ReplicaKey, on_reply: impl FnOnce(TargetReply) + Send + 'static) {
-        let job = Job::new(JobKind::Probe, Instant::now() + CONTROL_BUDGET, on_reply);
+        let deadline = Instant::now() + self.control_budget;
+        let job = Job::new(JobKind::Probe, deadline, on_reply);
         if let Some(replica) = self.find(replica) {
             replica.submit(job, &self.handle);
         }
