--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -153,7 +153,6 @@
     /// Serves a caller unless too many others are being served.
     fn serve(&self, serve: impl FnOnce() -> Response) -> Option<Response> {
         let served = self.callers.fetch_add(1, Ordering::Relaxed);
-        eprintln!("DBG {served}");
         let response = (served < CALLER_THREADS).then(serve);
         self.callers.fetch_sub(1, Ordering::Relaxed);
         response
--- /dev/null
+++ b/crates/node/tests/reads.rs
@@ -0,0 +1,109 @@
+//! Plain reads and what operators are told about them.
+
+mod common;
+
+use wigeonhall_node::CallerAnswer;
+use wigeonhall_node::CoverageName;
+use wigeonhall_node::ReadRequest;
+use wigeonhall_protocol::Explanation;
+use wigeonhall_protocol::NodeStatus;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::Verdict;
+
+use common::World;
+
+/// Guards against answers that lack rows, hold one twice, or mix up ranges.
+#[test]
+fn reads_are_whole_at_every_node() {
+    let world = World::start(1);
+    let ranges = [(5, 1 << 31), (1 << 24, 2 << 24), (1 << 30, (3 << 30) + 1)];
+    for address in world.addresses() {
+        let answer = common::read(address).unwrap();
+        common::assert_whole(&answer);
+        assert_eq!(answer.verdict, Verdict::Ran);
+        for (start, end) in ranges {
+            let range = KeyRange { start, end };
+            let request = ReadRequest {
+                coverage: CoverageName::Partial,
+                range: Some(range),
+                ..common::read_request()
+            };
+            let answer: CallerAnswer = common::post(address, "query", &request).unwrap();
+            assert!(answer.coverage.full, "{answer:?}");
+            assert_eq!(answer.coverage.read, [range]);
+            let wanted = wigeonhall_standins::rows_of(range, answer.snapshot.unwrap(), 1 << 24);
+            assert_eq!(answer.rows, wanted);
+        }
+    }
+    world.assert_limits();
+}
+
+/// Guards against a brief status that carries the long lists, which the operators'
+/// command asks of every node while it waits.
+#[test]
+fn a_brief_status_has_no_lists() {
+    let world = World::start(1);
+    let address = world.address(0);
+    let brief: NodeStatus = common::get(address, "/status?brief=true");
+    assert!(brief.members.is_empty(), "{brief:?}");
+    assert!(brief.replicas.is_empty());
+    assert!(brief.generation > 0);
+    let long = common::status(address);
+    assert_eq!(long.members.len(), 3);
+    assert!(!long.replicas.is_empty());
+}
+
+/// Guards against answers that an operator cannot find again: each carries its
+/// request id, by which the decisions on it are recorded.
+#[test]
+fn answers_can_be_explained_by_their_request_id() {
+    let world = World::start(1);
+    let address = world.address(0);
+    for target in &world.targets {
+        target.set_shedding(target.name().ends_with("-b"));
+    }
+    let body = serde_json::to_string(&common::read_request()).unwrap();
+    let response = attohttpc::post(format!("http://{address}/query"))
+        .text(body)
+        .send()
+        .unwrap();
+    let header = response.headers().get("X-Request-Id").unwrap();
+    let id = header.to_str().unwrap().to_owned();
+    let answer: CallerAnswer = response.json().unwrap();
+    assert_eq!(answer.request_id.as_deref(), Some(id.as_str()));
+    let explained: Explanation = common::get(address, &format!("/explain?request={id}"));
+    let what: Vec<&str> = explained.decisions.iter().map(|it| &*it.what).collect();
+    assert_eq!(what.first(), Some(&"pinned version 1"), "{explained:?}");
+    assert_eq!(what.last(), Some(&"answered whole"), "{explained:?}");
+    let write = common::write_request("explained-1", 7);
+    let answer = common::write(address, &write);
+    assert_eq!(answer.request_id.as_deref(), Some("explained-1"));
+    let explained: Explanation = common::get(address, "/explain?request=explained-1");
+    let last = explained.decisions.last().unwrap();
+    assert_eq!(&*last.what, "answered whole", "{explained:?}");
+}
+
+/// Guards against a replica whose change of owner or state leaves no trace.
+#[test]
+fn changes_of_replicas_are_explained() {
+    let world = World::start(1);
+    let owner = |name: &str| {
+        let mut nodes = world.addresses().into_iter();
+        nodes.find(|it| {
+            let replicas = common::status(*it).replicas;
+            replicas.iter().any(|replica| &*replica.name == name)
+        })
+    };
+    let address = owner("shard-1-a").unwrap();
+    let recorded = |what: &str| {
+        let explained: Explanation = common::get(address, "/explain?replica=shard-1-a");
+        explained.decisions.iter().any(|it| &*it.what == what)
+    };
+    assert!(recorded("granted"));
+    common::wait_until("the warm state", || recorded("warm"));
+    world.target("shard-1-a").set_draining(true);
+    common::wait_until("the drain", || {
+        let _ = common::read(address);
+        recorded("leaving")
+    });
+}
--- /dev/null
+++ b/crates/node/tests/refusals.rs
@@ -0,0 +1,104 @@
+//! Requests that cannot be served get a clear refusal with a true verdict.
+
+mod common;
+
+use std::sync::Arc;
+
+use wigeonhall_node::CallerAnswer;
+use wigeonhall_node::ReadRequest;
+use wigeonhall_node::StatusName;
+use wigeonhall_node::WriteRequest;
+use wigeonhall_node::unix_ms;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::Verdict;
+
+use common::World;
+
+/// Guards against requests that hang, get no reason, or are said not to have run
+/// although an earlier attempt may have.
+#[test]
+fn wrong_requests_are_refused_with_a_reason() {
+    let world = World::start(1);
+    let address = world.address(0);
+    let requests_before: u64 = world.targets.iter().map(|it| it.counts().requests).sum();
+    let invalid = |code: u16, path: &str, body: String, reason: &str| {
+        let (status, answer) = common::post_text(address, path, body).unwrap();
+        assert_eq!(status, code, "{answer:?}");
+        assert_eq!(answer.status, StatusName::Invalid);
+        assert_eq!(answer.verdict, Verdict::NotRun);
+        let given = answer.reason.unwrap();
+        assert!(given.contains(reason), "{given}");
+    };
+    let text = |value: &ReadRequest| serde_json::to_string(value).unwrap();
+    let write_text = |value: &WriteRequest| serde_json::to_string(value).unwrap();
+    let read = common::read_request();
+    invalid(400, "query", "{".into(), "malformed");
+    invalid(400, "query", "{}".into(), "missing field");
+    let unknown_key = r#"{"service": "search", "colour": 1}"#;
+    invalid(400, "query", unknown_key.into(), "unknown field");
+    invalid(413, "query", " ".repeat(300_000), "larger");
+    invalid(404, "nowhere", String::new(), "no such path");
+    let no_service = ReadRequest {
+        service: Arc::from("absent"),
+        ..read.clone()
+    };
+    invalid(400, "query", text(&no_service), "no such service");
+    let wrong_kind = ReadRequest {
+        service: Arc::from("record"),
+        ..read.clone()
+    };
+    invalid(400, "query", text(&wrong_kind), "use POST /write");
+    let empty = ReadRequest {
+        range: Some(KeyRange { start: 9, end: 9 }),
+        ..read.clone()
+    };
+    invalid(400, "query", text(&empty), "range");
+    let no_time = ReadRequest {
+        deadline_ms: Some(0),
+        ..read
+    };
+    invalid(400, "query", text(&no_time), "deadline_ms");
+    let write = common::write_request("a/b", 7);
+    invalid(400, "write", write_text(&write), "request_id");
+    let write = common::write_request("ab", 1 << 40);
+    invalid(400, "write", write_text(&write), "key");
+    let requests: u64 = world.targets.iter().map(|it| it.counts().requests).sum();
+    assert_eq!(requests, requests_before);
+}
+
+/// Guards against a refusal without a time to come back, and against a late
+/// request that a target still runs although its refusal says "not run".
+#[test]
+fn late_requests_are_refused_at_once() {
+    let world = World::start(1);
+    let address = world.address(0);
+    for target in &world.targets {
+        target.set_slowdown(100.0);
+    }
+    for _ in 0..3 {
+        let _ = common::read(address);
+    }
+    let before: u64 = world.targets.iter().map(|it| it.counts().requests).sum();
+    let late = ReadRequest {
+        deadline_ms: Some(1),
+        ..common::read_request()
+    };
+    let (code, answer) =
+        common::post_text(address, "query", serde_json::to_string(&late).unwrap()).unwrap();
+    assert_eq!(code, 503, "{answer:?}");
+    assert_eq!(answer.status, StatusName::Refused);
+    assert!(answer.retry_after_ms.is_some_and(|it| it > 0));
+    let after: u64 = world.targets.iter().map(|it| it.counts().requests).sum();
+    if answer.verdict == Verdict::NotRun {
+        assert_eq!(after, before);
+    }
+    let old = WriteRequest {
+        first_attempt: false,
+        issued_unix_ms: unix_ms() - 25 * 3_600_000,
+        ..common::write_request("old-1", 7)
+    };
+    let answer: CallerAnswer = common::write(address, &old);
+    assert_eq!(answer.status, StatusName::Refused);
+    assert_eq!(answer.verdict, Verdict::MayHaveRun);
+    assert_eq!(world.executions("old-1"), 0);
+}
