--- a/crates/fleet/examples/spread.rs
+++ b/crates/fleet/examples/spread.rs
@@ -1,6 +1,7 @@
 //! Prints how fast and at what cost a new configuration spreads, in virtual time.
 //!
-//! Arguments: the numbers of nodes, 15, 150 and 600 by default. Processor time is
+//! Arguments: the numbers of nodes, 15, 150 and 600 by default, and shapes by name,
+//! all by default. Processor time is
 //! that of the decision logic alone.
 
 #[path = "../tests/common/mod.rs"]
@@ -89,7 +90,12 @@
 }
 
 fn main() {
-    let mut counts: Vec<usize> = std::env::args().skip(1).flat_map(|it| it.parse()).collect();
+    let arguments: Vec<_> = std::env::args().skip(1).collect();
+    let mut counts: Vec<usize> = arguments.iter().flat_map(|it| it.parse()).collect();
+    let mut shapes = vec![PushShape::FullMesh, PushShape::Neighbours, PushShape::Tree];
+    if arguments.len() > counts.len() {
+        shapes.retain(|it| arguments.contains(&format!("{it:?}")));
+    }
     if counts.is_empty() {
         counts = vec![15, 150, 600];
     }
@@ -98,7 +104,7 @@
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for count in counts {
-        for shape in [PushShape::FullMesh, PushShape::Neighbours, PushShape::Tree] {
+        for &shape in &shapes {
             let mut world = fleet(count, shape);
             let cost = rest(&mut world);
             for (loss, down) in [(0, false), (10, false), (0, true), (10, true)] {
