Add the measure and standins commands

Cause: the comparison needs a command, and nodes started by hand need targets and a platform to talk to.

Change: `wigeonhall measure` (scenarios and processor time) and `wigeonhall standins`, which runs the stand-ins of a deployment for a bounded time.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -97,6 +97,26 @@
         #[bpaf(external(place_option))]
         place: PlaceOption,
     },
+    /// Compare with a plain way of routing, in virtual time
+    #[bpaf(command)]
+    Measure {
+        /// Measure the processor time of the decision logic instead
+        processor_time: bool,
+        /// Print the result as JSON
+        json: bool,
+        /// Virtual time that is counted in each run
+        #[bpaf(argument("MS"), fallback(4000), display_fallback)]
+        run_ms: u64,
+        /// Only scenarios whose name contains this text
+        #[bpaf(argument("TEXT"), fallback(String::new()))]
+        scenario: String,
+        /// Number of seeds
+        #[bpaf(argument("NUMBER"), fallback(2), display_fallback)]
+        seeds: u64,
+        /// Only deployments whose name contains this text
+        #[bpaf(argument("TEXT"), fallback(String::new()))]
+        site: String,
+    },
     /// Take a data centre or VM out of service
     #[bpaf(command)]
     Out {
@@ -109,6 +129,24 @@
         #[bpaf(external(place_option))]
         place: PlaceOption,
     },
+    /// Run stand-ins for the targets of a deployment and for the platform
+    #[bpaf(command)]
+    Standins {
+        /// Address of the object API
+        #[bpaf(argument("ADDRESS"), fallback(([127, 0, 0, 1], 7901).into()), display_fallback)]
+        store: SocketAddr,
+        /// Address of the list of VMs
+        #[bpaf(argument("ADDRESS"), fallback(([127, 0, 0, 1], 7902).into()), display_fallback)]
+        vm_list: SocketAddr,
+        /// Time of a request at a target
+        #[bpaf(argument("US"), fallback(2000), display_fallback)]
+        service_us: u64,
+        /// Time after which they stop
+        #[bpaf(argument("S"), fallback(600), display_fallback)]
+        run_s: u64,
+        #[bpaf(external(text_file))]
+        file: TextFile,
+    },
     /// Show the state of every node, and the replicas that do not work as usual
     #[bpaf(command)]
     Status {
--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -236,7 +236,7 @@
         let callers: Vec<_> = (0..CALLERS)
             .map(|caller| scope.spawn(move || caller_reads(addresses, class, caller)))
             .collect();
-        let joined = callers.into_iter().map(|it| it.join());
+        let joined = callers.into_iter().map(thread::ScopedJoinHandle::join);
         joined
             .map(|part| part.unwrap_or_else(|_| Err(String::from("a caller panicked"))))
             .collect::<Result<Vec<ReadSummary>, String>>()
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -24,8 +24,10 @@
 use crate::command::command;
 use wigeonhall_ctl::Context;
 use wigeonhall_ctl::CtlError;
+use wigeonhall_ctl::MeasureOptions;
 use wigeonhall_ctl::Patience;
 use wigeonhall_ctl::Report;
+use wigeonhall_ctl::StandinOptions;
 use wigeonhall_ctl::Store;
 use wigeonhall_ctl::apply;
 use wigeonhall_ctl::burn;
@@ -36,8 +38,10 @@
 use wigeonhall_ctl::explain;
 use wigeonhall_ctl::history;
 use wigeonhall_ctl::http_nodes;
+use wigeonhall_ctl::measure;
 use wigeonhall_ctl::set_place;
 use wigeonhall_ctl::show;
+use wigeonhall_ctl::standins;
 use wigeonhall_ctl::status;
 use wigeonhall_platform::ObjectApi;
 use wigeonhall_protocol::Subject;
@@ -82,8 +86,10 @@
         | Command::In { connection, .. }
         | Command::Out { connection, .. }
         | Command::Status { connection } => connection.json,
-        Command::Check { json, .. } | Command::Demo { json } => *json,
-        Command::Completion { .. } => false,
+        Command::Check { json, .. } | Command::Demo { json } | Command::Measure { json, .. } => {
+            *json
+        }
+        Command::Completion { .. } | Command::Standins { .. } => false,
     }
 }
 
@@ -128,6 +134,20 @@
             let context = context(&connection, Some(&change));
             Ok(set_place(&context, place_of(&place), false)?.report())
         }
+        Command::Measure {
+            processor_time,
+            run_ms,
+            scenario,
+            seeds,
+            site,
+            ..
+        } => measure(&MeasureOptions {
+            processor_time,
+            run_ms,
+            scenario,
+            seeds,
+            site,
+        }),
         Command::Out {
             connection,
             change,
@@ -140,6 +160,21 @@
             }
             Ok(set_place(&context, place_of(&place), true)?.report())
         }
+        Command::Standins {
+            store,
+            vm_list,
+            service_us,
+            run_s,
+            file,
+        } => standins(
+            &read(&file)?,
+            StandinOptions {
+                service_us,
+                store,
+                run_s,
+                vm_list,
+            },
+        ),
         Command::Status { connection } => status(&context(&connection, None)),
     }
 }
--- a/crates/gate/tests/waiting.rs
+++ b/crates/gate/tests/waiting.rs
@@ -38,7 +38,9 @@
     let mut driver = Driver::warm(1);
     for id in 0..20 {
         let at_ms = 40 * (id + 1);
-        driver.run(&format!("submit {id} 9000\n skip {at_ms}\n reply {id} cancelled"));
+        driver.run(&format!(
+            "submit {id} 9000\n skip {at_ms}\n reply {id} cancelled"
+        ));
     }
     let report = driver.gate.reports(driver.now_us).remove(0).1;
     assert!(report.service_us > 30_000, "{report:?}");
--- a/crates/query/tests/hedging.rs
+++ b/crates/query/tests/hedging.rs
@@ -125,9 +125,7 @@
     let mut count = 0;
     while let Some((_, sub)) = open.pop() {
         count += 1;
-        open.extend(sends(
-            &world.reply(&sub, refused(RefusalReason::Leaving)),
-        ));
+        open.extend(sends(&world.reply(&sub, refused(RefusalReason::Leaving))));
     }
     assert_eq!(world.core.counters().retries_free, 5);
     assert_eq!(count, 8);
