Keep epochs in the tables, and refuse late sub-requests after a stop

Cause: three nodes by hand, one stopped under load: 3 of 4,431 reads failed with owner_lost, since other nodes still sent to the stopped node and met a closed connection. The versions of the object API are one counter for all objects, so epochs taken from them skip numbers, which the fleet core takes as tables that it missed: retained replicas would pause for a lease at each change.

Change: a stopping node refuses sub-requests for another second after its replicas are handed over. The epoch of a table is part of its value and grows by one. Queued table writes older than 2 s are given up; the list of VMs is read on a thread of its own. The log leaves out the libraries' lines per call.

--- a/crates/fleet/src/fleet_action.rs
+++ b/crates/fleet/src/fleet_action.rs
@@ -60,8 +60,8 @@
     /// Wait for a version of `config/current` after this generation; answered by
     /// `ConfigRead` or `ConfigReadFailed`.
     WatchConfig(u64),
-    /// Write `owners/<data centre>` if its version is still `expected_epoch`;
-    /// 0 means that the object must not exist.
+    /// Write `owners/<data centre>` if the epoch of the stored table is still
+    /// `expected_epoch`; 0 means that the object must not exist.
     WriteTable {
         /// Data centre of the table.
         data_centre: DataCentreKey,
--- a/crates/fleet/src/fleet_event.rs
+++ b/crates/fleet/src/fleet_event.rs
@@ -54,7 +54,7 @@
     TableWritten {
         /// Data centre of the table.
         data_centre: DataCentreKey,
-        /// New epoch, or `None` if the write failed or its outcome is not known.
+        /// `expected_epoch` plus one, or `None` if the write failed or its outcome is not known.
         epoch: Option<u64>,
     },
     /// The store did not answer a table read in time.
--- a/crates/fleet/src/gossip_message.rs
+++ b/crates/fleet/src/gossip_message.rs
@@ -139,7 +139,7 @@
 pub struct TableRecord {
     /// Name of the data centre.
     pub data_centre: Arc<str>,
-    /// Version of the object; larger is newer. Not part of the stored value.
+    /// Grows by one with each accepted write; part of the stored value.
     pub epoch: u64,
     /// Names of the nodes that may own replicas, sorted.
     pub members: Vec<Arc<str>>,
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -41,6 +41,9 @@
 /// Sleep of the decision thread during a planned stop.
 const STOP_POLL_MS: u64 = 2;
 
+/// Time for which a node that has handed its replicas over still refuses sub-requests.
+pub(crate) const LINGER_MS: u64 = 1_000;
+
 /// Time in which the balancer notices that the health check fails.
 pub(crate) const BALANCER_LAG_MS: u64 = 2_000;
 
@@ -126,7 +129,13 @@
     /// Replicas are handed over.
     Leaving,
     /// Replicas are handed over; running sub-requests end.
-    Draining,
+    ///
+    /// Until this local time late sub-requests are still refused as not owned, because
+    /// other nodes learn of the new owners a little later. A closed connection would
+    /// leave them not knowing whether the sub-request ran.
+    Draining {
+        until_us: u64,
+    },
     Stopped,
 }
 
@@ -293,7 +302,10 @@
             self.pending.push_back(Input::Fleet(FleetEvent::Stop));
             self.settle();
         }
-        if self.stage == Stage::Draining && self.gate.open_requests() == 0 {
+        if let Stage::Draining { until_us } = self.stage
+            && self.clock.now_us() >= until_us
+            && self.gate.open_requests() == 0
+        {
             log::info!("planned stop: all work has ended");
             self.stage = Stage::Stopped;
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod readiness;
 mod request_trace;
 mod store;
+mod store_tables;
 
 pub use caller_answer::CallerAbsent;
 pub use caller_answer::CallerAnswer;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -42,7 +42,7 @@
         println!("{path}: ok");
         return Ok(());
     }
-    let _logger = Logger::try_with_env_or_str(settings.log_level.as_str())
+    let _logger = Logger::try_with_env_or_str(log_spec(settings.log_level.as_str()))
         .and_then(|logger| logger.write_mode(WriteMode::Direct).start())
         .map_err(|error| format!("cannot start logging: {error}"))?;
     let mut signals = Signals::new([SIGINT, SIGTERM])
@@ -60,3 +60,8 @@
     node.join();
     Ok(())
 }
+
+/// Libraries log each call at the level `info`; only their warnings are of use.
+fn log_spec(level: &str) -> String {
+    format!("warn, wigeonhall_node={level}")
+}
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -2,6 +2,9 @@
 use crate::clock::Clock;
 use crate::clock::unix_ms;
 use crate::metrics::Metrics;
+use crate::store_tables::read_table;
+use crate::store_tables::table_path;
+use crate::store_tables::write_table;
 use flume::Receiver;
 use flume::Sender;
 use std::sync::Arc;
@@ -41,14 +44,22 @@
 /// falls this far behind is down for the callers that wait for it.
 const CLAIM_QUEUE: usize = 64;
 
+/// Age at which a table write that still waits is given up. The fleet core takes a
+/// write that did not take effect within this time as lost.
+const TABLE_WRITE_AGE_US: u64 = 2_000_000;
+
 /// Calls to the platform, made on threads of their own because they block.
 #[derive(Debug)]
 pub struct Store {
     /// Each message starts one clean-up of old claims.
     cleanups: Sender<()>,
     claims: Sender<ClaimJob>,
+    clock: Clock,
     control: Sender<ControlJob>,
     events: Sender<Event>,
+    /// Each message asks for the list of VMs; one waits at most, so that no answer is
+    /// older than two calls.
+    vm_lists: Sender<()>,
     watch: Sender<u64>,
 }
 
@@ -67,8 +78,8 @@
         data_centre: DataCentreKey,
         path: String,
     },
-    ReadVmList,
     WriteTable {
+        asked_us: u64,
         data_centre: DataCentreKey,
         expected_epoch: u64,
         table: TableRecord,
@@ -100,12 +111,17 @@
         let (cleanup_api, cleanup_metrics) = (api.clone(), Arc::clone(metrics));
         thread::spawn(move || run_cleanups(&cleanup_api, &cleanup_jobs, &cleanup_metrics));
         let (api, control_events) = (api.clone(), events.clone());
-        thread::spawn(move || run_control(&api, &vms, clock, &control_jobs, &control_events));
+        thread::spawn(move || run_control(&api, clock, &control_jobs, &control_events));
+        let (vm_lists, vm_list_jobs) = flume::bounded(1);
+        let list_events = events.clone();
+        thread::spawn(move || run_vm_lists(&vms, &vm_list_jobs, &list_events));
         Self {
             cleanups,
             claims,
+            clock,
             control,
             events: events.clone(),
+            vm_lists,
             watch,
         }
     }
@@ -143,7 +159,7 @@
 
     /// Reads the list of VMs.
     pub fn read_vm_list(&self) {
-        self.control_job(ControlJob::ReadVmList);
+        let _ = self.vm_lists.try_send(());
     }
 
     /// Waits for a configuration after `generation`.
@@ -154,6 +170,7 @@
     /// Writes an ownership table if its version is still `expected_epoch`.
     pub fn write_table(&self, data_centre: DataCentreKey, expected_epoch: u64, table: TableRecord) {
         self.control_job(ControlJob::WriteTable {
+            asked_us: self.clock.now_us(),
             data_centre,
             expected_epoch,
             table,
@@ -165,10 +182,6 @@
     }
 }
 
-fn table_path(data_centre: &str) -> String {
-    format!("owners/{data_centre}")
-}
-
 fn claim_path(claim: &Claim) -> String {
     format!(
         "{CLAIMS_PREFIX}{}/{}",
@@ -252,28 +265,33 @@
     }
 }
 
-fn run_control(
-    api: &ObjectApi,
-    vms: &VmList,
-    clock: Clock,
-    jobs: &Receiver<ControlJob>,
-    events: &Sender<Event>,
-) {
+fn run_control(api: &ObjectApi, clock: Clock, jobs: &Receiver<ControlJob>, events: &Sender<Event>) {
     for job in jobs {
         let event = match job {
-            ControlJob::ReadConfig => Some(config_event(api.get(CURRENT_PATH))),
+            ControlJob::ReadConfig => config_event(api.get(CURRENT_PATH)),
             ControlJob::ReadTable { data_centre, path } => {
-                Some(read_table(api, clock, data_centre, &path))
+                read_table(api, clock, data_centre, &path)
             }
-            ControlJob::ReadVmList => vms.read().ok().map(FleetEvent::VmList),
             ControlJob::WriteTable {
+                asked_us,
                 data_centre,
                 expected_epoch,
                 table,
-            } => Some(write_table(api, data_centre, expected_epoch, &table)),
+            } => {
+                let in_time = clock.now_us() < asked_us + TABLE_WRITE_AGE_US;
+                let write = || write_table(api, expected_epoch, table);
+                let epoch = in_time.then(write).flatten();
+                FleetEvent::TableWritten { data_centre, epoch }
+            }
         };
-        if let Some(event) = event {
-            let _ = events.send(Event::Fleet(event));
+        let _ = events.send(Event::Fleet(event));
+    }
+}
+
+fn run_vm_lists(vms: &VmList, jobs: &Receiver<()>, events: &Sender<Event>) {
+    for () in jobs {
+        if let Ok(list) = vms.read() {
+            let _ = events.send(Event::Fleet(FleetEvent::VmList(list)));
         }
     }
 }
@@ -300,42 +318,3 @@
     let stored: StoredConfig = serde_json::from_str(&object.value).ok()?;
     Some(stored.into_record(object.version))
 }
-
-fn read_table(api: &ObjectApi, clock: Clock, data_centre: DataCentreKey, path: &str) -> FleetEvent {
-    let sent_us = clock.now_us();
-    let table = match api.get(path) {
-        Ok(None) => None,
-        Ok(Some(object)) => match serde_json::from_str::<TableRecord>(&object.value) {
-            Ok(mut table) => {
-                table.epoch = object.version;
-                Some(table)
-            }
-            Err(_) => return FleetEvent::TableReadFailed(data_centre),
-        },
-        Err(_) => return FleetEvent::TableReadFailed(data_centre),
-    };
-    FleetEvent::TableRead {
-        data_centre,
-        sent_us,
-        table,
-    }
-}
-
-fn write_table(
-    api: &ObjectApi,
-    data_centre: DataCentreKey,
-    expected_epoch: u64,
-    table: &TableRecord,
-) -> FleetEvent {
-    let epoch = serde_json::to_string(table)
-        .ok()
-        .and_then(|value| {
-            api.put(&table_path(&table.data_centre), expected_epoch, &value)
-                .ok()
-        })
-        .and_then(|outcome| match outcome {
-            PutOutcome::Stored { version } => Some(version),
-            PutOutcome::Conflict(_) => None,
-        });
-    FleetEvent::TableWritten { data_centre, epoch }
-}
--- a/crates/types/src/ownership_table.rs
+++ b/crates/types/src/ownership_table.rs
@@ -8,7 +8,7 @@
 pub struct OwnershipTable {
     /// Data centre of the replicas and of their owners.
     pub data_centre: DataCentreKey,
-    /// Version of the object that holds the table; larger is newer.
+    /// Grows by one with each accepted table; larger is newer.
     pub epoch: u64,
     /// Nodes that may own replicas, sorted, without repeats.
     pub members: Vec<NodeKey>,
