--- a/crates/fleet/examples/spread.rs
+++ b/crates/fleet/examples/spread.rs
@@ -89,6 +89,18 @@
     (slowest, sum / changes, messages / changes, bytes / changes)
 }
 
+/// Reads, watches and writes of all nodes since the start.
+fn store_calls(world: &World) -> [u64; 3] {
+    let mut calls = [0; 3];
+    for node in world.running() {
+        let counters = node.fleet.as_ref().unwrap().counters();
+        calls[0] += counters.store_reads;
+        calls[1] += counters.store_watches;
+        calls[2] += counters.store_writes;
+    }
+    calls
+}
+
 fn main() {
     let arguments: Vec<_> = std::env::args().skip(1).collect();
     let mut counts: Vec<usize> = arguments.iter().flat_map(|it| it.parse()).collect();
@@ -117,18 +129,18 @@
                 );
             }
         }
-        let world = fleet(count, PushShape::Neighbours);
-        let totals = world
-            .running()
-            .map(|it| it.fleet.as_ref().unwrap().counters());
-        let (mut reads, mut watches, mut writes) = (0, 0, 0);
-        for counters in totals {
-            reads += counters.store_reads;
-            watches += counters.store_watches;
-            writes += counters.store_writes;
-        }
+        let mut world = fleet(count, PushShape::Neighbours);
+        let start = store_calls(&world);
+        world.run(30 * S);
+        let rest = store_calls(&world);
         println!(
-            "{count} nodes: store calls in the first 30 s: {reads} reads, {watches} watches, {writes} writes"
+            "{count} nodes: store calls in the first 30 s: {} reads, {} watches, {} writes; in the next 30 s: {} reads, {} watches, {} writes",
+            start[0],
+            start[1],
+            start[2],
+            rest[0] - start[0],
+            rest[1] - start[1],
+            rest[2] - start[2]
         );
     }
 }
