--- a/crates/fleet/src/gossip_message.rs
+++ b/crates/fleet/src/gossip_message.rs
@@ -3,6 +3,8 @@
 use crate::MemberUpdate;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::DisplayFromStr;
+use serde_with::serde_as;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -135,6 +137,7 @@
 }
 
 /// An ownership table by names, as stored at `owners/<data centre>`.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TableRecord {
     /// Name of the data centre.
@@ -145,6 +148,8 @@
     pub members: Vec<Arc<str>>,
     /// Replica to owner, by name.
     pub owners: BTreeMap<Arc<str>, Arc<str>>,
-    /// Random id of the write; tells whose update took effect.
+    /// Random id of the write; tells whose update took effect. Text in JSON, whose
+    /// numbers are exact only up to 2^53.
+    #[serde_as(as = "DisplayFromStr")]
     pub write_id: u64,
 }
--- a/crates/query/src/claim.rs
+++ b/crates/query/src/claim.rs
@@ -1,5 +1,7 @@
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::DisplayFromStr;
+use serde_with::serde_as;
 use std::sync::Arc;
 use wigeonhall_types::IndexVersion;
 
@@ -7,6 +9,7 @@
 ///
 /// Stored at `claims/<hour of issue>/<request id>`. Only the attempt whose token
 /// the record holds may send the request, and sends it to one target once.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Claim {
     /// Time at which the caller first issued the request id.
@@ -15,7 +18,9 @@
     pub outcome: ClaimOutcome,
     /// Id that the caller gave.
     pub request_id: Arc<str>,
-    /// Drawn anew by each attempt; tells whose create took effect.
+    /// Drawn anew by each attempt; tells whose create took effect. Text in JSON, whose
+    /// numbers are exact only up to 2^53.
+    #[serde_as(as = "DisplayFromStr")]
     pub token: u64,
 }
 
