Keep requests to an ended target process away from its successor

Cause: Target::restart changed the state first and broke the connections after it, so requests that the old process had read could run in the new one and count as a cold-start violation. Change: both happen under the lock of the state, and a request from a connection that the server broke is not run. The tests of wigeonhall-standins and wigeonhall-target pass.

--- a/crates/standins/src/http_message.rs
+++ b/crates/standins/src/http_message.rs
@@ -6,6 +6,8 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::thread;
 
 const MAX_BODY_BYTES: usize = 2 << 20;
@@ -15,6 +17,8 @@
 #[derive(Debug)]
 pub(crate) struct Request {
     pub(crate) body: Vec<u8>,
+    /// Whether the server broke the connection that it came from.
+    pub(crate) broken: Arc<AtomicBool>,
     /// Whether the peer asks to close the connection after the reply.
     pub(crate) close: bool,
     /// By name in lower case.
@@ -82,7 +86,7 @@
     }
 
     /// Returns `None` at the end of the connection or for a request of another form.
-    pub(crate) fn read(&mut self) -> io::Result<Option<Request>> {
+    pub(crate) fn read(&mut self, broken: &Arc<AtomicBool>) -> io::Result<Option<Request>> {
         let mut head = self.0.by_ref().take(MAX_HEAD_BYTES);
         let mut first = String::new();
         head.read_line(&mut first)?;
@@ -116,6 +120,7 @@
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         Ok(Some(Request {
             body,
+            broken: Arc::clone(broken),
             close: headers
                 .get("connection")
                 .is_some_and(|value| value.eq_ignore_ascii_case("close")),
--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -9,6 +9,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -64,6 +66,8 @@
 }
 
 struct Connection {
+    /// Set when the server breaks the connection.
+    broken: Arc<AtomicBool>,
     stream: TcpStream,
     thread: Option<JoinHandle<()>>,
 }
@@ -136,7 +140,9 @@
         let mut state = lock(&self.0);
         let ids = state.connections.keys().copied().collect::<Vec<_>>();
         for id in ids {
-            shut(&state.connections[&id].stream);
+            let connection = &state.connections[&id];
+            connection.broken.store(true, Ordering::Relaxed);
+            shut(&connection.stream);
             state.remove(id);
         }
     }
@@ -192,11 +198,12 @@
             continue;
         }
         let ready = Instant::now() + guard.policy.connect;
+        let broken = Arc::clone(&guard.connections[&id].broken);
         let thread = thread::Builder::new().stack_size(256 << 10).spawn({
             let state = Arc::clone(state);
             let handler = Arc::clone(handler);
             move || {
-                serve(&stream, ready, &handler);
+                serve(&stream, ready, &broken, &handler);
                 close(&state, id);
             }
         });
@@ -216,8 +223,12 @@
     fn admit(&mut self, id: u64, stream: &TcpStream) -> bool {
         match (self.can_admit(), stream.try_clone()) {
             (Admission::Open, Ok(stream)) => {
-                let thread = None;
-                self.connections.insert(id, Connection { stream, thread });
+                let connection = Connection {
+                    broken: Arc::default(),
+                    stream,
+                    thread: None,
+                };
+                self.connections.insert(id, connection);
                 self.counts.opened += 1;
                 self.counts.open += 1;
                 self.counts.max_open = self.counts.max_open.max(self.counts.open);
@@ -286,10 +297,10 @@
     lock(state).remove(id);
 }
 
-fn serve(stream: &TcpStream, ready: Instant, handler: &Arc<Handler>) {
+fn serve(stream: &TcpStream, ready: Instant, broken: &Arc<AtomicBool>, handler: &Arc<Handler>) {
     let _ = stream.set_nodelay(true);
     let mut reader = MessageReader::new(stream);
-    while let Ok(Some(request)) = reader.read() {
+    while let Ok(Some(request)) = reader.read(broken) {
         thread::sleep(ready.saturating_duration_since(Instant::now()));
         let Reply::Send { body, status } = handler(&request) else {
             return;
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -179,8 +180,12 @@
     /// Breaks all connections; the target comes back at once with another
     /// identity and cold.
     pub fn restart(&self) {
-        self.change(State::restart);
+        // The new process sees nothing that was sent to the old one.
+        let mut state = lock(&self.shared.state);
+        state.restart();
         self.shared.break_connections();
+        drop(state);
+        self.shared.changed.notify_all();
     }
 
     /// Adds `version` with the ranges of the newest one and retires all but the
@@ -315,6 +320,9 @@
         };
         let arrived = Instant::now();
         let mut state = lock(&self.state);
+        if request.broken.load(Ordering::Relaxed) {
+            return Reply::Close;
+        }
         let served = match admit(&mut state, attempt, &body) {
             Ok(served) => served,
             Err(reply) => return reply,
