Treat a target as cold whose idle connections broke

Cause: a target that restarted while no request ran at it broke its idle connections, which end no request, so the gate went on as if it were warm and started two requests at once at a cold target. The pool counts broken connections, but nobody read the count. Change: before a send the engine compares the count; if it has grown, the gate is told that the sub-request was not sent, and the replica comes back from cold after a probe.

Reads that fail as a target restarts under load are those whose retry the 5% budget did not pay for; the tests bound their number by budget_refusals.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -54,6 +54,8 @@
 #[derive(Debug)]
 pub struct Engine {
     pub(crate) boot: u64,
+    /// Broken connections of each replica that the gate knows of.
+    pub(crate) broken_connections: HashMap<ReplicaKey, u64>,
     pub(crate) burn: Recorder,
     pub(crate) catalog: Catalog,
     /// Local time of the last clean-up of old claims.
@@ -98,6 +100,11 @@
 /// Input of one of the cores.
 #[derive(Debug)]
 pub(crate) enum Input {
+    /// The gate knows of this many broken connections.
+    BrokenConnections {
+        broken: u64,
+        replica: ReplicaKey,
+    },
     Fleet(FleetEvent),
     Gate(GateEvent),
     Query(QueryEvent),
@@ -190,6 +197,9 @@
         while let Some(input) = self.pending.pop_front() {
             let now_us = self.clock.now_us();
             match input {
+                Input::BrokenConnections { broken, replica } => {
+                    self.broken_connections.insert(replica, broken);
+                }
                 Input::Fleet(event) => self.run_fleet(now_us, event),
                 Input::Gate(event) => self.run_gate(now_us, event),
                 Input::Query(event) => self.run_query(now_us, event),
--- a/crates/node/src/engine_gate.rs
+++ b/crates/node/src/engine_gate.rs
@@ -14,6 +14,8 @@
 use wigeonhall_types::ReplicaReport;
 use wigeonhall_types::SubOutcome;
 use wigeonhall_types::SubRequest;
+use wigeonhall_types::TargetOutcome;
+use wigeonhall_types::TargetReply;
 
 impl Engine {
     pub(crate) fn run_gate(&mut self, now_us: u64, event: GateEvent) {
@@ -67,8 +69,11 @@
         });
     }
 
-    fn send_to_target(&self, now_us: u64, sub: &SubRequest) {
+    fn send_to_target(&mut self, now_us: u64, sub: &SubRequest) {
         let attempt = sub.attempt;
+        if self.lost_connections(sub) {
+            return;
+        }
         let budget_us = sub.deadline_us.saturating_sub(now_us);
         let class = self.catalog.class_name(sub.class);
         let events = self.events.clone();
@@ -78,6 +83,35 @@
         });
     }
 
+    /// Whether connections to the replica broke since the gate last heard of it. The
+    /// target may have restarted then, so the gate is told that the sub-request was
+    /// not sent, and the replica takes work again after a probe, from cold. Without
+    /// this the slots of a warm replica start at once at a target that is cold:
+    /// connections that break while they are idle end no request.
+    fn lost_connections(&mut self, sub: &SubRequest) -> bool {
+        let replica = sub.replica;
+        let broken = self.targets.replica_counters(replica).broken;
+        let known = *self.broken_connections.entry(replica).or_insert(broken);
+        if known == broken {
+            return false;
+        }
+        self.metrics.count("unsent_after_connection_loss");
+        let event = GateEvent::TargetReply {
+            attempt: sub.attempt,
+            reply: TargetReply {
+                instance: None,
+                outcome: TargetOutcome::Unreachable,
+                served: Vec::new(),
+            },
+        };
+        self.pending.push_back(Input::Gate(event));
+        // Other sub-requests that the gate starts before it takes the event are not
+        // sent either.
+        self.pending
+            .push_back(Input::BrokenConnections { broken, replica });
+        true
+    }
+
     fn respond(&mut self, attempt: AttemptId, outcome: SubOutcome, report: Option<ReplicaReport>) {
         match self.submitted.remove(&attempt) {
             Some(Submitter::Local) => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -181,6 +181,7 @@
     };
     Engine {
         boot,
+        broken_connections: HashMap::new(),
         burn: Recorder::new(clock.now_us()),
         catalog,
         clock,
--- a/crates/node/tests/common/load.rs
+++ b/crates/node/tests/common/load.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use wigeonhall_node::CallerAnswer;
 use wigeonhall_node::StatusName;
+use wigeonhall_protocol::Explanation;
 
 use super::assert_whole;
 use super::is_healthy;
@@ -144,7 +146,8 @@
                 }
                 Ok(answer) => {
                     let reason = answer.reason.as_deref().unwrap_or("none");
-                    let key = format!("{:?} {reason} {:?}", answer.status, answer.verdict);
+                    let steps = steps(node.address, &answer);
+                    let key = format!("{:?} {reason} {:?}{steps}", answer.status, answer.verdict);
                     *tally.others.entry(key).or_default() += 1;
                 }
                 Err(error) => tally.broken.push(error),
@@ -155,7 +158,33 @@
     }
 }
 
+/// What the node decided on a request, to explain a failed test.
+fn steps(address: SocketAddr, answer: &CallerAnswer) -> String {
+    let Some(id) = &answer.request_id else {
+        return String::new();
+    };
+    let explained: Explanation = super::get(address, &format!("/explain?request={id}"));
+    let steps = explained.decisions.iter().map(|it| {
+        let replica = it.replica.as_deref().unwrap_or("");
+        format!("; {replica} {} {}", it.what, it.reason)
+    });
+    steps.collect()
+}
+
 impl Tally {
+    /// Checks that every read was answered, and whole but for those whose second try
+    /// the budget of their service did not pay for: the design allows extra
+    /// sub-requests for 5% only. Traces of reads that failed as a target restarted
+    /// show one failed sub-request and no retry.
+    pub fn assert_whole_within_budget(&self, address: SocketAddr) {
+        assert!(self.broken.is_empty(), "{self:?}");
+        let others: u64 = self.others.values().sum();
+        super::wait_until("the counters", || {
+            others <= super::counter(address, "query", "budget_refusals")
+        });
+        assert!(self.whole > others, "{self:?}");
+    }
+
     /// Checks that every read was answered whole.
     pub fn assert_all_whole(&self) {
         assert!(self.broken.is_empty(), "{self:?}");
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -391,6 +391,15 @@
     get(address, "/status")
 }
 
+/// A counter of a core of a node.
+pub fn counter(address: SocketAddr, core: &str, decision: &str) -> u64 {
+    let text = attohttpc::get(format!("http://{address}/metrics")).send();
+    let text = text.unwrap().text().unwrap();
+    let head = format!("wigeonhall_decisions_total{{core=\"{core}\",decision=\"{decision}\"}} ");
+    let value = text.lines().find_map(|it| it.strip_prefix(&head));
+    value.unwrap().parse().unwrap()
+}
+
 /// Checks that an answer is whole, from this version, and holds every row once.
 pub fn assert_whole(answer: &CallerAnswer) {
     assert_eq!(answer.status, StatusName::Whole, "{answer:?}");
