Keep a stopping node up until the others know the new owners

Cause: a node that had handed over its replicas exited at once. Change: the stopping node stays up for 2 s more and answers "not owner".

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -44,6 +44,10 @@
 /// Time in which the balancer notices that the health check fails.
 pub(crate) const BALANCER_LAG_MS: u64 = 2_000;
 
+/// Time in which the other nodes learn the new owners of this node's replicas; two
+/// periods of the exchange of digests.
+pub(crate) const OWNERS_LAG_MS: u64 = 2_000;
+
 /// Time between two clean-ups of old claims.
 const CLAIM_CLEAN_UP_US: u64 = 3_600_000_000;
 
@@ -132,8 +136,11 @@
     Finishing,
     /// Replicas are handed over.
     Leaving,
-    /// Replicas are handed over; running sub-requests end.
-    Draining,
+    /// Replicas are handed over; running sub-requests end. Until this local time
+    /// nodes that do not know the new owners yet are told so instead of cut off.
+    Draining {
+        until_us: u64,
+    },
     Stopped,
 }
 
@@ -303,7 +310,10 @@
             self.pending.push_back(Input::Fleet(FleetEvent::Stop));
             self.settle();
         }
-        if self.stage == Stage::Draining && self.gate.open_requests() == 0 {
+        if let Stage::Draining { until_us } = self.stage
+            && self.clock.now_us() >= until_us
+            && self.gate.open_requests() == 0
+        {
             log::info!("planned stop: all work has ended");
             self.stage = Stage::Stopped;
         }
--- a/crates/node/src/engine_fleet.rs
+++ b/crates/node/src/engine_fleet.rs
@@ -1,6 +1,7 @@
 use crate::engine::BALANCER_LAG_MS;
 use crate::engine::Engine;
 use crate::engine::Input;
+use crate::engine::OWNERS_LAG_MS;
 use crate::engine::Stage;
 use std::sync::Arc;
 use wigeonhall_fleet::ConfigRecord;
@@ -70,7 +71,8 @@
             FleetAction::Send { message, to } => self.peers.gossip(to, message),
             FleetAction::Stopped => {
                 if self.stage == Stage::Leaving {
-                    self.stage = Stage::Draining;
+                    let until_us = self.clock.now_us() + OWNERS_LAG_MS * 1_000;
+                    self.stage = Stage::Draining { until_us };
                 }
             }
             FleetAction::WatchConfig(generation) => self.store.watch_config(generation),
