--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -41,12 +41,13 @@
 /// Sleep of the decision thread during a planned stop.
 const STOP_POLL_MS: u64 = 2;
 
-/// Time for which a node that has handed its replicas over still refuses sub-requests.
-pub(crate) const LINGER_MS: u64 = 1_000;
-
 /// Time in which the balancer notices that the health check fails.
 pub(crate) const BALANCER_LAG_MS: u64 = 2_000;
 
+/// Time in which the other nodes learn the new owners of this node's replicas; two
+/// periods of the exchange of digests.
+pub(crate) const OWNERS_LAG_MS: u64 = 2_000;
+
 /// Time between two clean-ups of old claims.
 const CLAIM_CLEAN_UP_US: u64 = 3_600_000_000;
 
@@ -57,6 +58,8 @@
 #[derive(Debug)]
 pub struct Engine {
     pub(crate) boot: u64,
+    /// Broken connections of each replica that the gate knows of.
+    pub(crate) broken_connections: HashMap<ReplicaKey, u64>,
     pub(crate) burn: Recorder,
     pub(crate) catalog: Catalog,
     /// Local time of the last clean-up of old claims.
@@ -101,6 +104,11 @@
 /// Input of one of the cores.
 #[derive(Debug)]
 pub(crate) enum Input {
+    /// The gate knows of this many broken connections.
+    BrokenConnections {
+        broken: u64,
+        replica: ReplicaKey,
+    },
     Fleet(FleetEvent),
     Gate(GateEvent),
     Query(QueryEvent),
@@ -128,11 +136,8 @@
     Finishing,
     /// Replicas are handed over.
     Leaving,
-    /// Replicas are handed over; running sub-requests end.
-    ///
-    /// Until this local time late sub-requests are still refused as not owned, because
-    /// other nodes learn of the new owners a little later. A closed connection would
-    /// leave them not knowing whether the sub-request ran.
+    /// Replicas are handed over; running sub-requests end. Until this local time
+    /// nodes that do not know the new owners yet are told so instead of cut off.
     Draining {
         until_us: u64,
     },
@@ -199,6 +204,9 @@
         while let Some(input) = self.pending.pop_front() {
             let now_us = self.clock.now_us();
             match input {
+                Input::BrokenConnections { broken, replica } => {
+                    self.broken_connections.insert(replica, broken);
+                }
                 Input::Fleet(event) => self.run_fleet(now_us, event),
                 Input::Gate(event) => self.run_gate(now_us, event),
                 Input::Query(event) => self.run_query(now_us, event),
