Record whole sessions of a small deployment as golden files

The measured world had a fixed owner for each replica, no leases and no writes, and nothing showed how the cores of several nodes work together. A Session runs the same world after a script: callers, operators and faults at stated times, a fake store with claims, outage, slowness and lost replies, leases, and tables that move a replica with or without its hand-over. A trace of typed events records who says what to whom; it exists only in a session, so a measured run pays one branch per event. The transcript renders the trace with names, one line a message, times in milliseconds.

--- a/crates/measure/src/event_queue.rs
+++ b/crates/measure/src/event_queue.rs
@@ -35,6 +35,12 @@
         self.heap.push(Reverse((at_us, self.sequence, index)));
     }
 
+    /// Time of the next event.
+    #[must_use]
+    pub fn next_us(&self) -> Option<u64> {
+        self.heap.peek().map(|Reverse((at_us, _, _))| *at_us)
+    }
+
     /// Takes the next event and its time.
     pub fn pop(&mut self) -> Option<(u64, T)> {
         let Reverse((at_us, _, index)) = self.heap.pop()?;
--- /dev/null
+++ b/crates/measure/src/fake_store.rs
@@ -0,0 +1,43 @@
+use crate::StoreMode;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use wigeonhall_query::Claim;
+use wigeonhall_query::ClaimResult;
+
+/// The object API as the claims of writes see it.
+#[derive(Clone, Debug, Default)]
+pub struct FakeStore {
+    /// Claim of each request id and the version of its object.
+    claims: BTreeMap<Arc<str>, (Claim, u64)>,
+    /// Replies that will be lost after their call took effect.
+    pub lose_replies: u32,
+    /// How it answers.
+    pub mode: StoreMode,
+}
+
+impl FakeStore {
+    /// Creates a claim, or replaces the one at version `expected`.
+    pub fn put(&mut self, claim: Claim, expected: Option<u64>) -> ClaimResult {
+        let held = self.claims.get(&claim.request_id);
+        let found = held.map(|(_, version)| *version);
+        if found != expected {
+            return self.read(&claim.request_id);
+        }
+        let version = found.unwrap_or(0) + 1;
+        let id = Arc::clone(&claim.request_id);
+        self.claims.insert(id, (claim, version));
+        ClaimResult::Stored { version }
+    }
+
+    /// Reads a claim back.
+    #[must_use]
+    pub fn read(&self, request_id: &str) -> ClaimResult {
+        match self.claims.get(request_id) {
+            Some((held, version)) => ClaimResult::Conflict {
+                held: held.clone(),
+                version: *version,
+            },
+            None => ClaimResult::Unknown,
+        }
+    }
+}
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -6,11 +6,15 @@
 
 use crate::RunResult;
 use crate::Scenario;
+use crate::Step;
+use crate::TraceEvent;
 use crate::event_queue::EventQueue;
 use crate::fake_target::FakeTarget;
 use crate::load;
 use crate::network::Network;
 use crate::scenario::Fault;
+use crate::session::SessionState;
+use crate::session_store::StoreCall;
 use wigeonhall_gate::Gate;
 use wigeonhall_gate::GateEvent;
 use wigeonhall_query::Coordinator;
@@ -20,8 +24,10 @@
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::Deployment;
+use wigeonhall_types::HandOverState;
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::NodeKey;
+use wigeonhall_types::OwnershipTable;
 use wigeonhall_types::ReplicaKey;
 use wigeonhall_types::SubRequest;
 
@@ -41,6 +47,8 @@
     pub(crate) rates: BTreeMap<ClassKey, f64>,
     pub(crate) result: RunResult,
     pub(crate) rng: Rng,
+    /// Set only while a session runs.
+    pub(crate) session: Option<Box<SessionState>>,
     /// Arrivals before this time are not counted.
     pub(crate) measure_from_us: u64,
     pub(crate) targets: BTreeMap<ReplicaKey, FakeTarget>,
@@ -63,7 +71,7 @@
     pub(crate) started_us: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Event {
     Arrival(ClassKey),
     Cancel(NodeKey, AttemptId),
@@ -71,6 +79,14 @@
     Deployment(NodeKey, Arc<Deployment>),
     Fault(Fault),
     Gate(NodeKey, GateEvent),
+    HandOver {
+        epoch: u64,
+        from: NodeKey,
+        replica: ReplicaKey,
+        state: HandOverState,
+        to: NodeKey,
+    },
+    LeaseAsk(NodeKey),
     Probe(NodeKey, ReplicaKey),
     Query(NodeKey, QueryEvent),
     ReportsAsked {
@@ -79,11 +95,25 @@
     },
     Restart(ReplicaKey),
     RollTarget(ReplicaKey, IndexVersion),
+    Step(Step),
+    StoreCall {
+        call: StoreCall,
+        /// The node gave up waiting for the reply.
+        late: bool,
+        node: NodeKey,
+    },
+    StoreReadBack(NodeKey, StoreCall),
     Submit {
         from: NodeKey,
         to: NodeKey,
         sub: SubRequest,
     },
+    Table(NodeKey, Arc<OwnershipTable>),
+    TakeOver {
+        epoch: u64,
+        node: NodeKey,
+        replica: ReplicaKey,
+    },
     TargetDone(ReplicaKey, AttemptId, u64),
     TargetStart(NodeKey, SubRequest),
     Wake(NodeKey),
@@ -121,6 +151,9 @@
     }
 
     pub(crate) fn step(&mut self, now_us: u64, event: Event) {
+        if self.session.is_some() && !self.admit(now_us, &event) {
+            return;
+        }
         match event {
             Event::Arrival(class) => self.arrive(now_us, class),
             Event::Cancel(node, attempt) => {
@@ -135,6 +168,14 @@
             }
             Event::Fault(fault) => self.fault(now_us, fault),
             Event::Gate(node, event) => self.feed_gate(now_us, node, event),
+            Event::HandOver {
+                epoch,
+                replica,
+                state,
+                to,
+                ..
+            } => self.handed_over(now_us, to, epoch, replica, state),
+            Event::LeaseAsk(node) => self.ask_lease(now_us, node),
             Event::Probe(node, replica) => self.probe(now_us, node, replica),
             Event::Query(node, event) => self.feed_query(now_us, node, event),
             Event::ReportsAsked { from, to } => self.send_reports(now_us, from, to),
@@ -142,14 +183,27 @@
                 let instance = self.next_instance;
                 self.next_instance += 1;
                 self.target(replica).restart(instance);
+                self.note(now_us, || TraceEvent::TargetStarted(replica, instance));
+            }
+            Event::RollTarget(replica, version) => {
+                self.note(now_us, || TraceEvent::Rolled(replica, version));
+                self.roll_target(replica, version);
             }
-            Event::RollTarget(replica, version) => self.roll_target(replica, version),
+            Event::Step(step) => self.session_step(now_us, step),
+            Event::StoreCall { call, late, node } => self.store_takes(now_us, node, call, late),
+            Event::StoreReadBack(node, call) => self.store_read_back(now_us, node, &call),
             Event::Submit { from, to, sub } => {
                 if let Some(node) = self.nodes.get_mut(&to) {
                     node.submitters.insert(sub.attempt, from);
                     self.feed_gate(now_us, to, GateEvent::Submit(sub));
                 }
             }
+            Event::Table(node, table) => self.table(now_us, node, &table),
+            Event::TakeOver {
+                epoch,
+                node,
+                replica,
+            } => self.take_over(now_us, node, replica, epoch),
             Event::TargetDone(replica, attempt, instance) => {
                 self.target_done(now_us, replica, attempt, instance);
             }
--- a/crates/measure/src/world_nodes.rs
+++ b/crates/measure/src/world_nodes.rs
@@ -1,5 +1,6 @@
 //! Nodes of a world: their cores, and the messages between them.
 
+use crate::TraceEvent;
 use crate::World;
 use crate::load;
 use crate::shards;
@@ -67,21 +68,26 @@
 
     pub(crate) fn do_query_action(&mut self, now_us: u64, from: NodeKey, action: QueryAction) {
         match action {
-            QueryAction::Answer { id, answer } => self.answered(now_us, id, &answer),
+            QueryAction::Answer { id, answer } => {
+                self.answered(now_us, id, &answer);
+                self.note(now_us, || TraceEvent::Answered(from, id, answer));
+            }
             QueryAction::AskReports(to) => {
-                let at_us = now_us + self.between(from, to);
-                self.events.push(at_us, Event::ReportsAsked { from, to });
+                self.send(now_us, from, to, Event::ReportsAsked { from, to });
             }
             QueryAction::Cancel { attempt, node } => {
-                let at_us = now_us + self.between(from, node);
-                self.events.push(at_us, Event::Cancel(node, attempt));
+                self.send(now_us, from, node, Event::Cancel(node, attempt));
             }
             QueryAction::Send { node: to, sub } => {
-                let at_us = now_us + self.between(from, to);
-                self.events.push(at_us, Event::Submit { from, to, sub });
+                self.send(now_us, from, to, Event::Submit { from, to, sub });
+            }
+            // The load of a measured run holds no writes.
+            QueryAction::CreateClaim { claim, id } => {
+                self.call_store(now_us, from, id, claim, None);
+            }
+            QueryAction::UpdateClaim { claim, id, version } => {
+                self.call_store(now_us, from, id, claim, Some(version));
             }
-            // Writes are not part of the load.
-            QueryAction::CreateClaim { .. } | QueryAction::UpdateClaim { .. } => {}
         }
     }
 
@@ -129,6 +135,9 @@
     pub(crate) fn do_gate_action(&mut self, now_us: u64, key: NodeKey, action: GateAction) {
         match action {
             GateAction::CancelAtTarget { attempt, replica } => {
+                self.note(now_us, || {
+                    TraceEvent::CancelledAtTarget(key, replica, attempt)
+                });
                 let at_us = now_us + self.network.within_us;
                 self.events
                     .push(at_us, Event::CancelAtTarget(replica, attempt));
@@ -151,17 +160,32 @@
                     outcome,
                     report,
                 };
-                let at_us = now_us + self.between(key, to);
-                self.events.push(at_us, Event::Query(to, reply));
+                self.send(now_us, key, to, Event::Query(to, reply));
             }
             GateAction::Send(sub) => {
+                self.note(now_us, || TraceEvent::Started(key, sub.clone()));
                 let at_us = now_us + self.network.within_us;
                 self.events.push(at_us, Event::TargetStart(key, sub));
             }
-            // Ownership does not change here, and connections stay open.
-            GateAction::CloseConnections(_)
-            | GateAction::HandOver { .. }
-            | GateAction::OpenConnections { .. } => {}
+            // Ownership changes only in sessions.
+            GateAction::HandOver {
+                epoch,
+                replica,
+                state,
+                to,
+            } => self.hand_over(now_us, key, to, epoch, replica, state),
+            // Connections stay open.
+            GateAction::CloseConnections(_) | GateAction::OpenConnections { .. } => {}
+        }
+    }
+
+    /// Sends a message to another node.
+    fn send(&mut self, now_us: u64, from: NodeKey, to: NodeKey, event: Event) {
+        let at_us = now_us + self.between(from, to);
+        if self.session.is_some() {
+            self.send_in_session(now_us, at_us, from, to, event);
+        } else {
+            self.events.push(at_us, event);
         }
     }
 
@@ -201,10 +225,9 @@
     }
 
     pub(crate) fn send_reports(&mut self, now_us: u64, from: NodeKey, to: NodeKey) {
-        let at_us = now_us + self.between(to, from);
         for (replica, report) in self.nodes[&to].gate.reports(now_us) {
             let event = QueryEvent::Report { replica, report };
-            self.events.push(at_us, Event::Query(from, event));
+            self.send(now_us, to, from, Event::Query(from, event));
         }
     }
 }
--- a/crates/measure/src/world_setup.rs
+++ b/crates/measure/src/world_setup.rs
@@ -11,6 +11,7 @@
 use crate::event_queue::EventQueue;
 use crate::fake_target::FakeTarget;
 use crate::network::Network;
+use crate::session::SessionState;
 use crate::shards;
 use crate::world::Event;
 use crate::world::SimNode;
@@ -29,8 +30,29 @@
     /// data centre.
     #[must_use]
     pub fn new(deployment: Deployment, network: Network, seed: u64) -> Self {
+        let mut world = Self::empty(deployment, network, seed);
+        world.add_targets();
+        world.add_nodes(seed);
+        world
+    }
+
+    /// A world in which a session runs.
+    pub(crate) fn with_session(
+        deployment: Deployment,
+        network: Network,
+        seed: u64,
+        state: SessionState,
+    ) -> Self {
+        let mut world = Self::empty(deployment, network, seed);
+        world.session = Some(Box::new(state));
+        world.add_targets();
+        world.add_nodes(seed);
+        world
+    }
+
+    fn empty(deployment: Deployment, network: Network, seed: u64) -> Self {
         let deployment = Arc::new(deployment);
-        let mut world = Self {
+        Self {
             deployment: Arc::clone(&deployment),
             events: EventQueue::default(),
             held: HashMap::new(),
@@ -43,13 +65,11 @@
             rates: BTreeMap::new(),
             result: RunResult::default(),
             rng: Rng::with_seed(seed),
+            session: None,
             measure_from_us: 0,
             targets: BTreeMap::new(),
             version: IndexVersion(10),
-        };
-        world.add_targets();
-        world.add_nodes(seed);
-        world
+        }
     }
 
     pub(crate) fn add_targets(&mut self) {
@@ -84,15 +104,20 @@
             self.nodes.insert(key, node);
             self.events
                 .push(0, Event::Deployment(key, Arc::clone(&deployment)));
-            self.events
-                .push(0, Event::Gate(key, GateEvent::LeaseUntil(u64::MAX)));
+            if self.session.is_some() {
+                self.events.push(0, Event::LeaseAsk(key));
+            } else {
+                let lease = GateEvent::LeaseUntil(u64::MAX);
+                self.events.push(0, Event::Gate(key, lease));
+            }
         }
         for table in ownership(&deployment) {
+            self.start_table(&table);
             for (&replica, &node) in &table.owners {
                 let grant = GateEvent::Grant {
                     epoch: table.epoch,
                     replica,
-                    state: None,
+                    state: self.state_at_start(replica),
                 };
                 self.events.push(0, Event::Gate(node, grant));
             }
--- a/crates/measure/src/world_targets.rs
+++ b/crates/measure/src/world_targets.rs
@@ -1,5 +1,6 @@
 //! Targets of a world, and what they tell the gates.
 
+use crate::TraceEvent;
 use crate::World;
 use crate::fake_target::Arrival;
 use crate::fake_target::FakeTarget;
@@ -10,6 +11,7 @@
 use wigeonhall_gate::GateEvent;
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::IndexVersion;
+use wigeonhall_types::KeyRange;
 use wigeonhall_types::NodeKey;
 use wigeonhall_types::Operation;
 use wigeonhall_types::ReplicaKey;
@@ -55,6 +57,7 @@
             },
             Arrival::VersionGone => TargetOutcome::VersionGone,
         };
+        self.note(now_us, || TraceEvent::TargetEnded(replica, attempt));
         self.target_reply(now_us, node, replica, attempt, outcome);
     }
 
@@ -63,7 +66,10 @@
             let target = self.target(replica);
             (target.factor(), target.instance)
         };
-        let at_us = now_us + load::service_time_us(&mut self.rng, factor);
+        let mut at_us = now_us + load::service_time_us(&mut self.rng, factor);
+        if self.session.is_some() {
+            at_us = self.began(now_us, replica, attempt, instance, at_us);
+        }
         self.events
             .push(at_us, Event::TargetDone(replica, attempt, instance));
     }
@@ -85,7 +91,12 @@
         let Some((node, sub)) = self.held.remove(&attempt) else {
             return;
         };
-        let outcome = self.run_sub(replica, &sub);
+        self.note(now_us, || TraceEvent::TargetEnded(replica, attempt));
+        let outcome = if self.session.is_some() {
+            self.session_outcome(now_us, replica, &sub)
+        } else {
+            self.run_sub(replica, &sub)
+        };
         self.target_reply(now_us, node, replica, attempt, outcome);
     }
 
@@ -95,12 +106,18 @@
         let Some(version) = sub.version.or(newest) else {
             return TargetOutcome::VersionGone;
         };
-        let Operation::Read { range } = sub.operation else {
-            return TargetOutcome::BadReply;
+        let range = match sub.operation {
+            Operation::Read { range } => range,
+            Operation::Write { key, .. } => KeyRange {
+                start: key,
+                end: key + 1,
+            },
         };
         let ranges = target.ranges(version, range);
+        let reads = sub.operation.is_idempotent();
         let rows = ranges
             .iter()
+            .filter(|_| reads)
             .flat_map(|&it| shards::rows(it, version))
             .collect();
         TargetOutcome::Answered {
@@ -177,6 +194,7 @@
             self.plan_done(now_us, replica, next);
         }
         if let Some((node, _)) = self.held.remove(&attempt) {
+            self.note(now_us, || TraceEvent::TargetEnded(replica, attempt));
             self.target_reply(now_us, node, replica, attempt, TargetOutcome::Cancelled);
         }
     }
@@ -184,6 +202,7 @@
     pub(crate) fn crash(&mut self, now_us: u64, replica: ReplicaKey) {
         for attempt in self.target(replica).crash() {
             if let Some((node, _)) = self.held.remove(&attempt) {
+                self.note(now_us, || TraceEvent::TargetEnded(replica, attempt));
                 let outcome = TargetOutcome::ConnectionLost;
                 self.target_reply(now_us, node, replica, attempt, outcome);
             }
@@ -193,6 +212,10 @@
     pub(crate) fn roll_target(&mut self, replica: ReplicaKey, version: IndexVersion) {
         let service = self.deployment.replicas[&replica].service;
         let (index, count) = shard_position(&self.deployment, service);
+        let newest = self.target(replica).served.last().map(|it| it.version);
+        if newest.is_some_and(|it| it >= version) {
+            return;
+        }
         self.target(replica).served = shards::served(index, count, version);
     }
 }
--- /dev/null
+++ b/crates/measure/tests/common/mod.rs
@@ -0,0 +1,70 @@
+//! Small deployments for sessions.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::fmt::Write;
+
+use wigeonhall_measure::Network;
+use wigeonhall_measure::Site;
+use wigeonhall_types::Catalog;
+
+pub const MS: u64 = 1_000;
+pub const SECOND: u64 = 1_000 * MS;
+
+const DATA_CENTRES: [&str; 3] = ["greenwood", "clarksdale", "yazoo"];
+
+/// Three shard services of two replicas in different data centres, one read class and
+/// one write class over them, and this many nodes in each data centre.
+pub fn site(data_centres: usize, nodes: usize) -> Site {
+    let places = &DATA_CENTRES[..data_centres];
+    let mut text = String::from(
+        "region: delta-south\ndefaults:\n  slots: 2\n  connections: 8\n  connect_us: 1000\n  \
+         cold: { slots: 1, requests_per_s: 4 }\ndata_centres:\n",
+    );
+    for place in places {
+        writeln!(text, "  {place}:").unwrap();
+    }
+    text += "services:\n";
+    for (name, kind) in [("ledger", "read"), ("fill-log", "write")] {
+        writeln!(text, "  {name}:\n    kind: {kind}").unwrap();
+        text += "    depends_on: [shard-1..3]\n    deadline_ms: 1000\n";
+        text += "    level: { latency_ms: 360, objective: 0.999 }\n";
+    }
+    for shard in 1..=3 {
+        writeln!(text, "  shard-{shard}:\n    replicas:").unwrap();
+        for (position, letter) in ["a", "b"].into_iter().enumerate() {
+            let index = (shard - 1 + position) % data_centres;
+            let place = places[index];
+            let port = 7000 + shard * 10 + position;
+            writeln!(
+                text,
+                "      shard-{shard}-{letter}: {place} 127.1.{index}.1:{port}"
+            )
+            .unwrap();
+        }
+    }
+    text += "vms:\n";
+    for (index, place) in places.iter().enumerate() {
+        for node in 1..=nodes {
+            let address = format!("127.1.{index}.{}", 10 + node);
+            writeln!(
+                text,
+                "  {place}-{node}: {place} {address}:4100 {address}:8080"
+            )
+            .unwrap();
+        }
+    }
+    let text = wigeonhall_settings::parse(&text).expect("the text is valid");
+    let mut catalog = Catalog::default();
+    let deployment = wigeonhall_settings::resolve(&text, 1, &mut catalog);
+    Site {
+        catalog,
+        deployment,
+        name: "sessions",
+        network: Network {
+            between_us: MS,
+            caller_us: 3 * MS,
+            within_us: 100,
+        },
+    }
+}
