Drop a doubled sub-request at the gate after the first one ended

The gate knew an attempt only while it waited or ran. A second copy of its submit message that arrived after the end was taken as new work: a write ran twice, and a copy of a read that was refused answered "not run" for what had run, if the reply to the first copy was lost.

The gate now keeps the ids of submitted sub-requests until their deadline; past it a copy is refused anyway.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -31,6 +31,9 @@
     places: BTreeMap<AttemptId, Place>,
     /// Owned replicas, and revoked ones with requests or a probe that still run.
     pub(crate) replicas: BTreeMap<ReplicaKey, ReplicaGate>,
+    /// Sub-requests submitted, until their deadline. A late double of one that ended would
+    /// run a write again, or refuse as "not run" what has run.
+    submitted: BTreeSet<(u64, AttemptId)>,
     /// Replicas for which a sub-request waits.
     waiting: BTreeSet<ReplicaKey>,
     /// Each replica's next wake-up, in order.
@@ -160,6 +163,16 @@
             self.counters.duplicate_submits += 1;
             return;
         }
+        while let Some(&(deadline_us, _)) = self.submitted.first()
+            && deadline_us <= self.now_us
+        {
+            self.submitted.pop_first();
+        }
+        let submitted = (request.deadline_us, request.attempt);
+        if request.deadline_us > self.now_us && !self.submitted.insert(submitted) {
+            self.counters.duplicate_submits += 1;
+            return;
+        }
         let (attempt, replica) = (request.attempt, request.replica);
         if self.update(replica, actions, |it, turn| it.submit(turn, request)) {
             return;
