Fuzz whole sessions of several nodes against an oracle

The cores were fuzzed one by one; nothing checked the promises of the design page over several nodes.

Every session node now takes the same seed: the seed of the measured world is mixed with the node's key as the boot id is, so that nodes with even keys drew equal claim tokens.

--- a/crates/measure/src/session.rs
+++ b/crates/measure/src/session.rs
@@ -37,6 +37,8 @@
 /// What a world holds only while it runs a session.
 #[derive(Debug, Default)]
 pub(crate) struct SessionState {
+    /// Deadlines of all requests so far.
+    pub deadlines: BTreeSet<u64>,
     /// Configuration generation in force at each node.
     pub generations: BTreeMap<NodeKey, u64>,
     /// Epoch of the table that each node knows of its data centre.
--- a/crates/measure/src/session_world.rs
+++ b/crates/measure/src/session_world.rs
@@ -318,7 +318,7 @@
                 let (id, at_us) = self.open_query(now_us, class);
                 let read = ReadQuery {
                     class,
-                    deadline_us: at_us + deadline_us + id.0,
+                    deadline_us: self.unused_deadline(at_us + deadline_us),
                     demand,
                     id,
                     range,
@@ -343,7 +343,7 @@
                 let write = WriteQuery {
                     body: Arc::from("fill"),
                     class,
-                    deadline_us: at_us + deadline_us + id.0,
+                    deadline_us: self.unused_deadline(at_us + deadline_us),
                     first_attempt: first,
                     id,
                     issued_unix_ms: UNIX_MS,
@@ -385,6 +385,16 @@
         }
     }
 
+    /// A deadline that no other request has, so that a sub-request shows its request.
+    fn unused_deadline(&mut self, mut deadline_us: u64) -> u64 {
+        if let Some(session) = &mut self.session {
+            while !session.deadlines.insert(deadline_us) {
+                deadline_us += 1;
+            }
+        }
+        deadline_us
+    }
+
     fn store_mode(&self) -> StoreMode {
         let session = self.session.as_ref();
         session.map_or(StoreMode::Up, |it| it.store.mode)
@@ -429,7 +439,9 @@
                 }
             }
         }
+        let generation = deployment.generation;
         self.deployment = Arc::new(deployment);
+        self.note(now_us, || TraceEvent::Changed(generation, edit));
         let nodes: Vec<NodeKey> = self.nodes.keys().copied().collect();
         for node in nodes {
             let at_us = now_us + self.rng.u64(..CONFIG_SPREAD_US);
--- a/crates/measure/src/trace_event.rs
+++ b/crates/measure/src/trace_event.rs
@@ -1,3 +1,4 @@
+use crate::Edit;
 use crate::Step;
 use wigeonhall_query::Answer;
 use wigeonhall_query::Claim;
@@ -22,8 +23,12 @@
     Answered(NodeKey, QueryId, Answer),
     /// An owner told a target to stop a request.
     CancelledAtTarget(NodeKey, ReplicaKey, AttemptId),
+    /// The store took a change of the deployment as this generation.
+    Changed(u64, Edit),
     /// An operator's change was refused.
     ChangeRefused(&'static str),
+    /// A node holds this many connections to a target from now on.
+    Connected(NodeKey, ReplicaKey, u32),
     /// A generation of the deployment came into force at a node.
     Deployed(NodeKey, u64),
     /// A node became owner; with the state that it starts from.
--- a/crates/measure/src/transcript.rs
+++ b/crates/measure/src/transcript.rs
@@ -89,7 +89,7 @@
                     read.id.0,
                     self.node(*node),
                     range_text(read.range),
-                    ms(read.deadline_us.saturating_sub(at_us + read.id.0))
+                    ms(read.deadline_us.saturating_sub(at_us))
                 )
             }
             TraceEvent::Sent {
@@ -121,7 +121,7 @@
                     write.id.0,
                     self.node(*node),
                     write.request_id,
-                    ms(write.deadline_us.saturating_sub(at_us + write.id.0))
+                    ms(write.deadline_us.saturating_sub(at_us))
                 )
             }
             _ => return None,
--- a/crates/measure/src/world_nodes.rs
+++ b/crates/measure/src/world_nodes.rs
@@ -174,8 +174,13 @@
                 state,
                 to,
             } => self.hand_over(now_us, key, to, epoch, replica, state),
-            // Connections stay open.
-            GateAction::CloseConnections(_) | GateAction::OpenConnections { .. } => {}
+            // A fake target does not see connections.
+            GateAction::CloseConnections(replica) => {
+                self.note(now_us, || TraceEvent::Connected(key, replica, 0));
+            }
+            GateAction::OpenConnections { count, replica } => {
+                self.note(now_us, || TraceEvent::Connected(key, replica, count));
+            }
         }
     }
 
--- a/crates/measure/src/world_setup.rs
+++ b/crates/measure/src/world_setup.rs
@@ -94,8 +94,15 @@
                 data_centre: vm.data_centre,
                 node: key,
             };
+            // The coordinator mixes the boot id into the seed. Mixed with a key in the same
+            // way, the seeds of all even keys fall together, and with them the claim tokens.
+            let node_seed = if self.session.is_some() {
+                seed
+            } else {
+                seed ^ u64::from(key.0)
+            };
             let node = SimNode {
-                coordinator: Coordinator::new(config, seed ^ u64::from(key.0)),
+                coordinator: Coordinator::new(config, node_seed),
                 data_centre: vm.data_centre,
                 gate: Gate::new(),
                 submitters: HashMap::new(),
--- a/crates/measure/tests/common/mod.rs
+++ b/crates/measure/tests/common/mod.rs
@@ -15,11 +15,11 @@
 
 /// Three shard services of two replicas in different data centres, one read class and
 /// one write class over them, and this many nodes in each data centre.
-pub fn site(data_centres: usize, nodes: usize) -> Site {
+pub fn site(data_centres: usize, nodes: usize, slots: u32) -> Site {
     let places = &DATA_CENTRES[..data_centres];
-    let mut text = String::from(
-        "region: delta-south\ndefaults:\n  slots: 2\n  connections: 8\n  connect_us: 1000\n  \
-         cold: { slots: 1, requests_per_s: 4 }\ndata_centres:\n",
+    let mut text = format!(
+        "region: delta-south\ndefaults:\n  slots: {slots}\n  connections: 12\n  connect_us: 1000\n  \
+         cold: {{ slots: 1, requests_per_s: 4 }}\ndata_centres:\n",
     );
     for place in places {
         writeln!(text, "  {place}:").unwrap();
--- /dev/null
+++ b/crates/measure/tests/oracle/mod.rs
@@ -0,0 +1,348 @@
+//! Checks the trace of a session against the promises of the design page.
+
+mod limits;
+
+use limits::Limits;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use wigeonhall_measure::Message;
+use wigeonhall_measure::Session;
+use wigeonhall_measure::Step;
+use wigeonhall_measure::TraceEvent;
+use wigeonhall_query::Answer;
+use wigeonhall_query::AnswerStatus;
+use wigeonhall_query::CoverageDemand;
+use wigeonhall_query::QueryId;
+use wigeonhall_types::AttemptId;
+use wigeonhall_types::Deployment;
+use wigeonhall_types::IndexVersion;
+use wigeonhall_types::KeyRange;
+use wigeonhall_types::NodeKey;
+use wigeonhall_types::Operation;
+use wigeonhall_types::RangeSet;
+use wigeonhall_types::SubOutcome;
+use wigeonhall_types::SubRequest;
+use wigeonhall_types::Verdict;
+
+/// A request of a caller.
+struct Request {
+    answered: bool,
+    deadline_us: u64,
+    /// Ranges that replies brought to the coordinator, with their version.
+    delivered: Vec<(IndexVersion, KeyRange)>,
+    demand: CoverageDemand,
+    node: NodeKey,
+    range: KeyRange,
+    /// A target began one of its sub-requests.
+    ran: bool,
+    verdict: Option<Verdict>,
+    /// Request id, if it is a write.
+    write: Option<String>,
+}
+
+/// A sub-request that an entry node sent.
+struct Attempt {
+    /// The entry node has its reply, gave it up or found its owner lost.
+    closed: bool,
+    id: QueryId,
+    owner: NodeKey,
+}
+
+/// What the trace has shown so far.
+pub struct Oracle {
+    attempts: BTreeMap<AttemptId, Attempt>,
+    by_deadline: BTreeMap<u64, QueryId>,
+    /// Executions of each write over all targets.
+    executed: BTreeMap<String, u32>,
+    limits: Limits,
+    lost: BTreeSet<NodeKey>,
+    /// End of the last pause of each node.
+    pauses: BTreeMap<NodeKey, u64>,
+    requests: BTreeMap<QueryId, Request>,
+    /// Broken promises.
+    wrong: Vec<String>,
+}
+
+impl Oracle {
+    /// Returns what a session broke, with times in microseconds.
+    pub fn check(deployment: &Deployment, session: &Session) -> Vec<String> {
+        let mut oracle = Self {
+            attempts: BTreeMap::new(),
+            by_deadline: BTreeMap::new(),
+            executed: BTreeMap::new(),
+            limits: Limits::new(deployment),
+            lost: BTreeSet::new(),
+            pauses: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            wrong: Vec::new(),
+        };
+        for (at_us, event) in session.trace() {
+            oracle.see(*at_us, event);
+        }
+        oracle.end(session);
+        oracle.wrong
+    }
+
+    fn see(&mut self, at_us: u64, event: &TraceEvent) {
+        let broken = self.limits.see(at_us, event);
+        self.wrong
+            .extend(broken.into_iter().map(|it| format!("{at_us}: {it}")));
+        match event {
+            TraceEvent::Answered(node, id, answer) => self.answered(at_us, *node, *id, answer),
+            TraceEvent::NodeLost(node, lost) => {
+                for (attempt, it) in &mut self.attempts {
+                    let from = NodeKey((attempt.boot - 1) as u32);
+                    it.closed |= from == *node && it.owner == *lost;
+                }
+            }
+            TraceEvent::Read(node, read) => self.open(
+                read.id,
+                Request {
+                    answered: false,
+                    deadline_us: read.deadline_us,
+                    delivered: Vec::new(),
+                    demand: read.demand,
+                    node: *node,
+                    range: read.range,
+                    ran: false,
+                    verdict: None,
+                    write: None,
+                },
+            ),
+            TraceEvent::Received {
+                message: Message::Reply(attempt, outcome, _),
+                ..
+            } => self.reply(*attempt, outcome),
+            TraceEvent::Sent {
+                fate: _,
+                from: _,
+                message,
+                to,
+            } => self.sent(at_us, *to, message),
+            TraceEvent::Step(Step::Pause(node, us)) => {
+                let until_us = self.pauses.entry(*node).or_default();
+                *until_us = (*until_us).max(at_us + us);
+            }
+            TraceEvent::Step(Step::Stop(node)) => {
+                self.lost.insert(*node);
+            }
+            TraceEvent::TargetBegan(_, sub, _) => self.began(at_us, sub),
+            TraceEvent::Write(node, write) => self.open(
+                write.id,
+                Request {
+                    answered: false,
+                    deadline_us: write.deadline_us,
+                    delivered: Vec::new(),
+                    demand: CoverageDemand::Full,
+                    node: *node,
+                    range: KeyRange {
+                        start: write.key,
+                        end: write.key + 1,
+                    },
+                    ran: false,
+                    verdict: None,
+                    write: Some(write.request_id.to_string()),
+                },
+            ),
+            _ => {}
+        }
+    }
+
+    fn open(&mut self, id: QueryId, request: Request) {
+        self.by_deadline.insert(request.deadline_us, id);
+        self.requests.insert(id, request);
+    }
+
+    fn sent(&mut self, at_us: u64, to: NodeKey, message: &Message) {
+        match message {
+            Message::Cancel(attempt) => {
+                if let Some(it) = self.attempts.get_mut(attempt) {
+                    it.closed = true;
+                }
+            }
+            Message::Submit(sub) => {
+                let id = self.by_deadline[&sub.deadline_us];
+                let attempt = Attempt {
+                    closed: false,
+                    id,
+                    owner: to,
+                };
+                if self.attempts.insert(sub.attempt, attempt).is_some() {
+                    self.wrong
+                        .push(format!("{at_us}: {:?} was used twice", sub.attempt));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A reply that arrives after its attempt was closed is dropped, as the design page
+    /// says, so what it carries is not read.
+    fn reply(&mut self, attempt: AttemptId, outcome: &SubOutcome) {
+        let Some(it) = self.attempts.get_mut(&attempt) else {
+            return;
+        };
+        if std::mem::replace(&mut it.closed, true) {
+            return;
+        }
+        if let SubOutcome::Answered {
+            ranges, version, ..
+        } = outcome
+        {
+            let request = self.requests.get_mut(&it.id).expect("it was opened");
+            let ranges = ranges.iter().map(|it| (*version, *it));
+            request.delivered.extend(ranges);
+        }
+    }
+
+    /// Promise 7: a request that is not idempotent runs at most once, over all targets.
+    fn began(&mut self, at_us: u64, sub: &SubRequest) {
+        let id = self.by_deadline[&sub.deadline_us];
+        let request = self.requests.get_mut(&id).expect("it was opened");
+        request.ran = true;
+        if let Operation::Write { request_id, .. } = &sub.operation {
+            let count = self.executed.entry(request_id.to_string()).or_default();
+            *count += 1;
+            if *count > 1 {
+                self.wrong
+                    .push(format!("{at_us}: {request_id} ran {count} times"));
+            }
+        }
+    }
+
+    fn answered(&mut self, at_us: u64, node: NodeKey, id: QueryId, answer: &Answer) {
+        let request = self.requests.get_mut(&id).expect("it was opened");
+        let mut wrong = Vec::new();
+        // Promise 5: one answer, from the node that was asked, on what was asked.
+        if std::mem::replace(&mut request.answered, true) {
+            wrong.push("a second answer".to_owned());
+        }
+        if request.node != node || answer.coverage.requested != request.range {
+            wrong.push("the answer of another request".to_owned());
+        }
+        // A paused node answers late; nothing it could do would change that.
+        let paused_us = self.pauses.get(&node).copied().unwrap_or(0);
+        if at_us > request.deadline_us.max(paused_us) {
+            wrong.push("an answer after the deadline".to_owned());
+        }
+        let refused = matches!(
+            answer.status,
+            AnswerStatus::Failed(_) | AnswerStatus::Refused(_)
+        );
+        if refused && answer.retry_after_ms.is_none() {
+            wrong.push("a refusal without a retry-after time".to_owned());
+        }
+        request.verdict = Some(answer.verdict);
+        if let Some(write) = &request.write {
+            let ran = self.executed.contains_key(write);
+            check_verdict(answer.verdict, ran, &mut wrong);
+        } else {
+            check_verdict(answer.verdict, request.ran, &mut wrong);
+            check_read(request, answer, &mut wrong);
+        }
+        let wrong = wrong.into_iter();
+        self.wrong
+            .extend(wrong.map(|it| format!("{at_us}: caller {}: {it}", id.0)));
+    }
+
+    fn end(&mut self, session: &Session) {
+        for (id, request) in &self.requests {
+            // A caller of a lost node sees a broken connection instead of an answer.
+            if !request.answered && !self.lost.contains(&request.node) {
+                self.wrong.push(format!("caller {} has no answer", id.0));
+            }
+            // Promise 6 holds for what happens after the answer, too.
+            if request.verdict == Some(Verdict::NotRun) && request.ran {
+                self.wrong
+                    .push(format!("caller {}: ran after a \"not run\"", id.0));
+            }
+        }
+        let over = session.over_limits();
+        if over != (0, 0) {
+            self.wrong
+                .push(format!("over the slots and connections: {over:?}"));
+        }
+    }
+}
+
+/// Promise 6: a refusal that says "not run" is true.
+fn check_verdict(verdict: Verdict, ran: bool, wrong: &mut Vec<String>) {
+    match verdict {
+        Verdict::NotRun if ran => wrong.push("a false \"not run\"".to_owned()),
+        Verdict::Ran if !ran => wrong.push("a false \"ran\"".to_owned()),
+        _ => {}
+    }
+}
+
+/// Promises 1 and 2: one snapshot, and true coverage.
+fn check_read(request: &Request, answer: &Answer, wrong: &mut Vec<String>) {
+    let coverage = &answer.coverage;
+    let absent: Vec<KeyRange> = coverage.absent.iter().map(|it| it.range).collect();
+    let parts = [coverage.read.as_slice(), &absent].concat();
+    let all = RangeSet::from_ranges(&parts);
+    let width: u64 = parts.iter().map(|it| it.width()).sum();
+    if width != request.range.width() || !all.covers(request.range) {
+        wrong.push("read and absent ranges are not the requested range".to_owned());
+    }
+    let whole = absent.is_empty();
+    let labelled = match answer.status {
+        AnswerStatus::Whole => whole,
+        AnswerStatus::Partial => !whole && request.demand == CoverageDemand::Partial,
+        AnswerStatus::Failed(_) | AnswerStatus::Refused(_) => answer.rows.is_empty(),
+    };
+    if !labelled {
+        wrong.push("a wrong status".to_owned());
+    }
+    let Some(version) = answer.snapshot else {
+        if !answer.rows.is_empty() || !coverage.read.is_empty() {
+            wrong.push("rows without a snapshot".to_owned());
+        }
+        return;
+    };
+    let rows = coverage.read.iter();
+    let rows: Vec<_> = rows.flat_map(|it| Session::rows(*it, version)).collect();
+    if answer.rows != rows {
+        wrong.push("not the rows of the snapshot".to_owned());
+    }
+    let delivered = request.delivered.iter();
+    let delivered: Vec<KeyRange> = delivered
+        .filter(|it| it.0 == version)
+        .map(|it| it.1)
+        .collect();
+    let delivered = RangeSet::from_ranges(&delivered);
+    if !coverage.read.iter().all(|it| delivered.covers(*it)) {
+        wrong.push("a read range that no reply brought".to_owned());
+    }
+    let is_absent = |it: &KeyRange| delivered.gaps(*it) == [*it];
+    if matches!(answer.status, AnswerStatus::Partial) && !absent.iter().all(is_absent) {
+        wrong.push("an absent range that a reply brought".to_owned());
+    }
+}
+
+/// Whether the trace shows an answer to every attempt of a write, or the end of its node.
+pub fn write_is_settled(session: &Session, request: u32) -> bool {
+    let name = format!("request-{request}");
+    let mut issued: BTreeMap<NodeKey, u32> = BTreeMap::new();
+    let mut open = BTreeMap::new();
+    for (_, event) in session.trace() {
+        match event {
+            TraceEvent::Answered(_, id, _) => {
+                if let Some(node) = open.remove(id) {
+                    *issued.entry(node).or_default() -= 1;
+                }
+            }
+            TraceEvent::Step(Step::Stop(node)) => {
+                issued.remove(node);
+            }
+            // A caller finds no connection to a node that ended before.
+            TraceEvent::Step(Step::Write {
+                node, request: it, ..
+            }) if *it == request => *issued.entry(*node).or_default() += 1,
+            TraceEvent::Write(node, write) if *write.request_id == *name => {
+                open.insert(write.id, *node);
+            }
+            _ => {}
+        }
+    }
+    issued.values().all(|count| *count == 0)
+}
--- a/crates/measure/tests/sessions.rs
+++ b/crates/measure/tests/sessions.rs
@@ -9,6 +9,7 @@
 use insta::assert_snapshot;
 use wigeonhall_measure::Edit;
 use wigeonhall_measure::Fault;
+use wigeonhall_measure::Links;
 use wigeonhall_measure::Session;
 use wigeonhall_measure::Step;
 use wigeonhall_query::CoverageDemand;
@@ -30,7 +31,7 @@
 impl Script {
     /// Warm targets that every node has read from.
     fn new(data_centres: usize, nodes: usize) -> Self {
-        let site = common::site(data_centres, nodes);
+        let site = common::site(data_centres, nodes, 2);
         let keys: Vec<NodeKey> = site.deployment.vms.keys().copied().collect();
         let mut script = Self {
             session: Session::new(site, 1),
@@ -264,3 +265,18 @@
     script.at(10, read);
     assert_snapshot!(script.run(5_100));
 }
+
+/// Guards against a write that runs again, and against a "not run" of what has run, when
+/// the message to the owner arrives a second time after the first one has ended. Found by
+/// the fuzz with seed 1.
+#[test]
+fn doubled_messages() {
+    let mut script = Script::new(3, 1);
+    let doubled = Links {
+        doubled: 100,
+        ..Links::default()
+    };
+    script.at(0, Step::Links(doubled, SECOND));
+    script.write(0, "greenwood-1", true);
+    assert_snapshot!(script.run(1_000));
+}
