Keep the ids of writes at the gate past their deadline

A copy of a write that reached the owner after the deadline was refused as "not run". If it overtook the late reply to the first copy, which had run, the entry node released the claim and a repeat of the request ran the write again.

The gate keeps the ids of writes for 60 s after their deadline, as long as the entry node waits for a late reply; reads until their deadline, since the entry node does not heed what comes later. Copies are told by the attempt id alone, because each copy brings its own deadline.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -2,6 +2,7 @@
 use crate::GateCounters;
 use crate::GateEvent;
 use crate::replica_gate::ReplicaGate;
+use crate::time::SECOND_US;
 use crate::turn::Place;
 use crate::turn::Turn;
 use std::collections::BTreeMap;
@@ -15,6 +16,10 @@
 use wigeonhall_types::SubOutcome;
 use wigeonhall_types::SubRequest;
 
+/// Time after its deadline for which a write is kept apart from its copies: as long as the
+/// entry node waits for a late reply that settles the claim.
+const WRITE_KEPT_US: u64 = 60 * SECOND_US;
+
 /// Decides when each sub-request to an owned replica starts.
 ///
 /// A slot is held from `Send` until the `TargetReply`. Work starts only while
@@ -31,9 +36,11 @@
     places: BTreeMap<AttemptId, Place>,
     /// Owned replicas, and revoked ones with requests or a probe that still run.
     pub(crate) replicas: BTreeMap<ReplicaKey, ReplicaGate>,
-    /// Sub-requests submitted, until their deadline. A late double of one that ended would
-    /// run a write again, or refuse as "not run" what has run.
-    submitted: BTreeSet<(u64, AttemptId)>,
+    /// Sub-requests that came. A late copy of one that ended would run a write again, or
+    /// refuse as "not run" what has run.
+    submitted: BTreeSet<AttemptId>,
+    /// Time until which each of `submitted` is kept.
+    submitted_until: BTreeSet<(u64, AttemptId)>,
     /// Replicas for which a sub-request waits.
     waiting: BTreeSet<ReplicaKey>,
     /// Each replica's next wake-up, in order.
@@ -163,13 +170,7 @@
             self.counters.duplicate_submits += 1;
             return;
         }
-        while let Some(&(deadline_us, _)) = self.submitted.first()
-            && deadline_us <= self.now_us
-        {
-            self.submitted.pop_first();
-        }
-        let submitted = (request.deadline_us, request.attempt);
-        if request.deadline_us > self.now_us && !self.submitted.insert(submitted) {
+        if !self.is_first_copy(&request) {
             self.counters.duplicate_submits += 1;
             return;
         }
@@ -194,6 +195,28 @@
         });
     }
 
+    /// Whether no copy of the sub-request came before. Past their deadline copies of a
+    /// read are refused, and the entry node no longer heeds the refusal.
+    fn is_first_copy(&mut self, request: &SubRequest) -> bool {
+        while let Some(&(until_us, attempt)) = self.submitted_until.first()
+            && until_us <= self.now_us
+        {
+            self.submitted_until.pop_first();
+            self.submitted.remove(&attempt);
+        }
+        let kept_us = if request.operation.is_idempotent() {
+            0
+        } else {
+            WRITE_KEPT_US
+        };
+        let until_us = request.deadline_us.saturating_add(kept_us);
+        if !self.submitted.insert(request.attempt) {
+            return false;
+        }
+        self.submitted_until.insert((until_us, request.attempt));
+        true
+    }
+
     /// Brings every replica to the present whose wake-up is due, and those with
     /// waiting sub-requests once the lease has ended.
     fn run_due(&mut self, actions: &mut Vec<GateAction>) {
