--- a/crates/measure/tests/fuzz.rs
+++ b/crates/measure/tests/fuzz.rs
@@ -266,3 +266,39 @@
     }
     result.expect("every case ran");
 }
+
+/// A write and its repeat while messages between nodes are late and doubled.
+fn repeated_write(seed: u64) -> Case {
+    let write = |at_us, node| {
+        let call = Call::Write {
+            deadline_us: 28 * MS,
+            node: NodeKey(node),
+            request: 0,
+        };
+        (at_us, call)
+    };
+    let links = Links {
+        doubled: 50,
+        late: 50,
+        lost: 0,
+    };
+    Case {
+        calls: vec![write(0, 3), write(400 * MS, 0)],
+        faults: vec![(0, Step::Links(links, SECOND))],
+        seed,
+    }
+}
+
+/// Guards against a write that runs again when a copy of its message reaches the owner
+/// after the first one has ended, but before the deadline.
+#[test]
+fn copy_after_the_end() {
+    check(&repeated_write(4)).expect("the write runs once");
+}
+
+/// Guards against a copy that reaches the owner after the deadline and is refused as "not
+/// run": it overtakes the late reply, and the entry node gives the claim back.
+#[test]
+fn copy_after_the_deadline() {
+    check(&repeated_write(22)).expect("the write runs once");
+}
