--- a/crates/measure/src/session_world.rs
+++ b/crates/measure/src/session_world.rs
@@ -31,9 +31,12 @@
 /// Extra delay of a late message at most, in microseconds.
 const LATE_US: u64 = 300_000;
 
-/// Time until other nodes find that a node ended.
+/// Time until the table names other owners for the replicas of a node that ended.
 const LOST_FOUND_US: u64 = 1_000_000;
 
+/// Time until the connections of other nodes to a node that ended break.
+const LOST_SEEN_US: u64 = 20_000;
+
 /// Clock of the callers and nodes at the start of a session, in milliseconds.
 const UNIX_MS: u64 = 1_700_000_000_000;
 
@@ -469,7 +472,7 @@
         let found_us = now_us + LOST_FOUND_US;
         for &other in self.nodes.keys() {
             let event = Event::Query(other, QueryEvent::NodeLost(node));
-            self.events.push(found_us, event);
+            self.events.push(now_us + LOST_SEEN_US, event);
         }
         for (replica, to) in replicas.into_iter().zip(heir.into_iter().cycle()) {
             let step = Step::Move {
