--- a/crates/measure/tests/fuzz.rs
+++ b/crates/measure/tests/fuzz.rs
@@ -8,14 +8,15 @@
 mod common;
 mod oracle;
 
-use common::MS;
-use common::SECOND;
-use oracle::Oracle;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 use proptest::test_runner::TestError;
 use proptest::test_runner::TestRunner;
+
+use common::MS;
+use common::SECOND;
+use oracle::Oracle;
 use wigeonhall_measure::Edit;
 use wigeonhall_measure::Fault;
 use wigeonhall_measure::Links;
@@ -29,7 +30,7 @@
 use wigeonhall_types::ReplicaKey;
 
 /// Cases that the test runs by itself.
-const CASES: u32 = 120;
+const CASES: u32 = 300;
 
 const NODES: u32 = 4;
 
--- a/crates/measure/tests/oracle/limits.rs
+++ b/crates/measure/tests/oracle/limits.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+
 use wigeonhall_measure::Edit;
 use wigeonhall_measure::Step;
 use wigeonhall_measure::TraceEvent;
--- a/crates/measure/tests/oracle/mod.rs
+++ b/crates/measure/tests/oracle/mod.rs
@@ -2,9 +2,10 @@
 
 mod limits;
 
-use limits::Limits;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+
+use limits::Limits;
 use wigeonhall_measure::Message;
 use wigeonhall_measure::Session;
 use wigeonhall_measure::Step;
--- a/crates/measure/tests/sessions.rs
+++ b/crates/measure/tests/sessions.rs
@@ -4,9 +4,10 @@
 
 mod common;
 
+use insta::assert_snapshot;
+
 use common::MS;
 use common::SECOND;
-use insta::assert_snapshot;
 use wigeonhall_measure::Edit;
 use wigeonhall_measure::Fault;
 use wigeonhall_measure::Links;
