--- a/crates/gate/src/ramp.rs
+++ b/crates/gate/src/ramp.rs
@@ -1,5 +1,13 @@
+use crate::time::SECOND_US;
 use wigeonhall_types::ColdBound;
 
+/// Most replies that one round of a cold ramp needs. A replica with little traffic would
+/// otherwise stay cold for minutes, and so would its next owner.
+const ROUND_REPLIES: u32 = 20;
+
+/// Shortest time of a round of a cold ramp.
+const ROUND_US: u64 = SECOND_US;
+
 /// Lowest level of a cold ramp; both limits are 1 there for any likely bound.
 const LEVEL_MIN: i32 = -10;
 
@@ -38,6 +46,8 @@
     base_step: u64,
     bound: ColdBound,
     limit: Limit,
+    /// Time of the first successful reply of the current step.
+    since_us: Option<u64>,
     /// Increases with each change of the limit and each new base.
     step: u64,
     /// Successful replies of the current step.
@@ -51,6 +61,7 @@
             base_step: 0,
             bound,
             limit: Limit::Cold(0),
+            since_us: None,
             step: 0,
             successes: 0,
         }
@@ -94,16 +105,29 @@
 
     /// Takes a successful reply. `full_rate` is what the slots do in a second.
     ///
-    /// A round of a cold ramp is a second's worth of replies at the present rate. A
-    /// shorter round would lift the bound of a replica with 2 slots after one reply,
-    /// while the target still fills its caches.
-    pub(crate) fn succeed(&mut self, step: u64, slots: u32, full_rate: u32) -> RampChange {
+    /// A round of a cold ramp takes at least a second and as many replies as the present
+    /// rate allows in it, up to `ROUND_REPLIES`. A round of as many replies as may run at
+    /// once would lift the bound of a replica with 2 slots after one reply, while the
+    /// target still fills its caches.
+    pub(crate) fn succeed(
+        &mut self,
+        now_us: u64,
+        step: u64,
+        slots: u32,
+        full_rate: u32,
+    ) -> RampChange {
         if step != self.step || matches!(self.limit, Limit::Full) {
             return RampChange::None;
         }
         self.successes += 1;
-        let round = self.rate().unwrap_or(0).max(self.capacity(slots));
-        if self.successes < round {
+        let since_us = *self.since_us.get_or_insert(now_us);
+        let rate = self.rate();
+        let round = rate
+            .unwrap_or(0)
+            .min(ROUND_REPLIES)
+            .max(self.capacity(slots));
+        let early = rate.is_some() && now_us < since_us + ROUND_US;
+        if self.successes < round || early {
             return RampChange::None;
         }
         self.advance();
@@ -181,6 +205,7 @@
 
     const fn advance(&mut self) {
         self.step += 1;
+        self.since_us = None;
         self.successes = 0;
     }
 
--- a/crates/query/src/pay.rs
+++ b/crates/query/src/pay.rs
@@ -16,7 +16,7 @@
 
 impl Pay {
     /// What a try after `reason` draws on. Owners give the free reasons from their own
-    /// state, before a target hears of the sub-request.
+    /// state, before a target hears of the sub-request, or because nothing could be sent.
     pub const fn after(reason: RefusalReason) -> Self {
         match reason {
             RefusalReason::Busy
@@ -26,11 +26,11 @@
             | RefusalReason::NotOwner
             | RefusalReason::Out
             | RefusalReason::Overloaded
+            | RefusalReason::Unreachable
             | RefusalReason::UnknownReplica => Self::Free,
-            RefusalReason::Cancelled
-            | RefusalReason::DeadlinePassed
-            | RefusalReason::Shed
-            | RefusalReason::Unreachable => Self::Budget,
+            RefusalReason::Cancelled | RefusalReason::DeadlinePassed | RefusalReason::Shed => {
+                Self::Budget
+            }
         }
     }
 }
--- a/crates/query/src/reads.rs
+++ b/crates/query/src/reads.rs
@@ -25,6 +25,7 @@
 use crate::timers::Timer;
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::ClassKind;
+use wigeonhall_types::FailureReason;
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::NodeKey;
@@ -393,7 +394,12 @@
                 }
                 SubOutcome::Failed { reason } => {
                     read.may_have_run = true;
-                    read.parts[index].pay = Pay::Budget;
+                    // A lost owner runs at most its slots; a budget that hedges used up
+                    // must not turn its end into failed reads.
+                    read.parts[index].pay = match reason {
+                        FailureReason::OwnerLost => Pay::Free,
+                        _ => Pay::Budget,
+                    };
                     let reason = AbsentReason::Failed(reason);
                     this.try_again(now_us, read, index, reason, actions)
                 }
