--- a/crates/measure/src/session_ownership.rs
+++ b/crates/measure/src/session_ownership.rs
@@ -46,16 +46,16 @@
     }
 
     /// Owners know warm targets from the start.
-    pub(crate) fn state_at_start(&self, replica: ReplicaKey) -> Option<HandOverState> {
+    pub(crate) fn state_at_start(&self, replica: ReplicaKey) -> HandOverState {
         let target = &self.targets[&replica];
-        Some(HandOverState {
+        HandOverState {
             allowance: self.deployment.replicas[&replica].slots,
             instance: Some(target.instance),
             running: 0,
             running_for_us: 0,
             served: target.served.clone(),
             service_us: TYPICAL_US,
-        })
+        }
     }
 
     /// A node asks for a lease and learns what it does not know yet.
--- a/crates/measure/src/world_setup.rs
+++ b/crates/measure/src/world_setup.rs
@@ -124,7 +124,7 @@
                 let grant = GateEvent::Grant {
                     epoch: table.epoch,
                     replica,
-                    state: self.state_at_start(replica),
+                    state: Some(self.state_at_start(replica)),
                 };
                 self.events.push(0, Event::Gate(node, grant));
             }
