Keep requests from before a break off the connections after it

A target restarts while requests wait for a connection; they then go out over the connections dialed to the new process, two at a time, although the gate admitted them for the warm process before.

Change: a request carries the number of breaks of its lane at its submission, and a connection opened after a later break does not take it; it ends as not sent, and the gate decides anew.

The new test fails without the check.

--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -29,6 +29,8 @@
 
 /// An open connection. `driver` does its I/O and is `None` once it has ended.
 struct Connection {
+    /// Breaks of its lane before it was dialed.
+    breaks: u64,
     driver: Option<Pin<Box<Driver>>>,
     sender: http1::SendRequest<Full<Bytes>>,
 }
@@ -74,7 +76,8 @@
     let mut back_off = Duration::ZERO;
     while !replica.retire(index) {
         lane.dialing.fetch_add(1, Ordering::SeqCst);
-        let dialed = dial(&replica).await;
+        let breaks = lane.breaks.load(Ordering::SeqCst);
+        let dialed = dial(&replica, breaks).await;
         if dialed.is_some() {
             lane.open.fetch_add(1, Ordering::SeqCst);
         }
@@ -105,12 +108,13 @@
     }
 }
 
-async fn dial(replica: &Replica) -> Option<Connection> {
+async fn dial(replica: &Replica, breaks: u64) -> Option<Connection> {
     let opening = async {
         let stream = TcpStream::connect(replica.address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         Some(Connection {
+            breaks,
             driver: Some(Box::pin(driver)),
             sender,
         })
@@ -148,7 +152,8 @@
         let Some(job) = job else {
             return Ended::Unwanted;
         };
-        if Instant::now() >= job.deadline {
+        // Dropping an unsent job reports it as unreachable.
+        if Instant::now() >= job.deadline || !job.may_use(connection.breaks) {
             continue;
         }
         match exchange(replica, &mut connection, job).await {
@@ -161,6 +166,7 @@
             Exchange::Keep => usable = true,
             Exchange::Unsent(job) => {
                 drop(connection);
+                lane.breaks.fetch_add(1, Ordering::SeqCst);
                 replica.count(|counters| &counters.broken);
                 requeue(replica, lane, job);
                 return Ended::Broken { usable };
@@ -168,6 +174,7 @@
         }
     }
     drop(connection);
+    lane.breaks.fetch_add(1, Ordering::SeqCst);
     replica.count(|counters| &counters.broken);
     Ended::Broken { usable }
 }
@@ -184,7 +191,7 @@
     let Ok(request) = message::request(&job, &replica.address.to_string()) else {
         return Exchange::Keep;
     };
-    let Connection { driver, sender } = connection;
+    let Connection { driver, sender, .. } = connection;
     let sent = &mut job.reply.sent;
     let call = async {
         sender.ready().await.map_err(|_| ExchangeError::NotSent)?;
--- a/crates/target/src/job.rs
+++ b/crates/target/src/job.rs
@@ -11,6 +11,10 @@
 
 /// One exchange with a target that has not ended yet.
 pub(crate) struct Job {
+    /// Breaks of the lane at the first push. A connection that was opened after a later
+    /// break may lead to another process of the target, for which the sender has not
+    /// admitted the job.
+    pub(crate) breaks: Option<u64>,
     pub(crate) deadline: Instant,
     pub(crate) kind: JobKind,
     pub(crate) reply: PendingReply,
@@ -41,6 +45,7 @@
         on_reply: impl FnOnce(TargetReply) + Send + 'static,
     ) -> Self {
         Self {
+            breaks: None,
             deadline,
             kind,
             reply: PendingReply {
@@ -52,6 +57,11 @@
         }
     }
 
+    /// Whether a connection opened after `breaks` breaks may carry the job.
+    pub(crate) fn may_use(&self, breaks: u64) -> bool {
+        !matches!(self.kind, JobKind::Run { .. }) || self.breaks.is_none_or(|it| it >= breaks)
+    }
+
     pub(crate) fn is_attempt(&self, wanted: AttemptId) -> bool {
         matches!(self.kind, JobKind::Run { attempt, .. } if attempt == wanted)
     }
--- a/crates/target/src/lane.rs
+++ b/crates/target/src/lane.rs
@@ -18,6 +18,8 @@
 /// Jobs that wait for a connection, and the state of the connections that serve
 /// them.
 pub(crate) struct Lane {
+    /// Connections of this lane that broke so far.
+    pub(crate) breaks: AtomicU64,
     pub(crate) dialing: AtomicU32,
     next_ticket: AtomicU64,
     pub(crate) open: AtomicU32,
@@ -32,6 +34,7 @@
 impl Lane {
     pub(crate) fn new() -> Self {
         Self {
+            breaks: AtomicU64::new(0),
             dialing: AtomicU32::new(0),
             next_ticket: AtomicU64::new(0),
             open: AtomicU32::new(0),
@@ -93,6 +96,8 @@
             .ticket
             .unwrap_or_else(|| self.next_ticket.fetch_add(1, Ordering::Relaxed));
         job.ticket = Some(ticket);
+        job.breaks
+            .get_or_insert_with(|| self.breaks.load(Ordering::SeqCst));
         self.lock().insert(ticket, job);
         // The channel is unbounded and its receiver lives as long as the lane.
         let _ = self.tickets.0.send(ticket);
--- a/crates/target/tests/lost_connections.rs
+++ b/crates/target/tests/lost_connections.rs
@@ -93,3 +93,32 @@
     let outcome = waiting.recv().unwrap().outcome;
     assert_eq!(outcome, TargetOutcome::Unreachable);
 }
+
+/// Guards against a request that waited while connections broke reaching the process
+/// that came after: its sender admitted it for the process before, and the new one may
+/// be in cold start.
+#[test]
+fn a_request_from_before_a_break_is_not_sent_after_it() {
+    let fixture = Fixture::start(TargetSettings {
+        connections: 2,
+        service_us: 300_000,
+        ..TargetSettings::default()
+    });
+    // A connection that has served a request is dialed again at once after a break.
+    fixture.call(&write(0), AMPLE_US);
+    let running = fixture.send(&write(1), AMPLE_US);
+    wait(|| fixture.pool.counters().requests == 2);
+    let waiting = fixture.send(&write(2), AMPLE_US);
+    fixture.target.break_connections();
+    assert_eq!(
+        running.recv().unwrap().outcome,
+        TargetOutcome::ConnectionLost
+    );
+    assert_eq!(waiting.recv().unwrap().outcome, TargetOutcome::Unreachable);
+    assert_eq!(fixture.target.executions(&request_id(2)), 0);
+    let outcome = fixture.call(&write(3), AMPLE_US).outcome;
+    assert!(
+        matches!(outcome, TargetOutcome::Answered { .. }),
+        "{outcome:?}"
+    );
+}
