--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -2,6 +2,9 @@
 
 mod fake;
 
+use crate::fake::Fake;
+use crate::fake::PutFate;
+use crate::fake::TEXT;
 use wigeonhall_ctl::CtlError;
 use wigeonhall_ctl::HISTORY_KEPT;
 use wigeonhall_ctl::apply;
@@ -9,10 +12,6 @@
 use wigeonhall_ctl::history;
 use wigeonhall_ctl::show;
 
-use crate::fake::Fake;
-use crate::fake::PutFate;
-use crate::fake::TEXT;
-
 /// A second text that is accepted like `TEXT`.
 fn slower() -> String {
     TEXT.replace("deadline_ms: 100", "deadline_ms: 200")
--- a/crates/ctl/tests/outcomes.rs
+++ b/crates/ctl/tests/outcomes.rs
@@ -3,12 +3,11 @@
 
 mod fake;
 
-use wigeonhall_ctl::CtlError;
-use wigeonhall_ctl::apply;
-
 use crate::fake::Fake;
 use crate::fake::PutFate;
 use crate::fake::TEXT;
+use wigeonhall_ctl::CtlError;
+use wigeonhall_ctl::apply;
 
 const CASES: u64 = 100;
 const CHANGES: u64 = 5;
--- a/crates/ctl/tests/over_http.rs
+++ b/crates/ctl/tests/over_http.rs
@@ -10,6 +10,8 @@
 use std::net::TcpListener;
 use std::thread::spawn;
 
+use crate::fake::Fake;
+use crate::fake::TEXT;
 use wigeonhall_ctl::Store;
 use wigeonhall_ctl::apply;
 use wigeonhall_ctl::http_nodes;
@@ -17,9 +19,6 @@
 use wigeonhall_protocol::CURRENT_PATH;
 use wigeonhall_standins::ObjectStore;
 
-use crate::fake::Fake;
-use crate::fake::TEXT;
-
 const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
 const TIMEOUT_MS: u64 = 5_000;
 
--- a/crates/ctl/tests/place.rs
+++ b/crates/ctl/tests/place.rs
@@ -2,16 +2,15 @@
 
 mod fake;
 
+use crate::fake::Fake;
+use crate::fake::PutFate;
+use crate::fake::TEXT;
 use wigeonhall_ctl::CtlError;
 use wigeonhall_ctl::apply;
 use wigeonhall_ctl::evacuate;
 use wigeonhall_ctl::set_place;
 use wigeonhall_settings::Place;
 
-use crate::fake::Fake;
-use crate::fake::PutFate;
-use crate::fake::TEXT;
-
 const NORTH: Place<'_> = Place::DataCentre("north");
 
 fn applied() -> Fake {
--- a/crates/ctl/tests/views.rs
+++ b/crates/ctl/tests/views.rs
@@ -4,6 +4,8 @@
 
 use std::sync::Arc;
 
+use crate::fake::Fake;
+use crate::fake::TEXT;
 use wigeonhall_burn::BurnSample;
 use wigeonhall_burn::ClassSample;
 use wigeonhall_burn::Outcome;
@@ -25,9 +27,6 @@
 use wigeonhall_protocol::Subject;
 use wigeonhall_types::ReplicaState;
 
-use crate::fake::Fake;
-use crate::fake::TEXT;
-
 fn name(text: &str) -> Arc<str> {
     Arc::from(text)
 }
--- a/crates/fleet/src/config_record.rs
+++ b/crates/fleet/src/config_record.rs
@@ -1,6 +1,7 @@
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
 
 /// One accepted generation of the operators' text, as stored at `config/current`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -1,13 +1,14 @@
 //! Which configuration is in force, and the store calls that tell it.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use crate::ConfigRecord;
 use crate::Fleet;
 use crate::FleetAction;
 use crate::dissemination::Item;
 use crate::limits;
 use crate::step::Step;
-use std::collections::BTreeMap;
-use std::sync::Arc;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::Deployment;
 
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -1,9 +1,10 @@
-use serde::Deserialize;
-use serde::Serialize;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Versions that a node knows.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Digest {
--- a/crates/fleet/src/dissemination.rs
+++ b/crates/fleet/src/dissemination.rs
@@ -1,5 +1,8 @@
 //! Spreads versions by push and digest exchange; receivers pull what is new.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use crate::Digest;
 use crate::Fleet;
 use crate::GossipMessage;
@@ -8,8 +11,6 @@
 use crate::limits;
 use crate::rendezvous;
 use crate::step::Step;
-use std::collections::BTreeMap;
-use std::sync::Arc;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::NodeKey;
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,3 +1,7 @@
+use std::sync::Arc;
+
+use fastrand::Rng;
+
 use crate::FleetAction;
 use crate::FleetCounters;
 use crate::FleetEvent;
@@ -16,8 +20,6 @@
 use crate::startup::StartUp;
 use crate::step::Step;
 use crate::views::Views;
-use fastrand::Rng;
-use std::sync::Arc;
 use wigeonhall_types::Catalog;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::NodeKey;
--- a/crates/fleet/src/fleet_event.rs
+++ b/crates/fleet/src/fleet_event.rs
@@ -1,8 +1,9 @@
+use std::sync::Arc;
+
 use crate::ConfigRecord;
 use crate::EvacuationOverride;
 use crate::GossipMessage;
 use crate::TableRecord;
-use std::sync::Arc;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::Deployment;
 use wigeonhall_types::HandOverState;
--- a/crates/fleet/src/gossip_message.rs
+++ b/crates/fleet/src/gossip_message.rs
@@ -1,12 +1,14 @@
-use crate::ConfigRecord;
-use crate::Digest;
-use crate::MemberUpdate;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
 use serde_with::DisplayFromStr;
 use serde_with::serde_as;
-use std::collections::BTreeMap;
-use std::sync::Arc;
+
+use crate::ConfigRecord;
+use crate::Digest;
+use crate::MemberUpdate;
 
 /// A message between nodes; one way, answers are messages too.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -6,14 +6,15 @@
 //! yet, no replacement was written before they were asked. In every case its time
 //! is that of sending the request that brought it, or earlier.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
 use crate::Fleet;
 use crate::FleetAction;
 use crate::GossipMessage;
 use crate::limits;
 use crate::step::Step;
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::NodeKey;
 
--- a/crates/fleet/src/member_update.rs
+++ b/crates/fleet/src/member_update.rs
@@ -1,6 +1,7 @@
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
 
 /// State of one member, as it travels between nodes.
 ///
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -1,5 +1,9 @@
 //! Members, probes and suspicion.
 
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
 use crate::Fleet;
 use crate::FleetAction;
 use crate::GossipMessage;
@@ -8,9 +12,6 @@
 use crate::limits;
 use crate::rendezvous;
 use crate::step::Step;
-use std::collections::BTreeMap;
-use std::collections::VecDeque;
-use std::sync::Arc;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::Deployment;
 use wigeonhall_types::NodeKey;
--- a/crates/fleet/src/message_size.rs
+++ b/crates/fleet/src/message_size.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use crate::ConfigRecord;
 use crate::Digest;
 use crate::EvacuationOverride;
@@ -5,7 +7,6 @@
 use crate::MemberUpdate;
 use crate::PullItem;
 use crate::TableRecord;
-use std::sync::Arc;
 
 /// Bytes of a number or of the length of a text, list or map.
 const NUMBER: usize = 8;
--- a/crates/fleet/src/overrides.rs
+++ b/crates/fleet/src/overrides.rs
@@ -1,14 +1,15 @@
 //! Evacuation overrides: they only take work away, until a configuration names them.
 
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
 use crate::EvacuationOverride;
 use crate::Fleet;
 use crate::GossipMessage;
 use crate::dissemination::Item;
 use crate::limits;
 use crate::step::Step;
-use std::collections::BTreeMap;
-use std::collections::VecDeque;
-use std::sync::Arc;
 use wigeonhall_types::Catalog;
 use wigeonhall_types::Deployment;
 use wigeonhall_types::NodeKey;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -1,14 +1,15 @@
 //! The ownership tables that this node knows and what it is granted.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use crate::Fleet;
 use crate::FleetAction;
 use crate::TableRecord;
 use crate::dissemination::Item;
 use crate::limits;
 use crate::step::Step;
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::sync::Arc;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::HandOverState;
 use wigeonhall_types::NodeKey;
--- a/crates/fleet/src/proposal.rs
+++ b/crates/fleet/src/proposal.rs
@@ -1,5 +1,9 @@
 //! Replacing the table of the own data centre: wanted table, consent, write.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use crate::Fleet;
 use crate::FleetAction;
 use crate::GossipMessage;
@@ -10,9 +14,6 @@
 use crate::membership::Member;
 use crate::rendezvous;
 use crate::step::Step;
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::sync::Arc;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::NodeKey;
 
--- a/crates/fleet/src/startup.rs
+++ b/crates/fleet/src/startup.rs
@@ -1,5 +1,7 @@
 //! When a node may serve: it must know the newest accepted configuration.
 
+use std::collections::BTreeMap;
+
 use crate::Fleet;
 use crate::FleetAction;
 use crate::GossipMessage;
@@ -8,7 +10,6 @@
 use crate::limits;
 use crate::membership::Listing;
 use crate::step::Step;
-use std::collections::BTreeMap;
 use wigeonhall_types::NodeKey;
 
 #[derive(Debug, Default)]
--- a/crates/fleet/src/views.rs
+++ b/crates/fleet/src/views.rs
@@ -1,11 +1,12 @@
 //! Orders and groups of members that are derived from their states.
 
+use fastrand::Rng;
+
 use crate::Fleet;
 use crate::limits;
 use crate::membership::Listing;
 use crate::membership::Member;
 use crate::rendezvous;
-use fastrand::Rng;
 use wigeonhall_types::NodeKey;
 
 /// Computed again when a member lives, dies, leaves or moves.
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
+
 use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::EvacuationOverride;
 use wigeonhall_fleet::Fleet;
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -6,14 +6,15 @@
 
 mod common;
 
-use common::MS;
-use common::S;
-use common::World;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
+
+use common::MS;
+use common::S;
+use common::World;
 use wigeonhall_types::VmState;
 
 const NODES: usize = 8;
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use common::S;
 use common::World;
-use std::sync::Arc;
 
 fn lost(world: &World, node: usize, lost: usize) -> usize {
     let name = &world.nodes[lost].name;
--- a/crates/fleet/tests/one_member.rs
+++ b/crates/fleet/tests/one_member.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+
 use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::Fleet;
 use wigeonhall_fleet::FleetAction;
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,3 +1,7 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use crate::GateAction;
 use crate::GateCounters;
 use crate::GateEvent;
@@ -5,9 +9,6 @@
 use crate::time::SECOND_US;
 use crate::turn::Place;
 use crate::turn::Turn;
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::sync::Arc;
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::Deployment;
 use wigeonhall_types::RefusalReason;
--- a/crates/gate/src/gate_event.rs
+++ b/crates/gate/src/gate_event.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::Deployment;
 use wigeonhall_types::HandOverState;
--- a/crates/gate/src/replica_gate.rs
+++ b/crates/gate/src/replica_gate.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeMap;
+
 use crate::GateAction;
 use crate::inherited::Inherited;
 use crate::latency::Latency;
@@ -9,7 +11,6 @@
 use crate::time::SECOND_US;
 use crate::turn::Turn;
 use crate::waiting_list::WaitingList;
-use std::collections::BTreeMap;
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::ColdBound;
 use wigeonhall_types::IndexVersion;
--- a/crates/gate/src/start_window.rs
+++ b/crates/gate/src/start_window.rs
@@ -1,6 +1,7 @@
-use crate::time::SECOND_US;
 use std::collections::VecDeque;
 
+use crate::time::SECOND_US;
+
 /// One microsecond more than a second, so that a closed interval of one second
 /// holds no more starts than a half-open one.
 const WINDOW_US: u64 = SECOND_US + 1;
--- a/crates/gate/src/turn.rs
+++ b/crates/gate/src/turn.rs
@@ -1,6 +1,7 @@
+use std::collections::BTreeMap;
+
 use crate::GateAction;
 use crate::GateCounters;
-use std::collections::BTreeMap;
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::Deployment;
--- a/crates/gate/src/waiting_list.rs
+++ b/crates/gate/src/waiting_list.rs
@@ -1,7 +1,8 @@
+use std::collections::BTreeMap;
+
 use crate::ranked_queue::RankKey;
 use crate::ranked_queue::RankedQueue;
 use crate::ranked_queue::rank_key;
-use std::collections::BTreeMap;
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::SubRequest;
 
--- a/crates/gate/tests/cold_start.rs
+++ b/crates/gate/tests/cold_start.rs
@@ -2,12 +2,13 @@
 
 mod common;
 
+use insta::assert_snapshot;
+
 use common::Driver;
 use common::MS;
 use common::SECOND;
 use common::cold;
 use common::warm;
-use insta::assert_snapshot;
 use wigeonhall_types::HandOverState;
 
 /// Serves sub-requests one after the other, each in `service_ms`.
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses some of the builders")]
 
 use std::sync::Arc;
+
 use wigeonhall_gate::Gate;
 use wigeonhall_gate::GateAction;
 use wigeonhall_gate::GateEvent;
--- a/crates/gate/tests/fuzz.rs
+++ b/crates/gate/tests/fuzz.rs
@@ -4,18 +4,20 @@
 
 mod common;
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestRunner;
+
 use common::MS;
 use common::SECOND;
 use common::cold;
 use common::deployment;
 use common::request;
-use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
-use proptest::test_runner::TestRunner;
-use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::sync::Arc;
 use wigeonhall_gate::Gate;
 use wigeonhall_gate::GateAction;
 use wigeonhall_gate::GateCounters;
--- a/crates/gate/tests/ownership.rs
+++ b/crates/gate/tests/ownership.rs
@@ -2,11 +2,12 @@
 
 mod common;
 
+use insta::assert_snapshot;
+
 use common::Driver;
 use common::REPLICA;
 use common::cold;
 use common::warm;
-use insta::assert_snapshot;
 
 /// Guards against a start at the end of the lease or after it, and against work
 /// that waits without a lease.
--- a/crates/gate/tests/probes.rs
+++ b/crates/gate/tests/probes.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
+use insta::assert_snapshot;
+
 use common::Driver;
 use common::cold;
-use insta::assert_snapshot;
 
 /// Guards against an idle replica whose versions are unknown, and against probes
 /// of a busy one.
--- a/crates/gate/tests/slots.rs
+++ b/crates/gate/tests/slots.rs
@@ -2,12 +2,13 @@
 
 mod common;
 
+use insta::assert_snapshot;
+
 use common::Driver;
 use common::MS;
 use common::REPLICA;
 use common::cold;
 use common::warm;
-use insta::assert_snapshot;
 use wigeonhall_types::HandOverState;
 
 fn inheriting(running: u32) -> Driver {
--- a/crates/gate/tests/waiting.rs
+++ b/crates/gate/tests/waiting.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
-use common::Driver;
 use insta::assert_snapshot;
 
+use common::Driver;
+
 /// Guards against work waiting that cannot end in time. The typical time is
 /// 10 ms and the margin 10 ms, so one that starts at 10 ms ends by 30 ms.
 #[test]
--- a/crates/measure/src/baseline.rs
+++ b/crates/measure/src/baseline.rs
@@ -1,3 +1,9 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use fastrand::Rng;
+
 use crate::RunResult;
 use crate::Scenario;
 use crate::event_queue::EventQueue;
@@ -6,10 +12,6 @@
 use crate::load;
 use crate::network::Network;
 use crate::scenario::Fault;
-use fastrand::Rng;
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::collections::HashMap;
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::DataCentreKey;
--- a/crates/measure/src/comparison.rs
+++ b/crates/measure/src/comparison.rs
@@ -1,11 +1,12 @@
+use std::fmt::Write;
+use std::thread;
+
 use crate::Baseline;
 use crate::Fault;
 use crate::Network;
 use crate::RunResult;
 use crate::Scenario;
 use crate::World;
-use std::fmt::Write;
-use std::thread;
 use wigeonhall_types::Catalog;
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::Deployment;
--- a/crates/measure/src/fake_store.rs
+++ b/crates/measure/src/fake_store.rs
@@ -1,6 +1,7 @@
-use crate::StoreMode;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+
+use crate::StoreMode;
 use wigeonhall_query::Claim;
 use wigeonhall_query::ClaimResult;
 
--- a/crates/measure/src/fake_target.rs
+++ b/crates/measure/src/fake_target.rs
@@ -1,4 +1,5 @@
 use std::collections::VecDeque;
+
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::KeyRange;
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -1,6 +1,8 @@
-use crate::fake_target::SERVICE_US;
-use fastrand::Rng;
 use std::collections::BTreeMap;
+
+use fastrand::Rng;
+
+use crate::fake_target::SERVICE_US;
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::ClassKind;
 use wigeonhall_types::Deployment;
--- a/crates/measure/src/run_result.rs
+++ b/crates/measure/src/run_result.rs
@@ -1,6 +1,7 @@
+use std::collections::BTreeMap;
+
 use crate::ClassStats;
 use crate::fake_target::OverLimit;
-use std::collections::BTreeMap;
 use wigeonhall_types::ClassKey;
 
 /// Results of one run.
--- a/crates/measure/src/shards.rs
+++ b/crates/measure/src/shards.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::Row;
--- a/crates/node/src/caller_answer.rs
+++ b/crates/node/src/caller_answer.rs
@@ -1,6 +1,8 @@
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
+
 use wigeonhall_query::AbsentReason;
 use wigeonhall_query::Answer;
 use wigeonhall_query::AnswerStatus;
--- a/crates/node/src/caller_request.rs
+++ b/crates/node/src/caller_request.rs
@@ -1,6 +1,8 @@
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
+
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::Verdict;
 
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -1,3 +1,12 @@
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::RecvTimeoutError;
+use flume::Sender;
+
 use crate::CallerAnswer;
 use crate::Event;
 use crate::clock::Clock;
@@ -7,13 +16,6 @@
 use crate::request_trace::RequestTrace;
 use crate::request_trace::SentSub;
 use crate::store::Store;
-use flume::Receiver;
-use flume::RecvTimeoutError;
-use flume::Sender;
-use std::collections::HashMap;
-use std::collections::VecDeque;
-use std::sync::Arc;
-use std::time::Duration;
 use wigeonhall_burn::Recorder;
 use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::Fleet;
--- a/crates/node/src/engine_fleet.rs
+++ b/crates/node/src/engine_fleet.rs
@@ -1,9 +1,10 @@
+use std::sync::Arc;
+
 use crate::engine::BALANCER_LAG_MS;
 use crate::engine::Engine;
 use crate::engine::Input;
 use crate::engine::OWNERS_LAG_MS;
 use crate::engine::Stage;
-use std::sync::Arc;
 use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::EvacuationOverride;
 use wigeonhall_fleet::FleetAction;
--- a/crates/node/src/engine_query.rs
+++ b/crates/node/src/engine_query.rs
@@ -1,3 +1,7 @@
+use std::sync::Arc;
+
+use flume::Sender;
+
 use crate::CallerAnswer;
 use crate::CoverageName;
 use crate::ReadRequest;
@@ -10,8 +14,6 @@
 use crate::engine::Stage;
 use crate::engine::Submitter;
 use crate::request_trace::RequestTrace;
-use flume::Sender;
-use std::sync::Arc;
 use wigeonhall_burn::Outcome;
 use wigeonhall_gate::GateEvent;
 use wigeonhall_protocol::NamedReport;
--- a/crates/node/src/engine_status.rs
+++ b/crates/node/src/engine_status.rs
@@ -1,5 +1,6 @@
-use crate::engine::Engine;
 use std::sync::Arc;
+
+use crate::engine::Engine;
 use wigeonhall_burn::BurnSample;
 use wigeonhall_fleet::MemberState as FleetState;
 use wigeonhall_fleet::MemberView;
--- a/crates/node/src/engine_trace.rs
+++ b/crates/node/src/engine_trace.rs
@@ -1,10 +1,11 @@
+use std::sync::Arc;
+
 use crate::CallerAnswer;
 use crate::caller_answer::debug_name;
 use crate::engine::Engine;
 use crate::engine_status;
 use crate::request_trace::SendKind;
 use crate::request_trace::SentSub;
-use std::sync::Arc;
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::NodeKey;
 use wigeonhall_types::ReplicaKey;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,7 +1,8 @@
+use flume::Sender;
+
 use crate::CallerAnswer;
 use crate::ReadRequest;
 use crate::WriteRequest;
-use flume::Sender;
 use wigeonhall_burn::BurnSample;
 use wigeonhall_fleet::EvacuationOverride;
 use wigeonhall_fleet::FleetEvent;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,14 +1,3 @@
-use crate::CallerAnswer;
-use crate::Event;
-use crate::ReadRequest;
-use crate::WriteRequest;
-use crate::metrics::Metrics;
-use crate::readiness::Readiness;
-use flume::Sender;
-use rouille::Request;
-use rouille::Response;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use std::error::Error;
 use std::io::Read;
 use std::net::SocketAddr;
@@ -20,6 +9,19 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
+
+use flume::Sender;
+use rouille::Request;
+use rouille::Response;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::CallerAnswer;
+use crate::Event;
+use crate::ReadRequest;
+use crate::WriteRequest;
+use crate::metrics::Metrics;
+use crate::readiness::Readiness;
 use wigeonhall_fleet::EvacuationOverride;
 use wigeonhall_protocol::Subject;
 use wigeonhall_types::Verdict;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,14 +1,16 @@
 //! The node that runs on an entry VM.
 
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
 use bpaf::Bpaf;
 use flexi_logger::Logger;
 use flexi_logger::WriteMode;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
-use std::fs;
-use std::path::PathBuf;
-use std::process::ExitCode;
+
 use wigeonhall_node::Node;
 use wigeonhall_settings::parse_node;
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,4 +1,3 @@
-use crate::CallerAnswer;
 use prometheus::Encoder;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -9,6 +8,8 @@
 use prometheus::TextEncoder;
 use serde::Serialize;
 
+use crate::CallerAnswer;
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] = [
     0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,3 +1,17 @@
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::Sender;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
+
 use crate::Event;
 use crate::NodeError;
 use crate::clock::Clock;
@@ -9,18 +23,6 @@
 use crate::peers::Peers;
 use crate::readiness::Readiness;
 use crate::store::Store;
-use flume::Receiver;
-use flume::Sender;
-use std::collections::HashMap;
-use std::collections::VecDeque;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::thread;
-use std::thread::JoinHandle;
-use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::runtime::Builder;
-use tokio::runtime::Runtime;
 use wigeonhall_burn::Recorder;
 use wigeonhall_fleet::Fleet;
 use wigeonhall_fleet::FleetConfig;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,13 +1,15 @@
-use crate::Event;
-use flume::Sender;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
+
+use flume::Sender;
 use tarpc::context;
 use tarpc::context::Context;
 use tokio::runtime::Handle;
+
+use crate::Event;
 use wigeonhall_fleet::GossipMessage;
 use wigeonhall_protocol::Connection;
 use wigeonhall_protocol::HandOverMessage;
--- a/crates/node/src/request_trace.rs
+++ b/crates/node/src/request_trace.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
+
 use wigeonhall_query::QueryId;
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::ReplicaKey;
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -1,3 +1,10 @@
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::Sender;
+
 use crate::Event;
 use crate::clock::Clock;
 use crate::clock::unix_ms;
@@ -5,11 +12,6 @@
 use crate::store_tables::read_table;
 use crate::store_tables::table_path;
 use crate::store_tables::write_table;
-use flume::Receiver;
-use flume::Sender;
-use std::sync::Arc;
-use std::thread;
-use std::time::Duration;
 use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::FleetEvent;
 use wigeonhall_fleet::TableRecord;
--- a/crates/node/tests/burst.rs
+++ b/crates/node/tests/burst.rs
@@ -6,11 +6,10 @@
 use std::io::Write;
 use std::net::TcpStream;
 
+use common::World;
 use wigeonhall_node::StatusName;
 use wigeonhall_types::Verdict;
 
-use common::World;
-
 /// Callers that a node serves at once.
 const CALLERS: usize = 256;
 
--- a/crates/node/tests/common/load.rs
+++ b/crates/node/tests/common/load.rs
@@ -10,13 +10,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use wigeonhall_node::CallerAnswer;
-use wigeonhall_node::StatusName;
-use wigeonhall_protocol::Explanation;
-
 use super::assert_whole;
 use super::is_healthy;
 use super::read;
+use wigeonhall_node::CallerAnswer;
+use wigeonhall_node::StatusName;
+use wigeonhall_protocol::Explanation;
 
 /// Time from the first failed health check until the balancer stops sending.
 const BALANCER_LAG: Duration = Duration::from_secs(1);
--- a/crates/node/tests/configuration.rs
+++ b/crates/node/tests/configuration.rs
@@ -7,11 +7,10 @@
 use std::thread;
 use std::time::Duration;
 
-use wigeonhall_fleet::EvacuationOverride;
-use wigeonhall_standins::Availability;
-
 use common::Load;
 use common::World;
+use wigeonhall_fleet::EvacuationOverride;
+use wigeonhall_standins::Availability;
 
 /// Time after which a data centre that was taken out gets no new work.
 const OUT_AFTER: Duration = Duration::from_secs(3);
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -13,10 +13,9 @@
 use std::thread;
 use std::time::Duration;
 
-use wigeonhall_settings::NodeSettings;
-
 use common::Load;
 use common::World;
+use wigeonhall_settings::NodeSettings;
 
 /// Time for which a node is frozen; longer than its lease of 3 s.
 const FROZEN: Duration = Duration::from_secs(5);
--- a/crates/node/tests/reads.rs
+++ b/crates/node/tests/reads.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use common::World;
 use wigeonhall_node::CallerAnswer;
 use wigeonhall_node::CoverageName;
 use wigeonhall_node::ReadRequest;
@@ -10,8 +11,6 @@
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::Verdict;
 
-use common::World;
-
 /// Guards against answers that lack rows, hold one twice, or mix up ranges.
 #[test]
 fn reads_are_whole_at_every_node() {
--- a/crates/node/tests/refusals.rs
+++ b/crates/node/tests/refusals.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use common::World;
 use wigeonhall_node::CallerAnswer;
 use wigeonhall_node::ReadRequest;
 use wigeonhall_node::StatusName;
@@ -12,8 +13,6 @@
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::Verdict;
 
-use common::World;
-
 /// Guards against requests that hang, get no reason, or are said not to have run
 /// although an earlier attempt may have.
 #[test]
--- a/crates/node/tests/store_outage.rs
+++ b/crates/node/tests/store_outage.rs
@@ -2,13 +2,12 @@
 
 mod common;
 
+use common::Load;
+use common::World;
 use wigeonhall_node::StatusName;
 use wigeonhall_standins::Availability;
 use wigeonhall_types::Verdict;
 
-use common::Load;
-use common::World;
-
 /// Guards against reads that need the store, writes that run without a claim,
 /// false verdicts of refused writes, and a configuration that reverts.
 #[test]
--- a/crates/node/tests/targets.rs
+++ b/crates/node/tests/targets.rs
@@ -5,14 +5,13 @@
 use std::thread;
 use std::time::Duration;
 
+use common::Load;
+use common::World;
 use wigeonhall_standins::TargetCounts;
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::ServedVersion;
 
-use common::Load;
-use common::World;
-
 /// Guards against more load than a target bears after it restarted, over all nodes.
 #[test]
 fn a_target_restarted_cold_stays_within_its_bound() {
--- a/crates/node/tests/writes.rs
+++ b/crates/node/tests/writes.rs
@@ -2,13 +2,12 @@
 
 mod common;
 
+use common::World;
 use wigeonhall_node::StatusName;
 use wigeonhall_node::unix_ms;
 use wigeonhall_platform::PutOutcome;
 use wigeonhall_types::Verdict;
 
-use common::World;
-
 /// Guards against a write that is claimed twice or given up after the store took
 /// its claim and lost the reply, and against repeats with another answer.
 #[test]
--- a/crates/protocol/src/connection.rs
+++ b/crates/protocol/src/connection.rs
@@ -1,14 +1,16 @@
-use crate::NodeServiceClient;
-use crate::ProtocolError;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
+
 use tarpc::client;
 use tarpc::serde_transport::tcp;
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::sync::Mutex;
 
+use crate::NodeServiceClient;
+use crate::ProtocolError;
+
 /// Time after a failed connect during which calls fail at once.
 const RECONNECT_PAUSE_MS: u64 = 200;
 
--- a/crates/protocol/src/hand_over_message.rs
+++ b/crates/protocol/src/hand_over_message.rs
@@ -1,6 +1,8 @@
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
+
 use wigeonhall_types::HandOverState;
 
 /// Hands the limits of a replica to its new owner.
--- a/crates/protocol/src/incoming.rs
+++ b/crates/protocol/src/incoming.rs
@@ -1,9 +1,11 @@
+use std::sync::Arc;
+
+use flume::Sender;
+
 use crate::HandOverMessage;
 use crate::NamedReport;
 use crate::SubmitMessage;
 use crate::SubmitReply;
-use flume::Sender;
-use std::sync::Arc;
 use wigeonhall_fleet::GossipMessage;
 use wigeonhall_types::AttemptId;
 
--- a/crates/protocol/src/protocol_error.rs
+++ b/crates/protocol/src/protocol_error.rs
@@ -1,6 +1,7 @@
 use std::error::Error;
 use std::fmt::Display;
 use std::fmt::Formatter;
+
 use wigeonhall_types::Verdict;
 
 /// Why a call to another node has no result.
--- a/crates/protocol/src/server.rs
+++ b/crates/protocol/src/server.rs
@@ -1,21 +1,23 @@
-use crate::HandOverMessage;
-use crate::Incoming;
-use crate::NamedReport;
-use crate::NodeService;
-use crate::SubmitMessage;
-use crate::SubmitReply;
-use crate::connection::MAX_FRAME_BYTES;
+use std::sync::Arc;
+
 use flume::Receiver;
 use flume::Sender;
 use futures::StreamExt;
 use futures::future;
-use std::sync::Arc;
 use tarpc::context::Context;
 use tarpc::serde_transport::tcp;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpListener;
+
+use crate::HandOverMessage;
+use crate::Incoming;
+use crate::NamedReport;
+use crate::NodeService;
+use crate::SubmitMessage;
+use crate::SubmitReply;
+use crate::connection::MAX_FRAME_BYTES;
 use wigeonhall_fleet::GossipMessage;
 use wigeonhall_types::AttemptId;
 
--- a/crates/protocol/src/service.rs
+++ b/crates/protocol/src/service.rs
@@ -1,8 +1,9 @@
+use std::sync::Arc;
+
 use crate::HandOverMessage;
 use crate::NamedReport;
 use crate::SubmitMessage;
 use crate::SubmitReply;
-use std::sync::Arc;
 use wigeonhall_fleet::GossipMessage;
 use wigeonhall_types::AttemptId;
 
--- a/crates/query/src/claim.rs
+++ b/crates/query/src/claim.rs
@@ -1,8 +1,10 @@
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
 use serde_with::DisplayFromStr;
 use serde_with::serde_as;
-use std::sync::Arc;
+
 use wigeonhall_types::IndexVersion;
 
 /// Record in the object API that gives one attempt the right to send a write.
--- a/crates/query/src/class_view.rs
+++ b/crates/query/src/class_view.rs
@@ -1,6 +1,7 @@
+use std::collections::BTreeSet;
+
 use crate::QueryId;
 use crate::version_plan::VersionPlan;
-use std::collections::BTreeSet;
 use wigeonhall_types::ClassKind;
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::KeyRange;
--- a/crates/query/src/coordinator.rs
+++ b/crates/query/src/coordinator.rs
@@ -1,3 +1,7 @@
+use std::collections::HashMap;
+use std::hash::BuildHasherDefault;
+use std::hash::DefaultHasher;
+
 use crate::AbsentReason;
 use crate::Answer;
 use crate::AnswerStatus;
@@ -14,9 +18,6 @@
 use crate::routes::Routes;
 use crate::timers::Timer;
 use crate::timers::Timers;
-use std::collections::HashMap;
-use std::hash::BuildHasherDefault;
-use std::hash::DefaultHasher;
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::DataCentreKey;
--- a/crates/query/src/node_view.rs
+++ b/crates/query/src/node_view.rs
@@ -1,5 +1,6 @@
-use crate::limits::REPORT_WAIT_US;
 use std::collections::BTreeSet;
+
+use crate::limits::REPORT_WAIT_US;
 use wigeonhall_types::ReplicaKey;
 
 /// What this node knows of an owner.
--- a/crates/query/src/open_write.rs
+++ b/crates/query/src/open_write.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use crate::AbsentRange;
 use crate::AbsentReason;
 use crate::Answer;
@@ -7,7 +9,6 @@
 use crate::Coverage;
 use crate::WriteQuery;
 use crate::pay::Pay;
-use std::sync::Arc;
 use wigeonhall_types::FailureReason;
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::KeyRange;
--- a/crates/query/src/query_event.rs
+++ b/crates/query/src/query_event.rs
@@ -1,8 +1,9 @@
+use std::sync::Arc;
+
 use crate::ClaimResult;
 use crate::QueryId;
 use crate::ReadQuery;
 use crate::WriteQuery;
-use std::sync::Arc;
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::Deployment;
 use wigeonhall_types::NodeKey;
--- a/crates/query/src/requests.rs
+++ b/crates/query/src/requests.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::KeyRange;
 
--- a/crates/query/src/routes.rs
+++ b/crates/query/src/routes.rs
@@ -1,12 +1,13 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use crate::class_view::ClassView;
 use crate::node_view::NodeView;
 use crate::replica_view::ReplicaView;
 use crate::service_view::ServiceView;
 use crate::version_plan::Held;
 use crate::version_plan::VersionPlan;
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::sync::Arc;
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::Deployment;
--- a/crates/query/src/service_view.rs
+++ b/crates/query/src/service_view.rs
@@ -1,7 +1,8 @@
+use std::collections::BTreeSet;
+
 use crate::hedge_budget::HedgeBudget;
 use crate::latency_quantile::LatencyQuantile;
 use crate::replica_view::Rank;
-use std::collections::BTreeSet;
 use wigeonhall_types::ClassKey;
 
 /// What this node knows of a shard service.
--- a/crates/query/src/timers.rs
+++ b/crates/query/src/timers.rs
@@ -1,6 +1,7 @@
-use crate::QueryId;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+
+use crate::QueryId;
 use wigeonhall_types::ClassKey;
 use wigeonhall_types::NodeKey;
 
--- a/crates/query/src/writes.rs
+++ b/crates/query/src/writes.rs
@@ -1,5 +1,7 @@
 //! The course of a write, from arrival to answer.
 
+use std::sync::Arc;
+
 use crate::AbsentReason;
 use crate::Coordinator;
 use crate::QueryAction;
@@ -23,7 +25,6 @@
 use crate::routes::Route;
 use crate::timers::Timer;
 use crate::write_claims::push_release;
-use std::sync::Arc;
 use wigeonhall_types::ClassKind;
 use wigeonhall_types::FailureReason;
 use wigeonhall_types::IndexVersion;
--- a/crates/query/tests/fuzz.rs
+++ b/crates/query/tests/fuzz.rs
@@ -7,14 +7,15 @@
 mod oracle;
 mod prelude;
 
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
 use oracle::KEYS;
 use oracle::Oracle;
 use oracle::REPLICAS;
 use oracle::StoreCourse;
 use oracle::Treatment;
 use prelude::*;
-use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
--- a/crates/standins/src/vm_list_server.rs
+++ b/crates/standins/src/vm_list_server.rs
@@ -6,12 +6,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use wigeonhall_types::VmStatus;
-
 use crate::http_message::Reply;
 use crate::http_server::ConnectionPolicy;
 use crate::http_server::HttpServer;
 use crate::http_server::lock;
+use wigeonhall_types::VmStatus;
 
 struct State {
     /// Lists with the time from which they are the truth, oldest first; never empty.
--- a/crates/types/src/catalog.rs
+++ b/crates/types/src/catalog.rs
@@ -1,10 +1,11 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use crate::ClassKey;
 use crate::DataCentreKey;
 use crate::NodeKey;
 use crate::ReplicaKey;
 use crate::ServiceKey;
-use std::collections::BTreeMap;
-use std::sync::Arc;
 
 /// Interns the names of one process.
 ///
--- a/crates/types/src/deployment.rs
+++ b/crates/types/src/deployment.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeMap;
+
 use crate::ClassKey;
 use crate::DataCentre;
 use crate::DataCentreKey;
@@ -8,7 +10,6 @@
 use crate::Service;
 use crate::ServiceKey;
 use crate::Vm;
-use std::collections::BTreeMap;
 
 /// One generation of the operators' text, checked and resolved to keys.
 ///
--- a/crates/types/src/hand_over_state.rs
+++ b/crates/types/src/hand_over_state.rs
@@ -1,7 +1,8 @@
-use crate::ServedVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ServedVersion;
+
 /// What an old owner tells the new owner of a replica.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HandOverState {
--- a/crates/types/src/operation.rs
+++ b/crates/types/src/operation.rs
@@ -1,7 +1,9 @@
-use crate::KeyRange;
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
+
+use crate::KeyRange;
 
 /// What a sub-request asks of a target.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/types/src/ownership_table.rs
+++ b/crates/types/src/ownership_table.rs
@@ -1,7 +1,8 @@
+use std::collections::BTreeMap;
+
 use crate::DataCentreKey;
 use crate::NodeKey;
 use crate::ReplicaKey;
-use std::collections::BTreeMap;
 
 /// Which node owns the limits of each replica of a data centre.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/types/src/replica.rs
+++ b/crates/types/src/replica.rs
@@ -1,6 +1,7 @@
+use std::net::SocketAddr;
+
 use crate::DataCentreKey;
 use crate::ServiceKey;
-use std::net::SocketAddr;
 
 /// One replica of a shard service and the limits its operators state for it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/types/src/replica_report.rs
+++ b/crates/types/src/replica_report.rs
@@ -1,7 +1,8 @@
-use crate::ServedVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ServedVersion;
+
 /// What an owner knows about a replica; travels with every reply.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReplicaReport {
--- a/crates/types/src/row.rs
+++ b/crates/types/src/row.rs
@@ -1,6 +1,7 @@
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
 
 /// One record of the index.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
--- a/crates/types/src/served_version.rs
+++ b/crates/types/src/served_version.rs
@@ -1,8 +1,9 @@
-use crate::IndexVersion;
-use crate::KeyRange;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::IndexVersion;
+use crate::KeyRange;
+
 /// An index version that a replica serves and the keys it holds in it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServedVersion {
--- a/crates/types/src/sub_outcome.rs
+++ b/crates/types/src/sub_outcome.rs
@@ -1,11 +1,12 @@
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::FailureReason;
 use crate::IndexVersion;
 use crate::KeyRange;
 use crate::RefusalReason;
 use crate::Row;
 use crate::Verdict;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// Final outcome of a sub-request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/types/src/vm.rs
+++ b/crates/types/src/vm.rs
@@ -1,6 +1,7 @@
-use crate::DataCentreKey;
 use std::net::SocketAddr;
 
+use crate::DataCentreKey;
+
 /// An entry VM of the deployment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Vm {
--- a/crates/types/src/vm_status.rs
+++ b/crates/types/src/vm_status.rs
@@ -1,6 +1,7 @@
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
 
 /// One entry of the platform's list of VMs. The list lags.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/types/tests/range_set.rs
+++ b/crates/types/tests/range_set.rs
@@ -1,7 +1,9 @@
 //! Guards the interval arithmetic on which coverage rests.
 
-use proptest::prelude::*;
 use std::collections::BTreeSet;
+
+use proptest::prelude::*;
+
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::RangeSet;
 
