--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -8,6 +8,7 @@
 mod claim;
 mod class_view;
 mod coordinator;
+mod dispatch;
 mod hedge_budget;
 mod latency_quantile;
 mod limits;
