--- a/crates/measure/src/event_queue.rs
+++ b/crates/measure/src/event_queue.rs
@@ -41,6 +41,29 @@
         self.heap.peek().map(|Reverse((at_us, _, _))| *at_us)
     }
 
+    /// Takes the next event of a run that ends at `end_us`, but lets what is open end:
+    /// `None` once the time is over and nothing `is_open`. Events that `starts_work`
+    /// are dropped after the end.
+    pub fn pop_within(
+        &mut self,
+        end_us: u64,
+        is_open: bool,
+        starts_work: impl Fn(&T) -> bool,
+    ) -> Option<(u64, T)> {
+        loop {
+            let (now_us, event) = self.pop()?;
+            if now_us <= end_us {
+                return Some((now_us, event));
+            }
+            if !is_open {
+                return None;
+            }
+            if !starts_work(&event) {
+                return Some((now_us, event));
+            }
+        }
+    }
+
     /// Takes the next event and its time.
     pub fn pop(&mut self) -> Option<(u64, T)> {
         let Reverse((at_us, _, index)) = self.heap.pop()?;
--- a/crates/measure/src/fake_target.rs
+++ b/crates/measure/src/fake_target.rs
@@ -57,6 +57,18 @@
     pub slots: u64,
 }
 
+impl OverLimit {
+    /// The counts of all targets together.
+    #[must_use]
+    pub fn sum<'a>(targets: impl Iterator<Item = &'a FakeTarget>) -> Self {
+        targets.fold(Self::default(), |sum, target| Self {
+            cold: sum.cold + target.over.cold,
+            connections: sum.connections + target.over.connections,
+            slots: sum.slots + target.over.slots,
+        })
+    }
+}
+
 /// What a target does with a request that arrives.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Arrival {
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -47,6 +47,15 @@
     per_class.collect()
 }
 
+/// Time of the first arrival of each class, in microseconds.
+#[must_use]
+pub fn first_arrivals_us(rng: &mut Rng, rates: &BTreeMap<ClassKey, f64>) -> Vec<(u64, ClassKey)> {
+    let arrivals = rates.iter();
+    arrivals
+        .map(|(&class, &per_second)| (next_arrival_us(rng, per_second), class))
+        .collect()
+}
+
 /// Time until the next arrival of a Poisson process, in microseconds.
 #[must_use]
 pub fn next_arrival_us(rng: &mut Rng, per_second: f64) -> u64 {
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -10,6 +10,7 @@
 use crate::TraceEvent;
 use crate::event_queue::EventQueue;
 use crate::fake_target::FakeTarget;
+use crate::fake_target::OverLimit;
 use crate::load;
 use crate::network::Network;
 use crate::scenario::Fault;
@@ -126,27 +127,20 @@
     pub fn run(mut self, scenario: &Scenario, warm_up_us: u64, run_us: u64) -> RunResult {
         self.measure_from_us = warm_up_us;
         self.rates = load::rates(&self.deployment, scenario.load);
-        for (class, per_second) in self.rates.clone() {
-            let first_us = load::next_arrival_us(&mut self.rng, per_second);
-            self.events.push(first_us, Event::Arrival(class));
+        for (at_us, class) in load::first_arrivals_us(&mut self.rng, &self.rates) {
+            self.events.push(at_us, Event::Arrival(class));
         }
         for &(at_us, fault) in &scenario.faults {
             self.events.push(at_us, Event::Fault(fault));
         }
-        while let Some((now_us, event)) = self.events.pop() {
-            if now_us > run_us && self.open.is_empty() {
-                break;
-            }
-            if now_us > run_us && matches!(event, Event::Arrival(_)) {
-                continue;
-            }
+        let is_arrival = |event: &Event| matches!(event, Event::Arrival(_));
+        while let Some((now_us, event)) =
+            self.events
+                .pop_within(run_us, !self.open.is_empty(), is_arrival)
+        {
             self.step(now_us, event);
         }
-        for target in self.targets.values() {
-            self.result.over.cold += target.over.cold;
-            self.result.over.connections += target.over.connections;
-            self.result.over.slots += target.over.slots;
-        }
+        self.result.over = OverLimit::sum(self.targets.values());
         self.result
     }
 
