--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -20,6 +20,7 @@
 use wigeonhall_platform::ObjectApi;
 use wigeonhall_platform::PutOutcome;
 use wigeonhall_protocol::CURRENT_PATH;
+use wigeonhall_protocol::NodeStatus;
 use wigeonhall_protocol::StoredConfig;
 use wigeonhall_settings::NodeSettings;
 use wigeonhall_settings::parse;
@@ -30,6 +31,7 @@
 use wigeonhall_standins::TargetSettings;
 use wigeonhall_standins::VmListServer;
 use wigeonhall_types::Catalog;
+use wigeonhall_types::ReplicaState;
 use wigeonhall_types::Verdict;
 use wigeonhall_types::VmState;
 use wigeonhall_types::VmStatus;
@@ -48,6 +50,12 @@
 /// Longest time until every node serves callers.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Longest time until no replica is cold.
+const WARM_UP_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Classes of reads in the demonstration.
+const CLASSES: [&str; 2] = ["search", "report"];
+
 /// Longest time of one call to a node.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -122,7 +130,9 @@
     put_configuration(store_address)?;
     let nodes = start_nodes(&settings)?;
     let addresses: Vec<SocketAddr> = nodes.iter().map(Node::address).collect();
-    let result = wait_until_ready(&addresses).and_then(|()| use_nodes(&addresses, &targets));
+    let result = wait_until_ready(&addresses)
+        .and_then(|()| wait_until_warm(&addresses))
+        .and_then(|()| use_nodes(&addresses, &targets));
     for node in &nodes {
         node.request_stop();
     }
@@ -194,6 +204,32 @@
     }
 }
 
+/// Sends reads until no replica is cold. New owners know nothing of their replicas and
+/// take them through a cold start, which ends by the work that they do.
+fn wait_until_warm(addresses: &[SocketAddr]) -> Result<(), DemoError> {
+    let start = Instant::now();
+    while !addresses.iter().all(|&it| is_warm(it)) {
+        if start.elapsed() > WARM_UP_TIMEOUT {
+            return Err(DemoError::NotReady(addresses[0]));
+        }
+        for class in CLASSES {
+            send_reads(addresses, class).map_err(DemoError::Call)?;
+        }
+    }
+    Ok(())
+}
+
+fn is_warm(address: SocketAddr) -> bool {
+    let url = format!("http://{address}/status");
+    let response = attohttpc::get(url).timeout(CALL_TIMEOUT).send();
+    let status = response.and_then(attohttpc::Response::json::<NodeStatus>);
+    status.is_ok_and(|it| {
+        it.replicas
+            .iter()
+            .all(|replica| replica.state == ReplicaState::Warm)
+    })
+}
+
 fn is_ready(address: SocketAddr) -> bool {
     let url = format!("http://{address}/health");
     let response = attohttpc::get(url).timeout(CALL_TIMEOUT).send();
@@ -202,7 +238,7 @@
 
 fn use_nodes(addresses: &[SocketAddr], targets: &[Target]) -> Result<DemoSummary, DemoError> {
     let mut reads = BTreeMap::new();
-    for class in ["search", "report"] {
+    for class in CLASSES {
         let summary = send_reads(addresses, class).map_err(DemoError::Call)?;
         reads.insert(String::from(class), summary);
     }
