Compare the stated coverage in measurements, and build absent answers once

Reads and writes built the same answer without rows twice.

Coverage::nothing serves both kinds of request.

Measured: the tests of query and measure pass.

--- a/crates/measure/src/world_nodes.rs
+++ b/crates/measure/src/world_nodes.rs
@@ -104,7 +104,9 @@
             AnswerStatus::Whole => {
                 stats.latencies_us.push(took_us);
                 let snapshot = answer.snapshot.unwrap_or(IndexVersion(0));
-                if answer.rows != shards::rows(KeyRange::WHOLE, snapshot) {
+                let covers =
+                    answer.coverage.absent.is_empty() && answer.coverage.read == [KeyRange::WHOLE];
+                if !covers || answer.rows != shards::rows(KeyRange::WHOLE, snapshot) {
                     stats.wrong += 1;
                 }
             }
--- a/crates/query/src/answer.rs
+++ b/crates/query/src/answer.rs
@@ -47,6 +47,22 @@
     pub requested: KeyRange,
 }
 
+impl Coverage {
+    /// Nothing of `requested` was read, for one reason.
+    pub(crate) fn nothing(requested: KeyRange, reason: AbsentReason) -> Self {
+        let absent = AbsentRange {
+            range: requested,
+            reason,
+            service: None,
+        };
+        Self {
+            absent: vec![absent],
+            read: Vec::new(),
+            requested,
+        }
+    }
+}
+
 /// A range that was not read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AbsentRange {
--- a/crates/query/src/open_read.rs
+++ b/crates/query/src/open_read.rs
@@ -107,18 +107,8 @@
             }
             other => AnswerStatus::Refused(other),
         };
-        let requested = self.query.range;
-        let absent = AbsentRange {
-            range: requested,
-            reason,
-            service: None,
-        };
         Answer {
-            coverage: Coverage {
-                absent: vec![absent],
-                read: Vec::new(),
-                requested,
-            },
+            coverage: Coverage::nothing(self.query.range, reason),
             retry_after_ms: Some(retry_after_ms),
             rows: Vec::new(),
             snapshot: None,
--- a/crates/query/src/open_write.rs
+++ b/crates/query/src/open_write.rs
@@ -1,6 +1,5 @@
 use std::sync::Arc;
 
-use crate::AbsentRange;
 use crate::AbsentReason;
 use crate::Answer;
 use crate::AnswerStatus;
@@ -148,18 +147,8 @@
         verdict: Verdict,
         retry_ms: u64,
     ) -> Answer {
-        let requested = self.range();
-        let absent = AbsentRange {
-            range: requested,
-            reason,
-            service: None,
-        };
         Answer {
-            coverage: Coverage {
-                absent: vec![absent],
-                read: Vec::new(),
-                requested,
-            },
+            coverage: Coverage::nothing(self.range(), reason),
             retry_after_ms: Some(retry_ms),
             rows: Vec::new(),
             snapshot: None,
