--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::sync::Arc;
 
@@ -15,17 +16,23 @@
 use crate::history;
 use crate::overrides::carried_on;
 use crate::overrides::pending;
+use crate::parts;
 use crate::report::DONE;
 use crate::report::NOT_EVERYWHERE;
+use crate::settle;
 use crate::settle::Update;
-use crate::settle::write;
 use crate::wait::wait_for_generation;
+use wigeonhall_fleet::PartHash;
+use wigeonhall_fleet::cut;
 use wigeonhall_platform::PlatformError;
+use wigeonhall_protocol::PART_RELIED_ON_HOURS;
 use wigeonhall_protocol::StoredConfig;
 use wigeonhall_settings::DeploymentText;
 use wigeonhall_settings::Place;
 use wigeonhall_settings::parse;
 
+const HOUR_MS: u64 = 3_600_000;
+
 /// Largest value of an object; the platform's limit.
 const MAX_VALUE_BYTES: usize = 1_000_000;
 
@@ -58,6 +65,15 @@
     pub(crate) text: Arc<str>,
 }
 
+/// A value whose parts are written.
+#[derive(Debug)]
+struct Prepared<'a> {
+    current: Option<&'a Current>,
+    /// Time after which a part that the value names may be gone.
+    valid_until_ms: u64,
+    value: &'a StoredConfig,
+}
+
 /// Makes `text` the accepted configuration and waits until every node reports it.
 ///
 /// With `base`, the generation that the text was edited from, the text does not replace
@@ -119,29 +135,56 @@
         let note = "this version rejects the text in force, so every entry is listed as new";
         applied.notes.push(note.into());
     }
-    let unchanged = record.is_some_and(|record| record.text == draft.text);
+    let unchanged = draft
+        .current
+        .as_ref()
+        .is_some_and(|current| !current.old_form && current.record.text() == *draft.text);
     if unchanged && applied.ended_overrides.is_empty() {
         return Ok(applied);
     }
     let change_id = (context.new_id)();
-    let value = StoredConfig {
-        author: Arc::clone(&context.author),
-        change_id: Arc::clone(&change_id),
-        contains: carried_on(old_ids, &applied.ended_overrides),
-        text: Arc::clone(&draft.text),
+    let valid_until_ms = (context.unix_ms)() + PART_RELIED_ON_HOURS * HOUR_MS;
+    let parts = cut(&draft.text);
+    let new_parts = write_parts(context, store, draft.current.as_ref(), &parts)?;
+    let contains = carried_on(old_ids, &applied.ended_overrides);
+    let author = Arc::clone(&context.author);
+    let id = Arc::clone(&change_id);
+    let value = StoredConfig::new(author, id, contains, &parts, new_parts);
+    let prepared = Prepared {
+        current: draft.current.as_ref(),
+        valid_until_ms,
+        value: &value,
     };
-    applied.generation = write_value(context, store, draft.current.as_ref(), &value, &mut applied)?;
+    applied.generation = write_value(context, store, &prepared, &mut applied)?;
     applied.change_id = Some(change_id);
     Ok(applied)
 }
 
-fn write_value(
+/// Writes the parts that the generation before does not name, and returns them.
+fn write_parts(
     context: &Context,
     store: &Store,
     current: Option<&Current>,
-    value: &StoredConfig,
+    parts: &[Arc<str>],
+) -> Result<Vec<Arc<str>>, CtlError> {
+    let mut named = current.map_or_else(BTreeSet::new, Current::named_parts);
+    let mut new_parts = Vec::new();
+    for part in parts {
+        if named.insert(PartHash::of(part)) {
+            parts::write(context, store, part)?;
+            new_parts.push(Arc::clone(part));
+        }
+    }
+    Ok(new_parts)
+}
+
+fn write_value(
+    context: &Context,
+    store: &Store,
+    prepared: &Prepared<'_>,
     applied: &mut Applied,
 ) -> Result<u64, CtlError> {
+    let Prepared { current, value, .. } = *prepared;
     let change_id = &value.change_id;
     let value = serde_json::to_string(value).unwrap_or_default();
     if value.len() > MAX_VALUE_BYTES {
@@ -154,9 +197,10 @@
     let update = Update {
         base: current.map_or(0, |current| current.record.generation),
         change_id,
+        valid_until_ms: prepared.valid_until_ms,
         value: &value,
     };
-    let generation = write(context, store, &update)?;
+    let generation = settle::write(context, store, &update)?;
     (context.say)(&format!(
         "generation {generation} is accepted (change {change_id})"
     ));
--- a/crates/ctl/src/context.rs
+++ b/crates/ctl/src/context.rs
@@ -32,6 +32,8 @@
     pub say: Box<dyn Fn(&str)>,
     /// Calls to the store, if its address is known.
     pub store: Option<Store>,
+    /// Time in ms since the Unix epoch.
+    pub unix_ms: Box<dyn Fn() -> u64>,
 }
 
 impl Context {
@@ -59,7 +61,7 @@
             return Ok(self.given_nodes());
         }
         let current = crate::current::read(self.store()?)?.ok_or(CtlError::NoConfiguration)?;
-        Ok(self.node_list(&parse(&current.record.text)?))
+        Ok(self.node_list(&parse(&current.record.text())?))
     }
 
     fn given_nodes(&self) -> Vec<NodeAddress> {
--- a/crates/ctl/src/ctl_error.rs
+++ b/crates/ctl/src/ctl_error.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use wigeonhall_platform::PlatformError;
+use wigeonhall_protocol::PART_RELIED_ON_HOURS;
 use wigeonhall_settings::SettingsError;
 
 /// Why a command did not do what it was asked.
@@ -47,6 +48,8 @@
     Settings(SettingsError),
     /// The store did not do what it was asked; nothing was changed.
     Store(PlatformError),
+    /// Writing the parts of the text took so long that they may be deleted again.
+    TooLate,
     /// The update may have been accepted or not.
     Unsettled {
         /// Id of the change.
@@ -71,7 +74,8 @@
             | Self::NoNodeAccepted(_)
             | Self::NoNodes
             | Self::NoStore
-            | Self::Store(_) => 5,
+            | Self::Store(_)
+            | Self::TooLate => 5,
             Self::Unsettled { .. } => 6,
         }
     }
@@ -106,6 +110,11 @@
             Self::NoStore => write!(f, "name the store with --store or WIGEONHALL_STORE"),
             Self::Settings(error) => write!(f, "{error}"),
             Self::Store(error) => write!(f, "nothing was changed: {error}"),
+            Self::TooLate => write!(
+                f,
+                "nothing was changed: writing the parts of the text took longer than \
+                 {PART_RELIED_ON_HOURS} h; apply it again"
+            ),
             Self::Unsettled { change_id, base } => write!(
                 f,
                 "it is not known whether change {change_id}, based on generation {base}, was \
--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -10,6 +10,8 @@
 
 use crate::DemoError;
 use crate::Report;
+use wigeonhall_fleet::PartHash;
+use wigeonhall_fleet::cut;
 use wigeonhall_node::CallerAnswer;
 use wigeonhall_node::CoverageName;
 use wigeonhall_node::Node;
@@ -22,6 +24,7 @@
 use wigeonhall_protocol::CURRENT_PATH;
 use wigeonhall_protocol::NodeStatus;
 use wigeonhall_protocol::StoredConfig;
+use wigeonhall_protocol::StoredPart;
 use wigeonhall_settings::NodeSettings;
 use wigeonhall_settings::parse;
 use wigeonhall_settings::parse_node;
@@ -153,20 +156,28 @@
 
 fn put_configuration(store: SocketAddr) -> Result<(), DemoError> {
     const STORE_TIMEOUT_MS: u64 = 2_000;
-    let config = StoredConfig {
-        author: Arc::from("demo"),
-        change_id: Arc::from("demo"),
-        contains: Vec::new(),
-        text: Arc::from(DEPLOYMENT),
-    };
-    let value = serde_json::to_string(&config).unwrap_or_default();
-    match ObjectApi::new(store, STORE_TIMEOUT_MS).put(CURRENT_PATH, 0, &value) {
-        Ok(PutOutcome::Stored { .. }) => Ok(()),
-        Ok(PutOutcome::Conflict(_)) => Err(DemoError::Configuration(String::from(
-            "the stand-in store already holds one",
-        ))),
-        Err(error) => Err(DemoError::Configuration(error.to_string())),
+    let api = ObjectApi::new(store, STORE_TIMEOUT_MS);
+    let parts = cut(DEPLOYMENT);
+    let author = Arc::from("demo");
+    let id = Arc::clone(&author);
+    let config = StoredConfig::new(author, id, Vec::new(), &parts, parts.clone());
+    let parts = parts.into_iter().map(|part| {
+        let path = StoredPart::path(PartHash::of(&part));
+        (path, serde_json::to_string(&StoredPart::new(part)))
+    });
+    let current = (CURRENT_PATH.to_owned(), serde_json::to_string(&config));
+    for (path, value) in parts.chain([current]) {
+        let value = value.unwrap_or_default();
+        match api.put(&path, 0, &value) {
+            Ok(PutOutcome::Stored { .. }) => {}
+            Ok(PutOutcome::Conflict(_)) => {
+                let reason = "the stand-in store already holds one";
+                return Err(DemoError::Configuration(reason.into()));
+            }
+            Err(error) => return Err(DemoError::Configuration(error.to_string())),
+        }
     }
+    Ok(())
 }
 
 fn start_nodes(settings: &[NodeSettings]) -> Result<Vec<Node>, DemoError> {
--- a/crates/ctl/src/history.rs
+++ b/crates/ctl/src/history.rs
@@ -10,11 +10,14 @@
 use crate::current::Current;
 use crate::current::decode;
 use crate::current::read;
+use crate::current::read_head;
+use crate::parts;
 use crate::report::DONE;
 use wigeonhall_platform::ObjectHead;
 use wigeonhall_platform::PlatformError;
 use wigeonhall_platform::PutOutcome;
 use wigeonhall_protocol::HISTORY_PREFIX;
+use wigeonhall_protocol::StoredConfig;
 
 /// Generations that the history keeps; older ones are deleted.
 pub const HISTORY_KEPT: usize = 200;
@@ -30,6 +33,19 @@
     size_bytes: usize,
 }
 
+impl Entry {
+    fn of(config: StoredConfig, generation: u64) -> Self {
+        let size_bytes = config.text_bytes();
+        Self {
+            author: config.author,
+            change_id: config.change_id,
+            contains: config.contains,
+            generation,
+            size_bytes,
+        }
+    }
+}
+
 /// Lists the newest `limit` generations.
 ///
 /// # Errors
@@ -39,15 +55,8 @@
     let store = context.store()?;
     let mut entries = Vec::new();
     // The generation in force may not be in the history yet.
-    if let Some(current) = read(store)? {
-        let record = current.record;
-        entries.push(Entry {
-            author: record.author,
-            change_id: record.change_id,
-            contains: record.contains,
-            generation: record.generation,
-            size_bytes: record.text.len(),
-        });
+    if let Some((config, object)) = read_head(store)? {
+        entries.push(Entry::of(config, object.version));
     }
     for generation in generations(store)?.into_iter().rev() {
         if entries.len() >= limit {
@@ -61,14 +70,7 @@
         let Some(object) = (store.get)(&path)? else {
             continue;
         };
-        let record = decode(&path, &object)?;
-        entries.push(Entry {
-            author: record.author,
-            change_id: record.change_id,
-            contains: record.contains,
-            generation,
-            size_bytes: record.text.len(),
-        });
+        entries.push(Entry::of(decode(&path, &object)?, generation));
     }
     entries.truncate(limit);
     let mut text = String::from("generation  bytes  author            change id\n");
@@ -93,17 +95,18 @@
 /// If the store does not answer or does not hold the generation.
 pub fn show(context: &Context, generation: u64) -> Result<Report, CtlError> {
     let text = text_of(context.store()?, generation)?;
-    Ok(Report::new(DONE, &text, text.to_string()))
+    Ok(Report::new(DONE, &text, text.clone()))
 }
 
 /// The text of one generation.
-pub(crate) fn text_of(store: &Store, generation: u64) -> Result<Arc<str>, CtlError> {
+pub(crate) fn text_of(store: &Store, generation: u64) -> Result<String, CtlError> {
     let path = path_of(generation);
     if let Some(object) = (store.get)(&path)? {
-        return Ok(decode(&path, &object)?.text);
+        let config = decode(&path, &object)?;
+        return Ok(parts::read(store, config, generation)?.text());
     }
     match read(store)? {
-        Some(current) if current.record.generation == generation => Ok(current.record.text),
+        Some(current) if current.record.generation == generation => Ok(current.record.text()),
         _ => Err(CtlError::NoGeneration(generation)),
     }
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -19,6 +19,7 @@
 mod measure;
 mod nodes;
 mod overrides;
+mod parts;
 mod place;
 mod report;
 mod settle;
--- a/crates/ctl/src/list_changes.rs
+++ b/crates/ctl/src/list_changes.rs
@@ -23,7 +23,7 @@
     let old = match generation {
         Some(generation) => parse(&text_of(store, generation)?)?,
         None => match read(store)? {
-            Some(current) => parse(&current.record.text)?,
+            Some(current) => parse(&current.record.text())?,
             None => DeploymentText::default(),
         },
     };
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -197,6 +197,7 @@
             }
         }),
         store: api.as_ref().map(Store::over),
+        unix_ms: Box::new(wigeonhall_node::unix_ms),
     }
 }
 
--- a/crates/ctl/src/place.rs
+++ b/crates/ctl/src/place.rs
@@ -25,7 +25,7 @@
     let mut tries = 1;
     loop {
         let current = read(context.store()?)?.ok_or(CtlError::NoConfiguration)?;
-        let text = set_out(&current.record.text, place, out)?;
+        let text = set_out(&current.record.text(), place, out)?;
         let draft = Draft {
             content: parse(&text)?,
             current: Some(current),
--- a/crates/ctl/src/settle.rs
+++ b/crates/ctl/src/settle.rs
@@ -17,6 +17,8 @@
     /// Generation that it replaces; 0 if there is none.
     pub(crate) base: u64,
     pub(crate) change_id: &'a Arc<str>,
+    /// Time after which a part that the value names may be gone.
+    pub(crate) valid_until_ms: u64,
     pub(crate) value: &'a str,
 }
 
@@ -30,6 +32,9 @@
     store: &Store,
     update: &Update<'_>,
 ) -> Result<u64, CtlError> {
+    if !update.is_valid(context) {
+        return Err(CtlError::TooLate);
+    }
     match (store.put)(CURRENT_PATH, update.base, update.value) {
         Ok(PutOutcome::Stored { version }) => return Ok(version),
         Ok(PutOutcome::Conflict(Some(object))) => {
@@ -50,7 +55,7 @@
     }
     let mut wait = (context.patience)();
     loop {
-        if let Some(outcome) = read_back(store, update) {
+        if let Some(outcome) = read_back(context, store, update) {
             return outcome;
         }
         if !wait() {
@@ -60,10 +65,17 @@
 }
 
 /// The outcome of the update, if it can be told now.
-fn read_back(store: &Store, update: &Update<'_>) -> Option<Result<u64, CtlError>> {
+fn read_back(
+    context: &Context,
+    store: &Store,
+    update: &Update<'_>,
+) -> Option<Result<u64, CtlError>> {
     let object = (store.get)(CURRENT_PATH).ok()?;
     let version = object.as_ref().map_or(0, |object| object.version);
     if version == update.base {
+        if !update.is_valid(context) {
+            return None;
+        }
         return match (store.put)(CURRENT_PATH, update.base, update.value) {
             Ok(PutOutcome::Stored { version }) => Some(Ok(version)),
             _ => None,
@@ -118,6 +130,10 @@
 }
 
 impl Update<'_> {
+    fn is_valid(&self, context: &Context) -> bool {
+        (context.unix_ms)() < self.valid_until_ms
+    }
+
     fn unsettled(&self) -> CtlError {
         CtlError::Unsettled {
             base: self.base,
--- a/crates/ctl/tests/fake/mod.rs
+++ b/crates/ctl/tests/fake/mod.rs
@@ -12,13 +12,16 @@
 use wigeonhall_ctl::Nodes;
 use wigeonhall_ctl::Store;
 use wigeonhall_fleet::EvacuationOverride;
+use wigeonhall_fleet::PartHash;
 use wigeonhall_platform::ObjectHead;
 use wigeonhall_platform::PlatformError;
 use wigeonhall_platform::PutOutcome;
 use wigeonhall_platform::StoredObject;
 use wigeonhall_protocol::CURRENT_PATH;
+use wigeonhall_protocol::HISTORY_PREFIX;
 use wigeonhall_protocol::NodeStatus;
 use wigeonhall_protocol::StoredConfig;
+use wigeonhall_protocol::StoredPart;
 
 pub const TEXT: &str = "\
 region: demo
@@ -47,6 +50,8 @@
     After(Box<dyn FnOnce(&Fake) + Send>),
     /// Runs this first, as another operator would; the reply is lost.
     LostAfter(Box<dyn FnOnce(&Fake) + Send>),
+    /// Is lost before it takes effect; this runs then.
+    Paused(Box<dyn FnOnce(&Fake) + Send>),
     /// Takes effect only after the next read; the reply is lost.
     Late,
     /// Takes effect only when [`Fake::deliver`] is called.
@@ -78,6 +83,7 @@
     pub overrides: Vec<EvacuationOverride>,
     pub puts: u32,
     pub said: Vec<String>,
+    pub unix_ms: u64,
     pub version: u64,
 }
 
@@ -96,7 +102,7 @@
     pub fn operator(&self, author: &str) -> Context {
         let ids = Mutex::new(0);
         let id_author = author.to_owned();
-        let said = self.clone();
+        let (clock, said) = (self.clone(), self.clone());
         Context {
             author: Arc::from(author),
             new_id: Box::new(move || {
@@ -115,6 +121,7 @@
             }),
             say: Box::new(move |line| said.state().said.push(line.to_owned())),
             store: Some(self.store()),
+            unix_ms: Box::new(move || clock.state().unix_ms),
         }
     }
 
@@ -182,6 +189,30 @@
         Some((serde_json::from_str(&object.value).unwrap(), object.version))
     }
 
+    /// The accepted text.
+    pub fn text(&self) -> String {
+        let (config, version) = self.current().unwrap();
+        let list = config.into_list(version).0;
+        let state = self.state();
+        let part = |hash: &PartHash| {
+            let object = &state.objects[&StoredPart::path(*hash)];
+            StoredPart::read(*hash, &object.value).unwrap().text
+        };
+        list.parts.iter().map(part).collect::<Vec<_>>().concat()
+    }
+
+    /// Stores a text as releases did that did not cut it into parts.
+    pub fn set_old_form(&self, text: &str) -> u64 {
+        let config = serde_json::json!({
+            "author": "old", "change_id": "old-1", "contains": [], "text": text,
+        });
+        let version = self.current().map_or(0, |it| it.1);
+        match self.set(CURRENT_PATH, version, &config.to_string()) {
+            PutOutcome::Stored { version } => version,
+            PutOutcome::Conflict(held) => panic!("{held:?}"),
+        }
+    }
+
     /// Generations in the history and the change id of each.
     pub fn kept(&self) -> Vec<String> {
         let state = self.state();
@@ -254,7 +285,7 @@
     }
 
     fn put(&self, path: &str, expected: u64, value: &str) -> Result<PutOutcome, PlatformError> {
-        if self.state().down || (path != CURRENT_PATH && self.state().history_fails) {
+        if self.state().down || (path.starts_with(HISTORY_PREFIX) && self.state().history_fails) {
             return Err(not_sent());
         }
         if path != CURRENT_PATH {
@@ -274,6 +305,7 @@
             }
             Some(PutFate::Late) => self.state().late.push((expected, value.to_owned())),
             Some(PutFate::Stuck) => self.state().stuck.push((expected, value.to_owned())),
+            Some(PutFate::Paused(other)) => other(self),
             Some(PutFate::RequestLost) => {}
             Some(PutFate::ReplyLost) => drop(self.set(path, expected, value)),
             Some(PutFate::ReplyLostThen(other)) => {
--- a/crates/ctl/tests/place.rs
+++ b/crates/ctl/tests/place.rs
@@ -21,7 +21,7 @@
 }
 
 fn text_in_force(fake: &Fake) -> String {
-    fake.current().unwrap().0.text.to_string()
+    fake.text()
 }
 
 fn contained(fake: &Fake) -> Vec<String> {
--- a/crates/ctl/tests/views.rs
+++ b/crates/ctl/tests/views.rs
@@ -17,8 +17,6 @@
 use wigeonhall_ctl::explain;
 use wigeonhall_ctl::status;
 use wigeonhall_fleet::EvacuationOverride;
-use wigeonhall_platform::StoredObject;
-use wigeonhall_protocol::CURRENT_PATH;
 use wigeonhall_protocol::DecisionTrace;
 use wigeonhall_protocol::MemberState;
 use wigeonhall_protocol::MemberStatus;
@@ -191,10 +189,7 @@
 #[test]
 fn a_text_in_force_that_is_rejected_is_reported() {
     let fake = applied();
-    let object = fake.state().objects[CURRENT_PATH].clone();
-    let value = Arc::from(object.value.replace("vms:", "vmz:"));
-    let broken = StoredObject { value, ..object };
-    fake.state().objects.insert(CURRENT_PATH.into(), broken);
+    fake.set_old_form(&TEXT.replace("vms:", "vmz:"));
     assert_eq!(status(&fake.operator("ada")).unwrap_err().exit_code(), 2);
     let applied = apply(&fake.operator("ada"), TEXT, None).unwrap();
     assert_eq!(applied.notes.len(), 1);
--- a/crates/fleet/src/config_record.rs
+++ b/crates/fleet/src/config_record.rs
@@ -1,10 +1,7 @@
 use std::sync::Arc;
 
-use serde::Deserialize;
-use serde::Serialize;
-
-/// One accepted generation of the operators' text, as stored at `config/current`.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// One accepted generation of the operators' text, with all of its parts.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ConfigRecord {
     /// Who applied it.
     pub author: Arc<str>,
@@ -14,6 +11,14 @@
     pub contains: Vec<Arc<str>>,
     /// Version of the object; larger is newer. Not part of the stored value.
     pub generation: u64,
+    /// The deployment in YAML, cut by [`cut`](crate::cut()).
+    pub parts: Vec<Arc<str>>,
+}
+
+impl ConfigRecord {
     /// The deployment in YAML.
-    pub text: Arc<str>,
+    #[must_use]
+    pub fn text(&self) -> String {
+        self.parts.concat()
+    }
 }
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -3,14 +3,18 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::ConfigList;
 use crate::ConfigRecord;
 use crate::Fleet;
 use crate::FleetAction;
+use crate::PartHash;
 use crate::dissemination::Item;
 use crate::limits;
+use crate::parts::Incoming;
 use crate::step::Step;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::Deployment;
+use wigeonhall_types::NodeKey;
 
 #[derive(Debug)]
 pub(crate) struct Configuration {
@@ -22,11 +26,15 @@
     pub(crate) contains: Vec<Arc<str>>,
     /// Deployment in force with overrides.
     pub(crate) in_force: Option<Arc<Deployment>>,
+    /// A newer list than `list`, some of whose parts are not here.
+    pub(crate) incoming: Option<Incoming>,
+    /// Newest generation whose parts are all here.
+    pub(crate) list: Option<ConfigList>,
+    /// Parts of `list`.
+    pub(crate) parts: BTreeMap<PartHash, Arc<str>>,
     read_due_us: u64,
     /// Number of reads whose answer is outstanding.
     reads: u32,
-    /// Newest known record.
-    pub(crate) record: Option<Arc<ConfigRecord>>,
     /// When to read a table that no peer knows.
     tables_due_us: u64,
     watch_due_us: u64,
@@ -41,18 +49,26 @@
             base: None,
             contains: Vec::new(),
             in_force: None,
+            incoming: None,
+            list: None,
+            parts: BTreeMap::new(),
             read_due_us: 0,
             reads: 0,
-            record: None,
             tables_due_us: 0,
             watch_due_us: 0,
             watch_us: None,
         }
     }
 
-    /// Newest known generation, 0 if none is known.
+    /// Newest generation whose parts are all here, 0 if there is none.
     pub(crate) fn generation(&self) -> u64 {
-        self.record.as_ref().map_or(0, |it| it.generation)
+        self.list.as_ref().map_or(0, |it| it.generation)
+    }
+
+    /// Newest known generation, 0 if none is known.
+    pub(crate) fn known_generation(&self) -> u64 {
+        let incoming = self.incoming.as_ref();
+        incoming.map_or_else(|| self.generation(), |it| it.list.generation)
     }
 
     pub(crate) fn generation_in_force(&self) -> u64 {
@@ -62,23 +78,28 @@
 
 impl Fleet {
     /// Takes the answer to a read or a watch of `config/current`.
-    pub(crate) fn on_config_read(&mut self, step: &mut Step<'_>, record: Option<ConfigRecord>) {
+    pub(crate) fn on_config_read(
+        &mut self,
+        step: &mut Step<'_>,
+        list: Option<ConfigList>,
+        parts: Vec<Arc<str>>,
+    ) {
         self.lease.store_ok_us = Some(step.now_us);
         let asked = self.end_config_call();
-        let retry = if record.is_some() {
+        let retry = if list.is_some() {
             0
         } else {
             limits::STORE_RETRY_US
         };
         self.configuration.watch_due_us = step.now_us + retry;
-        let Some(record) = record else {
+        let Some(list) = list else {
             return;
         };
         if asked {
-            let generation = record.generation;
+            let generation = list.generation;
             self.startup.confirm(generation);
         }
-        self.learn_config(step, record, true);
+        self.learn_config(step, list, parts, None);
     }
 
     pub(crate) fn on_config_read_failed(&mut self, step: &mut Step<'_>) {
@@ -96,25 +117,49 @@
         self.configuration.watch_us.take().is_some()
     }
 
-    /// Takes a record from the store or a peer; only a larger generation counts.
+    /// Takes a list from a peer, or from the store; only a larger generation counts.
     pub(crate) fn learn_config(
         &mut self,
         step: &mut Step<'_>,
-        record: ConfigRecord,
-        from_store: bool,
+        list: ConfigList,
+        parts: Vec<Arc<str>>,
+        from: Option<NodeKey>,
     ) {
-        if record.generation <= self.configuration.generation() {
-            return;
+        let generation = list.generation;
+        if generation > self.configuration.known_generation() {
+            self.stop_wanting(&Item::Config, generation);
+            self.await_parts(list, from.is_none());
+        }
+        if let Some(from) = from {
+            self.add_part_source(step, generation, from);
         }
+        self.take_parts(step, parts);
+    }
+
+    /// Takes a generation whose parts are all here.
+    pub(crate) fn complete(&mut self, step: &mut Step<'_>, incoming: Incoming) {
+        let Some(record) = incoming.list.record(&incoming.held) else {
+            return;
+        };
         let record = Arc::new(record);
         let generation = record.generation;
-        self.configuration.record = Some(Arc::clone(&record));
         self.configuration
             .adopting
             .insert(generation, Arc::clone(&record));
+        self.configuration.list = Some(incoming.list);
+        self.configuration.parts = incoming.held;
         step.push(FleetAction::AdoptConfig((*record).clone()));
-        self.stop_wanting(&Item::Config, generation);
-        self.announce(step, from_store);
+        self.announce(step, incoming.from_store);
+    }
+
+    /// Reads the list, unless a read is outstanding or just failed.
+    pub(crate) fn read_list(&mut self, step: &mut Step<'_>) {
+        if self.configuration.reads == 0 && self.configuration.read_due_us <= step.now_us {
+            self.configuration.read_due_us = step.now_us + limits::STORE_RETRY_US;
+            self.configuration.reads += 1;
+            self.counters.store_reads += 1;
+            step.push(FleetAction::ReadConfig);
+        }
     }
 
     /// Puts a resolved deployment in force.
@@ -154,12 +199,8 @@
         let now = step.now_us;
         let cut_off = now >= self.membership.contact_us + limits::CUT_OFF_US;
         let wanted = !self.startup.confirmed() || cut_off;
-        let pending = self.configuration.reads > 0;
-        if wanted && !pending && self.configuration.read_due_us <= now {
-            self.configuration.read_due_us = now + limits::STORE_RETRY_US;
-            self.configuration.reads += 1;
-            self.counters.store_reads += 1;
-            step.push(FleetAction::ReadConfig);
+        if wanted {
+            self.read_list(step);
         }
         self.read_missing_table(step);
         let waiting = self.configuration.watch_us;
@@ -169,7 +210,9 @@
         if self.views.watcher && known && expired && self.configuration.watch_due_us <= now {
             self.configuration.watch_us = Some(now);
             self.counters.store_watches += 1;
-            step.push(FleetAction::WatchConfig(self.configuration.generation()));
+            step.push(FleetAction::WatchConfig(
+                self.configuration.known_generation(),
+            ));
         }
     }
 
--- a/crates/fleet/src/dissemination.rs
+++ b/crates/fleet/src/dissemination.rs
@@ -138,8 +138,10 @@
         answer: bool,
     ) {
         let mut behind = digest.generation < self.configuration.generation();
-        if digest.generation > self.configuration.generation() {
+        if digest.generation > self.configuration.known_generation() {
             self.want(step, &Item::Config, digest.generation, from);
+        } else {
+            self.add_part_source(step, digest.generation, from);
         }
         let mut ended = Vec::new();
         for id in &digest.overrides {
@@ -213,13 +215,14 @@
     pub(crate) fn on_pull(&mut self, step: &mut Step<'_>, from: NodeKey, item: PullItem) {
         let message = match item {
             PullItem::Config => {
-                let record = self.configuration.record.as_ref();
-                record.map(|it| GossipMessage::Config((**it).clone()))
+                let list = self.configuration.list.as_ref();
+                list.map(|it| GossipMessage::Config(it.clone()))
             }
             PullItem::Override(id) => {
                 let order = self.overrides.active.get(&id);
                 order.map(|it| GossipMessage::Evacuate(it.clone()))
             }
+            PullItem::Parts(hashes) => Some(self.parts_message(&hashes)),
             PullItem::Table(name) => {
                 let key = step.catalog.data_centre(&name);
                 self.table_message(key)
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -131,6 +131,7 @@
         self.refresh_views();
         self.run_startup(&mut step);
         self.run_configuration(&mut step);
+        self.run_parts(&mut step);
         self.run_membership(&mut step);
         self.run_dissemination(&mut step);
         self.refresh_views();
@@ -153,6 +154,7 @@
             self.ownership.grants_wake_us,
             self.lease.wake_us(),
             self.membership.wake_us(),
+            self.parts_wake_us(),
             self.proposal.wake_us(),
             self.startup.wake_us(),
             self.stop_due_us.unwrap_or(u64::MAX),
@@ -178,7 +180,7 @@
 
     fn take(&mut self, step: &mut Step<'_>, event: FleetEvent) {
         match event {
-            FleetEvent::ConfigRead(record) => self.on_config_read(step, record),
+            FleetEvent::ConfigRead { list, parts } => self.on_config_read(step, list, parts),
             FleetEvent::ConfigReadFailed => self.on_config_read_failed(step),
             FleetEvent::Deployment(deployment) => self.on_deployment(step, deployment),
             FleetEvent::Evacuate(order) => self.on_evacuate(step, &order),
@@ -188,6 +190,8 @@
                 replica,
                 state,
             } => self.on_hand_over(step, replica, epoch, state),
+            FleetEvent::PartRead(hash, part) => self.on_part_read(step, hash, part),
+            FleetEvent::PartReadFailed(hash) => self.on_part_read_failed(step, hash),
             FleetEvent::Stop => self.on_stop(step),
             FleetEvent::TableRead {
                 data_centre,
@@ -235,7 +239,9 @@
                 self.on_updates(step, Some(from), vec![sender]);
                 self.on_ask_config(step, from);
             }
-            GossipMessage::Config(record) => self.learn_config(step, record, false),
+            GossipMessage::Config(list) => {
+                self.learn_config(step, list, Vec::new(), Some(from));
+            }
             GossipMessage::ConfigKnown { generation } => {
                 self.on_config_known(step, from, generation);
             }
@@ -280,6 +286,7 @@
                 change_ids,
                 generation,
             } => self.on_overrides_ended(step, change_ids, generation),
+            GossipMessage::Parts(parts) => self.on_parts(step, from, parts),
             GossipMessage::Ping { sequence, updates } => {
                 self.on_updates(step, Some(from), updates);
                 self.on_ping(step, from, sequence);
--- a/crates/fleet/src/fleet_action.rs
+++ b/crates/fleet/src/fleet_action.rs
@@ -2,6 +2,7 @@
 
 use crate::ConfigRecord;
 use crate::GossipMessage;
+use crate::PartHash;
 use crate::TableRecord;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::Deployment;
@@ -36,6 +37,8 @@
     Owners(Arc<OwnershipTable>),
     /// Read `config/current` now.
     ReadConfig,
+    /// Read a part from the store now; answered by `PartRead` or `PartReadFailed`.
+    ReadPart(PartHash),
     /// Read `owners/<data centre>` now.
     ReadTable(DataCentreKey),
     /// Read the platform's list of VMs now.
--- a/crates/fleet/src/fleet_event.rs
+++ b/crates/fleet/src/fleet_event.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
 
-use crate::ConfigRecord;
+use crate::ConfigList;
 use crate::EvacuationOverride;
 use crate::GossipMessage;
+use crate::PartHash;
 use crate::TableRecord;
 use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::Deployment;
@@ -14,8 +15,13 @@
 /// Input of the [`Fleet`](crate::Fleet).
 #[derive(Clone, Debug)]
 pub enum FleetEvent {
-    /// A configuration read or watch ended: the record, `None` if there is none.
-    ConfigRead(Option<ConfigRecord>),
+    /// A configuration read or watch ended.
+    ConfigRead {
+        /// The accepted generation, `None` if there is none.
+        list: Option<ConfigList>,
+        /// Parts of it that came with it.
+        parts: Vec<Arc<str>>,
+    },
     /// The store did not answer a configuration read or watch in time.
     ConfigReadFailed,
     /// The text of `AdoptConfig` was resolved; overrides are not applied yet.
@@ -38,6 +44,10 @@
         /// What the old owner knows.
         state: HandOverState,
     },
+    /// A read of a part ended: the part, `None` if the store does not hold it.
+    PartRead(PartHash, Option<Arc<str>>),
+    /// The store did not answer a read of a part in time.
+    PartReadFailed(PartHash),
     /// The process was asked to stop; its queries have ended.
     Stop,
     /// A table read ended: the record, `None` if there is none.
--- a/crates/fleet/src/gossip_message.rs
+++ b/crates/fleet/src/gossip_message.rs
@@ -6,9 +6,10 @@
 use serde_with::DisplayFromStr;
 use serde_with::serde_as;
 
-use crate::ConfigRecord;
+use crate::ConfigList;
 use crate::Digest;
 use crate::MemberUpdate;
+use crate::PartHash;
 
 /// A message between nodes; one way, answers are messages too.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -18,8 +19,8 @@
         /// First-hand state of the sender.
         sender: MemberUpdate,
     },
-    /// A configuration.
-    Config(ConfigRecord),
+    /// A configuration, with its parts by name.
+    Config(ConfigList),
     /// Answers `AskConfig`.
     ConfigKnown {
         /// Newest generation, `None` while the sender itself is not sure.
@@ -83,6 +84,8 @@
         /// A receiver with this generation or a newer one in force drops them.
         generation: u64,
     },
+    /// Those of the parts asked for that the sender has, as many as a message takes.
+    Parts(Vec<Arc<str>>),
     /// Probes the receiver.
     Ping {
         /// Number of the probe.
@@ -121,6 +124,8 @@
     Config,
     /// The override with this id.
     Override(Arc<str>),
+    /// Parts of a text.
+    Parts(Vec<PartHash>),
     /// The table of the data centre with this name.
     Table(Arc<str>),
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Fleet`] takes events and a time and pushes actions; it has no I/O, clock,
 //! threads or ambient randomness.
 
+mod config_list;
 mod config_record;
 mod configuration;
 mod digest;
@@ -20,13 +21,17 @@
 mod message_size;
 mod overrides;
 mod ownership;
+mod part_hash;
+mod parts;
 mod proposal;
 mod rendezvous;
 mod startup;
 mod step;
 mod stop;
+mod text_parts;
 mod views;
 
+pub use config_list::ConfigList;
 pub use config_record::ConfigRecord;
 pub use digest::Digest;
 pub use digest::TableVersion;
@@ -44,6 +49,12 @@
 pub use inspect::MemberView;
 pub use member_update::MemberState;
 pub use member_update::MemberUpdate;
+pub use part_hash::NoPartHash;
+pub use part_hash::PartHash;
+pub use text_parts::PART_BYTES;
+pub use text_parts::PART_MAX_BYTES;
+pub use text_parts::PART_MIN_BYTES;
+pub use text_parts::cut;
 
 /// Validity of an ownership lease in milliseconds.
 pub const LEASE_MS: u64 = 3000;
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -33,6 +33,21 @@
 pub(crate) const ENDED_MAX: usize = 1024;
 /// Largest number of hand-overs kept for a table that is not known yet.
 pub(crate) const EARLY_HAND_OVERS_MAX: usize = 4096;
+/// Hashes in one request for parts.
+pub(crate) const PARTS_ASKED: usize = 64;
+/// Bytes of the parts in one message, about 16 parts of the mean length; the list of
+/// the largest text has as many.
+pub(crate) const PARTS_BYTES: usize = 65_536;
+/// Reads of parts that one node has outstanding at the store.
+pub(crate) const PART_READS: usize = 32;
+/// Nodes of the whole fleet that are expected to read a part that no peer has told
+/// from the store; `PART_READS` each in a [`PULL_RETRY_US`] are about 850 reads a
+/// second.
+pub(crate) const PART_READERS: u64 = 4;
+/// Requests to peers without a new part, after which the store is read.
+pub(crate) const SILENT_ASKS: u32 = 3;
+/// Requests without a new part after which twice as many nodes read the store.
+pub(crate) const SILENT_ASKS_DOUBLE: u32 = 4;
 /// Time within which a probe is answered, before indirect probes start.
 pub(crate) const PROBE_ANSWER_US: u64 = 300_000;
 /// Time between two probes.
--- a/crates/fleet/src/message_size.rs
+++ b/crates/fleet/src/message_size.rs
@@ -1,10 +1,11 @@
 use std::sync::Arc;
 
-use crate::ConfigRecord;
+use crate::ConfigList;
 use crate::Digest;
 use crate::EvacuationOverride;
 use crate::GossipMessage;
 use crate::MemberUpdate;
+use crate::PartHash;
 use crate::PullItem;
 use crate::TableRecord;
 
@@ -17,7 +18,7 @@
     pub fn size_bytes(&self) -> usize {
         4 + match self {
             Self::AskConfig { sender } => update(sender),
-            Self::Config(record) => config(record),
+            Self::Config(list) => config(list),
             Self::ConfigKnown { .. } => 1 + NUMBER,
             Self::Consent { .. } | Self::ConsentAsk { .. } => 2 * NUMBER,
             Self::Digest {
@@ -30,6 +31,7 @@
             Self::LeaseAsk { .. } => 1 + 2 * NUMBER,
             Self::LeaseHint => 0,
             Self::OverridesEnded { change_ids, .. } => 2 * NUMBER + texts(change_ids),
+            Self::Parts(parts) => NUMBER + texts(parts),
             Self::Ping { updates: list, .. } | Self::PingAnswer { updates: list, .. } => {
                 NUMBER + updates(list)
             }
@@ -40,15 +42,16 @@
             } => NUMBER + text(target) + updates(list),
             Self::Pull(PullItem::Config) => 4,
             Self::Pull(PullItem::Override(name) | PullItem::Table(name)) => 4 + text(name),
+            Self::Pull(PullItem::Parts(hashes)) => 4 + NUMBER + hashes.len() * PartHash::BYTES,
             Self::Table(record) => table(record),
             Self::Updates(list) => updates(list),
         }
     }
 }
 
-fn config(record: &ConfigRecord) -> usize {
-    let names = text(&record.author) + text(&record.change_id) + text(&record.text);
-    names + NUMBER + texts(&record.contains) + NUMBER
+fn config(list: &ConfigList) -> usize {
+    let names = text(&list.author) + text(&list.change_id) + NUMBER + texts(&list.contains);
+    names + 2 * NUMBER + list.parts.len() * PartHash::BYTES
 }
 
 fn digest(digest: &Digest) -> usize {
--- a/crates/fleet/src/startup.rs
+++ b/crates/fleet/src/startup.rs
@@ -46,7 +46,7 @@
 
 impl Fleet {
     /// Nodes whose answers count: all that are named and not gone.
-    fn named(&self) -> Vec<NodeKey> {
+    pub(crate) fn named(&self) -> Vec<NodeKey> {
         let members = self.membership.members.iter();
         let named = members.filter(|(_, member)| member.listing != Listing::Gone);
         named.map(|(&node, _)| node).collect()
@@ -90,8 +90,10 @@
             return;
         };
         self.startup.answers.insert(from, generation);
-        if generation > self.configuration.generation() {
+        if generation > self.configuration.known_generation() {
             self.want(step, &Item::Config, generation, from);
+        } else {
+            self.add_part_source(step, generation, from);
         }
     }
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use wigeonhall_fleet::ConfigList;
 use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::EvacuationOverride;
 use wigeonhall_fleet::Fleet;
@@ -24,6 +25,7 @@
 use wigeonhall_fleet::FleetConfig;
 use wigeonhall_fleet::FleetEvent;
 use wigeonhall_fleet::NotReadyReason;
+use wigeonhall_fleet::PartHash;
 use wigeonhall_fleet::PushShape;
 use wigeonhall_fleet::TableRecord;
 use wigeonhall_types::Catalog;
@@ -41,6 +43,8 @@
 
 pub const MS: u64 = 1000;
 pub const S: u64 = 1_000_000;
+/// Largest message between nodes: 64 KiB of parts and their lengths.
+const MESSAGE_BYTES: usize = 65_536 + 64 * 8 + 64;
 
 type Task = Box<dyn FnOnce(&mut World)>;
 
@@ -85,16 +89,37 @@
 
 #[derive(Default)]
 pub struct Store {
-    pub config: Option<ConfigRecord>,
+    pub config: Option<ConfigList>,
     pub down: bool,
+    /// Parts that come with the list.
+    pub inline: Vec<Arc<str>>,
     /// Chance that a write takes effect but its reply is lost, in percent.
     pub lost_replies: u8,
     /// Every write id that took effect, by epoch of each table.
     pub written: BTreeMap<(Arc<str>, u64), u64>,
+    pub parts: BTreeMap<PartHash, Arc<str>>,
     pub tables: BTreeMap<Arc<str>, TableRecord>,
+    /// Accepted text of each generation.
+    pub texts: BTreeMap<u64, String>,
     watches: Vec<(usize, u64, u64)>,
 }
 
+impl Store {
+    fn config_read(&self) -> FleetEvent {
+        FleetEvent::ConfigRead {
+            list: self.config.clone(),
+            parts: self.inline.clone(),
+        }
+    }
+
+    /// Deletes the parts that the accepted generation does not name.
+    pub fn remove_parts(&mut self) {
+        let config = self.config.as_ref();
+        let named = |it: &PartHash| config.is_some_and(|list| list.parts.contains(it));
+        self.parts.retain(|hash, _| named(hash));
+    }
+}
+
 pub struct World {
     pub busy: Duration,
     pub bytes: u64,
@@ -103,6 +128,8 @@
     /// Group of each node; nodes of different groups hear nothing of each other.
     pub group: Vec<u8>,
     holders: BTreeMap<Arc<str>, BTreeSet<usize>>,
+    /// Whether the new parts of a text come with its list.
+    pub inline: bool,
     /// Chance that a message or reply is seconds late, and that a message comes
     /// twice, in percent.
     pub late: u8,
@@ -133,6 +160,7 @@
             dcs: dcs.iter().map(|it| (it.0, it.1.to_owned())).collect(),
             group: vec![0; count],
             holders: BTreeMap::new(),
+            inline: false,
             late: 0,
             loss: 0,
             messages: 0,
@@ -265,17 +293,28 @@
         for order in self.orders.iter_mut().filter(contained) {
             order.2.get_or_insert(generation);
         }
-        self.store.config = Some(ConfigRecord {
+        let parts = wigeonhall_fleet::cut(text);
+        let hashes: Vec<_> = parts.iter().map(|it| PartHash::of(it)).collect();
+        let old = self.store.config.take().map_or(Vec::new(), |it| it.parts);
+        let new = hashes.iter().zip(&parts).filter(|it| !old.contains(it.0));
+        let new: Vec<_> = new.map(|it| (*it.0, Arc::clone(it.1))).collect();
+        self.store.inline = new.iter().map(|it| Arc::clone(&it.1)).collect();
+        if !self.inline {
+            self.store.inline.clear();
+        }
+        self.store.parts.extend(new);
+        self.store.texts.insert(generation, text.into());
+        self.store.config = Some(ConfigList {
             author: "operator".into(),
             change_id: format!("change-{generation}").into(),
             contains: contains.iter().map(|&it| it.into()).collect(),
             generation,
-            text: text.into(),
+            parts: hashes,
         });
         for (node, boot, _) in std::mem::take(&mut self.store.watches) {
             self.store_call(node, move |world| {
-                let record = world.store.config.clone();
-                world.answer(node, boot, move |_| FleetEvent::ConfigRead(record));
+                let event = world.store.config_read();
+                world.answer(node, boot, move |_| event);
             });
         }
         generation
@@ -366,7 +405,9 @@
             generation: record.generation,
             ..Deployment::default()
         };
-        let out = |name: &str| record.text.split_whitespace().any(|it| it == name);
+        let text = record.text();
+        let names: BTreeSet<_> = text.split_whitespace().collect();
+        let out = |name: &str| names.contains(name);
         let address = SocketAddr::from(([127, 0, 0, 1], 1));
         for offset in 0..self.nodes.len() {
             let it = &self.nodes[(node + offset) % self.nodes.len()];
@@ -506,6 +547,12 @@
     fn act(&mut self, node: usize, boot: u64, local: u64, action: FleetAction) {
         match action {
             FleetAction::AdoptConfig(record) => {
+                assert_eq!(
+                    Some(&record.text()),
+                    self.store.texts.get(&record.generation),
+                    "not the accepted text of generation {}",
+                    record.generation
+                );
                 let mut catalog = std::mem::take(&mut self.nodes[node].catalog);
                 let deployment = Arc::new(self.deployment(node, &mut catalog, &record));
                 self.nodes[node].catalog = catalog;
@@ -557,7 +604,9 @@
             FleetAction::Send { message, to } => {
                 let name = self.nodes[node].catalog.node_name(to);
                 self.messages += 1;
-                self.bytes += message.size_bytes() as u64;
+                let bytes = message.size_bytes();
+                assert!(bytes <= MESSAGE_BYTES, "a message of {bytes} bytes");
+                self.bytes += bytes as u64;
                 if self.rng.u8(..100) < self.late {
                     let message = message.clone();
                     self.post(node, &name, |from| FleetEvent::Gossip { from, message });
@@ -575,11 +624,20 @@
                 node,
                 boot,
                 |world| {
-                    let record = world.store.config.clone();
-                    Box::new(move |_| FleetEvent::ConfigRead(record))
+                    let event = world.store.config_read();
+                    Box::new(move |_| event)
                 },
                 |_| FleetEvent::ConfigReadFailed,
             ),
+            FleetAction::ReadPart(hash) => self.read(
+                node,
+                boot,
+                move |world| {
+                    let part = world.store.parts.get(&hash).cloned();
+                    Box::new(move |_| FleetEvent::PartRead(hash, part))
+                },
+                move |_| FleetEvent::PartReadFailed(hash),
+            ),
             FleetAction::ReadTable(data_centre) => {
                 let name = self.nodes[node].catalog.data_centre_name(data_centre);
                 self.read(
@@ -611,8 +669,8 @@
                     let failed = |_: &mut Catalog| FleetEvent::ConfigReadFailed;
                     self.at(self.now + S, move |world| world.deliver(node, boot, failed));
                 } else if newer {
-                    let record = self.store.config.clone();
-                    self.answer(node, boot, |_| FleetEvent::ConfigRead(record));
+                    let event = self.store.config_read();
+                    self.answer(node, boot, |_| event);
                 } else {
                     self.store.watches.push((node, boot, generation));
                 }
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -2,7 +2,8 @@
 //!
 //! At every event the world checks that generations and epochs never go back, that
 //! one write of an epoch takes effect, that no two nodes hold a valid lease and a
-//! grant for one replica, and that overrides last until a configuration has them.
+//! grant for one replica, that overrides last until a configuration has them, and
+//! that a node puts exactly the accepted text in force.
 
 mod common;
 
@@ -19,9 +20,14 @@
 
 const NODES: usize = 8;
 
-#[derive(Clone, Copy, Debug)]
+/// Lines of the text; it has several parts.
+const LINES: usize = 300;
+
+#[derive(Clone, Debug)]
 enum Op {
-    Apply(bool),
+    /// Whether it contains the overrides, the lines to edit and whether the new parts
+    /// come with the list.
+    Apply(bool, Vec<(usize, u32)>, bool),
     Crash(usize),
     CutFromStore(usize),
     Evacuate(usize, usize),
@@ -31,6 +37,7 @@
     LostReplies(u8),
     Partition(u8),
     Pause(usize, u64),
+    RemoveParts,
     Run(u64),
     Start(usize),
     Stop(usize),
@@ -40,7 +47,7 @@
 fn op() -> impl Strategy<Value = Op> {
     let node = 0..NODES;
     prop_oneof![
-        2 => any::<bool>().prop_map(Op::Apply),
+        2 => (any::<bool>(), edits(), any::<bool>()).prop_map(|it| Op::Apply(it.0, it.1, it.2)),
         3 => node.clone().prop_map(Op::Crash),
         2 => node.clone().prop_map(Op::CutFromStore),
         1 => (node.clone(), node.clone()).prop_map(|it| Op::Evacuate(it.0, it.1)),
@@ -50,6 +57,7 @@
         1 => prop_oneof![Just(0_u8), Just(50)].prop_map(Op::LostReplies),
         3 => any::<u8>().prop_map(Op::Partition),
         3 => (node.clone(), 100 * MS..12 * S).prop_map(|it| Op::Pause(it.0, it.1)),
+        1 => Just(Op::RemoveParts),
         12 => (MS..6 * S).prop_map(Op::Run),
         5 => node.clone().prop_map(Op::Start),
         1 => node.prop_map(Op::Stop),
@@ -57,15 +65,35 @@
     ]
 }
 
-fn act(world: &mut World, op: Op) {
+/// Edits of a few lines, or of so many that nearly all parts change.
+fn edits() -> impl Strategy<Value = Vec<(usize, u32)>> {
+    let edit = (0..LINES, any::<u32>());
+    prop_oneof![
+        4 => proptest::collection::vec(edit.clone(), 0..4),
+        1 => proptest::collection::vec(edit, 50..100),
+    ]
+}
+
+fn line(value: u32) -> String {
+    format!(
+        "  entry-{value}: {}\n",
+        "x".repeat(80 + value as usize % 40)
+    )
+}
+
+fn act(world: &mut World, lines: &mut [String], op: Op) {
     match op {
-        Op::Apply(contain) => {
+        Op::Apply(contain, edits, inline) => {
             if world.store.down {
                 return;
             }
             let ids: Vec<_> = world.orders.iter().map(|it| it.0.clone()).collect();
             let ids: Vec<_> = ids.iter().map(|it| &**it).collect();
-            world.apply("", if contain { &ids } else { &[] });
+            for (at, value) in edits {
+                lines[at] = line(value);
+            }
+            world.inline = inline;
+            world.apply(&lines.concat(), if contain { &ids } else { &[] });
         }
         Op::Crash(node) => world.crash(node),
         Op::CutFromStore(node) => {
@@ -94,6 +122,7 @@
             }
         }
         Op::Pause(node, time) => world.pause(node, time),
+        Op::RemoveParts => world.store.remove_parts(),
         Op::Run(time) => world.run(time),
         Op::Start(node) => start(world, node),
         Op::Stop(node) => world.stop(node),
@@ -111,7 +140,7 @@
 }
 
 /// Ends all failures; then everything must be owned and everybody up to date.
-fn heal(world: &mut World) {
+fn heal(world: &mut World, text: &str) {
     world.late = 0;
     world.loss = 0;
     world.store.lost_replies = 0;
@@ -120,7 +149,8 @@
     world.set_store_down(false);
     let ids: Vec<_> = world.orders.iter().map(|it| it.0.clone()).collect();
     let ids: Vec<_> = ids.iter().map(|it| &**it).collect();
-    let generation = world.apply("", &ids);
+    world.inline = false;
+    let generation = world.apply(text, &ids);
     world.run(15 * S);
     (0..NODES).for_each(|node| start(world, node));
     world.run(45 * S);
@@ -153,13 +183,15 @@
     let case = (any::<u64>(), ops);
     let result = runner.run(&case, |(seed, ops)| {
         let mut world = World::new(&[("south", "dc-a"), ("north", "dc-b")], NODES, 6, seed);
-        world.apply("", &[]);
+        let mut lines: Vec<_> = (0..LINES as u32).map(line).collect();
+        world.apply(&lines.concat(), &[]);
         (0..NODES).for_each(|it| world.start(it));
         world.run(8 * S);
         for op in ops {
-            act(&mut world, op);
+            act(&mut world, &mut lines, op);
         }
-        heal(&mut world);
+        lines[LINES / 2] = line(u32::MAX);
+        heal(&mut world, &lines.concat());
         Ok(())
     });
     if let Err(error) = result {
--- a/crates/fleet/tests/one_member.rs
+++ b/crates/fleet/tests/one_member.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use wigeonhall_fleet::ConfigRecord;
+use wigeonhall_fleet::ConfigList;
 use wigeonhall_fleet::Fleet;
 use wigeonhall_fleet::FleetAction;
 use wigeonhall_fleet::FleetConfig;
@@ -151,8 +151,11 @@
 
     /// Puts a configuration in force that names this node only.
     fn configure(&mut self, now_us: u64) {
-        let record = record(1);
-        self.handle(now_us, FleetEvent::ConfigRead(Some(record)));
+        let event = FleetEvent::ConfigRead {
+            list: Some(record(1)),
+            parts: Vec::new(),
+        };
+        self.handle(now_us, event);
         let data_centre = self.catalog.data_centre("dc-a");
         let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
         let vm = Vm {
@@ -224,13 +227,13 @@
     }
 }
 
-fn record(generation: u64) -> ConfigRecord {
-    ConfigRecord {
+fn record(generation: u64) -> ConfigList {
+    ConfigList {
         author: "operator".into(),
         change_id: "change".into(),
         contains: Vec::new(),
         generation,
-        text: "".into(),
+        parts: Vec::new(),
     }
 }
 
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -232,6 +232,7 @@
         if self.cleaned_us.is_none_or(due) && self.cleans_claims() {
             self.cleaned_us = Some(now_us);
             self.store.delete_old_claims();
+            self.store.remove_unused_parts();
         }
     }
 
--- a/crates/node/src/engine_fleet.rs
+++ b/crates/node/src/engine_fleet.rs
@@ -52,6 +52,7 @@
                     .push_back(Input::Query(QueryEvent::Owners(table)));
             }
             FleetAction::ReadConfig => self.store.read_config(),
+            FleetAction::ReadPart(hash) => self.store.read_part(hash),
             FleetAction::ReadTable(data_centre) => {
                 let name = self.catalog.data_centre_name(data_centre);
                 self.store.read_table(data_centre, &name);
@@ -92,7 +93,7 @@
     /// Resolves an accepted configuration. A text that this version of the program
     /// cannot resolve leaves the one before in force.
     fn adopt(&mut self, record: ConfigRecord) {
-        let parsed = wigeonhall_settings::parse(&record.text);
+        let parsed = wigeonhall_settings::parse(&record.text());
         let text = match parsed {
             Ok(text) => text,
             Err(error) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod readiness;
 mod request_trace;
 mod store;
+mod store_parts;
 mod store_tables;
 
 pub use caller_answer::CallerAbsent;
@@ -35,3 +36,5 @@
 pub use event::Event;
 pub use node::Node;
 pub use node_error::NodeError;
+pub use store_parts::PartChange;
+pub use store_parts::remove_unused_parts;
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -9,11 +9,15 @@
 use crate::clock::Clock;
 use crate::clock::unix_ms;
 use crate::metrics::Metrics;
+use crate::store_parts::PartChange;
+use crate::store_parts::remove_unused_parts;
+use crate::store_parts::run_parts;
 use crate::store_tables::read_table;
 use crate::store_tables::table_path;
 use crate::store_tables::write_table;
-use wigeonhall_fleet::ConfigRecord;
+use wigeonhall_fleet::ConfigList;
 use wigeonhall_fleet::FleetEvent;
+use wigeonhall_fleet::PartHash;
 use wigeonhall_fleet::TableRecord;
 use wigeonhall_platform::ObjectApi;
 use wigeonhall_platform::PutOutcome;
@@ -35,6 +39,13 @@
 /// small part of the several hundred writes a second that the platform takes.
 const CLAIM_DELETE_PAUSE: Duration = Duration::from_millis(50);
 
+/// Pause between two changes of unused parts. At 21,000 changes a day of two parts each
+/// there are about one mark and one deletion a second to make.
+const PART_CHANGE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Threads that read parts; each blocks for one store call of a few milliseconds.
+const PART_THREADS: usize = 4;
+
 const CLAIMS_PREFIX: &str = "claims/";
 
 const HOUR_MS: u64 = 3_600_000;
@@ -59,6 +70,9 @@
     clock: Clock,
     control: Sender<ControlJob>,
     events: Sender<Event>,
+    parts: Sender<PartHash>,
+    /// Each message starts one removal of unused parts.
+    removals: Sender<()>,
     /// Each message asks for the list of VMs; one waits at most, so that no answer is
     /// older than two calls.
     vm_lists: Sender<()>,
@@ -112,6 +126,14 @@
         thread::spawn(move || run_watches(&watch_api, watch_wait_ms, &watches, &watch_events));
         let (cleanup_api, cleanup_metrics) = (api.clone(), Arc::clone(metrics));
         thread::spawn(move || run_cleanups(&cleanup_api, &cleanup_jobs, &cleanup_metrics));
+        let (parts, part_jobs) = flume::unbounded();
+        for _ in 0..PART_THREADS {
+            let (api, events, jobs) = (api.clone(), events.clone(), part_jobs.clone());
+            thread::spawn(move || run_parts(&api, &jobs, &events));
+        }
+        let (removals, removal_jobs) = flume::bounded(1);
+        let (removal_api, removal_metrics) = (api.clone(), Arc::clone(metrics));
+        thread::spawn(move || run_removals(&removal_api, &removal_jobs, &removal_metrics));
         let (api, control_events) = (api.clone(), events.clone());
         thread::spawn(move || run_control(&api, clock, &control_jobs, &control_events));
         let (vm_lists, vm_list_jobs) = flume::bounded(1);
@@ -123,6 +145,8 @@
             clock,
             control,
             events: events.clone(),
+            parts,
+            removals,
             vm_lists,
             watch,
         }
@@ -153,6 +177,16 @@
         self.control_job(ControlJob::ReadConfig);
     }
 
+    /// Reads a part of a text.
+    pub fn read_part(&self, hash: PartHash) {
+        let _ = self.parts.send(hash);
+    }
+
+    /// Starts a removal of unused parts unless one runs.
+    pub fn remove_unused_parts(&self) {
+        let _ = self.removals.try_send(());
+    }
+
     /// Reads an ownership table.
     pub fn read_table(&self, data_centre: DataCentreKey, name: &str) {
         let path = table_path(name);
@@ -290,6 +324,22 @@
     }
 }
 
+fn run_removals(api: &ObjectApi, jobs: &Receiver<()>, metrics: &Metrics) {
+    for () in jobs {
+        let result = remove_unused_parts(api, unix_ms(), |change| {
+            metrics.count(match change {
+                PartChange::Deleted => "part_deleted",
+                PartChange::Marked => "part_marked",
+                PartChange::Unmarked => "part_unmarked",
+            });
+            thread::sleep(PART_CHANGE_PAUSE);
+        });
+        if result.is_err() {
+            metrics.count("part_removal_failed");
+        }
+    }
+}
+
 fn run_vm_lists(vms: &VmList, jobs: &Receiver<()>, events: &Sender<Event>) {
     for () in jobs {
         if let Ok(list) = vms.read() {
@@ -307,16 +357,22 @@
 
 fn config_event<E>(result: Result<Option<StoredObject>, E>) -> FleetEvent {
     match result {
-        Ok(None) => FleetEvent::ConfigRead(None),
+        Ok(None) => FleetEvent::ConfigRead {
+            list: None,
+            parts: Vec::new(),
+        },
         Ok(Some(object)) => match parse_config(&object) {
-            Some(record) => FleetEvent::ConfigRead(Some(record)),
+            Some((list, parts)) => FleetEvent::ConfigRead {
+                list: Some(list),
+                parts,
+            },
             None => FleetEvent::ConfigReadFailed,
         },
         Err(_) => FleetEvent::ConfigReadFailed,
     }
 }
 
-fn parse_config(object: &StoredObject) -> Option<ConfigRecord> {
+fn parse_config(object: &StoredObject) -> Option<(ConfigList, Vec<Arc<str>>)> {
     let stored: StoredConfig = serde_json::from_str(&object.value).ok()?;
-    Some(stored.into_record(object.version))
+    Some(stored.into_list(object.version))
 }
--- /dev/null
+++ b/crates/node/src/store_parts.rs
@@ -0,0 +1,142 @@
+//! Parts of the configuration's text in the object API.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use flume::Receiver;
+use flume::Sender;
+
+use crate::Event;
+use wigeonhall_fleet::FleetEvent;
+use wigeonhall_fleet::PartHash;
+use wigeonhall_platform::ObjectApi;
+use wigeonhall_platform::ObjectHead;
+use wigeonhall_platform::PlatformError;
+use wigeonhall_platform::PutOutcome;
+use wigeonhall_platform::StoredObject;
+use wigeonhall_protocol::CURRENT_PATH;
+use wigeonhall_protocol::HISTORY_PREFIX;
+use wigeonhall_protocol::PART_KEPT_HOURS;
+use wigeonhall_protocol::PARTS_PREFIX;
+use wigeonhall_protocol::StoredConfig;
+use wigeonhall_protocol::StoredPart;
+
+const PART_KEPT_MS: u64 = PART_KEPT_HOURS * 3_600_000;
+
+/// What was done with one part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PartChange {
+    /// It was deleted.
+    Deleted,
+    /// It was marked as unused.
+    Marked,
+    /// The mark was taken off, since something names the part again.
+    Unmarked,
+}
+
+/// Reads parts for the fleet core.
+pub(crate) fn run_parts(api: &ObjectApi, jobs: &Receiver<PartHash>, events: &Sender<Event>) {
+    for hash in jobs {
+        let event = match api.get(&StoredPart::path(hash)) {
+            Ok(None) => FleetEvent::PartRead(hash, None),
+            Ok(Some(object)) => {
+                let part = StoredPart::read(hash, &object.value);
+                FleetEvent::PartRead(hash, part.map(|it| it.text))
+            }
+            Err(_) => FleetEvent::PartReadFailed(hash),
+        };
+        let _ = events.send(Event::Fleet(event));
+    }
+}
+
+/// Marks the parts that neither the accepted configuration nor the history names, and
+/// deletes those that were marked [`PART_KEPT_HOURS`] ago and are still unnamed.
+///
+/// A change that relies on an unnamed part writes it again and is accepted within
+/// [`PART_RELIED_ON_HOURS`](wigeonhall_protocol::PART_RELIED_ON_HOURS). The versions are
+/// listed before the names are read, and every step is conditional on the listed
+/// version. So a part that such a change wrote before the listing has no old mark, and
+/// one that it wrote later has another version. `changed` is called after each step.
+///
+/// # Errors
+///
+/// If the store does not answer, or the names cannot be read; parts that were not
+/// reached are left as they are.
+pub fn remove_unused_parts(
+    api: &ObjectApi,
+    now_ms: u64,
+    mut changed: impl FnMut(PartChange),
+) -> Result<(), PlatformError> {
+    let heads = api.list(PARTS_PREFIX)?;
+    if heads.is_empty() {
+        return Ok(());
+    }
+    let Some(named) = named_parts(api)? else {
+        return Ok(());
+    };
+    for head in &heads {
+        let Some(hash) = StoredPart::hash_at(&head.path) else {
+            continue;
+        };
+        if let Some(change) = settle_part(api, now_ms, head, named.contains(&hash))? {
+            changed(change);
+        }
+    }
+    Ok(())
+}
+
+/// Parts that the accepted configuration or the history names; `None` if there is no
+/// accepted configuration or one of the objects has an unknown form.
+///
+/// The accepted generation is read first: whoever replaces it adds it to the history
+/// before.
+fn named_parts(api: &ObjectApi) -> Result<Option<BTreeSet<PartHash>>, PlatformError> {
+    let Some(current) = api.get(CURRENT_PATH)? else {
+        return Ok(None);
+    };
+    let mut objects = vec![current];
+    for head in api.list(HISTORY_PREFIX)? {
+        objects.extend(api.get(&head.path)?);
+    }
+    let lists: Option<Vec<_>> = objects.iter().map(names).collect();
+    Ok(lists.map(|it| it.into_iter().flatten().collect()))
+}
+
+fn names(object: &StoredObject) -> Option<Vec<PartHash>> {
+    let config: StoredConfig = serde_json::from_str(&object.value).ok()?;
+    Some(config.into_list(object.version).0.parts)
+}
+
+fn settle_part(
+    api: &ObjectApi,
+    now_ms: u64,
+    head: &ObjectHead,
+    named: bool,
+) -> Result<Option<PartChange>, PlatformError> {
+    let object = api.get(&head.path)?;
+    let Some(object) = object.filter(|it| it.version == head.version) else {
+        return Ok(None);
+    };
+    let Ok(part) = serde_json::from_str::<StoredPart>(&object.value) else {
+        return Ok(None);
+    };
+    let mark = |unused_since_ms| {
+        let text = Arc::clone(&part.text);
+        let part = StoredPart {
+            text,
+            unused_since_ms,
+        };
+        let value = serde_json::to_string(&part).unwrap_or_default();
+        api.put(&head.path, head.version, &value)
+    };
+    let (outcome, change) = match (named, part.unused_since_ms) {
+        (true, Some(_)) => (mark(None)?, PartChange::Unmarked),
+        (false, None) => (mark(Some(now_ms))?, PartChange::Marked),
+        (false, Some(since_ms)) if since_ms + PART_KEPT_MS <= now_ms => {
+            let outcome = api.delete(&head.path, head.version)?;
+            (outcome, PartChange::Deleted)
+        }
+        _ => return Ok(None),
+    };
+    Ok(matches!(outcome, PutOutcome::Stored { .. }).then_some(change))
+}
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -19,6 +19,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use wigeonhall_fleet::PartHash;
+use wigeonhall_fleet::cut;
 use wigeonhall_node::CallerAnswer;
 use wigeonhall_node::CoverageName;
 use wigeonhall_node::Node;
@@ -31,6 +33,7 @@
 use wigeonhall_protocol::CURRENT_PATH;
 use wigeonhall_protocol::NodeStatus;
 use wigeonhall_protocol::StoredConfig;
+use wigeonhall_protocol::StoredPart;
 use wigeonhall_settings::LogLevel;
 use wigeonhall_settings::NodeSettings;
 use wigeonhall_settings::SeedNode;
@@ -178,12 +181,20 @@
 
     /// Stores a configuration and returns its generation.
     pub fn configure(&self, text: &str, change_id: &str, contains: &[&str]) -> u64 {
-        let config = StoredConfig {
-            author: Arc::from("test"),
-            change_id: Arc::from(change_id),
-            contains: contains.iter().map(|it| Arc::from(*it)).collect(),
-            text: Arc::from(text),
-        };
+        let parts = cut(text);
+        for part in &parts {
+            let path = StoredPart::path(PartHash::of(part));
+            let value = serde_json::to_string(&StoredPart::new(Arc::clone(part))).unwrap();
+            self.api().put(&path, 0, &value).unwrap();
+        }
+        let contains = contains.iter().map(|it| Arc::from(*it)).collect();
+        let config = StoredConfig::new(
+            "test".into(),
+            change_id.into(),
+            contains,
+            &parts,
+            Vec::new(),
+        );
         let value = serde_json::to_string(&config).unwrap();
         let held = self.store.object(CURRENT_PATH);
         let version = held.map_or(0, |(_, version)| version);
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -14,8 +14,13 @@
 use crate::reader::Reader;
 use crate::tree::Tree;
 
-/// Longest text in bytes; the object API takes values up to a megabyte.
-pub const MAX_TEXT_BYTES: usize = 1_000_000;
+/// Longest text in bytes.
+///
+/// A text is stored in parts of at least 1,024 bytes but for the last, so it has at most
+/// 3,907 of them. Their list takes 35 bytes a part in the store, 137 kB of the megabyte
+/// that an object may have, and 16 bytes a part in a message between nodes, which stays
+/// below the 64 KiB of a message with parts.
+pub const MAX_TEXT_BYTES: usize = 4_000_000;
 
 /// All mistakes of a deployment text, by rising line.
 #[must_use]
