Test the parts under failures and measure their spread

Cause: the tests of the fleet core used one empty text, so they said nothing about parts. A node that had just started took itself for a watcher, since it knew no other member, and read the whole text from the store.

A node counts as a watcher for the parts only once a deployment is in force. The example spread changes one line of a text of 8,000 bytes and of one of 1.2 MB.

--- a/crates/fleet/examples/spread.rs
+++ b/crates/fleet/examples/spread.rs
@@ -1,8 +1,8 @@
 //! Prints how fast and at what cost a new configuration spreads, in virtual time.
 //!
 //! Arguments: the numbers of nodes, 15, 150 and 600 by default, and shapes by name,
-//! all by default. Processor time is
-//! that of the decision logic alone.
+//! all by default. One line of the text changes each time. Processor time is that of
+//! the decision logic alone.
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -12,8 +12,11 @@
 use common::World;
 use wigeonhall_fleet::PushShape;
 
-/// Length of the configuration text in bytes.
-const TEXT: usize = 8000;
+/// Lengths of the configuration text in bytes: about that of the current users, and that
+/// of the design size.
+const TEXTS: [usize; 2] = [8_000, 1_200_000];
+/// Length of a line, which is an entry, in bytes.
+const LINE: usize = 100;
 /// Changes measured in each case.
 const CHANGES: u64 = 5;
 const DATA_CENTRES: [(&str, &str); 12] = [
@@ -31,7 +34,17 @@
     ("west", "dc-l"),
 ];
 
-fn fleet(count: usize, shape: PushShape) -> World {
+/// A text; `edit` is part of its middle line.
+fn lines(text: usize, edit: u64) -> String {
+    let count = text / LINE;
+    let line = |at: usize| {
+        let edit = if at == count / 2 { edit } else { 0 };
+        format!("  entry-{at:08}: {edit:0width$}\n", width = LINE - 19)
+    };
+    (0..count).map(line).collect()
+}
+
+fn fleet(count: usize, shape: PushShape, text: usize) -> World {
     let centres = match count {
         ..100 => 3,
         100..400 => 6,
@@ -39,7 +52,8 @@
     };
     let mut world = World::new(&DATA_CENTRES[..centres], count, 20, 1);
     world.shape = shape;
-    world.apply("", &[]);
+    world.inline = true;
+    world.apply(&lines(text, 0), &[]);
     (0..count).for_each(|it| world.start(it));
     world.run(30 * S);
     world
@@ -59,13 +73,13 @@
 
 /// Slowest and mean time in ms until all nodes have a change, and its messages and
 /// bytes per node beyond those at rest.
-fn change(world: &mut World, down: bool) -> (f64, f64, f64, f64) {
+fn change(world: &mut World, text: usize, down: bool) -> (f64, f64, f64, f64) {
     let count = world.nodes.len() as f64;
     let at_rest = rest(world);
     let (mut slowest, mut sum, mut messages, mut bytes) = (0.0_f64, 0.0, 0.0, 0.0);
-    for _ in 0..CHANGES {
+    for number in 0..CHANGES {
         let before = (world.messages, world.bytes, world.now);
-        let generation = world.apply(&"x".repeat(TEXT), &[]);
+        let generation = world.apply(&lines(text, world.now + number), &[]);
         let mut all_ms = None;
         while world.now < before.2 + 6 * S {
             world.run(2 * MS);
@@ -112,24 +126,24 @@
         counts = vec![15, 150, 600];
     }
     println!(
-        "| nodes | shape | loss | store | slowest ms | mean ms | msgs/node/change | bytes/node/change | msgs/node/s at rest | bytes/node/s at rest | cpu us/node/s at rest |"
+        "| nodes | shape | text bytes | loss | store | slowest ms | mean ms | msgs/node/change | bytes/node/change | msgs/node/s at rest | bytes/node/s at rest | cpu us/node/s at rest |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for count in counts {
-        for &shape in &shapes {
-            let mut world = fleet(count, shape);
+        for (shape, text) in shapes.iter().flat_map(|&it| TEXTS.map(|text| (it, text))) {
+            let mut world = fleet(count, shape, text);
             let cost = rest(&mut world);
             for (loss, down) in [(0, false), (10, false), (0, true), (10, true)] {
                 world.loss = loss;
-                let (slowest, mean, messages, bytes) = change(&mut world, down);
+                let (slowest, mean, messages, bytes) = change(&mut world, text, down);
                 let store = if down { "down" } else { "up" };
                 println!(
-                    "| {count} | {shape:?} | {loss}% | {store} | {slowest:.0} | {mean:.0} | {messages:.1} | {bytes:.0} | {:.1} | {:.0} | {:.0} |",
+                    "| {count} | {shape:?} | {text} | {loss}% | {store} | {slowest:.0} | {mean:.0} | {messages:.1} | {bytes:.0} | {:.1} | {:.0} | {:.0} |",
                     cost.0, cost.1, cost.2
                 );
             }
         }
-        let mut world = fleet(count, PushShape::Neighbours);
+        let mut world = fleet(count, PushShape::Neighbours, TEXTS[1]);
         let start = store_calls(&world);
         world.run(30 * S);
         let rest = store_calls(&world);
--- a/crates/fleet/src/parts.rs
+++ b/crates/fleet/src/parts.rs
@@ -191,7 +191,7 @@
             incoming.reading.remove(&hash);
         }
         self.take_parts(step, vec![part]);
-        if self.views.watcher {
+        if self.watches() {
             self.read_parts(step);
         }
     }
@@ -218,6 +218,12 @@
         }
     }
 
+    /// Whether this node knows that it is one of the few that watch the store; before it
+    /// knows a deployment every node takes itself for one.
+    fn watches(&self) -> bool {
+        self.views.watcher && self.configuration.base.is_some()
+    }
+
     /// Whether this node reads the store after `silent` requests without a part: a few
     /// nodes of the fleet do at first, and more the longer the silence lasts.
     fn reads_after(&mut self, silent: u32) -> bool {
@@ -239,15 +245,15 @@
         }
         incoming.due_us = now + limits::PULL_RETRY_US;
         incoming.reading.retain(|_, &mut until| until > now);
-        let silent = incoming.silent;
+        let (silent, from_store) = (incoming.silent, incoming.from_store);
         let source = if incoming.sources.is_empty() {
             None
         } else {
             incoming.sources.rotate_left(1);
             incoming.sources.first().copied()
         };
-        let watcher = self.views.watcher && incoming.from_store;
-        if watcher || self.reads_after(silent) {
+        let watches = from_store && self.watches();
+        if watches || self.reads_after(silent) {
             self.read_parts(step);
         }
         let peer = source.or_else(|| self.views.random_any(&mut self.rng));
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -24,6 +24,7 @@
 use wigeonhall_fleet::FleetAction;
 use wigeonhall_fleet::FleetConfig;
 use wigeonhall_fleet::FleetEvent;
+use wigeonhall_fleet::GossipMessage;
 use wigeonhall_fleet::NotReadyReason;
 use wigeonhall_fleet::PartHash;
 use wigeonhall_fleet::PushShape;
@@ -123,6 +124,8 @@
 pub struct World {
     pub busy: Duration,
     pub bytes: u64,
+    /// Chance that a part arrives with another content, in percent.
+    pub corrupt: u8,
     pub cut_from_store: BTreeSet<usize>,
     pub dcs: Vec<(&'static str, String)>,
     /// Group of each node; nodes of different groups hear nothing of each other.
@@ -140,6 +143,8 @@
     /// Overrides of VMs: id, VM and the generation that contains the id.
     pub orders: Vec<(Arc<str>, Arc<str>, Option<u64>)>,
     pub now: u64,
+    /// Reads of parts from the store.
+    pub part_reads: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     replicas_per_dc: usize,
     pub rng: fastrand::Rng,
@@ -156,6 +161,7 @@
         let mut world = Self {
             busy: Duration::ZERO,
             bytes: 0,
+            corrupt: 0,
             cut_from_store: BTreeSet::new(),
             dcs: dcs.iter().map(|it| (it.0, it.1.to_owned())).collect(),
             group: vec![0; count],
@@ -167,6 +173,7 @@
             nodes: Vec::new(),
             orders: Vec::new(),
             now: 0,
+            part_reads: 0,
             queue: BinaryHeap::new(),
             replicas_per_dc: replicas,
             rng: fastrand::Rng::with_seed(seed),
@@ -601,7 +608,11 @@
                 replica,
                 successor,
             } => self.revoke(node, epoch, replica, successor),
-            FleetAction::Send { message, to } => {
+            FleetAction::Send { mut message, to } => {
+                if let GossipMessage::Parts(parts) = &mut message {
+                    let carried = std::mem::take(parts).into_iter();
+                    *parts = carried.map(|it| self.carry(it)).collect();
+                }
                 let name = self.nodes[node].catalog.node_name(to);
                 self.messages += 1;
                 let bytes = message.size_bytes();
@@ -629,15 +640,19 @@
                 },
                 |_| FleetEvent::ConfigReadFailed,
             ),
-            FleetAction::ReadPart(hash) => self.read(
-                node,
-                boot,
-                move |world| {
-                    let part = world.store.parts.get(&hash).cloned();
-                    Box::new(move |_| FleetEvent::PartRead(hash, part))
-                },
-                move |_| FleetEvent::PartReadFailed(hash),
-            ),
+            FleetAction::ReadPart(hash) => {
+                self.part_reads += 1;
+                self.read(
+                    node,
+                    boot,
+                    move |world| {
+                        let part = world.store.parts.get(&hash).cloned();
+                        let part = part.map(|it| world.carry(it));
+                        Box::new(move |_| FleetEvent::PartRead(hash, part))
+                    },
+                    move |_| FleetEvent::PartReadFailed(hash),
+                );
+            }
             FleetAction::ReadTable(data_centre) => {
                 let name = self.nodes[node].catalog.data_centre_name(data_centre);
                 self.read(
@@ -684,6 +699,15 @@
         }
     }
 
+    /// A part as it arrives.
+    fn carry(&mut self, part: Arc<str>) -> Arc<str> {
+        if self.rng.u8(..100) < self.corrupt {
+            format!("{part}# corrupt\n").into()
+        } else {
+            part
+        }
+    }
+
     fn write(&mut self, node: usize, boot: u64, expected: u64, mut table: TableRecord) {
         let slow = self.store.lost_replies > 0 && self.rng.u8(..100) < 10;
         let delay = if slow {
--- a/crates/fleet/tests/configuration.rs
+++ b/crates/fleet/tests/configuration.rs
@@ -9,10 +9,14 @@
 fn spreads(count: usize, loss: u8, down: bool, seed: u64) {
     let mut world = World::settled(count, seed);
     world.loss = loss;
-    for _ in 0..5 {
+    let mut lines: Vec<_> = (0..200).map(|it| format!("  a-{it}: {it:090}\n")).collect();
+    world.inline = true;
+    world.apply(&lines.concat(), &[]);
+    for change in 0..5 {
         world.set_store_down(false);
         world.run(5 * S);
-        let generation = world.apply("", &[]);
+        lines[change * 40].replace_range(2..3, "b");
+        let generation = world.apply(&lines.concat(), &[]);
         world.run(10 * MS);
         world.set_store_down(down);
         world.run(3 * S - 10 * MS);
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -28,6 +28,7 @@
     /// Whether it contains the overrides, the lines to edit and whether the new parts
     /// come with the list.
     Apply(bool, Vec<(usize, u32)>, bool),
+    Corrupt(u8),
     Crash(usize),
     CutFromStore(usize),
     Evacuate(usize, usize),
@@ -48,6 +49,7 @@
     let node = 0..NODES;
     prop_oneof![
         2 => (any::<bool>(), edits(), any::<bool>()).prop_map(|it| Op::Apply(it.0, it.1, it.2)),
+        1 => prop_oneof![Just(0_u8), Just(30)].prop_map(Op::Corrupt),
         3 => node.clone().prop_map(Op::Crash),
         2 => node.clone().prop_map(Op::CutFromStore),
         1 => (node.clone(), node.clone()).prop_map(|it| Op::Evacuate(it.0, it.1)),
@@ -95,6 +97,7 @@
             world.inline = inline;
             world.apply(&lines.concat(), if contain { &ids } else { &[] });
         }
+        Op::Corrupt(percent) => world.corrupt = percent,
         Op::Crash(node) => world.crash(node),
         Op::CutFromStore(node) => {
             if !world.cut_from_store.remove(&node) {
@@ -141,6 +144,7 @@
 
 /// Ends all failures; then everything must be owned and everybody up to date.
 fn heal(world: &mut World, text: &str) {
+    world.corrupt = 0;
     world.late = 0;
     world.loss = 0;
     world.store.lost_replies = 0;
