Test the deletion of a part between the decision and the call

Cause: with the deletion made at any version instead of the listed one, and with old marks left on named parts, no test failed.

Change: remove_unused_parts calls back before each step and returns the steps that took effect, so that a test runs a change in between; a test marks a named part.

--- a/crates/ctl/tests/parts.rs
+++ b/crates/ctl/tests/parts.rs
@@ -20,7 +20,6 @@
 use wigeonhall_node::remove_unused_parts;
 use wigeonhall_platform::ObjectApi;
 use wigeonhall_platform::PlatformError;
-use wigeonhall_protocol::CURRENT_PATH;
 use wigeonhall_protocol::HISTORY_PREFIX;
 use wigeonhall_protocol::PARTS_PREFIX;
 use wigeonhall_protocol::StoredPart;
@@ -190,9 +189,7 @@
     }
 
     fn remove(&self, hour: u64) -> Vec<PartChange> {
-        let mut changes = Vec::new();
-        remove_unused_parts(&self.api, hour * HOUR_MS, |it| changes.push(it)).unwrap();
-        changes
+        remove_unused_parts(&self.api, hour * HOUR_MS, drop).unwrap()
     }
 
     /// Whether the store holds all parts of a text.
@@ -270,30 +267,44 @@
     }
 }
 
-/// Guards against a removal that deletes between the listing of a part and its use: a
-/// part that is rewritten has another version than the one that was found unused.
+/// Guards against a removal that deletes a part which a change writes again between the
+/// decision and the deletion, and a part that is marked at that moment for good.
 #[test]
 fn a_rewritten_part_is_not_deleted_at_its_old_version() {
-    let parts = Parts::new();
     let (old, new) = (large(1, 100), large(1, 200));
-    apply(&parts.operator(), &old, None).unwrap();
-    apply(&parts.operator(), &new, None).unwrap();
-    parts.forget();
-    let before = parts.api.list(PARTS_PREFIX).unwrap();
-    apply(&parts.operator(), &old, None).unwrap();
-    for head in &before {
-        let hash = StoredPart::hash_at(&head.path).unwrap();
-        if cut(&old).iter().any(|it| PartHash::of(it) == hash)
-            && cut(&new).iter().all(|it| PartHash::of(it) != hash)
-        {
-            let outcome = parts.api.delete(&head.path, head.version);
-            assert!(matches!(
-                outcome,
-                Ok(wigeonhall_platform::PutOutcome::Conflict(_))
-            ));
+    for hour in [1, 25] {
+        let parts = Parts::new();
+        apply(&parts.operator(), &old, None).unwrap();
+        apply(&parts.operator(), &new, None).unwrap();
+        parts.forget();
+        if hour == 25 {
+            assert_eq!(parts.remove(1), [PartChange::Marked]);
         }
+        let mut steps = 0;
+        let changes = remove_unused_parts(&parts.api, hour * HOUR_MS, |_| {
+            steps += 1;
+            apply(&parts.operator(), &old, None).unwrap();
+        });
+        assert_eq!((changes, steps), (Ok(Vec::new()), 1));
+        assert!(parts.holds(&old));
     }
-    assert!(parts.holds(&old) && parts.server.object(CURRENT_PATH).is_some());
+}
+
+/// Guards against a part that is deleted as soon as the last generation that names it
+/// is gone, because of a mark that it got while a change began to rely on it.
+#[test]
+fn a_mark_on_a_named_part_is_taken_off() {
+    let parts = Parts::new();
+    apply(&parts.operator(), TEXT, None).unwrap();
+    let head = parts.api.list(PARTS_PREFIX).unwrap().remove(0);
+    let marked = StoredPart {
+        text: TEXT.into(),
+        unused_since_ms: Some(HOUR_MS),
+    };
+    let value = serde_json::to_string(&marked).unwrap();
+    parts.api.put(&head.path, head.version, &value).unwrap();
+    assert_eq!(parts.remove(2), [PartChange::Unmarked]);
+    assert_eq!(parts.remove(100), []);
 }
 
 /// Guards against a change that fails, or is accepted without one of its parts, when
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -326,16 +326,17 @@
 
 fn run_removals(api: &ObjectApi, jobs: &Receiver<()>, metrics: &Metrics) {
     for () in jobs {
-        let result = remove_unused_parts(api, unix_ms(), |change| {
+        let result = remove_unused_parts(api, unix_ms(), |_| thread::sleep(PART_CHANGE_PAUSE));
+        let Ok(changes) = result else {
+            metrics.count("part_removal_failed");
+            continue;
+        };
+        for change in changes {
             metrics.count(match change {
                 PartChange::Deleted => "part_deleted",
                 PartChange::Marked => "part_marked",
                 PartChange::Unmarked => "part_unmarked",
             });
-            thread::sleep(PART_CHANGE_PAUSE);
-        });
-        if result.is_err() {
-            metrics.count("part_removal_failed");
         }
     }
 }
--- a/crates/node/src/store_parts.rs
+++ b/crates/node/src/store_parts.rs
@@ -1,7 +1,6 @@
 //! Parts of the configuration's text in the object API.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use flume::Receiver;
 use flume::Sender;
@@ -56,7 +55,8 @@
 /// [`PART_RELIED_ON_HOURS`](wigeonhall_protocol::PART_RELIED_ON_HOURS). The versions are
 /// listed before the names are read, and every step is conditional on the listed
 /// version. So a part that such a change wrote before the listing has no old mark, and
-/// one that it wrote later has another version. `changed` is called after each step.
+/// one that it wrote later has another version. `before` is called before each step;
+/// returns the steps that took effect.
 ///
 /// # Errors
 ///
@@ -65,24 +65,24 @@
 pub fn remove_unused_parts(
     api: &ObjectApi,
     now_ms: u64,
-    mut changed: impl FnMut(PartChange),
-) -> Result<(), PlatformError> {
+    mut before: impl FnMut(PartChange),
+) -> Result<Vec<PartChange>, PlatformError> {
+    let mut changes = Vec::new();
     let heads = api.list(PARTS_PREFIX)?;
     if heads.is_empty() {
-        return Ok(());
+        return Ok(changes);
     }
     let Some(named) = named_parts(api)? else {
-        return Ok(());
+        return Ok(changes);
     };
     for head in &heads {
         let Some(hash) = StoredPart::hash_at(&head.path) else {
             continue;
         };
-        if let Some(change) = settle_part(api, now_ms, head, named.contains(&hash))? {
-            changed(change);
-        }
+        let named = named.contains(&hash);
+        changes.extend(settle_part(api, now_ms, head, named, &mut before)?);
     }
-    Ok(())
+    Ok(changes)
 }
 
 /// Parts that the accepted configuration or the history names; `None` if there is no
@@ -112,6 +112,7 @@
     now_ms: u64,
     head: &ObjectHead,
     named: bool,
+    before: &mut impl FnMut(PartChange),
 ) -> Result<Option<PartChange>, PlatformError> {
     let object = api.get(&head.path)?;
     let Some(object) = object.filter(|it| it.version == head.version) else {
@@ -120,23 +121,22 @@
     let Ok(part) = serde_json::from_str::<StoredPart>(&object.value) else {
         return Ok(None);
     };
-    let mark = |unused_since_ms| {
-        let text = Arc::clone(&part.text);
+    let (change, unused_since_ms) = match (named, part.unused_since_ms) {
+        (true, Some(_)) => (PartChange::Unmarked, None),
+        (false, None) => (PartChange::Marked, Some(now_ms)),
+        (false, Some(since_ms)) if since_ms + PART_KEPT_MS <= now_ms => (PartChange::Deleted, None),
+        _ => return Ok(None),
+    };
+    before(change);
+    let outcome = if change == PartChange::Deleted {
+        api.delete(&head.path, head.version)?
+    } else {
         let part = StoredPart {
-            text,
             unused_since_ms,
+            ..part
         };
         let value = serde_json::to_string(&part).unwrap_or_default();
-        api.put(&head.path, head.version, &value)
-    };
-    let (outcome, change) = match (named, part.unused_since_ms) {
-        (true, Some(_)) => (mark(None)?, PartChange::Unmarked),
-        (false, None) => (mark(Some(now_ms))?, PartChange::Marked),
-        (false, Some(since_ms)) if since_ms + PART_KEPT_MS <= now_ms => {
-            let outcome = api.delete(&head.path, head.version)?;
-            (outcome, PartChange::Deleted)
-        }
-        _ => return Ok(None),
+        api.put(&head.path, head.version, &value)?
     };
     Ok(matches!(outcome, PutOutcome::Stored { .. }).then_some(change))
 }
