--- a/crates/ctl/src/parts.rs
+++ b/crates/ctl/src/parts.rs
@@ -1,7 +1,7 @@
 //! Parts of texts in the store.
 
 use std::collections::BTreeMap;
-use std::collections::btree_map::Entry;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::Context;
@@ -10,6 +10,7 @@
 use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::PartHash;
 use wigeonhall_platform::PutOutcome;
+use wigeonhall_platform::StoredObject;
 use wigeonhall_protocol::StoredConfig;
 use wigeonhall_protocol::StoredPart;
 
@@ -26,17 +27,21 @@
     let (list, parts) = value.into_list(generation);
     let with_hash = |it: Arc<str>| (PartHash::of(&it), it);
     let mut parts: BTreeMap<_, _> = parts.into_iter().map(with_hash).collect();
-    for &hash in &list.parts {
-        if let Entry::Vacant(entry) = parts.entry(hash) {
-            entry.insert(read_part(store, hash)?);
-        }
+    let missing: BTreeSet<_> = list.parts.iter().copied().collect();
+    let missing: Vec<_> = missing
+        .into_iter()
+        .filter(|it| !parts.contains_key(it))
+        .collect();
+    let paths: Vec<_> = missing.iter().map(|&it| StoredPart::path(it)).collect();
+    let objects = (store.get_many)(&paths)?;
+    for (hash, object) in missing.into_iter().zip(objects) {
+        parts.insert(hash, read_part(hash, object)?);
     }
     list.record(&parts).ok_or(CtlError::NoConfiguration)
 }
 
-fn read_part(store: &Store, hash: PartHash) -> Result<Arc<str>, CtlError> {
+fn read_part(hash: PartHash, object: Option<StoredObject>) -> Result<Arc<str>, CtlError> {
     let path = StoredPart::path(hash);
-    let object = (store.get)(&path)?;
     let Some(object) = object else {
         let reason = "the store does not hold this part of the text".into();
         return Err(CtlError::BadRecord { path, reason });
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -1,5 +1,7 @@
 use std::fmt::Debug;
 use std::fmt::Formatter;
+use std::thread;
+use std::thread::ScopedJoinHandle;
 
 use wigeonhall_platform::ObjectApi;
 use wigeonhall_platform::ObjectHead;
@@ -7,8 +9,13 @@
 use wigeonhall_platform::PutOutcome;
 use wigeonhall_platform::StoredObject;
 
+/// Threads that read the parts of a text, about 300 for one of 1.2 MB. Each call opens a
+/// connection and takes some milliseconds.
+const READ_THREADS: usize = 8;
+
 type Delete = dyn Fn(&str, u64) -> Result<PutOutcome, PlatformError>;
 type Get = dyn Fn(&str) -> Result<Option<StoredObject>, PlatformError>;
+type GetMany = dyn Fn(&[String]) -> Result<Vec<Option<StoredObject>>, PlatformError>;
 type List = dyn Fn(&str) -> Result<Vec<ObjectHead>, PlatformError>;
 type Put = dyn Fn(&str, u64, &str) -> Result<PutOutcome, PlatformError>;
 
@@ -18,6 +25,8 @@
     pub delete: Box<Delete>,
     /// Reads an object.
     pub get: Box<Get>,
+    /// Reads many objects.
+    pub get_many: Box<GetMany>,
     /// Lists the objects under a prefix.
     pub list: Box<List>,
     /// Sets an object at a version; 0 means that it must not exist.
@@ -29,15 +38,30 @@
     #[must_use]
     pub fn over(api: &ObjectApi) -> Self {
         let (delete, get, list, put) = (api.clone(), api.clone(), api.clone(), api.clone());
+        let many = api.clone();
         Self {
             delete: Box::new(move |path, version| delete.delete(path, version)),
             get: Box::new(move |path| get.get(path)),
+            get_many: Box::new(move |paths| get_many(&many, paths)),
             list: Box::new(move |prefix| list.list(prefix)),
             put: Box::new(move |path, version, value| put.put(path, version, value)),
         }
     }
 }
 
+/// Reads each path, on a few threads.
+fn get_many(api: &ObjectApi, paths: &[String]) -> Result<Vec<Option<StoredObject>>, PlatformError> {
+    let chunk = paths.len().div_ceil(READ_THREADS).max(1);
+    let read = |paths: &[String]| paths.iter().map(|it| api.get(it)).collect();
+    thread::scope(|scope| {
+        let chunks = paths.chunks(chunk);
+        let threads: Vec<_> = chunks.map(|it| scope.spawn(move || read(it))).collect();
+        let ended = threads.into_iter().flat_map(ScopedJoinHandle::join);
+        let read: Result<Vec<Vec<_>>, _> = ended.collect();
+        Ok(read?.concat())
+    })
+}
+
 impl Debug for Store {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Store").finish_non_exhaustive()
--- a/crates/ctl/tests/fake/mod.rs
+++ b/crates/ctl/tests/fake/mod.rs
@@ -229,12 +229,14 @@
 
     fn store(&self) -> Store {
         let (delete, get, list, put) = (self.clone(), self.clone(), self.clone(), self.clone());
+        let many = self.clone();
         Store {
             delete: Box::new(move |path, _| {
                 delete.state().objects.remove(path);
                 Ok(PutOutcome::Stored { version: 0 })
             }),
             get: Box::new(move |path| get.read(path)),
+            get_many: Box::new(move |paths| paths.iter().map(|it| many.read(it)).collect()),
             list: Box::new(move |prefix| list.list(prefix)),
             put: Box::new(move |path, expected, value| put.put(path, expected, value)),
         }
--- a/crates/ctl/tests/parts.rs
+++ b/crates/ctl/tests/parts.rs
@@ -141,6 +141,7 @@
     let Store {
         delete,
         get,
+        get_many,
         list,
         put,
     } = operator.store.take().unwrap();
@@ -154,6 +155,7 @@
     operator.store = Some(Store {
         delete,
         get,
+        get_many,
         list,
         put,
     });
@@ -241,6 +243,7 @@
         let Store {
             delete,
             get,
+            get_many,
             list,
             put,
         } = operator.store.take().unwrap();
@@ -255,6 +258,7 @@
         operator.store = Some(Store {
             delete,
             get,
+            get_many,
             list,
             put,
         });
--- a/crates/fleet/examples/spread.rs
+++ b/crates/fleet/examples/spread.rs
@@ -69,12 +69,13 @@
     )
 }
 
-/// Slowest and mean time in ms until all nodes have a change, and its messages and
-/// bytes per node beyond those at rest.
-fn change(world: &mut World, lines: &mut [String], down: bool) -> (f64, f64, f64, f64) {
+/// Slowest and mean time in ms until all nodes have a change, and per node its messages
+/// and bytes beyond those at rest and the bytes of messages about the configuration.
+fn change(world: &mut World, lines: &mut [String], down: bool) -> [f64; 5] {
     let count = world.nodes.len() as f64;
     let at_rest = rest(world);
     let (mut slowest, mut sum, mut messages, mut bytes) = (0.0_f64, 0.0, 0.0, 0.0);
+    let before_all = world.config_bytes;
     for _ in 0..CHANGES {
         let before = (world.messages, world.bytes, world.now);
         let at = world.rng.usize(..lines.len());
@@ -100,7 +101,14 @@
         world.run(5 * S);
     }
     let changes = CHANGES as f64;
-    (slowest, sum / changes, messages / changes, bytes / changes)
+    let config_bytes = (world.config_bytes - before_all) as f64 / count;
+    [
+        slowest,
+        sum / changes,
+        messages / changes,
+        bytes / changes,
+        config_bytes / changes,
+    ]
 }
 
 /// Reads, watches and writes of all nodes since the start.
@@ -126,9 +134,9 @@
         counts = vec![15, 150, 600];
     }
     println!(
-        "| nodes | shape | text bytes | loss | store | slowest ms | mean ms | msgs/node/change | bytes/node/change | msgs/node/s at rest | bytes/node/s at rest | cpu us/node/s at rest |"
+        "| nodes | shape | text bytes | loss | store | slowest ms | mean ms | msgs/node/change | bytes/node/change | of these for the configuration | msgs/node/s at rest | bytes/node/s at rest | cpu us/node/s at rest |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for count in counts {
         for (shape, text) in shapes.iter().flat_map(|&it| TEXTS.map(|text| (it, text))) {
             let mut lines = lines(text);
@@ -136,10 +144,10 @@
             let cost = rest(&mut world);
             for (loss, down) in [(0, false), (10, false), (0, true), (10, true)] {
                 world.loss = loss;
-                let (slowest, mean, messages, bytes) = change(&mut world, &mut lines, down);
+                let [slowest, mean, messages, bytes, config] = change(&mut world, &mut lines, down);
                 let store = if down { "down" } else { "up" };
                 println!(
-                    "| {count} | {shape:?} | {text} | {loss}% | {store} | {slowest:.0} | {mean:.0} | {messages:.1} | {bytes:.0} | {:.1} | {:.0} | {:.0} |",
+                    "| {count} | {shape:?} | {text} | {loss}% | {store} | {slowest:.0} | {mean:.0} | {messages:.1} | {bytes:.0} | {config:.0} | {:.1} | {:.0} | {:.0} |",
                     cost.0, cost.1, cost.2
                 );
             }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -27,6 +27,7 @@
 use wigeonhall_fleet::GossipMessage;
 use wigeonhall_fleet::NotReadyReason;
 use wigeonhall_fleet::PartHash;
+use wigeonhall_fleet::PullItem;
 use wigeonhall_fleet::PushShape;
 use wigeonhall_fleet::TableRecord;
 use wigeonhall_types::Catalog;
@@ -124,6 +125,8 @@
 pub struct World {
     pub busy: Duration,
     pub bytes: u64,
+    /// Bytes of messages that carry or ask for a configuration.
+    pub config_bytes: u64,
     /// Chance that a part arrives with another content, in percent.
     pub corrupt: u8,
     pub cut_from_store: BTreeSet<usize>,
@@ -161,6 +164,7 @@
         let mut world = Self {
             busy: Duration::ZERO,
             bytes: 0,
+            config_bytes: 0,
             corrupt: 0,
             cut_from_store: BTreeSet::new(),
             dcs: dcs.iter().map(|it| (it.0, it.1.to_owned())).collect(),
@@ -618,6 +622,15 @@
                 let bytes = message.size_bytes();
                 assert!(bytes <= MESSAGE_BYTES, "a message of {bytes} bytes");
                 self.bytes += bytes as u64;
+                if matches!(
+                    message,
+                    GossipMessage::Config(_)
+                        | GossipMessage::Generation(_)
+                        | GossipMessage::Parts(_)
+                        | GossipMessage::Pull(PullItem::Config | PullItem::Parts(_))
+                ) {
+                    self.config_bytes += bytes as u64;
+                }
                 if self.rng.u8(..100) < self.late {
                     let message = message.clone();
                     self.post(node, &name, |from| FleetEvent::Gossip { from, message });
