--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,17 +15,21 @@
 mod inspect;
 mod lease;
 mod limits;
+mod listing;
+mod member;
 mod member_update;
 mod membership;
 mod message_size;
 mod overrides;
 mod ownership;
+mod probes;
 mod proposal;
 mod rendezvous;
 mod startup;
 mod step;
 mod stop;
 mod views;
+mod vm_list;
 
 pub use config_record::ConfigRecord;
 pub use digest::Digest;
@@ -45,6 +49,9 @@
 pub use member_update::MemberState;
 pub use member_update::MemberUpdate;
 
+pub(crate) use listing::Listing;
+pub(crate) use member::Member;
+
 /// Validity of an ownership lease in milliseconds.
 pub const LEASE_MS: u64 = 3000;
 /// Nodes of a region that hold a watch on the configuration.
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -1,121 +1,38 @@
-//! Members, probes and suspicion.
+//! Members, their news and suspicion.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::sync::Arc;
 
 use crate::Fleet;
 use crate::FleetAction;
 use crate::GossipMessage;
+use crate::Listing;
+use crate::Member;
 use crate::MemberState;
 use crate::MemberUpdate;
 use crate::limits;
-use crate::rendezvous;
+use crate::probes::Probes;
 use crate::step::Step;
-use wigeonhall_types::DataCentreKey;
 use wigeonhall_types::Deployment;
 use wigeonhall_types::NodeKey;
-use wigeonhall_types::VmState;
-use wigeonhall_types::VmStatus;
-
-/// What a node knows of another one.
-#[derive(Debug)]
-pub(crate) struct Member {
-    pub(crate) boot: u64,
-    /// As the deployment says.
-    pub(crate) data_centre: Option<DataCentreKey>,
-    pub(crate) hash: u64,
-    pub(crate) incarnation: u64,
-    pub(crate) leaving: bool,
-    pub(crate) listing: Listing,
-    /// `NodeLost` was pushed for this boot.
-    lost: bool,
-    pub(crate) same_region: bool,
-    pub(crate) state: MemberState,
-}
-
-/// What the VM list says of a node.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Listing {
-    Gone,
-    Leaving,
-    Live,
-    Unread,
-}
-
-impl Member {
-    fn new(name: &str) -> Self {
-        Self {
-            boot: 0,
-            data_centre: None,
-            hash: rendezvous::name_hash(name),
-            incarnation: 0,
-            leaving: false,
-            listing: Listing::Unread,
-            lost: false,
-            same_region: false,
-            state: MemberState::Unknown,
-        }
-    }
-
-    /// Whether messages to it may arrive, as far as is known.
-    pub(crate) fn reachable(&self) -> bool {
-        self.state != MemberState::Dead
-    }
-
-    /// Whether it was ever heard of, not only named.
-    pub(crate) fn heard(&self) -> bool {
-        self.boot != 0
-    }
-
-    /// What the views depend on; a suspicion and its refutation change none.
-    fn viewed(&self) -> (bool, bool, bool) {
-        (self.reachable(), self.heard(), self.leaving)
-    }
-
-    /// Whether it counts as consenting: it runs no more.
-    pub(crate) fn gone(&self) -> bool {
-        self.listing == Listing::Gone
-            && matches!(self.state, MemberState::Dead | MemberState::Unknown)
-    }
-}
-
-#[derive(Debug)]
-struct Probe {
-    indirect: bool,
-    sent_us: u64,
-    target: NodeKey,
-}
-
-#[derive(Debug)]
-struct Relay {
-    asker: NodeKey,
-    sequence: u64,
-}
 
 #[derive(Debug)]
 pub(crate) struct Membership {
     pub(crate) contact_us: u64,
-    dead_due_us: u64,
     pub(crate) incarnation: u64,
     pub(crate) leaving: bool,
     /// All known nodes but this one.
     pub(crate) members: BTreeMap<NodeKey, Member>,
-    probe: Option<Probe>,
-    probe_due_us: u64,
-    /// Order of the probes of this round.
-    queue: Vec<NodeKey>,
-    relays: BTreeMap<u64, Relay>,
+    pub(crate) probes: Probes,
     pub(crate) self_listing: Listing,
-    sequence: u64,
     /// Suspected members and when each counts as dead.
-    suspicions: BTreeMap<NodeKey, u64>,
+    pub(crate) suspicions: BTreeMap<NodeKey, u64>,
     /// Members whose state is news, with the number of messages left to carry it.
     updates: VecDeque<(NodeKey, u32)>,
-    vm_list_due_us: u64,
+    pub(crate) vm_list_due_us: u64,
     /// When the VM list was asked for, if there is no answer yet.
-    vm_list_asked_us: Option<u64>,
-    vm_list_last_us: u64,
+    pub(crate) vm_list_asked_us: Option<u64>,
+    pub(crate) vm_list_last_us: u64,
     /// When the newest VM list was asked for.
     pub(crate) vm_list_us: Option<u64>,
 }
@@ -124,16 +41,11 @@
     pub(crate) fn new() -> Self {
         Self {
             contact_us: 0,
-            dead_due_us: 0,
             incarnation: 0,
             leaving: false,
             members: BTreeMap::new(),
-            probe: None,
-            probe_due_us: 0,
-            queue: Vec::new(),
-            relays: BTreeMap::new(),
+            probes: Probes::default(),
             self_listing: Listing::Unread,
-            sequence: 0,
             suspicions: BTreeMap::new(),
             updates: VecDeque::new(),
             vm_list_due_us: 0,
@@ -144,16 +56,9 @@
     }
 
     pub(crate) fn wake_us(&self) -> u64 {
-        let indirect = self.probe.as_ref().map_or(u64::MAX, |probe| {
-            if probe.indirect {
-                u64::MAX
-            } else {
-                probe.sent_us + limits::PROBE_ANSWER_US
-            }
-        });
         let suspicion = self.suspicions.values().copied().min();
-        indirect
-            .min(self.probe_due_us)
+        self.probes
+            .wake_us()
             .min(self.vm_list_due_us)
             .min(suspicion.unwrap_or(u64::MAX))
     }
@@ -165,11 +70,6 @@
             .min(self.vm_list_last_us + limits::VM_LIST_US)
             .max(now_us);
     }
-
-    fn next_sequence(&mut self) -> u64 {
-        self.sequence += 1;
-        self.sequence
-    }
 }
 
 impl Fleet {
@@ -199,37 +99,7 @@
         self.views.dirty = true;
     }
 
-    /// Takes the platform's list; a VM that is not on it is gone.
-    pub(crate) fn on_vm_list(&mut self, step: &mut Step<'_>, list: &[VmStatus]) {
-        if let Some(asked_us) = self.membership.vm_list_asked_us.take() {
-            self.membership.vm_list_us = Some(asked_us);
-        }
-        let mut listed = BTreeMap::new();
-        for vm in list {
-            let node = step.catalog.node(&vm.name);
-            listed.insert(node, vm.state);
-            self.know_member(step, node);
-        }
-        let listing = |node: &NodeKey| match listed.get(node) {
-            None => Listing::Gone,
-            Some(VmState::Leaving) => Listing::Leaving,
-            Some(VmState::Live) => Listing::Live,
-        };
-        self.membership.self_listing = listing(&self.config.node);
-        let mut gone = Vec::new();
-        for (node, member) in &mut self.membership.members {
-            let before = std::mem::replace(&mut member.listing, listing(node));
-            if member.listing == Listing::Gone && before != Listing::Gone {
-                gone.push(*node);
-            }
-        }
-        for node in gone {
-            self.declare_dead(step, node);
-        }
-        self.views.dirty = true;
-    }
-
-    fn declare_dead(&mut self, step: &mut Step<'_>, node: NodeKey) {
+    pub(crate) fn declare_dead(&mut self, step: &mut Step<'_>, node: NodeKey) {
         let Some(member) = self.membership.members.get_mut(&node) else {
             return;
         };
@@ -389,7 +259,7 @@
     }
 
     /// Follows a change of a member's state: news, suspicion and `NodeLost`.
-    fn after_change(&mut self, step: &mut Step<'_>, node: NodeKey) {
+    pub(crate) fn after_change(&mut self, step: &mut Step<'_>, node: NodeKey) {
         let Some(member) = self.membership.members.get_mut(&node) else {
             return;
         };
@@ -417,11 +287,7 @@
         for node in dead {
             self.declare_dead(step, node);
         }
-        if self.membership.probe_due_us <= now {
-            self.membership.probe_due_us = now + limits::PROBE_US;
-            self.finish_probe(step);
-            self.start_probe(step);
-        }
+        self.run_probes(step);
         if self.membership.vm_list_due_us <= now {
             self.read_vm_list(step);
             let period = if self.views.own_rank() < 2 {
@@ -432,155 +298,4 @@
             self.membership.vm_list_due_us = now + period + self.rng.u64(..period / 4);
         }
     }
-
-    /// Asks for the VM list, unless that is under way. A read that fails is not
-    /// reported; with one read at a time an answer never counts for a later one.
-    pub(crate) fn read_vm_list(&mut self, step: &mut Step<'_>) {
-        let now = step.now_us;
-        let asked = self.membership.vm_list_asked_us;
-        if asked.is_some_and(|at| now < at + limits::VM_LIST_TIMEOUT_US) {
-            return;
-        }
-        self.membership.vm_list_last_us = now;
-        self.membership.vm_list_asked_us = Some(now);
-        self.counters.store_reads += 1;
-        step.push(FleetAction::ReadVmList);
-    }
-
-    fn run_indirect_probe(&mut self, step: &mut Step<'_>) {
-        let Some(probe) = &mut self.membership.probe else {
-            return;
-        };
-        if probe.indirect || step.now_us < probe.sent_us + limits::PROBE_ANSWER_US {
-            return;
-        }
-        probe.indirect = true;
-        let target = probe.target;
-        let name = step.catalog.node_name(target);
-        for _ in 0..limits::INDIRECT_PROBES {
-            let Some(peer) = self.views.random(&mut self.rng).filter(|&it| it != target) else {
-                continue;
-            };
-            let updates = self.updates_for(step, peer);
-            let message = GossipMessage::PingRequest {
-                sequence: self.membership.sequence,
-                target: Arc::clone(&name),
-                updates,
-            };
-            self.send(step, peer, message);
-        }
-    }
-
-    fn finish_probe(&mut self, step: &mut Step<'_>) {
-        let Some(probe) = self.membership.probe.take() else {
-            return;
-        };
-        let Some(member) = self.membership.members.get_mut(&probe.target) else {
-            return;
-        };
-        if member.state < MemberState::Suspect {
-            member.state = MemberState::Suspect;
-            self.counters.suspicions += 1;
-            self.after_change(step, probe.target);
-        }
-    }
-
-    fn start_probe(&mut self, step: &mut Step<'_>) {
-        let suspects: Vec<_> = self.membership.suspicions.keys().copied().collect();
-        for node in suspects.into_iter().take(limits::INDIRECT_PROBES) {
-            self.ping(step, node);
-        }
-        if self.membership.dead_due_us <= step.now_us {
-            self.membership.dead_due_us = step.now_us + limits::DEAD_PROBE_US;
-            if let Some(node) = self.views.random_dead(&mut self.rng) {
-                self.ping(step, node);
-            }
-        }
-        if self.membership.queue.is_empty() {
-            self.membership.queue = self.views.peers();
-            self.rng.shuffle(&mut self.membership.queue);
-        }
-        while let Some(target) = self.membership.queue.pop() {
-            let state = self.membership.members.get(&target).map(|it| it.state);
-            if state.is_some_and(|it| it < MemberState::Suspect) {
-                self.ping(step, target);
-                let sent_us = step.now_us;
-                self.membership.probe = Some(Probe {
-                    indirect: false,
-                    sent_us,
-                    target,
-                });
-                break;
-            }
-        }
-    }
-
-    /// Greets nodes of the same data centre, so that the first tables know them.
-    pub(crate) fn greet(&mut self, step: &mut Step<'_>) {
-        let mut peers = self.views.near.clone();
-        self.rng.shuffle(&mut peers);
-        for peer in peers.into_iter().take(limits::START_ASKS) {
-            self.ping(step, peer);
-        }
-    }
-
-    fn ping(&mut self, step: &mut Step<'_>, to: NodeKey) {
-        let sequence = self.membership.next_sequence();
-        let updates = self.updates_for(step, to);
-        self.send(step, to, GossipMessage::Ping { sequence, updates });
-    }
-
-    pub(crate) fn on_ping(&mut self, step: &mut Step<'_>, from: NodeKey, sequence: u64) {
-        let updates = self.updates_for(step, from);
-        self.send(step, from, GossipMessage::PingAnswer { sequence, updates });
-    }
-
-    pub(crate) fn on_ping_request(
-        &mut self,
-        step: &mut Step<'_>,
-        asker: NodeKey,
-        sequence: u64,
-        target: &str,
-    ) {
-        let target = step.catalog.node(target);
-        if target == self.config.node {
-            return;
-        }
-        let own = self.membership.next_sequence();
-        while self.membership.relays.len() >= 64 {
-            self.membership.relays.pop_first();
-        }
-        let relay = Relay { asker, sequence };
-        self.membership.relays.insert(own, relay);
-        let updates = self.updates_for(step, target);
-        let message = GossipMessage::Ping {
-            sequence: own,
-            updates,
-        };
-        self.send(step, target, message);
-    }
-
-    /// Ends the probe of the member whose first-hand update the answer carries.
-    pub(crate) fn on_ping_answer(
-        &mut self,
-        step: &mut Step<'_>,
-        sequence: u64,
-        updates: &[MemberUpdate],
-    ) {
-        let Some(first) = updates.first() else {
-            return;
-        };
-        if let Some(relay) = self.membership.relays.remove(&sequence) {
-            let message = GossipMessage::PingAnswer {
-                sequence: relay.sequence,
-                updates: vec![first.clone()],
-            };
-            self.send(step, relay.asker, message);
-        }
-        let node = step.catalog.node(&first.node);
-        let probed = self.membership.probe.as_ref().map(|it| it.target);
-        if probed == Some(node) {
-            self.membership.probe = None;
-        }
-    }
 }
--- a/crates/fleet/src/startup.rs
+++ b/crates/fleet/src/startup.rs
@@ -5,10 +5,10 @@
 use crate::Fleet;
 use crate::FleetAction;
 use crate::GossipMessage;
+use crate::Listing;
 use crate::NotReadyReason;
 use crate::dissemination::Item;
 use crate::limits;
-use crate::membership::Listing;
 use crate::step::Step;
 use wigeonhall_types::NodeKey;
 
--- a/crates/fleet/src/views.rs
+++ b/crates/fleet/src/views.rs
@@ -3,9 +3,9 @@
 use fastrand::Rng;
 
 use crate::Fleet;
+use crate::Listing;
+use crate::Member;
 use crate::limits;
-use crate::membership::Listing;
-use crate::membership::Member;
 use crate::rendezvous;
 use wigeonhall_types::NodeKey;
 
