--- a/crates/node/tests/configuration.rs
+++ b/crates/node/tests/configuration.rs
@@ -15,6 +15,18 @@
 /// Time after which a data centre that was taken out gets no new work.
 const OUT_AFTER: Duration = Duration::from_secs(3);
 
+/// Waits for work at all targets in `south`, and checks that no read failed.
+fn expect_work_again(world: &World, load: Load, before: &BTreeMap<String, u64>) {
+    common::wait_until("work in the data centre", || {
+        let now = requests(world, "south");
+        now.iter().all(|(name, count)| count > &before[name])
+    });
+    for tally in load.stop() {
+        tally.assert_all_whole();
+    }
+    world.assert_limits();
+}
+
 fn requests(world: &World, data_centre: &str) -> BTreeMap<String, u64> {
     let line = |name: &str| {
         let mut lines = world.text.lines();
@@ -63,14 +75,7 @@
     assert!(before.len() >= 2);
     let generation = world.configure(&world.text, "in", &[]);
     common::wait_until("the change", || everywhere(&world, generation));
-    common::wait_until("work in the data centre", || {
-        let now = requests(&world, "south");
-        now.iter().all(|(name, count)| count > &before[name])
-    });
-    for tally in load.stop() {
-        tally.assert_all_whole();
-    }
-    world.assert_limits();
+    expect_work_again(&world, load, &before);
 }
 
 /// Guards against an evacuation that some node misses, that gives work back on its
@@ -97,14 +102,7 @@
     let generation = world.configure(&world.text, "in", &["evacuation-1"]);
     common::wait_until("the change", || everywhere(&world, generation));
     common::wait_until("the end of the evacuation", || in_force(0));
-    common::wait_until("work in the data centre", || {
-        let now = requests(&world, "south");
-        now.iter().all(|(name, count)| count > &before[name])
-    });
-    for tally in load.stop() {
-        tally.assert_all_whole();
-    }
-    world.assert_limits();
+    expect_work_again(&world, load, &before);
 }
 
 /// Guards against a mistyped name that is accepted and evacuates nothing.
--- /dev/null
+++ b/crates/query/tests/oracle/store.rs
@@ -0,0 +1,52 @@
+//! What the store does with claims.
+
+use super::*;
+use crate::prelude::*;
+
+impl Oracle {
+    /// Lets the store handle one of its calls.
+    pub fn store(&mut self, index: usize, course: StoreCourse) {
+        if self.store_calls.is_empty() {
+            return;
+        }
+        let call = self.store_calls.swap_remove(index % self.store_calls.len());
+        let (id, claim, expected) = match call {
+            QueryAction::CreateClaim { claim, id } => (id, claim, None),
+            QueryAction::UpdateClaim { claim, id, version } => (id, claim, Some(version)),
+            other => unreachable!("{other:?} is not a call of the store"),
+        };
+        let result = match course {
+            StoreCourse::Act => self.act(&claim, expected),
+            StoreCourse::ActLoseReply => {
+                self.act(&claim, expected);
+                let (held, version) = self.store[&claim.request_id].clone();
+                ClaimResult::Conflict { held, version }
+            }
+            StoreCourse::ActUnknown => {
+                self.act(&claim, expected);
+                ClaimResult::Unknown
+            }
+            StoreCourse::Drop => ClaimResult::Unknown,
+        };
+        self.event(QueryEvent::Claim { id, result });
+    }
+
+    pub(super) fn act(&mut self, claim: &Claim, expected: Option<u64>) -> ClaimResult {
+        let known = self.store.get(&claim.request_id);
+        if known.map(|(_, version)| *version) != expected
+            && let Some((held, version)) = known.cloned()
+        {
+            return ClaimResult::Conflict { held, version };
+        }
+        let executed = self.executed.get(&claim.request_id).copied().unwrap_or(0);
+        match claim.outcome {
+            ClaimOutcome::Open => {}
+            ClaimOutcome::Ran(_) => assert_eq!(executed, 1, "claim says ran"),
+            ClaimOutcome::Released => assert_eq!(executed, 0, "claim says released"),
+        }
+        let version = expected.unwrap_or(0) + 1;
+        let key = Arc::clone(&claim.request_id);
+        self.store.insert(key, (claim.clone(), version));
+        ClaimResult::Stored { version }
+    }
+}
--- /dev/null
+++ b/crates/query/tests/oracle/targets.rs
@@ -0,0 +1,173 @@
+//! What targets do, and what is reported of them.
+
+use super::*;
+use crate::prelude::*;
+
+impl Oracle {
+    /// Ends an open sub-request; `lose` keeps the reply from the coordinator.
+    pub fn reply(&mut self, index: usize, how: Treatment, pick: usize, lose: bool) {
+        if self.pending.is_empty() {
+            return;
+        }
+        let sub = self.pending.swap_remove(index % self.pending.len());
+        let outcome = self.treat(&sub, how, pick);
+        if lose {
+            return;
+        }
+        self.note(&sub, &outcome);
+        self.past.push((sub.attempt, outcome.clone()));
+        let report = (pick.is_multiple_of(2)).then(|| self.report_of(sub.replica));
+        self.event(QueryEvent::SubReply {
+            attempt: sub.attempt,
+            outcome,
+            report,
+        });
+    }
+
+    pub(super) fn treat(&mut self, sub: &SubRequest, how: Treatment, pick: usize) -> SubOutcome {
+        let target = self.targets[sub.replica.index()].clone();
+        let pinned = sub.version.expect("pinned").0;
+        let version = match how {
+            Treatment::OtherVersion => target.served.last().copied().unwrap_or(pinned),
+            _ => pinned,
+        };
+        match how {
+            Treatment::Refuse => {
+                return SubOutcome::Refused {
+                    reason: REFUSALS[pick % REFUSALS.len()],
+                    retry_after_us: 1_000 * (pick as u64 % 40),
+                };
+            }
+            Treatment::Fail { ran } => {
+                self.execute(sub, ran);
+                let reason = FAILURES[pick % FAILURES.len()];
+                return SubOutcome::Failed { reason };
+            }
+            Treatment::Answer | Treatment::OtherVersion | Treatment::Short
+                if target.served.contains(&version) => {}
+            _ => return SubOutcome::VersionGone,
+        }
+        let Operation::Read { range: asked } = &sub.operation else {
+            self.execute(sub, true);
+            return answered(version, &[], &[]);
+        };
+        let held = self
+            .held(sub.replica, version)
+            .and_then(|it| it.intersection(*asked));
+        let Some(mut held) = held else {
+            return answered(version, &[], &[]);
+        };
+        if how != Treatment::Short {
+            return answered(version, &[held], &rows(held, version));
+        }
+        held.end = held.start + held.width().div_ceil(2);
+        let mut rows = rows(held, version);
+        rows.extend(rows.clone());
+        rows.push(row(held.end, "stray"));
+        let within = range(held.start + 1, held.end - 1);
+        answered(version, &[held, held, within], &rows)
+    }
+
+    pub(super) fn execute(&mut self, sub: &SubRequest, ran: bool) {
+        if let Operation::Write { request_id, .. } = &sub.operation
+            && ran
+        {
+            let count = self.executed.entry(Arc::clone(request_id)).or_default();
+            *count += 1;
+            assert_eq!(*count, 1, "write executed twice");
+        }
+    }
+
+    /// Notes what a reply proves once it reaches the coordinator.
+    pub(super) fn note(&mut self, sub: &SubRequest, outcome: &SubOutcome) {
+        let sends = match &sub.operation {
+            Operation::Read { .. } => self.reads.get_mut(&sub.deadline_us),
+            Operation::Write { request_id, .. } => self.writes.get_mut(request_id),
+        };
+        let sent = sends.and_then(|it| it.get_mut(&sub.attempt.sequence));
+        *sent.expect("a pending sub-request was sent") = outcome.verdict() == Verdict::NotRun;
+        if let SubOutcome::Answered {
+            ranges, version, ..
+        } = outcome
+        {
+            let spoken = self.spoken.entry((sub.deadline_us, version.0)).or_default();
+            spoken.extend(ranges);
+        }
+    }
+
+    /// Delivers an earlier reply once more, or one that this boot never asked for.
+    pub fn stray_reply(&mut self, index: usize, misdirect: bool) {
+        if self.past.is_empty() {
+            return;
+        }
+        let (mut attempt, outcome) = self.past[index % self.past.len()].clone();
+        if misdirect {
+            attempt.boot += 1;
+        }
+        self.event(QueryEvent::SubReply {
+            attempt,
+            outcome,
+            report: None,
+        });
+    }
+
+    pub(super) fn held(&self, replica: ReplicaKey, version: u64) -> Option<KeyRange> {
+        let service = replica.0 / PER_SERVICE;
+        let mut held = self.layouts[&version][service as usize];
+        held.end = held
+            .end
+            .saturating_sub(self.targets[replica.index()].shrink);
+        (!held.is_empty()).then_some(held)
+    }
+
+    pub(super) fn report_of(&self, replica: ReplicaKey) -> ReplicaReport {
+        let target = &self.targets[replica.index()];
+        let held: Vec<(u64, Vec<KeyRange>)> = target
+            .served
+            .iter()
+            .map(|version| (*version, self.held(replica, *version).into_iter().collect()))
+            .collect();
+        let held: Vec<(u64, &[KeyRange])> = held.iter().map(|it| (it.0, &it.1[..])).collect();
+        ReplicaReport {
+            epoch: self.epochs[replica.index() % 2],
+            state: target.state,
+            ..crate::prelude::report(&held, 0, 5_000)
+        }
+    }
+
+    /// Puts a report on the way; it arrives later and perhaps out of order.
+    pub fn report(&mut self, replica: u32) {
+        let replica = ReplicaKey(replica);
+        let report = self.report_of(replica);
+        self.reports.push((replica, report));
+    }
+
+    pub fn deliver_reports(&mut self, count: usize) {
+        for _ in 0..count.min(self.reports.len()) {
+            let (replica, report) = self.reports.pop().expect("counted");
+            self.event(QueryEvent::Report { replica, report });
+        }
+    }
+
+    /// Adds a version with other ranges; an empty range is a merged shard.
+    pub fn repartition(&mut self, first: u64, second: u64, overlap: u64) {
+        let version = self.layouts.len() as u64 + 1;
+        self.layouts.insert(version, layout(first, second, overlap));
+    }
+
+    /// Moves a replica towards the newest version, or drops its oldest one.
+    pub fn roll(&mut self, replica: u32, drop_oldest: bool, shrink: u64) {
+        let newest = self.layouts.len() as u64;
+        let target = &mut self.targets[replica as usize];
+        target.shrink = shrink;
+        if drop_oldest && target.served.len() > 1 {
+            target.served.pop_first();
+        } else {
+            target.served.insert(newest);
+        }
+    }
+
+    pub fn set_state(&mut self, replica: u32, state: ReplicaState) {
+        self.targets[replica as usize].state = state;
+    }
+}
