--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,8 @@
 mod inspect;
 mod lease;
 mod limits;
+mod listing;
+mod member;
 mod member_update;
 mod membership;
 mod message_size;
@@ -23,6 +25,7 @@
 mod ownership;
 mod part_hash;
 mod parts;
+mod probes;
 mod proposal;
 mod rendezvous;
 mod startup;
@@ -30,6 +33,7 @@
 mod stop;
 mod text_parts;
 mod views;
+mod vm_list;
 
 pub use config_list::ConfigList;
 pub use config_record::ConfigRecord;
@@ -56,6 +60,9 @@
 pub use text_parts::PART_MIN_BYTES;
 pub use text_parts::cut;
 
+pub(crate) use listing::Listing;
+pub(crate) use member::Member;
+
 /// Validity of an ownership lease in milliseconds.
 pub const LEASE_MS: u64 = 3000;
 /// Nodes of a region that hold a watch on the configuration.
