Read deployment texts from a compact tree

Cause: a node of the tree held two locations of the YAML library, and the reader formatted a description of every replica and VM and searched ordered maps by name for each, for findings that are rare.

Change: the tree keeps line and column and shares its names with the content; descriptions are formatted for findings only; replicas are collected in a list and sorted once. The reader takes sections with a base of lines, so that the parts of a text can be read one by one. The files of the reader are split.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -8,6 +10,7 @@
 use crate::SettingsError;
 use crate::Severity;
 use crate::deployment_reader::DeploymentReader;
+use crate::lines::AddressUser;
 use crate::lines::Lines;
 use crate::lines::line_of;
 use crate::nearest;
@@ -20,7 +23,7 @@
 /// All mistakes of a deployment text, by rising line.
 #[must_use]
 pub fn check(text: &str) -> Vec<Finding> {
-    read(text).1
+    read(text, MAX_TEXT_BYTES).1
 }
 
 /// The content of a deployment text.
@@ -29,24 +32,21 @@
 ///
 /// [`SettingsError::Rejected`] with all findings if one of them is an error.
 pub fn parse(text: &str) -> Result<DeploymentText, SettingsError> {
-    let (content, findings) = read(text);
+    accepted(read(text, MAX_TEXT_BYTES))
+}
+
+/// The content, unless one of the findings is an error.
+pub(crate) fn accepted(
+    (content, findings): (DeploymentText, Vec<Finding>),
+) -> Result<DeploymentText, SettingsError> {
     if findings.iter().any(Finding::is_error) {
         return Err(SettingsError::Rejected(findings));
     }
     Ok(content)
 }
 
-fn read(text: &str) -> (DeploymentText, Vec<Finding>) {
-    if text.len() > MAX_TEXT_BYTES {
-        let finding = Finding {
-            line: 0,
-            mend: "use defaults and short forms".into(),
-            problem: format!(
-                "the text has {} bytes; at most {MAX_TEXT_BYTES} are stored",
-                text.len()
-            ),
-            severity: Severity::Error,
-        };
+pub(crate) fn read(text: &str, max_bytes: usize) -> (DeploymentText, Vec<Finding>) {
+    if let Some(finding) = too_long(text.len(), max_bytes) {
         return (DeploymentText::default(), vec![finding]);
     }
     let item = match Tree::parse(text) {
@@ -55,6 +55,21 @@
     };
     let mut draft = DeploymentReader::default();
     draft.read(&item);
+    drop(item);
+    checked(draft)
+}
+
+pub(crate) fn too_long(bytes: usize, max_bytes: usize) -> Option<Finding> {
+    (bytes > max_bytes).then(|| Finding {
+        line: 0,
+        mend: "use defaults and short forms".into(),
+        problem: format!("the text has {bytes} bytes; at most {max_bytes} are stored"),
+        severity: Severity::Error,
+    })
+}
+
+/// Checks what concerns several entries of a text whose form has been read.
+pub(crate) fn checked(draft: DeploymentReader) -> (DeploymentText, Vec<Finding>) {
     let DeploymentReader {
         lines,
         mut reader,
@@ -103,8 +118,9 @@
 }
 
 fn check_data_centres(text: &DeploymentText, lines: &Lines, reader: &mut Reader) {
+    let named = lines.data_centres.keys().collect::<HashSet<_>>();
     for (at, data_centre) in &lines.places {
-        if !lines.data_centres.contains_key(data_centre) {
+        if !named.contains(data_centre) {
             let known = lines.data_centres.keys().map(AsRef::as_ref);
             let problem = format!("there is no data centre `{data_centre}`");
             let mend = suggestion(data_centre, known, "add a data centre");
@@ -113,7 +129,7 @@
     }
     let mut unowned = BTreeMap::new();
     let homes = text.vms.values().map(|vm| &vm.data_centre);
-    let homes = homes.collect::<BTreeSet<_>>();
+    let homes = homes.collect::<HashSet<_>>();
     for replica in text.replicas.values() {
         if !homes.contains(&replica.data_centre) {
             *unowned.entry(&replica.data_centre).or_insert(0) += 1;
@@ -140,7 +156,7 @@
 fn check_addresses(lines: Lines, reader: &mut Reader) {
     let mut uses = lines.addresses;
     uses.sort();
-    let mut first = BTreeMap::<SocketAddr, (u64, String)>::new();
+    let mut first = HashMap::<SocketAddr, (u64, AddressUser)>::with_capacity(uses.len());
     for (at, address, user) in uses {
         match first.get(&address) {
             Some((line, other)) => reader.error(
@@ -154,28 +170,31 @@
 }
 
 fn check_replicas(text: &DeploymentText, lines: &Lines, reader: &mut Reader) {
-    let mut places = BTreeMap::<&Arc<str>, Vec<&Arc<str>>>::new();
-    let mut serving = BTreeSet::new();
+    let mut services = HashMap::<&Arc<str>, Spread<'_>>::new();
     for replica in text.replicas.values() {
-        let data_centres = places.entry(&replica.service).or_default();
-        data_centres.push(&replica.data_centre);
-        if !replica.out && !data_centre_out(text, &replica.data_centre) {
-            serving.insert(&replica.service);
-        }
+        let spread = services.entry(&replica.service).or_insert(Spread {
+            data_centre: &replica.data_centre,
+            one_place: true,
+            replicas: 0,
+            serving: false,
+        });
+        spread.one_place &= *spread.data_centre == replica.data_centre;
+        spread.replicas += 1;
+        spread.serving |= !replica.out && !data_centre_out(text, &replica.data_centre);
     }
-    for (service, data_centres) in places {
+    for (service, spread) in services {
         let at = line_of(&lines.services, service);
-        if data_centres.len() > 1 && data_centres.iter().all(|it| *it == data_centres[0]) {
+        if spread.replicas > 1 && spread.one_place {
             reader.warning(
                 at,
                 format!(
                     "all replicas of service `{service}` are in data centre `{}`",
-                    data_centres[0]
+                    spread.data_centre
                 ),
                 "place one elsewhere, or the service is lost with that data centre",
             );
         }
-        if !serving.contains(service) {
+        if !spread.serving {
             reader.warning(
                 at,
                 format!("every replica of service `{service}` is out"),
@@ -185,6 +204,17 @@
     }
 }
 
+/// Where the replicas of a service are.
+struct Spread<'a> {
+    /// Data centre of the first replica.
+    data_centre: &'a Arc<str>,
+    /// Whether all replicas are in that data centre.
+    one_place: bool,
+    replicas: usize,
+    /// Whether a replica is in service.
+    serving: bool,
+}
+
 fn check_out(text: &DeploymentText, reader: &mut Reader) {
     let all_out = [
         (
--- a/crates/settings/src/edit.rs
+++ b/crates/settings/src/edit.rs
@@ -1,5 +1,3 @@
-use serde_saphyr::Location;
-
 use crate::DeploymentText;
 use crate::SettingsError;
 use crate::nearest;
@@ -7,6 +5,7 @@
 use crate::reader::field;
 use crate::tree::Entry;
 use crate::tree::Item;
+use crate::tree::Position;
 use crate::tree::Tree;
 
 /// What operators take out of service or return to it.
@@ -46,7 +45,7 @@
         name: name.to_owned(),
     };
     let (at, item) = entry(&root, key, name).ok_or_else(|| unsupported(0))?;
-    let line = at.line();
+    let line = u64::from(at.line);
     let edited = edit(text, at, name, item, out).ok_or_else(|| unsupported(line))?;
     match parse(&edited) {
         Ok(content) if content == wanted => Ok(edited),
@@ -86,7 +85,7 @@
     }
 }
 
-fn entry<'a>(root: &'a Item, key: &str, name: &str) -> Option<(Location, &'a Item)> {
+fn entry<'a>(root: &'a Item, key: &str, name: &str) -> Option<(Position, &'a Item)> {
     let Tree::Map(top) = &root.value else {
         return None;
     };
@@ -95,12 +94,12 @@
     };
     entries
         .iter()
-        .find(|(it, _)| it.value == name)
-        .map(|(key, item)| (key.referenced, item))
+        .find(|(it, _)| &*it.value == name)
+        .map(|(key, item)| (key.at, item))
 }
 
-fn edit(text: &str, key: Location, name: &str, item: &Item, out: bool) -> Option<String> {
-    let start = item.referenced;
+fn edit(text: &str, key: Position, name: &str, item: &Item, out: bool) -> Option<String> {
+    let start = item.at;
     match &item.value {
         Tree::Null => {
             let colon = position(text, key)? + name.len();
@@ -111,7 +110,7 @@
         Tree::Text(value) => short_form(text, position(text, start)?, value, out),
         Tree::Map(entries) => match field(entries, "out") {
             Some(flag) => {
-                let at = position(text, flag.referenced)?;
+                let at = position(text, flag.at)?;
                 let old = (!out).to_string();
                 let rest = text.get(at..)?.strip_prefix(&old)?;
                 Some(format!("{}{out}{rest}", &text[..at]))
@@ -145,7 +144,7 @@
         };
         return Some(inserted(text, at + 1, &inside));
     }
-    let first = position(text, entries.first()?.0.referenced)?;
+    let first = position(text, entries.first()?.0.at)?;
     let line_start = text[..first].rfind('\n').map_or(0, |it| it + 1);
     let indent = &text[line_start..first];
     if !indent.chars().all(|it| it == ' ') {
@@ -165,9 +164,9 @@
 }
 
 /// Byte position of a location.
-fn position(text: &str, location: Location) -> Option<usize> {
-    let line_index = usize::try_from(location.line()).ok()?.checked_sub(1)?;
-    let column_index = usize::try_from(location.column()).ok()?.checked_sub(1)?;
+fn position(text: &str, location: Position) -> Option<usize> {
+    let line_index = (location.line as usize).checked_sub(1)?;
+    let column_index = (location.column as usize).checked_sub(1)?;
     let mut start = 0;
     for line in text.split_inclusive('\n').take(line_index) {
         start += line.len();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 //! settings of one node.
 
 mod check;
+mod class_reader;
 mod deployment_reader;
 mod deployment_text;
 mod edit;
@@ -17,9 +18,12 @@
 mod node_settings;
 mod partial_limits;
 mod reader;
+mod replica_reader;
 mod resolve;
+mod section;
 mod settings_error;
 mod tree;
+mod vm_reader;
 
 pub use check::MAX_TEXT_BYTES;
 pub use check::check;
--- a/crates/settings/src/lines.rs
+++ b/crates/settings/src/lines.rs
@@ -1,4 +1,6 @@
 use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::fmt::Formatter;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -6,16 +8,34 @@
 #[derive(Debug, Default)]
 pub(crate) struct Lines {
     /// Line, address and user of every address, also of entries with mistakes.
-    pub(crate) addresses: Vec<(u64, SocketAddr, String)>,
+    pub(crate) addresses: Vec<(u64, SocketAddr, AddressUser)>,
     /// Name as given in `depends_on` and its line, by class.
     pub(crate) depends_on: BTreeMap<Arc<str>, Vec<(Arc<str>, u64)>>,
     pub(crate) classes: BTreeMap<Arc<str>, u64>,
     pub(crate) data_centres: BTreeMap<Arc<str>, u64>,
     /// Line and data centre of every replica and VM, also of those with mistakes.
     pub(crate) places: Vec<(u64, Arc<str>)>,
-    pub(crate) replicas: BTreeMap<Arc<str>, u64>,
     pub(crate) services: BTreeMap<Arc<str>, u64>,
-    pub(crate) vms: BTreeMap<Arc<str>, u64>,
+}
+
+/// The user of an address; formatted only for a finding.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct AddressUser {
+    kind: &'static str,
+    name: Arc<str>,
+}
+
+impl AddressUser {
+    pub(crate) fn new(kind: &'static str, name: &Arc<str>) -> Self {
+        let name = name.clone();
+        Self { kind, name }
+    }
+}
+
+impl Display for AddressUser {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} `{}`", self.kind, self.name)
+    }
 }
 
 /// The line of `name`, or 0.
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -227,7 +227,7 @@
     };
     // `off` is text here, since only `true` and `false` are flags.
     let text = reader.text(item, "log_level")?;
-    let found = LOG_LEVELS.iter().find(|(name, _)| *name == text);
+    let found = LOG_LEVELS.iter().find(|(name, _)| *name == &**text);
     if found.is_none() {
         let names = LOG_LEVELS.map(|(name, _)| name);
         let mend = nearest(text, names).map_or_else(
@@ -250,7 +250,9 @@
     };
     let mut seeds = Vec::new();
     for (name, item) in reader.map(item, "`seeds`") {
-        let name = reader.name(&name.value, name.referenced.line(), "a seed node");
+        let at = name.at.line.into();
+        let name = name.value.clone();
+        reader.check_name(&name, at, "a seed node");
         let address = reader
             .text(item, &name)
             .and_then(|text| reader.address(text, line(item), &name));
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
@@ -8,34 +8,37 @@
 use crate::nearest;
 use crate::tree::Entry;
 use crate::tree::Item;
+use crate::tree::Key;
 use crate::tree::Tree;
 
 /// Longest name in bytes; names are parts of object paths and metric labels.
 const MAX_NAME_BYTES: usize = 64;
 
-/// Line of a node, where the operators wrote it.
+/// Line of a node within its part of the text, where the operators wrote it.
 pub(crate) fn line(item: &Item) -> u64 {
-    item.referenced.line()
+    item.at.line.into()
 }
 
 /// The value of `key`; the first one if the key is repeated.
 pub(crate) fn field<'a>(entries: &'a [Entry], key: &str) -> Option<&'a Item> {
     entries
         .iter()
-        .find(|(name, _)| name.value == key)
+        .find(|(name, _)| &*name.value == key)
         .map(|(_, value)| value)
 }
 
 /// Reads typed values out of a document and collects the mistakes.
 #[derive(Debug, Default)]
 pub(crate) struct Reader {
+    /// Lines of the text before the part that is read; findings add it to their line.
+    pub(crate) base: u64,
     pub(crate) findings: Vec<Finding>,
 }
 
 impl Reader {
     pub(crate) fn error(&mut self, line: u64, problem: String, mend: impl Into<String>) {
         self.findings.push(Finding {
-            line,
+            line: self.base + line,
             mend: mend.into(),
             problem,
             severity: Severity::Error,
@@ -44,7 +47,7 @@
 
     pub(crate) fn warning(&mut self, line: u64, problem: String, mend: impl Into<String>) {
         self.findings.push(Finding {
-            line,
+            line: self.base + line,
             mend: mend.into(),
             problem,
             severity: Severity::Warning,
@@ -78,15 +81,28 @@
     }
 
     fn repeats(&mut self, entries: &[Entry]) {
-        let mut seen = BTreeMap::new();
-        for (key, _) in entries {
-            let at = key.referenced.line();
-            if let Some(first) = seen.insert(key.value.as_str(), at) {
-                self.error(
-                    at,
-                    format!("`{}` was given before, in line {first}", key.value),
-                    "remove one of the two",
-                );
+        // Most mappings are written in order, where neighbours show that none repeats.
+        if entries.is_sorted_by(|(left, _), (right, _)| left.value < right.value) {
+            return;
+        }
+        let base = self.base;
+        let keys = entries.iter().map(|(key, _)| (base, key));
+        self.repeated_keys(keys);
+    }
+
+    /// Reports repeats among the keys of a mapping, each with the base of its lines.
+    pub(crate) fn repeated_keys<'a>(&mut self, keys: impl Iterator<Item = (u64, &'a Key)>) {
+        let mut seen = HashMap::new();
+        for (base, key) in keys {
+            let at = base + u64::from(key.at.line);
+            if let Some(first) = seen.insert(&*key.value, at) {
+                let problem = format!("`{}` was given before, in line {first}", key.value);
+                self.findings.push(Finding {
+                    line: at,
+                    mend: "remove one of the two".into(),
+                    problem,
+                    severity: Severity::Error,
+                });
             }
         }
     }
@@ -94,16 +110,21 @@
     /// Reports the keys that are not in `known`.
     pub(crate) fn known_keys(&mut self, entries: &[Entry], known: &[&str], what: &str) {
         for (key, _) in entries {
-            if known.contains(&key.value.as_str()) {
-                continue;
-            }
-            let mend = nearest(&key.value, known.iter().copied()).map_or_else(
-                || format!("the keys here are: {}", known.join(", ")),
-                |nearest| format!("did you mean `{nearest}`?"),
-            );
-            let problem = format!("{what} has no key `{}`", key.value);
-            self.error(key.referenced.line(), problem, mend);
+            self.known_key(key, known, what);
+        }
+    }
+
+    /// Reports `key` if it is not in `known`.
+    pub(crate) fn known_key(&mut self, key: &Key, known: &[&str], what: &str) {
+        if known.contains(&&*key.value) {
+            return;
         }
+        let mend = nearest(&key.value, known.iter().copied()).map_or_else(
+            || format!("the keys here are: {}", known.join(", ")),
+            |nearest| format!("did you mean `{nearest}`?"),
+        );
+        let problem = format!("{what} has no key `{}`", key.value);
+        self.error(key.at.line.into(), problem, mend);
     }
 
     /// A value that must be present; `at` is the line of its owner.
@@ -128,8 +149,8 @@
         key: &str,
         range: RangeInclusive<u64>,
     ) -> Option<u64> {
-        let value = match item.value {
-            Tree::Integer(value) => u64::try_from(value).ok(),
+        let value = match &item.value {
+            Tree::Integer(value) => u64::try_from(**value).ok(),
             _ => None,
         };
         let value = value.filter(|value| range.contains(value));
@@ -175,7 +196,7 @@
     }
 
     /// Text that is not empty.
-    pub(crate) fn text<'a>(&mut self, item: &'a Item, key: &str) -> Option<&'a str> {
+    pub(crate) fn text<'a>(&mut self, item: &'a Item, key: &str) -> Option<&'a Arc<str>> {
         match &item.value {
             Tree::Text(text) if !text.trim().is_empty() => Some(text),
             other => {
@@ -186,8 +207,8 @@
         }
     }
 
-    /// A name that other entries and object paths can hold.
-    pub(crate) fn name(&mut self, name: &str, at: u64, what: &str) -> Arc<str> {
+    /// Reports `name` if other entries and object paths cannot hold it.
+    pub(crate) fn check_name(&mut self, name: &str, at: u64, what: &str) {
         let fits = !name.is_empty()
             && name.len() <= MAX_NAME_BYTES
             && name
@@ -200,13 +221,13 @@
                 format!("use 1 to {MAX_NAME_BYTES} letters, digits, `-` and `_`"),
             );
         }
-        Arc::from(name)
     }
 
     /// A name given as a value.
     pub(crate) fn name_value(&mut self, item: &Item, key: &str) -> Option<Arc<str>> {
         let text = self.text(item, key)?;
-        Some(self.name(text, line(item), &format!("`{key}`")))
+        self.check_name(text, line(item), &format!("`{key}`"));
+        Some(text.clone())
     }
 
     /// An address of the form `IP:port`.
--- /dev/null
+++ b/crates/settings/src/replica_reader.rs
@@ -0,0 +1,163 @@
+use std::sync::Arc;
+
+use crate::ReplicaText;
+use crate::deployment_reader::DeploymentReader;
+use crate::deployment_reader::Owner;
+use crate::lines::AddressUser;
+use crate::partial_limits::LIMIT_KEYS;
+use crate::partial_limits::PartialLimits;
+use crate::reader::line;
+use crate::tree::Entry;
+use crate::tree::Item;
+use crate::tree::Tree;
+
+/// A replica as the text gives it.
+#[derive(Debug)]
+pub(crate) struct ReplicaEntry {
+    /// Line of the text.
+    at: u64,
+    name: Arc<str>,
+    service: Arc<str>,
+    /// Absent if the entry has mistakes.
+    value: Option<ReplicaText>,
+}
+
+impl DeploymentReader {
+    pub(crate) fn shard_service(
+        &mut self,
+        name: &Arc<str>,
+        service_at: u64,
+        entries: &[Entry],
+        replicas: &Item,
+    ) {
+        let service_line = self.reader.base + service_at;
+        let lines = &mut self.lines.services;
+        lines.entry(name.clone()).or_insert(service_line);
+        self.text.services.insert(name.clone());
+        let limits = self
+            .defaults
+            .overridden(entries, service_at, &mut self.reader);
+        let members = self
+            .reader
+            .map(replicas, &format!("`replicas` of `{name}`"));
+        if members.is_empty() {
+            self.reader.error(
+                line(replicas).max(service_at),
+                format!("service `{name}` has no replica"),
+                "add a replica, such as `NAME: DATA_CENTRE ADDRESS`",
+            );
+        }
+        for (key, item) in members {
+            let at = key.at.line.into();
+            self.reader.check_name(&key.value, at, "a replica");
+            let value = self.replica(
+                &key.value,
+                at,
+                &Owner {
+                    at: service_at,
+                    name,
+                },
+                limits,
+                item,
+            );
+            self.replicas.push(ReplicaEntry {
+                at: self.reader.base + at,
+                name: key.value.clone(),
+                service: name.clone(),
+                value,
+            });
+        }
+    }
+
+    fn replica(
+        &mut self,
+        name: &Arc<str>,
+        at: u64,
+        service: &Owner<'_>,
+        limits: PartialLimits,
+        item: &Item,
+    ) -> Option<ReplicaText> {
+        let mut own = limits;
+        let (data_centre, address, out) = if let Tree::Text(text) = &item.value {
+            let forms = "`DATA_CENTRE ADDRESS`, with `out` after it if it is out";
+            let at = line(item);
+            let what = format_args!("replica `{name}`");
+            let ([data_centre, address], out) = self.short_form(text, at, what, forms)?;
+            let address = self.reader.address(address, at, "address");
+            (Some(self.shared(data_centre)), address, out)
+        } else {
+            let what = format!("replica `{name}`");
+            let entries = self.reader.map(item, &what);
+            let mut known = vec!["address", "data_centre", "out"];
+            known.extend(LIMIT_KEYS);
+            self.reader.known_keys(entries, &known, &what);
+            own = limits.overridden(entries, at, &mut self.reader);
+            let data_centre = self.data_centre_field(entries, at, &what);
+            let address = self.reader.address_field(entries, "address", at, &what);
+            (data_centre, address, self.reader.flag(entries, "out"))
+        };
+        let text_line = self.reader.base + at;
+        let place = data_centre.iter().map(|it| (text_line, it.clone()));
+        self.lines.places.extend(place);
+        let user = AddressUser::new("replica", name);
+        let address_line = address.map(|it| (text_line, it, user));
+        self.lines.addresses.extend(address_line);
+        let limits = match own.complete() {
+            Ok(limits) => limits,
+            Err(missing) => {
+                self.reader.error(
+                    service.at,
+                    format!(
+                        "service `{}` states no {}",
+                        service.name,
+                        missing.join(", ")
+                    ),
+                    "add it to the service, its replicas or `defaults`",
+                );
+                return None;
+            }
+        };
+        Some(ReplicaText {
+            address: address?,
+            cold: limits.cold,
+            connect_us: limits.connect_us,
+            connections: limits.connections,
+            data_centre: data_centre?,
+            out,
+            service: service.name.clone(),
+            slots: limits.slots,
+        })
+    }
+
+    /// Moves the replicas to the text; the first one of each name counts.
+    pub(crate) fn place_replicas(&mut self) {
+        let mut entries = std::mem::take(&mut self.replicas);
+        // Stable, so that the entries of one name stay in the order of the text.
+        entries.sort_by(|left, right| left.name.cmp(&right.name));
+        for same in entries.chunk_by(|left, right| left.name == right.name) {
+            let mut valid = None::<&Arc<str>>;
+            for (index, entry) in same.iter().enumerate() {
+                // A repeat within one service is reported as a repeated key.
+                if index > 0 && valid.is_none_or(|it| *it != entry.service) {
+                    self.reader.error(
+                        entry.at,
+                        format!(
+                            "replica `{}` was given before, in line {}",
+                            entry.name, same[0].at
+                        ),
+                        "give each replica a name of its own",
+                    );
+                }
+                if valid.is_none() && entry.value.is_some() {
+                    valid = Some(&entry.service);
+                }
+            }
+        }
+        entries.retain(|it| it.value.is_some());
+        entries.dedup_by(|later, first| later.name == first.name);
+        let entries = entries.into_iter();
+        self.text.replicas = entries
+            .filter_map(|it| Some((it.name, it.value?)))
+            .collect();
+    }
+}
