Read the parts of a deployment text one by one

Cause: every change of the operators' text had the whole text parsed, although it changes one or two of about 300 parts.

Change: IncrementalReader parses each part of which all entries lie within it and keeps the trees by content. The sections of the parts are joined, with the lines of each part moved by those before it, and read and checked as before. A part that may mean something else between its neighbours (anchors, tags, block scalars, quotes or flow style over a cut, unusual indentation) has the whole text read, which is counted.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,8 +3,9 @@
 //! [`check`] lists every mistake of a deployment text with its line and what
 //! would mend it, [`parse`] gives the content of a text without errors and
 //! [`resolve`] turns that into the deployment the cores work on. [`set_out`]
-//! edits the text in place. [`check_node`] and [`parse_node`] do the same for the
-//! settings of one node.
+//! edits the text in place. [`IncrementalReader`] does what [`check`] and [`parse`] do,
+//! for texts that change in few places. [`check_node`] and [`parse_node`] do the same
+//! for the settings of one node.
 
 mod check;
 mod class_reader;
@@ -12,10 +13,13 @@
 mod deployment_text;
 mod edit;
 mod finding;
+mod incremental_reader;
 mod lines;
 mod name_list;
 mod nearest;
 mod node_settings;
+mod part;
+mod part_shape;
 mod partial_limits;
 mod reader;
 mod replica_reader;
@@ -37,6 +41,8 @@
 pub use edit::set_out;
 pub use finding::Finding;
 pub use finding::Severity;
+pub use incremental_reader::IncrementalReader;
+pub use incremental_reader::ReadCounts;
 pub use nearest::nearest;
 pub use node_settings::LogLevel;
 pub use node_settings::NodeSettings;
--- /dev/null
+++ b/crates/settings/tests/incremental.rs
@@ -0,0 +1,211 @@
+//! Texts read in parts, compared with the whole text.
+
+use std::sync::Arc;
+
+use wigeonhall_settings::IncrementalReader;
+use wigeonhall_settings::MAX_TEXT_BYTES;
+use wigeonhall_settings::check;
+use wigeonhall_settings::parse;
+
+const TEXTS: [&str; 3] = [
+    include_str!("../../../examples/canopy-vending.yaml"),
+    include_str!("../../../examples/delta-furrow.yaml"),
+    include_str!("../../../examples/demo.yaml"),
+];
+/// Sequences of edits of one text, each read with the cache of the text before.
+const SEQUENCES: u64 = 100;
+const EDITS: usize = 8;
+/// Pieces that change the structure of a text.
+const PIECES: [&str; 20] = [
+    ":",
+    "{",
+    "}",
+    "[",
+    "]",
+    "- ",
+    "#",
+    " #",
+    "\n",
+    "  ",
+    "&a ",
+    "*a",
+    "out",
+    "\"",
+    "'",
+    "|\n",
+    "\r",
+    "\n---\n",
+    "x: 1\n",
+    "{ out: true,\n  region: r }",
+];
+
+/// The splitmix64 generator.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, limit: usize) -> usize {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (mixed ^ (mixed >> 31)) as usize % limit
+    }
+}
+
+/// Inserts, deletes, repeats, reorders or indents lines, or breaks one.
+fn edit(lines: &mut Vec<String>, random: &mut Random) {
+    let at = random.below(lines.len());
+    let other = random.below(lines.len());
+    match random.below(8) {
+        0 => drop(lines.remove(at)),
+        1 | 2 => lines.insert(at, lines[other].clone()),
+        3 => lines.swap(at, other),
+        4 => {
+            let end = lines.len().min(at + 1 + random.below(12));
+            let moved = lines.drain(at..end).collect::<Vec<_>>();
+            let to = random.below(lines.len() + 1);
+            lines.splice(to..to, moved);
+        }
+        5 => {
+            let content = lines[at].trim_start().to_owned();
+            lines[at] = format!("{}{content}", " ".repeat(random.below(7)));
+        }
+        6 => {
+            let moved = lines[at].replace("127.1", "127.2");
+            lines[at] = moved.replace("north", "south");
+        }
+        _ => {
+            let column = random.below(lines[at].len() + 1);
+            lines[at].insert_str(column, PIECES[random.below(PIECES.len())]);
+        }
+    }
+    if lines.is_empty() {
+        lines.push(String::new());
+    }
+}
+
+/// Cuts a text before entries, or with `anywhere` also within lines.
+fn cut(text: &str, anywhere: bool, random: &mut Random) -> Vec<Arc<str>> {
+    let mut parts = Vec::new();
+    let mut rest = text;
+    while !rest.is_empty() {
+        let mut at = 1 + random.below(900);
+        while !rest.is_char_boundary(at.min(rest.len())) {
+            at += 1;
+        }
+        let mut at = at.min(rest.len());
+        while !anywhere && at < rest.len() && !is_entry(rest, at) {
+            at += 1;
+        }
+        parts.push(Arc::from(&rest[..at]));
+        rest = &rest[at..];
+    }
+    parts
+}
+
+fn is_entry(text: &str, at: usize) -> bool {
+    let bytes = text.as_bytes();
+    let content = bytes[at..].iter().position(|it| *it != b' ');
+    bytes[at - 1] == b'\n' && matches!(content, Some(0 | 2))
+}
+
+/// Compares a reader that has read other texts with the whole text.
+fn compare(reader: &mut IncrementalReader, text: &str, parts: &[Arc<str>], case: &str) -> bool {
+    assert_eq!(reader.check(parts), check(text), "{case}:\n{text}");
+    let whole = parse(text);
+    let accepted = whole.is_ok();
+    assert!(reader.parse(parts) == whole, "{case}:\n{text}");
+    assert!(reader.kept_parts() <= parts.len(), "{case}");
+    accepted
+}
+
+/// Guards against a kept part that is used after its text has changed, against lines that
+/// are off by those of a part, and against a part that means something else alone than
+/// between its neighbours.
+#[test]
+fn parts_read_like_the_whole_text() {
+    let (mut accepted, mut alone, mut all) = (0, 0, 0);
+    for seed in 0..SEQUENCES {
+        let mut random = Random(seed);
+        let text = TEXTS[random.below(9).min(2)];
+        let first = text.lines().map(str::to_owned).collect::<Vec<_>>();
+        let mut lines = first.clone();
+        let mut reader = IncrementalReader::new(MAX_TEXT_BYTES);
+        for step in 0..EDITS {
+            if random.below(3) == 0 {
+                lines.clone_from(&first);
+            }
+            edit(&mut lines, &mut random);
+            let text = lines.join("\n") + ["", "\n"][random.below(2)];
+            let anywhere = random.below(5) == 0;
+            let parts = cut(&text, anywhere, &mut random);
+            let whole = reader.counts().whole_texts;
+            let case = format!("seed {seed}, edit {step}");
+            let same = compare(&mut reader, &text, &parts, &case);
+            accepted += u64::from(same);
+            alone += u64::from(reader.counts().whole_texts == whole);
+            all += 1;
+        }
+    }
+    // All outcomes must occur often, or the edits test nothing.
+    assert!(accepted > all / 10 && accepted < all * 9 / 10, "{accepted}");
+    assert!(alone > all / 5 && alone < all * 9 / 10, "{alone} of {all}");
+}
+
+/// Guards against a small edit of an accepted text that costs more than its own part, and
+/// against parts that stay after no text uses them.
+#[test]
+fn an_edit_parses_its_part_only() {
+    for text in TEXTS {
+        let parts = cut(text, false, &mut Random(1));
+        let mut reader = IncrementalReader::new(MAX_TEXT_BYTES);
+        reader.parse(&parts).unwrap();
+        let mut edited = parts.clone();
+        let last = edited.last_mut().unwrap();
+        *last = Arc::from(last.replace(":80", ":90"));
+        assert!(reader.parse(&edited).unwrap() == parse(&edited.concat()).unwrap());
+        let counts = reader.counts();
+        assert_eq!(counts.parsed_parts, parts.len() as u64 + 1);
+        assert_eq!(counts.reused_parts, parts.len() as u64 - 1);
+        assert_eq!(counts.whole_texts, 0);
+        assert_eq!(reader.kept_parts(), parts.len());
+    }
+}
+
+/// Guards against texts that stand in parts only by accident: anchors, flow style, and
+/// comments, each read as a whole where its parts do not stand alone.
+#[test]
+fn unusual_texts_are_read_as_a_whole() {
+    let long_comment = format!("vms:\n{}  a: x\n", "# c\n".repeat(40));
+    let cases = [
+        ("a: &a\n  x: 1\n", "b: *a\n"),
+        ("vms: { a: x,\n", "  b: y }\n"),
+        ("vms:\n    a: x\n", "  b: y\n"),
+        ("region: a\n", "  b: y\n"),
+        ("region: |\n  a\n", "  b: y\n"),
+        ("region: \"a\n", "  b: y\"\n"),
+        ("---\nregion: a\n", "vms:\n"),
+        long_comment.split_at(80),
+    ];
+    for (first, second) in cases {
+        let parts = [Arc::<str>::from(first), Arc::from(second)];
+        let mut reader = IncrementalReader::new(MAX_TEXT_BYTES);
+        compare(&mut reader, &parts.concat(), &parts, first);
+        assert_eq!(reader.counts().whole_texts, 2, "{first}");
+    }
+}
+
+/// Guards against a cut within `defaults` or between a key and its value.
+#[test]
+fn every_cut_before_an_entry_is_read_in_parts() {
+    for text in TEXTS {
+        let whole = (check(text), parse(text).unwrap());
+        for at in (1..text.len()).filter(|at| is_entry(text, *at)) {
+            let parts = [Arc::from(&text[..at]), Arc::from(&text[at..])];
+            let mut reader = IncrementalReader::new(MAX_TEXT_BYTES);
+            let read = (reader.check(&parts), reader.parse(&parts).unwrap());
+            assert!(read == whole, "cut at {at}");
+            assert_eq!(reader.counts().whole_texts, 0, "cut at {at}");
+        }
+    }
+}
