Resolve a deployment text without searching ordered maps

Change: a first pass keeps no lines of replicas and VMs; only if it meets an error, a repeated address or an unknown data centre does a second pass keep them and give the findings. Maps are built from sorted lists, the catalog finds names by hash, and services are looked up once for neighbours.

--- /dev/null
+++ b/crates/settings/examples/text_cost.rs
@@ -0,0 +1,158 @@
+//! Prints processor time and memory of taking on changes of a deployment text of N replicas.
+//!
+//! Arguments: number of replicas, and `whole` or `parts`. Memory is that of the whole
+//! process with text, reader, catalog and deployment, so each run measures one way.
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use wigeonhall_settings::IncrementalReader;
+use wigeonhall_settings::resolve;
+use wigeonhall_types::Catalog;
+
+const CHANGES: u64 = 100;
+const DATA_CENTRES: usize = 23;
+const PART_BYTES: usize = 3_500;
+const REPLICAS_PER_SERVICE: usize = 44;
+const REPLICAS_PER_VM: usize = 4;
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let replicas = args.next().and_then(|it| it.parse().ok()).unwrap_or(1_000);
+    let in_parts = args.next().is_none_or(|it| it == "parts");
+    let text = text(replicas);
+    let mut parts = if in_parts {
+        cut(&text)
+    } else {
+        vec![Arc::from(text.as_str())]
+    };
+    println!(
+        "{replicas} replicas, {} bytes in {} parts",
+        text.len(),
+        parts.len()
+    );
+    drop(text);
+    let mut reader = IncrementalReader::new(usize::MAX);
+    let mut catalog = Catalog::default();
+    let start = processor_us();
+    let content = reader.parse(&parts).expect("the text is valid");
+    let mut in_force = resolve(&content, 0, &mut catalog);
+    drop(content);
+    println!("first text: {} µs, {}", processor_us() - start, memory());
+    let start = processor_us();
+    let mut least = [Duration::MAX; 3];
+    for generation in 1..=CHANGES {
+        change(&mut parts, generation as usize);
+        let start = Instant::now();
+        let content = reader.parse(&parts).expect("the text is valid");
+        let parsed = start.elapsed();
+        let deployment = resolve(&content, generation, &mut catalog);
+        let resolved = start.elapsed();
+        drop(content);
+        in_force = deployment;
+        least[0] = least[0].min(parsed);
+        least[1] = least[1].min(resolved.saturating_sub(parsed));
+        least[2] = least[2].min(start.elapsed());
+    }
+    println!(
+        "{CHANGES} changes: {} µs a change, {}",
+        (processor_us() - start) / CHANGES,
+        memory()
+    );
+    println!("shortest time to parse, to resolve, with drops: {least:?}");
+    println!(
+        "{:?}; {} replicas",
+        reader.counts(),
+        in_force.replicas.len()
+    );
+}
+
+/// Changes the address of a replica or of a VM.
+fn change(parts: &mut [Arc<str>], number: usize) {
+    let index = number * 37 % parts.len();
+    let text = &parts[index];
+    let port = if text.contains(":7102") {
+        ":7102"
+    } else {
+        ":4101"
+    };
+    parts[index] = Arc::from(text.replacen(port, &format!(":{}", 20_000 + number), 1));
+}
+
+/// Cuts a text before entries into parts of about 4 KB.
+fn cut(text: &str) -> Vec<Arc<str>> {
+    let mut parts = vec![String::new()];
+    for line in text.split_inclusive('\n') {
+        let indent = line.bytes().take_while(|it| *it == b' ').count();
+        if matches!(indent, 0 | 2) && parts.last().is_some_and(|it| it.len() > PART_BYTES) {
+            parts.push(String::new());
+        }
+        parts.last_mut().expect("there is a part").push_str(line);
+    }
+    parts.into_iter().map(Arc::from).collect()
+}
+
+/// Processor time of this process so far.
+fn processor_us() -> u64 {
+    let times = std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
+    let ns = times.split(' ').next().and_then(|it| it.parse().ok());
+    ns.unwrap_or(0_u64) / 1_000
+}
+
+fn memory() -> String {
+    let (now, peak) = (memory_kb("VmRSS"), memory_kb("VmHWM"));
+    format!("{now} KB, peak {peak} KB")
+}
+
+/// A figure of this process's status in KB.
+fn memory_kb(key: &str) -> i64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|it| it.starts_with(key));
+    let figure = line.and_then(|it| it.split_whitespace().nth(1));
+    figure.and_then(|it| it.parse().ok()).unwrap_or_default()
+}
+
+fn text(replicas: usize) -> String {
+    let services = replicas.div_ceil(REPLICAS_PER_SERVICE);
+    let mut text = String::from(
+        "region: design\n\ndefaults:\n  slots: 2\n  connections: 55\n  connect_us: 6000\n  \
+         cold: { slots: 1, requests_per_s: 10 }\n\ndata_centres:\n",
+    );
+    for number in 0..DATA_CENTRES {
+        writeln!(text, "  dc-{number:02}:").expect("a string takes all text");
+    }
+    write!(
+        text,
+        "\nservices:\n  search:\n    kind: read\n    depends_on: [shard-001..{services:03}]\n    \
+         deadline_ms: 2000\n    level: {{ latency_ms: 360, objective: 0.999 }}\n"
+    )
+    .expect("a string takes all text");
+    for number in 0..replicas {
+        let service = number / REPLICAS_PER_SERVICE + 1;
+        if number % REPLICAS_PER_SERVICE == 0 {
+            writeln!(text, "  shard-{service:03}:\n    replicas:")
+                .expect("a string takes all text");
+        }
+        let data_centre = number % DATA_CENTRES;
+        let (high, low) = (number / 250, number % 250 + 1);
+        let replica = number % REPLICAS_PER_SERVICE;
+        writeln!(
+            text,
+            "      shard-{service:03}-{replica:02}: dc-{data_centre:02} 10.1.{high}.{low}:7102"
+        )
+        .expect("a string takes all text");
+    }
+    text.push_str("\nvms:\n");
+    for number in 0..(replicas / REPLICAS_PER_VM).max(DATA_CENTRES) {
+        let data_centre = number % DATA_CENTRES;
+        let (high, low) = (number / 250, number % 250 + 1);
+        writeln!(
+            text,
+            "  vm-{number:04}: dc-{data_centre:02} 10.2.{high}.{low}:4101 10.2.{high}.{low}:8081"
+        )
+        .expect("a string takes all text");
+    }
+    text
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -15,6 +15,7 @@
 use crate::lines::line_of;
 use crate::nearest;
 use crate::reader::Reader;
+use crate::section::Section;
 use crate::tree::Tree;
 
 /// Longest text in bytes; the object API takes values up to a megabyte.
@@ -53,10 +54,56 @@
         Ok(item) => item,
         Err(finding) => return (DeploymentText::default(), vec![finding]),
     };
-    let mut draft = DeploymentReader::default();
-    draft.read(&item);
-    drop(item);
-    checked(draft)
+    let mut reader = Reader::default();
+    let entries = reader.map(&item, "the text");
+    let sections = entries.iter().map(|it| Section::whole(0, it));
+    let (content, mut findings) = read_sections(&sections.collect::<Vec<_>>());
+    findings.append(&mut reader.findings);
+    findings.sort();
+    findings.dedup();
+    (content, findings)
+}
+
+/// The content and the findings of the sections of a text.
+pub(crate) fn read_sections(sections: &[Section<'_>]) -> (DeploymentText, Vec<Finding>) {
+    let read = |every_entry| {
+        let mut draft = DeploymentReader::default();
+        draft.lines.every_entry = every_entry;
+        draft.read_sections(sections);
+        draft
+    };
+    let draft = read(false);
+    let has_error = draft.reader.findings.iter().any(Finding::is_error);
+    let clean = !has_error && !draft.replicas_repeat && entries_fit(&draft.text);
+    if clean {
+        return checked(draft);
+    }
+    drop(draft);
+    checked(read(true))
+}
+
+/// Whether every data centre is known and no address is used twice.
+fn entries_fit(text: &DeploymentText) -> bool {
+    let known = text.data_centres.keys().collect::<HashSet<_>>();
+    let homes = text.replicas.values().map(|it| &it.data_centre);
+    let mut homes = homes.chain(text.vms.values().map(|it| &it.data_centre));
+    let homes_known = homes.all(|it| known.contains(it));
+    let replicas = text.replicas.values().map(|it| it.address);
+    let vms = text.vms.values();
+    let vms = vms.flat_map(|it| [it.caller_address, it.node_address]);
+    let mut v4 = Vec::with_capacity(text.replicas.len() + 2 * text.vms.len());
+    let mut v6 = HashSet::new();
+    let mut distinct = true;
+    for address in replicas.chain(vms) {
+        match address {
+            SocketAddr::V4(it) => {
+                v4.push((u64::from(it.ip().to_bits()) << 16) | u64::from(it.port()));
+            }
+            SocketAddr::V6(it) => distinct &= v6.insert(it),
+        }
+    }
+    v4.sort_unstable();
+    homes_known && distinct && v4.is_sorted_by(|left, right| left < right)
 }
 
 pub(crate) fn too_long(bytes: usize, max_bytes: usize) -> Option<Finding> {
@@ -69,7 +116,7 @@
 }
 
 /// Checks what concerns several entries of a text whose form has been read.
-pub(crate) fn checked(draft: DeploymentReader) -> (DeploymentText, Vec<Finding>) {
+fn checked(draft: DeploymentReader) -> (DeploymentText, Vec<Finding>) {
     let DeploymentReader {
         lines,
         mut reader,
@@ -170,17 +217,25 @@
 }
 
 fn check_replicas(text: &DeploymentText, lines: &Lines, reader: &mut Reader) {
+    let out = text.data_centres.iter().filter(|(_, it)| it.out);
+    let out = out.map(|(name, _)| name).collect::<HashSet<_>>();
     let mut services = HashMap::<&Arc<str>, Spread<'_>>::new();
-    for replica in text.replicas.values() {
-        let spread = services.entry(&replica.service).or_insert(Spread {
-            data_centre: &replica.data_centre,
+    let by_service = text.replicas.values().collect::<Vec<_>>();
+    // Names are mostly in the order of their services.
+    for replicas in by_service.chunk_by(|left, right| left.service == right.service) {
+        let first = replicas[0];
+        let spread = services.entry(&first.service).or_insert(Spread {
+            data_centre: &first.data_centre,
             one_place: true,
             replicas: 0,
             serving: false,
         });
-        spread.one_place &= *spread.data_centre == replica.data_centre;
-        spread.replicas += 1;
-        spread.serving |= !replica.out && !data_centre_out(text, &replica.data_centre);
+        for replica in replicas {
+            spread.one_place &= *spread.data_centre == replica.data_centre;
+            spread.replicas += 1;
+            // A data centre that is not known counts as in service.
+            spread.serving |= !replica.out && !out.contains(&replica.data_centre);
+        }
     }
     for (service, spread) in services {
         let at = line_of(&lines.services, service);
--- a/crates/settings/src/deployment_reader.rs
+++ b/crates/settings/src/deployment_reader.rs
@@ -1,17 +1,19 @@
 use std::borrow::Cow;
 use std::collections::HashSet;
 use std::fmt::Arguments;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::DataCentreText;
 use crate::DeploymentText;
+use crate::ReplicaText;
+use crate::lines::AddressUser;
 use crate::lines::Lines;
 use crate::partial_limits::LIMIT_KEYS;
 use crate::partial_limits::PartialLimits;
 use crate::reader::Reader;
 use crate::reader::field;
 use crate::reader::line;
-use crate::replica_reader::ReplicaEntry;
 use crate::section::Section;
 use crate::tree::Entry;
 use crate::tree::Item;
@@ -39,8 +41,10 @@
     pub(crate) reader: Reader,
     /// Region of the data centres that name none.
     region: Option<Arc<str>>,
-    /// All replicas in the order of the text.
-    pub(crate) replicas: Vec<ReplicaEntry>,
+    /// Replicas without mistakes in the order of the text, until all are read.
+    pub(crate) replicas: Vec<(Arc<str>, ReplicaText)>,
+    /// Whether two replicas without mistakes have the same name.
+    pub(crate) replicas_repeat: bool,
     pub(crate) text: DeploymentText,
 }
 
@@ -51,14 +55,6 @@
 }
 
 impl DeploymentReader {
-    /// Reads a whole text.
-    pub(crate) fn read(&mut self, item: &Item) {
-        let entries = self.reader.map(item, "the text");
-        // `read_sections` looks for repeated keys again; equal findings count once.
-        let sections = entries.iter().map(|entry| Section::whole(0, entry));
-        self.read_sections(&sections.collect::<Vec<_>>());
-    }
-
     /// Reads the sections of a text in its order.
     pub(crate) fn read_sections(&mut self, sections: &[Section<'_>]) {
         let known = ["data_centres", "defaults", "region", "services", "vms"];
@@ -77,6 +73,7 @@
             self.defaults =
                 PartialLimits::default().overridden(limits, line(&item), &mut self.reader);
         }
+        self.replicas.reserve_exact(replica_count(sections));
         self.each(sections, "data_centres", "a data centre", Self::data_centre);
         self.each(sections, "services", "a service", Self::service);
         self.each(sections, "vms", "a VM", Self::vm);
@@ -198,6 +195,27 @@
         }
     }
 
+    /// Keeps the lines of a replica or a VM.
+    pub(crate) fn keep_entry(
+        &mut self,
+        at: u64,
+        data_centre: Option<&Arc<str>>,
+        addresses: &[(&'static str, Option<SocketAddr>)],
+        name: &Arc<str>,
+    ) {
+        if !self.lines.every_entry {
+            return;
+        }
+        let at = self.reader.base + at;
+        let place = data_centre.map(|it| (at, it.clone()));
+        self.lines.places.extend(place);
+        for (kind, address) in addresses {
+            let user = AddressUser::new(kind, name);
+            let address = address.map(|it| (at, it, user));
+            self.lines.addresses.extend(address);
+        }
+    }
+
     pub(crate) fn data_centre_field(
         &mut self,
         entries: &[Entry],
@@ -243,3 +261,18 @@
         shared
     }
 }
+
+/// Number of replicas in the text.
+fn replica_count(sections: &[Section<'_>]) -> usize {
+    let services = sections.iter().filter(|it| &*it.key.value == "services");
+    let services = services.flat_map(Section::members);
+    let services = services.flat_map(|(_, services)| services);
+    let replicas = services.map(|(_, service)| match &service.value {
+        Tree::Map(entries) => match field(entries, "replicas").map(|it| &it.value) {
+            Some(Tree::Map(replicas)) => replicas.len(),
+            _ => 0,
+        },
+        _ => 0,
+    });
+    replicas.sum()
+}
--- a/crates/settings/src/incremental_reader.rs
+++ b/crates/settings/src/incremental_reader.rs
@@ -5,10 +5,9 @@
 use crate::Finding;
 use crate::SettingsError;
 use crate::check::accepted;
-use crate::check::checked;
 use crate::check::read;
+use crate::check::read_sections;
 use crate::check::too_long;
-use crate::deployment_reader::DeploymentReader;
 use crate::part::Part;
 use crate::part::sections;
 
@@ -78,9 +77,7 @@
         }
         let parts = self.parts(texts);
         if let Some(sections) = parts.as_deref().and_then(sections) {
-            let mut draft = DeploymentReader::default();
-            draft.read_sections(&sections);
-            return checked(draft);
+            return read_sections(&sections);
         }
         drop(parts);
         self.counts.whole_texts += 1;
--- a/crates/settings/src/lines.rs
+++ b/crates/settings/src/lines.rs
@@ -7,17 +7,34 @@
 /// Where the entries of a deployment text stand, for findings.
 #[derive(Debug, Default)]
 pub(crate) struct Lines {
-    /// Line, address and user of every address, also of entries with mistakes.
+    /// Line, address and user of every address, also of entries with mistakes; empty
+    /// unless `every_entry`.
     pub(crate) addresses: Vec<(u64, SocketAddr, AddressUser)>,
     /// Name as given in `depends_on` and its line, by class.
     pub(crate) depends_on: BTreeMap<Arc<str>, Vec<(Arc<str>, u64)>>,
     pub(crate) classes: BTreeMap<Arc<str>, u64>,
     pub(crate) data_centres: BTreeMap<Arc<str>, u64>,
-    /// Line and data centre of every replica and VM, also of those with mistakes.
+    /// Whether the lines of replicas and VMs are kept. They are most of the entries, and
+    /// only findings that reject the text need them.
+    pub(crate) every_entry: bool,
+    /// Line and data centre of every replica and VM, also of those with mistakes; empty
+    /// unless `every_entry`.
     pub(crate) places: Vec<(u64, Arc<str>)>,
+    /// All replicas in the order of the text; empty unless `every_entry`.
+    pub(crate) replicas: Vec<ReplicaLine>,
     pub(crate) services: BTreeMap<Arc<str>, u64>,
 }
 
+/// Where a replica stands.
+#[derive(Debug)]
+pub(crate) struct ReplicaLine {
+    pub(crate) at: u64,
+    pub(crate) name: Arc<str>,
+    pub(crate) service: Arc<str>,
+    /// Whether the entry has no mistakes.
+    pub(crate) valid: bool,
+}
+
 /// The user of an address; formatted only for a finding.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct AddressUser {
--- a/crates/settings/src/replica_reader.rs
+++ b/crates/settings/src/replica_reader.rs
@@ -3,7 +3,7 @@
 use crate::ReplicaText;
 use crate::deployment_reader::DeploymentReader;
 use crate::deployment_reader::Owner;
-use crate::lines::AddressUser;
+use crate::lines::ReplicaLine;
 use crate::partial_limits::LIMIT_KEYS;
 use crate::partial_limits::PartialLimits;
 use crate::reader::line;
@@ -11,17 +11,6 @@
 use crate::tree::Item;
 use crate::tree::Tree;
 
-/// A replica as the text gives it.
-#[derive(Debug)]
-pub(crate) struct ReplicaEntry {
-    /// Line of the text.
-    at: u64,
-    name: Arc<str>,
-    service: Arc<str>,
-    /// Absent if the entry has mistakes.
-    value: Option<ReplicaText>,
-}
-
 impl DeploymentReader {
     pub(crate) fn shard_service(
         &mut self,
@@ -60,12 +49,16 @@
                 limits,
                 item,
             );
-            self.replicas.push(ReplicaEntry {
-                at: self.reader.base + at,
-                name: key.value.clone(),
-                service: name.clone(),
-                value,
-            });
+            if self.lines.every_entry {
+                self.lines.replicas.push(ReplicaLine {
+                    at: self.reader.base + at,
+                    name: key.value.clone(),
+                    service: name.clone(),
+                    valid: value.is_some(),
+                });
+            }
+            self.replicas
+                .extend(value.map(|value| (key.value.clone(), value)));
         }
     }
 
@@ -96,12 +89,7 @@
             let address = self.reader.address_field(entries, "address", at, &what);
             (data_centre, address, self.reader.flag(entries, "out"))
         };
-        let text_line = self.reader.base + at;
-        let place = data_centre.iter().map(|it| (text_line, it.clone()));
-        self.lines.places.extend(place);
-        let user = AddressUser::new("replica", name);
-        let address_line = address.map(|it| (text_line, it, user));
-        self.lines.addresses.extend(address_line);
+        self.keep_entry(at, data_centre.as_ref(), &[("replica", address)], name);
         let limits = match own.complete() {
             Ok(limits) => limits,
             Err(missing) => {
@@ -131,10 +119,12 @@
 
     /// Moves the replicas to the text; the first one of each name counts.
     pub(crate) fn place_replicas(&mut self) {
-        let mut entries = std::mem::take(&mut self.replicas);
         // Stable, so that the entries of one name stay in the order of the text.
-        entries.sort_by(|left, right| left.name.cmp(&right.name));
-        for same in entries.chunk_by(|left, right| left.name == right.name) {
+        self.lines
+            .replicas
+            .sort_by(|left, right| left.name.cmp(&right.name));
+        let lines = &self.lines.replicas;
+        for same in lines.chunk_by(|left, right| left.name == right.name) {
             let mut valid = None::<&Arc<str>>;
             for (index, entry) in same.iter().enumerate() {
                 // A repeat within one service is reported as a repeated key.
@@ -148,16 +138,16 @@
                         "give each replica a name of its own",
                     );
                 }
-                if valid.is_none() && entry.value.is_some() {
+                if valid.is_none() && entry.valid {
                     valid = Some(&entry.service);
                 }
             }
         }
-        entries.retain(|it| it.value.is_some());
-        entries.dedup_by(|later, first| later.name == first.name);
-        let entries = entries.into_iter();
-        self.text.replicas = entries
-            .filter_map(|it| Some((it.name, it.value?)))
-            .collect();
+        let mut replicas = std::mem::take(&mut self.replicas);
+        replicas.sort_by(|(left, _), (right, _)| left.cmp(right));
+        let given = replicas.len();
+        replicas.dedup_by(|(later, _), (first, _)| later == first);
+        self.replicas_repeat = replicas.len() < given;
+        self.text.replicas = replicas.into_iter().collect();
     }
 }
--- a/crates/settings/src/resolve.rs
+++ b/crates/settings/src/resolve.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use crate::DeploymentText;
 use wigeonhall_types::Catalog;
@@ -6,7 +6,9 @@
 use wigeonhall_types::Deployment;
 use wigeonhall_types::QueryClass;
 use wigeonhall_types::Replica;
+use wigeonhall_types::ReplicaKey;
 use wigeonhall_types::Service;
+use wigeonhall_types::ServiceKey;
 use wigeonhall_types::Vm;
 
 /// The deployment of one generation, with the names interned in `catalog`.
@@ -24,23 +26,31 @@
         let key = catalog.data_centre(name);
         deployment.data_centres.insert(key, value);
     }
-    let mut members = BTreeMap::<_, Vec<_>>::new();
-    for (name, replica) in &text.replicas {
-        let key = catalog.replica(name);
-        let service = catalog.service(&replica.service);
-        let value = Replica {
-            address: replica.address,
-            cold: replica.cold,
-            connect_us: replica.connect_us,
-            connections: replica.connections,
-            data_centre: catalog.data_centre(&replica.data_centre),
-            out: replica.out,
-            service,
-            slots: replica.slots,
-        };
-        deployment.replicas.insert(key, value);
-        members.entry(service).or_default().push(key);
+    let mut members = HashMap::<ServiceKey, Vec<ReplicaKey>>::new();
+    let mut replicas = Vec::with_capacity(text.replicas.len());
+    // Names are mostly in the order of their services.
+    let by_service = text.replicas.iter().collect::<Vec<_>>();
+    for group in by_service.chunk_by(|(_, left), (_, right)| left.service == right.service) {
+        let service = catalog.service(&group[0].1.service);
+        let members = members.entry(service).or_default();
+        for (name, replica) in group {
+            let key = catalog.replica(name);
+            let value = Replica {
+                address: replica.address,
+                cold: replica.cold,
+                connect_us: replica.connect_us,
+                connections: replica.connections,
+                data_centre: catalog.data_centre(&replica.data_centre),
+                out: replica.out,
+                service,
+                slots: replica.slots,
+            };
+            members.push(key);
+            replicas.push((key, value));
+        }
     }
+    // A map that is built from a sorted list is filled, not searched.
+    deployment.replicas = replicas.into_iter().collect();
     for name in &text.services {
         let key = catalog.service(name);
         let mut replicas = members.remove(&key).unwrap_or_default();
@@ -64,14 +74,15 @@
         };
         deployment.classes.insert(catalog.class(name), value);
     }
-    for (name, vm) in &text.vms {
+    let vms = text.vms.iter().map(|(name, vm)| {
         let value = Vm {
             caller_address: vm.caller_address,
             data_centre: catalog.data_centre(&vm.data_centre),
             node_address: vm.node_address,
             out: vm.out,
         };
-        deployment.vms.insert(catalog.node(name), value);
-    }
+        (catalog.node(name), value)
+    });
+    deployment.vms = vms.collect();
     deployment
 }
--- a/crates/settings/src/vm_reader.rs
+++ b/crates/settings/src/vm_reader.rs
@@ -2,7 +2,6 @@
 
 use crate::VmText;
 use crate::deployment_reader::DeploymentReader;
-use crate::lines::AddressUser;
 use crate::reader::line;
 use crate::tree::Item;
 use crate::tree::Tree;
@@ -33,18 +32,11 @@
             let caller = address("caller_address");
             (data_centre, node, caller, self.reader.flag(entries, "out"))
         };
-        let text_line = self.reader.base + at;
-        let place = data_centre.iter().map(|it| (text_line, it.clone()));
-        self.lines.places.extend(place);
         let addresses = [
             ("node address of VM", node_address),
             ("caller address of VM", caller_address),
         ];
-        for (kind, address) in addresses {
-            let user = AddressUser::new(kind, name);
-            let address_line = address.map(|it| (text_line, it, user));
-            self.lines.addresses.extend(address_line);
-        }
+        self.keep_entry(at, data_centre.as_ref(), &addresses, name);
         if let (Some(data_centre), Some(node_address), Some(caller_address)) =
             (data_centre, node_address, caller_address)
         {
--- a/crates/types/src/catalog.rs
+++ b/crates/types/src/catalog.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use crate::ClassKey;
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug, Default)]
 struct NameTable {
     /// Inverse of `names`.
-    index: BTreeMap<Arc<str>, u32>,
+    index: HashMap<Arc<str>, u32>,
     names: Vec<Arc<str>>,
 }
 
