Test mistakes that stand alone and parts that only look whole

Cause: with the second pass of the reader skipped for a repeated address or a repeated replica, and with the checks of a part's neighbours removed, all tests stayed green: the broken texts held other mistakes, and the long comment was cut within a line.

Change: texts with one mistake each, with IPv4 and IPv6 addresses, and cuts after a value, a flow mapping, a null and within a line.

Result: each of these breaks now turns a test red.

--- a/crates/settings/tests/findings.rs
+++ b/crates/settings/tests/findings.rs
@@ -175,3 +175,29 @@
     assert_eq!(settings.log_level, LogLevel::Off);
     assert_eq!(&*settings.seeds[0].name, "yes");
 }
+
+/// Guards against a mistake that is found only in texts with other mistakes: the lines of
+/// replicas and VMs are kept only once something is wrong.
+#[test]
+fn a_mistake_that_stands_alone_is_found() {
+    let demo = include_str!("../../../examples/demo.yaml");
+    let mistakes = [
+        (
+            "127.0.0.1:9103",
+            "127.0.0.1:9102",
+            "address of another replica",
+        ),
+        ("127.0.0.1:8083", "127.0.0.1:9102", "address of a replica"),
+        ("shard-06-a", "shard-01-a", "name of another replica"),
+        ("shard-06-a: east", "shard-06-a: west", "data centre"),
+        ("east-1: east", "east-1: west", "data centre of a VM"),
+    ];
+    for host in ["127.0.0.1", "[::1]"] {
+        for (old, new, what) in mistakes {
+            let text = demo.replace(old, new).replace("127.0.0.1", host);
+            let findings = check(&text);
+            let errors = findings.iter().filter(|it| it.is_error());
+            assert_eq!(errors.count(), 1, "{what}, {host}");
+        }
+    }
+}
--- a/crates/settings/tests/incremental.rs
+++ b/crates/settings/tests/incremental.rs
@@ -182,10 +182,13 @@
         ("vms: { a: x,\n", "  b: y }\n"),
         ("vms:\n    a: x\n", "  b: y\n"),
         ("region: a\n", "  b: y\n"),
+        ("region: a", "vms:\n  b: y\n"),
+        ("vms: { a: x }\n", "  b: y\n"),
+        ("vms: ~\n", "  b: y\n"),
         ("region: |\n  a\n", "  b: y\n"),
         ("region: \"a\n", "  b: y\"\n"),
         ("---\nregion: a\n", "vms:\n"),
-        long_comment.split_at(80),
+        long_comment.split_at(85),
     ];
     for (first, second) in cases {
         let parts = [Arc::<str>::from(first), Arc::from(second)];
