Have a node read the operators' text in parts

Cause: a node parsed the whole text at every change.

Change: the engine keeps an IncrementalReader and publishes its counters. Until a configuration arrives in parts, text_parts cuts the text before entries by the hash of their lines. The example measures the reading of a whole text with two parts that meet within a line.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -28,6 +28,7 @@
 use wigeonhall_query::Coordinator;
 use wigeonhall_query::QueryEvent;
 use wigeonhall_query::QueryId;
+use wigeonhall_settings::IncrementalReader;
 use wigeonhall_target::TargetPool;
 use wigeonhall_types::AttemptId;
 use wigeonhall_types::Catalog;
@@ -100,6 +101,8 @@
     /// Who waits for the result of each sub-request that the gate holds.
     pub(crate) submitted: HashMap<AttemptId, Submitter>,
     pub(crate) targets: TargetPool,
+    /// Keeps the parsed parts of the newest text that arrived.
+    pub(crate) text_reader: IncrementalReader,
     pub(crate) trace: DecisionTrace,
 }
 
@@ -227,6 +230,8 @@
         self.metrics.set_decisions("gate", self.gate.counters());
         self.metrics
             .set_decisions("query", self.coordinator.counters());
+        self.metrics
+            .set_decisions("settings", &self.text_reader.counts());
         self.trace_replica_states(now_us);
         let due = |at_us: u64| at_us + CLAIM_CLEAN_UP_US <= now_us;
         if self.cleaned_us.is_none_or(due) && self.cleans_claims() {
--- a/crates/node/src/engine_fleet.rs
+++ b/crates/node/src/engine_fleet.rs
@@ -5,6 +5,7 @@
 use crate::engine::Input;
 use crate::engine::OWNERS_LAG_MS;
 use crate::engine::Stage;
+use crate::text_parts::text_parts;
 use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::EvacuationOverride;
 use wigeonhall_fleet::FleetAction;
@@ -92,8 +93,8 @@
     /// Resolves an accepted configuration. A text that this version of the program
     /// cannot resolve leaves the one before in force.
     fn adopt(&mut self, record: ConfigRecord) {
-        let parsed = wigeonhall_settings::parse(&record.text);
-        let text = match parsed {
+        let parts = text_parts(&record.text);
+        let text = match self.text_reader.parse(&parts) {
             Ok(text) => text,
             Err(error) => {
                 log::error!("generation {} cannot be used: {error}", record.generation);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 mod request_trace;
 mod store;
 mod store_tables;
+mod text_parts;
 
 pub use caller_answer::CallerAbsent;
 pub use caller_answer::CallerAnswer;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -32,6 +32,8 @@
 use wigeonhall_protocol::DecisionTrace;
 use wigeonhall_query::Coordinator;
 use wigeonhall_query::CoordinatorConfig;
+use wigeonhall_settings::IncrementalReader;
+use wigeonhall_settings::MAX_TEXT_BYTES;
 use wigeonhall_settings::NodeSettings;
 use wigeonhall_target::TargetPool;
 use wigeonhall_types::Catalog;
@@ -225,6 +227,7 @@
         submitted: HashMap::new(),
         targets: TargetPool::new(handle)
             .with_timeouts_ms(timeouts.target_connect_ms, timeouts.target_probe_ms),
+        text_reader: IncrementalReader::new(MAX_TEXT_BYTES),
         trace: DecisionTrace::new(TRACED_REQUEST_DECISIONS, TRACED_REPLICA_DECISIONS),
     }
 }
--- a/crates/settings/examples/text_cost.rs
+++ b/crates/settings/examples/text_cost.rs
@@ -26,7 +26,10 @@
     let mut parts = if in_parts {
         cut(&text)
     } else {
-        vec![Arc::from(text.as_str())]
+        // Two parts that meet within a line are read as one text.
+        let middle = text.len() / 2;
+        let at = middle + text[middle..].find(": dc").unwrap_or_default();
+        vec![Arc::from(&text[..at]), Arc::from(&text[at..])]
     };
     println!(
         "{replicas} replicas, {} bytes in {} parts",
--- a/crates/settings/src/incremental_reader.rs
+++ b/crates/settings/src/incremental_reader.rs
@@ -1,6 +1,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use serde::Serialize;
+
 use crate::DeploymentText;
 use crate::Finding;
 use crate::SettingsError;
@@ -23,7 +25,7 @@
 }
 
 /// What an [`IncrementalReader`] has read since it was made.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct ReadCounts {
     /// Parts that were parsed.
     pub parsed_parts: u64,
