Measure fixed shares and lent slots beside one owner per replica

Cause: the choice of one owner per replica was weighed against shares and loans by argument only.

Change: the baseline becomes `Plain`, a program that sends from the entry node straight to targets, with what holds the limits left open: nothing (the baseline as before), fixed shares, or tokens that nodes lend each other. The ways pay for the connections that they open. The world counts messages and connections, and can lose and replace a node. The coordinator can run without hedges.

--- a/crates/measure/src/comparison.rs
+++ b/crates/measure/src/comparison.rs
@@ -1,9 +1,9 @@
 use std::fmt::Write;
 use std::thread;
 
-use crate::Baseline;
 use crate::Fault;
 use crate::Network;
+use crate::Plain;
 use crate::RunResult;
 use crate::Scenario;
 use crate::World;
@@ -106,7 +106,7 @@
         world.run(scenario, warm_up_us, run_us)
     };
     let baseline = |seed| {
-        let baseline = Baseline::new(site.deployment.clone(), site.network, seed);
+        let baseline = Plain::new(site.deployment.clone(), site.network, seed);
         baseline.run(scenario, warm_up_us, run_us)
     };
     Comparison {
@@ -116,7 +116,7 @@
     }
 }
 
-fn each_seed(seeds: &[u64], run: impl Fn(u64) -> RunResult + Sync) -> Vec<RunResult> {
+pub(crate) fn each_seed(seeds: &[u64], run: impl Fn(u64) -> RunResult + Sync) -> Vec<RunResult> {
     thread::scope(|scope| {
         let run = &run;
         let threads: Vec<_> = seeds
--- a/crates/measure/src/scenario.rs
+++ b/crates/measure/src/scenario.rs
@@ -1,4 +1,5 @@
 use wigeonhall_types::DataCentreKey;
+use wigeonhall_types::NodeKey;
 use wigeonhall_types::ReplicaKey;
 
 /// What happens to targets and data centres during a run.
@@ -21,6 +22,10 @@
     DataCentreIn(DataCentreKey),
     /// A target ends and does not come back.
     Lost(ReplicaKey),
+    /// An entry node ends with all it holds.
+    NodeLost(NodeKey),
+    /// A new process takes the place of a lost entry node.
+    NodeReplaced(NodeKey),
     /// A target ends and comes back cold after a second.
     Restart(ReplicaKey),
     /// A target takes this factor of its time from now on.
--- a/crates/measure/src/session_ownership.rs
+++ b/crates/measure/src/session_ownership.rs
@@ -24,7 +24,7 @@
 
 /// Time after which a new owner starts without a hand-over: the lease and a margin of
 /// a tenth, as in the fleet core.
-const TAKE_OVER_US: u64 = LEASE_US + LEASE_US / 10;
+pub(crate) const TAKE_OVER_US: u64 = LEASE_US + LEASE_US / 10;
 
 /// Time that a target typically takes, handed over at the start.
 const TYPICAL_US: u64 = 4_000;
--- a/crates/measure/src/session_world.rs
+++ b/crates/measure/src/session_world.rs
@@ -32,10 +32,10 @@
 const LATE_US: u64 = 300_000;
 
 /// Time until the table names other owners for the replicas of a node that ended.
-const LOST_FOUND_US: u64 = 1_000_000;
+pub(crate) const LOST_FOUND_US: u64 = 1_000_000;
 
 /// Time until the connections of other nodes to a node that ended break.
-const LOST_SEEN_US: u64 = 20_000;
+pub(crate) const LOST_SEEN_US: u64 = 20_000;
 
 /// Clock of the callers and nodes at the start of a session, in milliseconds.
 const UNIX_MS: u64 = 1_700_000_000_000;
@@ -409,6 +409,7 @@
         let open = OpenQuery {
             class,
             counted: false,
+            entry: None,
             started_us: now_us,
         };
         self.open.insert(id, open);
@@ -486,7 +487,7 @@
 }
 
 /// Node that handles an event.
-fn addressee(event: &Event) -> Option<NodeKey> {
+pub(crate) fn addressee(event: &Event) -> Option<NodeKey> {
     match event {
         Event::Cancel(node, _)
         | Event::Deployment(node, _)
--- a/crates/measure/src/transcript.rs
+++ b/crates/measure/src/transcript.rs
@@ -368,6 +368,8 @@
                 format!("operator -> store: {edit}")
             }
             Fault::Lost(replica) => format!("fault: target {} ends", self.replica(replica)),
+            Fault::NodeLost(node) => format!("fault: node {} ends", self.node(node)),
+            Fault::NodeReplaced(node) => format!("fault: node {} is replaced", self.node(node)),
             Fault::Restart(replica) => {
                 let replica = self.replica(replica);
                 format!("fault: target {replica} ends and restarts within a second")
--- /dev/null
+++ b/crates/measure/src/ways.rs
@@ -0,0 +1,161 @@
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use crate::ClassStats;
+use crate::Fault;
+use crate::Plan;
+use crate::RunResult;
+use crate::Scenario;
+use crate::Site;
+use crate::Traffic;
+use crate::Way;
+use crate::comparison::each_seed;
+use crate::comparison::scenarios;
+use crate::fake_target::OverLimit;
+use wigeonhall_types::ClassKey;
+
+/// Scenarios of the comparison that the baseline has as well.
+const COMMON: [&str; 7] = [
+    "steady",
+    "steady 0.6",
+    "straggler",
+    "capacity",
+    "overload 1.5",
+    "cold restart",
+    "data centre out",
+];
+
+/// Results of all ways in one scenario, one entry a seed.
+#[derive(Clone, Debug)]
+pub struct WaysComparison {
+    /// Results of each way.
+    pub results: Vec<(Way, Vec<RunResult>)>,
+    /// Name of the scenario.
+    pub scenario: &'static str,
+}
+
+impl WaysComparison {
+    /// Results of a class in each way, over all seeds.
+    #[must_use]
+    pub fn of_class(&self, class: ClassKey) -> Vec<(Way, ClassStats)> {
+        let ways = self.results.iter().map(|(way, results)| {
+            let mut sum = ClassStats::default();
+            for stats in results.iter().filter_map(|it| it.classes.get(&class)) {
+                sum.merge(stats);
+            }
+            (*way, sum)
+        });
+        ways.collect()
+    }
+}
+
+/// The scenarios in which the ways are compared.
+#[must_use]
+pub fn ways_scenarios(site: &Site, plan: &Plan) -> Vec<Scenario> {
+    let mut all = scenarios(site, plan);
+    all.retain(|it| COMMON.contains(&it.name));
+    let counted_us = (plan.run_ms - plan.warm_up_ms) * 1_000;
+    let at_us = |percent: u64| plan.warm_up_ms * 1_000 + counted_us * percent / 100;
+    if let Some(&node) = site.deployment.vms.keys().next() {
+        let faults = vec![
+            (at_us(10), Fault::NodeLost(node)),
+            (at_us(75), Fault::NodeReplaced(node)),
+        ];
+        let load = all.first().map_or(0.0, |steady| steady.load);
+        all.push(Scenario {
+            faults,
+            load,
+            name: "node replaced",
+        });
+    }
+    all
+}
+
+/// Runs one scenario with every way.
+#[must_use]
+pub fn compare_ways(site: &Site, scenario: &Scenario, plan: &Plan) -> WaysComparison {
+    let (warm_up_us, run_us) = (plan.warm_up_ms * 1_000, plan.run_ms * 1_000);
+    let run = |way: Way| {
+        let run = |seed| way.run(site, scenario, seed, warm_up_us, run_us);
+        (way, each_seed(&plan.seeds, run))
+    };
+    WaysComparison {
+        results: Way::ALL.into_iter().map(run).collect(),
+        scenario: scenario.name,
+    }
+}
+
+/// Header of the lines of classes.
+pub const WAYS_HEADER: &str = "site             scenario         service        way               p50 ms   p99 ms p99.9 ms  whole %  goodput/s  refused refusal ms  sent/query  endings";
+
+/// The table of one comparison: a line per class and way, then a line per way.
+#[must_use]
+pub fn ways_table(site: &Site, comparison: &WaysComparison, plan: &Plan) -> String {
+    let mut text = String::new();
+    let scenario = comparison.scenario;
+    for &class in site.deployment.classes.keys() {
+        for (way, sum) in comparison.of_class(class) {
+            if sum.offered > 0 {
+                let (site, name) = (site.name, site.catalog.class_name(class));
+                let way = way.name();
+                let line = class_line(&sum, plan);
+                let _ = writeln!(text, "{site:<16} {scenario:<16} {name:<14} {way:<16}{line}");
+            }
+        }
+    }
+    for (way, results) in &comparison.results {
+        let (site, way, line) = (site.name, way.name(), way_line(results));
+        let _ = writeln!(text, "{site:<16} {scenario:<16} all {way}: {line}");
+    }
+    text
+}
+
+fn class_line(sum: &ClassStats, plan: &Plan) -> String {
+    let ms = |share| sum.quantile_us(share) as f64 / 1e3;
+    let counted_s = (plan.run_ms - plan.warm_up_ms) as f64 / 1e3 * plan.seeds.len() as f64;
+    let mut line = format!(
+        " {:>7.1} {:>8.1} {:>8.1} {:>8.3} {:>10.1} {:>8} {:>10.1} {:>11.3} ",
+        ms(0.5),
+        ms(0.99),
+        ms(0.999),
+        sum.whole_share() * 100.0,
+        sum.latencies_us.len() as f64 / counted_s,
+        refused(&sum.endings),
+        sum.refusal_us as f64 / 1e3,
+        sum.sent_per_query(),
+    );
+    for (ending, count) in &sum.endings {
+        let _ = write!(line, " {ending}={count}");
+    }
+    line
+}
+
+/// Queries that were refused, of all endings.
+fn refused(endings: &BTreeMap<String, u64>) -> u64 {
+    let refusals = endings
+        .iter()
+        .filter(|(ending, _)| ending.to_lowercase().starts_with("refused"));
+    refusals.map(|(_, count)| count).sum()
+}
+
+fn way_line(results: &[RunResult]) -> String {
+    let mut over = OverLimit::default();
+    let mut traffic = Traffic::default();
+    let mut sent = 0;
+    for it in results {
+        over.slots += it.over.slots;
+        over.connections += it.over.connections;
+        over.cold += it.over.cold;
+        traffic.merge(it.traffic);
+        sent += it.classes.values().map(|it| it.sent).sum::<u64>();
+    }
+    let messages = traffic.messages as f64 / sent.max(1) as f64;
+    format!(
+        "over slots {}, connections {}, cold bound {}; connections opened {}, most at a target {}; messages a sub-request {messages:.2}",
+        over.slots,
+        over.connections,
+        over.cold,
+        traffic.connections_opened,
+        traffic.most_connections,
+    )
+}
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -39,6 +40,8 @@
     pub(crate) events: EventQueue<Event>,
     /// Sub-requests that targets hold, with the node that sent each.
     pub(crate) held: HashMap<AttemptId, (NodeKey, SubRequest)>,
+    /// Nodes that ended and are not replaced yet.
+    pub(crate) lost: BTreeSet<NodeKey>,
     pub(crate) network: Network,
     pub(crate) next_instance: u64,
     pub(crate) next_query: u64,
@@ -69,6 +72,8 @@
 pub(crate) struct OpenQuery {
     pub(crate) class: ClassKey,
     pub(crate) counted: bool,
+    /// Entry node, outside sessions.
+    pub(crate) entry: Option<NodeKey>,
     pub(crate) started_us: u64,
 }
 
@@ -148,6 +153,9 @@
         if self.session.is_some() && !self.admit(now_us, &event) {
             return;
         }
+        if !self.lost.is_empty() && self.to_lost(&event) {
+            return;
+        }
         match event {
             Event::Arrival(class) => self.arrive(now_us, class),
             Event::Cancel(node, attempt) => {
--- a/crates/measure/src/world_faults.rs
+++ b/crates/measure/src/world_faults.rs
@@ -25,6 +25,8 @@
         match fault {
             Fault::DataCentreOut(data_centre) => self.set_out(now_us, data_centre, true),
             Fault::DataCentreIn(data_centre) => self.set_out(now_us, data_centre, false),
+            Fault::NodeLost(node) => self.lose_node(now_us, node),
+            Fault::NodeReplaced(node) => self.replace_node(now_us, node),
             Fault::Lost(replica) => self.crash(now_us, replica),
             Fault::Restart(replica) => {
                 self.crash(now_us, replica);
--- a/crates/measure/src/world_nodes.rs
+++ b/crates/measure/src/world_nodes.rs
@@ -26,7 +26,9 @@
         let nodes: Vec<NodeKey> = self
             .nodes
             .iter()
-            .filter(|(_, node)| !self.out_since_us.contains_key(&node.data_centre))
+            .filter(|(key, node)| {
+                !self.lost.contains(key) && !self.out_since_us.contains_key(&node.data_centre)
+            })
             .map(|(&key, _)| key)
             .collect();
         let node = nodes[self.rng.usize(..nodes.len())];
@@ -39,6 +41,7 @@
         let open = OpenQuery {
             class,
             counted,
+            entry: Some(node),
             started_us: now_us,
         };
         self.open.insert(id, open);
@@ -181,6 +184,11 @@
                 self.note(now_us, || TraceEvent::Connected(key, replica, 0));
             }
             GateAction::OpenConnections { count, replica } => {
+                if now_us >= self.measure_from_us {
+                    self.result.traffic.connections_opened += u64::from(count);
+                }
+                let most = &mut self.result.traffic.most_connections;
+                *most = (*most).max(count);
                 self.note(now_us, || TraceEvent::Connected(key, replica, count));
             }
         }
@@ -189,6 +197,9 @@
     /// Sends a message to another node.
     fn send(&mut self, now_us: u64, from: NodeKey, to: NodeKey, event: Event) {
         let at_us = now_us + self.between(from, to);
+        if from != to && now_us >= self.measure_from_us {
+            self.result.traffic.messages += 1;
+        }
         if self.session.is_some() {
             self.send_in_session(now_us, at_us, from, to, event);
         } else {
--- a/crates/measure/src/world_setup.rs
+++ b/crates/measure/src/world_setup.rs
@@ -1,6 +1,7 @@
 //! The state in which a world starts.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -56,6 +57,7 @@
             deployment: Arc::clone(&deployment),
             events: EventQueue::default(),
             held: HashMap::new(),
+            lost: BTreeSet::new(),
             network,
             next_instance: 1,
             next_query: 1,
--- a/crates/query/src/coordinator.rs
+++ b/crates/query/src/coordinator.rs
@@ -56,6 +56,8 @@
     pub(crate) attempts: FixedMap<u64, Attempt>,
     pub(crate) config: CoordinatorConfig,
     pub(crate) counters: QueryCounters,
+    /// Sends second sub-requests to late replicas.
+    pub(crate) hedging: bool,
     /// Last stamp given to a timer.
     pub(crate) last_stamp: u64,
     /// Sequence number of the next sub-request.
@@ -98,6 +100,7 @@
             attempts: FixedMap::default(),
             config,
             counters: QueryCounters::default(),
+            hedging: true,
             last_stamp: 0,
             next_sequence: 1,
             reads: FixedMap::default(),
@@ -109,6 +112,11 @@
         }
     }
 
+    /// Sends no hedges from now on, to measure what routing does without them.
+    pub const fn stop_hedging(&mut self) {
+        self.hedging = false;
+    }
+
     /// Counters of decisions.
     #[must_use]
     pub const fn counters(&self) -> &QueryCounters {
--- a/crates/query/src/retries.rs
+++ b/crates/query/src/retries.rs
@@ -63,7 +63,7 @@
         let Some(version) = read.pin else {
             return;
         };
-        if part.attempts.len() != 1 || part.sends >= PART_SENDS {
+        if !self.hedging || part.attempts.len() != 1 || part.sends >= PART_SENDS {
             return;
         }
         let service = part.service;
