--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::str::FromStr;
 
 use bpaf::Bpaf;
@@ -104,6 +105,9 @@
         processor_time: bool,
         /// Print the result as JSON
         json: bool,
+        /// Write charts of the ways to hold limits into this directory
+        #[bpaf(argument("DIRECTORY"))]
+        plot: Option<PathBuf>,
         /// Virtual time that is counted in each run
         #[bpaf(argument("MS"), fallback(4000), display_fallback)]
         run_ms: u64,
@@ -116,6 +120,8 @@
         /// Only deployments whose name contains this text
         #[bpaf(argument("TEXT"), fallback(String::new()))]
         site: String,
+        /// Compare ways to hold the limits of replicas across entry nodes instead
+        ways: bool,
     },
     /// Take a data centre or VM out of service
     #[bpaf(command)]
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -20,6 +20,7 @@
 mod nodes;
 mod overrides;
 mod place;
+mod plots;
 mod report;
 mod settle;
 mod standins;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -135,18 +135,22 @@
             Ok(set_place(&context, place_of(&place), false)?.report())
         }
         Command::Measure {
+            plot,
             processor_time,
             run_ms,
             scenario,
             seeds,
             site,
+            ways,
             ..
         } => measure(&MeasureOptions {
+            plot,
             processor_time,
             run_ms,
             scenario,
             seeds,
             site,
+            ways,
         }),
         Command::Out {
             connection,
--- a/crates/ctl/src/measure.rs
+++ b/crates/ctl/src/measure.rs
@@ -1,16 +1,22 @@
 use std::fmt::Write;
+use std::path::PathBuf;
 
 use serde::Serialize;
 
 use crate::CtlError;
 use crate::Report;
+use crate::plots::plot;
 use wigeonhall_measure::HEADER;
 use wigeonhall_measure::Plan;
+use wigeonhall_measure::WAYS_HEADER;
 use wigeonhall_measure::compare;
+use wigeonhall_measure::compare_ways;
 use wigeonhall_measure::processor_time_table;
 use wigeonhall_measure::scenarios;
 use wigeonhall_measure::sites;
 use wigeonhall_measure::table;
+use wigeonhall_measure::ways_scenarios;
+use wigeonhall_measure::ways_table;
 
 /// Virtual time before anything is counted, in milliseconds.
 const WARM_UP_MS: u64 = 2_000;
@@ -18,6 +24,8 @@
 /// What to measure.
 #[derive(Clone, Debug, Serialize)]
 pub struct MeasureOptions {
+    /// Write charts of the ways into this directory.
+    pub plot: Option<PathBuf>,
     /// Measure the processor time of the cores instead of the scenarios.
     pub processor_time: bool,
     /// Virtual time that is counted in each run, in milliseconds.
@@ -28,13 +36,15 @@
     pub seeds: u64,
     /// Only sites whose name contains this text.
     pub site: String,
+    /// Compare the ways to hold limits instead.
+    pub ways: bool,
 }
 
 /// Compares the product with the baseline in virtual time, at both users' sizes.
 ///
 /// # Errors
 ///
-/// If an embedded deployment is not accepted.
+/// If an embedded deployment is not accepted, or a chart cannot be written.
 pub fn measure(options: &MeasureOptions) -> Result<Report, CtlError> {
     if options.processor_time {
         return Ok(Report::new(0, options, processor_time_table()));
@@ -44,6 +54,9 @@
         seeds: (1..=options.seeds.max(1)).collect(),
         warm_up_ms: WARM_UP_MS,
     };
+    if options.ways || options.plot.is_some() {
+        return measure_ways(options, &plan);
+    }
     let mut text = String::from(HEADER);
     text.push('\n');
     for site in sites().map_err(CtlError::Settings)? {
@@ -58,3 +71,25 @@
     }
     Ok(Report::new(0, options, text))
 }
+
+fn measure_ways(options: &MeasureOptions, plan: &Plan) -> Result<Report, CtlError> {
+    let mut text = String::from(WAYS_HEADER);
+    text.push('\n');
+    for site in sites().map_err(CtlError::Settings)? {
+        if !site.name.contains(&options.site) {
+            continue;
+        }
+        let mut comparisons = Vec::new();
+        for scenario in ways_scenarios(&site, plan) {
+            if scenario.name.contains(&options.scenario) {
+                let comparison = compare_ways(&site, &scenario, plan);
+                text += &ways_table(&site, &comparison, plan);
+                comparisons.push(comparison);
+            }
+        }
+        if let Some(directory) = &options.plot {
+            plot(directory, &site, &comparisons)?;
+        }
+    }
+    Ok(Report::new(0, options, text))
+}
