--- a/crates/measure/src/loans.rs
+++ b/crates/measure/src/loans.rs
@@ -5,6 +5,9 @@
 use fastrand::Rng;
 
 use crate::cold_ramp::ColdRamp;
+use crate::loan_message::LoanAction;
+use crate::loan_message::LoanMessage;
+use crate::loan_message::UNKNOWN;
 use crate::plain::Part;
 use wigeonhall_types::Deployment;
 use wigeonhall_types::NodeKey;
@@ -29,9 +32,6 @@
 /// Time for which a node leaves a replica alone that failed.
 const DOWN_US: u64 = 1_000_000;
 
-/// Stands for the number that waits for a token that an asked node does not have.
-pub const UNKNOWN: usize = usize::MAX;
-
 /// The slots of replicas as tokens, each with one holder at a time, lent between nodes.
 #[derive(Debug)]
 pub struct Loans {
@@ -40,77 +40,37 @@
     by_service: HashMap<ServiceKey, Vec<usize>>,
     down_until_us: HashMap<(NodeKey, ReplicaKey), u64>,
     /// Last holder that a node knows.
-    hints: HashMap<(NodeKey, usize), NodeKey>,
-    lost: BTreeSet<NodeKey>,
-    ramps: HashMap<ReplicaKey, ColdRamp>,
-    tokens: Vec<Token>,
+    pub(crate) hints: HashMap<(NodeKey, usize), NodeKey>,
+    pub(crate) lost: BTreeSet<NodeKey>,
+    pub(crate) ramps: HashMap<ReplicaKey, ColdRamp>,
+    pub(crate) tokens: Vec<Token>,
 }
 
 #[derive(Debug)]
-struct Token {
+pub(crate) struct Token {
     /// Nodes of the replica's data centre; the first live one is its home.
-    homes: Vec<NodeKey>,
+    pub(crate) homes: Vec<NodeKey>,
     /// Uses since it came to its holder.
-    in_a_row: u32,
-    place: Place,
+    pub(crate) in_a_row: u32,
+    pub(crate) place: Place,
     /// Position among the tokens of the replica.
-    position: u32,
-    replica: ReplicaKey,
+    pub(crate) position: u32,
+    pub(crate) replica: ReplicaKey,
     /// Changes with each use and move, so that older timers are void.
-    stamp: u64,
+    pub(crate) stamp: u64,
     /// Sub-request that runs under it.
-    used_by: Option<u64>,
+    pub(crate) used_by: Option<u64>,
     /// Travels with the token.
-    waiting: VecDeque<Part>,
+    pub(crate) waiting: VecDeque<Part>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Place {
+pub(crate) enum Place {
     Held(NodeKey),
     Lost,
     Sent,
 }
 
-/// Message between nodes.
-#[derive(Clone, Copy, Debug)]
-pub enum LoanMessage {
-    /// A sub-request asks for a token.
-    Ask {
-        hops: u32,
-        part: Part,
-        token: usize,
-        /// Waits for the token; otherwise it tries another.
-        waits: bool,
-    },
-    /// The token is in use, with this many waiting.
-    Busy {
-        ahead: usize,
-        part: Part,
-        token: usize,
-        /// The sub-request did wait, or would have: it tries again later.
-        waits: bool,
-    },
-    /// The token itself.
-    Token(usize),
-}
-
-/// What follows from an event.
-#[derive(Clone, Copy, Debug)]
-pub enum LoanAction {
-    /// Call [`Loans::look`] at this time.
-    Look {
-        at_us: u64,
-        stamp: u64,
-        token: usize,
-    },
-    /// Send a message.
-    Send(NodeKey, NodeKey, LoanMessage),
-    /// Every usable replica failed; try again later.
-    TryLater(Part),
-    /// Send the sub-request to its target.
-    Use(Part),
-}
-
 impl Loans {
     /// Tokens at their homes.
     #[must_use]
@@ -152,7 +112,7 @@
         }
     }
 
-    fn home(&self, token: usize) -> Option<NodeKey> {
+    pub(crate) fn home(&self, token: usize) -> Option<NodeKey> {
         let mut homes = self.tokens[token].homes.iter().copied();
         homes.find(|it| !self.lost.contains(it))
     }
@@ -427,65 +387,4 @@
         }
         self.advance(now_us, token, valid, actions);
     }
-
-    /// Sends what waits for a token elsewhere.
-    fn turn_away(&mut self, token: usize, actions: &mut Vec<LoanAction>) {
-        let waiting: Vec<Part> = self.tokens[token].waiting.drain(..).collect();
-        let ahead = waiting.len();
-        for part in waiting {
-            let busy = LoanMessage::Busy {
-                ahead,
-                part,
-                token,
-                waits: true,
-            };
-            let from = match self.tokens[token].place {
-                Place::Held(holder) => holder,
-                Place::Lost | Place::Sent => part.node,
-            };
-            actions.push(LoanAction::Send(from, part.node, busy));
-        }
-    }
-
-    /// A target came back; its tokens carry the ramp of its cold start.
-    pub fn restarted(&mut self, now_us: u64, replica: ReplicaKey, deployment: &Deployment) {
-        let ramp = ColdRamp::new(now_us, deployment.replicas[&replica], 1);
-        self.ramps.insert(replica, ramp);
-    }
-
-    /// A node ended; returns the tokens that it held.
-    pub fn lose_node(&mut self, node: NodeKey, actions: &mut Vec<LoanAction>) -> Vec<usize> {
-        self.lost.insert(node);
-        self.hints
-            .retain(|(knows, _), at| *knows != node && *at != node);
-        let held = |it: &usize| self.tokens[*it].place == Place::Held(node);
-        let lost: Vec<usize> = (0..self.tokens.len()).filter(held).collect();
-        for &token in &lost {
-            self.lose_token(token, actions);
-        }
-        lost
-    }
-
-    /// A token is lost with its holder.
-    pub fn lose_token(&mut self, token: usize, actions: &mut Vec<LoanAction>) {
-        let it = &mut self.tokens[token];
-        it.place = Place::Lost;
-        it.used_by = None;
-        it.stamp += 1;
-        self.turn_away(token, actions);
-    }
-
-    /// A replacement of the node started.
-    pub fn replace_node(&mut self, node: NodeKey) {
-        self.lost.remove(&node);
-    }
-
-    /// The lease of a lost holder is over: the home of the token issues it again.
-    pub fn issue_again(&mut self, token: usize) {
-        if let Some(home) = self.home(token)
-            && self.tokens[token].place == Place::Lost
-        {
-            self.tokens[token].place = Place::Held(home);
-        }
-    }
 }
--- a/crates/measure/src/plain.rs
+++ b/crates/measure/src/plain.rs
@@ -11,7 +11,7 @@
 use crate::fake_target::FakeTarget;
 use crate::fake_target::OverLimit;
 use crate::load;
-use crate::loans::LoanMessage;
+use crate::loan_message::LoanMessage;
 use crate::loans::Loans;
 use crate::network::Network;
 use crate::scenario::Fault;
--- a/crates/measure/src/plain_limits.rs
+++ b/crates/measure/src/plain_limits.rs
@@ -1,9 +1,9 @@
 //! Waiting for shares and tokens.
 
-use crate::loans::LoanAction;
-use crate::loans::LoanMessage;
+use crate::loan_message::LoanAction;
+use crate::loan_message::LoanMessage;
+use crate::loan_message::UNKNOWN;
 use crate::loans::Loans;
-use crate::loans::UNKNOWN;
 use crate::plain::Event;
 use crate::plain::Holding;
 use crate::plain::Part;
