--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -21,6 +21,7 @@
 mod overrides;
 mod parts;
 mod place;
+mod plots;
 mod report;
 mod settle;
 mod standins;
--- a/crates/node/src/engine_fleet.rs
+++ b/crates/node/src/engine_fleet.rs
@@ -93,8 +93,7 @@
     /// Resolves an accepted configuration. A text that this version of the program
     /// cannot resolve leaves the one before in force.
     fn adopt(&mut self, record: ConfigRecord) {
-        let parsed = wigeonhall_settings::parse(&record.text());
-        let text = match parsed {
+        let text = match self.text_reader.parse(&record.parts) {
             Ok(text) => text,
             Err(error) => {
                 log::error!("generation {} cannot be used: {error}", record.generation);
