--- /dev/null
+++ b/crates/fleet/tests/common/actions.rs
@@ -0,0 +1,156 @@
+//! What the world does with the actions of a node.
+
+use std::sync::Arc;
+
+use wigeonhall_fleet::FleetAction;
+use wigeonhall_fleet::FleetEvent;
+use wigeonhall_fleet::GossipMessage;
+use wigeonhall_fleet::PullItem;
+use wigeonhall_types::HandOverState;
+use wigeonhall_types::NodeKey;
+use wigeonhall_types::ReplicaKey;
+
+use super::MESSAGE_BYTES;
+use super::World;
+
+impl World {
+    pub(super) fn act(&mut self, node: usize, boot: u64, local: u64, action: FleetAction) {
+        match action {
+            FleetAction::AdoptConfig(record) => {
+                assert_eq!(
+                    Some(&record.text()),
+                    self.store.texts.get(&record.generation),
+                    "not the accepted text of generation {}",
+                    record.generation
+                );
+                let mut catalog = std::mem::take(&mut self.nodes[node].catalog);
+                let deployment = Arc::new(self.deployment(node, &mut catalog, &record));
+                self.nodes[node].catalog = catalog;
+                self.at(self.now, move |world| {
+                    world.deliver(node, boot, |_| FleetEvent::Deployment(deployment));
+                });
+            }
+            FleetAction::Deployment(deployment) => {
+                let it = &mut self.nodes[node];
+                let generation = deployment.generation;
+                assert!(
+                    generation >= it.generation(),
+                    "{}: generation went back",
+                    it.name
+                );
+                it.in_force = Some(Arc::clone(&deployment));
+                self.check_orders(node, &deployment);
+                self.check_floor(node);
+            }
+            FleetAction::Grant { replica, .. } => {
+                let it = &mut self.nodes[node];
+                let name = it.catalog.replica_name(replica);
+                it.grants.insert(Arc::clone(&name));
+                self.holders.entry(name).or_default().insert(node);
+            }
+            FleetAction::LeaseUntil(until) => self.nodes[node].lease_until = until,
+            FleetAction::NodeLost(lost) => {
+                let it = &mut self.nodes[node];
+                it.lost.push(it.catalog.node_name(lost));
+            }
+            FleetAction::NotReady(reason) => {
+                self.nodes[node].ready = Some(reason);
+                self.check_floor(node);
+            }
+            FleetAction::Owners(table) => {
+                let it = &mut self.nodes[node];
+                let name = it.catalog.data_centre_name(table.data_centre);
+                let old = it.tables.insert(name, Arc::clone(&table));
+                assert!(
+                    old.is_none_or(|it| it.epoch < table.epoch),
+                    "epoch went back"
+                );
+            }
+            FleetAction::Revoke {
+                epoch,
+                replica,
+                successor,
+            } => self.revoke(node, epoch, replica, successor),
+            FleetAction::Send { mut message, to } => {
+                if let GossipMessage::Parts(parts) = &mut message {
+                    let carried = std::mem::take(parts).into_iter();
+                    *parts = carried.map(|it| self.carry(it)).collect();
+                }
+                let name = self.nodes[node].catalog.node_name(to);
+                self.messages += 1;
+                let bytes = message.size_bytes();
+                assert!(bytes <= MESSAGE_BYTES, "a message of {bytes} bytes");
+                self.bytes += bytes as u64;
+                if matches!(
+                    message,
+                    GossipMessage::Config(_)
+                        | GossipMessage::Generation(_)
+                        | GossipMessage::Parts(_)
+                        | GossipMessage::Pull(PullItem::Config | PullItem::Parts(_))
+                ) {
+                    self.config_bytes += bytes as u64;
+                }
+                if self.rng.u8(..100) < self.late {
+                    let message = message.clone();
+                    self.post(node, &name, |from| FleetEvent::Gossip { from, message });
+                }
+                self.post(node, &name, |from| FleetEvent::Gossip { from, message });
+            }
+            FleetAction::Stopped => self.nodes[node].stopped = true,
+            store => self.act_on_store(node, boot, local, store),
+        }
+    }
+
+    pub(super) fn revoke(
+        &mut self,
+        node: usize,
+        epoch: u64,
+        replica: ReplicaKey,
+        to: Option<NodeKey>,
+    ) {
+        let it = &mut self.nodes[node];
+        let name = it.catalog.replica_name(replica);
+        assert!(it.grants.remove(&name), "revoked without a grant");
+        let to = to.map(|to| it.catalog.node_name(to));
+        self.holders
+            .entry(Arc::clone(&name))
+            .or_default()
+            .remove(&node);
+        let state = HandOverState {
+            allowance: 2,
+            instance: None,
+            running: 0,
+            running_for_us: 0,
+            served: Vec::new(),
+            service_us: 1,
+        };
+        if let Some(to) = to
+            && let Some((index, boot)) = self.route(node, &to)
+        {
+            self.answer(index, boot, move |catalog| FleetEvent::HandOver {
+                epoch,
+                replica: catalog.replica(&name),
+                state,
+            });
+        }
+    }
+
+    /// Receiver of a message, `None` if it is lost.
+    pub(super) fn route(&mut self, from: usize, to: &str) -> Option<(usize, u64)> {
+        let index = self.nodes.iter().position(|it| *it.name == *to)?;
+        let lost = self.rng.u8(..100) < self.loss || self.group[from] != self.group[index];
+        (!lost).then_some((index, self.nodes[index].boot))
+    }
+
+    pub(super) fn post(
+        &mut self,
+        node: usize,
+        to: &str,
+        event: impl FnOnce(NodeKey) -> FleetEvent + 'static,
+    ) {
+        let from = Arc::clone(&self.nodes[node].name);
+        if let Some((index, boot)) = self.route(node, to) {
+            self.answer(index, boot, move |catalog| event(catalog.node(&from)));
+        }
+    }
+}
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -8,6 +8,10 @@
     reason = "short code in tests"
 )]
 
+mod actions;
+mod checks;
+mod store;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -21,27 +25,21 @@
 use wigeonhall_fleet::ConfigRecord;
 use wigeonhall_fleet::EvacuationOverride;
 use wigeonhall_fleet::Fleet;
-use wigeonhall_fleet::FleetAction;
 use wigeonhall_fleet::FleetConfig;
 use wigeonhall_fleet::FleetEvent;
-use wigeonhall_fleet::GossipMessage;
 use wigeonhall_fleet::NotReadyReason;
 use wigeonhall_fleet::PartHash;
-use wigeonhall_fleet::PullItem;
 use wigeonhall_fleet::PushShape;
-use wigeonhall_fleet::TableRecord;
 use wigeonhall_types::Catalog;
 use wigeonhall_types::ColdBound;
 use wigeonhall_types::DataCentre;
 use wigeonhall_types::Deployment;
-use wigeonhall_types::HandOverState;
-use wigeonhall_types::NodeKey;
 use wigeonhall_types::OwnershipTable;
 use wigeonhall_types::Replica;
-use wigeonhall_types::ReplicaKey;
 use wigeonhall_types::Vm;
 use wigeonhall_types::VmState;
-use wigeonhall_types::VmStatus;
+
+pub use store::Store;
 
 pub const MS: u64 = 1000;
 pub const S: u64 = 1_000_000;
@@ -89,39 +87,6 @@
     }
 }
 
-#[derive(Default)]
-pub struct Store {
-    pub config: Option<ConfigList>,
-    pub down: bool,
-    /// Parts that come with the list.
-    pub inline: Vec<Arc<str>>,
-    /// Chance that a write takes effect but its reply is lost, in percent.
-    pub lost_replies: u8,
-    /// Every write id that took effect, by epoch of each table.
-    pub written: BTreeMap<(Arc<str>, u64), u64>,
-    pub parts: BTreeMap<PartHash, Arc<str>>,
-    pub tables: BTreeMap<Arc<str>, TableRecord>,
-    /// Accepted text of each generation.
-    pub texts: BTreeMap<u64, String>,
-    watches: Vec<(usize, u64, u64)>,
-}
-
-impl Store {
-    fn config_read(&self) -> FleetEvent {
-        FleetEvent::ConfigRead {
-            list: self.config.clone(),
-            parts: self.inline.clone(),
-        }
-    }
-
-    /// Deletes the parts that the accepted generation does not name.
-    pub fn remove_parts(&mut self) {
-        let config = self.config.as_ref();
-        let named = |it: &PartHash| config.is_some_and(|list| list.parts.contains(it));
-        self.parts.retain(|hash, _| named(hash));
-    }
-}
-
 pub struct World {
     pub busy: Duration,
     pub bytes: u64,
@@ -340,31 +305,6 @@
         }
     }
 
-    /// Overrides that this node has shown must last until a configuration has them.
-    fn check_orders(&mut self, node: usize, deployment: &Deployment) {
-        let it = &mut self.nodes[node];
-        for (id, vm, contained) in &self.orders {
-            let ended = contained.is_some_and(|it| it <= deployment.generation);
-            // With two overrides of one VM nobody can see which of them took it out.
-            let others = self.orders.iter().filter(|it| it.1 == *vm && it.0 != *id);
-            let alone = others
-                .filter(|it| it.2.is_none_or(|it| it > deployment.generation))
-                .count()
-                == 0;
-            let key = it.catalog.find_node(vm);
-            let out = key.is_some_and(|it| deployment.vms[&it].out);
-            if ended {
-                it.orders.remove(id);
-            } else if out && alone {
-                it.orders.insert(Arc::clone(id));
-            }
-            assert!(
-                ended || out || !it.orders.contains(id),
-                "override {id} disappeared"
-            );
-        }
-    }
-
     pub fn evacuate(&mut self, node: usize, id: &str, dc: Option<&str>, vm: Option<&str>) {
         if let Some(vm) = vm {
             self.orders.push((id.into(), vm.into(), None));
@@ -525,299 +465,4 @@
             world.deliver(node, boot, event);
         });
     }
-
-    fn store_call(&mut self, _node: usize, call: impl FnOnce(&mut Self) + 'static) {
-        let delay = self.rng.u64(MS..3 * MS);
-        self.at(self.now + delay, call);
-    }
-
-    fn store_reachable(&self, node: usize) -> bool {
-        !self.store.down && !self.cut_from_store.contains(&node)
-    }
-
-    /// A call that fails after a timeout when the store is out of reach.
-    fn read(
-        &mut self,
-        node: usize,
-        boot: u64,
-        ok: impl FnOnce(&mut Self) -> Box<dyn FnOnce(&mut Catalog) -> FleetEvent> + 'static,
-        failed: impl FnOnce(&mut Catalog) -> FleetEvent + 'static,
-    ) {
-        self.store_call(node, move |world| {
-            if world.store_reachable(node) {
-                let event = ok(world);
-                world.answer(node, boot, event);
-            } else {
-                world.at(world.now + S, move |world| {
-                    world.deliver(node, boot, failed);
-                });
-            }
-        });
-    }
-
-    fn act(&mut self, node: usize, boot: u64, local: u64, action: FleetAction) {
-        match action {
-            FleetAction::AdoptConfig(record) => {
-                assert_eq!(
-                    Some(&record.text()),
-                    self.store.texts.get(&record.generation),
-                    "not the accepted text of generation {}",
-                    record.generation
-                );
-                let mut catalog = std::mem::take(&mut self.nodes[node].catalog);
-                let deployment = Arc::new(self.deployment(node, &mut catalog, &record));
-                self.nodes[node].catalog = catalog;
-                self.at(self.now, move |world| {
-                    world.deliver(node, boot, |_| FleetEvent::Deployment(deployment));
-                });
-            }
-            FleetAction::Deployment(deployment) => {
-                let it = &mut self.nodes[node];
-                let generation = deployment.generation;
-                assert!(
-                    generation >= it.generation(),
-                    "{}: generation went back",
-                    it.name
-                );
-                it.in_force = Some(Arc::clone(&deployment));
-                self.check_orders(node, &deployment);
-                self.check_floor(node);
-            }
-            FleetAction::Grant { replica, .. } => {
-                let it = &mut self.nodes[node];
-                let name = it.catalog.replica_name(replica);
-                it.grants.insert(Arc::clone(&name));
-                self.holders.entry(name).or_default().insert(node);
-            }
-            FleetAction::LeaseUntil(until) => self.nodes[node].lease_until = until,
-            FleetAction::NodeLost(lost) => {
-                let it = &mut self.nodes[node];
-                it.lost.push(it.catalog.node_name(lost));
-            }
-            FleetAction::NotReady(reason) => {
-                self.nodes[node].ready = Some(reason);
-                self.check_floor(node);
-            }
-            FleetAction::Owners(table) => {
-                let it = &mut self.nodes[node];
-                let name = it.catalog.data_centre_name(table.data_centre);
-                let old = it.tables.insert(name, Arc::clone(&table));
-                assert!(
-                    old.is_none_or(|it| it.epoch < table.epoch),
-                    "epoch went back"
-                );
-            }
-            FleetAction::Revoke {
-                epoch,
-                replica,
-                successor,
-            } => self.revoke(node, epoch, replica, successor),
-            FleetAction::Send { mut message, to } => {
-                if let GossipMessage::Parts(parts) = &mut message {
-                    let carried = std::mem::take(parts).into_iter();
-                    *parts = carried.map(|it| self.carry(it)).collect();
-                }
-                let name = self.nodes[node].catalog.node_name(to);
-                self.messages += 1;
-                let bytes = message.size_bytes();
-                assert!(bytes <= MESSAGE_BYTES, "a message of {bytes} bytes");
-                self.bytes += bytes as u64;
-                if matches!(
-                    message,
-                    GossipMessage::Config(_)
-                        | GossipMessage::Generation(_)
-                        | GossipMessage::Parts(_)
-                        | GossipMessage::Pull(PullItem::Config | PullItem::Parts(_))
-                ) {
-                    self.config_bytes += bytes as u64;
-                }
-                if self.rng.u8(..100) < self.late {
-                    let message = message.clone();
-                    self.post(node, &name, |from| FleetEvent::Gossip { from, message });
-                }
-                self.post(node, &name, |from| FleetEvent::Gossip { from, message });
-            }
-            FleetAction::Stopped => self.nodes[node].stopped = true,
-            store => self.act_on_store(node, boot, local, store),
-        }
-    }
-
-    fn act_on_store(&mut self, node: usize, boot: u64, local: u64, action: FleetAction) {
-        match action {
-            FleetAction::ReadConfig => self.read(
-                node,
-                boot,
-                |world| {
-                    let event = world.store.config_read();
-                    Box::new(move |_| event)
-                },
-                |_| FleetEvent::ConfigReadFailed,
-            ),
-            FleetAction::ReadPart(hash) => {
-                self.part_reads += 1;
-                self.read(
-                    node,
-                    boot,
-                    move |world| {
-                        let part = world.store.parts.get(&hash).cloned();
-                        let part = part.map(|it| world.carry(it));
-                        Box::new(move |_| FleetEvent::PartRead(hash, part))
-                    },
-                    move |_| FleetEvent::PartReadFailed(hash),
-                );
-            }
-            FleetAction::ReadTable(data_centre) => {
-                let name = self.nodes[node].catalog.data_centre_name(data_centre);
-                self.read(
-                    node,
-                    boot,
-                    move |world| {
-                        let table = world.store.tables.get(&name).cloned();
-                        let sent_us = local;
-                        Box::new(move |_| FleetEvent::TableRead {
-                            data_centre,
-                            sent_us,
-                            table,
-                        })
-                    },
-                    move |_| FleetEvent::TableReadFailed(data_centre),
-                );
-            }
-            FleetAction::ReadVmList => {
-                let vms = self.vms.iter().map(|(name, &state)| VmStatus {
-                    name: Arc::clone(name),
-                    state,
-                });
-                let list = vms.collect();
-                self.answer(node, boot, |_| FleetEvent::VmList(list));
-            }
-            FleetAction::WatchConfig(generation) => {
-                let newer = self.store.config.as_ref().map_or(0, |it| it.generation) > generation;
-                if !self.store_reachable(node) {
-                    let failed = |_: &mut Catalog| FleetEvent::ConfigReadFailed;
-                    self.at(self.now + S, move |world| world.deliver(node, boot, failed));
-                } else if newer {
-                    let event = self.store.config_read();
-                    self.answer(node, boot, |_| event);
-                } else {
-                    self.store.watches.push((node, boot, generation));
-                }
-            }
-            FleetAction::WriteTable {
-                expected_epoch,
-                table,
-                ..
-            } => self.write(node, boot, expected_epoch, table),
-            other => unreachable!("{other:?}"),
-        }
-    }
-
-    /// A part as it arrives.
-    fn carry(&mut self, part: Arc<str>) -> Arc<str> {
-        if self.rng.u8(..100) < self.corrupt {
-            format!("{part}# corrupt\n").into()
-        } else {
-            part
-        }
-    }
-
-    fn write(&mut self, node: usize, boot: u64, expected: u64, mut table: TableRecord) {
-        let slow = self.store.lost_replies > 0 && self.rng.u8(..100) < 10;
-        let delay = if slow {
-            self.rng.u64(..1500 * MS)
-        } else {
-            2 * MS
-        };
-        self.at(self.now + delay, move |world| {
-            let name = Arc::clone(&table.data_centre);
-            let current = world.store.tables.get(&name).map_or(0, |it| it.epoch);
-            let ok = world.store_reachable(node) && current == expected;
-            if ok {
-                table.epoch = current + 1;
-                let key = (Arc::clone(&name), table.epoch);
-                let twice = world.store.written.insert(key, table.write_id);
-                assert_eq!(twice, None, "two writes of one epoch took effect");
-                world.store.tables.insert(name, table.clone());
-            }
-            let lost = world.rng.u8(..100) < world.store.lost_replies;
-            let epoch = (ok && !lost).then_some(table.epoch);
-            world.answer(node, boot, move |catalog| FleetEvent::TableWritten {
-                data_centre: catalog.data_centre(&table.data_centre),
-                epoch,
-            });
-        });
-    }
-
-    fn revoke(&mut self, node: usize, epoch: u64, replica: ReplicaKey, to: Option<NodeKey>) {
-        let it = &mut self.nodes[node];
-        let name = it.catalog.replica_name(replica);
-        assert!(it.grants.remove(&name), "revoked without a grant");
-        let to = to.map(|to| it.catalog.node_name(to));
-        self.holders
-            .entry(Arc::clone(&name))
-            .or_default()
-            .remove(&node);
-        let state = HandOverState {
-            allowance: 2,
-            instance: None,
-            running: 0,
-            running_for_us: 0,
-            served: Vec::new(),
-            service_us: 1,
-        };
-        if let Some(to) = to
-            && let Some((index, boot)) = self.route(node, &to)
-        {
-            self.answer(index, boot, move |catalog| FleetEvent::HandOver {
-                epoch,
-                replica: catalog.replica(&name),
-                state,
-            });
-        }
-    }
-
-    /// Receiver of a message, `None` if it is lost.
-    fn route(&mut self, from: usize, to: &str) -> Option<(usize, u64)> {
-        let index = self.nodes.iter().position(|it| *it.name == *to)?;
-        let lost = self.rng.u8(..100) < self.loss || self.group[from] != self.group[index];
-        (!lost).then_some((index, self.nodes[index].boot))
-    }
-
-    fn post(&mut self, node: usize, to: &str, event: impl FnOnce(NodeKey) -> FleetEvent + 'static) {
-        let from = Arc::clone(&self.nodes[node].name);
-        if let Some((index, boot)) = self.route(node, to) {
-            self.answer(index, boot, move |catalog| event(catalog.node(&from)));
-        }
-    }
-
-    fn check_floor(&mut self, node: usize) {
-        let it = &mut self.nodes[node];
-        if it
-            .ready
-            .is_some_and(|it| it != Some(NotReadyReason::ConfigurationUnknown))
-        {
-            let generation = it.generation();
-            assert!(
-                generation >= it.floor,
-                "{}: ready with an old generation",
-                it.name
-            );
-            it.floor = generation;
-        }
-    }
-
-    /// Nobody else may hold a valid lease and a grant for what this node holds.
-    fn check(&self, node: usize) {
-        if !self.leased(node) {
-            return;
-        }
-        for replica in &self.nodes[node].grants {
-            let holders = self.holders(replica);
-            assert!(
-                holders.len() < 2,
-                "{replica} held by {holders:?} at {}",
-                self.now
-            );
-        }
-    }
 }
