Give each measured node its own stream of random numbers

Cause: the node seed was seed ^ key and the coordinator mixes the boot id, key + 1, into it, so all even keys shared one stream.

Change: the seed of a node is drawn from a generator seeded with the run's seed and the node's key. Sessions keep theirs: seed ^ boot differs for all nodes of a session, and other streams made the golden file version_change_restart lose the restart it is about.

--- a/crates/measure/src/world_setup.rs
+++ b/crates/measure/src/world_setup.rs
@@ -68,6 +68,7 @@
             session: None,
             measure_from_us: 0,
             targets: BTreeMap::new(),
+            trace: None,
             version: IndexVersion(10),
         }
     }
@@ -94,12 +95,12 @@
                 data_centre: vm.data_centre,
                 node: key,
             };
-            // The coordinator mixes the boot id into the seed. Mixed with a key in the same
-            // way, the seeds of all even keys fall together, and with them the claim tokens.
+            // The coordinator mixes the boot id into the seed, which keeps the streams of the
+            // nodes of one session apart.
             let node_seed = if self.session.is_some() {
                 seed
             } else {
-                seed ^ u64::from(key.0)
+                node_seed(seed, key)
             };
             let node = SimNode {
                 coordinator: Coordinator::new(config, node_seed),
@@ -137,6 +138,12 @@
     }
 }
 
+/// Seed of a node's random choices in a measured run. Seeds that differ in a few low bits
+/// would give nodes of two runs, once mixed with their boot ids, the same stream.
+fn node_seed(seed: u64, node: NodeKey) -> u64 {
+    Rng::with_seed((seed << 32) | u64::from(node.0)).u64(..)
+}
+
 /// Position of a service among the shards of the first class that depends on it.
 pub(crate) fn shard_position(
     deployment: &Deployment,
