--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -104,6 +104,8 @@
         processor_time: bool,
         /// Print the result as JSON
         json: bool,
+        /// Leave out the plain way
+        product_only: bool,
         /// Virtual time that is counted in each run
         #[bpaf(argument("MS"), fallback(4000), display_fallback)]
         run_ms: u64,
@@ -116,6 +118,8 @@
         /// Only deployments whose name contains this text
         #[bpaf(argument("TEXT"), fallback(String::new()))]
         site: String,
+        /// Print what the time of the slowest 1% of the answers was spent on
+        trace: bool,
     },
     /// Take a data centre or VM out of service
     #[bpaf(command)]
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -136,17 +136,21 @@
         }
         Command::Measure {
             processor_time,
+            product_only,
             run_ms,
             scenario,
             seeds,
             site,
+            trace,
             ..
         } => measure(&MeasureOptions {
             processor_time,
+            product_only,
             run_ms,
             scenario,
             seeds,
             site,
+            trace,
         }),
         Command::Out {
             connection,
--- a/crates/measure/src/comparison.rs
+++ b/crates/measure/src/comparison.rs
@@ -38,10 +38,14 @@
 /// How long and how often each scenario runs.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// Run the product only.
+    pub product_only: bool,
     /// Virtual time of a run, in milliseconds.
     pub run_ms: u64,
     /// One run per seed.
     pub seeds: Vec<u64>,
+    /// Take apart the time of each answer of the product.
+    pub trace: bool,
     /// Virtual time before anything is counted, in milliseconds.
     pub warm_up_ms: u64,
 }
@@ -102,7 +106,10 @@
 pub fn compare(site: &Site, scenario: &Scenario, plan: &Plan) -> Comparison {
     let (warm_up_us, run_us) = (plan.warm_up_ms * 1_000, plan.run_ms * 1_000);
     let product = |seed| {
-        let world = World::new(site.deployment.clone(), site.network, seed);
+        let mut world = World::new(site.deployment.clone(), site.network, seed);
+        if plan.trace {
+            world.keep_trace();
+        }
         world.run(scenario, warm_up_us, run_us)
     };
     let baseline = |seed| {
@@ -110,7 +117,11 @@
         baseline.run(scenario, warm_up_us, run_us)
     };
     Comparison {
-        baseline: each_seed(&plan.seeds, baseline),
+        baseline: if plan.product_only {
+            Vec::new()
+        } else {
+            each_seed(&plan.seeds, baseline)
+        },
         product: each_seed(&plan.seeds, product),
         scenario: scenario.name,
     }
@@ -151,7 +162,7 @@
             }
         }
     }
-    for (way, results) in ways {
+    for (way, results) in ways.into_iter().filter(|(_, it)| !it.is_empty()) {
         let over = results.iter().map(|it| it.over);
         let (mut slots, mut connections, mut cold) = (0, 0, 0);
         for it in over {
--- a/crates/measure/src/run_result.rs
+++ b/crates/measure/src/run_result.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use crate::ClassStats;
+use crate::TimeParts;
 use crate::fake_target::OverLimit;
 use wigeonhall_types::ClassKey;
 
@@ -13,4 +14,6 @@
     pub late_starts: u64,
     /// Limit violations, summed over all targets.
     pub over: OverLimit,
+    /// Parts of the time of each answer; empty unless the run was traced.
+    pub traces: BTreeMap<ClassKey, Vec<TimeParts>>,
 }
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -13,6 +13,7 @@
 use crate::fake_target::OverLimit;
 use crate::load;
 use crate::network::Network;
+use crate::query_trace::QueryTrace;
 use crate::scenario::Fault;
 use crate::session::SessionState;
 use crate::session_store::StoreCall;
@@ -53,6 +54,8 @@
     /// Arrivals before this time are not counted.
     pub(crate) measure_from_us: u64,
     pub(crate) targets: BTreeMap<ReplicaKey, FakeTarget>,
+    /// Set only while a run is traced.
+    pub(crate) trace: Option<QueryTrace>,
     pub(crate) version: IndexVersion,
 }
 
@@ -141,6 +144,9 @@
             self.step(now_us, event);
         }
         self.result.over = OverLimit::sum(self.targets.values());
+        if let Some(trace) = self.trace.take() {
+            self.result.traces = trace.into_answers();
+        }
         self.result
     }
 
@@ -189,6 +195,9 @@
             Event::Submit { from, to, sub } => {
                 if let Some(node) = self.nodes.get_mut(&to) {
                     node.submitters.insert(sub.attempt, from);
+                    if let Some(trace) = &mut self.trace {
+                        trace.arrived(now_us, sub.attempt);
+                    }
                     self.feed_gate(now_us, to, GateEvent::Submit(sub));
                 }
             }
--- a/crates/measure/src/world_nodes.rs
+++ b/crates/measure/src/world_nodes.rs
@@ -58,6 +58,9 @@
         let Some(node) = self.nodes.get_mut(&key) else {
             return;
         };
+        if let (QueryEvent::SubReply { attempt, .. }, Some(trace)) = (&event, &mut self.trace) {
+            trace.replied(now_us, *attempt);
+        }
         let mut actions = Vec::new();
         node.coordinator.handle(now_us, event, &mut actions);
         for action in actions {
@@ -79,6 +82,7 @@
                 self.send(now_us, from, node, Event::Cancel(node, attempt));
             }
             QueryAction::Send { node: to, sub } => {
+                self.trace_send(now_us, from, &sub);
                 self.send(now_us, from, to, Event::Submit { from, to, sub });
             }
             // The load of a measured run holds no writes.
@@ -95,6 +99,7 @@
         let Some(open) = self.open.remove(&id) else {
             return;
         };
+        self.trace_answer(now_us, id, &open, answer.status);
         if !open.counted {
             return;
         }
@@ -157,6 +162,10 @@
                 let Some(to) = node.and_then(|node| node.submitters.remove(&attempt)) else {
                     return;
                 };
+                if let Some(trace) = &mut self.trace {
+                    let state = report.as_ref().map(|it| it.state);
+                    trace.responded(now_us, attempt, &outcome, state);
+                }
                 let reply = QueryEvent::SubReply {
                     attempt,
                     outcome,
@@ -166,6 +175,9 @@
             }
             GateAction::Send(sub) => {
                 self.note(now_us, || TraceEvent::Started(key, sub.clone()));
+                if let Some(trace) = &mut self.trace {
+                    trace.started(now_us, sub.attempt);
+                }
                 let at_us = now_us + self.network.within_us;
                 self.events.push(at_us, Event::TargetStart(key, sub));
             }
--- a/crates/measure/src/world_targets.rs
+++ b/crates/measure/src/world_targets.rs
@@ -66,6 +66,9 @@
             let target = self.target(replica);
             (target.factor(), target.instance)
         };
+        if let Some(trace) = &mut self.trace {
+            trace.runs(now_us, attempt);
+        }
         let mut at_us = now_us + load::service_time_us(&mut self.rng, factor);
         if self.session.is_some() {
             at_us = self.began(now_us, replica, attempt, instance, at_us);
@@ -91,6 +94,9 @@
         let Some((node, sub)) = self.held.remove(&attempt) else {
             return;
         };
+        if let Some(trace) = &mut self.trace {
+            trace.done(now_us, attempt);
+        }
         self.note(now_us, || TraceEvent::TargetEnded(replica, attempt));
         let outcome = if self.session.is_some() {
             self.session_outcome(now_us, replica, &sub)
