Measure an ideal scheduler beside the product

wigeonhall measure now prints a row "ideal": a scheduler without hedges that sees the same arrivals, knows every slot at every time without messages and the time that each replica would take, serves in order of arrival and gives each sub-request to the replica that answers it first.

--- a/crates/measure/src/comparison.rs
+++ b/crates/measure/src/comparison.rs
@@ -3,6 +3,7 @@
 
 use crate::Baseline;
 use crate::Fault;
+use crate::Ideal;
 use crate::Network;
 use crate::RunResult;
 use crate::Scenario;
@@ -55,6 +56,8 @@
 pub struct Comparison {
     /// Results of the baseline.
     pub baseline: Vec<RunResult>,
+    /// Results of the ideal scheduler.
+    pub ideal: Vec<RunResult>,
     /// Results of the product.
     pub product: Vec<RunResult>,
     /// Name of the scenario.
@@ -116,12 +119,17 @@
         let baseline = Baseline::new(site.deployment.clone(), site.network, seed);
         baseline.run(scenario, warm_up_us, run_us)
     };
+    let ideal = |seed| {
+        let ideal = Ideal::new(site.deployment.clone(), site.network, seed);
+        ideal.run(scenario, warm_up_us, run_us)
+    };
     Comparison {
         baseline: if plan.product_only {
             Vec::new()
         } else {
             each_seed(&plan.seeds, baseline)
         },
+        ideal: each_seed(&plan.seeds, ideal),
         product: each_seed(&plan.seeds, product),
         scenario: scenario.name,
     }
@@ -149,8 +157,10 @@
         ("baseline", &comparison.baseline),
         ("product", &comparison.product),
     ];
+    // At capacity an ideal scheduler that refuses nothing only shows an endless queue.
+    let ideal = ("ideal", &comparison.ideal);
     for &class in site.deployment.classes.keys() {
-        for (way, results) in ways {
+        for (way, results) in ways.into_iter().chain([ideal]) {
             if let Some(line) = line(site, class, results) {
                 let name = site.catalog.class_name(class);
                 let scenario = comparison.scenario;
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -47,6 +47,13 @@
     per_class.collect()
 }
 
+/// Random numbers for arrivals and their entry nodes. They are apart from those for service
+/// times, so that runs of one seed see the same arrivals whatever is decided in them.
+#[must_use]
+pub fn arrivals_rng(seed: u64) -> Rng {
+    Rng::with_seed(!seed)
+}
+
 /// Time of the first arrival of each class, in microseconds.
 #[must_use]
 pub fn first_arrivals_us(rng: &mut Rng, rates: &BTreeMap<ClassKey, f64>) -> Vec<(u64, ClassKey)> {
--- a/crates/measure/src/processor_time.rs
+++ b/crates/measure/src/processor_time.rs
@@ -40,8 +40,12 @@
 const PLACE: DataCentreKey = DataCentreKey(0);
 const VERSION: IndexVersion = IndexVersion(2);
 
-/// Sub-requests of one measurement, without the warm-up.
-const SUBS: usize = 400_000;
+/// Sub-requests of one batch.
+const BATCH_SUBS: usize = 20_000;
+
+/// Batches of one measurement, after one for warm-up. The fastest counts: other processes
+/// on the machine only ever add time.
+const BATCHES: usize = 20;
 
 /// Virtual time between two queries, long enough that no hedge is due.
 const QUERY_GAP_US: u64 = 20_000;
@@ -61,27 +65,18 @@
     pub shards: usize,
 }
 
-/// Measures the cores on one thread, one query at a time.
+/// Measures the cores on one thread, one query at a time; the fastest of some batches.
 #[must_use]
 pub fn processor_time(shards: usize) -> ProcessorTime {
     let deployment = Arc::new(deployment(shards));
     let mut bench = Bench::new(&deployment);
-    let queries = (SUBS / shards).max(1);
-    for _ in 0..=queries / 10 {
-        bench.run_query();
-    }
-    bench.gate_ns = 0;
-    bench.query_ns = 0;
-    bench.subs = 0;
-    for _ in 0..queries {
-        bench.run_query();
-    }
-    let per_sub = |ns: u128| ns as f64 / bench.subs.max(1) as f64;
-    ProcessorTime {
-        gate_ns: per_sub(bench.gate_ns),
-        query_ns: per_sub(bench.query_ns),
-        shards,
+    let mut fastest = bench.batch(shards);
+    for _ in 0..BATCHES {
+        let batch = bench.batch(shards);
+        fastest.gate_ns = fastest.gate_ns.min(batch.gate_ns);
+        fastest.query_ns = fastest.query_ns.min(batch.query_ns);
     }
+    fastest
 }
 
 /// The table of the measurement from 20 to 520 shards.
@@ -187,6 +182,22 @@
         self.gate_ns += start.elapsed().as_nanos();
     }
 
+    /// Runs a batch of queries and returns the mean times per sub-request.
+    fn batch(&mut self, shards: usize) -> ProcessorTime {
+        self.gate_ns = 0;
+        self.query_ns = 0;
+        self.subs = 0;
+        for _ in 0..(BATCH_SUBS / shards).max(1) {
+            self.run_query();
+        }
+        let per_sub = |ns: u128| ns as f64 / self.subs.max(1) as f64;
+        ProcessorTime {
+            gate_ns: per_sub(self.gate_ns),
+            query_ns: per_sub(self.query_ns),
+            shards,
+        }
+    }
+
     /// Runs one query to its answer; its sub-requests run side by side.
     fn run_query(&mut self) {
         self.next_query += 1;
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -36,6 +36,8 @@
 /// Nodes with the product's cores, fake targets and callers in virtual time.
 #[derive(Debug)]
 pub struct World {
+    /// For arrivals and their entry nodes.
+    pub(crate) arrivals: Rng,
     pub(crate) deployment: Arc<Deployment>,
     pub(crate) events: EventQueue<Event>,
     /// Sub-requests that targets hold, with the node that sent each.
@@ -130,7 +132,7 @@
     pub fn run(mut self, scenario: &Scenario, warm_up_us: u64, run_us: u64) -> RunResult {
         self.measure_from_us = warm_up_us;
         self.rates = load::rates(&self.deployment, scenario.load);
-        for (at_us, class) in load::first_arrivals_us(&mut self.rng, &self.rates) {
+        for (at_us, class) in load::first_arrivals_us(&mut self.arrivals, &self.rates) {
             self.events.push(at_us, Event::Arrival(class));
         }
         for &(at_us, fault) in &scenario.faults {
--- a/crates/measure/src/world_nodes.rs
+++ b/crates/measure/src/world_nodes.rs
@@ -21,7 +21,7 @@
 
 impl World {
     pub(crate) fn arrive(&mut self, now_us: u64, class: ClassKey) {
-        let next_us = now_us + load::next_arrival_us(&mut self.rng, self.rates[&class]);
+        let next_us = now_us + load::next_arrival_us(&mut self.arrivals, self.rates[&class]);
         self.events.push(next_us, Event::Arrival(class));
         let nodes: Vec<NodeKey> = self
             .nodes
@@ -29,7 +29,7 @@
             .filter(|(_, node)| !self.out_since_us.contains_key(&node.data_centre))
             .map(|(&key, _)| key)
             .collect();
-        let node = nodes[self.rng.usize(..nodes.len())];
+        let node = nodes[self.arrivals.usize(..nodes.len())];
         let counted = now_us >= self.measure_from_us;
         if counted {
             self.result.classes.entry(class).or_default().offered += 1;
--- a/crates/measure/src/world_setup.rs
+++ b/crates/measure/src/world_setup.rs
@@ -10,6 +10,7 @@
 use crate::World;
 use crate::event_queue::EventQueue;
 use crate::fake_target::FakeTarget;
+use crate::load;
 use crate::network::Network;
 use crate::session::SessionState;
 use crate::shards;
@@ -53,6 +54,7 @@
     fn empty(deployment: Deployment, network: Network, seed: u64) -> Self {
         let deployment = Arc::new(deployment);
         Self {
+            arrivals: load::arrivals_rng(seed),
             deployment: Arc::clone(&deployment),
             events: EventQueue::default(),
             held: HashMap::new(),
