Age the reported wait in the choice of a replica

Cause (trace): parts went to a straggler because the report of its sibling, 35 to 100 ms old, told of a queue of 17 to 21 ms that had gone since; admission took off the age of a report, the choice did not.

Change: the expected time of a replica takes off the age as well. It changes with time, so the replicas of a service are compared at the choice instead of being kept sorted, which also saves three updates of a sorted set per sub-request.

--- a/crates/query/src/replica_view.rs
+++ b/crates/query/src/replica_view.rs
@@ -5,7 +5,6 @@
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::NodeKey;
-use wigeonhall_types::ReplicaKey;
 use wigeonhall_types::ReplicaReport;
 use wigeonhall_types::ReplicaState;
 use wigeonhall_types::ServiceKey;
@@ -17,10 +16,8 @@
     steps: u64,
     /// The replica is in another data centre.
     remote: bool,
-    /// Drawn anew for each rank; spreads equal replicas.
-    tie: u32,
-    /// The replica.
-    pub replica: ReplicaKey,
+    /// Spreads equal replicas.
+    tie: Option<u32>,
 }
 
 /// What this node knows of a replica.
@@ -45,14 +42,15 @@
     pub owner: Option<(NodeKey, u64)>,
     /// The owner is lost and was not heard from since.
     pub owner_lost: bool,
-    /// Rank in the service; set exactly while the replica is usable.
-    pub rank: Option<Rank>,
     /// Last report.
     pub report: Option<ReplicaReport>,
     /// Service in the deployment.
     pub service: Option<ServiceKey>,
     /// Slots in the deployment, at least 1.
     pub slots: u32,
+    /// Drawn anew with each report, start and end of a sub-request; set exactly while the
+    /// replica was usable when this was drawn.
+    pub tie: Option<u32>,
     /// Part of `in_flight` that was sent after the last report, which thus cannot count it.
     pub unseen: u32,
 }
@@ -106,22 +104,21 @@
     }
 
     /// Time until an answer of the replica, as reported and as loaded by this node since.
-    pub fn expected_us(&self) -> u64 {
+    pub fn expected_us(&self, now_us: u64) -> u64 {
         let Some(report) = &self.report else {
             return 0;
         };
         let queued = report.service_us * u64::from(self.unseen) / u64::from(self.slots.max(1));
         let hop = if self.local { 0 } else { REMOTE_HOP_US };
-        report.expected_wait_us + report.service_us + queued + hop
+        self.wait_us(now_us) + report.service_us + queued + hop
     }
 
     /// Rank among the replicas of the service.
-    pub fn ranked(&self, replica: ReplicaKey, tie: u32) -> Rank {
+    pub fn rank(&self, now_us: u64) -> Rank {
         Rank {
-            steps: (self.expected_us() + self.excess_us) / SCORE_STEP_US,
+            steps: (self.expected_us(now_us) + self.excess_us) / SCORE_STEP_US,
             remote: !self.local,
-            tie,
-            replica,
+            tie: self.tie,
         }
     }
 
--- a/crates/query/src/restarts.rs
+++ b/crates/query/src/restarts.rs
@@ -109,9 +109,9 @@
         let mut owners = Vec::new();
         if let Some(view) = self.routes.classes.get(&class) {
             for service in &view.services {
-                let ranks = &self.routes.services[service.index()].ranks;
-                let replicas = ranks.iter().map(|rank| rank.replica.index());
-                let views = replicas.map(|replica| &self.routes.replicas[replica]);
+                let replicas = self.routes.services[service.index()].replicas.iter();
+                let views = replicas.map(|replica| &self.routes.replicas[replica.index()]);
+                let views = views.filter(|view| view.usable());
                 owners.extend(views.filter_map(|view| Some(view.owner?.0)));
             }
         }
--- a/crates/query/src/routes.rs
+++ b/crates/query/src/routes.rs
@@ -4,6 +4,7 @@
 
 use crate::class_view::ClassView;
 use crate::node_view::NodeView;
+use crate::replica_view::Rank;
 use crate::replica_view::ReplicaView;
 use crate::service_view::ServiceView;
 use crate::version_plan::Held;
@@ -92,12 +93,12 @@
         }
         for service in &mut self.services {
             service.classes.clear();
-            service.ranks.clear();
+            service.replicas.clear();
         }
         for view in &mut self.replicas {
             view.out = true;
-            view.rank = None;
             view.service = None;
+            view.tie = None;
         }
         for (key, class) in &deployment.classes {
             let mut view = ClassView::new(class);
@@ -114,7 +115,7 @@
             view.out = deployment.replica_out(*key);
             view.service = Some(replica.service);
             view.slots = replica.slots;
-            self.service_mut(replica.service);
+            self.service_mut(replica.service).replicas.push(*key);
         }
         self.deployment = Some(deployment);
         self.set_owners_of_replicas();
@@ -150,7 +151,7 @@
             let view = self.replica_mut(*key);
             view.owner = owner;
             view.owner_lost = lost;
-            self.rerank(*key);
+            self.redraw(*key);
         }
         for class in self.classes.values_mut() {
             class.dirty = true;
@@ -170,7 +171,7 @@
         view.lost = lost;
         for replica in view.replicas.clone() {
             self.replica_mut(replica).owner_lost = lost;
-            self.rerank(replica);
+            self.redraw(replica);
             self.mark_dirty(replica);
         }
     }
@@ -206,7 +207,7 @@
         if changed {
             self.mark_dirty(replica);
         }
-        self.rerank(replica);
+        self.redraw(replica);
         if let Some((node, _)) = owner
             && from.is_none_or(|from| from == node)
         {
@@ -221,7 +222,7 @@
         if let Some(report) = &mut self.replica_mut(replica).report {
             report.state = state;
         }
-        self.rerank(replica);
+        self.redraw(replica);
     }
 
     /// Notes that the replica no longer serves `version`.
@@ -242,7 +243,7 @@
         let view = self.replica_mut(replica);
         view.in_flight += 1;
         view.unseen += 1;
-        self.rerank(replica);
+        self.redraw(replica);
     }
 
     /// Counts the end of a sub-request.
@@ -250,7 +251,7 @@
         let view = self.replica_mut(replica);
         view.in_flight = view.in_flight.saturating_sub(1);
         view.unseen = view.unseen.min(view.in_flight);
-        self.rerank(replica);
+        self.redraw(replica);
     }
 
     /// Best replica of `service` that holds all of `ranges` at `version`.
@@ -263,29 +264,39 @@
         tried: &[ReplicaKey],
     ) -> Pick {
         let mut until_us: Option<u64> = None;
-        for rank in &self.services[service.index()].ranks {
-            let view = &self.replicas[rank.replica.index()];
-            if tried.contains(&rank.replica) || !view.holds(version, ranges) {
+        let mut best: Option<(Rank, ReplicaKey)> = None;
+        for &replica in &self.services[service.index()].replicas {
+            let view = &self.replicas[replica.index()];
+            if !view.usable() || tried.contains(&replica) {
+                continue;
+            }
+            let rank = view.rank(now_us);
+            let worse = best.is_some_and(|(best, _)| best <= rank);
+            if worse || !view.holds(version, ranges) {
                 continue;
             }
             if view.back_until_us > now_us {
                 let until = until_us.unwrap_or(u64::MAX).min(view.back_until_us);
                 until_us = Some(until);
-                continue;
+            } else {
+                best = Some((rank, replica));
             }
-            let Some((node, epoch)) = view.owner else {
-                continue;
-            };
-            return Pick::To(Route {
-                epoch,
-                expected_us: view.expected_us(),
-                wait_us: view.wait_us(now_us),
-                local: view.local,
-                node,
-                replica: rank.replica,
-            });
         }
-        until_us.map_or(Pick::Nowhere, |until_us| Pick::BackedOff { until_us })
+        let Some((_, replica)) = best else {
+            return until_us.map_or(Pick::Nowhere, |until_us| Pick::BackedOff { until_us });
+        };
+        let view = &self.replicas[replica.index()];
+        let Some((node, epoch)) = view.owner else {
+            return Pick::Nowhere;
+        };
+        Pick::To(Route {
+            epoch,
+            expected_us: view.expected_us(now_us),
+            wait_us: view.wait_us(now_us),
+            local: view.local,
+            node,
+            replica,
+        })
     }
 
     /// The class with plans as new as the reports.
@@ -351,23 +362,14 @@
         }
     }
 
-    fn rerank(&mut self, replica: ReplicaKey) {
+    /// Draws a new tie-break, and lets the classes plan anew if the replica became usable
+    /// or ceased to be.
+    fn redraw(&mut self, replica: ReplicaKey) {
         let tie = self.rng.u32(..);
         let view = &mut self.replicas[replica.index()];
-        let Some(service) = view.service else {
-            return;
-        };
-        let ranks = &mut self.services[service.index()].ranks;
-        let old = view.rank.take();
-        if let Some(old) = &old {
-            ranks.remove(old);
-        }
-        if view.usable() {
-            let rank = view.ranked(replica, tie);
-            ranks.insert(rank);
-            view.rank = Some(rank);
-        }
-        if old.is_some() != view.rank.is_some() {
+        let usable = view.usable() && view.service.is_some();
+        let old = std::mem::replace(&mut view.tie, usable.then_some(tie));
+        if old.is_some() != usable {
             self.mark_dirty(replica);
         }
     }
--- a/crates/query/src/service_view.rs
+++ b/crates/query/src/service_view.rs
@@ -1,9 +1,7 @@
-use std::collections::BTreeSet;
-
 use crate::hedge_budget::HedgeBudget;
 use crate::latency_quantile::LatencyQuantile;
-use crate::replica_view::Rank;
 use wigeonhall_types::ClassKey;
+use wigeonhall_types::ReplicaKey;
 
 /// What this node knows of a shard service.
 #[derive(Clone, Debug, Default)]
@@ -14,6 +12,6 @@
     pub classes: Vec<ClassKey>,
     /// Latencies from send to answer.
     pub latency: LatencyQuantile,
-    /// Usable replicas, best first.
-    pub ranks: BTreeSet<Rank>,
+    /// Replicas of the deployment.
+    pub replicas: Vec<ReplicaKey>,
 }
