Refuse what owners are too full for within two round trips

Cause (trace, slowest refusals at capacity): 3.4 refused tries in a row, two as busy and then two as overloaded, each 2 ms away and back.

Change: after a busy refusal by a replica that names a wait above 40% of the longest, the next try waits where it goes. A further try goes out only if its refusal would come within 5 ms of the arrival, or to a replica with a short wait in a report of the last 5 ms; otherwise the query is refused at once with the named retry-after time.

--- a/crates/query/src/dispatch.rs
+++ b/crates/query/src/dispatch.rs
@@ -6,8 +6,12 @@
 use crate::attempt::Parent;
 use crate::coordinator::Sending;
 use crate::limits::BUSY_TRIES;
+use crate::limits::FRESH_US;
+use crate::limits::FULL_PERCENT;
 use crate::limits::HEDGE_FACTOR;
 use crate::limits::HEDGE_SHORTEST_US;
+use crate::limits::REFUSAL_US;
+use crate::limits::REMOTE_HOP_US;
 use crate::limits::START_WITHIN_US;
 use crate::open_read::OpenRead;
 use crate::part::PartState;
@@ -15,7 +19,10 @@
 use crate::routes::Pick;
 use crate::routes::Route;
 use crate::timers::Timer;
+use wigeonhall_types::IndexVersion;
 use wigeonhall_types::Operation;
+use wigeonhall_types::RefusalReason;
+use wigeonhall_types::ReplicaKey;
 use wigeonhall_types::ServiceKey;
 
 impl Coordinator {
@@ -96,7 +103,8 @@
         if !part.attempts.is_empty() {
             return Some(START_WITHIN_US);
         }
-        if part.busy >= BUSY_TRIES || part.busy_at == Some(route.replica) {
+        let full = part.busy > 0 && part.retry_after_us > self.full_us(read);
+        if full || part.busy >= BUSY_TRIES || part.busy_at == Some(route.replica) {
             return None;
         }
         let mut tried = part.tried.clone();
@@ -111,6 +119,53 @@
         Some(START_WITHIN_US + lead_us)
     }
 
+    /// Wait above which a replica counts as full.
+    fn full_us(&self, read: &OpenRead) -> u64 {
+        let class = self.routes.classes.get(&read.query.class);
+        class.map_or(u64::MAX, |it| it.longest_wait_us / 100 * FULL_PERCENT)
+    }
+
+    /// Replica for another try of a part that an owner refused for `reason`.
+    ///
+    /// If the refusal of that try would come too late for the caller, it goes only where a
+    /// fresh report leaves little doubt that it is taken; `None` if there is no such replica.
+    pub(crate) fn pick_again(
+        &self,
+        now_us: u64,
+        read: &OpenRead,
+        index: usize,
+        version: IndexVersion,
+        reason: AbsentReason,
+    ) -> Option<Pick> {
+        let part = &read.parts[index];
+        let pick = |tried: &[ReplicaKey]| {
+            self.routes
+                .pick(now_us, part.service, version, &part.gaps, tried)
+        };
+        let full_us = self.full_us(read);
+        let full = match reason {
+            AbsentReason::Refused(RefusalReason::Busy) => part.retry_after_us > full_us,
+            AbsentReason::Refused(RefusalReason::Overloaded) => true,
+            _ => false,
+        };
+        if !full || now_us + REMOTE_HOP_US <= read.received_us + REFUSAL_US {
+            return Some(pick(&part.tried));
+        }
+        if now_us > read.received_us + REFUSAL_US {
+            return None;
+        }
+        let mut tried = part.tried.clone();
+        loop {
+            match pick(&tried) {
+                Pick::To(route) if route.age_us > FRESH_US || route.wait_us > full_us => {
+                    tried.push(route.replica);
+                }
+                Pick::To(route) => return Some(Pick::To(route)),
+                Pick::BackedOff { .. } | Pick::Nowhere => return None,
+            }
+        }
+    }
+
     /// Time after which a sub-request of `service` is late.
     pub(crate) fn hedge_delay_us(&self, service: ServiceKey, route: Route) -> u64 {
         let observed = self.routes.services[service.index()].latency.delay_us();
--- a/crates/query/src/limits.rs
+++ b/crates/query/src/limits.rs
@@ -55,6 +55,17 @@
 /// asked and did not answer is no longer waited for.
 pub const REPORT_WAIT_US: u64 = 50_000;
 
+/// Time in which a request that owners are too busy for is refused.
+pub const REFUSAL_US: u64 = 5_000;
+
+/// Age up to which a report tells the wait at a replica well enough for a try whose
+/// refusal would come after `REFUSAL_US`.
+pub const FRESH_US: u64 = 5_000;
+
+/// Share of the longest wait, in percent, above which a replica counts as full: the next
+/// try then waits where it goes, as the refusal of a third try would come too late.
+pub const FULL_PERCENT: u64 = 40;
+
 /// Restarts of one read at a newer version.
 pub const RESTARTS: u32 = 3;
 
--- a/crates/query/src/open_read.rs
+++ b/crates/query/src/open_read.rs
@@ -28,6 +28,8 @@
     pub pin: Option<IndexVersion>,
     /// The request.
     pub query: ReadQuery,
+    /// Local time of its arrival.
+    pub received_us: u64,
     /// Restarts so far.
     pub restarts: u32,
     /// Stamp of the `Wait` timer while no version is pinned.
@@ -36,13 +38,14 @@
 
 impl OpenRead {
     /// A read without a pinned version.
-    pub const fn new(query: ReadQuery) -> Self {
+    pub const fn new(now_us: u64, query: ReadQuery) -> Self {
         Self {
             live_parts: 0,
             may_have_run: false,
             parts: Vec::new(),
             pin: None,
             query,
+            received_us: now_us,
             restarts: 0,
             wait_stamp: 0,
         }
--- a/crates/query/src/reads.rs
+++ b/crates/query/src/reads.rs
@@ -51,7 +51,7 @@
         }
         let kind = self.routes.classes.get(&query.class).map(|it| it.kind);
         let deadline_us = query.deadline_us;
-        let mut read = OpenRead::new(query);
+        let mut read = OpenRead::new(now_us, query);
         let refused = if deadline_us <= now_us {
             self.counters.deadlines += 1;
             Some(AbsentReason::DeadlinePassed)
--- a/crates/query/src/replica_view.rs
+++ b/crates/query/src/replica_view.rs
@@ -99,8 +99,12 @@
         let Some(report) = &self.report else {
             return 0;
         };
-        let age_us = now_us.saturating_sub(self.heard_us.unwrap_or(now_us));
-        report.expected_wait_us.saturating_sub(age_us)
+        report.expected_wait_us.saturating_sub(self.age_us(now_us))
+    }
+
+    /// Age of the last report.
+    pub fn age_us(&self, now_us: u64) -> u64 {
+        now_us.saturating_sub(self.heard_us.unwrap_or(now_us))
     }
 
     /// Time until an answer of the replica, as reported and as loaded by this node since.
--- a/crates/query/src/retries.rs
+++ b/crates/query/src/retries.rs
@@ -158,9 +158,11 @@
         }
         let deadline_us = read.query.deadline_us;
         let service = part.service;
-        let mut picked = self
-            .routes
-            .pick(now_us, service, version, &part.gaps, &part.tried);
+        let Some(mut picked) = self.pick_again(now_us, read, index, version, reason) else {
+            let reason = AbsentReason::Refused(RefusalReason::Overloaded);
+            return self.give_up(now_us, read, index, reason, actions);
+        };
+        let part = &mut read.parts[index];
         if matches!(picked, Pick::Nowhere) && worth_a_wait(reason) {
             part.tried.clear();
             picked = self.routes.pick(now_us, service, version, &part.gaps, &[]);
--- a/crates/query/src/routes.rs
+++ b/crates/query/src/routes.rs
@@ -24,6 +24,8 @@
 /// A replica to send to.
 #[derive(Clone, Copy, Debug)]
 pub struct Route {
+    /// Age of the report that `expected_us` and `wait_us` come from.
+    pub age_us: u64,
     /// Epoch of the table that names the owner.
     pub epoch: u64,
     /// Time until its answer.
@@ -290,6 +292,7 @@
             return Pick::Nowhere;
         };
         Pick::To(Route {
+            age_us: view.age_us(now_us),
             epoch,
             expected_us: view.expected_us(now_us),
             wait_us: view.wait_us(now_us),
--- a/crates/query/tests/admission.rs
+++ b/crates/query/tests/admission.rs
@@ -40,6 +40,35 @@
     assert_eq!(sends(&world.read_range(2, Full, whole, within_us)).len(), 1);
 }
 
+// A request that full replicas refuse one after the other must be refused within two ways
+// to an owner and back, not after a third or fourth.
+#[test]
+fn refuses_after_two_full_replicas() {
+    let mut world = World::silent(1, 8);
+    let held = [range(0, 1_000)];
+    for replica in 0..8 {
+        world.report(replica, report(&[(1, &held[..])], 0, 5_000));
+    }
+    let full_us = deployment(1, 8).classes[&READ].longest_wait_us() / 2;
+    let refusal = |reason| SubOutcome::Refused {
+        reason,
+        retry_after_us: full_us,
+    };
+    world.now_us += 100_000;
+    let actions = world.read_range(1, Full, range(0, 1_000), 8 * full_us);
+    let (_, first) = sends(&actions).remove(0);
+    assert!(first.start_within_us.is_some());
+    world.now_us += 2_000;
+    let (_, last) = sends(&world.reply(&first, refusal(RefusalReason::Busy))).remove(0);
+    assert_eq!(last.start_within_us, None);
+    world.now_us += 2_000;
+    let answer = only_answer(&world.reply(&last, refusal(RefusalReason::Overloaded)));
+    let overloaded = AbsentReason::Refused(RefusalReason::Overloaded);
+    assert_eq!(answer.status, AnswerStatus::Refused(overloaded));
+    assert_eq!(answer.verdict, Verdict::NotRun);
+    assert!(answer.retry_after_ms.is_some());
+}
+
 #[test]
 fn reads_the_part_that_can_be_in_time() {
     let mut world = World::new(2);
