Keep the ids of past sub-requests by deadline

Cause: the gate kept each sub-request until its deadline in two sorted sets, 26,000 entries in the measurement at 520 shards, so their cost grew with the shards.

Change: a hash set, and one list of ids per deadline, which the parts of a query share.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,5 +1,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashSet;
+use std::hash::BuildHasherDefault;
+use std::hash::DefaultHasher;
 use std::sync::Arc;
 
 use crate::GateAction;
@@ -21,6 +24,9 @@
 /// entry node waits for a late reply that settles the claim.
 const WRITE_KEPT_US: u64 = 60 * SECOND_US;
 
+/// Set with a fixed hash function; its order is never used.
+type FixedSet<T> = HashSet<T, BuildHasherDefault<DefaultHasher>>;
+
 /// Decides when each sub-request to an owned replica starts.
 ///
 /// A slot is held from `Send` until the `TargetReply`. Work starts only while
@@ -39,9 +45,10 @@
     pub(crate) replicas: BTreeMap<ReplicaKey, ReplicaGate>,
     /// Sub-requests that came. A late copy of one that ended would run a write again, or
     /// refuse as "not run" what has run.
-    submitted: BTreeSet<AttemptId>,
-    /// Time until which each of `submitted` is kept.
-    submitted_until: BTreeSet<(u64, AttemptId)>,
+    submitted: FixedSet<AttemptId>,
+    /// Those of `submitted` by the time until which they are kept; the sub-requests of one
+    /// query share it.
+    submitted_until: BTreeMap<u64, Vec<AttemptId>>,
     /// Replicas for which a sub-request waits.
     waiting: BTreeSet<ReplicaKey>,
     /// Each replica's next wake-up, in order.
@@ -199,11 +206,12 @@
     /// Whether no copy of the sub-request came before. Past their deadline copies of a
     /// read are refused, and the entry node no longer heeds the refusal.
     fn is_first_copy(&mut self, request: &SubRequest) -> bool {
-        while let Some(&(until_us, attempt)) = self.submitted_until.first()
-            && until_us <= self.now_us
+        while let Some(first) = self.submitted_until.first_entry()
+            && *first.key() <= self.now_us
         {
-            self.submitted_until.pop_first();
-            self.submitted.remove(&attempt);
+            for attempt in first.remove() {
+                self.submitted.remove(&attempt);
+            }
         }
         let kept_us = if request.operation.is_idempotent() {
             0
@@ -214,7 +222,8 @@
         if !self.submitted.insert(request.attempt) {
             return false;
         }
-        self.submitted_until.insert((until_us, request.attempt));
+        let kept = self.submitted_until.entry(until_us).or_default();
+        kept.push(request.attempt);
         true
     }
 
