--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::str::FromStr;
 
 use bpaf::Bpaf;
@@ -106,6 +107,9 @@
         json: bool,
         /// Leave out the plain way
         product_only: bool,
+        /// Write charts of the ways to hold limits into this directory
+        #[bpaf(argument("DIRECTORY"))]
+        plot: Option<PathBuf>,
         /// Virtual time that is counted in each run
         #[bpaf(argument("MS"), fallback(4000), display_fallback)]
         run_ms: u64,
@@ -120,6 +124,8 @@
         site: String,
         /// Print what the time of the slowest 1% of the answers was spent on
         trace: bool,
+        /// Compare ways to hold the limits of replicas across entry nodes instead
+        ways: bool,
     },
     /// Take a data centre or VM out of service
     #[bpaf(command)]
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -135,6 +135,7 @@
             Ok(set_place(&context, place_of(&place), false)?.report())
         }
         Command::Measure {
+            plot,
             processor_time,
             product_only,
             run_ms,
@@ -142,8 +143,10 @@
             seeds,
             site,
             trace,
+            ways,
             ..
         } => measure(&MeasureOptions {
+            plot,
             processor_time,
             product_only,
             run_ms,
@@ -151,6 +154,7 @@
             seeds,
             site,
             trace,
+            ways,
         }),
         Command::Out {
             connection,
--- a/crates/ctl/src/measure.rs
+++ b/crates/ctl/src/measure.rs
@@ -1,24 +1,36 @@
 use std::fmt::Write;
+use std::path::PathBuf;
 
 use serde::Serialize;
 
 use crate::CtlError;
 use crate::Report;
+use crate::plots::plot;
 use wigeonhall_measure::HEADER;
 use wigeonhall_measure::Plan;
+use wigeonhall_measure::WAYS_HEADER;
 use wigeonhall_measure::compare;
+use wigeonhall_measure::compare_ways;
 use wigeonhall_measure::processor_time_table;
 use wigeonhall_measure::scenarios;
 use wigeonhall_measure::sites;
 use wigeonhall_measure::table;
 use wigeonhall_measure::trace_table;
+use wigeonhall_measure::ways_scenarios;
+use wigeonhall_measure::ways_table;
 
 /// Virtual time before anything is counted, in milliseconds.
 const WARM_UP_MS: u64 = 2_000;
 
 /// What to measure.
 #[derive(Clone, Debug, Serialize)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a switch of the command"
+)]
 pub struct MeasureOptions {
+    /// Write charts of the ways into this directory.
+    pub plot: Option<PathBuf>,
     /// Measure the processor time of the cores instead of the scenarios.
     pub processor_time: bool,
     /// Leave the baseline out.
@@ -33,13 +45,15 @@
     pub site: String,
     /// Print what the time of the slowest answers was spent on.
     pub trace: bool,
+    /// Compare the ways to hold limits instead.
+    pub ways: bool,
 }
 
 /// Compares the product with the baseline in virtual time, at both users' sizes.
 ///
 /// # Errors
 ///
-/// If an embedded deployment is not accepted.
+/// If an embedded deployment is not accepted, or a chart cannot be written.
 pub fn measure(options: &MeasureOptions) -> Result<Report, CtlError> {
     if options.processor_time {
         return Ok(Report::new(0, options, processor_time_table()));
@@ -51,6 +65,9 @@
         trace: options.trace,
         warm_up_ms: WARM_UP_MS,
     };
+    if options.ways || options.plot.is_some() {
+        return measure_ways(options, &plan);
+    }
     let mut text = String::from(HEADER);
     text.push('\n');
     for site in sites().map_err(CtlError::Settings)? {
@@ -69,3 +86,25 @@
     }
     Ok(Report::new(0, options, text))
 }
+
+fn measure_ways(options: &MeasureOptions, plan: &Plan) -> Result<Report, CtlError> {
+    let mut text = String::from(WAYS_HEADER);
+    text.push('\n');
+    for site in sites().map_err(CtlError::Settings)? {
+        if !site.name.contains(&options.site) {
+            continue;
+        }
+        let mut comparisons = Vec::new();
+        for scenario in ways_scenarios(&site, plan) {
+            if scenario.name.contains(&options.scenario) {
+                let comparison = compare_ways(&site, &scenario, plan);
+                text += &ways_table(&site, &comparison, plan);
+                comparisons.push(comparison);
+            }
+        }
+        if let Some(directory) = &options.plot {
+            plot(directory, &site, &comparisons)?;
+        }
+    }
+    Ok(Report::new(0, options, text))
+}
--- a/crates/measure/src/ideal.rs
+++ b/crates/measure/src/ideal.rs
@@ -103,7 +103,10 @@
             Fault::DataCentreIn(it) => self.out.retain(|out| *out != it),
             Fault::Lost(replica) => self.target(replica).up = false,
             Fault::Slow(replica, factor) => self.target(replica).slowness = factor,
-            Fault::Restart(_) | Fault::VersionRoll => {}
+            Fault::NodeLost(_)
+            | Fault::NodeReplaced(_)
+            | Fault::Restart(_)
+            | Fault::VersionRoll => {}
         }
     }
 
--- a/crates/measure/src/run_result.rs
+++ b/crates/measure/src/run_result.rs
@@ -2,6 +2,7 @@
 
 use crate::ClassStats;
 use crate::TimeParts;
+use crate::Traffic;
 use crate::fake_target::OverLimit;
 use wigeonhall_types::ClassKey;
 
@@ -16,4 +17,6 @@
     pub over: OverLimit,
     /// Parts of the time of each answer; empty unless the run was traced.
     pub traces: BTreeMap<ClassKey, Vec<TimeParts>>,
+    /// Connections and messages between nodes.
+    pub traffic: Traffic,
 }
--- a/crates/query/src/retries.rs
+++ b/crates/query/src/retries.rs
@@ -69,7 +69,7 @@
         let open = read.parts[index].attempts.clone();
         let owners = self.check_owners(now_us, &open, actions);
         let part = &mut read.parts[index];
-        if part.sends >= PART_SENDS {
+        if !self.hedging || part.sends >= PART_SENDS {
             return;
         }
         if open.len() != 1 && owners != OwnerState::Silent {
