--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -105,6 +105,8 @@
         processor_time: bool,
         /// Print the result as JSON
         json: bool,
+        /// Leave out the plain way
+        product_only: bool,
         /// Write charts of the ways to hold limits into this directory
         #[bpaf(argument("DIRECTORY"))]
         plot: Option<PathBuf>,
@@ -120,6 +122,8 @@
         /// Only deployments whose name contains this text
         #[bpaf(argument("TEXT"), fallback(String::new()))]
         site: String,
+        /// Print what the time of the slowest 1% of the answers was spent on
+        trace: bool,
         /// Compare ways to hold the limits of replicas across entry nodes instead
         ways: bool,
     },
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -137,19 +137,23 @@
         Command::Measure {
             plot,
             processor_time,
+            product_only,
             run_ms,
             scenario,
             seeds,
             site,
+            trace,
             ways,
             ..
         } => measure(&MeasureOptions {
             plot,
             processor_time,
+            product_only,
             run_ms,
             scenario,
             seeds,
             site,
+            trace,
             ways,
         }),
         Command::Out {
--- a/crates/ctl/src/measure.rs
+++ b/crates/ctl/src/measure.rs
@@ -15,6 +15,7 @@
 use wigeonhall_measure::scenarios;
 use wigeonhall_measure::sites;
 use wigeonhall_measure::table;
+use wigeonhall_measure::trace_table;
 use wigeonhall_measure::ways_scenarios;
 use wigeonhall_measure::ways_table;
 
@@ -23,11 +24,17 @@
 
 /// What to measure.
 #[derive(Clone, Debug, Serialize)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a switch of the command"
+)]
 pub struct MeasureOptions {
     /// Write charts of the ways into this directory.
     pub plot: Option<PathBuf>,
     /// Measure the processor time of the cores instead of the scenarios.
     pub processor_time: bool,
+    /// Leave the baseline out.
+    pub product_only: bool,
     /// Virtual time that is counted in each run, in milliseconds.
     pub run_ms: u64,
     /// Only scenarios whose name contains this text.
@@ -36,6 +43,8 @@
     pub seeds: u64,
     /// Only sites whose name contains this text.
     pub site: String,
+    /// Print what the time of the slowest answers was spent on.
+    pub trace: bool,
     /// Compare the ways to hold limits instead.
     pub ways: bool,
 }
@@ -50,8 +59,10 @@
         return Ok(Report::new(0, options, processor_time_table()));
     }
     let plan = Plan {
+        product_only: options.product_only,
         run_ms: WARM_UP_MS + options.run_ms,
         seeds: (1..=options.seeds.max(1)).collect(),
+        trace: options.trace,
         warm_up_ms: WARM_UP_MS,
     };
     if options.ways || options.plot.is_some() {
@@ -65,7 +76,11 @@
         }
         for scenario in scenarios(&site, &plan) {
             if scenario.name.contains(&options.scenario) {
-                let _ = write!(text, "{}", table(&site, &compare(&site, &scenario, &plan)));
+                let comparison = compare(&site, &scenario, &plan);
+                let _ = write!(text, "{}", table(&site, &comparison));
+                if options.trace {
+                    let _ = writeln!(text, "{}", trace_table(&site, &comparison));
+                }
             }
         }
     }
--- a/crates/measure/src/comparison.rs
+++ b/crates/measure/src/comparison.rs
@@ -2,6 +2,7 @@
 use std::thread;
 
 use crate::Fault;
+use crate::Ideal;
 use crate::Network;
 use crate::Plain;
 use crate::RunResult;
@@ -38,10 +39,14 @@
 /// How long and how often each scenario runs.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// Run the product only.
+    pub product_only: bool,
     /// Virtual time of a run, in milliseconds.
     pub run_ms: u64,
     /// One run per seed.
     pub seeds: Vec<u64>,
+    /// Take apart the time of each answer of the product.
+    pub trace: bool,
     /// Virtual time before anything is counted, in milliseconds.
     pub warm_up_ms: u64,
 }
@@ -51,6 +56,8 @@
 pub struct Comparison {
     /// Results of the baseline.
     pub baseline: Vec<RunResult>,
+    /// Results of the ideal scheduler.
+    pub ideal: Vec<RunResult>,
     /// Results of the product.
     pub product: Vec<RunResult>,
     /// Name of the scenario.
@@ -102,15 +109,27 @@
 pub fn compare(site: &Site, scenario: &Scenario, plan: &Plan) -> Comparison {
     let (warm_up_us, run_us) = (plan.warm_up_ms * 1_000, plan.run_ms * 1_000);
     let product = |seed| {
-        let world = World::new(site.deployment.clone(), site.network, seed);
+        let mut world = World::new(site.deployment.clone(), site.network, seed);
+        if plan.trace {
+            world.keep_trace();
+        }
         world.run(scenario, warm_up_us, run_us)
     };
     let baseline = |seed| {
         let baseline = Plain::new(site.deployment.clone(), site.network, seed);
         baseline.run(scenario, warm_up_us, run_us)
     };
+    let ideal = |seed| {
+        let ideal = Ideal::new(site.deployment.clone(), site.network, seed);
+        ideal.run(scenario, warm_up_us, run_us)
+    };
     Comparison {
-        baseline: each_seed(&plan.seeds, baseline),
+        baseline: if plan.product_only {
+            Vec::new()
+        } else {
+            each_seed(&plan.seeds, baseline)
+        },
+        ideal: each_seed(&plan.seeds, ideal),
         product: each_seed(&plan.seeds, product),
         scenario: scenario.name,
     }
@@ -138,8 +157,10 @@
         ("baseline", &comparison.baseline),
         ("product", &comparison.product),
     ];
+    // At capacity an ideal scheduler that refuses nothing only shows an endless queue.
+    let ideal = ("ideal", &comparison.ideal);
     for &class in site.deployment.classes.keys() {
-        for (way, results) in ways {
+        for (way, results) in ways.into_iter().chain([ideal]) {
             if let Some(line) = line(site, class, results) {
                 let name = site.catalog.class_name(class);
                 let scenario = comparison.scenario;
@@ -151,7 +172,7 @@
             }
         }
     }
-    for (way, results) in ways {
+    for (way, results) in ways.into_iter().filter(|(_, it)| !it.is_empty()) {
         let over = results.iter().map(|it| it.over);
         let (mut slots, mut connections, mut cold) = (0, 0, 0);
         for it in over {
--- a/crates/measure/src/run_result.rs
+++ b/crates/measure/src/run_result.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use crate::ClassStats;
+use crate::TimeParts;
 use crate::Traffic;
 use crate::fake_target::OverLimit;
 use wigeonhall_types::ClassKey;
@@ -14,6 +15,8 @@
     pub late_starts: u64,
     /// Limit violations, summed over all targets.
     pub over: OverLimit,
+    /// Parts of the time of each answer; empty unless the run was traced.
+    pub traces: BTreeMap<ClassKey, Vec<TimeParts>>,
     /// Connections and messages between nodes.
     pub traffic: Traffic,
 }
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -14,6 +14,7 @@
 use crate::fake_target::OverLimit;
 use crate::load;
 use crate::network::Network;
+use crate::query_trace::QueryTrace;
 use crate::scenario::Fault;
 use crate::session::SessionState;
 use crate::session_store::StoreCall;
@@ -36,6 +37,8 @@
 /// Nodes with the product's cores, fake targets and callers in virtual time.
 #[derive(Debug)]
 pub struct World {
+    /// For arrivals and their entry nodes.
+    pub(crate) arrivals: Rng,
     pub(crate) deployment: Arc<Deployment>,
     pub(crate) events: EventQueue<Event>,
     /// Sub-requests that targets hold, with the node that sent each.
@@ -56,6 +59,8 @@
     /// Arrivals before this time are not counted.
     pub(crate) measure_from_us: u64,
     pub(crate) targets: BTreeMap<ReplicaKey, FakeTarget>,
+    /// Set only while a run is traced.
+    pub(crate) trace: Option<QueryTrace>,
     pub(crate) version: IndexVersion,
 }
 
@@ -132,7 +137,7 @@
     pub fn run(mut self, scenario: &Scenario, warm_up_us: u64, run_us: u64) -> RunResult {
         self.measure_from_us = warm_up_us;
         self.rates = load::rates(&self.deployment, scenario.load);
-        for (at_us, class) in load::first_arrivals_us(&mut self.rng, &self.rates) {
+        for (at_us, class) in load::first_arrivals_us(&mut self.arrivals, &self.rates) {
             self.events.push(at_us, Event::Arrival(class));
         }
         for &(at_us, fault) in &scenario.faults {
@@ -146,6 +151,9 @@
             self.step(now_us, event);
         }
         self.result.over = OverLimit::sum(self.targets.values());
+        if let Some(trace) = self.trace.take() {
+            self.result.traces = trace.into_answers();
+        }
         self.result
     }
 
@@ -197,6 +205,9 @@
             Event::Submit { from, to, sub } => {
                 if let Some(node) = self.nodes.get_mut(&to) {
                     node.submitters.insert(sub.attempt, from);
+                    if let Some(trace) = &mut self.trace {
+                        trace.arrived(now_us, sub.attempt);
+                    }
                     self.feed_gate(now_us, to, GateEvent::Submit(sub));
                 }
             }
--- a/crates/measure/src/world_nodes.rs
+++ b/crates/measure/src/world_nodes.rs
@@ -21,7 +21,7 @@
 
 impl World {
     pub(crate) fn arrive(&mut self, now_us: u64, class: ClassKey) {
-        let next_us = now_us + load::next_arrival_us(&mut self.rng, self.rates[&class]);
+        let next_us = now_us + load::next_arrival_us(&mut self.arrivals, self.rates[&class]);
         self.events.push(next_us, Event::Arrival(class));
         let nodes: Vec<NodeKey> = self
             .nodes
@@ -31,7 +31,7 @@
             })
             .map(|(&key, _)| key)
             .collect();
-        let node = nodes[self.rng.usize(..nodes.len())];
+        let node = nodes[self.arrivals.usize(..nodes.len())];
         let counted = now_us >= self.measure_from_us;
         if counted {
             self.result.classes.entry(class).or_default().offered += 1;
@@ -61,6 +61,9 @@
         let Some(node) = self.nodes.get_mut(&key) else {
             return;
         };
+        if let (QueryEvent::SubReply { attempt, .. }, Some(trace)) = (&event, &mut self.trace) {
+            trace.replied(now_us, *attempt);
+        }
         let mut actions = Vec::new();
         node.coordinator.handle(now_us, event, &mut actions);
         for action in actions {
@@ -82,6 +85,7 @@
                 self.send(now_us, from, node, Event::Cancel(node, attempt));
             }
             QueryAction::Send { node: to, sub } => {
+                self.trace_send(now_us, from, &sub);
                 self.send(now_us, from, to, Event::Submit { from, to, sub });
             }
             // The load of a measured run holds no writes.
@@ -98,6 +102,7 @@
         let Some(open) = self.open.remove(&id) else {
             return;
         };
+        self.trace_answer(now_us, id, &open, answer.status);
         if !open.counted {
             return;
         }
@@ -160,6 +165,10 @@
                 let Some(to) = node.and_then(|node| node.submitters.remove(&attempt)) else {
                     return;
                 };
+                if let Some(trace) = &mut self.trace {
+                    let state = report.as_ref().map(|it| it.state);
+                    trace.responded(now_us, attempt, &outcome, state);
+                }
                 let reply = QueryEvent::SubReply {
                     attempt,
                     outcome,
@@ -169,6 +178,9 @@
             }
             GateAction::Send(sub) => {
                 self.note(now_us, || TraceEvent::Started(key, sub.clone()));
+                if let Some(trace) = &mut self.trace {
+                    trace.started(now_us, sub.attempt);
+                }
                 let at_us = now_us + self.network.within_us;
                 self.events.push(at_us, Event::TargetStart(key, sub));
             }
--- a/crates/measure/src/world_setup.rs
+++ b/crates/measure/src/world_setup.rs
@@ -11,6 +11,7 @@
 use crate::World;
 use crate::event_queue::EventQueue;
 use crate::fake_target::FakeTarget;
+use crate::load;
 use crate::network::Network;
 use crate::session::SessionState;
 use crate::shards;
@@ -54,6 +55,7 @@
     fn empty(deployment: Deployment, network: Network, seed: u64) -> Self {
         let deployment = Arc::new(deployment);
         Self {
+            arrivals: load::arrivals_rng(seed),
             deployment: Arc::clone(&deployment),
             events: EventQueue::default(),
             held: HashMap::new(),
@@ -70,6 +72,7 @@
             session: None,
             measure_from_us: 0,
             targets: BTreeMap::new(),
+            trace: None,
             version: IndexVersion(10),
         }
     }
@@ -96,12 +99,12 @@
                 data_centre: vm.data_centre,
                 node: key,
             };
-            // The coordinator mixes the boot id into the seed. Mixed with a key in the same
-            // way, the seeds of all even keys fall together, and with them the claim tokens.
+            // The coordinator mixes the boot id into the seed, which keeps the streams of the
+            // nodes of one session apart.
             let node_seed = if self.session.is_some() {
                 seed
             } else {
-                seed ^ u64::from(key.0)
+                node_seed(seed, key)
             };
             let node = SimNode {
                 coordinator: Coordinator::new(config, node_seed),
@@ -139,6 +142,12 @@
     }
 }
 
+/// Seed of a node's random choices in a measured run. Seeds that differ in a few low bits
+/// would give nodes of two runs, once mixed with their boot ids, the same stream.
+fn node_seed(seed: u64, node: NodeKey) -> u64 {
+    Rng::with_seed((seed << 32) | u64::from(node.0)).u64(..)
+}
+
 /// Position of a service among the shards of the first class that depends on it.
 pub(crate) fn shard_position(
     deployment: &Deployment,
--- a/crates/measure/tests/ways.rs
+++ b/crates/measure/tests/ways.rs
@@ -28,6 +28,8 @@
 
 fn plan() -> Plan {
     Plan {
+        product_only: false,
+        trace: false,
         run_ms: 3_000,
         seeds: SEEDS.to_vec(),
         warm_up_ms: 500,
--- a/crates/query/src/replica_view.rs
+++ b/crates/query/src/replica_view.rs
@@ -6,7 +6,6 @@
 use wigeonhall_types::IndexVersion;
 use wigeonhall_types::KeyRange;
 use wigeonhall_types::NodeKey;
-use wigeonhall_types::ReplicaKey;
 use wigeonhall_types::ReplicaReport;
 use wigeonhall_types::ReplicaState;
 use wigeonhall_types::ServiceKey;
@@ -20,10 +19,8 @@
     steps: u64,
     /// The replica is in another data centre.
     remote: bool,
-    /// Drawn anew for each rank; spreads equal replicas.
-    tie: u32,
-    /// The replica.
-    pub replica: ReplicaKey,
+    /// Spreads equal replicas.
+    tie: Option<u32>,
 }
 
 /// What this node knows of a replica.
@@ -48,14 +45,15 @@
     pub owner: Option<(NodeKey, u64)>,
     /// Whether the owner can be reached.
     pub owner_reach: Reach,
-    /// Rank in the service; set exactly while the replica is usable.
-    pub rank: Option<Rank>,
     /// Last report.
     pub report: Option<ReplicaReport>,
     /// Service in the deployment.
     pub service: Option<ServiceKey>,
     /// Slots in the deployment, at least 1.
     pub slots: u32,
+    /// Drawn anew with each report, start and end of a sub-request; set exactly while the
+    /// replica was usable when this was drawn.
+    pub tie: Option<u32>,
     /// Part of `in_flight` that was sent after the last report, which thus cannot count it.
     pub unseen: u32,
 }
@@ -104,28 +102,31 @@
         let Some(report) = &self.report else {
             return 0;
         };
-        let age_us = now_us.saturating_sub(self.heard_us.unwrap_or(now_us));
-        report.expected_wait_us.saturating_sub(age_us)
+        report.expected_wait_us.saturating_sub(self.age_us(now_us))
+    }
+
+    /// Age of the last report.
+    pub fn age_us(&self, now_us: u64) -> u64 {
+        now_us.saturating_sub(self.heard_us.unwrap_or(now_us))
     }
 
     /// Time until an answer of the replica, as reported and as loaded by this node since.
-    pub fn expected_us(&self) -> u64 {
+    pub fn expected_us(&self, now_us: u64) -> u64 {
         let Some(report) = &self.report else {
             return 0;
         };
         let queued = report.service_us * u64::from(self.unseen) / u64::from(self.slots.max(1));
         let hop = if self.local { 0 } else { REMOTE_HOP_US };
-        report.expected_wait_us + report.service_us + queued + hop
+        self.wait_us(now_us) + report.service_us + queued + hop
     }
 
     /// Rank among the replicas of the service.
-    pub fn ranked(&self, replica: ReplicaKey, tie: u32) -> Rank {
+    pub fn rank(&self, now_us: u64) -> Rank {
         Rank {
             reach: self.owner_reach,
-            steps: (self.expected_us() + self.excess_us) / SCORE_STEP_US,
+            steps: (self.expected_us(now_us) + self.excess_us) / SCORE_STEP_US,
             remote: !self.local,
-            tie,
-            replica,
+            tie: self.tie,
         }
     }
 
