--- a/crates/gate/tests/world/mod.rs
+++ b/crates/gate/tests/world/mod.rs
@@ -117,8 +117,11 @@
             target.starts_us.clear();
             target.known = None;
         }
-        let at_bound =
-            |it: &HandOverState| matches!(it.ramp, RampState::Cold { level, .. } if level <= 0);
+        // Without progress the round starts anew; with it the successes so far count on.
+        let at_bound = |it: &HandOverState| {
+            matches!(it.ramp, RampState::Cold { level, round }
+                if level <= 0 && round.successes == 0)
+        };
         if state.as_ref().is_none_or(at_bound) {
             self.cool(replica);
         }
