--- a/crates/measure/src/session_trace.rs
+++ b/crates/measure/src/session_trace.rs
@@ -114,7 +114,7 @@
 }
 
 /// Node that handles an event.
-fn addressee(event: &Event) -> Option<NodeKey> {
+pub(crate) fn addressee(event: &Event) -> Option<NodeKey> {
     match event {
         Event::Cancel(node, _)
         | Event::Deployment(node, _)
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -8,10 +10,12 @@
 use crate::SettingsError;
 use crate::Severity;
 use crate::deployment_reader::DeploymentReader;
+use crate::lines::AddressUser;
 use crate::lines::Lines;
 use crate::lines::line_of;
 use crate::nearest;
 use crate::reader::Reader;
+use crate::section::Section;
 use crate::tree::Tree;
 
 /// Longest text in bytes; the object API takes values up to a megabyte.
@@ -20,7 +24,7 @@
 /// All mistakes of a deployment text, by rising line.
 #[must_use]
 pub fn check(text: &str) -> Vec<Finding> {
-    read(text).1
+    read(text, MAX_TEXT_BYTES).1
 }
 
 /// The content of a deployment text.
@@ -29,32 +33,90 @@
 ///
 /// [`SettingsError::Rejected`] with all findings if one of them is an error.
 pub fn parse(text: &str) -> Result<DeploymentText, SettingsError> {
-    let (content, findings) = read(text);
+    accepted(read(text, MAX_TEXT_BYTES))
+}
+
+/// The content, unless one of the findings is an error.
+pub(crate) fn accepted(
+    (content, findings): (DeploymentText, Vec<Finding>),
+) -> Result<DeploymentText, SettingsError> {
     if findings.iter().any(Finding::is_error) {
         return Err(SettingsError::Rejected(findings));
     }
     Ok(content)
 }
 
-fn read(text: &str) -> (DeploymentText, Vec<Finding>) {
-    if text.len() > MAX_TEXT_BYTES {
-        let finding = Finding {
-            line: 0,
-            mend: "use defaults and short forms".into(),
-            problem: format!(
-                "the text has {} bytes; at most {MAX_TEXT_BYTES} are stored",
-                text.len()
-            ),
-            severity: Severity::Error,
-        };
+pub(crate) fn read(text: &str, max_bytes: usize) -> (DeploymentText, Vec<Finding>) {
+    if let Some(finding) = too_long(text.len(), max_bytes) {
         return (DeploymentText::default(), vec![finding]);
     }
     let item = match Tree::parse(text) {
         Ok(item) => item,
         Err(finding) => return (DeploymentText::default(), vec![finding]),
     };
-    let mut draft = DeploymentReader::default();
-    draft.read(&item);
+    let mut reader = Reader::default();
+    let entries = reader.map(&item, "the text");
+    let sections = entries.iter().map(|it| Section::whole(0, it));
+    let (content, mut findings) = read_sections(&sections.collect::<Vec<_>>());
+    findings.append(&mut reader.findings);
+    findings.sort();
+    findings.dedup();
+    (content, findings)
+}
+
+/// The content and the findings of the sections of a text.
+pub(crate) fn read_sections(sections: &[Section<'_>]) -> (DeploymentText, Vec<Finding>) {
+    let read = |every_entry| {
+        let mut draft = DeploymentReader::default();
+        draft.lines.every_entry = every_entry;
+        draft.read_sections(sections);
+        draft
+    };
+    let draft = read(false);
+    let has_error = draft.reader.findings.iter().any(Finding::is_error);
+    let clean = !has_error && !draft.replicas_repeat && entries_fit(&draft.text);
+    if clean {
+        return checked(draft);
+    }
+    drop(draft);
+    checked(read(true))
+}
+
+/// Whether every data centre is known and no address is used twice.
+fn entries_fit(text: &DeploymentText) -> bool {
+    let known = text.data_centres.keys().collect::<HashSet<_>>();
+    let homes = text.replicas.values().map(|it| &it.data_centre);
+    let mut homes = homes.chain(text.vms.values().map(|it| &it.data_centre));
+    let homes_known = homes.all(|it| known.contains(it));
+    let replicas = text.replicas.values().map(|it| it.address);
+    let vms = text.vms.values();
+    let vms = vms.flat_map(|it| [it.caller_address, it.node_address]);
+    let mut v4 = Vec::with_capacity(text.replicas.len() + 2 * text.vms.len());
+    let mut v6 = HashSet::new();
+    let mut distinct = true;
+    for address in replicas.chain(vms) {
+        match address {
+            SocketAddr::V4(it) => {
+                v4.push((u64::from(it.ip().to_bits()) << 16) | u64::from(it.port()));
+            }
+            SocketAddr::V6(it) => distinct &= v6.insert(it),
+        }
+    }
+    v4.sort_unstable();
+    homes_known && distinct && v4.is_sorted_by(|left, right| left < right)
+}
+
+pub(crate) fn too_long(bytes: usize, max_bytes: usize) -> Option<Finding> {
+    (bytes > max_bytes).then(|| Finding {
+        line: 0,
+        mend: "use defaults and short forms".into(),
+        problem: format!("the text has {bytes} bytes; at most {max_bytes} are stored"),
+        severity: Severity::Error,
+    })
+}
+
+/// Checks what concerns several entries of a text whose form has been read.
+fn checked(draft: DeploymentReader) -> (DeploymentText, Vec<Finding>) {
     let DeploymentReader {
         lines,
         mut reader,
@@ -103,8 +165,9 @@
 }
 
 fn check_data_centres(text: &DeploymentText, lines: &Lines, reader: &mut Reader) {
+    let named = lines.data_centres.keys().collect::<HashSet<_>>();
     for (at, data_centre) in &lines.places {
-        if !lines.data_centres.contains_key(data_centre) {
+        if !named.contains(data_centre) {
             let known = lines.data_centres.keys().map(AsRef::as_ref);
             let problem = format!("there is no data centre `{data_centre}`");
             let mend = suggestion(data_centre, known, "add a data centre");
@@ -113,7 +176,7 @@
     }
     let mut unowned = BTreeMap::new();
     let homes = text.vms.values().map(|vm| &vm.data_centre);
-    let homes = homes.collect::<BTreeSet<_>>();
+    let homes = homes.collect::<HashSet<_>>();
     for replica in text.replicas.values() {
         if !homes.contains(&replica.data_centre) {
             *unowned.entry(&replica.data_centre).or_insert(0) += 1;
@@ -140,7 +203,7 @@
 fn check_addresses(lines: Lines, reader: &mut Reader) {
     let mut uses = lines.addresses;
     uses.sort();
-    let mut first = BTreeMap::<SocketAddr, (u64, String)>::new();
+    let mut first = HashMap::<SocketAddr, (u64, AddressUser)>::with_capacity(uses.len());
     for (at, address, user) in uses {
         match first.get(&address) {
             Some((line, other)) => reader.error(
@@ -154,28 +217,39 @@
 }
 
 fn check_replicas(text: &DeploymentText, lines: &Lines, reader: &mut Reader) {
-    let mut places = BTreeMap::<&Arc<str>, Vec<&Arc<str>>>::new();
-    let mut serving = BTreeSet::new();
-    for replica in text.replicas.values() {
-        let data_centres = places.entry(&replica.service).or_default();
-        data_centres.push(&replica.data_centre);
-        if !replica.out && !data_centre_out(text, &replica.data_centre) {
-            serving.insert(&replica.service);
+    let out = text.data_centres.iter().filter(|(_, it)| it.out);
+    let out = out.map(|(name, _)| name).collect::<HashSet<_>>();
+    let mut services = HashMap::<&Arc<str>, Spread<'_>>::new();
+    let by_service = text.replicas.values().collect::<Vec<_>>();
+    // Names are mostly in the order of their services.
+    for replicas in by_service.chunk_by(|left, right| left.service == right.service) {
+        let first = replicas[0];
+        let spread = services.entry(&first.service).or_insert(Spread {
+            data_centre: &first.data_centre,
+            one_place: true,
+            replicas: 0,
+            serving: false,
+        });
+        for replica in replicas {
+            spread.one_place &= *spread.data_centre == replica.data_centre;
+            spread.replicas += 1;
+            // A data centre that is not known counts as in service.
+            spread.serving |= !replica.out && !out.contains(&replica.data_centre);
         }
     }
-    for (service, data_centres) in places {
+    for (service, spread) in services {
         let at = line_of(&lines.services, service);
-        if data_centres.len() > 1 && data_centres.iter().all(|it| *it == data_centres[0]) {
+        if spread.replicas > 1 && spread.one_place {
             reader.warning(
                 at,
                 format!(
                     "all replicas of service `{service}` are in data centre `{}`",
-                    data_centres[0]
+                    spread.data_centre
                 ),
                 "place one elsewhere, or the service is lost with that data centre",
             );
         }
-        if !serving.contains(service) {
+        if !spread.serving {
             reader.warning(
                 at,
                 format!("every replica of service `{service}` is out"),
@@ -185,6 +259,17 @@
     }
 }
 
+/// Where the replicas of a service are.
+struct Spread<'a> {
+    /// Data centre of the first replica.
+    data_centre: &'a Arc<str>,
+    /// Whether all replicas are in that data centre.
+    one_place: bool,
+    replicas: usize,
+    /// Whether a replica is in service.
+    serving: bool,
+}
+
 fn check_out(text: &DeploymentText, reader: &mut Reader) {
     let all_out = [
         (
