--- a/crates/measure/src/world_loss.rs
+++ b/crates/measure/src/world_loss.rs
@@ -9,9 +9,9 @@
 
 use crate::World;
 use crate::session_ownership::TAKE_OVER_US;
+use crate::session_trace::addressee;
 use crate::session_world::LOST_FOUND_US;
 use crate::session_world::LOST_SEEN_US;
-use crate::session_world::addressee;
 use crate::world::Event;
 use crate::world_setup::ownership;
 use wigeonhall_gate::Gate;
