Place reads around a change of owner in the fuzz

Cause: since half of the cases hold a directed fragment, the fuzz no longer found a revoked gate that goes on (not found in 2,000 cases). New fragment moving_owner; with the break, case 25 fails.

--- a/crates/measure/tests/case/fragments.rs
+++ b/crates/measure/tests/case/fragments.rs
@@ -125,6 +125,7 @@
         2 => lost_owner(),
         2 => aborted_write(),
         2 => contended_claim(),
+        2 => moving_owner(),
         1 => paused_owner(),
         1 => ramp(),
     ]
@@ -274,6 +275,22 @@
     )
 }
 
+/// Reads leave for the old owner up to the moment at which the new one takes over.
+fn moving_owner() -> impl Strategy<Value = Fragment> {
+    (replica(), any::<bool>(), 0..600_u64).prop_map(|(replica, handed_over, offset_us)| {
+        let mut it = Fragment::default();
+        // The other replica is slow, so that routing prefers the one that moves.
+        it.fault(0, Fault::Slow(other(replica), 20.0));
+        it.reads(MS, replica, 4, 500 * MS);
+        it.step(300 * MS, change(replica, handed_over));
+        for round in 0..40 {
+            it.reads(295 * MS + offset_us + round * 400, replica, 1, 300 * MS);
+        }
+        it.fault(SECOND, Fault::Slow(other(replica), 1.0));
+        it
+    })
+}
+
 /// An owner is paused beyond its lease, and another node takes over without a word.
 fn paused_owner() -> impl Strategy<Value = Fragment> {
     (replica(), 3_400 * MS..4_800 * MS).prop_map(|(replica, pause_us)| {
