Measure the merged decision logic, sizes of shards by turns

Cause: the table was from before the silent owners, the aged waits, the early refusals and the hand-over of ramps; and the processor time of the first size was off by the clock rate of the machine (20 shards 3.1 us, 50 shards 1.9 us in one run). The sizes now take turns.

--- a/crates/measure/src/processor_time.rs
+++ b/crates/measure/src/processor_time.rs
@@ -65,16 +65,29 @@
     pub shards: usize,
 }
 
-/// Measures the cores on one thread, one query at a time; the fastest of some batches.
+/// Measures the cores on one thread, one query at a time; the fastest of some batches
+/// for each number of shards.
+///
+/// The batches of all sizes take turns, because the clock rate of a machine changes over
+/// the seconds of a run and would otherwise look like a difference of the sizes.
 #[must_use]
-pub fn processor_time(shards: usize) -> ProcessorTime {
-    let deployment = Arc::new(deployment(shards));
-    let mut bench = Bench::new(&deployment);
-    let mut fastest = bench.batch(shards);
-    for _ in 0..BATCHES {
-        let batch = bench.batch(shards);
-        fastest.gate_ns = fastest.gate_ns.min(batch.gate_ns);
-        fastest.query_ns = fastest.query_ns.min(batch.query_ns);
+pub fn processor_time(sizes: &[usize]) -> Vec<ProcessorTime> {
+    let mut benches: Vec<Bench> = sizes
+        .iter()
+        .map(|&shards| Bench::new(&Arc::new(deployment(shards))))
+        .collect();
+    let mut fastest: Vec<ProcessorTime> = Vec::new();
+    for round in 0..=BATCHES {
+        for (index, bench) in benches.iter_mut().enumerate() {
+            let batch = bench.batch(sizes[index]);
+            if round == 0 {
+                fastest.push(batch);
+                continue;
+            }
+            let least = &mut fastest[index];
+            least.gate_ns = least.gate_ns.min(batch.gate_ns);
+            least.query_ns = least.query_ns.min(batch.query_ns);
+        }
     }
     fastest
 }
@@ -83,8 +96,7 @@
 #[must_use]
 pub fn processor_time_table() -> String {
     let mut text = String::from("shards  query ns/sub  gate ns/sub  sum ns/sub\n");
-    for shards in [20, 50, 130, 260, 520] {
-        let it = processor_time(shards);
+    for it in processor_time(&[20, 50, 130, 260, 520]) {
         let sum = it.query_ns + it.gate_ns;
         let _ = writeln!(
             text,
