--- a/crates/gate/src/unproved.rs
+++ b/crates/gate/src/unproved.rs
@@ -11,7 +11,7 @@
 /// Longest delay between two questions about one request.
 const BACK_OFF_MAX_US: u64 = SECOND_US / 2;
 
-/// A slot is free after this time without a word of the target about the request,
+/// A slot is free after this time without a reply of the target about the request,
 /// counted from its deadline or the last word that it runs. Twice the time after which a
 /// probe counts as lost: a target that is silent for so long is unreachable and gets no
 /// work, and starts cold when it is heard again.
--- a/crates/measure/src/loans.rs
+++ b/crates/measure/src/loans.rs
@@ -14,7 +14,7 @@
 use wigeonhall_types::ReplicaKey;
 use wigeonhall_types::ServiceKey;
 
-/// Time for which a node keeps a token that it does not use; then it goes home, where
+/// Time for which a node keeps a token that it does not use; then it returns to its home node, where
 /// every node that knows no other holder asks.
 const IDLE_US: u64 = 2_000;
 
--- a/crates/query/src/routes.rs
+++ b/crates/query/src/routes.rs
@@ -173,7 +173,7 @@
         known == Reach::Answers && self.set_reach(node, Reach::Silent)
     }
 
-    /// Notes a reply of a node. A late one of a lost node brings it not back.
+    /// Notes a reply of a node. It does not end the loss of a node, since it may be a late one.
     pub fn heard(&mut self, now_us: u64, node: NodeKey) {
         let view = self.nodes.entry(node).or_default();
         view.heard_us = Some(now_us);
