--- /dev/null
+++ b/crates/dispatch/src/exchange.rs
@@ -0,0 +1,342 @@
+use std::rc::Rc;
+
+use crate::DeadReason;
+use crate::GiveUpReason;
+use crate::LegState;
+use crate::NotRunCause;
+use crate::Outcome;
+use crate::Pool;
+use crate::RefuseReason;
+use crate::ReplicaKey;
+use crate::Reply;
+use crate::Route;
+use crate::RouteKind;
+use crate::leg::Attempt;
+use crate::leg::Leg;
+
+/// Least time kept free before the target latency for the way back to the caller.
+const ANSWER_MARGIN_MIN_US: u64 = 10_000;
+
+/// Part of the target latency kept free for the way back to the caller.
+const ANSWER_MARGIN_DIVISOR: u64 = 10;
+
+/// Sends of one leg, whatever they came to.
+const SENDS_MAX: usize = 4;
+
+/// One request, from its arrival to its final answer.
+///
+/// Takes replies and times, and says what to send and how to answer.
+#[derive(Debug)]
+pub struct Exchange {
+    /// The caller's deadline or the route's timeout, whichever is first.
+    deadline_us: u64,
+    /// Time after which a send without an answer is hedged.
+    hedge_delay_us: u64,
+    legs: Vec<Leg>,
+    /// Fewest parts in a success; `None` where one answer is passed on.
+    min_parts: Option<usize>,
+    /// Hedges and retries that were sent.
+    extra_sends: u32,
+    route: Rc<Route>,
+    /// Time from which an answer goes out as soon as it has `min_parts`.
+    soft_us: u64,
+}
+
+/// A request to send to a replica.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Send {
+    /// Index of the attempt within the leg.
+    pub attempt: usize,
+    /// Index of the leg.
+    pub leg: usize,
+    /// Where to send it.
+    pub replica: ReplicaKey,
+}
+
+impl Exchange {
+    /// A request that arrived at `now_us` and is given up at `deadline_us`.
+    #[must_use]
+    pub fn new(now_us: u64, deadline_us: u64, hedge_delay_us: u64, route: Rc<Route>) -> Self {
+        let selection = route.select();
+        let target_us = route.spec.target_latency_ms * 1_000;
+        let margin_us = (target_us / ANSWER_MARGIN_DIVISOR).max(ANSWER_MARGIN_MIN_US);
+        Self {
+            deadline_us,
+            extra_sends: 0,
+            hedge_delay_us,
+            legs: selection.services.into_iter().map(Leg::new).collect(),
+            min_parts: selection.min_parts,
+            route,
+            soft_us: now_us + target_us.saturating_sub(margin_us),
+        }
+    }
+
+    /// Sends the first request of each leg.
+    pub fn start(&mut self, pool: &mut Pool, now_us: u64, sends: &mut Vec<Send>) -> Option<Outcome> {
+        for index in 0..self.legs.len() {
+            let service = self.legs[index].service;
+            pool.earn(service);
+            match pool.choose(now_us, service, &[]) {
+                Some(replica) => self.send(pool, now_us, index, replica, sends),
+                None => self.legs[index].state = LegState::Dead(DeadReason::NoReplica),
+            }
+        }
+        if self.out_of_reach() {
+            // Nothing was sent yet, so nothing runs.
+            for send in sends.drain(..) {
+                pool.abandoned(send.replica);
+            }
+            return Some(self.refuse(pool, now_us, self.refusal(false)));
+        }
+        self.outcome(pool, now_us)
+    }
+
+    /// Takes in what came of a send.
+    pub fn reply(
+        &mut self,
+        pool: &mut Pool,
+        now_us: u64,
+        send: Send,
+        reply: Reply,
+        sends: &mut Vec<Send>,
+    ) -> Option<Outcome> {
+        self.legs[send.leg].attempts[send.attempt].reply = Some(reply);
+        if self.legs[send.leg].is_open() {
+            if reply == Reply::Success {
+                self.legs[send.leg].state = LegState::Done(send.attempt);
+            } else {
+                self.after_failure(pool, now_us, send.leg, reply, sends);
+            }
+        }
+        self.outcome(pool, now_us)
+    }
+
+    /// Sends hedges whose time has come; answers when the deadline has passed.
+    pub fn timer(&mut self, pool: &mut Pool, now_us: u64, sends: &mut Vec<Send>) -> Option<Outcome> {
+        if now_us >= self.deadline_us {
+            return Some(self.give_up(pool, now_us, true));
+        }
+        for index in 0..self.legs.len() {
+            let due = self.legs[index].hedge_at_us.is_some_and(|at_us| at_us <= now_us);
+            if due {
+                self.legs[index].hedge_at_us = None;
+                self.extra(pool, now_us, index, sends);
+            }
+        }
+        self.outcome(pool, now_us)
+    }
+
+    /// Time at which [`Exchange::timer`] has something to do.
+    #[must_use]
+    pub fn next_timer_us(&self, now_us: u64) -> u64 {
+        let hedge_us = self
+            .legs
+            .iter()
+            .filter(|leg| leg.is_open())
+            .filter_map(|leg| leg.hedge_at_us)
+            .min();
+        let soft_us = (self.min_parts.is_some() && now_us < self.soft_us).then_some(self.soft_us);
+        [hedge_us, soft_us, Some(self.deadline_us)]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(self.deadline_us)
+    }
+
+    /// Deadline of the whole request.
+    #[must_use]
+    pub const fn deadline_us(&self) -> u64 {
+        self.deadline_us
+    }
+
+    /// Hedges and retries that were sent.
+    #[must_use]
+    pub const fn extra_sends(&self) -> u32 {
+        self.extra_sends
+    }
+
+    /// State of each leg, in the order of the route's services.
+    pub fn legs(&self) -> impl Iterator<Item = LegState> + '_ {
+        self.legs.iter().map(|leg| leg.state)
+    }
+
+    /// Service of a leg.
+    #[must_use]
+    pub fn service(&self, leg: usize) -> crate::ServiceKey {
+        self.legs[leg].service
+    }
+
+    /// The route of the request.
+    #[must_use]
+    pub const fn route(&self) -> &Rc<Route> {
+        &self.route
+    }
+
+    /// Time at which a send went out.
+    #[must_use]
+    pub fn sent_us(&self, send: Send) -> u64 {
+        self.legs[send.leg].attempts[send.attempt].sent_us
+    }
+
+    fn send(
+        &mut self,
+        pool: &mut Pool,
+        now_us: u64,
+        index: usize,
+        replica: ReplicaKey,
+        sends: &mut Vec<Send>,
+    ) {
+        let may_hedge = self.may_repeat() && self.route.spec.max_attempts > 1;
+        let leg = &mut self.legs[index];
+        let attempt = leg.attempts.len();
+        leg.attempts.push(Attempt {
+            replica,
+            reply: None,
+            sent_us: now_us,
+        });
+        leg.hedge_at_us = may_hedge.then_some(now_us + self.hedge_delay_us);
+        pool.started(now_us, replica);
+        sends.push(Send {
+            attempt,
+            leg: index,
+            replica,
+        });
+    }
+
+    /// Sends once more, if the route, the budget and the replicas allow it.
+    fn extra(&mut self, pool: &mut Pool, now_us: u64, index: usize, sends: &mut Vec<Send>) -> bool {
+        let leg = &self.legs[index];
+        let allowed = leg.is_open()
+            && leg.attempts.len() < SENDS_MAX
+            && leg.runs() < self.route.spec.max_attempts
+            && now_us < self.deadline_us;
+        if !allowed {
+            return false;
+        }
+        let service = leg.service;
+        let Some(replica) = pool.choose(now_us, service, &leg.tried()) else {
+            return false;
+        };
+        if !pool.take_extra(service) {
+            return false;
+        }
+        self.extra_sends += 1;
+        self.send(pool, now_us, index, replica, sends);
+        true
+    }
+
+    fn after_failure(
+        &mut self,
+        pool: &mut Pool,
+        now_us: u64,
+        index: usize,
+        reply: Reply,
+        sends: &mut Vec<Send>,
+    ) {
+        let repeatable = match reply {
+            // The request itself is at fault; another replica would say the same.
+            Reply::Failed { status } => self.may_repeat() && status >= 500,
+            Reply::NotRun(_) => true,
+            Reply::Unknown(_) => self.may_repeat(),
+            Reply::Success => false,
+        };
+        if repeatable && self.extra(pool, now_us, index, sends) {
+            return;
+        }
+        if !self.legs[index].in_flight() {
+            self.legs[index].state = LegState::Dead(DeadReason::LastReply(reply));
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.route.spec.kind == RouteKind::Idempotent
+    }
+
+    fn done(&self) -> usize {
+        let done = |leg: &&Leg| matches!(leg.state, LegState::Done(_));
+        self.legs.iter().filter(done).count()
+    }
+
+    fn open(&self) -> usize {
+        self.legs.iter().filter(|leg| leg.is_open()).count()
+    }
+
+    /// Whether so many legs are dead that no success can come of the rest.
+    fn out_of_reach(&self) -> bool {
+        self.done() + self.open() < self.min_parts.unwrap_or(1)
+    }
+
+    fn outcome(&mut self, pool: &Pool, now_us: u64) -> Option<Outcome> {
+        if self.out_of_reach() {
+            return Some(self.give_up(pool, now_us, false));
+        }
+        let done = self.done();
+        let Some(min_parts) = self.min_parts else {
+            return match self.legs[0].state {
+                LegState::Done(attempt) => Some(Outcome::Forward { attempt }),
+                LegState::Dead(_) | LegState::Open => None,
+            };
+        };
+        let in_time = self.open() == 0 || now_us >= self.soft_us;
+        (done >= min_parts && in_time).then(|| Outcome::Gather {
+            missing: self.legs.len() - done,
+        })
+    }
+
+    /// The answer to a request that cannot succeed any more.
+    fn give_up(&self, pool: &Pool, now_us: u64, deadline_passed: bool) -> Outcome {
+        let may_have_run = self.legs.iter().any(|leg| leg.runs() > 0);
+        if !may_have_run {
+            let reason = self.refusal(deadline_passed);
+            return self.refuse(pool, now_us, reason);
+        }
+        if self.min_parts.is_none()
+            && let Some(attempt) = self.failed_attempt()
+        {
+            return Outcome::Forward { attempt };
+        }
+        Outcome::GiveUp(if deadline_passed {
+            GiveUpReason::DeadlinePassed
+        } else if self.min_parts.is_some() {
+            GiveUpReason::TooFewParts
+        } else {
+            GiveUpReason::NoAnswer
+        })
+    }
+
+    /// The attempt whose failure is passed on to the caller.
+    fn failed_attempt(&self) -> Option<usize> {
+        let failed = |attempt: &Attempt| matches!(attempt.reply, Some(Reply::Failed { .. }));
+        self.legs[0].attempts.iter().rposition(failed)
+    }
+
+    fn refusal(&self, deadline_passed: bool) -> RefuseReason {
+        if deadline_passed {
+            return RefuseReason::DeadlinePassed;
+        }
+        let busy = |leg: &Leg| {
+            leg.state == LegState::Dead(DeadReason::LastReply(Reply::NotRun(NotRunCause::Busy)))
+        };
+        if self.legs.iter().any(busy) {
+            RefuseReason::Busy
+        } else if self.min_parts.is_some() {
+            RefuseReason::TooFewShards
+        } else {
+            RefuseReason::NoReplica
+        }
+    }
+
+    fn refuse(&self, pool: &Pool, now_us: u64, reason: RefuseReason) -> Outcome {
+        let retry_after_ms = self
+            .legs
+            .iter()
+            .filter(|leg| matches!(leg.state, LegState::Dead(_)))
+            .map(|leg| pool.retry_after_ms(now_us, leg.service))
+            .max()
+            .unwrap_or(0);
+        Outcome::Refuse {
+            reason,
+            retry_after_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/leg.rs
@@ -0,0 +1,73 @@
+use crate::ReplicaKey;
+use crate::Reply;
+use crate::ServiceKey;
+
+/// What is known of one leg of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LegState {
+    /// No further send can bring an answer.
+    Dead(DeadReason),
+    /// The attempt with this index succeeded.
+    Done(usize),
+    /// An answer may still come.
+    Open,
+}
+
+/// Why a leg has no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DeadReason {
+    /// The last send ended like this.
+    LastReply(Reply),
+    /// No replica is available.
+    NoReplica,
+}
+
+/// One send of a leg.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) replica: ReplicaKey,
+    pub(crate) reply: Option<Reply>,
+    pub(crate) sent_us: u64,
+}
+
+/// The sends of a request to one service.
+#[derive(Debug)]
+pub(crate) struct Leg {
+    pub(crate) attempts: Vec<Attempt>,
+    /// Time of the next hedge; `None` when there is none to come.
+    pub(crate) hedge_at_us: Option<u64>,
+    pub(crate) service: ServiceKey,
+    pub(crate) state: LegState,
+}
+
+impl Leg {
+    pub(crate) const fn new(service: ServiceKey) -> Self {
+        Self {
+            attempts: Vec::new(),
+            hedge_at_us: None,
+            service,
+            state: LegState::Open,
+        }
+    }
+
+    /// Sends that may have run, or that still may.
+    pub(crate) fn runs(&self) -> u32 {
+        let runs = self
+            .attempts
+            .iter()
+            .filter(|attempt| attempt.reply.is_none_or(Reply::may_have_run));
+        runs.count() as u32
+    }
+
+    pub(crate) fn in_flight(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.reply.is_none())
+    }
+
+    pub(crate) fn tried(&self) -> Vec<ReplicaKey> {
+        self.attempts.iter().map(|attempt| attempt.replica).collect()
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.state == LegState::Open
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,55 @@
+//! Decisions of the entry tier, without I/O, clock or threads.
+//!
+//! [`RouteTable`] finds the route of a request, [`Pool`] knows the replicas and
+//! chooses among them, [`Exchange`] decides what is sent, repeated and answered for
+//! one request, and [`merge_records`] joins the parts of a gather. Times are
+//! microseconds of one monotonic clock.
+
+mod configuration;
+mod exchange;
+mod health;
+mod leg;
+mod merge;
+mod outcome;
+mod pool;
+mod pool_membership;
+mod registration;
+mod replica;
+mod replica_key;
+mod reply;
+mod route;
+mod route_latency;
+mod route_table;
+mod service;
+
+pub use configuration::Configuration;
+pub use configuration::RequestLimits;
+pub use configuration::ServiceSpec;
+pub use exchange::Exchange;
+pub use exchange::Send;
+pub use leg::DeadReason;
+pub use leg::LegState;
+pub use merge::RECORD_BYTES;
+pub use merge::merge_records;
+pub use outcome::GiveUpReason;
+pub use outcome::Outcome;
+pub use outcome::RefuseReason;
+pub use pool::Pool;
+pub use pool::PoolCounts;
+pub use registration::Registration;
+pub use registration::RegistrationState;
+pub use replica::Replica;
+pub use replica_key::ReplicaKey;
+pub use reply::NotRunCause;
+pub use reply::Reply;
+pub use reply::UnknownCause;
+pub use route::Route;
+pub use route::RouteKind;
+pub use route::RouteSpec;
+pub use route::RouteTarget;
+pub use route::Selection;
+pub use route::TargetSpec;
+pub use route::WeightedService;
+pub use route_latency::RouteLatency;
+pub use route_table::RouteTable;
+pub use service::ServiceKey;
--- /dev/null
+++ b/crates/dispatch/src/merge.rs
@@ -0,0 +1,22 @@
+/// Length of a record; a shorter remainder of a part is not a record.
+pub const RECORD_BYTES: usize = 16;
+
+/// The `top` greatest records of `parts`, greatest first, compared byte by byte.
+///
+/// Equal records all count.
+#[must_use]
+pub fn merge_records(parts: &[&[u8]], top: usize) -> Vec<u8> {
+    let mut records: Vec<&[u8; RECORD_BYTES]> = parts
+        .iter()
+        .flat_map(|part| part.as_chunks::<RECORD_BYTES>().0)
+        .collect();
+    if top == 0 {
+        return Vec::new();
+    }
+    if records.len() > top {
+        records.select_nth_unstable_by(top - 1, |a, b| b.cmp(a));
+        records.truncate(top);
+    }
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.into_iter().flatten().copied().collect()
+}
--- /dev/null
+++ b/crates/dispatch/src/pool.rs
@@ -0,0 +1,251 @@
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::NotRunCause;
+use crate::RegistrationState;
+use crate::Replica;
+use crate::ReplicaKey;
+use crate::Reply;
+use crate::ServiceKey;
+use crate::ServiceSpec;
+use crate::service::Service;
+
+/// Cost factor of a replica in another data centre; bytes between them are paid for.
+const OTHER_DATA_CENTRE: f64 = 1.3;
+
+/// Pause between two requests of a node to one cold replica without a stated rate.
+const COLD_PAUSE_US: u64 = 1_000_000;
+
+/// Shortest time after which a caller may come back.
+const RETRY_AFTER_MIN_MS: u64 = 50;
+
+/// Longest time after which a caller may come back.
+const RETRY_AFTER_MAX_MS: u64 = 1_000;
+
+/// Replicas and services of a node, and the choice among them.
+#[derive(Debug)]
+pub struct Pool {
+    pub(crate) arena: Vec<Slot>,
+    pub(crate) by_id: HashMap<Arc<str>, ReplicaKey>,
+    pub(crate) data_centre: Arc<str>,
+    pub(crate) free: Vec<u32>,
+    rng: fastrand::Rng,
+    pub(crate) services: Vec<Service>,
+    pub(crate) services_by_name: HashMap<Arc<str>, ServiceKey>,
+    pub(crate) taken_out: BTreeSet<Arc<str>>,
+}
+
+/// A place of the arena.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    pub(crate) generation: u32,
+    pub(crate) replica: Option<Replica>,
+}
+
+/// Counts of replicas, for metrics.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolCounts {
+    /// Replicas that are about to leave or whose entry has gone.
+    pub leaving: usize,
+    /// Replicas that take requests.
+    pub ready: usize,
+    /// Replicas that are suspended after failures.
+    pub suspended: usize,
+}
+
+impl Pool {
+    /// An empty pool of a node in `data_centre`; `seed` breaks ties.
+    #[must_use]
+    pub fn new(data_centre: Arc<str>, seed: u64) -> Self {
+        Self {
+            arena: Vec::new(),
+            by_id: HashMap::new(),
+            data_centre,
+            free: Vec::new(),
+            rng: fastrand::Rng::with_seed(seed),
+            services: Vec::new(),
+            services_by_name: HashMap::new(),
+            taken_out: BTreeSet::new(),
+        }
+    }
+
+    /// The key of a service; a new one is made for an unknown name.
+    pub fn service_key(&mut self, name: &Arc<str>) -> ServiceKey {
+        if let Some(key) = self.services_by_name.get(name) {
+            return *key;
+        }
+        let key = ServiceKey(self.services.len() as u32);
+        self.services.push(Service::new(name.clone()));
+        self.services_by_name.insert(name.clone(), key);
+        key
+    }
+
+    /// Takes in what the operators say of a service.
+    pub fn describe_service(&mut self, spec: &ServiceSpec) {
+        let key = self.service_key(&spec.name);
+        self.services[key.0 as usize].warmup_per_s = spec.warmup_per_s;
+    }
+
+    /// Name of a service.
+    #[must_use]
+    pub fn service_name(&self, key: ServiceKey) -> &Arc<str> {
+        &self.services[key.0 as usize].name
+    }
+
+    /// Replicas of a service.
+    #[must_use]
+    pub fn replicas_of(&self, key: ServiceKey) -> &[ReplicaKey] {
+        &self.services[key.0 as usize].replicas
+    }
+
+    /// The replica, if it is still registered.
+    #[must_use]
+    pub fn replica(&self, key: ReplicaKey) -> Option<&Replica> {
+        let slot = self.arena.get(key.index as usize)?;
+        (slot.generation == key.generation)
+            .then_some(slot.replica.as_ref())
+            .flatten()
+    }
+
+    pub(crate) fn replica_mut(&mut self, key: ReplicaKey) -> Option<&mut Replica> {
+        let slot = self.arena.get_mut(key.index as usize)?;
+        (slot.generation == key.generation)
+            .then_some(slot.replica.as_mut())
+            .flatten()
+    }
+
+    /// Chooses the replica for the next send, none of `tried`.
+    pub fn choose(
+        &mut self,
+        now_us: u64,
+        service: ServiceKey,
+        tried: &[ReplicaKey],
+    ) -> Option<ReplicaKey> {
+        let rng = &mut self.rng;
+        let entry = &self.services[service.0 as usize];
+        let mut best: Option<(f64, ReplicaKey)> = None;
+        for key in &entry.replicas {
+            let Some(replica) = self.arena[key.index as usize].replica.as_ref() else {
+                continue;
+            };
+            if tried.contains(key) || !usable(replica, now_us, entry.warmup_per_s) {
+                continue;
+            }
+            let cost = cost(replica, now_us, &self.data_centre) * (1.0 + rng.f64() * 0.05);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, *key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Pays for a hedge or a retry at a service, if its budget allows it.
+    pub fn take_extra(&mut self, service: ServiceKey) -> bool {
+        self.services[service.0 as usize].budget.take()
+    }
+
+    /// Counts a request for a service.
+    pub fn earn(&mut self, service: ServiceKey) {
+        self.services[service.0 as usize].budget.earn();
+    }
+
+    /// Records that a request goes to a replica.
+    pub fn started(&mut self, now_us: u64, key: ReplicaKey) {
+        let Some(replica) = self.replica_mut(key) else {
+            return;
+        };
+        replica.in_flight += 1;
+        if now_us < replica.warm_at_us {
+            replica.cold_start_us = Some(now_us);
+        }
+    }
+
+    /// Records what came of a request; `ratio` is its latency to the usual one.
+    pub fn finished(&mut self, now_us: u64, key: ReplicaKey, reply: Reply, ratio: f64) {
+        let Some(replica) = self.replica_mut(key) else {
+            return;
+        };
+        replica.in_flight = replica.in_flight.saturating_sub(1);
+        replica.health.observe(now_us, reply, ratio);
+        if reply == Reply::NotRun(NotRunCause::OtherInstance) {
+            // Another replica has the address; this one is dropped at the next sweep.
+            replica.removed_at_us = Some(now_us);
+        }
+    }
+
+    /// Records that a request was withdrawn before its answer was in.
+    pub fn abandoned(&mut self, key: ReplicaKey) {
+        if let Some(replica) = self.replica_mut(key) {
+            replica.in_flight = replica.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// When a caller that finds no replica of `service` may come back, in milliseconds.
+    #[must_use]
+    pub fn retry_after_ms(&self, now_us: u64, service: ServiceKey) -> u64 {
+        let back_us = self
+            .replicas_of(service)
+            .iter()
+            .filter_map(|key| self.replica(*key))
+            .filter(|replica| open(replica, now_us))
+            .map(|replica| replica.health.suspended_until_us)
+            .min()
+            .unwrap_or(u64::MAX);
+        let wait_ms = back_us.saturating_sub(now_us) / 1_000;
+        wait_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
+    }
+
+    /// Counts of replicas by what may be sent to them.
+    #[must_use]
+    pub fn counts(&self, now_us: u64) -> PoolCounts {
+        let mut counts = PoolCounts::default();
+        for replica in self.arena.iter().filter_map(|slot| slot.replica.as_ref()) {
+            if !open(replica, now_us) {
+                counts.leaving += 1;
+            } else if replica.health.suspended_until_us > now_us {
+                counts.suspended += 1;
+            } else {
+                counts.ready += 1;
+            }
+        }
+        counts
+    }
+}
+
+/// Whether a replica may be sent requests at all.
+fn open(replica: &Replica, now_us: u64) -> bool {
+    replica.registration.state == RegistrationState::Ready
+        && !replica.taken_out
+        && replica.removed_at_us.is_none_or(|at_us| now_us < at_us)
+}
+
+fn usable(replica: &Replica, now_us: u64, warmup_per_s: f64) -> bool {
+    if !open(replica, now_us) || now_us < replica.health.suspended_until_us {
+        return false;
+    }
+    if replica.health.on_trial() && replica.in_flight > 0 {
+        return false;
+    }
+    now_us >= replica.warm_at_us || warmup_per_s <= 0.0 || cold_turn(replica, now_us)
+}
+
+/// Whether a cold replica with a stated rate may get its next request from this node.
+fn cold_turn(replica: &Replica, now_us: u64) -> bool {
+    replica
+        .cold_start_us
+        .is_none_or(|last_us| now_us >= last_us + COLD_PAUSE_US)
+}
+
+fn cost(replica: &Replica, now_us: u64, data_centre: &str) -> f64 {
+    /// Cost factor of a replica that is still slow after its start.
+    const COLD: f64 = 2.0;
+    let queue = f64::from(replica.in_flight) / f64::from(replica.registration.slots.max(1));
+    let distance = if *replica.registration.data_centre == *data_centre {
+        1.0
+    } else {
+        OTHER_DATA_CENTRE
+    };
+    let cold = if now_us < replica.warm_at_us { COLD } else { 1.0 };
+    replica.health.cost(now_us) * (1.0 + queue) * distance * cold
+}
--- /dev/null
+++ b/crates/dispatch/src/route_table.rs
@@ -0,0 +1,92 @@
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use crate::Configuration;
+use crate::Pool;
+use crate::RequestLimits;
+use crate::Route;
+use crate::RouteSpec;
+use crate::RouteTarget;
+use crate::TargetSpec;
+use crate::WeightedService;
+
+/// The routes of one version, found by host and longest prefix.
+#[derive(Debug)]
+pub struct RouteTable {
+    /// Routes of a host, longest prefix first.
+    by_host: HashMap<Arc<str>, Vec<Rc<Route>>>,
+    /// Bounds on what callers may send.
+    pub limits: RequestLimits,
+    /// Version of the configuration.
+    pub version: u64,
+}
+
+impl RouteTable {
+    /// Resolves the services of a configuration in `pool`.
+    #[must_use]
+    pub fn new(configuration: &Configuration, pool: &mut Pool) -> Self {
+        let mut by_host: HashMap<Arc<str>, Vec<Rc<Route>>> = HashMap::new();
+        for spec in &configuration.routes {
+            let route = Rc::new(Route {
+                spec: spec.clone(),
+                target: resolve(spec, pool),
+                version: configuration.version,
+            });
+            let host = Arc::from(spec.host.to_ascii_lowercase());
+            by_host.entry(host).or_default().push(route);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.spec.path_prefix.len()));
+        }
+        Self {
+            by_host,
+            limits: configuration.limits,
+            version: configuration.version,
+        }
+    }
+
+    /// The route with the longest prefix that begins `path`.
+    ///
+    /// `host` may carry a port and any case.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let routes = match self.by_host.get(name) {
+            Some(routes) => routes,
+            None => self.by_host.get(name.to_ascii_lowercase().as_str())?,
+        };
+        routes
+            .iter()
+            .find(|route| path.starts_with(&*route.spec.path_prefix))
+    }
+}
+
+fn resolve(spec: &RouteSpec, pool: &mut Pool) -> RouteTarget {
+    match &spec.target {
+        TargetSpec::Gather {
+            min_fraction,
+            shards,
+            top_records,
+        } => RouteTarget::Gather {
+            min_parts: min_parts(shards.len(), *min_fraction),
+            shards: shards.iter().map(|name| pool.service_key(name)).collect(),
+            top_records: *top_records,
+        },
+        TargetSpec::Service(name) => RouteTarget::Service(pool.service_key(name)),
+        TargetSpec::Split(parts) => RouteTarget::Split(
+            parts
+                .iter()
+                .map(|(name, weight)| WeightedService::new(pool.service_key(name), *weight))
+                .collect(),
+        ),
+    }
+}
+
+/// Fewest parts that make up `min_fraction` of `shards`; a success has one at least.
+fn min_parts(shards: usize, min_fraction: f64) -> usize {
+    // A share of parts is compared as a fraction, so the product may be a hair too high.
+    const ROUNDING: f64 = 1e-9;
+    let parts = (shards as f64 * min_fraction - ROUNDING).ceil().max(1.0);
+    parts as usize
+}
--- /dev/null
+++ b/crates/entry/src/caller_request.rs
@@ -0,0 +1,145 @@
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+
+use wigeonhall_adapter::EXPECTED_INSTANCE;
+use wigeonhall_adapter::REMAINING_MS;
+use wigeonhall_adapter::REQUEST_ID;
+use wigeonhall_dispatch::RequestLimits;
+use wigeonhall_dispatch::Route;
+use wigeonhall_dispatch::RouteTable;
+
+use crate::replica_client::OutgoingRequest;
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 10] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A caller's request that is not passed on.
+#[derive(Debug)]
+pub(crate) struct Rejection {
+    pub(crate) reason: &'static str,
+    pub(crate) status: StatusCode,
+}
+
+impl Rejection {
+    const fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self { reason, status }
+    }
+}
+
+/// What the head of a request says.
+#[derive(Debug)]
+pub(crate) struct CallerHead {
+    pub(crate) request_id: HeaderValue,
+    /// Milliseconds that the caller will wait; `None` if it does not say.
+    pub(crate) remaining_ms: Option<u64>,
+    pub(crate) route: Rc<Route>,
+}
+
+/// Checks the head of a request and finds its route.
+pub(crate) fn read_head<B>(
+    request: &Request<B>,
+    table: &RouteTable,
+) -> Result<CallerHead, Rejection> {
+    let bad = |reason| Rejection::new(StatusCode::BAD_REQUEST, reason);
+    let headers = request.headers();
+    let host = headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| request.uri().authority().map(http::uri::Authority::as_str))
+        .ok_or_else(|| bad("no host"))?;
+    let route = table
+        .find(host, request.uri().path())
+        .ok_or(Rejection::new(StatusCode::NOT_FOUND, "no route"))?;
+    let request_id = headers
+        .get(&REQUEST_ID)
+        .ok_or_else(|| bad("no request id"))?;
+    let remaining_ms = match headers.get(&REMAINING_MS) {
+        Some(value) => Some(milliseconds(value).ok_or_else(|| bad("malformed deadline"))?),
+        None => None,
+    };
+    Ok(CallerHead {
+        request_id: request_id.clone(),
+        remaining_ms,
+        route: route.clone(),
+    })
+}
+
+/// Reads the body and makes the request that replicas get.
+pub(crate) async fn read_request(
+    request: Request<Incoming>,
+    request_id: HeaderValue,
+    limits: RequestLimits,
+) -> Result<OutgoingRequest, Rejection> {
+    let (head, body) = request.into_parts();
+    let body = read_body(body, limits.body_bytes).await?;
+    let bad = |_| Rejection::new(StatusCode::BAD_REQUEST, "malformed path");
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let uri: Uri = path.parse().map_err(bad)?;
+    Ok(OutgoingRequest {
+        body,
+        headers: end_to_end(&head.headers),
+        method: head.method,
+        request_id,
+        uri,
+    })
+}
+
+async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, Rejection> {
+    match Limited::new(body, limit_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Rejection::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body too long",
+        )),
+        Err(_) => Err(Rejection::new(StatusCode::BAD_REQUEST, "body cut short")),
+    }
+}
+
+/// The headers without those of one connection and those that are set for each replica.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<&str> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(str::trim)
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let dropped = HOP_BY_HOP.contains(name)
+            || *name == EXPECTED_INSTANCE
+            || *name == REMAINING_MS
+            || named.iter().any(|other| other.eq_ignore_ascii_case(name.as_str()));
+        if !dropped {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+fn milliseconds(value: &HeaderValue) -> Option<u64> {
+    value.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/entry/src/clock.rs
@@ -0,0 +1,25 @@
+use std::time::Duration;
+use std::time::Instant;
+
+/// Monotonic time since the start of the process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    pub(crate) fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    pub(crate) fn now_us(self) -> u64 {
+        self.start.elapsed().as_micros() as u64
+    }
+
+    /// The instant of a time in microseconds.
+    pub(crate) fn instant(self, at_us: u64) -> tokio::time::Instant {
+        (self.start + Duration::from_micros(at_us)).into()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/event.rs
@@ -0,0 +1,76 @@
+use serde::Serialize;
+
+/// One line of the log: a decision, its inputs and its outcome.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case", tag = "event")]
+pub(crate) enum Event<'a> {
+    /// A configuration came into force, or was not taken.
+    Configuration {
+        outcome: &'a str,
+        routes: usize,
+        version: u64,
+    },
+    /// A dependency was lost or is back.
+    Dependency {
+        name: &'a str,
+        reason: &'a str,
+        state: &'a str,
+    },
+    /// Data centres that operators took out.
+    Evacuation { out: Vec<&'a str>, revision: u64 },
+    /// An entry of the store that could not be decoded.
+    Malformed {
+        collection: &'a str,
+        name: &'a str,
+        reason: String,
+    },
+    /// What the registrations of replicas changed.
+    Replicas {
+        gone: usize,
+        new: usize,
+        ready: usize,
+        revision: u64,
+        suspended: usize,
+    },
+    /// The final answer to a request.
+    Request(RequestEvent<'a>),
+    /// A send to a replica that did not succeed.
+    Send {
+        elapsed_ms: f64,
+        replica: &'a str,
+        reply: String,
+        request_id: &'a str,
+        service: &'a str,
+    },
+    /// The process started.
+    Start {
+        data_centre: &'a str,
+        node: &'a str,
+        version: &'a str,
+    },
+    /// The process stops, or has stopped.
+    Stop { connections: usize, phase: &'a str },
+    /// The settings file was read again.
+    Reload { outcome: String },
+}
+
+/// The final answer to a request.
+#[derive(Debug, Serialize)]
+pub(crate) struct RequestEvent<'a> {
+    /// Version of the configuration that decided.
+    pub(crate) config_version: u64,
+    pub(crate) deadline_ms: u64,
+    pub(crate) elapsed_ms: f64,
+    /// Hedges and retries.
+    pub(crate) extra_sends: u32,
+    pub(crate) legs: usize,
+    /// Services without an answer, with the reason.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) missing: Vec<String>,
+    pub(crate) outcome: String,
+    pub(crate) request_id: &'a str,
+    pub(crate) route: &'a str,
+    pub(crate) status: u16,
+    /// Age of the last word from the store on the replicas.
+    pub(crate) store_age_ms: u64,
+}
--- /dev/null
+++ b/crates/entry/src/event_log.rs
@@ -0,0 +1,128 @@
+use std::cell::Cell;
+use std::io;
+use std::io::Write;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::Sender;
+use serde::Serialize;
+
+use crate::event::Event;
+
+/// Lines that wait for the writer; later ones are dropped and counted.
+const QUEUE_LINES: usize = 2_048;
+
+/// Lines a second that a process writes; later ones are dropped and counted.
+const LINES_PER_S: u32 = 400;
+
+/// Pause of the writer, so that it writes many lines at once.
+const WRITE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Structured log: one JSON object a line on standard output, written by a thread of
+/// its own, so that a full pipe never holds up the event loop.
+#[derive(Debug)]
+pub(crate) struct EventLog {
+    dropped: Cell<u64>,
+    lines: Sender<Vec<u8>>,
+    second: Cell<u64>,
+    this_second: Cell<u32>,
+    writer: Option<JoinHandle<()>>,
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    /// Milliseconds since the start of the process.
+    at_ms: u64,
+    /// Lines that were dropped since the last one.
+    #[serde(skip_serializing_if = "is_zero")]
+    dropped: u64,
+    #[serde(flatten)]
+    event: &'a Event<'a>,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde asks for")]
+const fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
+impl EventLog {
+    pub(crate) fn start() -> io::Result<Self> {
+        let (lines, queue) = flume::bounded(QUEUE_LINES);
+        let writer = thread::Builder::new()
+            .name("event-log".into())
+            .stack_size(64 * 1024)
+            .spawn(move || write_lines(&queue))?;
+        Ok(Self {
+            dropped: Cell::new(0),
+            lines,
+            second: Cell::new(0),
+            this_second: Cell::new(0),
+            writer: Some(writer),
+        })
+    }
+
+    /// Queues an event; drops and counts it beyond the stated rate or queue.
+    pub(crate) fn write(&self, now_us: u64, event: &Event<'_>) {
+        if !self.within_rate(now_us) {
+            self.dropped.set(self.dropped.get() + 1);
+            return;
+        }
+        let line = Line {
+            at_ms: now_us / 1_000,
+            dropped: self.dropped.get(),
+            event,
+        };
+        let Ok(mut text) = serde_json::to_vec(&line) else {
+            self.dropped.set(self.dropped.get() + 1);
+            return;
+        };
+        text.push(b'\n');
+        match self.lines.try_send(text) {
+            Ok(()) => self.dropped.set(0),
+            Err(_) => self.dropped.set(self.dropped.get() + 1),
+        }
+    }
+
+    /// Writes what is queued and ends the writer.
+    pub(crate) fn finish(mut self) {
+        let writer = self.writer.take();
+        drop(self);
+        if let Some(writer) = writer
+            && writer.join().is_err()
+        {
+            eprintln!("wigeonhall-node: the log writer panicked");
+        }
+    }
+
+    fn within_rate(&self, now_us: u64) -> bool {
+        let second = now_us / 1_000_000;
+        if second != self.second.get() {
+            self.second.set(second);
+            self.this_second.set(0);
+        }
+        self.this_second.set(self.this_second.get() + 1);
+        self.this_second.get() <= LINES_PER_S
+    }
+}
+
+fn write_lines(queue: &Receiver<Vec<u8>>) {
+    let mut batch = Vec::new();
+    while let Ok(line) = queue.recv() {
+        batch.extend_from_slice(&line);
+        for line in queue.try_iter() {
+            batch.extend_from_slice(&line);
+        }
+        // Standard output that is closed has no reader left to tell.
+        let mut output = io::stdout().lock();
+        if output.write_all(&batch).and_then(|()| output.flush()).is_err() {
+            return;
+        }
+        drop(output);
+        batch.clear();
+        if !queue.is_disconnected() {
+            thread::sleep(WRITE_PAUSE);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front.rs
@@ -0,0 +1,151 @@
+use std::convert::Infallible;
+use std::io;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Request;
+use http::header;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task;
+use tokio::time;
+
+use crate::caller_io::CallerIo;
+use crate::caller_request;
+use crate::caller_request::Rejection;
+use crate::event::Event;
+use crate::event::RequestEvent;
+use crate::query;
+use crate::responses;
+use crate::responses::CallerResponse;
+use crate::shared::Phase;
+use crate::shared::Shared;
+use crate::socket;
+
+/// When a caller that finds a node without a configuration may come back.
+const UNCONFIGURED_RETRY_MS: u64 = 100;
+
+/// Smallest read buffer that `hyper` takes.
+const READ_BUFFER_MIN_BYTES: usize = 8_192;
+
+/// Limits of a caller before the first configuration.
+const IDLE_TIMEOUT_MS: u64 = 15_000;
+
+/// Pause after an error of `accept`, such as a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes callers until the process closes its connections.
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    let mut phase = shared.phase.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            closing = phase.wait_for(|phase| *phase == Phase::Closing) => {
+                drop(closing);
+                return;
+            }
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                task::spawn_local(connection(shared.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("cannot accept a caller: {error}");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(shared: Rc<Shared>, stream: TcpStream) {
+    shared.connections.set(shared.connections.get() + 1);
+    if let Err(error) = connection_until_end(&shared, stream).await {
+        log::debug!("connection of a caller ended: {error}");
+    }
+    shared.connections.set(shared.connections.get() - 1);
+}
+
+async fn connection_until_end(shared: &Rc<Shared>, stream: TcpStream) -> io::Result<()> {
+    socket::prepare(&stream)?;
+    let limits = shared.limits();
+    let idle_ms = limits.map_or(IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
+    let buffer_bytes = limits.map_or(READ_BUFFER_MIN_BYTES, |limits| limits.header_bytes);
+    let io = CallerIo::new(stream, Duration::from_millis(idle_ms));
+    let handler = service::service_fn(|request| handle(shared.clone(), request));
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .max_buf_size(buffer_bytes.max(READ_BUFFER_MIN_BYTES));
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(io), handler));
+    let mut phase = shared.phase.subscribe();
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        closing = phase.wait_for(|phase| *phase == Phase::Closing) => {
+            drop(closing);
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    result.map_err(io::Error::other)
+}
+
+async fn handle(
+    shared: Rc<Shared>,
+    request: Request<Incoming>,
+) -> Result<CallerResponse, Infallible> {
+    let mut response = respond(&shared, request).await;
+    if shared.phase() != Phase::Serving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+async fn respond(shared: &Rc<Shared>, request: Request<Incoming>) -> CallerResponse {
+    let started_us = shared.clock.now_us();
+    let table = shared.table.borrow().clone();
+    let Some(table) = table else {
+        return responses::refusal("no configuration is known yet", UNCONFIGURED_RETRY_MS);
+    };
+    let head = match caller_request::read_head(&request, &table) {
+        Ok(head) => head,
+        Err(rejection) => return reject(shared, &rejection, started_us, table.version),
+    };
+    let request_id = head.request_id.clone();
+    match caller_request::read_request(request, request_id, table.limits).await {
+        Ok(outgoing) => query::answer(shared, &head, outgoing, started_us).await,
+        Err(rejection) => reject(shared, &rejection, started_us, table.version),
+    }
+}
+
+fn reject(
+    shared: &Shared,
+    rejection: &Rejection,
+    started_us: u64,
+    config_version: u64,
+) -> CallerResponse {
+    let elapsed_us = shared.clock.now_us() - started_us;
+    shared.metrics.requests.with_label_values(&["rejected"]).inc();
+    shared.log(&Event::Request(RequestEvent {
+        config_version,
+        deadline_ms: 0,
+        elapsed_ms: elapsed_us as f64 / 1_000.0,
+        extra_sends: 0,
+        legs: 0,
+        missing: Vec::new(),
+        outcome: format!("rejected: {}", rejection.reason),
+        request_id: "",
+        route: "",
+        status: rejection.status.as_u16(),
+        store_age_ms: 0,
+    }));
+    responses::plain(rejection.status, rejection.reason)
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,28 @@
+//! The entry tier on the users' platform: one event loop between callers and replicas.
+//!
+//! This package moves bytes and keeps time. What to send, to repeat, to refuse and to
+//! answer is decided in `wigeonhall-dispatch`; names and formats of the platform stand
+//! in `wigeonhall-adapter`.
+
+mod caller_io;
+mod caller_request;
+mod clock;
+mod event;
+mod event_log;
+mod front;
+mod http_client;
+mod lifecycle;
+mod metrics;
+mod query;
+mod readiness;
+mod replica_client;
+mod replica_response;
+mod responses;
+mod run;
+mod shared;
+mod socket;
+mod store_client;
+mod store_watch;
+
+pub use run::EntryError;
+pub use run::run;
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,107 @@
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Bounds of latency buckets, in seconds.
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.12, 0.25, 0.5, 1.0, 2.5, 5.0,
+];
+
+/// Counters and histograms of a node.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    pub(crate) config_version: IntGauge,
+    pub(crate) extra_sends: IntCounter,
+    pub(crate) missing_parts: IntCounter,
+    registry: Registry,
+    pub(crate) replica_connection_errors: IntCounter,
+    pub(crate) replica_connections: IntCounter,
+    pub(crate) replica_latency_s: Histogram,
+    pub(crate) replica_replies: IntCounterVec,
+    pub(crate) request_latency_s: HistogramVec,
+    pub(crate) requests: IntCounterVec,
+    pub(crate) store_age_ms: IntGauge,
+    pub(crate) store_calls: IntCounterVec,
+}
+
+impl Metrics {
+    /// # Errors
+    ///
+    /// When two metrics have one name.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new_custom(Some("wigeonhall".into()), None)?;
+        let latency = |name: &str, help: &str| {
+            HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec())
+        };
+        let metrics = Self {
+            config_version: IntGauge::new("config_version", "Version in force")?,
+            extra_sends: IntCounter::new("extra_sends_total", "Hedges and retries")?,
+            missing_parts: IntCounter::new("missing_parts_total", "Parts left out of answers")?,
+            replica_connection_errors: IntCounter::new(
+                "replica_connection_errors_total",
+                "Connections to replicas that could not be opened",
+            )?,
+            replica_connections: IntCounter::new(
+                "replica_connections_total",
+                "Connections opened to replicas",
+            )?,
+            replica_latency_s: Histogram::with_opts(latency(
+                "replica_latency_seconds",
+                "Latency of replicas",
+            ))?,
+            replica_replies: IntCounterVec::new(
+                Opts::new("replica_replies_total", "What came of sends"),
+                &["reply"],
+            )?,
+            request_latency_s: HistogramVec::new(
+                latency("request_latency_seconds", "Latency of requests by route"),
+                &["route"],
+            )?,
+            requests: IntCounterVec::new(
+                Opts::new("requests_total", "Final answers by outcome"),
+                &["outcome"],
+            )?,
+            store_age_ms: IntGauge::new("store_age_ms", "Age of the store's word on replicas")?,
+            store_calls: IntCounterVec::new(
+                Opts::new("store_calls_total", "Calls to the store by collection and outcome"),
+                &["collection", "outcome"],
+            )?,
+            registry,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        let registry = &self.registry;
+        registry.register(Box::new(self.config_version.clone()))?;
+        registry.register(Box::new(self.extra_sends.clone()))?;
+        registry.register(Box::new(self.missing_parts.clone()))?;
+        registry.register(Box::new(self.replica_connection_errors.clone()))?;
+        registry.register(Box::new(self.replica_connections.clone()))?;
+        registry.register(Box::new(self.replica_latency_s.clone()))?;
+        registry.register(Box::new(self.replica_replies.clone()))?;
+        registry.register(Box::new(self.request_latency_s.clone()))?;
+        registry.register(Box::new(self.requests.clone()))?;
+        registry.register(Box::new(self.store_age_ms.clone()))?;
+        registry.register(Box::new(self.store_calls.clone()))
+    }
+
+    /// All metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// When a metric cannot be written as text.
+    pub(crate) fn text(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/readiness.rs
@@ -0,0 +1,80 @@
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task;
+
+use wigeonhall_adapter::readiness_path;
+
+use crate::responses;
+use crate::responses::CallerResponse;
+use crate::shared::Shared;
+use crate::socket;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers the platform's question whether the node takes callers, and serves metrics.
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let shared = shared.clone();
+                task::spawn_local(async move {
+                    if let Err(error) = socket::prepare(&stream) {
+                        log::debug!("cannot prepare a connection: {error}");
+                        return;
+                    }
+                    let handler = service::service_fn(|request| handle(shared.clone(), request));
+                    let connection =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
+                    if let Err(error) = connection.await {
+                        log::debug!("connection of the platform ended: {error}");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("cannot accept the platform: {error}");
+                task::yield_now().await;
+            }
+        }
+    }
+}
+
+async fn handle(
+    shared: Rc<Shared>,
+    request: Request<Incoming>,
+) -> Result<CallerResponse, Infallible> {
+    let path = request.uri().path();
+    Ok(if path == METRICS_PATH {
+        metrics(&shared)
+    } else if path != readiness_path() {
+        responses::plain(StatusCode::NOT_FOUND, "unknown path")
+    } else if shared.ready() {
+        responses::plain(StatusCode::OK, "ready")
+    } else {
+        responses::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+    })
+}
+
+fn metrics(shared: &Shared) -> CallerResponse {
+    let now_us = shared.clock.now_us();
+    let heard_us = shared.replicas_heard_us.get().unwrap_or(0);
+    shared.metrics.store_age_ms.set(((now_us - heard_us) / 1_000) as i64);
+    match shared.metrics.text() {
+        Ok(text) => Response::new(Full::new(Bytes::from(text))),
+        Err(error) => {
+            log::warn!("cannot write metrics: {error}");
+            responses::plain(StatusCode::INTERNAL_SERVER_ERROR, "metrics failed")
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/replica_client.rs
@@ -0,0 +1,314 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use wigeonhall_adapter::EXPECTED_INSTANCE;
+use wigeonhall_adapter::NOT_RUN;
+use wigeonhall_adapter::RECEIPT;
+use wigeonhall_adapter::REMAINING_MS;
+use wigeonhall_adapter::REQUEST_ID;
+use wigeonhall_dispatch::NotRunCause;
+use wigeonhall_dispatch::ReplicaKey;
+use wigeonhall_dispatch::Reply;
+use wigeonhall_dispatch::UnknownCause;
+
+use crate::http_client;
+use crate::http_client::HttpSender;
+use crate::replica_response::ReplicaResponse;
+use crate::replica_response::SendResult;
+use crate::shared::Shared;
+
+/// Longest time for a new connection to a replica.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest answer of a replica.
+const RESPONSE_BYTES_MAX: usize = 8 * 1024 * 1024;
+
+/// Idle time after which a connection is not used again, unless the replica states one.
+const IDLE_US: u64 = 4_000_000;
+
+/// Time before the replica's own idle timeout in which a connection is not used.
+const IDLE_MARGIN_US: u64 = 700_000;
+
+/// The request that is sent to each replica.
+#[derive(Debug)]
+pub(crate) struct OutgoingRequest {
+    pub(crate) body: Bytes,
+    /// Headers of the caller, without those of one connection.
+    pub(crate) headers: HeaderMap,
+    pub(crate) method: Method,
+    pub(crate) request_id: HeaderValue,
+    /// Path and query as the caller sent them.
+    pub(crate) uri: Uri,
+}
+
+/// Idle connections to replicas.
+#[derive(Debug, Default)]
+pub(crate) struct IdleConnections {
+    by_replica: HashMap<ReplicaKey, Vec<Idle>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    expires_us: u64,
+    sender: HttpSender,
+}
+
+impl IdleConnections {
+    fn take(&mut self, now_us: u64, key: ReplicaKey) -> Option<HttpSender> {
+        let idle = self.by_replica.get_mut(&key)?;
+        while let Some(connection) = idle.pop() {
+            if connection.expires_us > now_us && !connection.sender.is_closed() {
+                return Some(connection.sender);
+            }
+        }
+        None
+    }
+
+    fn put(&mut self, key: ReplicaKey, sender: HttpSender, expires_us: u64) {
+        let idle = self.by_replica.entry(key).or_default();
+        idle.push(Idle { expires_us, sender });
+    }
+
+    /// Closes the connections to a replica.
+    pub(crate) fn close(&mut self, key: ReplicaKey) {
+        self.by_replica.remove(&key);
+    }
+
+    /// Closes connections that may not be used again.
+    pub(crate) fn sweep(&mut self, now_us: u64) {
+        self.by_replica.retain(|_, idle| {
+            idle.retain(|item| item.expires_us > now_us && !item.sender.is_closed());
+            !idle.is_empty()
+        });
+    }
+
+    /// Number of idle connections.
+    pub(crate) fn len(&self) -> usize {
+        self.by_replica.values().map(Vec::len).sum()
+    }
+}
+
+/// A replica as one send sees it.
+#[derive(Clone, Debug)]
+struct Destination {
+    address: SocketAddr,
+    id: Arc<str>,
+    key: ReplicaKey,
+}
+
+/// Sends a request to a replica and reads its whole answer.
+pub(crate) async fn send(
+    shared: &Rc<Shared>,
+    key: ReplicaKey,
+    request: &OutgoingRequest,
+    deadline_us: u64,
+) -> SendResult {
+    let Some(destination) = destination(shared, key) else {
+        return SendResult::without_response(Reply::NotRun(NotRunCause::Unreachable));
+    };
+    loop {
+        let now_us = shared.clock.now_us();
+        let idle = shared.idle.borrow_mut().take(now_us, key);
+        let reused = idle.is_some();
+        let sender = match idle {
+            Some(mut sender) => match sender.ready().await {
+                Ok(()) => sender,
+                Err(_) => continue,
+            },
+            None => match open(shared, &destination).await {
+                Some(sender) => sender,
+                None => {
+                    return SendResult::without_response(Reply::NotRun(NotRunCause::Unreachable));
+                }
+            },
+        };
+        match send_over(shared, sender, &destination, request, deadline_us).await {
+            Sent::Ended(result) => return result,
+            // The connection ended before the request was written to it.
+            Sent::NotWritten if reused => {}
+            Sent::NotWritten => {
+                return SendResult::without_response(Reply::NotRun(NotRunCause::Unreachable));
+            }
+        }
+    }
+}
+
+/// Opens a connection to a replica ahead of its first request.
+pub(crate) async fn open_ahead(shared: &Rc<Shared>, key: ReplicaKey) {
+    let Some(destination) = destination(shared, key) else {
+        return;
+    };
+    if let Some(sender) = open(shared, &destination).await {
+        let expires_us = shared.clock.now_us() + IDLE_US;
+        shared.idle.borrow_mut().put(key, sender, expires_us);
+    }
+}
+
+enum Sent {
+    Ended(SendResult),
+    NotWritten,
+}
+
+fn destination(shared: &Shared, key: ReplicaKey) -> Option<Destination> {
+    let pool = shared.pool.borrow();
+    let replica = pool.replica(key)?;
+    Some(Destination {
+        address: replica.registration.address,
+        id: replica.id().clone(),
+        key,
+    })
+}
+
+async fn open(shared: &Shared, destination: &Destination) -> Option<HttpSender> {
+    shared.metrics.replica_connections.inc();
+    match http_client::connect(destination.address, CONNECT_TIMEOUT).await {
+        Ok(sender) => Some(sender),
+        Err(error) => {
+            log::debug!("cannot connect to replica {}: {error}", destination.id);
+            shared.metrics.replica_connection_errors.inc();
+            None
+        }
+    }
+}
+
+async fn send_over(
+    shared: &Shared,
+    mut sender: HttpSender,
+    destination: &Destination,
+    request: &OutgoingRequest,
+    deadline_us: u64,
+) -> Sent {
+    let remaining_ms = deadline_us.saturating_sub(shared.clock.now_us()) / 1_000;
+    let message = message(request, destination, remaining_ms);
+    let response = match sender.try_send_request(message).await {
+        Ok(response) => response,
+        Err(mut error) => {
+            if error.take_message().is_some() {
+                return Sent::NotWritten;
+            }
+            return Sent::Ended(unknown(UnknownCause::Reset));
+        }
+    };
+    let (result, keep_us) = read_response(request, response).await;
+    if let Some(idle_us) = keep_us {
+        let expires_us = shared.clock.now_us() + idle_us;
+        let mut idle = shared.idle.borrow_mut();
+        idle.put(destination.key, sender, expires_us);
+    }
+    Sent::Ended(result)
+}
+
+fn message(
+    request: &OutgoingRequest,
+    destination: &Destination,
+    remaining_ms: u64,
+) -> Request<Full<Bytes>> {
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.uri.clone();
+    let headers = message.headers_mut();
+    headers.clone_from(&request.headers);
+    headers.insert(REMAINING_MS, HeaderValue::from(remaining_ms));
+    if let Ok(id) = HeaderValue::from_str(&destination.id) {
+        headers.insert(EXPECTED_INSTANCE, id);
+    }
+    message
+}
+
+/// Reads a response; also returns how long its connection may stay idle, if it is kept.
+async fn read_response(
+    request: &OutgoingRequest,
+    response: Response<Incoming>,
+) -> (SendResult, Option<u64>) {
+    let (head, body) = response.into_parts();
+    if let Some(echo) = head.headers.get(&REQUEST_ID)
+        && *echo != request.request_id
+    {
+        // The connection is out of step; it is dropped with the bytes that follow.
+        return (unknown(UnknownCause::Foreign), None);
+    }
+    let Ok(body) = Limited::new(body, RESPONSE_BYTES_MAX).collect().await else {
+        return (unknown(UnknownCause::Reset), None);
+    };
+    let keep_us = keep_us(&head.headers);
+    let response = ReplicaResponse {
+        body: body.to_bytes(),
+        headers: head.headers,
+        status: head.status,
+    };
+    let reply = classify(&response);
+    let result = SendResult {
+        reply,
+        response: Some(response),
+    };
+    (result, keep_us)
+}
+
+fn classify(response: &ReplicaResponse) -> Reply {
+    if response.status == StatusCode::MISDIRECTED_REQUEST {
+        return Reply::NotRun(NotRunCause::OtherInstance);
+    }
+    if response.headers.contains_key(&NOT_RUN) {
+        return Reply::NotRun(NotRunCause::Busy);
+    }
+    if !response.status.is_success() {
+        return Reply::Failed {
+            status: response.status.as_u16(),
+        };
+    }
+    let whole = response.headers.contains_key(&RECEIPT)
+        && !response.headers.contains_key(header::CONTENT_ENCODING);
+    if whole {
+        Reply::Success
+    } else {
+        Reply::Unknown(UnknownCause::Unproved)
+    }
+}
+
+const fn unknown(cause: UnknownCause) -> SendResult {
+    SendResult::without_response(Reply::Unknown(cause))
+}
+
+/// How long a connection may stay idle after this response; `None` if it ends.
+fn keep_us(headers: &HeaderMap) -> Option<u64> {
+    let closes = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case("close"));
+    if closes {
+        return None;
+    }
+    let stated_us = headers
+        .get("keep-alive")
+        .and_then(|value| value.to_str().ok())
+        .and_then(keep_alive_timeout_s)
+        .map(|timeout_s| (timeout_s * 1_000_000).saturating_sub(IDLE_MARGIN_US));
+    Some(stated_us.unwrap_or(IDLE_US))
+}
+
+/// The timeout in a keep-alive header, in whole seconds.
+fn keep_alive_timeout_s(value: &str) -> Option<u64> {
+    value
+        .split(',')
+        .filter_map(|item| item.trim().strip_prefix("timeout="))
+        .find_map(|text| text.trim().parse().ok())
+}
--- /dev/null
+++ b/crates/entry/src/responses.rs
@@ -0,0 +1,66 @@
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::Full;
+
+use wigeonhall_adapter::INCLUDED_RECEIPTS;
+use wigeonhall_adapter::MISSING_PARTS;
+use wigeonhall_adapter::RECEIPT;
+use wigeonhall_adapter::RETRY_AFTER;
+use wigeonhall_adapter::retry_after_value;
+use wigeonhall_dispatch::merge_records;
+
+use crate::caller_request;
+use crate::replica_response::ReplicaResponse;
+
+/// A response to a caller.
+pub(crate) type CallerResponse = Response<Full<Bytes>>;
+
+/// An answer of our own without a result.
+pub(crate) fn plain(status: StatusCode, reason: &'static str) -> CallerResponse {
+    let mut response = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+/// A refusal: the request has not run and never will.
+pub(crate) fn refusal(reason: &'static str, retry_after_ms: u64) -> CallerResponse {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, reason);
+    let value = retry_after_value(retry_after_ms);
+    response.headers_mut().insert(RETRY_AFTER, value);
+    response
+}
+
+/// What a replica answered, unchanged.
+pub(crate) fn forwarded(replica: ReplicaResponse) -> CallerResponse {
+    let mut response = Response::new(Full::new(replica.body));
+    *response.status_mut() = replica.status;
+    *response.headers_mut() = caller_request::end_to_end(&replica.headers);
+    response
+}
+
+/// The greatest records of the parts, with the receipts of exactly these parts.
+///
+/// `None` when a part has no receipt that can be passed on.
+pub(crate) fn gathered(
+    parts: &[ReplicaResponse],
+    missing: usize,
+    top_records: usize,
+) -> Option<CallerResponse> {
+    let receipts: Option<Vec<&str>> = parts
+        .iter()
+        .map(|part| part.headers.get(&RECEIPT).and_then(|value| value.to_str().ok()))
+        .collect();
+    let receipts = HeaderValue::from_str(&receipts?.join(", ")).ok()?;
+    let bodies: Vec<&[u8]> = parts.iter().map(|part| &*part.body).collect();
+    let records = merge_records(&bodies, top_records);
+    let mut response = Response::new(Full::new(Bytes::from(records)));
+    let headers = response.headers_mut();
+    headers.insert(INCLUDED_RECEIPTS, receipts);
+    headers.insert(MISSING_PARTS, HeaderValue::from(missing));
+    let octets = HeaderValue::from_static("application/octet-stream");
+    headers.insert(header::CONTENT_TYPE, octets);
+    Some(response)
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,96 @@
+use std::error::Error;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::net::TcpListener;
+use tokio::runtime;
+use tokio::task;
+use tokio::task::LocalSet;
+
+use wigeonhall_adapter::Collection;
+use wigeonhall_adapter::DecodeError;
+use wigeonhall_adapter::read_settings;
+
+use crate::event::Event;
+use crate::event_log::EventLog;
+use crate::front;
+use crate::lifecycle;
+use crate::metrics::Metrics;
+use crate::readiness;
+use crate::shared::Shared;
+use crate::store_watch;
+
+/// Why the entry tier could not start.
+#[derive(Debug)]
+pub enum EntryError {
+    /// An address could not be listened on.
+    Listen(SocketAddr, io::Error),
+    /// The metrics could not be set up.
+    Metrics(prometheus::Error),
+    /// The settings are missing or malformed.
+    Settings(DecodeError),
+    /// The operating system refused something else.
+    System(io::Error),
+}
+
+impl Error for EntryError {}
+
+impl fmt::Display for EntryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(address, error) => write!(f, "cannot listen on {address}: {error}"),
+            Self::Metrics(error) => write!(f, "cannot set up metrics: {error}"),
+            Self::Settings(error) => write!(f, "{error}"),
+            Self::System(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+/// Runs a node of the entry tier until it is told to stop.
+///
+/// # Errors
+///
+/// When the settings are malformed or an address is taken.
+pub fn run() -> Result<(), EntryError> {
+    let settings = read_settings().map_err(EntryError::Settings)?;
+    let events = EventLog::start().map_err(EntryError::System)?;
+    let metrics = Metrics::new().map_err(EntryError::Metrics)?;
+    let shared = Rc::new(Shared::new(settings, events, metrics));
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(EntryError::System)?;
+    let local = LocalSet::new();
+    let result = local.block_on(&runtime, serve(&shared));
+    drop(local);
+    drop(runtime);
+    if let Ok(shared) = Rc::try_unwrap(shared) {
+        shared.events.finish();
+    }
+    result
+}
+
+async fn serve(shared: &Rc<Shared>) -> Result<(), EntryError> {
+    let settings = &shared.settings;
+    shared.log(&Event::Start {
+        data_centre: &settings.data_centre,
+        node: &settings.node_name,
+        version: env!("CARGO_PKG_VERSION"),
+    });
+    let callers = listen(settings.caller_address).await?;
+    let platform = listen(settings.readiness_address).await?;
+    task::spawn_local(front::serve(shared.clone(), callers));
+    task::spawn_local(readiness::serve(shared.clone(), platform));
+    for collection in Collection::ALL {
+        task::spawn_local(store_watch::follow(shared.clone(), collection));
+    }
+    lifecycle::until_stopped(shared).await.map_err(EntryError::System)
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| EntryError::Listen(address, error))
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,99 @@
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use wigeonhall_adapter::ProcessSettings;
+use wigeonhall_dispatch::Pool;
+use wigeonhall_dispatch::ReplicaKey;
+use wigeonhall_dispatch::RequestLimits;
+use wigeonhall_dispatch::RouteLatency;
+use wigeonhall_dispatch::RouteTable;
+
+use crate::clock::Clock;
+use crate::event::Event;
+use crate::event_log::EventLog;
+use crate::metrics::Metrics;
+use crate::replica_client::IdleConnections;
+
+/// Phase of the process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Phase {
+    /// Idle connections of callers are closed; requests that were read are answered.
+    Closing,
+    /// The platform was told to send no new callers; all that come are served.
+    Leaving,
+    /// Takes callers.
+    Serving,
+}
+
+/// State of a node; all of it belongs to the one thread of the event loop.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) clock: Clock,
+    /// Open connections of callers.
+    pub(crate) connections: Cell<usize>,
+    pub(crate) events: EventLog,
+    pub(crate) idle: RefCell<IdleConnections>,
+    pub(crate) latencies: RefCell<HashMap<Arc<str>, RouteLatency>>,
+    pub(crate) metrics: Metrics,
+    pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) pool: RefCell<Pool>,
+    /// Time of the store's last word on the replicas; `None` before the first list.
+    pub(crate) replicas_heard_us: Cell<Option<u64>>,
+    pub(crate) settings: ProcessSettings,
+    /// Routes in force; `None` before the first configuration.
+    pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: ProcessSettings, events: EventLog, metrics: Metrics) -> Self {
+        let seed = fastrand::u64(..);
+        Self {
+            clock: Clock::start(),
+            connections: Cell::new(0),
+            events,
+            idle: RefCell::default(),
+            latencies: RefCell::default(),
+            metrics,
+            phase: watch::Sender::new(Phase::Serving),
+            pool: RefCell::new(Pool::new(settings.data_centre.clone(), seed)),
+            replicas_heard_us: Cell::new(None),
+            settings,
+            table: RefCell::new(None),
+        }
+    }
+
+    /// Whether the platform may send callers here.
+    pub(crate) fn ready(&self) -> bool {
+        let known = self.table.borrow().is_some() && self.replicas_heard_us.get().is_some();
+        known && self.phase() == Phase::Serving
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    pub(crate) fn log(&self, event: &Event<'_>) {
+        self.events.write(self.clock.now_us(), event);
+    }
+
+    pub(crate) fn limits(&self) -> Option<RequestLimits> {
+        self.table.borrow().as_ref().map(|table| table.limits)
+    }
+
+    /// Drops replicas whose time has come, and connections that are not used again.
+    pub(crate) fn sweep(&self) -> Vec<ReplicaKey> {
+        let now_us = self.clock.now_us();
+        let gone = self.pool.borrow_mut().sweep(now_us);
+        let mut idle = self.idle.borrow_mut();
+        for key in &gone {
+            idle.close(*key);
+        }
+        idle.sweep(now_us);
+        gone
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -20,9 +20,11 @@
 struct Options {
     /// Check the settings file and exit
     check: bool,
+    /// Run the entry tier on the users' platform, with the platform's own settings
+    entry: bool,
     /// Settings file in YAML
-    #[bpaf(argument("FILE"))]
-    settings: PathBuf,
+    #[bpaf(argument("FILE"), optional)]
+    settings: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -36,9 +38,15 @@
 }
 
 fn run(options: &Options) -> Result<(), String> {
-    let path = options.settings.display();
-    let text = fs::read_to_string(&options.settings)
-        .map_err(|error| format!("cannot read {path}: {error}"))?;
+    if options.entry {
+        return wigeonhall_entry::run().map_err(|error| error.to_string());
+    }
+    let Some(path) = &options.settings else {
+        return Err("--settings FILE or --entry is needed".to_owned());
+    };
+    let text = fs::read_to_string(path)
+        .map_err(|error| format!("cannot read {}: {error}", path.display()))?;
+    let path = path.display();
     let settings = parse_node(&text).map_err(|error| format!("{path}: {error}"))?;
     if options.check {
         println!("{path}: ok");
