--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -160,6 +160,12 @@
         self.legs.iter().map(|leg| leg.state)
     }
 
+    /// Whether an answer of a leg may still come.
+    #[must_use]
+    pub fn is_open(&self, leg: usize) -> bool {
+        self.legs[leg].is_open()
+    }
+
     /// Service of a leg.
     #[must_use]
     pub fn service(&self, leg: usize) -> crate::ServiceKey {
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -1,5 +1,4 @@
 use std::cell::Cell;
-use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -129,7 +128,10 @@
         if result.reply != Reply::Success {
             self.log_send(send, result.reply);
         }
-        if let Some(response) = result.response {
+        // The answer of a leg that is done stays; a hedge may end after it.
+        if let Some(response) = result.response
+            && self.exchange.is_open(send.leg)
+        {
             self.responses[send.leg] = Some((send.attempt, response));
         }
         let now_us = self.shared.clock.now_us();
