Enforce header and idle timeouts of callers; serve metrics on a port of their own

Cause: a connection with half a head, or idle, was never closed. Change: the stream of a caller knows whether a request is being read, answered or awaited.

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -72,7 +72,12 @@
     }
 
     /// Sends the first request of each leg.
-    pub fn start(&mut self, pool: &mut Pool, now_us: u64, sends: &mut Vec<Send>) -> Option<Outcome> {
+    pub fn start(
+        &mut self,
+        pool: &mut Pool,
+        now_us: u64,
+        sends: &mut Vec<Send>,
+    ) -> Option<Outcome> {
         for index in 0..self.legs.len() {
             let service = self.legs[index].service;
             pool.earn(service);
@@ -112,12 +117,19 @@
     }
 
     /// Sends hedges whose time has come; answers when the deadline has passed.
-    pub fn timer(&mut self, pool: &mut Pool, now_us: u64, sends: &mut Vec<Send>) -> Option<Outcome> {
+    pub fn timer(
+        &mut self,
+        pool: &mut Pool,
+        now_us: u64,
+        sends: &mut Vec<Send>,
+    ) -> Option<Outcome> {
         if now_us >= self.deadline_us {
             return Some(self.give_up(pool, now_us, true));
         }
         for index in 0..self.legs.len() {
-            let due = self.legs[index].hedge_at_us.is_some_and(|at_us| at_us <= now_us);
+            let due = self.legs[index]
+                .hedge_at_us
+                .is_some_and(|at_us| at_us <= now_us);
             if due {
                 self.legs[index].hedge_at_us = None;
                 self.extra(pool, now_us, index, sends);
@@ -192,7 +204,7 @@
         replica: ReplicaKey,
         sends: &mut Vec<Send>,
     ) {
-        let may_hedge = self.may_repeat() && self.route.spec.max_attempts > 1;
+        let may_repeat = self.may_repeat();
         let leg = &mut self.legs[index];
         let attempt = leg.attempts.len();
         leg.attempts.push(Attempt {
@@ -200,6 +212,7 @@
             reply: None,
             sent_us: now_us,
         });
+        let may_hedge = may_repeat && leg.runs() < self.route.spec.max_attempts;
         leg.hedge_at_us = may_hedge.then_some(now_us + self.hedge_delay_us);
         pool.started(now_us, replica);
         sends.push(Send {
--- a/crates/dispatch/src/leg.rs
+++ b/crates/dispatch/src/leg.rs
@@ -64,7 +64,10 @@
     }
 
     pub(crate) fn tried(&self) -> Vec<ReplicaKey> {
-        self.attempts.iter().map(|attempt| attempt.replica).collect()
+        self.attempts
+            .iter()
+            .map(|attempt| attempt.replica)
+            .collect()
     }
 
     pub(crate) fn is_open(&self) -> bool {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -246,6 +246,10 @@
     } else {
         OTHER_DATA_CENTRE
     };
-    let cold = if now_us < replica.warm_at_us { COLD } else { 1.0 };
+    let cold = if now_us < replica.warm_at_us {
+        COLD
+    } else {
+        1.0
+    };
     replica.health.cost(now_us) * (1.0 + queue) * distance * cold
 }
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -78,7 +78,11 @@
 
     /// Sets the data centres that operators took out.
     pub fn set_taken_out(&mut self, data_centres: BTreeSet<Arc<str>>) {
-        for replica in self.arena.iter_mut().filter_map(|slot| slot.replica.as_mut()) {
+        for replica in self
+            .arena
+            .iter_mut()
+            .filter_map(|slot| slot.replica.as_mut())
+        {
             replica.taken_out = data_centres.contains(&replica.registration.data_centre);
         }
         self.taken_out = data_centres;
--- /dev/null
+++ b/crates/dispatch/tests/promises.rs
@@ -0,0 +1,266 @@
+//! Stateful fuzzing of an exchange against the promises that it must keep.
+//!
+//! Random replies, silences and timers in any order; the oracle looks only at what was
+//! sent, what came back and what the caller was told.
+
+mod common;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use wigeonhall_dispatch::Exchange;
+use wigeonhall_dispatch::LegState;
+use wigeonhall_dispatch::NotRunCause;
+use wigeonhall_dispatch::Outcome;
+use wigeonhall_dispatch::Pool;
+use wigeonhall_dispatch::Reply;
+use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::Send;
+use wigeonhall_dispatch::UnknownCause;
+
+use common::DEADLINE_US;
+use common::add;
+use common::gather;
+use common::pool;
+use common::route;
+use common::route_spec;
+use common::service;
+
+/// Cases of a run in CI; `WIGEONHALL_FUZZ_CASES` asks for more.
+const CASES: u32 = 2_000;
+
+const MAX_ATTEMPTS: usize = 2;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// Answers one of the sends that are out.
+    Answer { reply: Reply, which: usize },
+    /// Lets time pass and the timer ring.
+    Pass { ms: u64 },
+}
+
+#[derive(Clone, Debug)]
+struct Case {
+    gather: bool,
+    idempotent: bool,
+    min_percent: u8,
+    replicas: u16,
+    shards: usize,
+    steps: Vec<Step>,
+}
+
+fn reply() -> impl Strategy<Value = Reply> {
+    prop_oneof![
+        4 => Just(Reply::Success),
+        2 => Just(Reply::NotRun(NotRunCause::Busy)),
+        2 => Just(Reply::NotRun(NotRunCause::Unreachable)),
+        1 => Just(Reply::NotRun(NotRunCause::OtherInstance)),
+        2 => Just(Reply::Unknown(UnknownCause::Reset)),
+        1 => Just(Reply::Unknown(UnknownCause::Foreign)),
+        1 => Just(Reply::Unknown(UnknownCause::Unproved)),
+        1 => Just(Reply::Failed { status: 500 }),
+        1 => Just(Reply::Failed { status: 404 }),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (reply(), any::<usize>()).prop_map(|(reply, which)| Step::Answer { reply, which }),
+        1 => (1_u64..120).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+fn case() -> impl Strategy<Value = Case> {
+    (
+        any::<bool>(),
+        any::<bool>(),
+        0_u8..=100,
+        0_u16..4,
+        1_usize..8,
+        prop::collection::vec(step(), 0..60),
+    )
+        .prop_map(
+            |(gather, idempotent, min_percent, replicas, shards, steps)| Case {
+                gather,
+                idempotent: idempotent || gather,
+                min_percent,
+                replicas,
+                shards,
+                steps,
+            },
+        )
+}
+
+/// What the oracle knows of a case.
+struct World {
+    exchange: Exchange,
+    /// Sends with what came of them.
+    history: Vec<(Send, Option<Reply>)>,
+    now_us: u64,
+    pool: Pool,
+}
+
+impl World {
+    fn new(case: &Case) -> Self {
+        let mut pool = pool();
+        let names: Vec<String> = (0..case.shards).map(|index| format!("s{index}")).collect();
+        for (index, name) in names.iter().enumerate() {
+            for number in 0..case.replicas {
+                add(&mut pool, name, 100 * index as u16 + number);
+            }
+        }
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let kind = if case.idempotent {
+            RouteKind::Idempotent
+        } else {
+            RouteKind::AtMostOnce
+        };
+        let target = if case.gather {
+            gather(&names, f64::from(case.min_percent) / 100.0)
+        } else {
+            service("s0")
+        };
+        let route = route(&mut pool, route_spec(kind, target));
+        Self {
+            exchange: Exchange::new(0, DEADLINE_US, 30_000, route),
+            history: Vec::new(),
+            now_us: 0,
+            pool,
+        }
+    }
+
+    fn run(&mut self, case: &Case) -> Outcome {
+        let mut sends = Vec::new();
+        let mut outcome = self.exchange.start(&mut self.pool, 0, &mut sends);
+        self.sent(sends);
+        for step in &case.steps {
+            if let Some(outcome) = outcome {
+                return outcome;
+            }
+            outcome = self.step(step);
+        }
+        outcome.unwrap_or_else(|| {
+            self.now_us = DEADLINE_US;
+            self.timer().expect("an answer at the deadline")
+        })
+    }
+
+    fn step(&mut self, step: &Step) -> Option<Outcome> {
+        match step {
+            Step::Answer { reply, which } => self.answer(*reply, *which),
+            Step::Pass { ms } => {
+                self.now_us += ms * 1_000;
+                self.timer()
+            }
+        }
+    }
+
+    fn answer(&mut self, reply: Reply, which: usize) -> Option<Outcome> {
+        let out: Vec<usize> = (0..self.history.len())
+            .filter(|index| self.history[*index].1.is_none())
+            .collect();
+        let index = *out.get(which % out.len().max(1))?;
+        self.history[index].1 = Some(reply);
+        let send = self.history[index].0;
+        self.pool.finished(self.now_us, send.replica, reply, 1.0);
+        let mut sends = Vec::new();
+        let outcome = self
+            .exchange
+            .reply(&mut self.pool, self.now_us, send, reply, &mut sends);
+        self.sent(sends);
+        outcome
+    }
+
+    fn timer(&mut self) -> Option<Outcome> {
+        let mut sends = Vec::new();
+        let outcome = self.exchange.timer(&mut self.pool, self.now_us, &mut sends);
+        self.sent(sends);
+        outcome
+    }
+
+    fn sent(&mut self, sends: Vec<Send>) {
+        self.history
+            .extend(sends.into_iter().map(|send| (send, None)));
+    }
+
+    fn runs(&self, leg: usize) -> usize {
+        let may_run = |reply: Option<Reply>| reply.is_none_or(Reply::may_have_run);
+        let of_leg = self.history.iter().filter(|(send, _)| send.leg == leg);
+        of_leg.filter(|(_, reply)| may_run(*reply)).count()
+    }
+
+    fn succeeded(&self, leg: usize, attempt: usize) -> bool {
+        self.history.iter().any(|(send, reply)| {
+            send.leg == leg && send.attempt == attempt && *reply == Some(Reply::Success)
+        })
+    }
+}
+
+fn check(case: &Case, world: &World, outcome: Outcome) {
+    let legs = world.exchange.legs().count();
+    let any_run = (0..legs).any(|leg| world.runs(leg) > 0);
+    for leg in 0..legs {
+        assert!(world.runs(leg) <= MAX_ATTEMPTS, "leg {leg} runs too often");
+        if !case.idempotent {
+            assert!(world.runs(leg) <= 1, "runs twice");
+        }
+    }
+    for (index, (send, _)) in world.history.iter().enumerate() {
+        let again = world.history[..index]
+            .iter()
+            .any(|(earlier, _)| earlier.replica == send.replica);
+        assert!(!again, "one replica is asked twice");
+    }
+    match outcome {
+        Outcome::Refuse { .. } => assert!(!any_run, "a false 'not run'"),
+        Outcome::Gather { missing } => {
+            let done = world.exchange.legs().enumerate().filter(|(leg, state)| {
+                matches!(state, LegState::Done(attempt) if world.succeeded(*leg, *attempt))
+            });
+            let done = done.count();
+            assert_eq!(done + missing, legs, "coverage is stated falsely");
+            assert!(
+                done * 100 + 1 > legs * usize::from(case.min_percent),
+                "too few parts"
+            );
+            assert!(done > 0);
+        }
+        Outcome::Forward { attempt } => {
+            let found = world
+                .history
+                .iter()
+                .find(|(send, _)| send.attempt == attempt);
+            let reply = found.and_then(|(_, reply)| *reply);
+            let answered = matches!(reply, Some(Reply::Success | Reply::Failed { .. }));
+            assert!(answered, "an answer that nobody gave");
+        }
+        Outcome::GiveUp(_) => assert!(any_run, "nothing ran, and the caller is not told"),
+    }
+}
+
+#[test]
+fn an_exchange_keeps_its_promises() {
+    let cases = std::env::var("WIGEONHALL_FUZZ_CASES")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(CASES);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let result = runner.run(&case(), |case| {
+        let mut world = World::new(&case);
+        let outcome = world.run(&case);
+        check(&case, &world, outcome);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/routes.rs
@@ -0,0 +1,95 @@
+//! Guards against requests that take a route or a service they must not.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::RouteSpec;
+use wigeonhall_dispatch::RouteTable;
+use wigeonhall_dispatch::TargetSpec;
+
+use common::configuration;
+use common::gather;
+use common::pool;
+use common::route;
+use common::route_spec;
+use common::service;
+
+fn named(name: &str, host: &str, prefix: &str) -> RouteSpec {
+    let mut spec = route_spec(RouteKind::Idempotent, service("a"));
+    spec.name = name.into();
+    spec.host = host.into();
+    spec.path_prefix = prefix.into();
+    spec
+}
+
+fn found(table: &RouteTable, host: &str, path: &str) -> Option<String> {
+    table
+        .find(host, path)
+        .map(|route| route.spec.name.to_string())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        named("short", "a.example", "/x/"),
+        named("long", "a.example", "/x/y/"),
+        named("other", "b.example", "/x/y/z/"),
+    ];
+    let table = RouteTable::new(&configuration(1, routes), &mut pool());
+    assert_eq!(
+        found(&table, "a.example", "/x/y/z/1").as_deref(),
+        Some("long")
+    );
+    assert_eq!(
+        found(&table, "A.Example:8080", "/x/q").as_deref(),
+        Some("short")
+    );
+    assert_eq!(found(&table, "a.example", "/xy/"), None);
+    assert_eq!(found(&table, "a.example", "/x"), None);
+    assert_eq!(found(&table, "c.example", "/x/"), None);
+}
+
+#[test]
+fn a_split_keeps_its_weights_over_every_stretch() {
+    let mut pool = pool();
+    let parts = vec![
+        ("a".into(), 7.0),
+        ("b".into(), 2.0),
+        ("c".into(), 0.0),
+        ("d".into(), 1.0),
+    ];
+    let route = route(
+        &mut pool,
+        route_spec(RouteKind::Idempotent, TargetSpec::Split(parts)),
+    );
+    let mut counts = BTreeMap::new();
+    for _ in 0..100 {
+        let selection = route.select();
+        let name = pool.service_name(selection.services[0]).to_string();
+        *counts.entry(name).or_insert(0) += 1;
+    }
+    insta::assert_json_snapshot!(counts, @r#"
+    {
+      "a": 70,
+      "b": 20,
+      "d": 10
+    }
+    "#);
+}
+
+#[test]
+fn the_least_share_of_shards_is_rounded_up() {
+    let shards: Vec<String> = (0..20).map(|number| format!("s{number}")).collect();
+    let shards: Vec<&str> = shards.iter().map(String::as_str).collect();
+    let least = |fraction| {
+        let spec = route_spec(RouteKind::Idempotent, gather(&shards, fraction));
+        route(&mut pool(), spec).select().min_parts
+    };
+    assert_eq!(least(0.89), Some(18));
+    assert_eq!(least(0.75), Some(15));
+    assert_eq!(least(0.95), Some(19));
+    assert_eq!(least(1.0), Some(20));
+    assert_eq!(least(0.0), Some(1));
+}
--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -1,5 +1,7 @@
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -9,32 +11,111 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::time;
+use tokio::time::Instant;
 use tokio::time::Sleep;
 
-/// Part of the idle time after which a connection is closed; callers use theirs up to
-/// four fifths of it, so that a close never crosses a request.
-const IDLE_SLACK: u32 = 2;
+/// What a caller's connection is doing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Activity {
+    /// A request was read and is not answered yet.
+    Answering,
+    /// Some bytes of the head of a request are in, since this time.
+    Head(Instant),
+    /// Nothing is going on since this time.
+    Idle(Instant),
+}
+
+/// Activity of a connection, shared by its stream and its handler.
+#[derive(Debug)]
+pub(crate) struct CallerActivity {
+    activity: Cell<Activity>,
+    head_timeout: Duration,
+    idle_timeout: Duration,
+}
+
+impl CallerActivity {
+    pub(crate) fn new(head_timeout: Duration, idle_timeout: Duration) -> Self {
+        Self {
+            activity: Cell::new(Activity::Idle(Instant::now())),
+            head_timeout,
+            idle_timeout,
+        }
+    }
+
+    /// Records that the head of a request is whole.
+    pub(crate) fn request_read(&self) {
+        self.activity.set(Activity::Answering);
+    }
+
+    /// Records that the answer to a request is handed over.
+    pub(crate) fn request_answered(&self) {
+        self.activity.set(Activity::Idle(Instant::now()));
+    }
+
+    fn bytes_read(&self) {
+        if let Activity::Idle(_) = self.activity.get() {
+            self.activity.set(Activity::Head(Instant::now()));
+        }
+    }
 
-/// A caller's connection that ends when nothing is read or written for too long.
+    fn bytes_written(&self) {
+        if let Activity::Idle(_) = self.activity.get() {
+            self.activity.set(Activity::Idle(Instant::now()));
+        }
+    }
+
+    /// Time at which the connection is closed unless something happens.
+    fn closes_at(&self) -> Option<Instant> {
+        match self.activity.get() {
+            Activity::Answering => None,
+            Activity::Head(since) => Some(since + self.head_timeout),
+            Activity::Idle(since) => Some(since + self.idle_timeout),
+        }
+    }
+}
+
+/// A caller's connection that ends when it stays idle, or a head incomplete, too long.
 #[derive(Debug)]
 pub(crate) struct CallerIo {
-    idle: Duration,
+    activity: Rc<CallerActivity>,
     sleep: Pin<Box<Sleep>>,
     stream: TcpStream,
 }
 
 impl CallerIo {
-    pub(crate) fn new(stream: TcpStream, idle: Duration) -> Self {
+    pub(crate) fn new(stream: TcpStream, activity: Rc<CallerActivity>) -> Self {
+        let sleep = Box::pin(time::sleep(activity.idle_timeout));
         Self {
-            idle,
-            sleep: Box::pin(time::sleep(idle * IDLE_SLACK)),
+            activity,
+            sleep,
             stream,
         }
     }
 
-    fn moved(&mut self) {
-        let next = time::Instant::now() + self.idle * IDLE_SLACK;
-        self.sleep.as_mut().reset(next);
+    /// Whether the connection was left without progress for too long.
+    fn expired(&mut self, cx: &mut Context<'_>) -> bool {
+        while self.sleep.as_mut().poll(cx).is_ready() {
+            let now = Instant::now();
+            // While a request is answered, its own deadline counts.
+            let closes_at = self
+                .activity
+                .closes_at()
+                .unwrap_or(now + self.activity.idle_timeout);
+            if closes_at <= now {
+                return true;
+            }
+            self.sleep.as_mut().reset(closes_at);
+        }
+        false
+    }
+
+    /// Brings the timer forward when a limit ends before it rings.
+    fn tighten(&mut self) {
+        if let Some(closes_at) = self.activity.closes_at()
+            && closes_at < self.sleep.deadline()
+        {
+            self.sleep.as_mut().reset(closes_at);
+        }
     }
 }
 
@@ -46,10 +127,11 @@
     ) -> Poll<io::Result<()>> {
         let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if result.is_ready() {
-            self.moved();
+            self.activity.bytes_read();
             return result;
         }
-        if self.sleep.as_mut().poll(cx).is_ready() {
+        self.tighten();
+        if self.expired(cx) {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         Poll::Pending
@@ -62,11 +144,8 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        if result.is_ready() {
-            self.moved();
-        }
-        result
+        self.activity.bytes_written();
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -82,11 +161,8 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bytes);
-        if result.is_ready() {
-            self.moved();
-        }
-        result
+        self.activity.bytes_written();
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -47,6 +47,11 @@
     const fn new(status: StatusCode, reason: &'static str) -> Self {
         Self { reason, status }
     }
+
+    /// The body did not arrive in time; the request has not run.
+    pub(crate) const fn too_slow() -> Self {
+        Self::new(StatusCode::REQUEST_TIMEOUT, "body too slow")
+    }
 }
 
 /// What the head of a request says.
@@ -132,7 +137,9 @@
         let dropped = HOP_BY_HOP.contains(name)
             || *name == EXPECTED_INSTANCE
             || *name == REMAINING_MS
-            || named.iter().any(|other| other.eq_ignore_ascii_case(name.as_str()));
+            || named
+                .iter()
+                .any(|other| other.eq_ignore_ascii_case(name.as_str()));
         if !dropped {
             kept.append(name.clone(), value.clone());
         }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use serde::Serialize;
 
 /// One line of the log: a decision, its inputs and its outcome.
@@ -44,8 +46,11 @@
     },
     /// The process started.
     Start {
+        caller_address: SocketAddr,
         data_centre: &'a str,
+        metrics_address: Option<SocketAddr>,
         node: &'a str,
+        readiness_address: SocketAddr,
         version: &'a str,
     },
     /// The process stops, or has stopped.
--- a/crates/entry/src/event_log.rs
+++ b/crates/entry/src/event_log.rs
@@ -42,7 +42,10 @@
     event: &'a Event<'a>,
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde asks for")]
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature that serde asks for"
+)]
 const fn is_zero(count: &u64) -> bool {
     *count == 0
 }
@@ -116,7 +119,11 @@
         }
         // Standard output that is closed has no reader left to tell.
         let mut output = io::stdout().lock();
-        if output.write_all(&batch).and_then(|()| output.flush()).is_err() {
+        if output
+            .write_all(&batch)
+            .and_then(|()| output.flush())
+            .is_err()
+        {
             return;
         }
         drop(output);
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -17,12 +17,17 @@
 use tokio::task;
 use tokio::time;
 
+use wigeonhall_dispatch::RouteTable;
+
+use crate::caller_io::CallerActivity;
 use crate::caller_io::CallerIo;
 use crate::caller_request;
+use crate::caller_request::CallerHead;
 use crate::caller_request::Rejection;
 use crate::event::Event;
 use crate::event::RequestEvent;
 use crate::query;
+use crate::replica_client::OutgoingRequest;
 use crate::responses;
 use crate::responses::CallerResponse;
 use crate::shared::Phase;
@@ -35,7 +40,10 @@
 /// Smallest read buffer that `hyper` takes.
 const READ_BUFFER_MIN_BYTES: usize = 8_192;
 
-/// Limits of a caller before the first configuration.
+/// Longest time for the head of a request before the first configuration.
+const HEAD_TIMEOUT_MS: u64 = 3_000;
+
+/// Longest idle time of a connection before the first configuration.
 const IDLE_TIMEOUT_MS: u64 = 15_000;
 
 /// Pause after an error of `accept`, such as a lack of descriptors.
@@ -75,10 +83,15 @@
 async fn connection_until_end(shared: &Rc<Shared>, stream: TcpStream) -> io::Result<()> {
     socket::prepare(&stream)?;
     let limits = shared.limits();
+    let head_ms = limits.map_or(HEAD_TIMEOUT_MS, |limits| limits.header_timeout_ms);
     let idle_ms = limits.map_or(IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
     let buffer_bytes = limits.map_or(READ_BUFFER_MIN_BYTES, |limits| limits.header_bytes);
-    let io = CallerIo::new(stream, Duration::from_millis(idle_ms));
-    let handler = service::service_fn(|request| handle(shared.clone(), request));
+    let activity = Rc::new(CallerActivity::new(
+        Duration::from_millis(head_ms),
+        Duration::from_millis(idle_ms),
+    ));
+    let io = CallerIo::new(stream, activity.clone());
+    let handler = service::service_fn(|request| handle(shared.clone(), activity.clone(), request));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -99,9 +112,12 @@
 
 async fn handle(
     shared: Rc<Shared>,
+    activity: Rc<CallerActivity>,
     request: Request<Incoming>,
 ) -> Result<CallerResponse, Infallible> {
+    activity.request_read();
     let mut response = respond(&shared, request).await;
+    activity.request_answered();
     if shared.phase() != Phase::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -119,13 +135,25 @@
         Ok(head) => head,
         Err(rejection) => return reject(shared, &rejection, started_us, table.version),
     };
-    let request_id = head.request_id.clone();
-    match caller_request::read_request(request, request_id, table.limits).await {
+    match read_in_time(request, &head, &table).await {
         Ok(outgoing) => query::answer(shared, &head, outgoing, started_us).await,
         Err(rejection) => reject(shared, &rejection, started_us, table.version),
     }
 }
 
+/// Reads the body for as long as the route lets a request wait.
+async fn read_in_time(
+    request: Request<Incoming>,
+    head: &CallerHead,
+    table: &RouteTable,
+) -> Result<OutgoingRequest, Rejection> {
+    let timeout = Duration::from_millis(head.route.spec.timeout_ms);
+    let reading = caller_request::read_request(request, head.request_id.clone(), table.limits);
+    time::timeout(timeout, reading)
+        .await
+        .unwrap_or_else(|_| Err(Rejection::too_slow()))
+}
+
 fn reject(
     shared: &Shared,
     rejection: &Rejection,
@@ -133,7 +161,11 @@
     config_version: u64,
 ) -> CallerResponse {
     let elapsed_us = shared.clock.now_us() - started_us;
-    shared.metrics.requests.with_label_values(&["rejected"]).inc();
+    shared
+        .metrics
+        .requests
+        .with_label_values(&["rejected"])
+        .inc();
     shared.log(&Event::Request(RequestEvent {
         config_version,
         deadline_ms: 0,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,4 +25,5 @@
 mod store_watch;
 
 pub use run::EntryError;
+pub use run::EntryOptions;
 pub use run::run;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -70,7 +70,10 @@
             )?,
             store_age_ms: IntGauge::new("store_age_ms", "Age of the store's word on replicas")?,
             store_calls: IntCounterVec::new(
-                Opts::new("store_calls_total", "Calls to the store by collection and outcome"),
+                Opts::new(
+                    "store_calls_total",
+                    "Calls to the store by collection and outcome",
+                ),
                 &["collection", "outcome"],
             )?,
             registry,
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -61,7 +61,9 @@
 ) -> CallerResponse {
     let route = head.route.clone();
     let timeout_us = route.spec.timeout_ms * 1_000;
-    let remaining_us = head.remaining_ms.map_or(timeout_us, |ms| ms.saturating_mul(1_000));
+    let remaining_us = head
+        .remaining_ms
+        .map_or(timeout_us, |ms| ms.saturating_mul(1_000));
     let deadline_us = started_us + timeout_us.min(remaining_us);
     let hedge_delay_us = hedge_delay_us(shared, &route);
     let exchange = Exchange::new(started_us, deadline_us, hedge_delay_us, route);
@@ -103,7 +105,10 @@
                 self.dispatch(send);
             }
             let now_us = self.shared.clock.now_us();
-            let wake_at = self.shared.clock.instant(self.exchange.next_timer_us(now_us));
+            let wake_at = self
+                .shared
+                .clock
+                .instant(self.exchange.next_timer_us(now_us));
             let outcome = tokio::select! {
                 biased;
                 Some((send, result)) = self.pending.next() => self.take(send, result, &mut sends),
@@ -136,7 +141,8 @@
         }
         let now_us = self.shared.clock.now_us();
         let mut pool = self.shared.pool.borrow_mut();
-        self.exchange.reply(&mut pool, now_us, send, result.reply, sends)
+        self.exchange
+            .reply(&mut pool, now_us, send, result.reply, sends)
     }
 
     fn dispatch(&self, send: Send) {
@@ -146,8 +152,7 @@
         let route = self.exchange.route().clone();
         let flight = Flight::new(shared.clone(), send.replica, route);
         self.pending.push(Box::pin(async move {
-            let result =
-                replica_client::send(&shared, send.replica, &outgoing, deadline_us).await;
+            let result = replica_client::send(&shared, send.replica, &outgoing, deadline_us).await;
             flight.land(result.reply);
             (send, result)
         }));
@@ -200,7 +205,9 @@
         let elapsed_us = shared.clock.now_us() - self.exchange.sent_us(send);
         shared.log(&Event::Send {
             elapsed_ms: elapsed_us as f64 / 1_000.0,
-            replica: pool.replica(send.replica).map_or("gone", |replica| replica.id()),
+            replica: pool
+                .replica(send.replica)
+                .map_or("gone", |replica| replica.id()),
             reply: format!("{reply:?}"),
             request_id: self.outgoing.request_id.to_str().unwrap_or(""),
             service: pool.service_name(self.exchange.service(send.leg)),
@@ -215,9 +222,14 @@
         let route = self.exchange.route();
         let missing = self.missing();
         let metrics = &shared.metrics;
-        metrics.extra_sends.inc_by(u64::from(self.exchange.extra_sends()));
+        metrics
+            .extra_sends
+            .inc_by(u64::from(self.exchange.extra_sends()));
         metrics.missing_parts.inc_by(missing.len() as u64);
-        metrics.requests.with_label_values(&[outcome_label(outcome)]).inc();
+        metrics
+            .requests
+            .with_label_values(&[outcome_label(outcome)])
+            .inc();
         metrics
             .request_latency_s
             .with_label_values(&[&*route.spec.name])
@@ -261,7 +273,10 @@
         task::spawn_local(async move {
             let rest = pending.for_each(|_| std::future::ready(()));
             // Sends that are still out are counted as silent when they are dropped.
-            if time::timeout(Duration::from_micros(leftover_us), rest).await.is_err() {
+            if time::timeout(Duration::from_micros(leftover_us), rest)
+                .await
+                .is_err()
+            {
                 log::debug!("sends of an answered request were ended");
             }
         });
@@ -317,12 +332,19 @@
         let mut latencies = shared.latencies.borrow_mut();
         let latency = latencies.entry(self.route.spec.name.clone()).or_default();
         let ratio = if reply == Reply::Success {
-            shared.metrics.replica_latency_s.observe(latency_us as f64 / 1_000_000.0);
+            shared
+                .metrics
+                .replica_latency_s
+                .observe(latency_us as f64 / 1_000_000.0);
             latency.observe(latency_us)
         } else {
             latency.ratio(latency_us)
         };
-        shared.metrics.replica_replies.with_label_values(&[reply_label(reply)]).inc();
+        shared
+            .metrics
+            .replica_replies
+            .with_label_values(&[reply_label(reply)])
+            .inc();
         let mut pool = shared.pool.borrow_mut();
         pool.finished(now_us, self.replica, reply, ratio);
     }
--- a/crates/entry/src/readiness.rs
+++ b/crates/entry/src/readiness.rs
@@ -69,7 +69,10 @@
 fn metrics(shared: &Shared) -> CallerResponse {
     let now_us = shared.clock.now_us();
     let heard_us = shared.replicas_heard_us.get().unwrap_or(0);
-    shared.metrics.store_age_ms.set(((now_us - heard_us) / 1_000) as i64);
+    shared
+        .metrics
+        .store_age_ms
+        .set(((now_us - heard_us) / 1_000) as i64);
     match shared.metrics.text() {
         Ok(text) => Response::new(Full::new(Bytes::from(text))),
         Err(error) => {
--- a/crates/entry/src/replica_client.rs
+++ b/crates/entry/src/replica_client.rs
@@ -98,11 +98,6 @@
             !idle.is_empty()
         });
     }
-
-    /// Number of idle connections.
-    pub(crate) fn len(&self) -> usize {
-        self.by_replica.values().map(Vec::len).sum()
-    }
 }
 
 /// A replica as one send sees it.
--- a/crates/entry/src/responses.rs
+++ b/crates/entry/src/responses.rs
@@ -51,7 +51,11 @@
 ) -> Option<CallerResponse> {
     let receipts: Option<Vec<&str>> = parts
         .iter()
-        .map(|part| part.headers.get(&RECEIPT).and_then(|value| value.to_str().ok()))
+        .map(|part| {
+            part.headers
+                .get(&RECEIPT)
+                .and_then(|value| value.to_str().ok())
+        })
         .collect();
     let receipts = HeaderValue::from_str(&receipts?.join(", ")).ok()?;
     let bodies: Vec<&[u8]> = parts.iter().map(|part| &*part.body).collect();
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -22,6 +22,13 @@
 use crate::shared::Shared;
 use crate::store_watch;
 
+/// What the command line says of a node.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EntryOptions {
+    /// Port for metrics on the address for callers; none without it.
+    pub metrics_port: Option<u16>,
+}
+
 /// Why the entry tier could not start.
 #[derive(Debug)]
 pub enum EntryError {
@@ -53,7 +60,7 @@
 /// # Errors
 ///
 /// When the settings are malformed or an address is taken.
-pub fn run() -> Result<(), EntryError> {
+pub fn run(options: EntryOptions) -> Result<(), EntryError> {
     let settings = read_settings().map_err(EntryError::Settings)?;
     let events = EventLog::start().map_err(EntryError::System)?;
     let metrics = Metrics::new().map_err(EntryError::Metrics)?;
@@ -63,7 +70,7 @@
         .build()
         .map_err(EntryError::System)?;
     let local = LocalSet::new();
-    let result = local.block_on(&runtime, serve(&shared));
+    let result = local.block_on(&runtime, serve(&shared, options));
     drop(local);
     drop(runtime);
     if let Ok(shared) = Rc::try_unwrap(shared) {
@@ -72,21 +79,33 @@
     result
 }
 
-async fn serve(shared: &Rc<Shared>) -> Result<(), EntryError> {
+async fn serve(shared: &Rc<Shared>, options: EntryOptions) -> Result<(), EntryError> {
     let settings = &shared.settings;
+    let callers = listen(settings.caller_address).await?;
+    let platform = listen(settings.readiness_address).await?;
+    let mut metrics_address = None;
+    if let Some(port) = options.metrics_port {
+        let address = SocketAddr::new(settings.caller_address.ip(), port);
+        let listener = listen(address).await?;
+        metrics_address = listener.local_addr().ok();
+        task::spawn_local(readiness::serve(shared.clone(), listener));
+    }
     shared.log(&Event::Start {
+        caller_address: callers.local_addr().map_err(EntryError::System)?,
         data_centre: &settings.data_centre,
+        metrics_address,
         node: &settings.node_name,
+        readiness_address: platform.local_addr().map_err(EntryError::System)?,
         version: env!("CARGO_PKG_VERSION"),
     });
-    let callers = listen(settings.caller_address).await?;
-    let platform = listen(settings.readiness_address).await?;
     task::spawn_local(front::serve(shared.clone(), callers));
     task::spawn_local(readiness::serve(shared.clone(), platform));
     for collection in Collection::ALL {
         task::spawn_local(store_watch::follow(shared.clone(), collection));
     }
-    lifecycle::until_stopped(shared).await.map_err(EntryError::System)
+    lifecycle::until_stopped(shared)
+        .await
+        .map_err(EntryError::System)
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -174,7 +174,11 @@
 
     fn count(&self, outcome: &str) {
         let labels = [self.collection.wire_name(), outcome];
-        self.shared.metrics.store_calls.with_label_values(&labels).inc();
+        self.shared
+            .metrics
+            .store_calls
+            .with_label_values(&labels)
+            .inc();
     }
 
     fn replace(&self, objects: Vec<StoredObject>, revision: u64) {
@@ -302,7 +306,10 @@
             out: evacuated.iter().map(|name| &**name).collect(),
             revision,
         });
-        self.shared.pool.borrow_mut().set_taken_out(evacuated.clone());
+        self.shared
+            .pool
+            .borrow_mut()
+            .set_taken_out(evacuated.clone());
     }
 
     fn report(&self, new: &[ReplicaKey], revision: u64) {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -11,6 +11,7 @@
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 
+use wigeonhall_entry::EntryOptions;
 use wigeonhall_node::Node;
 use wigeonhall_settings::parse_node;
 
@@ -22,6 +23,9 @@
     check: bool,
     /// Run the entry tier on the users' platform, with the platform's own settings
     entry: bool,
+    /// Port for the metrics of the entry tier
+    #[bpaf(argument("PORT"), optional)]
+    metrics_port: Option<u16>,
     /// Settings file in YAML
     #[bpaf(argument("FILE"), optional)]
     settings: Option<PathBuf>,
@@ -39,7 +43,10 @@
 
 fn run(options: &Options) -> Result<(), String> {
     if options.entry {
-        return wigeonhall_entry::run().map_err(|error| error.to_string());
+        let entry = EntryOptions {
+            metrics_port: options.metrics_port,
+        };
+        return wigeonhall_entry::run(entry).map_err(|error| error.to_string());
     }
     let Some(path) = &options.settings else {
         return Err("--settings FILE or --entry is needed".to_owned());
