--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -58,10 +58,10 @@
                 self.suspended_until_us = 0;
                 self.sample(ratio, 0.0);
             }
-            Reply::Failed { .. } | Reply::Unknown(UnknownCause::Reset | UnknownCause::Foreign) => {
-                self.sample(1.0, 1.0);
-            }
-            Reply::Unknown(UnknownCause::Unproved) => self.sample(1.0, 1.0),
+            Reply::Failed { .. }
+            | Reply::Unknown(
+                UnknownCause::Foreign | UnknownCause::Reset | UnknownCause::Unproved,
+            ) => self.sample(1.0, 1.0),
             Reply::Unknown(UnknownCause::Silent) => {
                 self.sample(RATIO_MAX, 1.0);
                 self.fail(now_us, SILENCES_TO_SUSPEND);
@@ -69,8 +69,9 @@
             Reply::NotRun(NotRunCause::Busy) => {
                 self.suspended_until_us = self.suspended_until_us.max(now_us + BUSY_US);
             }
-            Reply::NotRun(NotRunCause::Unreachable) => self.fail(now_us, 1),
-            Reply::NotRun(NotRunCause::OtherInstance) => self.fail(now_us, 1),
+            Reply::NotRun(NotRunCause::OtherInstance | NotRunCause::Unreachable) => {
+                self.fail(now_us, 1);
+            }
         }
     }
 
--- a/crates/entry/src/readiness.rs
+++ b/crates/entry/src/readiness.rs
@@ -1,4 +1,5 @@
 use std::convert::Infallible;
+use std::future;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -34,7 +35,10 @@
                         log::debug!("cannot prepare a connection: {error}");
                         return;
                     }
-                    let handler = service::service_fn(|request| handle(shared.clone(), request));
+                    let handler = service::service_fn(|request| {
+                        let response = respond(&shared, &request);
+                        future::ready(Ok::<_, Infallible>(response))
+                    });
                     let connection =
                         http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
                     if let Err(error) = connection.await {
@@ -50,20 +54,17 @@
     }
 }
 
-async fn handle(
-    shared: Rc<Shared>,
-    request: Request<Incoming>,
-) -> Result<CallerResponse, Infallible> {
+fn respond(shared: &Shared, request: &Request<Incoming>) -> CallerResponse {
     let path = request.uri().path();
-    Ok(if path == METRICS_PATH {
-        metrics(&shared)
+    if path == METRICS_PATH {
+        metrics(shared)
     } else if path != readiness_path() {
         responses::plain(StatusCode::NOT_FOUND, "unknown path")
     } else if shared.ready() {
         responses::plain(StatusCode::OK, "ready")
     } else {
         responses::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
-    })
+    }
 }
 
 fn metrics(shared: &Shared) -> CallerResponse {
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -129,10 +129,10 @@
         let path = watch_path(self.collection, revision, wait_ms);
         let body = self.client.get(&path, WATCH_WAIT + WATCH_SLACK).await?;
         self.count("watch");
-        let changes = decode_changes(&body).map_err(StoreError::Decode)?;
-        let changed = !changes.changes.is_empty();
-        self.apply(changes.changes, changes.revision);
-        self.revision = Some(changes.revision);
+        let news = decode_changes(&body).map_err(StoreError::Decode)?;
+        let changed = !news.changes.is_empty();
+        self.apply(news.changes, news.revision);
+        self.revision = Some(news.revision);
         Ok(changed)
     }
 
--- /dev/null
+++ b/crates/node/tests/entry/caller.rs
@@ -0,0 +1,100 @@
+//! A caller that speaks HTTP over plain sockets, so that each byte is known.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use wigeonhall_adapter::REMAINING_MS;
+use wigeonhall_adapter::REQUEST_ID;
+use wigeonhall_adapter_standins::HttpRequest;
+
+/// Longest wait for any answer; only a hang is this slow.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An answer; the status stands in `method`, as both start a message.
+pub struct Answer {
+    pub message: HttpRequest,
+    pub status: u16,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.message.header(name)
+    }
+}
+
+/// A connection of a caller.
+pub struct Caller {
+    reader: BufReader<TcpStream>,
+}
+
+impl Caller {
+    pub fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Self {
+            reader: BufReader::new(stream),
+        }
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.reader.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// Sends a request for `path` with an id and a deadline.
+    pub fn ask(&mut self, method: &str, path: &str, id: &str, body: &str) {
+        let text = request(method, path, id, 5_000, body);
+        self.send(&text);
+    }
+
+    /// Reads an answer; `None` if the connection ends instead.
+    pub fn read(&mut self) -> Option<Answer> {
+        let mut line = String::new();
+        if self.reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let status = line.split_whitespace().nth(1)?.parse().ok()?;
+        let mut message = HttpRequest::default();
+        loop {
+            line.clear();
+            self.reader.read_line(&mut line).ok()?;
+            let Some((name, value)) = line.trim_end().split_once(':') else {
+                break;
+            };
+            let name = name.to_ascii_lowercase();
+            message.headers.push((name, value.trim().to_owned()));
+        }
+        let length = message
+            .header("content-length")
+            .and_then(|text| text.parse().ok());
+        message.body = vec![0; length.unwrap_or(0)];
+        self.reader.read_exact(&mut message.body).ok()?;
+        Some(Answer { message, status })
+    }
+
+    /// Whether the node ends the connection.
+    pub fn ends(&mut self) -> bool {
+        matches!(self.reader.read(&mut [0; 1]), Ok(0))
+            || self.reader.get_ref().take_error().ok().flatten().is_some()
+    }
+}
+
+pub fn request(method: &str, path: &str, id: &str, deadline_ms: u64, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: shop.example\r\n{REQUEST_ID}: {id}\r\n\
+         {REMAINING_MS}: {deadline_ms}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// One request over a connection of its own.
+pub fn ask(address: SocketAddr, method: &str, path: &str, id: &str, body: &str) -> Answer {
+    let mut caller = Caller::connect(address);
+    caller.ask(method, path, id, body);
+    caller.read().expect("an answer")
+}
--- /dev/null
+++ b/crates/node/tests/entry/deployment.rs
@@ -0,0 +1,208 @@
+//! A node as a process, with its store.
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process;
+use std::process::Child;
+use std::process::ChildStdout;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+
+use wigeonhall_adapter_standins::ReplicaStandin;
+use wigeonhall_adapter_standins::SETTINGS_VARIABLE;
+use wigeonhall_adapter_standins::StoreStandin;
+use wigeonhall_adapter_standins::settings_text;
+use wigeonhall_dispatch::Configuration;
+use wigeonhall_dispatch::RequestLimits;
+use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::RouteSpec;
+use wigeonhall_dispatch::TargetSpec;
+
+use crate::caller;
+
+/// Longest wait for a state; only a hang is this slow.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Grace period that the node is told.
+const GRACE_MS: u64 = 6_000;
+
+/// A node under test.
+pub struct Node {
+    pub callers: SocketAddr,
+    child: Child,
+    lines: Arc<Mutex<Vec<Value>>>,
+    pub readiness: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Node {
+    pub fn start(store: &StoreStandin) -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("wigeonhall-entry-{}-{number}.yaml", process::id());
+        let settings = std::env::temp_dir().join(name);
+        fs::write(&settings, settings_text(store.address(), "north", GRACE_MS)).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_wigeonhall-node"))
+            .args(["--entry", "--metrics-port", "0"])
+            .env(SETTINGS_VARIABLE, &settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let output = child.stdout.take().unwrap();
+        let collected = lines.clone();
+        thread::spawn(move || collect(output, &collected));
+        let start = wait_for(&lines, |line| line["event"] == "start");
+        let address = |field: &str| start[field].as_str().unwrap().parse().unwrap();
+        Self {
+            callers: address("caller_address"),
+            child,
+            lines,
+            readiness: address("readiness_address"),
+            settings,
+        }
+    }
+
+    /// Waits until the log has a line that fits.
+    pub fn logged(&self, fits: impl Fn(&Value) -> bool) -> Value {
+        wait_for(&self.lines, fits)
+    }
+
+    /// Status of the answer to the platform's question.
+    pub fn readiness_status(&self) -> u16 {
+        caller::ask(self.readiness, "GET", "/readiness", "probe", "").status
+    }
+
+    pub fn wait_ready(&self) {
+        wait_until("ready", || self.readiness_status() == 200);
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args(["-s", name, &id])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for the end of the process; returns whether it ended with success.
+    pub fn wait_end(&mut self) -> bool {
+        let mut success = false;
+        wait_until("end of the node", || match self.child.try_wait().unwrap() {
+            Some(status) => {
+                success = status.success();
+                true
+            }
+            None => false,
+        });
+        success
+    }
+
+    /// Rewrites the settings file with an addition.
+    pub fn append_settings(&self, text: &str) {
+        let former = fs::read_to_string(&self.settings).unwrap();
+        fs::write(&self.settings, former + text).unwrap();
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        drop(self.child.kill());
+        drop(self.child.wait());
+        drop(fs::remove_file(&self.settings));
+    }
+}
+
+fn collect(output: ChildStdout, lines: &Mutex<Vec<Value>>) {
+    for line in BufReader::new(output).lines().map_while(Result::ok) {
+        let line = serde_json::from_str(&line).expect("a line of JSON");
+        lines.lock().unwrap().push(line);
+    }
+}
+
+fn wait_for(lines: &Mutex<Vec<Value>>, fits: impl Fn(&Value) -> bool) -> Value {
+    let mut found = None;
+    wait_until("a line of the log", || {
+        found = lines
+            .lock()
+            .unwrap()
+            .iter()
+            .find(|line| fits(line))
+            .cloned();
+        found.is_some()
+    });
+    found.unwrap()
+}
+
+pub fn wait_until(what: &str, mut done: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < PATIENCE, "waited in vain: {what}");
+        thread::sleep(PAUSE);
+    }
+}
+
+/// A route of the host that callers name.
+pub fn route(name: &str, prefix: &str, kind: RouteKind, target: TargetSpec) -> RouteSpec {
+    RouteSpec {
+        host: "shop.example".into(),
+        kind,
+        max_attempts: 2,
+        name: name.into(),
+        path_prefix: prefix.into(),
+        target,
+        target_latency_ms: 2_000,
+        timeout_ms: 5_000,
+    }
+}
+
+pub fn gather(shards: &[&str], min_fraction: f64) -> TargetSpec {
+    TargetSpec::Gather {
+        min_fraction,
+        shards: shards.iter().map(|name| Arc::from(*name)).collect(),
+        top_records: 3,
+    }
+}
+
+pub fn configuration(version: u64, routes: Vec<RouteSpec>) -> Configuration {
+    Configuration {
+        limits: RequestLimits {
+            body_bytes: 1_000,
+            header_bytes: 8_192,
+            header_timeout_ms: 600,
+            idle_timeout_ms: 1_200,
+        },
+        routes,
+        services: Vec::new(),
+        version,
+    }
+}
+
+/// A store with routes and replicas, and a node that is ready for callers.
+pub fn deploy(routes: Vec<RouteSpec>, replicas: &[&ReplicaStandin]) -> (StoreStandin, Node) {
+    let store = StoreStandin::start().unwrap();
+    store.configure(&configuration(1, routes));
+    for replica in replicas {
+        store.register(&replica.registration("north"));
+    }
+    let node = Node::start(&store);
+    node.wait_ready();
+    (store, node)
+}
--- /dev/null
+++ b/crates/node/tests/entry/forwarding.rs
@@ -0,0 +1,172 @@
+//! Guards against requests that are changed, misrouted or wrongly turned away.
+
+use std::time::Duration;
+
+use wigeonhall_adapter::REMAINING_MS;
+use wigeonhall_adapter_standins::Behaviour;
+use wigeonhall_adapter_standins::ReplicaStandin;
+use wigeonhall_adapter_standins::StoreStandin;
+use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::RouteSpec;
+use wigeonhall_dispatch::TargetSpec;
+
+use crate::caller;
+use crate::caller::Caller;
+use crate::caller::ask;
+use crate::deployment::Node;
+use crate::deployment::deploy;
+use crate::deployment::route;
+
+fn echo() -> ReplicaStandin {
+    ReplicaStandin::start("a", 1, |request| Behaviour::answer(request.body.clone())).unwrap()
+}
+
+fn routes() -> Vec<RouteSpec> {
+    let target = TargetSpec::Service("a".into());
+    vec![route("one", "/one/", RouteKind::Idempotent, target)]
+}
+
+#[test]
+fn method_path_body_and_headers_reach_the_replica_unchanged() {
+    let replica = echo();
+    let (_store, node) = deploy(routes(), &[&replica]);
+    let mut caller = Caller::connect(node.callers);
+    let path = "/one/a%20b/../c//d?x=1&y=%2F";
+    let text = caller::request("PUT", path, "q1", 5_000, "fill 7");
+    let text = text.replace(
+        "\r\n\r\n",
+        "\r\nX-Crew: rim\r\nConnection: X-Hop\r\nX-Hop: 1\r\n\r\n",
+    );
+    caller.send(&text);
+    assert_eq!(caller.read().unwrap().status, 200);
+    let run = replica.runs().remove(0);
+    assert_eq!(run.method, "PUT");
+    assert_eq!(run.path, path);
+    assert_eq!(run.body, b"fill 7");
+    assert_eq!(run.header("host"), Some("shop.example"));
+    assert_eq!(run.header("x-crew"), Some("rim"));
+    assert_eq!(run.header("x-hop"), None);
+    let remaining_ms: u64 = run.header(REMAINING_MS.as_str()).unwrap().parse().unwrap();
+    assert!(remaining_ms <= 5_000);
+}
+
+#[test]
+fn a_body_in_chunks_arrives_whole() {
+    let replica = echo();
+    let (_store, node) = deploy(routes(), &[&replica]);
+    let mut caller = Caller::connect(node.callers);
+    let text = caller::request("POST", "/one/x", "q1", 5_000, "");
+    let text = text.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    caller.send(&(text + "4\r\nfill\r\n3\r\n 12\r\n0\r\n\r\n"));
+    let answer = caller.read().unwrap();
+    assert_eq!(answer.message.body, b"fill 12");
+}
+
+/// Two framings of one body would let a second request hide in it.
+#[test]
+fn a_request_with_two_framings_hides_no_second_request() {
+    let replica = echo();
+    let (_store, node) = deploy(routes(), &[&replica]);
+    let mut caller = Caller::connect(node.callers);
+    let text = caller::request("POST", "/one/x", "q1", 5_000, "");
+    let text = text.replace(
+        "Content-Length: 0",
+        "Content-Length: 90\r\nTransfer-Encoding: chunked",
+    );
+    caller.send(&(text + "0\r\n\r\n"));
+    drop(caller.read());
+    assert!(replica.runs().iter().all(|run| run.body.is_empty()));
+    assert!(replica.runs().len() <= 1);
+}
+
+#[test]
+fn a_malformed_request_gets_the_status_that_says_so() {
+    let replica = echo();
+    let (_store, node) = deploy(routes(), &[&replica]);
+    let good = caller::request("GET", "/one/x", "q1", 5_000, "");
+    let long_head = format!("X-Long: {}\r\nHost:", "x".repeat(20_000));
+    let cases = [
+        (good.replace("/one/", "/none/"), 404),
+        (good.replace("shop.example", "other.example"), 404),
+        (good.replace("5000", "soon"), 400),
+        (good.replace("request-id: q1\r\n", ""), 400),
+        (good.replace("Host:", &long_head), 431),
+        (
+            caller::request("POST", "/one/x", "q1", 5_000, &"x".repeat(1_001)),
+            413,
+        ),
+    ];
+    for (text, status) in cases {
+        let mut caller = Caller::connect(node.callers);
+        caller.send(&text);
+        let answer = caller.read().expect(&text);
+        assert_eq!(answer.status, status, "{text}");
+    }
+    assert!(replica.runs().is_empty());
+}
+
+/// A node that knows no configuration does not know that a route is missing.
+#[test]
+fn a_node_without_a_configuration_is_not_ready_and_says_not_run() {
+    let store = StoreStandin::start().unwrap();
+    let node = Node::start(&store);
+    assert_eq!(node.readiness_status(), 503);
+    assert_eq!(ask(node.callers, "GET", "/one/x", "q1", "").status, 503);
+}
+
+/// The address of a replica that is gone belongs to another; it must not run the request.
+#[test]
+fn a_replica_that_took_over_an_address_does_not_run_the_request() {
+    let replica = echo();
+    let store = StoreStandin::start().unwrap();
+    let mut former = replica.registration("north");
+    former.id = "a-0".into();
+    store.configure(&crate::deployment::configuration(1, routes()));
+    store.register(&former);
+    let node = Node::start(&store);
+    node.wait_ready();
+    let answer = ask(node.callers, "GET", "/one/x", "q1", "");
+    assert_eq!(answer.status, 503);
+    assert!(replica.runs().is_empty());
+}
+
+#[test]
+fn the_route_s_timeout_ends_a_request_before_the_caller_s() {
+    let replica = ReplicaStandin::start("a", 1, |_| Behaviour::Silent).unwrap();
+    let mut routes = routes();
+    routes[0].timeout_ms = 300;
+    let (_store, node) = deploy(routes, &[&replica]);
+    assert_eq!(ask(node.callers, "GET", "/one/x", "q1", "").status, 504);
+    let remaining = replica.runs()[0]
+        .header(REMAINING_MS.as_str())
+        .unwrap()
+        .to_owned();
+    assert!(remaining.parse::<u64>().unwrap() <= 300);
+}
+
+/// Callers that stay silent must not hold connections for good.
+#[test]
+fn a_head_that_stays_incomplete_and_an_idle_connection_are_closed() {
+    let replica = echo();
+    let (_store, node) = deploy(routes(), &[&replica]);
+    let mut half = Caller::connect(node.callers);
+    half.send("GET /one/x HTTP/1.1\r\nHost: shop");
+    assert!(half.ends());
+    let mut idle = Caller::connect(node.callers);
+    idle.ask("GET", "/one/x", "q1", "");
+    assert_eq!(idle.read().unwrap().status, 200);
+    assert!(idle.ends());
+}
+
+/// The limits on callers must not end a request that a replica still works on.
+#[test]
+fn a_request_may_take_longer_than_the_idle_timeout() {
+    let replica = ReplicaStandin::start("a", 1, |_| Behaviour::Answer {
+        body: Vec::new(),
+        delay: Duration::from_millis(1_800),
+        status: 200,
+    })
+    .unwrap();
+    let (_store, node) = deploy(routes(), &[&replica]);
+    assert_eq!(ask(node.callers, "GET", "/one/x", "q1", "").status, 200);
+}
--- /dev/null
+++ b/crates/node/tests/entry/planned_stop.rs
@@ -0,0 +1,95 @@
+//! Guards against requests that are cut by a planned stop, and against a slow return.
+
+use std::time::Duration;
+
+use wigeonhall_adapter_standins::Behaviour;
+use wigeonhall_adapter_standins::ReplicaStandin;
+use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::RouteSpec;
+use wigeonhall_dispatch::TargetSpec;
+
+use crate::caller::Caller;
+use crate::caller::ask;
+use crate::deployment::Node;
+use crate::deployment::deploy;
+use crate::deployment::route;
+use crate::deployment::wait_until;
+
+fn slow(millis: u64) -> ReplicaStandin {
+    ReplicaStandin::start("a", 1, move |_| Behaviour::Answer {
+        body: b"done".to_vec(),
+        delay: Duration::from_millis(millis),
+        status: 200,
+    })
+    .unwrap()
+}
+
+fn routes() -> Vec<RouteSpec> {
+    let target = TargetSpec::Service("a".into());
+    vec![route("one", "/one/", RouteKind::AtMostOnce, target)]
+}
+
+#[test]
+fn a_stop_answers_what_was_read_and_ends_with_success() {
+    let replica = slow(1_500);
+    let (_store, mut node) = deploy(routes(), &[&replica]);
+    let mut caller = Caller::connect(node.callers);
+    caller.ask("POST", "/one/x", "q1", "fill");
+    wait_until("work at the replica", || replica.runs().len() == 1);
+    node.signal("TERM");
+    let answer = caller.read().expect("an answer in spite of the stop");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert!(node.wait_end());
+    node.logged(|line| line["event"] == "stop" && line["phase"] == "stopped");
+}
+
+/// The platform needs two questions to take a node out; callers come until then.
+#[test]
+fn a_leaving_node_is_not_ready_and_still_serves_new_callers() {
+    let replica = slow(0);
+    let (_store, node) = deploy(routes(), &[&replica]);
+    node.signal("TERM");
+    wait_until("not ready", || node.readiness_status() == 503);
+    assert_eq!(ask(node.callers, "POST", "/one/x", "q1", "").status, 200);
+}
+
+#[test]
+fn an_idle_connection_does_not_hold_up_a_stop() {
+    let replica = slow(0);
+    let (_store, mut node) = deploy(routes(), &[&replica]);
+    let mut caller = Caller::connect(node.callers);
+    node.signal("TERM");
+    assert!(caller.ends());
+    assert!(node.wait_end());
+}
+
+/// All nodes may be killed at once; each comes back by the store alone.
+#[test]
+fn a_killed_node_comes_back_without_any_other() {
+    let replica = slow(0);
+    let (store, mut node) = deploy(routes(), &[&replica]);
+    node.signal("KILL");
+    assert!(!node.wait_end());
+    let node = Node::start(&store);
+    node.wait_ready();
+    assert_eq!(ask(node.callers, "POST", "/one/x", "q1", "").status, 200);
+}
+
+#[test]
+fn changed_settings_are_reported_and_cut_nothing() {
+    let replica = slow(300);
+    let (_store, node) = deploy(routes(), &[&replica]);
+    let mut caller = Caller::connect(node.callers);
+    caller.ask("POST", "/one/x", "q1", "");
+    node.append_settings("another_field: 1\n");
+    node.signal("HUP");
+    node.logged(|line| line["event"] == "reload" && line["outcome"] == "unchanged");
+    node.append_settings("{ not yaml");
+    node.signal("HUP");
+    node.logged(|line| {
+        let outcome = line["outcome"].as_str().unwrap_or("");
+        line["event"] == "reload" && outcome.starts_with("kept the former settings")
+    });
+    assert_eq!(caller.read().unwrap().status, 200);
+}
--- /dev/null
+++ b/crates/node/tests/entry/store.rs
@@ -0,0 +1,173 @@
+//! Guards against nodes that miss what the store says, or act on what it no longer says.
+
+use serde_json::json;
+
+use wigeonhall_adapter::Collection;
+use wigeonhall_adapter_standins::Behaviour;
+use wigeonhall_adapter_standins::ReplicaStandin;
+use wigeonhall_dispatch::RegistrationState;
+use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::RouteSpec;
+use wigeonhall_dispatch::TargetSpec;
+
+use crate::caller::ask;
+use crate::deployment::Node;
+use crate::deployment::configuration;
+use crate::deployment::deploy;
+use crate::deployment::route;
+use crate::deployment::wait_until;
+
+fn replica(number: usize) -> ReplicaStandin {
+    let body = number.to_string();
+    ReplicaStandin::start("a", number, move |_| Behaviour::answer(body.clone())).unwrap()
+}
+
+fn routes() -> Vec<RouteSpec> {
+    let target = TargetSpec::Service("a".into());
+    vec![route("one", "/one/", RouteKind::Idempotent, target)]
+}
+
+fn status(node: &Node, path: &str) -> u16 {
+    ask(node.callers, "GET", path, "q", "").status
+}
+
+#[test]
+fn a_new_configuration_comes_into_force_and_never_goes_back() {
+    let replica = replica(1);
+    let (store, node) = deploy(routes(), &[&replica]);
+    let mut more = routes();
+    more.push(route(
+        "two",
+        "/two/",
+        RouteKind::Idempotent,
+        TargetSpec::Service("a".into()),
+    ));
+    store.configure(&configuration(5, more));
+    wait_until("the new route", || status(&node, "/two/x") == 200);
+    store.configure(&configuration(3, routes()));
+    node.logged(|line| line["event"] == "configuration" && line["outcome"] == "older");
+    assert_eq!(status(&node, "/two/x"), 200);
+}
+
+#[test]
+fn replicas_that_drain_leave_or_are_out_get_nothing_more() {
+    let replicas = [1, 2, 3, 4].map(replica);
+    let (store, node) = deploy(routes(), &replicas.each_ref());
+    let mut draining = replicas[0].registration("north");
+    draining.state = RegistrationState::Draining;
+    draining.sequence = 2;
+    store.register(&draining);
+    store.unregister("a-2");
+    let mut south = replicas[2].registration("south");
+    south.sequence = 2;
+    store.register(&south);
+    store.set_out("south", true);
+    let served_by_the_last =
+        || (0..12).all(|_| ask(node.callers, "GET", "/one/x", "q", "").message.body == b"4");
+    wait_until("only the last replica", served_by_the_last);
+    store.set_out("south", false);
+    store.unregister("a-4");
+    wait_until("the replica that is back", || {
+        ask(node.callers, "GET", "/one/x", "q", "").message.body == b"3"
+    });
+}
+
+/// An outage must not take from a node what it knows.
+#[test]
+fn a_node_serves_through_an_outage_and_catches_up_after_it() {
+    let replica = replica(1);
+    let (store, node) = deploy(routes(), &[&replica]);
+    store.set_down(true);
+    node.logged(|line| line["event"] == "dependency" && line["state"] == "lost");
+    assert_eq!(status(&node, "/one/x"), 200);
+    assert_eq!(node.readiness_status(), 200);
+    let mut more = routes();
+    more.push(route(
+        "two",
+        "/two/",
+        RouteKind::Idempotent,
+        TargetSpec::Service("a".into()),
+    ));
+    store.configure(&configuration(2, more));
+    store.set_down(false);
+    node.logged(|line| line["event"] == "dependency" && line["state"] == "back");
+    wait_until("the new route", || status(&node, "/two/x") == 200);
+}
+
+/// Entries may lapse by an outage and come back soon after it.
+#[test]
+fn a_replica_whose_entry_lapsed_in_an_outage_is_kept_until_it_is_back() {
+    let replica = replica(1);
+    let (store, node) = deploy(routes(), &[&replica]);
+    store.set_down(true);
+    node.logged(|line| line["event"] == "dependency" && line["state"] == "lost");
+    store.unregister("a-1");
+    store.set_down(false);
+    let gone = |line: &serde_json::Value| {
+        line["event"] == "dependency" && line["state"] == "back" && line["name"] == "servers"
+    };
+    node.logged(gone);
+    assert_eq!(status(&node, "/one/x"), 200);
+    store.register(&replica.registration("north"));
+    assert_eq!(status(&node, "/one/x"), 200);
+}
+
+#[test]
+fn a_node_reads_again_when_the_history_is_gone() {
+    let first = replica(1);
+    let (store, node) = deploy(routes(), &[&first]);
+    store.set_silent(true);
+    let second = replica(2);
+    store.register(&second.registration("north"));
+    store.unregister("a-1");
+    store.compact();
+    store.set_silent(false);
+    wait_until("the second replica", || {
+        ask(node.callers, "GET", "/one/x", "q", "").message.body == b"2"
+    });
+}
+
+/// Another writer's entries name no replica; the others hold.
+#[test]
+fn entries_that_cannot_be_read_are_reported_and_left_out() {
+    let replica = replica(1);
+    let (store, node) = deploy(routes(), &[&replica]);
+    store.put(
+        Collection::Replicas,
+        "x-1",
+        &json!({ "service": 7, "address": "nowhere" }),
+    );
+    store.put(Collection::Replicas, "x-2", &json!("text"));
+    store.put(
+        Collection::Replicas,
+        "a-0",
+        &json!({ "service": "a", "state": "dozing" }),
+    );
+    store.put(
+        Collection::Configuration,
+        "main",
+        &json!({ "version": 9, "routes": 1 }),
+    );
+    store.put(
+        Collection::Configuration,
+        "other",
+        &json!({ "version": 10, "routes": [] }),
+    );
+    for name in ["x-1", "x-2", "a-0", "main"] {
+        node.logged(|line| line["event"] == "malformed" && line["name"] == name);
+    }
+    assert_eq!(status(&node, "/one/x"), 200);
+}
+
+/// Each call is paid for: a node at rest waits, and asks nothing.
+#[test]
+fn a_node_at_rest_makes_no_calls() {
+    let replica = replica(1);
+    let (store, node) = deploy(routes(), &[&replica]);
+    wait_until("all watches", || store.calls() >= 6);
+    let before = store.calls();
+    for _ in 0..50 {
+        assert_eq!(status(&node, "/one/x"), 200);
+    }
+    assert_eq!(store.calls(), before);
+}
--- a/crates/query/src/latency_quantile.rs
+++ b/crates/query/src/latency_quantile.rs
@@ -62,6 +62,7 @@
     }
 
     /// Time after which a sub-request counts as late, in microseconds.
+    #[must_use]
     pub const fn delay_us(&self) -> Option<u64> {
         self.delay_us
     }
