Hedge in time for the second answer, and answer with the node's lag in mind

Cause: on small nodes the 95th percentile of latencies holds the node's own processor time, so hedges went out after the answer was due (extra_sends 0 with 4 of 90 parts missing); answers left 12 ms before the target latency and arrived 1 ms after it. Ruled out: hedges held back by the budget. Change: hedge at a third of the target latency at the latest; keep free the caller's two round trips and the measured lag.

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -14,11 +14,12 @@
 use crate::leg::Attempt;
 use crate::leg::Leg;
 
-/// Least time kept free before the target latency for the way back to the caller.
-const ANSWER_MARGIN_MIN_US: u64 = 10_000;
+/// Time kept free before the target latency for the ways of a caller: a new connection
+/// and its first request take two round trips.
+const CALLER_TRIPS_US: u64 = 12_000;
 
-/// Part of the target latency kept free for the way back to the caller.
-const ANSWER_MARGIN_DIVISOR: u64 = 10;
+/// Least part of the target latency that a gather waits for its parts.
+const SOFT_MIN_DIVISOR: u64 = 3;
 
 /// Sends of one leg, whatever they came to.
 const SENDS_MAX: usize = 4;
@@ -55,11 +56,20 @@
 
 impl Exchange {
     /// A request that arrived at `now_us` and is given up at `deadline_us`.
+    ///
+    /// `answer_lag_us` is how long the node itself takes to answer once it is due.
     #[must_use]
-    pub fn new(now_us: u64, deadline_us: u64, hedge_delay_us: u64, route: Rc<Route>) -> Self {
+    pub fn new(
+        now_us: u64,
+        deadline_us: u64,
+        hedge_delay_us: u64,
+        answer_lag_us: u64,
+        route: Rc<Route>,
+    ) -> Self {
         let selection = route.select();
         let target_us = route.spec.target_latency_ms * 1_000;
-        let margin_us = (target_us / ANSWER_MARGIN_DIVISOR).max(ANSWER_MARGIN_MIN_US);
+        let margin_us = CALLER_TRIPS_US + answer_lag_us;
+        let soft_min_us = target_us / SOFT_MIN_DIVISOR;
         Self {
             deadline_us,
             extra_sends: 0,
@@ -67,7 +77,7 @@
             legs: selection.services.into_iter().map(Leg::new).collect(),
             min_parts: selection.min_parts,
             route,
-            soft_us: now_us + target_us.saturating_sub(margin_us),
+            soft_us: now_us + target_us.saturating_sub(margin_us).max(soft_min_us),
         }
     }
 
@@ -155,6 +165,12 @@
             .unwrap_or(self.deadline_us)
     }
 
+    /// Time from which a gather is answered with the parts that are in.
+    #[must_use]
+    pub const fn soft_us(&self) -> u64 {
+        self.soft_us
+    }
+
     /// Deadline of the whole request.
     #[must_use]
     pub const fn deadline_us(&self) -> u64 {
--- a/crates/dispatch/src/route_latency.rs
+++ b/crates/dispatch/src/route_latency.rs
@@ -3,8 +3,9 @@
 /// Weight of the newest sample in the usual latency.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
-/// Part of the target latency after which a send is hedged before samples are in.
-const FIRST_DELAY_DIVISOR: u64 = 3;
+/// Part of the target latency after which a send is hedged at the latest, so that the
+/// second answer is still in time.
+const LATEST_DELAY_DIVISOR: u64 = 3;
 
 /// Latencies of the replicas on one route, as this node observed them.
 #[derive(Clone, Debug, Default)]
@@ -38,7 +39,9 @@
     /// Time after which a send without an answer is hedged, in microseconds.
     #[must_use]
     pub fn hedge_delay_us(&self, target_latency_ms: u64) -> u64 {
-        let first_us = target_latency_ms * 1_000 / FIRST_DELAY_DIVISOR;
-        self.quantile.delay_us().unwrap_or(first_us)
+        let latest_us = target_latency_ms * 1_000 / LATEST_DELAY_DIVISOR;
+        self.quantile
+            .delay_us()
+            .map_or(latest_us, |delay_us| delay_us.min(latest_us))
     }
 }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -95,7 +95,7 @@
 
 pub fn exchange(pool: &mut Pool, kind: RouteKind, target: TargetSpec) -> Exchange {
     let route = route(pool, route_spec(kind, target));
-    Exchange::new(0, DEADLINE_US, HEDGE_US, route)
+    Exchange::new(0, DEADLINE_US, HEDGE_US, 0, route)
 }
 
 pub fn service(name: &str) -> TargetSpec {
--- a/crates/dispatch/tests/promises.rs
+++ b/crates/dispatch/tests/promises.rs
@@ -125,7 +125,7 @@
         };
         let route = route(&mut pool, route_spec(kind, target));
         Self {
-            exchange: Exchange::new(0, DEADLINE_US, 30_000, route),
+            exchange: Exchange::new(0, DEADLINE_US, 30_000, 0, route),
             history: Vec::new(),
             now_us: 0,
             pool,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! answer is decided in `wigeonhall-dispatch`; names and formats of the platform stand
 //! in `wigeonhall-adapter`.
 
+mod answer_lag;
 mod caller_io;
 mod caller_request;
 mod clock;
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -39,6 +39,9 @@
 /// Longest time for which a send may go on after its request was answered.
 const LEFTOVER_MAX_US: u64 = 1_000_000;
 
+/// Longest lag of an answer that counts as the node's own.
+const LAG_MAX_US: u64 = 30_000;
+
 type SendFuture = Pin<Box<dyn Future<Output = (Send, SendResult)>>>;
 
 /// A request that is being answered.
@@ -66,7 +69,13 @@
         .map_or(timeout_us, |ms| ms.saturating_mul(1_000));
     let deadline_us = started_us + timeout_us.min(remaining_us);
     let hedge_delay_us = hedge_delay_us(shared, &route);
-    let exchange = Exchange::new(started_us, deadline_us, hedge_delay_us, route);
+    let exchange = Exchange::new(
+        started_us,
+        deadline_us,
+        hedge_delay_us,
+        shared.answer_lag.get(),
+        route,
+    );
     let legs = exchange.legs().count();
     let mut query = Query {
         exchange,
@@ -78,6 +87,7 @@
     };
     let outcome = query.run().await;
     let response = query.respond(outcome);
+    query.observe_lag();
     query.record(head, outcome, response.status());
     query.finish_sends(hedge_delay_us);
     response
@@ -158,6 +168,17 @@
         }));
     }
 
+    /// Observes how long after its time an answer was made.
+    fn observe_lag(&self) {
+        let now_us = self.shared.clock.now_us();
+        let soft_us = self.exchange.soft_us();
+        // A request that waited longer on purpose says nothing of the node.
+        let due = now_us.checked_sub(soft_us);
+        if let Some(lag_us) = due.filter(|lag_us| *lag_us <= LAG_MAX_US) {
+            self.shared.answer_lag.observe(lag_us);
+        }
+    }
+
     fn respond(&mut self, outcome: Outcome) -> CallerResponse {
         match outcome {
             Outcome::Forward { attempt } => match self.responses[0].take() {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -13,6 +13,7 @@
 use wigeonhall_dispatch::RouteLatency;
 use wigeonhall_dispatch::RouteTable;
 
+use crate::answer_lag::AnswerLag;
 use crate::clock::Clock;
 use crate::event::Event;
 use crate::event_log::EventLog;
@@ -33,6 +34,8 @@
 /// State of a node; all of it belongs to the one thread of the event loop.
 #[derive(Debug)]
 pub(crate) struct Shared {
+    /// How long the node takes to answer once an answer is due.
+    pub(crate) answer_lag: AnswerLag,
     pub(crate) clock: Clock,
     /// Open connections of callers.
     pub(crate) connections: Cell<usize>,
@@ -53,6 +56,7 @@
     pub(crate) fn new(settings: ProcessSettings, events: EventLog, metrics: Metrics) -> Self {
         let seed = fastrand::u64(..);
         Self {
+            answer_lag: AnswerLag::default(),
             clock: Clock::start(),
             connections: Cell::new(0),
             events,
