--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -21,6 +21,12 @@
 /// Least part of the target latency that a gather waits for its parts.
 const SOFT_MIN_DIVISOR: u64 = 3;
 
+/// Part of the legs of a gather that is many to be late at once.
+const MANY_LATE_DIVISOR: usize = 4;
+
+/// Late legs that are never many.
+const MANY_LATE_MIN: usize = 2;
+
 /// Sends of one leg, whatever they came to.
 const SENDS_MAX: usize = 4;
 
@@ -33,6 +39,8 @@
     deadline_us: u64,
     /// Time after which a send without an answer is hedged.
     hedge_delay_us: u64,
+    /// Whether hedges were put off, as too many legs were late at once.
+    hedges_put_off: bool,
     legs: Vec<Leg>,
     /// Fewest parts in a success; `None` where one answer is passed on.
     min_parts: Option<usize>,
@@ -74,6 +82,7 @@
             deadline_us,
             extra_sends: 0,
             hedge_delay_us,
+            hedges_put_off: false,
             legs: selection.services.into_iter().map(Leg::new).collect(),
             min_parts: selection.min_parts,
             route,
@@ -136,16 +145,30 @@
         if now_us >= self.deadline_us {
             return Some(self.give_up(pool, now_us, true));
         }
-        for index in 0..self.legs.len() {
-            let due = self.legs[index]
-                .hedge_at_us
-                .is_some_and(|at_us| at_us <= now_us);
-            if due {
+        self.hedge(pool, now_us, sends);
+        self.outcome(pool, now_us)
+    }
+
+    /// Hedges the legs that are late.
+    ///
+    /// When many are late at once, the node or the network is, and hedges would add to
+    /// it; they are put off once.
+    fn hedge(&mut self, pool: &mut Pool, now_us: u64, sends: &mut Vec<Send>) {
+        let due = |leg: &Leg| leg.is_open() && leg.hedge_at_us.is_some_and(|at| at <= now_us);
+        let late: Vec<usize> = (0..self.legs.len())
+            .filter(|index| due(&self.legs[*index]))
+            .collect();
+        let many = (self.legs.len() / MANY_LATE_DIVISOR).max(MANY_LATE_MIN);
+        let put_off = late.len() > many && !self.hedges_put_off;
+        self.hedges_put_off |= put_off;
+        for index in late {
+            if put_off {
+                self.legs[index].hedge_at_us = Some(now_us + self.hedge_delay_us);
+            } else {
                 self.legs[index].hedge_at_us = None;
                 self.extra(pool, now_us, index, sends);
             }
         }
-        self.outcome(pool, now_us)
     }
 
     /// Time at which [`Exchange::timer`] has something to do.
--- /dev/null
+++ b/crates/dispatch/src/peers.rs
@@ -0,0 +1,185 @@
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Time for which a peer is left alone after it did not answer.
+const SUSPECT_FIRST_US: u64 = 1_000_000;
+
+/// Longest time for which a peer is left alone; a node that is back helps again soon.
+const SUSPECT_MAX_US: u64 = 8_000_000;
+
+/// Processor time of one part of a gather, in and out, on a whole core.
+const PART_COST_US: f64 = 50.0;
+
+/// Part of the target latency that a node may spend on the parts of one gather alone.
+const OWN_PART_DIVISOR: f64 = 6.0;
+
+/// Fewest nodes in a data centre that share the parts of a gather.
+const NODES_MIN: usize = 4;
+
+/// A node of the entry tier as it registered itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerNode {
+    /// Its address for other nodes.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its share of a core.
+    pub processor_share: f64,
+}
+
+/// Legs of a gather that one node handles.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RelayGroup {
+    /// Indexes of the legs, rising.
+    pub legs: Vec<usize>,
+    /// Address of the node; `None` for the node that plans.
+    pub peer: Option<(Arc<str>, SocketAddr)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    failures: u32,
+    until_us: u64,
+}
+
+/// The nodes of one data centre, and how they share the parts of a large gather.
+#[derive(Debug)]
+pub struct Peers {
+    /// Nodes of the own data centre, the planning one among them.
+    nodes: Vec<PeerNode>,
+    own: PeerNode,
+    suspicions: HashMap<Arc<str>, Suspicion>,
+}
+
+impl Peers {
+    /// Knows only the node itself.
+    #[must_use]
+    pub fn new(own: PeerNode) -> Self {
+        Self {
+            nodes: vec![own.clone()],
+            own,
+            suspicions: HashMap::new(),
+        }
+    }
+
+    /// The node that plans.
+    #[must_use]
+    pub const fn own(&self) -> &PeerNode {
+        &self.own
+    }
+
+    /// Takes in a whole list of nodes; those of other data centres are left out.
+    pub fn replace(&mut self, nodes: Vec<PeerNode>) {
+        let own = &self.own;
+        let near = |node: &PeerNode| node.data_centre == own.data_centre && node.name != own.name;
+        self.nodes = nodes.into_iter().filter(near).collect();
+        self.nodes.push(self.own.clone());
+        self.suspicions
+            .retain(|name, _| self.nodes.iter().any(|node| node.name == *name));
+    }
+
+    /// Number of known nodes in the data centre.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Whether no node is known; the own one always is.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// Leaves a peer alone for a while after it did not answer.
+    pub fn suspect(&mut self, now_us: u64, name: &Arc<str>) {
+        let failures = self
+            .suspicions
+            .get(name)
+            .map_or(0, |former| former.failures);
+        let length_us = (SUSPECT_FIRST_US << failures.min(3)).min(SUSPECT_MAX_US);
+        let suspicion = Suspicion {
+            failures: failures + 1,
+            until_us: now_us + length_us,
+        };
+        self.suspicions.insert(name.clone(), suspicion);
+    }
+
+    /// Records that a peer answered.
+    pub fn answered(&mut self, name: &Arc<str>) {
+        self.suspicions.remove(name);
+    }
+
+    /// Shares the legs of a gather among the nodes; `None` if the node does best alone.
+    ///
+    /// A group of legs stays with one node while the nodes stay, so that this node knows
+    /// the replicas well and keeps its connections to them.
+    #[must_use]
+    pub fn plan(
+        &self,
+        now_us: u64,
+        legs: usize,
+        target_latency_ms: u64,
+    ) -> Option<Vec<RelayGroup>> {
+        let alone_us = legs as f64 * PART_COST_US / self.own.processor_share.max(0.01);
+        if alone_us <= target_latency_ms as f64 * 1_000.0 / OWN_PART_DIVISOR {
+            return None;
+        }
+        let sound: Vec<&PeerNode> = self
+            .nodes
+            .iter()
+            .filter(|node| self.is_sound(now_us, &node.name))
+            .collect();
+        if sound.len() < NODES_MIN {
+            return None;
+        }
+        let groups = (legs as f64).sqrt().round() as usize;
+        let mut by_node: BTreeMap<Arc<str>, RelayGroup> = BTreeMap::new();
+        for group in 0..groups {
+            let node = best_node(&sound, group)?;
+            let own = node.name == self.own.name;
+            let entry = by_node
+                .entry(node.name.clone())
+                .or_insert_with(|| RelayGroup {
+                    legs: Vec::new(),
+                    peer: (!own).then(|| (node.name.clone(), node.address)),
+                });
+            entry.legs.extend((group..legs).step_by(groups));
+        }
+        let mut plan: Vec<RelayGroup> = by_node.into_values().collect();
+        for group in &mut plan {
+            group.legs.sort_unstable();
+        }
+        Some(plan)
+    }
+
+    fn is_sound(&self, now_us: u64, name: &Arc<str>) -> bool {
+        self.suspicions
+            .get(name)
+            .is_none_or(|suspicion| suspicion.until_us <= now_us)
+    }
+}
+
+/// The node with the highest score for a group, weighted by its share of a core.
+fn best_node<'a>(nodes: &[&'a PeerNode], group: usize) -> Option<&'a PeerNode> {
+    let best = nodes
+        .iter()
+        .max_by(|a, b| score(a, group).total_cmp(&score(b, group)));
+    best.copied()
+}
+
+/// Weighted rendezvous hashing.
+fn score(node: &PeerNode, group: usize) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    node.name.hash(&mut hasher);
+    group.hash(&mut hasher);
+    // 53 bits are what a float holds; the addition keeps the logarithm finite.
+    let uniform = ((hasher.finish() >> 11) as f64 + 1.0) / ((1_u64 << 53) as f64 + 1.0);
+    -node.processor_share.max(0.001) / uniform.ln()
+}
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -140,6 +140,21 @@
         best.map(|(_, key)| key)
     }
 
+    /// Replicas among `new` that this node would choose first; connections to them are
+    /// worth opening ahead. All of them together would exceed what a replica accepts.
+    pub fn to_open_ahead(&mut self, now_us: u64, new: &[ReplicaKey]) -> Vec<ReplicaKey> {
+        let services: BTreeSet<ServiceKey> = new
+            .iter()
+            .filter_map(|key| self.replica(*key))
+            .map(|replica| replica.service)
+            .collect();
+        services
+            .into_iter()
+            .filter_map(|service| self.choose(now_us, service, &[]))
+            .filter(|key| new.contains(key))
+            .collect()
+    }
+
     /// Pays for a hedge or a retry at a service, if its budget allows it.
     pub fn take_extra(&mut self, service: ServiceKey) -> bool {
         self.services[service.0 as usize].budget.take()
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -12,7 +12,7 @@
 pub(crate) const EXTRA_BURST: u32 = 4;
 
 /// Key of a service in a [`Pool`](crate::Pool).
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ServiceKey(pub(crate) u32);
 
 /// A service and its replicas.
--- a/crates/dispatch/tests/exchange.rs
+++ b/crates/dispatch/tests/exchange.rs
@@ -302,3 +302,17 @@
     assert_eq!(legs, [1, 1]);
     assert_ne!(case.out[0].replica, case.out[1].replica);
 }
+
+/// When most legs are late at once, the node itself is; hedges of all of them doubled its
+/// work. They are put off once, and then sent, as the replicas may be gone after all.
+#[test]
+fn hedges_are_put_off_once_when_many_legs_are_late() {
+    let shards = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let mut case = Case::gather(&shards, 0.5);
+    case.start();
+    assert_eq!(case.timer(HEDGE_US), None);
+    assert_eq!(case.out.len(), shards.len());
+    assert_eq!(case.exchange.next_timer_us(HEDGE_US), HEDGE_US * 2);
+    case.timer(HEDGE_US * 2);
+    assert_eq!(case.out.len(), shards.len() * 2);
+}
--- a/crates/dispatch/tests/pool.rs
+++ b/crates/dispatch/tests/pool.rs
@@ -243,3 +243,15 @@
     assert_eq!(chosen(&mut pool, wait_ms * MS - 1), None);
     assert!(chosen(&mut pool, wait_ms * MS).is_some());
 }
+
+/// All nodes together opened more connections than replicas accept.
+#[test]
+fn connections_are_opened_ahead_only_to_the_first_choice() {
+    let mut pool = pool();
+    let near = add(&mut pool, "a", 1);
+    let far = pool.register(0, registration("a", 2, "south")).unwrap();
+    let other = add(&mut pool, "b", 3);
+    let ahead = pool.to_open_ahead(0, &[near, far, other]);
+    assert_eq!(ahead, [near, other]);
+    assert!(pool.to_open_ahead(0, &[far]).is_empty());
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod shared;
 mod socket;
 mod store_client;
+mod store_sentinel;
 mod store_watch;
 
 pub use run::EntryError;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -20,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::readiness;
 use crate::shared::Shared;
+use crate::store_sentinel;
 use crate::store_watch;
 
 /// What the command line says of a node.
@@ -103,6 +104,7 @@
     for collection in Collection::ALL {
         task::spawn_local(store_watch::follow(shared.clone(), collection));
     }
+    task::spawn_local(store_sentinel::run(shared.clone()));
     lifecycle::until_stopped(shared)
         .await
         .map_err(EntryError::System)
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use wigeonhall_adapter::ProcessSettings;
@@ -48,6 +49,10 @@
     /// Time of the store's last word on the replicas; `None` before the first list.
     pub(crate) replicas_heard_us: Cell<Option<u64>>,
     pub(crate) settings: ProcessSettings,
+    /// Counts the outages of the store that have ended.
+    pub(crate) store_outages: watch::Sender<u64>,
+    /// Asks for a look at the store ahead of time.
+    pub(crate) store_sentinel_due: Notify,
     /// Routes in force; `None` before the first configuration.
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
 }
@@ -67,6 +72,8 @@
             pool: RefCell::new(Pool::new(settings.data_centre.clone(), seed)),
             replicas_heard_us: Cell::new(None),
             settings,
+            store_outages: watch::Sender::new(0),
+            store_sentinel_due: Notify::new(),
             table: RefCell::new(None),
         }
     }
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store_client.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Ends the connection; the next call opens another.
+    pub(crate) fn disconnect(&mut self) {
+        self.sender = None;
+    }
+
     /// Reads a path; a call that takes longer than `timeout` ends its connection.
     pub(crate) async fn get(&mut self, path: &str, timeout: Duration) -> Result<Bytes, StoreError> {
         let result = match time::timeout(timeout, self.call(path)).await {
--- /dev/null
+++ b/crates/entry/src/store_sentinel.rs
@@ -0,0 +1,62 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time;
+
+use wigeonhall_adapter::Collection;
+use wigeonhall_adapter::Freshness;
+use wigeonhall_adapter::list_path;
+
+use crate::event::Event;
+use crate::shared::Shared;
+use crate::store_client::StoreClient;
+
+/// Time between two looks at the store.
+const PERIOD: Duration = Duration::from_millis(2_500);
+
+/// Time between two looks during an outage.
+const PERIOD_OUTAGE: Duration = Duration::from_millis(700);
+
+/// Longest time for one look.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Looks at the store from time to time, and tells the followers when an outage ended.
+///
+/// A watch that was sent while the store answered nobody stays without an answer, and
+/// its connection looks sound; only another call shows the outage. A stale list of the
+/// smallest collection costs a tenth of a call.
+pub(crate) async fn run(shared: Rc<Shared>) {
+    let mut client = StoreClient::new(shared.settings.store_address);
+    let path = list_path(Collection::Evacuations, None, Freshness::Stale);
+    let mut lost = false;
+    loop {
+        let period = if lost { PERIOD_OUTAGE } else { PERIOD };
+        tokio::select! {
+            () = time::sleep(period) => {}
+            () = shared.store_sentinel_due.notified() => lost = true,
+        }
+        let result = client.get(&path, TIMEOUT).await;
+        match result {
+            Ok(_) if lost => {
+                lost = false;
+                report(&shared, "answers again", "back");
+                shared.store_outages.send_modify(|count| *count += 1);
+            }
+            Ok(_) => {}
+            Err(error) => {
+                if !lost {
+                    report(&shared, &error.to_string(), "lost");
+                }
+                lost = true;
+            }
+        }
+    }
+}
+
+fn report(shared: &Shared, reason: &str, state: &str) {
+    shared.log(&Event::Dependency {
+        name: "store",
+        reason,
+        state,
+    });
+}
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -1,13 +1,17 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio::task;
 use tokio::time;
 
 use wigeonhall_adapter::Collection;
+use wigeonhall_adapter::Freshness;
 use wigeonhall_adapter::ObjectChange;
 use wigeonhall_adapter::StoredObject;
 use wigeonhall_adapter::decode_changes;
@@ -20,6 +24,7 @@
 use wigeonhall_dispatch::Registration;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::RouteTable;
+use wigeonhall_dispatch::watch_pause_ms;
 
 use crate::event::Event;
 use crate::replica_client;
@@ -36,9 +41,6 @@
 /// Longest time for a list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Pause after changes, which joins bursts of them into one call.
-const CHANGE_PAUSE: Duration = Duration::from_millis(700);
-
 /// Pause after a failed call, doubled with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -62,6 +64,7 @@
         collection,
         evacuated: RefCell::default(),
         failures: 0,
+        freshness: Freshness::Stale,
         lost_at_us: None,
         revision: None,
         shared,
@@ -71,12 +74,21 @@
     }
 }
 
+/// Waits for the end of an outage of the store.
+async fn ended_outage(mut outages: watch::Receiver<u64>) {
+    if outages.changed().await.is_err() {
+        future::pending::<()>().await;
+    }
+}
+
 struct Follower {
     client: StoreClient,
     collection: Collection,
     evacuated: RefCell<BTreeSet<Arc<str>>>,
     /// Failed calls in a row.
     failures: u32,
+    /// A stale list will do as long as a watch can go on from its revision.
+    freshness: Freshness,
     /// Time of the first failed call of an outage.
     lost_at_us: Option<u64>,
     /// Revision to continue from; `None` before a list.
@@ -91,25 +103,25 @@
             None => self.list().await,
         };
         match result {
-            Ok(changed) => {
+            Ok(changes) => {
                 self.regained();
-                if changed {
-                    time::sleep(CHANGE_PAUSE).await;
-                }
+                time::sleep(Duration::from_millis(watch_pause_ms(changes))).await;
             }
             Err(StoreError::HistoryGone) => {
                 self.count("history_gone");
                 self.revision = None;
+                self.freshness = Freshness::Current;
             }
             Err(error) => self.failed(&error).await,
         }
     }
 
-    async fn list(&mut self) -> Result<bool, StoreError> {
+    /// Reads the whole collection; a watch goes on from it without a pause.
+    async fn list(&mut self) -> Result<usize, StoreError> {
         let mut objects = Vec::new();
         let mut after: Option<Arc<str>> = None;
         let revision = loop {
-            let path = list_path(self.collection, after.as_deref());
+            let path = list_path(self.collection, after.as_deref(), self.freshness);
             let body = self.client.get(&path, LIST_TIMEOUT).await?;
             self.count("list");
             let page = decode_listing(&body).map_err(StoreError::Decode)?;
@@ -121,19 +133,30 @@
         };
         self.replace(objects, revision);
         self.revision = Some(revision);
-        Ok(false)
+        Ok(0)
     }
 
-    async fn watch(&mut self, revision: u64) -> Result<bool, StoreError> {
+    /// Waits for changes and returns how many there were.
+    async fn watch(&mut self, revision: u64) -> Result<usize, StoreError> {
         let wait_ms = WATCH_WAIT.as_millis() as u64;
         let path = watch_path(self.collection, revision, wait_ms);
-        let body = self.client.get(&path, WATCH_WAIT + WATCH_SLACK).await?;
+        let outages = self.shared.store_outages.subscribe();
+        let mut outages = pin!(ended_outage(outages));
+        let call = self.client.get(&path, WATCH_WAIT + WATCH_SLACK);
+        let body = tokio::select! {
+            body = call => body?,
+            () = &mut outages => {
+                self.client.disconnect();
+                self.count("reissued");
+                return Ok(0);
+            }
+        };
         self.count("watch");
         let news = decode_changes(&body).map_err(StoreError::Decode)?;
-        let changed = !news.changes.is_empty();
+        let changes = news.changes.len();
         self.apply(news.changes, news.revision);
         self.revision = Some(news.revision);
-        Ok(changed)
+        Ok(changes)
     }
 
     async fn failed(&mut self, error: &StoreError) {
@@ -169,6 +192,7 @@
                 reason: &reason,
                 state: "back",
             });
+            self.shared.store_sentinel_due.notify_one();
         }
     }
 
@@ -314,7 +338,8 @@
 
     fn report(&self, new: &[ReplicaKey], revision: u64) {
         let gone = self.shared.sweep();
-        let counts = self.shared.pool.borrow().counts(self.shared.clock.now_us());
+        let now_us = self.shared.clock.now_us();
+        let counts = self.shared.pool.borrow().counts(now_us);
         self.shared.log(&Event::Replicas {
             gone: gone.len(),
             new: new.len(),
@@ -322,8 +347,8 @@
             revision,
             suspended: counts.suspended,
         });
-        for key in new {
-            self.open_ahead(*key);
+        for key in self.shared.pool.borrow_mut().to_open_ahead(now_us, new) {
+            self.open_ahead(key);
         }
     }
 
--- a/crates/node/tests/entry/store.rs
+++ b/crates/node/tests/entry/store.rs
@@ -171,3 +171,32 @@
     }
     assert_eq!(store.calls(), before);
 }
+
+/// A watch sent while the store answers nobody is never answered, and its connection
+/// looks sound; a node once missed a configuration for 28 s that way.
+#[test]
+fn a_watch_that_was_lost_in_a_silent_outage_is_sent_again() {
+    let replica = replica(1);
+    let (store, node) = deploy(routes(), &[&replica]);
+    let mut more = routes();
+    more.push(route(
+        "two",
+        "/two/",
+        RouteKind::Idempotent,
+        TargetSpec::Service("a".into()),
+    ));
+    store.configure(&configuration(2, more.clone()));
+    wait_until("the second version", || status(&node, "/two/x") == 200);
+    // The next watch of the configuration is sent after a pause, into the silence.
+    store.set_silent(true);
+    node.logged(|line| line["event"] == "dependency" && line["name"] == "store");
+    store.set_silent(false);
+    more.push(route(
+        "three",
+        "/three/",
+        RouteKind::Idempotent,
+        TargetSpec::Service("a".into()),
+    ));
+    store.configure(&configuration(3, more));
+    wait_until("the third version", || status(&node, "/three/x") == 200);
+}
