--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -42,6 +42,8 @@
     /// Whether hedges were put off, as too many legs were late at once.
     hedges_put_off: bool,
     legs: Vec<Leg>,
+    /// Replicas that may run one leg.
+    max_runs: u32,
     /// Fewest parts in a success; `None` where one answer is passed on.
     min_parts: Option<usize>,
     /// Hedges and retries that were sent.
@@ -84,12 +86,47 @@
             hedge_delay_us,
             hedges_put_off: false,
             legs: selection.services.into_iter().map(Leg::new).collect(),
+            max_runs: route.spec.max_attempts,
             min_parts: selection.min_parts,
             route,
             soft_us: now_us + target_us.saturating_sub(margin_us).max(soft_min_us),
         }
     }
 
+    /// Some legs of a gather that several nodes share.
+    ///
+    /// It is over when all legs are, or at `soft_us` with what is in; at most `max_runs`
+    /// replicas may run one leg.
+    #[must_use]
+    pub fn of_legs(
+        route: Rc<Route>,
+        legs: &[usize],
+        max_runs: u32,
+        soft_us: u64,
+        deadline_us: u64,
+        hedge_delay_us: u64,
+    ) -> Self {
+        let services = route.select().services;
+        let legs = legs.iter().filter_map(|index| services.get(*index));
+        Self {
+            deadline_us,
+            extra_sends: 0,
+            hedge_delay_us,
+            hedges_put_off: false,
+            legs: legs.copied().map(Leg::new).collect(),
+            max_runs,
+            min_parts: Some(0),
+            route,
+            soft_us,
+        }
+    }
+
+    /// Waits for one more part than are in; false if none can come.
+    pub fn wait_for_one_more(&mut self) -> bool {
+        self.min_parts = Some(self.done() + 1);
+        !self.out_of_reach()
+    }
+
     /// Sends the first request of each leg.
     pub fn start(
         &mut self,
@@ -217,6 +254,12 @@
         self.legs[leg].is_open()
     }
 
+    /// Fewest parts in a success of a gather.
+    #[must_use]
+    pub const fn min_parts(&self) -> Option<usize> {
+        self.min_parts
+    }
+
     /// Service of a leg.
     #[must_use]
     pub fn service(&self, leg: usize) -> crate::ServiceKey {
@@ -251,7 +294,7 @@
             reply: None,
             sent_us: now_us,
         });
-        let may_hedge = may_repeat && leg.runs() < self.route.spec.max_attempts;
+        let may_hedge = may_repeat && leg.runs() < self.max_runs;
         leg.hedge_at_us = may_hedge.then_some(now_us + self.hedge_delay_us);
         pool.started(now_us, replica);
         sends.push(Send {
@@ -266,7 +309,7 @@
         let leg = &self.legs[index];
         let allowed = leg.is_open()
             && leg.attempts.len() < SENDS_MAX
-            && leg.runs() < self.route.spec.max_attempts
+            && leg.runs() < self.max_runs
             && now_us < self.deadline_us;
         if !allowed {
             return false;
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -75,6 +75,11 @@
         &self.own
     }
 
+    /// Sets the address on which the planning node listens for the others.
+    pub const fn set_own_address(&mut self, address: SocketAddr) {
+        self.own.address = address;
+    }
+
     /// Takes in a whole list of nodes; those of other data centres are left out.
     pub fn replace(&mut self, nodes: Vec<PeerNode>) {
         let own = &self.own;
--- /dev/null
+++ b/crates/entry/src/answer.rs
@@ -0,0 +1,214 @@
+use std::rc::Rc;
+
+use http::StatusCode;
+
+use wigeonhall_dispatch::Exchange;
+use wigeonhall_dispatch::GiveUpReason;
+use wigeonhall_dispatch::Outcome;
+use wigeonhall_dispatch::RefuseReason;
+use wigeonhall_dispatch::Route;
+use wigeonhall_dispatch::RouteTarget;
+
+use crate::caller_request::CallerHead;
+use crate::event::Event;
+use crate::event::RequestEvent;
+use crate::query::Query;
+use crate::replica_client::OutgoingRequest;
+use crate::responses;
+use crate::responses::CallerResponse;
+use crate::shared::Shared;
+use crate::shared_gather;
+use crate::shared_gather::SharedGather;
+
+/// Longest lag of an answer that counts as the node's own.
+const LAG_MAX_US: u64 = 30_000;
+
+/// What is recorded of a request besides its outcome.
+pub(crate) struct Answered {
+    pub(crate) extra_sends: u32,
+    pub(crate) legs: usize,
+    pub(crate) missing: Vec<String>,
+    /// Nodes that worked on it.
+    pub(crate) nodes: usize,
+}
+
+/// Answers a caller, alone or together with other nodes.
+pub(crate) async fn answer(
+    shared: &Rc<Shared>,
+    head: &CallerHead,
+    outgoing: OutgoingRequest,
+    started_us: u64,
+) -> CallerResponse {
+    let route = head.route.clone();
+    let timeout_us = route.spec.timeout_ms * 1_000;
+    let remaining_us = head
+        .remaining_ms
+        .map_or(timeout_us, |ms| ms.saturating_mul(1_000));
+    let deadline_us = started_us + timeout_us.min(remaining_us);
+    let hedge_delay_us = hedge_delay_us(shared, &route);
+    let exchange = Exchange::new(
+        started_us,
+        deadline_us,
+        hedge_delay_us,
+        shared.answer_lag.get(),
+        route.clone(),
+    );
+    let soft_us = exchange.soft_us();
+    let outgoing = Rc::new(outgoing);
+    let plan = plan(shared, &exchange);
+    let (outcome, response, answered) = match plan {
+        Some(plan) => {
+            SharedGather::new(shared, &exchange, outgoing, hedge_delay_us)
+                .run(plan)
+                .await
+        }
+        None => alone(shared, exchange, outgoing).await,
+    };
+    observe_lag(shared, soft_us);
+    let times = (started_us, deadline_us);
+    record(shared, head, times, outcome, response.status(), answered);
+    response
+}
+
+/// Time after which a send on this route is hedged.
+pub(crate) fn hedge_delay_us(shared: &Shared, route: &Route) -> u64 {
+    let mut latencies = shared.latencies.borrow_mut();
+    let latency = latencies.entry(route.spec.name.clone()).or_default();
+    latency.hedge_delay_us(route.spec.target_latency_ms)
+}
+
+fn plan(shared: &Shared, exchange: &Exchange) -> Option<shared_gather::Plan> {
+    exchange.min_parts()?;
+    let now_us = shared.clock.now_us();
+    let target_ms = exchange.route().spec.target_latency_ms;
+    shared
+        .peers
+        .borrow()
+        .plan(now_us, exchange.legs().count(), target_ms)
+}
+
+async fn alone(
+    shared: &Rc<Shared>,
+    exchange: Exchange,
+    outgoing: Rc<OutgoingRequest>,
+) -> (Outcome, CallerResponse, Answered) {
+    let mut query = Query::new(shared, exchange, outgoing);
+    let outcome = query.run().await;
+    let answered = Answered {
+        extra_sends: query.exchange.extra_sends(),
+        legs: query.exchange.legs().count(),
+        missing: query.missing(),
+        nodes: 1,
+    };
+    let response = respond(&mut query, outcome);
+    query.answered();
+    (outcome, response, answered)
+}
+
+fn respond(query: &mut Query, outcome: Outcome) -> CallerResponse {
+    match outcome {
+        Outcome::Forward { attempt } => match query.take_response(0, attempt) {
+            Some(response) => responses::forwarded(response),
+            None => responses::plain(StatusCode::BAD_GATEWAY, "the answer is lost"),
+        },
+        Outcome::Gather { missing } => {
+            let parts = query.take_parts().into_iter().map(|(_, part)| part);
+            let parts: Vec<_> = parts.collect();
+            let top_records = top_records(query.exchange.route());
+            responses::gathered(&parts, missing, top_records)
+                .unwrap_or_else(|| responses::plain(StatusCode::BAD_GATEWAY, "malformed receipt"))
+        }
+        Outcome::GiveUp(reason) => give_up(reason),
+        Outcome::Refuse {
+            reason,
+            retry_after_ms,
+        } => responses::refusal(refusal_text(reason), retry_after_ms),
+    }
+}
+
+/// Records in the answer of a gather.
+pub(crate) fn top_records(route: &Route) -> usize {
+    match &route.target {
+        RouteTarget::Gather { top_records, .. } => *top_records,
+        RouteTarget::Service(_) | RouteTarget::Split(_) => 0,
+    }
+}
+
+/// The answer to a request that may have run and has no result.
+pub(crate) fn give_up(reason: GiveUpReason) -> CallerResponse {
+    let (status, text) = match reason {
+        GiveUpReason::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, "the deadline passed"),
+        GiveUpReason::NoAnswer => (StatusCode::BAD_GATEWAY, "no replica gave a usable answer"),
+        GiveUpReason::TooFewParts => (StatusCode::BAD_GATEWAY, "too few shards can answer"),
+    };
+    responses::plain(status, text)
+}
+
+const fn refusal_text(reason: RefuseReason) -> &'static str {
+    match reason {
+        RefuseReason::Busy => "replicas have no room",
+        RefuseReason::DeadlinePassed => "no replica was reached in time",
+        RefuseReason::NoReplica => "no replica is available",
+        RefuseReason::TooFewShards => "too few shards have an available replica",
+    }
+}
+
+/// Observes how long after its time an answer was made.
+fn observe_lag(shared: &Shared, soft_us: u64) {
+    // A request that waited longer on purpose says nothing of the node.
+    let lag_us = shared.clock.now_us().checked_sub(soft_us);
+    if let Some(lag_us) = lag_us.filter(|lag_us| *lag_us <= LAG_MAX_US) {
+        shared.answer_lag.observe(lag_us);
+    }
+}
+
+fn record(
+    shared: &Shared,
+    head: &CallerHead,
+    (started_us, deadline_us): (u64, u64),
+    outcome: Outcome,
+    status: StatusCode,
+    answered: Answered,
+) {
+    let now_us = shared.clock.now_us();
+    let elapsed_us = now_us - started_us;
+    let heard_us = shared.replicas_heard_us.get().unwrap_or(0);
+    let route = &head.route;
+    let metrics = &shared.metrics;
+    metrics.extra_sends.inc_by(u64::from(answered.extra_sends));
+    metrics.missing_parts.inc_by(answered.missing.len() as u64);
+    metrics
+        .requests
+        .with_label_values(&[outcome_label(outcome)])
+        .inc();
+    metrics
+        .request_latency_s
+        .with_label_values(&[&*route.spec.name])
+        .observe(elapsed_us as f64 / 1_000_000.0);
+    shared.log(&Event::Request(RequestEvent {
+        config_version: route.version,
+        deadline_ms: (deadline_us - started_us) / 1_000,
+        elapsed_ms: elapsed_us as f64 / 1_000.0,
+        extra_sends: answered.extra_sends,
+        legs: answered.legs,
+        missing: answered.missing,
+        nodes: answered.nodes,
+        outcome: format!("{outcome:?}"),
+        request_id: head.request_id.to_str().unwrap_or(""),
+        route: &route.spec.name,
+        status: status.as_u16(),
+        store_age_ms: (now_us - heard_us) / 1_000,
+    }));
+}
+
+const fn outcome_label(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Forward { .. } => "forwarded",
+        Outcome::Gather { missing: 0 } => "whole",
+        Outcome::Gather { .. } => "partial",
+        Outcome::GiveUp(GiveUpReason::DeadlinePassed) => "deadline_passed",
+        Outcome::GiveUp(GiveUpReason::NoAnswer) => "no_answer",
+        Outcome::GiveUp(GiveUpReason::TooFewParts) => "too_few_parts",
+        Outcome::Refuse { .. } => "refused",
+    }
+}
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -26,6 +26,14 @@
         name: &'a str,
         reason: String,
     },
+    /// How many nodes of the own data centre are known.
+    Nodes { near: usize },
+    /// Another node did not hand over the parts that it was asked for.
+    Relay {
+        node: &'a str,
+        reason: String,
+        request_id: &'a str,
+    },
     /// What the registrations of replicas changed.
     Replicas {
         gone: usize,
@@ -72,6 +80,8 @@
     /// Services without an answer, with the reason.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) missing: Vec<String>,
+    /// Nodes that worked on it.
+    pub(crate) nodes: usize,
     pub(crate) outcome: String,
     pub(crate) request_id: &'a str,
     pub(crate) route: &'a str,
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -19,6 +19,7 @@
 
 use wigeonhall_dispatch::RouteTable;
 
+use crate::answer;
 use crate::caller_io::CallerActivity;
 use crate::caller_io::CallerIo;
 use crate::caller_request;
@@ -26,7 +27,6 @@
 use crate::caller_request::Rejection;
 use crate::event::Event;
 use crate::event::RequestEvent;
-use crate::query;
 use crate::replica_client::OutgoingRequest;
 use crate::responses;
 use crate::responses::CallerResponse;
@@ -136,7 +136,7 @@
         Err(rejection) => return reject(shared, &rejection, started_us, table.version),
     };
     match read_in_time(request, &head, &table).await {
-        Ok(outgoing) => query::answer(shared, &head, outgoing, started_us).await,
+        Ok(outgoing) => answer::answer(shared, &head, outgoing, started_us).await,
         Err(rejection) => reject(shared, &rejection, started_us, table.version),
     }
 }
@@ -173,6 +173,7 @@
         extra_sends: 0,
         legs: 0,
         missing: Vec::new(),
+        nodes: 0,
         outcome: format!("rejected: {}", rejection.reason),
         request_id: "",
         route: "",
--- /dev/null
+++ b/crates/entry/src/group_parts.rs
@@ -0,0 +1,109 @@
+use bytes::Buf;
+use bytes::BufMut;
+use bytes::Bytes;
+use bytes::BytesMut;
+use serde::Deserialize;
+use serde::Serialize;
+
+use wigeonhall_adapter::RECEIPT;
+use wigeonhall_dispatch::merge_records;
+
+use crate::replica_response::ReplicaResponse;
+
+/// Two lengths of four bytes each before a message.
+const LENGTHS_BYTES: usize = 8;
+
+/// What the bytes received so far hold.
+#[derive(Debug)]
+pub(crate) enum Decoded {
+    Incomplete,
+    Malformed,
+    Whole(GroupParts),
+}
+
+/// Parts of a gather that one node collected, merged.
+#[derive(Debug, Default, Eq, PartialEq)]
+pub(crate) struct GroupParts {
+    pub(crate) head: GroupHead,
+    /// The greatest records of the parts, greatest first.
+    pub(crate) records: Bytes,
+}
+
+/// Which parts a node collected.
+#[derive(Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct GroupHead {
+    /// Hedges and retries that the node sent.
+    pub(crate) extra_sends: u32,
+    /// Whether no more parts can come.
+    pub(crate) last: bool,
+    /// Legs whose parts are in.
+    pub(crate) legs: Vec<usize>,
+    /// Receipts of the parts, in the order of `legs`.
+    pub(crate) receipts: Vec<String>,
+}
+
+impl GroupParts {
+    /// Merges parts; one whose receipt is no text is left out.
+    pub(crate) fn merge(
+        parts: &[(usize, ReplicaResponse)],
+        top_records: usize,
+        extra_sends: u32,
+        last: bool,
+    ) -> Self {
+        let mut head = GroupHead {
+            extra_sends,
+            last,
+            ..GroupHead::default()
+        };
+        let mut bodies: Vec<&[u8]> = Vec::with_capacity(parts.len());
+        for (leg, part) in parts {
+            let receipt = part
+                .headers
+                .get(&RECEIPT)
+                .and_then(|value| value.to_str().ok());
+            if let Some(receipt) = receipt {
+                head.legs.push(*leg);
+                head.receipts.push(receipt.to_owned());
+                bodies.push(&part.body);
+            }
+        }
+        Self {
+            head,
+            records: merge_records(&bodies, top_records).into(),
+        }
+    }
+
+    /// The message between nodes: two lengths, which parts are in, and the records.
+    pub(crate) fn encode(&self) -> Result<Bytes, serde_json::Error> {
+        let head = serde_json::to_vec(&self.head)?;
+        let mut message = BytesMut::with_capacity(LENGTHS_BYTES + head.len() + self.records.len());
+        message.put_u32(head.len() as u32);
+        message.put_u32(self.records.len() as u32);
+        message.put_slice(&head);
+        message.put_slice(&self.records);
+        Ok(message.freeze())
+    }
+
+    /// Takes the first message off `received`.
+    pub(crate) fn decode(received: &mut BytesMut) -> Decoded {
+        let Some(lengths) = received.get(..LENGTHS_BYTES) else {
+            return Decoded::Incomplete;
+        };
+        let mut lengths = lengths;
+        let head_bytes = lengths.get_u32() as usize;
+        let records_bytes = lengths.get_u32() as usize;
+        if received.len() < LENGTHS_BYTES + head_bytes + records_bytes {
+            return Decoded::Incomplete;
+        }
+        received.advance(LENGTHS_BYTES);
+        let head = received.split_to(head_bytes);
+        let records = received.split_to(records_bytes).freeze();
+        let Ok(head) = serde_json::from_slice::<GroupHead>(&head) else {
+            return Decoded::Malformed;
+        };
+        if head.legs.len() != head.receipts.len() {
+            return Decoded::Malformed;
+        }
+        Decoded::Whole(Self { head, records })
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! answer is decided in `wigeonhall-dispatch`; names and formats of the platform stand
 //! in `wigeonhall-adapter`.
 
+mod answer;
 mod answer_lag;
 mod caller_io;
 mod caller_request;
@@ -11,16 +12,23 @@
 mod event;
 mod event_log;
 mod front;
+mod group_parts;
+mod group_stream;
 mod http_client;
 mod lifecycle;
 mod metrics;
+mod peer_registry;
 mod query;
 mod readiness;
+mod relay_client;
+mod relay_protocol;
+mod relay_server;
 mod replica_client;
 mod replica_response;
 mod responses;
 mod run;
 mod shared;
+mod shared_gather;
 mod socket;
 mod store_client;
 mod store_sentinel;
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -4,12 +4,14 @@
 
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::task;
 use tokio::time;
 use tokio::time::Instant;
 
 use wigeonhall_adapter::read_settings;
 
 use crate::event::Event;
+use crate::peer_registry;
 use crate::shared::Phase;
 use crate::shared::Shared;
 
@@ -45,10 +47,12 @@
     Ok(())
 }
 
-async fn stop(shared: &Shared) {
+async fn stop(shared: &Rc<Shared>) {
     let killed_at = Instant::now() + Duration::from_millis(shared.settings.grace_ms);
     report(shared, "leaving");
     shared.phase.send_replace(Phase::Leaving);
+    let leaving = shared.clone();
+    task::spawn_local(async move { peer_registry::unregister(&leaving).await });
     time::sleep(LEAVING).await;
     report(shared, "closing");
     shared.phase.send_replace(Phase::Closing);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) extra_sends: IntCounter,
     pub(crate) missing_parts: IntCounter,
     registry: Registry,
+    pub(crate) relay_failures: IntCounter,
     pub(crate) replica_connection_errors: IntCounter,
     pub(crate) replica_connections: IntCounter,
     pub(crate) replica_latency_s: Histogram,
@@ -44,6 +45,10 @@
             config_version: IntGauge::new("config_version", "Version in force")?,
             extra_sends: IntCounter::new("extra_sends_total", "Hedges and retries")?,
             missing_parts: IntCounter::new("missing_parts_total", "Parts left out of answers")?,
+            relay_failures: IntCounter::new(
+                "relay_failures_total",
+                "Parts that another node did not hand over",
+            )?,
             replica_connection_errors: IntCounter::new(
                 "replica_connection_errors_total",
                 "Connections to replicas that could not be opened",
@@ -87,6 +92,7 @@
         registry.register(Box::new(self.config_version.clone()))?;
         registry.register(Box::new(self.extra_sends.clone()))?;
         registry.register(Box::new(self.missing_parts.clone()))?;
+        registry.register(Box::new(self.relay_failures.clone()))?;
         registry.register(Box::new(self.replica_connection_errors.clone()))?;
         registry.register(Box::new(self.replica_connections.clone()))?;
         registry.register(Box::new(self.replica_latency_s.clone()))?;
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -1,106 +1,71 @@
 use std::cell::Cell;
+use std::future;
+use std::mem;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use http::StatusCode;
 use tokio::task;
 use tokio::time;
 
 use wigeonhall_dispatch::Exchange;
-use wigeonhall_dispatch::GiveUpReason;
 use wigeonhall_dispatch::LegState;
 use wigeonhall_dispatch::Outcome;
-use wigeonhall_dispatch::RefuseReason;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::Route;
-use wigeonhall_dispatch::RouteTarget;
 use wigeonhall_dispatch::Send;
 use wigeonhall_dispatch::UnknownCause;
 
-use crate::caller_request::CallerHead;
 use crate::event::Event;
-use crate::event::RequestEvent;
 use crate::replica_client;
 use crate::replica_client::OutgoingRequest;
 use crate::replica_response::ReplicaResponse;
 use crate::replica_response::SendResult;
-use crate::responses;
-use crate::responses::CallerResponse;
 use crate::shared::Shared;
 
-/// Shortest time for which a send may go on after its request was answered; a pause of
-/// a replica is shorter, and its connection is kept.
-const LEFTOVER_MIN_US: u64 = 250_000;
+/// Time for which a send may go on after its request was answered: longer than a pause of
+/// a replica, and short enough for a caller that has left meanwhile.
+const LEFTOVER: Duration = Duration::from_millis(300);
 
-/// Longest time for which a send may go on after its request was answered.
-const LEFTOVER_MAX_US: u64 = 1_000_000;
-
-/// Longest lag of an answer that counts as the node's own.
-const LAG_MAX_US: u64 = 30_000;
+/// Time without an answer after which a send counts as silent.
+const SILENT_US: u64 = 250_000;
 
 type SendFuture = Pin<Box<dyn Future<Output = (Send, SendResult)>>>;
 
 /// A request that is being answered.
-struct Query {
-    exchange: Exchange,
+pub(crate) struct Query {
+    /// Whether an answer was made of it.
+    answered: bool,
+    pub(crate) exchange: Exchange,
     outgoing: Rc<OutgoingRequest>,
     pending: FuturesUnordered<SendFuture>,
     /// The usable answer of each leg's newest attempt.
     responses: Vec<Option<(usize, ReplicaResponse)>>,
     shared: Rc<Shared>,
-    started_us: u64,
-}
-
-/// Sends a request to replicas as its exchange decides, and answers the caller.
-pub(crate) async fn answer(
-    shared: &Rc<Shared>,
-    head: &CallerHead,
-    outgoing: OutgoingRequest,
-    started_us: u64,
-) -> CallerResponse {
-    let route = head.route.clone();
-    let timeout_us = route.spec.timeout_ms * 1_000;
-    let remaining_us = head
-        .remaining_ms
-        .map_or(timeout_us, |ms| ms.saturating_mul(1_000));
-    let deadline_us = started_us + timeout_us.min(remaining_us);
-    let hedge_delay_us = hedge_delay_us(shared, &route);
-    let exchange = Exchange::new(
-        started_us,
-        deadline_us,
-        hedge_delay_us,
-        shared.answer_lag.get(),
-        route,
-    );
-    let legs = exchange.legs().count();
-    let mut query = Query {
-        exchange,
-        outgoing: Rc::new(outgoing),
-        pending: FuturesUnordered::new(),
-        responses: (0..legs).map(|_| None).collect(),
-        shared: shared.clone(),
-        started_us,
-    };
-    let outcome = query.run().await;
-    let response = query.respond(outcome);
-    query.observe_lag();
-    query.record(head, outcome, response.status());
-    query.finish_sends(hedge_delay_us);
-    response
-}
-
-fn hedge_delay_us(shared: &Shared, route: &Route) -> u64 {
-    let mut latencies = shared.latencies.borrow_mut();
-    let latency = latencies.entry(route.spec.name.clone()).or_default();
-    latency.hedge_delay_us(route.spec.target_latency_ms)
 }
 
 impl Query {
-    async fn run(&mut self) -> Outcome {
+    pub(crate) fn new(
+        shared: &Rc<Shared>,
+        exchange: Exchange,
+        outgoing: Rc<OutgoingRequest>,
+    ) -> Self {
+        let legs = exchange.legs().count();
+        Self {
+            answered: false,
+            exchange,
+            outgoing,
+            pending: FuturesUnordered::new(),
+            responses: (0..legs).map(|_| None).collect(),
+            shared: shared.clone(),
+        }
+    }
+
+    /// Sends the first requests, and goes on until the exchange has an outcome.
+    pub(crate) async fn run(&mut self) -> Outcome {
         let mut sends = Vec::new();
         let now_us = self.shared.clock.now_us();
         let started = {
@@ -110,29 +75,35 @@
         if let Some(outcome) = started {
             return outcome;
         }
+        self.dispatch_all(sends);
+        self.drive().await
+    }
+
+    /// Goes on until the exchange has an outcome, the next one after a first.
+    pub(crate) async fn drive(&mut self) -> Outcome {
+        let mut sends = Vec::new();
         loop {
-            for send in sends.drain(..) {
-                self.dispatch(send);
-            }
             let now_us = self.shared.clock.now_us();
-            let wake_at = self
-                .shared
-                .clock
-                .instant(self.exchange.next_timer_us(now_us));
+            let next_us = self.exchange.next_timer_us(now_us);
+            let wake_at = self.shared.clock.instant(next_us);
             let outcome = tokio::select! {
                 biased;
                 Some((send, result)) = self.pending.next() => self.take(send, result, &mut sends),
                 () = time::sleep_until(wake_at) => self.tick(&mut sends),
             };
+            self.dispatch_all(std::mem::take(&mut sends));
             if let Some(outcome) = outcome {
-                for send in sends {
-                    self.dispatch(send);
-                }
                 return outcome;
             }
         }
     }
 
+    fn dispatch_all(&self, sends: Vec<Send>) {
+        for send in sends {
+            self.dispatch(send);
+        }
+    }
+
     fn tick(&mut self, sends: &mut Vec<Send>) -> Option<Outcome> {
         let now_us = self.shared.clock.now_us();
         let mut pool = self.shared.pool.borrow_mut();
@@ -168,56 +139,24 @@
         }));
     }
 
-    /// Observes how long after its time an answer was made.
-    fn observe_lag(&self) {
-        let now_us = self.shared.clock.now_us();
-        let soft_us = self.exchange.soft_us();
-        // A request that waited longer on purpose says nothing of the node.
-        let due = now_us.checked_sub(soft_us);
-        if let Some(lag_us) = due.filter(|lag_us| *lag_us <= LAG_MAX_US) {
-            self.shared.answer_lag.observe(lag_us);
-        }
+    /// The answer of a leg's attempt, once.
+    pub(crate) fn take_response(&mut self, leg: usize, attempt: usize) -> Option<ReplicaResponse> {
+        let (found, response) = self.responses.get_mut(leg)?.take()?;
+        (found == attempt).then_some(response)
     }
 
-    fn respond(&mut self, outcome: Outcome) -> CallerResponse {
-        match outcome {
-            Outcome::Forward { attempt } => match self.responses[0].take() {
-                Some((found, response)) if found == attempt => responses::forwarded(response),
-                _ => responses::plain(StatusCode::BAD_GATEWAY, "the answer is lost"),
-            },
-            Outcome::Gather { missing } => self.merge(missing),
-            Outcome::GiveUp(GiveUpReason::DeadlinePassed) => {
-                responses::plain(StatusCode::GATEWAY_TIMEOUT, "the deadline passed")
-            }
-            Outcome::GiveUp(GiveUpReason::NoAnswer) => {
-                responses::plain(StatusCode::BAD_GATEWAY, "no replica gave a usable answer")
-            }
-            Outcome::GiveUp(GiveUpReason::TooFewParts) => {
-                responses::plain(StatusCode::BAD_GATEWAY, "too few shards can answer")
-            }
-            Outcome::Refuse {
-                reason,
-                retry_after_ms,
-            } => responses::refusal(refusal_text(reason), retry_after_ms),
-        }
-    }
-
-    fn merge(&mut self, missing: usize) -> CallerResponse {
+    /// The parts that are in, each with its leg.
+    pub(crate) fn take_parts(&mut self) -> Vec<(usize, ReplicaResponse)> {
         let states: Vec<LegState> = self.exchange.legs().collect();
         let mut parts = Vec::with_capacity(states.len());
-        for (slot, state) in self.responses.iter_mut().zip(&states) {
-            if let (LegState::Done(attempt), Some((found, response))) = (state, slot.take())
-                && *attempt == found
+        for (leg, state) in states.into_iter().enumerate() {
+            if let LegState::Done(attempt) = state
+                && let Some(response) = self.take_response(leg, attempt)
             {
-                parts.push(response);
+                parts.push((leg, response));
             }
         }
-        let top_records = match &self.exchange.route().target {
-            RouteTarget::Gather { top_records, .. } => *top_records,
-            RouteTarget::Service(_) | RouteTarget::Split(_) => 0,
-        };
-        responses::gathered(&parts, missing, top_records)
-            .unwrap_or_else(|| responses::plain(StatusCode::BAD_GATEWAY, "malformed receipt"))
+        parts
     }
 
     fn log_send(&self, send: Send, reply: Reply) {
@@ -235,43 +174,8 @@
         });
     }
 
-    fn record(&self, head: &CallerHead, outcome: Outcome, status: StatusCode) {
-        let shared = &self.shared;
-        let now_us = shared.clock.now_us();
-        let elapsed_us = now_us - self.started_us;
-        let heard_us = shared.replicas_heard_us.get().unwrap_or(0);
-        let route = self.exchange.route();
-        let missing = self.missing();
-        let metrics = &shared.metrics;
-        metrics
-            .extra_sends
-            .inc_by(u64::from(self.exchange.extra_sends()));
-        metrics.missing_parts.inc_by(missing.len() as u64);
-        metrics
-            .requests
-            .with_label_values(&[outcome_label(outcome)])
-            .inc();
-        metrics
-            .request_latency_s
-            .with_label_values(&[&*route.spec.name])
-            .observe(elapsed_us as f64 / 1_000_000.0);
-        shared.log(&Event::Request(RequestEvent {
-            config_version: route.version,
-            deadline_ms: (self.exchange.deadline_us() - self.started_us) / 1_000,
-            elapsed_ms: elapsed_us as f64 / 1_000.0,
-            extra_sends: self.exchange.extra_sends(),
-            legs: self.responses.len(),
-            missing,
-            outcome: format!("{outcome:?}"),
-            request_id: head.request_id.to_str().unwrap_or(""),
-            route: &route.spec.name,
-            status: status.as_u16(),
-            store_age_ms: (now_us - heard_us) / 1_000,
-        }));
-    }
-
     /// Services without an answer, each with its state.
-    fn missing(&self) -> Vec<String> {
+    pub(crate) fn missing(&self) -> Vec<String> {
         let pool = self.shared.pool.borrow();
         let mut missing = Vec::new();
         for (leg, state) in self.exchange.legs().enumerate() {
@@ -283,48 +187,29 @@
         missing
     }
 
-    /// Lets sends that are still out end by themselves for a while, which keeps their
-    /// connections, and then ends them.
-    fn finish_sends(self, hedge_delay_us: u64) {
-        if self.pending.is_empty() {
+    /// Records that an answer was made: sends that are still out may then end by
+    /// themselves for a while, which keeps their connections.
+    pub(crate) const fn answered(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Query {
+    /// Without an answer the caller has left: dropping the sends ends their work.
+    fn drop(&mut self) {
+        if !self.answered || self.pending.is_empty() {
             return;
         }
-        let leftover_us = (4 * hedge_delay_us).clamp(LEFTOVER_MIN_US, LEFTOVER_MAX_US);
-        let pending = self.pending;
+        let rest = mem::take(&mut self.pending).for_each(|_| future::ready(()));
         task::spawn_local(async move {
-            let rest = pending.for_each(|_| std::future::ready(()));
-            // Sends that are still out are counted as silent when they are dropped.
-            if time::timeout(Duration::from_micros(leftover_us), rest)
-                .await
-                .is_err()
-            {
+            // Sends that are still out then are counted as silent when they are dropped.
+            if time::timeout(LEFTOVER, rest).await.is_err() {
                 log::debug!("sends of an answered request were ended");
             }
         });
     }
 }
 
-const fn refusal_text(reason: RefuseReason) -> &'static str {
-    match reason {
-        RefuseReason::Busy => "replicas have no room",
-        RefuseReason::DeadlinePassed => "no replica was reached in time",
-        RefuseReason::NoReplica => "no replica is available",
-        RefuseReason::TooFewShards => "too few shards have an available replica",
-    }
-}
-
-const fn outcome_label(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::Forward { .. } => "forwarded",
-        Outcome::Gather { missing: 0 } => "whole",
-        Outcome::Gather { .. } => "partial",
-        Outcome::GiveUp(GiveUpReason::DeadlinePassed) => "deadline_passed",
-        Outcome::GiveUp(GiveUpReason::NoAnswer) => "no_answer",
-        Outcome::GiveUp(GiveUpReason::TooFewParts) => "too_few_parts",
-        Outcome::Refuse { .. } => "refused",
-    }
-}
-
 /// A send on its way; tells the pool what came of it, also when it is dropped.
 struct Flight {
     landed: Cell<bool>,
@@ -377,7 +262,7 @@
             return;
         }
         let now_us = self.shared.clock.now_us();
-        let silent = now_us - self.sent_us >= LEFTOVER_MIN_US;
+        let silent = now_us - self.sent_us >= SILENT_US;
         let mut pool = self.shared.pool.borrow_mut();
         if silent {
             let reply = Reply::Unknown(UnknownCause::Silent);
--- /dev/null
+++ b/crates/entry/src/relay_client.rs
@@ -0,0 +1,203 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time;
+
+use wigeonhall_adapter::REMAINING_MS;
+use wigeonhall_dispatch::Route;
+
+use crate::group_parts::Decoded;
+use crate::group_parts::GroupParts;
+use crate::http_client;
+use crate::http_client::HttpSender;
+use crate::relay_protocol;
+use crate::replica_client::OutgoingRequest;
+use crate::shared::Shared;
+
+/// Shortest wait for a sign of life of a node.
+const SIGN_OF_LIFE_MIN_MS: u64 = 15;
+
+/// Part of the target latency that a node may take for a sign of life.
+const SIGN_OF_LIFE_DIVISOR: u64 = 4;
+
+/// Time kept free for the way back of the parts.
+const WAY_BACK_US: u64 = 3_000;
+
+/// Largest message of a node.
+const MESSAGE_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+/// Why a node did not hand over parts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RelayError {
+    /// It stops, or has another configuration.
+    Declined,
+    /// Its connection ended, or its message is malformed; it may have done some work.
+    Lost,
+    /// It gave no sign of life in time; it may have done some work.
+    Silent,
+    /// No connection could be opened.
+    Unreachable,
+}
+
+/// Idle connections to other nodes.
+pub(crate) type RelayConnections = HashMap<SocketAddr, Vec<HttpSender>>;
+
+/// Times of a request that several nodes share.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RelayTimes {
+    pub(crate) deadline_us: u64,
+    pub(crate) soft_us: u64,
+}
+
+/// Asks a node for the parts of some legs.
+pub(crate) async fn ask(
+    shared: &Rc<Shared>,
+    address: SocketAddr,
+    route: &Route,
+    legs: &[usize],
+    outgoing: &OutgoingRequest,
+    times: RelayTimes,
+) -> Result<RelayedParts, RelayError> {
+    let patience_ms = route.spec.target_latency_ms / SIGN_OF_LIFE_DIVISOR;
+    let patience = Duration::from_millis(patience_ms.max(SIGN_OF_LIFE_MIN_MS));
+    let opening = open(shared, address, route, legs, outgoing, times, patience);
+    let (response, sender) = match time::timeout(patience, opening).await {
+        Ok(opened) => opened?,
+        Err(_) => return Err(RelayError::Silent),
+    };
+    if response.status() != StatusCode::OK {
+        return Err(RelayError::Declined);
+    }
+    Ok(RelayedParts {
+        address,
+        body: response.into_body(),
+        received: BytesMut::new(),
+        sender,
+        shared: shared.clone(),
+    })
+}
+
+/// Parts that come from another node.
+#[derive(Debug)]
+pub(crate) struct RelayedParts {
+    address: SocketAddr,
+    body: Incoming,
+    received: BytesMut,
+    sender: HttpSender,
+    shared: Rc<Shared>,
+}
+
+impl RelayedParts {
+    /// The next parts; `None` when the node has no more. The connection is kept then.
+    pub(crate) async fn next(&mut self) -> Result<Option<GroupParts>, RelayError> {
+        loop {
+            match GroupParts::decode(&mut self.received) {
+                Decoded::Whole(parts) => return Ok(Some(parts)),
+                Decoded::Malformed => return Err(RelayError::Lost),
+                Decoded::Incomplete => {}
+            }
+            if self.received.len() > MESSAGE_BYTES_MAX {
+                return Err(RelayError::Lost);
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.received.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(_)) => return Err(RelayError::Lost),
+                None if self.received.is_empty() => return Ok(None),
+                None => return Err(RelayError::Lost),
+            }
+        }
+    }
+
+    /// Reads the end behind the last parts and keeps the connection.
+    pub(crate) async fn finish(mut self) {
+        match self.next().await {
+            Ok(None) => self.keep(),
+            Ok(Some(_)) | Err(_) => log::debug!("node {} broke off its end", self.address),
+        }
+    }
+
+    fn keep(self) {
+        let mut connections = self.shared.relay_connections.borrow_mut();
+        connections
+            .entry(self.address)
+            .or_default()
+            .push(self.sender);
+    }
+}
+
+/// Sends the request and waits for the head of the response, the sign of life.
+async fn open(
+    shared: &Shared,
+    address: SocketAddr,
+    route: &Route,
+    legs: &[usize],
+    outgoing: &OutgoingRequest,
+    times: RelayTimes,
+    patience: Duration,
+) -> Result<(Response<Incoming>, HttpSender), RelayError> {
+    loop {
+        let idle = take_idle(shared, address);
+        let reused = idle.is_some();
+        let mut sender = match idle {
+            Some(sender) => sender,
+            None => http_client::connect(address, patience)
+                .await
+                .map_err(|_| RelayError::Unreachable)?,
+        };
+        let message = message(shared, route, legs, outgoing, times).ok_or(RelayError::Lost)?;
+        match sender.try_send_request(message).await {
+            Ok(response) => return Ok((response, sender)),
+            // A kept connection may have ended with the former process of the node.
+            Err(_) if reused => {}
+            Err(_) => return Err(RelayError::Lost),
+        }
+    }
+}
+
+fn take_idle(shared: &Shared, address: SocketAddr) -> Option<HttpSender> {
+    let mut connections = shared.relay_connections.borrow_mut();
+    let idle = connections.get_mut(&address)?;
+    while let Some(sender) = idle.pop() {
+        if !sender.is_closed() {
+            return Some(sender);
+        }
+    }
+    None
+}
+
+fn message(
+    shared: &Shared,
+    route: &Route,
+    legs: &[usize],
+    outgoing: &OutgoingRequest,
+    times: RelayTimes,
+) -> Option<Request<Full<bytes::Bytes>>> {
+    let now_us = shared.clock.now_us();
+    let soft_us = times.soft_us.saturating_sub(WAY_BACK_US);
+    let soft_ms = soft_us.saturating_sub(now_us) / 1_000;
+    let remaining_ms = times.deadline_us.saturating_sub(now_us) / 1_000;
+    let mut message = Request::new(Full::new(outgoing.body.clone()));
+    *message.method_mut() = outgoing.method.clone();
+    *message.uri_mut() = outgoing.uri.clone();
+    let headers = message.headers_mut();
+    headers.clone_from(&outgoing.headers);
+    headers.insert(REMAINING_MS, HeaderValue::from(remaining_ms));
+    headers.insert(relay_protocol::VERSION, HeaderValue::from(route.version));
+    headers.insert(relay_protocol::SOFT_MS, HeaderValue::from(soft_ms));
+    headers.insert(relay_protocol::LEGS, relay_protocol::legs_value(legs)?);
+    Some(message)
+}
--- /dev/null
+++ b/crates/entry/src/relay_server.rs
@@ -0,0 +1,139 @@
+use std::convert::Infallible;
+use std::future;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures::Stream;
+use futures::StreamExt;
+use futures::stream;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task;
+
+use wigeonhall_dispatch::Exchange;
+
+use crate::answer;
+use crate::caller_request;
+use crate::group_parts::GroupParts;
+use crate::group_stream;
+use crate::query::Query;
+use crate::relay_protocol;
+use crate::replica_client::OutgoingRequest;
+use crate::shared::Phase;
+use crate::shared::Shared;
+use crate::socket;
+
+/// The parts come some time after the head of the response, which is a sign of life.
+type PartsStream = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Infallible>>>>;
+
+type RelayResponse = Response<StreamBody<PartsStream>>;
+
+/// Collects parts of gathers for other nodes.
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                task::spawn_local(connection(shared.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("cannot accept a node: {error}");
+                task::yield_now().await;
+            }
+        }
+    }
+}
+
+async fn connection(shared: Rc<Shared>, stream: TcpStream) {
+    if let Err(error) = socket::prepare(&stream) {
+        log::debug!("cannot prepare a connection: {error}");
+        return;
+    }
+    let handler = service::service_fn(|request| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(handle(&shared, request).await) }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
+    if let Err(error) = connection.await {
+        log::debug!("connection of a node ended: {error}");
+    }
+}
+
+async fn handle(shared: &Rc<Shared>, request: Request<Incoming>) -> RelayResponse {
+    match accept(shared, request).await {
+        Some(query) => {
+            let parts = group_stream::collect(query.query, query.legs);
+            let messages = parts.filter_map(|parts| future::ready(frame(&parts)));
+            Response::new(StreamBody::new(Box::pin(messages.map(Ok)) as PartsStream))
+        }
+        None => declined(),
+    }
+}
+
+fn declined() -> RelayResponse {
+    let mut response = Response::new(StreamBody::new(Box::pin(stream::empty()) as PartsStream));
+    *response.status_mut() = StatusCode::CONFLICT;
+    response
+}
+
+/// Some legs of another node's gather, numbered by that node.
+struct RelayedQuery {
+    legs: Vec<usize>,
+    query: Query,
+}
+
+/// Checks a request of another node; `None` if the node must do the work itself.
+async fn accept(shared: &Rc<Shared>, mut request: Request<Incoming>) -> Option<RelayedQuery> {
+    if shared.phase() != Phase::Serving {
+        return None;
+    }
+    let started_us = shared.clock.now_us();
+    let table = shared.table.borrow().clone()?;
+    let headers = request.headers_mut();
+    let version = relay_protocol::take_number(headers, &relay_protocol::VERSION)?;
+    let soft_ms = relay_protocol::take_number(headers, &relay_protocol::SOFT_MS)?;
+    let legs = relay_protocol::take_legs(headers)?;
+    if version != table.version {
+        return None;
+    }
+    let head = caller_request::read_head(&request, &table).ok()?;
+    let remaining_ms = head.remaining_ms?;
+    let reading = caller_request::read_request(request, head.request_id, table.limits);
+    let outgoing: OutgoingRequest = reading.await.ok()?;
+    let known = head.route.select().services.len();
+    if legs.iter().any(|leg| *leg >= known) {
+        return None;
+    }
+    let hedge_delay_us = answer::hedge_delay_us(shared, &head.route);
+    let exchange = Exchange::of_legs(
+        head.route.clone(),
+        &legs,
+        head.route.spec.max_attempts,
+        started_us + soft_ms * 1_000,
+        started_us + remaining_ms * 1_000,
+        hedge_delay_us,
+    );
+    Some(RelayedQuery {
+        legs,
+        query: Query::new(shared, exchange, Rc::new(outgoing)),
+    })
+}
+
+fn frame(parts: &GroupParts) -> Option<Frame<Bytes>> {
+    match parts.encode() {
+        Ok(message) => Some(Frame::data(message)),
+        Err(error) => {
+            log::warn!("cannot encode parts: {error}");
+            None
+        }
+    }
+}
--- a/crates/entry/src/responses.rs
+++ b/crates/entry/src/responses.rs
@@ -13,6 +13,7 @@
 use wigeonhall_dispatch::merge_records;
 
 use crate::caller_request;
+use crate::group_parts::GroupParts;
 use crate::replica_response::ReplicaResponse;
 
 /// A response to a caller.
@@ -41,6 +42,20 @@
     response
 }
 
+/// The greatest records of several groups of parts, with the receipts of all of them.
+///
+/// `None` when a receipt cannot be passed on.
+pub(crate) fn joined(
+    groups: &[GroupParts],
+    missing: usize,
+    top_records: usize,
+) -> Option<CallerResponse> {
+    let receipts = groups.iter().flat_map(|group| &group.head.receipts);
+    let receipts: Vec<&str> = receipts.map(String::as_str).collect();
+    let bodies: Vec<&[u8]> = groups.iter().map(|group| &*group.records).collect();
+    gather_response(&receipts, &bodies, missing, top_records)
+}
+
 /// The greatest records of the parts, with the receipts of exactly these parts.
 ///
 /// `None` when a part has no receipt that can be passed on.
@@ -57,9 +72,18 @@
                 .and_then(|value| value.to_str().ok())
         })
         .collect();
-    let receipts = HeaderValue::from_str(&receipts?.join(", ")).ok()?;
     let bodies: Vec<&[u8]> = parts.iter().map(|part| &*part.body).collect();
-    let records = merge_records(&bodies, top_records);
+    gather_response(&receipts?, &bodies, missing, top_records)
+}
+
+fn gather_response(
+    receipts: &[&str],
+    bodies: &[&[u8]],
+    missing: usize,
+    top_records: usize,
+) -> Option<CallerResponse> {
+    let receipts = HeaderValue::from_str(&receipts.join(", ")).ok()?;
+    let records = merge_records(bodies, top_records);
     let mut response = Response::new(Full::new(Bytes::from(records)));
     let headers = response.headers_mut();
     headers.insert(INCLUDED_RECEIPTS, receipts);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -18,7 +18,9 @@
 use crate::front;
 use crate::lifecycle;
 use crate::metrics::Metrics;
+use crate::peer_registry;
 use crate::readiness;
+use crate::relay_server;
 use crate::shared::Shared;
 use crate::store_sentinel;
 use crate::store_watch;
@@ -84,6 +86,9 @@
     let settings = &shared.settings;
     let callers = listen(settings.caller_address).await?;
     let platform = listen(settings.readiness_address).await?;
+    let nodes = listen(settings.internal_address).await?;
+    let internal_address = nodes.local_addr().map_err(EntryError::System)?;
+    shared.peers.borrow_mut().set_own_address(internal_address);
     let mut metrics_address = None;
     if let Some(port) = options.metrics_port {
         let address = SocketAddr::new(settings.caller_address.ip(), port);
@@ -101,9 +106,11 @@
     });
     task::spawn_local(front::serve(shared.clone(), callers));
     task::spawn_local(readiness::serve(shared.clone(), platform));
-    for collection in Collection::ALL {
+    for collection in Collection::FOLLOWED {
         task::spawn_local(store_watch::follow(shared.clone(), collection));
     }
+    task::spawn_local(peer_registry::run(shared.clone()));
+    task::spawn_local(relay_server::serve(shared.clone(), nodes));
     task::spawn_local(store_sentinel::run(shared.clone()));
     lifecycle::until_stopped(shared)
         .await
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -8,6 +8,8 @@
 use tokio::sync::watch;
 
 use wigeonhall_adapter::ProcessSettings;
+use wigeonhall_dispatch::PeerNode;
+use wigeonhall_dispatch::Peers;
 use wigeonhall_dispatch::Pool;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::RequestLimits;
@@ -19,6 +21,7 @@
 use crate::event::Event;
 use crate::event_log::EventLog;
 use crate::metrics::Metrics;
+use crate::relay_client::RelayConnections;
 use crate::replica_client::IdleConnections;
 
 /// Phase of the process.
@@ -44,8 +47,11 @@
     pub(crate) idle: RefCell<IdleConnections>,
     pub(crate) latencies: RefCell<HashMap<Arc<str>, RouteLatency>>,
     pub(crate) metrics: Metrics,
+    /// Nodes of the own data centre.
+    pub(crate) peers: RefCell<Peers>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) pool: RefCell<Pool>,
+    pub(crate) relay_connections: RefCell<RelayConnections>,
     /// Time of the store's last word on the replicas; `None` before the first list.
     pub(crate) replicas_heard_us: Cell<Option<u64>>,
     pub(crate) settings: ProcessSettings,
@@ -59,6 +65,12 @@
 
 impl Shared {
     pub(crate) fn new(settings: ProcessSettings, events: EventLog, metrics: Metrics) -> Self {
+        let own = PeerNode {
+            address: settings.internal_address,
+            data_centre: settings.data_centre.clone(),
+            name: settings.node_name.clone(),
+            processor_share: settings.processor_share,
+        };
         let seed = fastrand::u64(..);
         Self {
             answer_lag: AnswerLag::default(),
@@ -68,8 +80,10 @@
             idle: RefCell::default(),
             latencies: RefCell::default(),
             metrics,
+            peers: RefCell::new(Peers::new(own)),
             phase: watch::Sender::new(Phase::Serving),
             pool: RefCell::new(Pool::new(settings.data_centre.clone(), seed)),
+            relay_connections: RefCell::default(),
             replicas_heard_us: Cell::new(None),
             settings,
             store_outages: watch::Sender::new(0),
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store_client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Method;
 use http::Request;
 use http::StatusCode;
 use http::header;
@@ -71,7 +72,29 @@
 
     /// Reads a path; a call that takes longer than `timeout` ends its connection.
     pub(crate) async fn get(&mut self, path: &str, timeout: Duration) -> Result<Bytes, StoreError> {
-        let result = match time::timeout(timeout, self.call(path)).await {
+        self.call_in_time(Method::GET, path, Bytes::new(), timeout)
+            .await
+    }
+
+    /// Writes an object.
+    pub(crate) async fn write(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: String,
+        timeout: Duration,
+    ) -> Result<Bytes, StoreError> {
+        self.call_in_time(method, path, body.into(), timeout).await
+    }
+
+    async fn call_in_time(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Bytes, StoreError> {
+        let result = match time::timeout(timeout, self.call(method, path, body)).await {
             Ok(result) => result,
             Err(_) => Err(StoreError::Timeout),
         };
@@ -81,11 +104,14 @@
         result
     }
 
-    async fn call(&mut self, path: &str) -> Result<Bytes, StoreError> {
+    async fn call(&mut self, method: Method, path: &str, body: Bytes) -> Result<Bytes, StoreError> {
         let mut sender = self.connected().await?;
-        let request = Request::get(path)
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
             .header(header::HOST, self.address.to_string())
-            .body(Full::new(Bytes::new()))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
             .map_err(|error| StoreError::Transport(error.to_string()))?;
         let response = sender.send_request(request).await.map_err(transport)?;
         let status = response.status();
@@ -96,7 +122,7 @@
             .to_bytes();
         self.sender = Some(sender);
         match status {
-            StatusCode::OK => Ok(body),
+            StatusCode::OK | StatusCode::CREATED => Ok(body),
             StatusCode::GONE => Err(StoreError::HistoryGone),
             status => Err(StoreError::Status(status)),
         }
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -217,6 +217,7 @@
                 self.evacuated.replace(names.collect());
                 self.evacuate(revision);
             }
+            Collection::Nodes => {}
             Collection::Replicas => {
                 let registrations = objects.iter().filter_map(|item| self.registration(item));
                 let registrations: Vec<Registration> = registrations.collect();
@@ -248,6 +249,7 @@
                 }
                 self.evacuate(revision);
             }
+            Collection::Nodes => {}
             Collection::Replicas => self.apply_replicas(&changes, revision),
         }
     }
--- a/crates/node/examples/part_cost.rs
+++ b/crates/node/examples/part_cost.rs
@@ -61,7 +61,10 @@
     }
     store.configure(&configuration(&names));
     let settings = env::temp_dir().join(format!("wigeonhall-part-cost-{}.yaml", process::id()));
-    fs::write(&settings, settings_text(store.address(), "north", 6_000))?;
+    fs::write(
+        &settings,
+        settings_text(store.address(), "node", "north", 6_000),
+    )?;
     let mut child = Command::new(program)
         .arg("--entry")
         .env(SETTINGS_VARIABLE, &settings)
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -6,4 +6,5 @@
 mod deployment;
 mod forwarding;
 mod planned_stop;
+mod shared_gather;
 mod store;
--- /dev/null
+++ b/crates/node/tests/entry/shared_gather.rs
@@ -0,0 +1,113 @@
+//! Guards against gathers that lose or double a part when nodes share them, and against
+//! waiting for a node that is gone or stands still.
+
+use wigeonhall_adapter_standins::Behaviour;
+use wigeonhall_adapter_standins::ReplicaStandin;
+use wigeonhall_adapter_standins::StoreStandin;
+use wigeonhall_adapter_standins::parts_of;
+use wigeonhall_dispatch::RouteKind;
+
+use crate::caller::Caller;
+use crate::caller::ask;
+use crate::deployment::Node;
+use crate::deployment::configuration;
+use crate::deployment::gather;
+use crate::deployment::route;
+use crate::deployment::wait_until;
+
+/// More shards than a node with little of a core works on alone.
+const SHARDS: usize = 24;
+
+const NODES: usize = 5;
+
+struct Fleet {
+    nodes: Vec<Node>,
+    replicas: Vec<ReplicaStandin>,
+    _store: StoreStandin,
+}
+
+fn record(first: usize) -> Vec<u8> {
+    let mut record = vec![0; 16];
+    record[0] = first as u8;
+    record
+}
+
+/// A fleet whose nodes all know each other.
+fn fleet(decide: impl Fn(usize) -> Behaviour + Clone + Send + Sync + 'static) -> Fleet {
+    let store = StoreStandin::start().unwrap();
+    let names: Vec<String> = (0..SHARDS).map(|index| format!("s{index:02}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut all = route("all", "/all/", RouteKind::Idempotent, gather(&names, 1.0));
+    all.target_latency_ms = 600;
+    store.configure(&configuration(1, vec![all]));
+    let start = |(index, name): (usize, &&str)| {
+        let decide = decide.clone();
+        ReplicaStandin::start(name, 1, move |_| decide(index)).unwrap()
+    };
+    let replicas: Vec<ReplicaStandin> = names.iter().enumerate().map(start).collect();
+    for replica in &replicas {
+        store.register(&replica.registration("north"));
+    }
+    let start = |number| Node::start_named(&store, &format!("node-{number}"));
+    let nodes: Vec<Node> = (1..=NODES).map(start).collect();
+    for node in &nodes {
+        node.wait_ready();
+        node.logged(|line| line["event"] == "nodes" && line["near"] == NODES);
+    }
+    Fleet {
+        nodes,
+        replicas,
+        _store: store,
+    }
+}
+
+/// Asks the first node, and demands the greatest records of all shards.
+fn demand_whole(fleet: &Fleet, id: &str) {
+    let answer = ask(fleet.nodes[0].callers, "GET", "/all/x", id, "");
+    assert_eq!(answer.status, 200);
+    assert_eq!(parts_of(&answer.message), (SHARDS, 0));
+    let expected: Vec<u8> = (SHARDS - 3..SHARDS).rev().flat_map(record).collect();
+    assert_eq!(answer.message.body, expected);
+}
+
+fn nodes_of(fleet: &Fleet, id: &str) -> u64 {
+    let line = fleet.nodes[0].logged(|line| line["event"] == "request" && line["request_id"] == id);
+    line["nodes"].as_u64().unwrap()
+}
+
+#[test]
+fn a_shared_gather_is_whole_and_each_replica_runs_it_once() {
+    let fleet = fleet(|index| Behaviour::answer(record(index)));
+    demand_whole(&fleet, "q1");
+    assert!(nodes_of(&fleet, "q1") > 1);
+    for replica in &fleet.replicas {
+        assert_eq!(replica.runs().len(), 1);
+    }
+}
+
+#[test]
+fn a_gather_is_whole_though_nodes_are_killed_or_stand_still() {
+    let fleet = fleet(|index| Behaviour::answer(record(index)));
+    demand_whole(&fleet, "q1");
+    fleet.nodes[1].signal("KILL");
+    fleet.nodes[2].signal("STOP");
+    for index in 2..6 {
+        demand_whole(&fleet, &format!("q{index}"));
+    }
+    fleet.nodes[2].signal("CONT");
+}
+
+/// The work of a caller that has left ends also where other nodes do it.
+#[test]
+fn a_caller_that_leaves_ends_the_work_that_is_shared() {
+    let fleet = fleet(|_| Behaviour::Silent);
+    let mut caller = Caller::connect(fleet.nodes[0].callers);
+    caller.ask("GET", "/all/x", "q1", "");
+    wait_until("work everywhere", || {
+        fleet.replicas.iter().all(|it| !it.runs().is_empty())
+    });
+    drop(caller);
+    wait_until("work ended", || {
+        fleet.replicas.iter().all(|it| it.cancelled() > 0)
+    });
+}
