--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -73,6 +73,9 @@
     Explain {
         #[bpaf(external)]
         connection: Connection,
+        /// Structured logs of the entry tier to read instead of asking nodes; - for standard input
+        #[bpaf(argument("FILE"))]
+        logs: Vec<String>,
         #[bpaf(external(subject_option))]
         subject: SubjectOption,
     },
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -36,6 +36,7 @@
 use wigeonhall_ctl::diff;
 use wigeonhall_ctl::evacuate;
 use wigeonhall_ctl::explain;
+use wigeonhall_ctl::explain_logs;
 use wigeonhall_ctl::history;
 use wigeonhall_ctl::http_nodes;
 use wigeonhall_ctl::measure;
@@ -114,9 +115,17 @@
             generation,
             file,
         } => diff(&context(&connection, None), &read(&file)?, generation),
+        Command::Explain { logs, subject, .. } if !logs.is_empty() => {
+            let texts: Result<Vec<String>, CtlError> = logs
+                .into_iter()
+                .map(|path| read(&TextFile { path }))
+                .collect();
+            Ok(explain_logs(&texts?.join("\n"), &subject_of(subject)))
+        }
         Command::Explain {
             connection,
             subject,
+            ..
         } => explain(&context(&connection, None), &subject_of(subject)),
         Command::History {
             connection,
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -67,6 +67,8 @@
                 self.fail(now_us, SILENCES_TO_SUSPEND);
             }
             Reply::NotRun(NotRunCause::Busy) => {
+                // A replica that turns many away costs others their retries.
+                self.failure_share += (1.0 - self.failure_share) * SAMPLE_WEIGHT;
                 self.suspended_until_us = self.suspended_until_us.max(now_us + BUSY_US);
             }
             Reply::NotRun(NotRunCause::OtherInstance | NotRunCause::Unreachable) => {
--- a/crates/dispatch/tests/pool.rs
+++ b/crates/dispatch/tests/pool.rs
@@ -255,3 +255,24 @@
     assert_eq!(ahead, [near, other]);
     assert!(pool.to_open_ahead(0, &[far]).is_empty());
 }
+
+/// Replicas that turned half of the requests away kept getting them, and the retries
+/// used up the budget of the shard.
+#[test]
+fn a_replica_that_turns_many_away_gets_less() {
+    let mut pool = pool();
+    let near = add(&mut pool, "a", 1);
+    pool.register(0, registration("a", 2, "south"));
+    for index in 0..6 {
+        let now_us = index * 50 * MS;
+        let reply = if index % 2 == 0 {
+            Reply::NotRun(NotRunCause::Busy)
+        } else {
+            Reply::Success
+        };
+        pool.started(now_us, near);
+        pool.finished(now_us, near, reply, 1.0);
+    }
+    assert_eq!(chosen(&mut pool, 300 * MS).as_deref(), Some("a-2"));
+    assert_eq!(chosen(&mut pool, 20 * S).as_deref(), Some("a-1"));
+}
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -30,10 +30,17 @@
     Nodes { near: usize },
     /// Another node did not hand over the parts that it was asked for.
     Relay {
-        node: &'a str,
+        peer: &'a str,
         reason: String,
         request_id: &'a str,
     },
+    /// This node handed parts to another one.
+    Relayed {
+        extra_sends: u32,
+        legs: usize,
+        parts: usize,
+        request_id: &'a str,
+    },
     /// What the registrations of replicas changed.
     Replicas {
         gone: usize,
@@ -57,7 +64,6 @@
         caller_address: SocketAddr,
         data_centre: &'a str,
         metrics_address: Option<SocketAddr>,
-        node: &'a str,
         readiness_address: SocketAddr,
         version: &'a str,
     },
--- a/crates/entry/src/event_log.rs
+++ b/crates/entry/src/event_log.rs
@@ -1,9 +1,12 @@
 use std::cell::Cell;
 use std::io;
 use std::io::Write;
+use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use flume::Receiver;
 use flume::Sender;
@@ -26,6 +29,7 @@
 pub(crate) struct EventLog {
     dropped: Cell<u64>,
     lines: Sender<Vec<u8>>,
+    node: Arc<str>,
     second: Cell<u64>,
     this_second: Cell<u32>,
     writer: Option<JoinHandle<()>>,
@@ -40,6 +44,10 @@
     dropped: u64,
     #[serde(flatten)]
     event: &'a Event<'a>,
+    /// Name of the node.
+    node: &'a str,
+    /// Time of day, which may differ between nodes and jump.
+    unix_ms: u64,
 }
 
 #[expect(
@@ -51,7 +59,7 @@
 }
 
 impl EventLog {
-    pub(crate) fn start() -> io::Result<Self> {
+    pub(crate) fn start(node: Arc<str>) -> io::Result<Self> {
         let (lines, queue) = flume::bounded(QUEUE_LINES);
         let writer = thread::Builder::new()
             .name("event-log".into())
@@ -60,6 +68,7 @@
         Ok(Self {
             dropped: Cell::new(0),
             lines,
+            node,
             second: Cell::new(0),
             this_second: Cell::new(0),
             writer: Some(writer),
@@ -76,6 +85,8 @@
             at_ms: now_us / 1_000,
             dropped: self.dropped.get(),
             event,
+            node: &self.node,
+            unix_ms: unix_ms(),
         };
         let Ok(mut text) = serde_json::to_vec(&line) else {
             self.dropped.set(self.dropped.get() + 1);
@@ -110,6 +121,12 @@
     }
 }
 
+/// The time of day; 0 while the clock is before 1970.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 fn write_lines(queue: &Receiver<Vec<u8>>) {
     let mut batch = Vec::new();
     while let Ok(line) = queue.recv() {
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -7,6 +7,7 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use http::HeaderValue;
 use tokio::task;
 use tokio::time;
 
@@ -139,6 +140,10 @@
         }));
     }
 
+    pub(crate) fn request_id(&self) -> &HeaderValue {
+        &self.outgoing.request_id
+    }
+
     /// The answer of a leg's attempt, once.
     pub(crate) fn take_response(&mut self, leg: usize, attempt: usize) -> Option<ReplicaResponse> {
         let (found, response) = self.responses.get_mut(leg)?.take()?;
--- a/crates/entry/src/relay_server.rs
+++ b/crates/entry/src/relay_server.rs
@@ -24,6 +24,7 @@
 
 use crate::answer;
 use crate::caller_request;
+use crate::event::Event;
 use crate::group_parts::GroupParts;
 use crate::group_stream;
 use crate::query::Query;
@@ -71,8 +72,19 @@
 async fn handle(shared: &Rc<Shared>, request: Request<Incoming>) -> RelayResponse {
     match accept(shared, request).await {
         Some(query) => {
+            let legs = query.legs.len();
+            let request_id = query.query.request_id().clone();
+            let shared = shared.clone();
             let parts = group_stream::collect(query.query, query.legs);
-            let messages = parts.filter_map(|parts| future::ready(frame(&parts)));
+            let messages = parts.filter_map(move |parts| {
+                shared.log(&Event::Relayed {
+                    extra_sends: parts.head.extra_sends,
+                    legs,
+                    parts: parts.head.legs.len(),
+                    request_id: request_id.to_str().unwrap_or(""),
+                });
+                future::ready(frame(&parts))
+            });
             Response::new(StreamBody::new(Box::pin(messages.map(Ok)) as PartsStream))
         }
         None => declined(),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -65,7 +65,7 @@
 /// When the settings are malformed or an address is taken.
 pub fn run(options: EntryOptions) -> Result<(), EntryError> {
     let settings = read_settings().map_err(EntryError::Settings)?;
-    let events = EventLog::start().map_err(EntryError::System)?;
+    let events = EventLog::start(settings.node_name.clone()).map_err(EntryError::System)?;
     let metrics = Metrics::new().map_err(EntryError::Metrics)?;
     let shared = Rc::new(Shared::new(settings, events, metrics));
     let runtime = runtime::Builder::new_current_thread()
@@ -100,7 +100,6 @@
         caller_address: callers.local_addr().map_err(EntryError::System)?,
         data_centre: &settings.data_centre,
         metrics_address,
-        node: &settings.node_name,
         readiness_address: platform.local_addr().map_err(EntryError::System)?,
         version: env!("CARGO_PKG_VERSION"),
     });
--- a/crates/entry/src/shared_gather.rs
+++ b/crates/entry/src/shared_gather.rs
@@ -193,7 +193,7 @@
             self.shared.peers.borrow_mut().suspect(now_us, node);
         }
         self.shared.log(&Event::Relay {
-            node,
+            peer: node,
             reason: format!("{error:?}"),
             request_id: self.outgoing.request_id.to_str().unwrap_or(""),
         });
--- a/crates/node/tests/entry/caller.rs
+++ b/crates/node/tests/entry/caller.rs
@@ -42,6 +42,21 @@
         }
     }
 
+    /// Connects to a node that may be gone.
+    pub fn try_connect(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        Some(Self {
+            reader: BufReader::new(stream),
+        })
+    }
+
+    /// Sends a request to a node that may be gone; the answer shows it.
+    pub fn try_ask(&mut self, method: &str, path: &str, id: &str, body: &str) {
+        let text = request(method, path, id, 1_500, body);
+        drop(self.reader.get_mut().write_all(text.as_bytes()));
+    }
+
     pub fn send(&mut self, text: &str) {
         self.reader.get_mut().write_all(text.as_bytes()).unwrap();
     }
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -56,13 +56,18 @@
     }
 
     pub fn start_named(store: &StoreStandin, node_name: &str) -> Self {
+        Self::start_at(store.address(), node_name)
+    }
+
+    /// Starts a node that reaches its store at an address, such as that of a proxy.
+    pub fn start_at(store: SocketAddr, node_name: &str) -> Self {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let name = format!("wigeonhall-entry-{}-{number}.yaml", process::id());
         let settings = std::env::temp_dir().join(name);
         fs::write(
             &settings,
-            settings_text(store.address(), node_name, "north", GRACE_MS),
+            settings_text(store, node_name, "north", GRACE_MS),
         )
         .unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_wigeonhall-node"))
@@ -101,12 +106,16 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill")
-            .args(["-s", name, &id])
-            .status()
-            .unwrap();
-        assert!(status.success());
+        signal(self.child.id(), name);
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Waits for the end of a process that was told to stop.
+    pub fn end(mut self) {
+        self.wait_end();
     }
 
     /// Waits for the end of the process; returns whether it ended with success.
@@ -159,6 +168,16 @@
     found.unwrap()
 }
 
+/// Sends a signal to a process that was started here; it may have ended by itself.
+pub fn signal(id: u32, name: &str) {
+    let id = id.to_string();
+    let status = Command::new("kill")
+        .args(["-s", name, &id])
+        .stderr(Stdio::null())
+        .status();
+    status.unwrap();
+}
+
 pub fn wait_until(what: &str, mut done: impl FnMut() -> bool) {
     let start = Instant::now();
     while !done() {
--- /dev/null
+++ b/crates/node/tests/soak/oracle.rs
@@ -0,0 +1,110 @@
+//! What callers were told, against what replicas ran.
+
+use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use wigeonhall_adapter_standins::HttpRequest;
+use wigeonhall_adapter_standins::parts_of;
+use wigeonhall_adapter_standins::receipts_of;
+
+use crate::caller::Answer;
+
+/// Shards of the gather; enough that small nodes share them.
+pub const SHARDS: usize = 24;
+
+/// Records in the answer of the gather.
+const TOP: usize = 3;
+
+/// Least parts in a success.
+pub const MIN_PARTS: usize = 18;
+
+/// What a caller was told of a request that must run at most once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Told {
+    Answered,
+    NotRun,
+    Unknown,
+}
+
+pub fn shard_name(index: usize) -> String {
+    format!("s{index:02}")
+}
+
+/// The records that each replica of a shard holds for a request.
+pub fn records_of(service: &str, request_id: &str) -> Vec<u8> {
+    let mut records = Vec::new();
+    for number in 0..2_u8 {
+        let mut hasher = DefaultHasher::new();
+        (service, request_id, number).hash(&mut hasher);
+        let hash = hasher.finish().to_be_bytes();
+        records.extend_from_slice(&hash);
+        records.extend_from_slice(&hash);
+    }
+    records
+}
+
+/// What is wrong with an answer to a gather.
+pub fn check_gather(answer: &Answer, request_id: &str) -> Option<String> {
+    if answer.status != 200 {
+        return None;
+    }
+    let (included, missing) = parts_of(&answer.message);
+    if included + missing != SHARDS || included < MIN_PARTS {
+        return Some(format!("{request_id}: {included} parts, {missing} missing"));
+    }
+    let mut services = Vec::new();
+    for receipt in receipts_of(&answer.message) {
+        let (replica, id) = receipt.split_once('.').unwrap_or((receipt, ""));
+        if id != request_id {
+            return Some(format!(
+                "{request_id}: a receipt of another request: {receipt}"
+            ));
+        }
+        services.push(replica.split('-').next().unwrap_or("").to_owned());
+    }
+    services.sort_unstable();
+    let before = services.len();
+    services.dedup();
+    if services.len() != before {
+        return Some(format!("{request_id}: a shard is named twice"));
+    }
+    let all: Vec<u8> = services
+        .iter()
+        .flat_map(|name| records_of(name, request_id))
+        .collect();
+    let mut records: Vec<&[u8]> = all.chunks(16).collect();
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.truncate(TOP);
+    let wrong = answer.message.body != records.concat();
+    wrong.then(|| format!("{request_id}: not the greatest records of the parts named"))
+}
+
+/// What is wrong with the runs of requests that must run at most once.
+pub fn check_runs(told: &BTreeMap<String, Told>, runs: &[HttpRequest]) -> Vec<String> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for run in runs {
+        let id = run
+            .header(wigeonhall_adapter::REQUEST_ID.as_str())
+            .unwrap_or_default();
+        *counts.entry(id).or_default() += 1;
+    }
+    let mut violations = Vec::new();
+    for (id, count) in &counts {
+        if *count > 1 {
+            violations.push(format!("{id} ran {count} times"));
+        }
+        match told.get(*id) {
+            Some(Told::NotRun) => violations.push(format!("{id} ran, and was said not to have")),
+            Some(Told::Answered | Told::Unknown) => {}
+            None => violations.push(format!("{id} ran, and nobody sent it")),
+        }
+    }
+    for (id, told) in told {
+        if *told == Told::Answered && !counts.contains_key(id.as_str()) {
+            violations.push(format!("{id} was answered, and never ran"));
+        }
+    }
+    violations
+}
