--- a/crates/node/tests/soak/proxy.rs
+++ b/crates/node/tests/soak/proxy.rs
@@ -1,16 +1,18 @@
 //! A loopback proxy that harms the connections through it.
 
+use std::collections::BTreeMap;
 use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
+use wigeonhall_adapter_standins::Listener;
+
 /// Time between two looks of a held-up direction at the mode.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -30,32 +32,36 @@
 
 #[derive(Debug)]
 struct Shared {
+    /// Open connections by number, both ends of each.
+    connections: BTreeMap<u64, [TcpStream; 2]>,
     mode: Mode,
-    streams: Vec<TcpStream>,
+    next: u64,
 }
 
 /// A proxy in front of one address.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Proxy {
-    pub address: SocketAddr,
+    listener: Listener,
     shared: Arc<Mutex<Shared>>,
 }
 
 impl Proxy {
     pub fn start(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
         let shared = Arc::new(Mutex::new(Shared {
+            connections: BTreeMap::new(),
             mode: Mode::Pass,
-            streams: Vec::new(),
+            next: 0,
         }));
         let accepting = shared.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                connect(&accepting, stream, target);
-            }
-        });
-        Self { address, shared }
+        let listener = Listener::start(move |stream| connect(&accepting, stream, target));
+        Self {
+            listener: listener.unwrap(),
+            shared,
+        }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
     }
 
     pub fn set_mode(&self, mode: Mode) {
@@ -64,30 +70,50 @@
 
     /// Ends all connections.
     pub fn reset(&self) {
-        for stream in self.shared.lock().unwrap().streams.drain(..) {
-            // The connection may have ended by itself.
-            drop(stream.shutdown(Shutdown::Both));
+        for ends in self.shared.lock().unwrap().connections.values() {
+            for stream in ends {
+                // The connection may have ended by itself.
+                drop(stream.shutdown(Shutdown::Both));
+            }
         }
     }
 }
 
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.set_mode(Mode::Pass);
+        self.reset();
+    }
+}
+
 fn connect(shared: &Arc<Mutex<Shared>>, near: TcpStream, target: SocketAddr) {
-    let mut state = shared.lock().unwrap();
-    if state.mode == Mode::Refuse {
+    if shared.lock().unwrap().mode == Mode::Refuse {
         return;
     }
     let Ok(far) = TcpStream::connect(target) else {
         return;
     };
-    let pairs = [(&near, &far, false), (&far, &near, true)];
-    for (from, to, answers) in pairs {
-        let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
-            return;
-        };
-        let shared = shared.clone();
-        thread::spawn(move || pump(&shared, from, to, answers));
-    }
-    state.streams.extend([near, far]);
+    let clones = (
+        near.try_clone(),
+        far.try_clone(),
+        near.try_clone(),
+        far.try_clone(),
+    );
+    let (Ok(near_in), Ok(far_out), Ok(near_out), Ok(far_in)) = clones else {
+        return;
+    };
+    let number = {
+        let mut state = shared.lock().unwrap();
+        state.next += 1;
+        let number = state.next;
+        state.connections.insert(number, [near, far]);
+        number
+    };
+    let answering = shared.clone();
+    let answers = thread::spawn(move || pump(&answering, far_in, near_out, true));
+    pump(shared, near_in, far_out, false);
+    answers.join().unwrap();
+    shared.lock().unwrap().connections.remove(&number);
 }
 
 fn pump(shared: &Mutex<Shared>, mut from: TcpStream, mut to: TcpStream, answers: bool) {
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -105,7 +105,7 @@
         for replica in shards.iter().chain(&ones) {
             let mut registration = replica.registration("north");
             let proxy = crate::proxy::Proxy::start(registration.address);
-            registration.address = proxy.address;
+            registration.address = proxy.address();
             store.register(&registration);
             registrations.push(registration);
             replica_proxies.push(proxy);
@@ -130,7 +130,7 @@
 
     fn start_node(&mut self, index: usize) {
         let name = format!("node-{index}");
-        let node = Node::start_at(self.store_proxies[index].address, &name);
+        let node = Node::start_at(self.store_proxies[index].address(), &name);
         self.nodes[index] = Some(node);
     }
 
