Share cold rates among nodes; read replicas first after an outage; operators' page

Cause: each node sent a cold replica one request a second, whatever rate the operators state and however many nodes run (the test counts them).

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -254,6 +254,14 @@
         self.legs[leg].is_open()
     }
 
+    /// Replicas that a leg was sent to, in their order.
+    pub fn replicas(&self, leg: usize) -> impl Iterator<Item = ReplicaKey> + '_ {
+        self.legs[leg]
+            .attempts
+            .iter()
+            .map(|attempt| attempt.replica)
+    }
+
     /// Fewest parts in a success of a gather.
     #[must_use]
     pub const fn min_parts(&self) -> Option<usize> {
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -56,6 +56,8 @@
     nodes: Vec<PeerNode>,
     own: PeerNode,
     suspicions: HashMap<Arc<str>, Suspicion>,
+    /// Nodes of all data centres.
+    total: usize,
 }
 
 impl Peers {
@@ -66,6 +68,7 @@
             nodes: vec![own.clone()],
             own,
             suspicions: HashMap::new(),
+            total: 1,
         }
     }
 
@@ -82,6 +85,7 @@
 
     /// Takes in a whole list of nodes; those of other data centres are left out.
     pub fn replace(&mut self, nodes: Vec<PeerNode>) {
+        self.total = nodes.len().max(1);
         let own = &self.own;
         let near = |node: &PeerNode| node.data_centre == own.data_centre && node.name != own.name;
         self.nodes = nodes.into_iter().filter(near).collect();
@@ -96,6 +100,12 @@
         self.nodes.len()
     }
 
+    /// Number of known nodes in all data centres.
+    #[must_use]
+    pub const fn total(&self) -> usize {
+        self.total
+    }
+
     /// Whether no node is known; the own one always is.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -14,8 +14,11 @@
 /// Cost factor of a replica in another data centre; bytes between them are paid for.
 const OTHER_DATA_CENTRE: f64 = 1.3;
 
-/// Pause between two requests of a node to one cold replica without a stated rate.
-const COLD_PAUSE_US: u64 = 1_000_000;
+/// Nodes that share the rate of a cold replica before their number is known.
+const NODES_UNKNOWN: usize = 16;
+
+/// Part of a cold replica's stated rate that the nodes use together.
+const COLD_RATE_SHARE: f64 = 0.8;
 
 /// Shortest time after which a caller may come back.
 const RETRY_AFTER_MIN_MS: u64 = 50;
@@ -30,6 +33,8 @@
     pub(crate) by_id: HashMap<Arc<str>, ReplicaKey>,
     pub(crate) data_centre: Arc<str>,
     pub(crate) free: Vec<u32>,
+    /// Nodes of the whole tier.
+    nodes: usize,
     rng: fastrand::Rng,
     pub(crate) services: Vec<Service>,
     pub(crate) services_by_name: HashMap<Arc<str>, ServiceKey>,
@@ -63,6 +68,7 @@
             by_id: HashMap::new(),
             data_centre,
             free: Vec::new(),
+            nodes: NODES_UNKNOWN,
             rng: fastrand::Rng::with_seed(seed),
             services: Vec::new(),
             services_by_name: HashMap::new(),
@@ -70,6 +76,11 @@
         }
     }
 
+    /// Sets the number of nodes that share the rates of cold replicas.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = nodes.max(1);
+    }
+
     /// The key of a service; a new one is made for an unknown name.
     pub fn service_key(&mut self, name: &Arc<str>) -> ServiceKey {
         if let Some(key) = self.services_by_name.get(name) {
@@ -124,12 +135,13 @@
     ) -> Option<ReplicaKey> {
         let rng = &mut self.rng;
         let entry = &self.services[service.0 as usize];
+        let cold_pause_us = cold_pause_us(entry.warmup_per_s, self.nodes);
         let mut best: Option<(f64, ReplicaKey)> = None;
         for key in &entry.replicas {
             let Some(replica) = self.arena[key.index as usize].replica.as_ref() else {
                 continue;
             };
-            if tried.contains(key) || !usable(replica, now_us, entry.warmup_per_s) {
+            if tried.contains(key) || !usable(replica, now_us, cold_pause_us) {
                 continue;
             }
             let cost = cost(replica, now_us, &self.data_centre) * (1.0 + rng.f64() * 0.05);
@@ -235,21 +247,25 @@
         && replica.removed_at_us.is_none_or(|at_us| now_us < at_us)
 }
 
-fn usable(replica: &Replica, now_us: u64, warmup_per_s: f64) -> bool {
+/// Pause of one node between two requests to a cold replica; 0 without a stated rate.
+fn cold_pause_us(warmup_per_s: f64, nodes: usize) -> u64 {
+    if warmup_per_s <= 0.0 {
+        return 0;
+    }
+    (nodes as f64 / (warmup_per_s * COLD_RATE_SHARE) * 1e6) as u64
+}
+
+fn usable(replica: &Replica, now_us: u64, cold_pause_us: u64) -> bool {
     if !open(replica, now_us) || now_us < replica.health.suspended_until_us {
         return false;
     }
     if replica.health.on_trial() && replica.in_flight > 0 {
         return false;
     }
-    now_us >= replica.warm_at_us || warmup_per_s <= 0.0 || cold_turn(replica, now_us)
-}
-
-/// Whether a cold replica with a stated rate may get its next request from this node.
-fn cold_turn(replica: &Replica, now_us: u64) -> bool {
-    replica
+    let cold_turn = replica
         .cold_start_us
-        .is_none_or(|last_us| now_us >= last_us + COLD_PAUSE_US)
+        .is_none_or(|last_us| now_us >= last_us + cold_pause_us);
+    now_us >= replica.warm_at_us || cold_turn
 }
 
 fn cost(replica: &Replica, now_us: u64, data_centre: &str) -> f64 {
--- a/crates/dispatch/tests/pool.rs
+++ b/crates/dispatch/tests/pool.rs
@@ -202,23 +202,34 @@
     assert_eq!(chosen(&mut pool, 0).as_deref(), Some("a-2"));
 }
 
+/// All nodes together must stay within what a cold replica tolerates.
 #[test]
-fn a_cold_replica_with_a_rate_gets_one_request_a_second_of_a_node() {
-    let mut pool = pool();
-    pool.describe_service(&ServiceSpec {
-        max_connections: 50,
-        name: "a".into(),
-        warmup_per_s: 10.0,
-    });
-    let mut cold = registration("a", 1, "north");
-    cold.warmup_remaining_ms = 5_000;
-    let key = pool.register(0, cold).unwrap();
-    assert!(chosen(&mut pool, 0).is_some());
-    pool.started(0, key);
-    pool.finished(0, key, Reply::Success, 1.0);
-    assert_eq!(chosen(&mut pool, 900 * MS), None);
-    assert!(chosen(&mut pool, S).is_some());
-    assert!(chosen(&mut pool, 6 * S).is_some());
+fn nodes_share_the_rate_of_a_cold_replica() {
+    const NODES: u64 = 20;
+    const RATE_PER_S: u64 = 10;
+    let mut sent = 0;
+    for _ in 0..NODES {
+        let mut pool = pool();
+        pool.set_nodes(NODES as usize);
+        pool.describe_service(&ServiceSpec {
+            max_connections: 50,
+            name: "a".into(),
+            warmup_per_s: RATE_PER_S as f64,
+        });
+        let mut cold = registration("a", 1, "north");
+        cold.warmup_remaining_ms = 10_000;
+        let key = pool.register(0, cold).unwrap();
+        for now_us in (0..10 * S).step_by(50_000) {
+            if chosen(&mut pool, now_us).is_some() {
+                pool.started(now_us, key);
+                pool.finished(now_us, key, Reply::Success, 1.0);
+                sent += 1;
+            }
+        }
+        assert!(chosen(&mut pool, 10 * S).is_some(), "warm again");
+    }
+    assert!(sent > 0);
+    assert!(sent <= RATE_PER_S * 10, "{sent} requests in 10 s");
 }
 
 #[test]
--- a/crates/entry/src/peer_registry.rs
+++ b/crates/entry/src/peer_registry.rs
@@ -102,6 +102,7 @@
     let mut peers = shared.peers.borrow_mut();
     let before = peers.len();
     peers.replace(nodes);
+    shared.pool.borrow_mut().set_nodes(peers.total());
     if peers.len() != before {
         shared.log(&Event::Nodes { near: peers.len() });
     }
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -179,15 +179,20 @@
         });
     }
 
-    /// Services without an answer, each with its state.
+    /// Services without an answer, each with its state and the replicas that were asked.
     pub(crate) fn missing(&self) -> Vec<String> {
         let pool = self.shared.pool.borrow();
         let mut missing = Vec::new();
         for (leg, state) in self.exchange.legs().enumerate() {
-            if !matches!(state, LegState::Done(_)) {
-                let service = pool.service_name(self.exchange.service(leg));
-                missing.push(format!("{service}: {state:?}"));
+            if matches!(state, LegState::Done(_)) {
+                continue;
             }
+            let service = pool.service_name(self.exchange.service(leg));
+            let replicas = self.exchange.replicas(leg);
+            let asked: Vec<&str> = replicas
+                .map(|key| pool.replica(key).map_or("gone", |replica| replica.id()))
+                .collect();
+            missing.push(format!("{service}: {state:?}, asked [{}]", asked.join(" ")));
         }
         missing
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -54,6 +54,8 @@
     pub(crate) relay_connections: RefCell<RelayConnections>,
     /// Time of the store's last word on the replicas; `None` before the first list.
     pub(crate) replicas_heard_us: Cell<Option<u64>>,
+    /// Whether the last call for the replicas failed.
+    pub(crate) replicas_lost: Cell<bool>,
     pub(crate) settings: ProcessSettings,
     /// Counts the outages of the store that have ended.
     pub(crate) store_outages: watch::Sender<u64>,
@@ -85,6 +87,7 @@
             pool: RefCell::new(Pool::new(settings.data_centre.clone(), seed)),
             relay_connections: RefCell::default(),
             replicas_heard_us: Cell::new(None),
+            replicas_lost: Cell::new(false),
             settings,
             store_outages: watch::Sender::new(0),
             store_sentinel_due: Notify::new(),
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -41,6 +41,12 @@
 /// Longest time for a list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time between two looks whether the replicas were read after an outage.
+const REPLICAS_FIRST_LOOK: Duration = Duration::from_millis(100);
+
+/// Looks after which the configuration is read all the same.
+const REPLICAS_FIRST_LOOKS: u32 = 12;
+
 /// Pause after a failed call, doubled with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -98,6 +104,7 @@
 
 impl Follower {
     async fn step(&mut self) {
+        self.let_replicas_go_first().await;
         let result = match self.revision {
             Some(revision) => self.watch(revision).await,
             None => self.list().await,
@@ -116,6 +123,21 @@
         }
     }
 
+    /// After an outage the replicas are read before the configuration: a version that
+    /// names services of which no replica is known yet serves nobody.
+    async fn let_replicas_go_first(&self) {
+        let recovering = self.lost_at_us.is_some();
+        if self.collection != Collection::Configuration || !recovering {
+            return;
+        }
+        for _ in 0..REPLICAS_FIRST_LOOKS {
+            if !self.shared.replicas_lost.get() {
+                return;
+            }
+            time::sleep(REPLICAS_FIRST_LOOK).await;
+        }
+    }
+
     /// Reads the whole collection; a watch goes on from it without a pause.
     async fn list(&mut self) -> Result<usize, StoreError> {
         let mut objects = Vec::new();
@@ -165,6 +187,9 @@
             self.revision = None;
         }
         let now_us = self.shared.clock.now_us();
+        if self.collection == Collection::Replicas {
+            self.shared.replicas_lost.set(true);
+        }
         if self.lost_at_us.is_none() {
             self.lost_at_us = Some(now_us);
             self.shared.log(&Event::Dependency {
@@ -183,6 +208,7 @@
         self.failures = 0;
         let now_us = self.shared.clock.now_us();
         if self.collection == Collection::Replicas {
+            self.shared.replicas_lost.set(false);
             self.shared.replicas_heard_us.set(Some(now_us));
         }
         if let Some(lost_at_us) = self.lost_at_us.take() {
--- /dev/null
+++ b/crates/node/tests/operations.rs
@@ -0,0 +1,63 @@
+//! Guards against events that the operators' page does not explain.
+
+use std::collections::BTreeSet;
+
+const EVENTS: &str = include_str!("../../entry/src/event.rs");
+
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
+
+/// Words of a line of the source up to a character.
+fn name_before(line: &str, end: char) -> Option<&str> {
+    let (name, _) = line.split_once(end)?;
+    let name = name.trim().trim_start_matches("pub(crate) ");
+    let word = |letter: char| letter.is_ascii_alphanumeric() || letter == '_';
+    (!name.is_empty() && name.chars().all(word)).then_some(name)
+}
+
+fn snake_case(name: &str) -> String {
+    let mut text = String::new();
+    for letter in name.chars() {
+        if letter.is_ascii_uppercase() && !text.is_empty() {
+            text.push('_');
+        }
+        text.push(letter.to_ascii_lowercase());
+    }
+    text
+}
+
+#[test]
+fn every_event_and_field_is_on_the_page() {
+    let rows: Vec<&str> = PAGE
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .collect();
+    let mut events = BTreeSet::new();
+    let mut fields = BTreeSet::new();
+    for line in EVENTS.lines().filter(|line| !line.trim().starts_with("//")) {
+        for part in line.split(['{', ',']) {
+            if let Some(name) = name_before(part, ':') {
+                fields.insert(name.to_owned());
+            }
+        }
+        let name = name_before(line, '{').or_else(|| name_before(line, '('));
+        if let Some(name) = name
+            && name.starts_with(|letter: char| letter.is_ascii_uppercase())
+        {
+            events.insert(snake_case(name));
+        }
+    }
+    assert!(
+        events.len() >= 12 && fields.len() > 20,
+        "{events:?} {fields:?}"
+    );
+    for event in events {
+        let found = rows
+            .iter()
+            .any(|row| row.starts_with(&format!("| `{event}`")));
+        assert!(found, "event {event} is not on the page");
+    }
+    for field in fields {
+        let found = rows.iter().any(|row| row.contains(&format!("`{field}`")));
+        assert!(found, "field {field} is not on the page");
+    }
+}
