Keep a shared leg within the replicas that may run it, unless one is far better

Change: the planning node names as many replicas a leg as may run it; a node goes elsewhere only where it knows another to be far better; a sign of life may take a third of the target latency. Pauses between watches follow from the bounds in the settings.

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -121,6 +121,17 @@
         }
     }
 
+    /// Sets the replicas that each leg is sent to if they are usable.
+    ///
+    /// A leg that goes from one node to another stays within the replicas that may run it.
+    #[must_use]
+    pub fn with_candidates(mut self, candidates: Vec<Vec<ReplicaKey>>) -> Self {
+        for (leg, candidates) in self.legs.iter_mut().zip(candidates) {
+            leg.candidates = candidates;
+        }
+        self
+    }
+
     /// Waits for one more part than are in; false if none can come.
     pub fn wait_for_one_more(&mut self) -> bool {
         self.min_parts = Some(self.done() + 1);
@@ -137,7 +148,8 @@
         for index in 0..self.legs.len() {
             let service = self.legs[index].service;
             pool.earn(service);
-            match pool.choose(now_us, service, &[]) {
+            let candidates = &self.legs[index].candidates;
+            match pool.choose_among(now_us, service, &[], candidates) {
                 Some(replica) => self.send(pool, now_us, index, replica, sends),
                 None => self.legs[index].state = LegState::Dead(DeadReason::NoReplica),
             }
@@ -323,7 +335,8 @@
             return false;
         }
         let service = leg.service;
-        let Some(replica) = pool.choose(now_us, service, &leg.tried()) else {
+        let chosen = pool.choose_among(now_us, service, &leg.tried(), &leg.candidates);
+        let Some(replica) = chosen else {
             return false;
         };
         if !pool.take_extra(service) {
--- a/crates/dispatch/src/leg.rs
+++ b/crates/dispatch/src/leg.rs
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 pub(crate) struct Leg {
     pub(crate) attempts: Vec<Attempt>,
+    /// Replicas that are chosen before all others.
+    pub(crate) candidates: Vec<ReplicaKey>,
     /// Time of the next hedge; `None` when there is none to come.
     pub(crate) hedge_at_us: Option<u64>,
     pub(crate) service: ServiceKey,
@@ -44,6 +46,7 @@
     pub(crate) const fn new(service: ServiceKey) -> Self {
         Self {
             attempts: Vec::new(),
+            candidates: Vec::new(),
             hedge_at_us: None,
             service,
             state: LegState::Open,
--- a/crates/dispatch/src/pacing.rs
+++ b/crates/dispatch/src/pacing.rs
@@ -1,17 +1,19 @@
-/// Pause after changes, which joins bursts of them into one call to the store.
-const CHANGE_PAUSE_MS: u64 = 700;
+/// Part of the time within which a change must be in force that a node may pause: the
+/// rest is for the store, the network and a call that has to be repeated.
+const PAUSE_DIVISOR: u64 = 4;
 
 /// Changes in one answer from which on more are waiting.
 const BACKLOG_CHANGES: usize = 100;
 
-/// How long a node waits before it watches again, after an answer with `changes`.
+/// How long a node waits before it watches again, after an answer with `changes` that
+/// must be in force within `bound_ms`. The pause joins bursts into one call.
 ///
 /// A node that is behind must not wait: a replica that drains may be among the rest.
 #[must_use]
-pub const fn watch_pause_ms(changes: usize) -> u64 {
+pub const fn watch_pause_ms(changes: usize, bound_ms: u64) -> u64 {
     if changes == 0 || changes >= BACKLOG_CHANGES {
         0
     } else {
-        CHANGE_PAUSE_MS
+        bound_ms / PAUSE_DIVISOR
     }
 }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -20,6 +20,10 @@
 /// Part of a cold replica's stated rate that the nodes use together.
 const COLD_RATE_SHARE: f64 = 0.8;
 
+/// Ratio of costs from which a replica is far better than a candidate: more than the way
+/// to another data centre and one request in flight, less than a slow or failing replica.
+const FAR_BETTER: f64 = 1.8;
+
 /// Shortest time after which a caller may come back.
 const RETRY_AFTER_MIN_MS: u64 = 50;
 
@@ -133,10 +137,48 @@
         service: ServiceKey,
         tried: &[ReplicaKey],
     ) -> Option<ReplicaKey> {
+        let ranked = self.rank(now_us, service, tried);
+        ranked.first().map(|(_, key)| *key)
+    }
+
+    /// The best replicas for a request, `count` at most.
+    pub fn best(&mut self, now_us: u64, service: ServiceKey, count: usize) -> Vec<ReplicaKey> {
+        let ranked = self.rank(now_us, service, &[]);
+        ranked.into_iter().take(count).map(|(_, key)| key).collect()
+    }
+
+    /// Chooses among `candidates`, or another replica if this node knows it to be far better.
+    pub fn choose_among(
+        &mut self,
+        now_us: u64,
+        service: ServiceKey,
+        tried: &[ReplicaKey],
+        candidates: &[ReplicaKey],
+    ) -> Option<ReplicaKey> {
+        let ranked = self.rank(now_us, service, tried);
+        let best = ranked.first()?;
+        let preferred = ranked.iter().find(|(_, key)| candidates.contains(key));
+        let chosen = preferred.filter(|(cost, _)| *cost <= best.0 * FAR_BETTER);
+        Some(chosen.unwrap_or(best).1)
+    }
+
+    /// The key of a replica.
+    #[must_use]
+    pub fn key_of(&self, id: &str) -> Option<ReplicaKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Usable replicas of a service with their expected costs, the least first.
+    fn rank(
+        &mut self,
+        now_us: u64,
+        service: ServiceKey,
+        tried: &[ReplicaKey],
+    ) -> Vec<(f64, ReplicaKey)> {
         let rng = &mut self.rng;
         let entry = &self.services[service.0 as usize];
         let cold_pause_us = cold_pause_us(entry.warmup_per_s, self.nodes);
-        let mut best: Option<(f64, ReplicaKey)> = None;
+        let mut ranked: Vec<(f64, ReplicaKey)> = Vec::with_capacity(entry.replicas.len());
         for key in &entry.replicas {
             let Some(replica) = self.arena[key.index as usize].replica.as_ref() else {
                 continue;
@@ -145,11 +187,10 @@
                 continue;
             }
             let cost = cost(replica, now_us, &self.data_centre) * (1.0 + rng.f64() * 0.05);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, *key));
-            }
+            ranked.push((cost, *key));
         }
-        best.map(|(_, key)| key)
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        ranked
     }
 
     /// Replicas among `new` that this node would choose first; connections to them are
--- a/crates/dispatch/tests/exchange.rs
+++ b/crates/dispatch/tests/exchange.rs
@@ -316,3 +316,45 @@
     case.timer(HEDGE_US * 2);
     assert_eq!(case.out.len(), shards.len() * 2);
 }
+
+/// A leg that went from one node to another ran at three replicas where two may run it.
+#[test]
+fn a_leg_that_changes_nodes_stays_within_its_candidates() {
+    let mut pool = pool();
+    let keys: Vec<_> = (0..5).map(|number| add(&mut pool, "a", number)).collect();
+    let route = common::route(
+        &mut pool,
+        common::route_spec(RouteKind::Idempotent, gather(&["a"], 1.0)),
+    );
+    for _ in 0..50 {
+        let candidates = vec![keys[3], keys[1]];
+        let mut used = Vec::new();
+        for max_runs in [2, 1] {
+            let exchange = Exchange::of_legs(
+                route.clone(),
+                &[0],
+                max_runs,
+                DEADLINE_US,
+                DEADLINE_US,
+                HEDGE_US,
+            );
+            let mut exchange = exchange.with_candidates(vec![candidates.clone()]);
+            let mut sends = Vec::new();
+            exchange.start(&mut pool, 0, &mut sends);
+            exchange.timer(&mut pool, HEDGE_US, &mut sends);
+            used.extend(sends.iter().map(|send| send.replica));
+            for send in sends {
+                pool.finished(0, send.replica, Reply::Success, 1.0);
+            }
+        }
+        assert!(used.iter().all(|key| candidates.contains(key)), "{used:?}");
+    }
+    // Candidates that are gone, or known to be slow, do not leave the leg without a part.
+    pool.unregister("a-3", 0);
+    pool.unregister("a-1", 0);
+    let exchange = Exchange::of_legs(route, &[0], 2, DEADLINE_US, DEADLINE_US, HEDGE_US);
+    let mut exchange = exchange.with_candidates(vec![vec![keys[3], keys[1]]]);
+    let mut sends = Vec::new();
+    exchange.start(&mut pool, 0, &mut sends);
+    assert_eq!(sends.len(), 1);
+}
--- a/crates/dispatch/tests/pacing.rs
+++ b/crates/dispatch/tests/pacing.rs
@@ -6,7 +6,15 @@
 /// kept a node five seconds behind, so that a draining replica still got work.
 #[test]
 fn a_node_that_is_behind_does_not_pause() {
-    assert_eq!(watch_pause_ms(500), 0);
-    assert_eq!(watch_pause_ms(0), 0);
-    assert!(watch_pause_ms(1) > 0);
+    assert_eq!(watch_pause_ms(500, 3_000), 0);
+    assert_eq!(watch_pause_ms(0, 3_000), 0);
+    assert!(watch_pause_ms(1, 3_000) > 0);
+}
+
+/// Two pauses and a call that is repeated must fit into the time that operators allow.
+#[test]
+fn a_pause_leaves_most_of_the_time_that_a_change_has() {
+    for bound_ms in [1_000, 3_000, 5_000, 60_000] {
+        assert!(watch_pause_ms(1, bound_ms) * 3 < bound_ms);
+    }
 }
--- a/crates/entry/src/relay_client.rs
+++ b/crates/entry/src/relay_client.rs
@@ -14,6 +14,7 @@
 use tokio::time;
 
 use wigeonhall_adapter::REMAINING_MS;
+use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::Route;
 
 use crate::group_parts::Decoded;
@@ -25,10 +26,10 @@
 use crate::shared::Shared;
 
 /// Shortest wait for a sign of life of a node.
-const SIGN_OF_LIFE_MIN_MS: u64 = 15;
+const SIGN_OF_LIFE_MIN_MS: u64 = 20;
 
 /// Part of the target latency that a node may take for a sign of life.
-const SIGN_OF_LIFE_DIVISOR: u64 = 4;
+const SIGN_OF_LIFE_DIVISOR: u64 = 3;
 
 /// Time kept free for the way back of the parts.
 const WAY_BACK_US: u64 = 3_000;
@@ -52,6 +53,14 @@
 /// Idle connections to other nodes.
 pub(crate) type RelayConnections = HashMap<SocketAddr, Vec<HttpSender>>;
 
+/// Legs of a gather, and the replicas that each may go to.
+#[derive(Clone, Debug)]
+pub(crate) struct LegWork {
+    /// One list a leg, in the order of `legs`.
+    pub(crate) candidates: Vec<Vec<ReplicaKey>>,
+    pub(crate) legs: Vec<usize>,
+}
+
 /// Times of a request that several nodes share.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RelayTimes {
@@ -64,13 +73,13 @@
     shared: &Rc<Shared>,
     address: SocketAddr,
     route: &Route,
-    legs: &[usize],
+    work: &LegWork,
     outgoing: &OutgoingRequest,
     times: RelayTimes,
 ) -> Result<RelayedParts, RelayError> {
     let patience_ms = route.spec.target_latency_ms / SIGN_OF_LIFE_DIVISOR;
     let patience = Duration::from_millis(patience_ms.max(SIGN_OF_LIFE_MIN_MS));
-    let opening = open(shared, address, route, legs, outgoing, times, patience);
+    let opening = open(shared, address, route, work, outgoing, times, patience);
     let (response, sender) = match time::timeout(patience, opening).await {
         Ok(opened) => opened?,
         Err(_) => return Err(RelayError::Silent),
@@ -144,7 +153,7 @@
     shared: &Shared,
     address: SocketAddr,
     route: &Route,
-    legs: &[usize],
+    work: &LegWork,
     outgoing: &OutgoingRequest,
     times: RelayTimes,
     patience: Duration,
@@ -158,7 +167,7 @@
                 .await
                 .map_err(|_| RelayError::Unreachable)?,
         };
-        let message = message(shared, route, legs, outgoing, times).ok_or(RelayError::Lost)?;
+        let message = message(shared, route, work, outgoing, times).ok_or(RelayError::Lost)?;
         match sender.try_send_request(message).await {
             Ok(response) => return Ok((response, sender)),
             // A kept connection may have ended with the former process of the node.
@@ -182,7 +191,7 @@
 fn message(
     shared: &Shared,
     route: &Route,
-    legs: &[usize],
+    work: &LegWork,
     outgoing: &OutgoingRequest,
     times: RelayTimes,
 ) -> Option<Request<Full<bytes::Bytes>>> {
@@ -198,6 +207,11 @@
     headers.insert(REMAINING_MS, HeaderValue::from(remaining_ms));
     headers.insert(relay_protocol::VERSION, HeaderValue::from(route.version));
     headers.insert(relay_protocol::SOFT_MS, HeaderValue::from(soft_ms));
-    headers.insert(relay_protocol::LEGS, relay_protocol::legs_value(legs)?);
+    headers.insert(
+        relay_protocol::LEGS,
+        relay_protocol::legs_value(&work.legs)?,
+    );
+    let candidates = relay_protocol::candidates_value(&work.candidates, &shared.pool.borrow())?;
+    headers.insert(relay_protocol::CANDIDATES, candidates);
     Some(message)
 }
--- a/crates/entry/src/relay_server.rs
+++ b/crates/entry/src/relay_server.rs
@@ -114,6 +114,7 @@
     let version = relay_protocol::take_number(headers, &relay_protocol::VERSION)?;
     let soft_ms = relay_protocol::take_number(headers, &relay_protocol::SOFT_MS)?;
     let legs = relay_protocol::take_legs(headers)?;
+    let candidates = relay_protocol::take_candidates(headers, &shared.pool.borrow());
     if version != table.version {
         return None;
     }
@@ -133,7 +134,8 @@
         started_us + soft_ms * 1_000,
         started_us + remaining_ms * 1_000,
         hedge_delay_us,
-    );
+    )
+    .with_candidates(candidates);
     Some(RelayedQuery {
         legs,
         query: Query::new(shared, exchange, Rc::new(outgoing)),
--- a/crates/entry/src/shared_gather.rs
+++ b/crates/entry/src/shared_gather.rs
@@ -16,6 +16,7 @@
 use wigeonhall_dispatch::Outcome;
 use wigeonhall_dispatch::RelayGroup;
 use wigeonhall_dispatch::Route;
+use wigeonhall_dispatch::ServiceKey;
 
 use crate::answer;
 use crate::answer::Answered;
@@ -24,6 +25,7 @@
 use crate::group_stream;
 use crate::query::Query;
 use crate::relay_client;
+use crate::relay_client::LegWork;
 use crate::relay_client::RelayError;
 use crate::relay_client::RelayTimes;
 use crate::relay_client::RelayedParts;
@@ -42,8 +44,8 @@
     /// A node did not hand over any of the parts that it was asked for.
     Failed {
         error: RelayError,
-        legs: Vec<usize>,
         node: Arc<str>,
+        work: LegWork,
     },
     /// Parts are in; the node that was asked for them, if it is another one.
     Parts {
@@ -125,18 +127,20 @@
     }
 
     fn start(&mut self, plan: Plan) {
+        let services = self.route.select().services;
         for group in plan {
+            let work = self.leg_work(group.legs, &services);
             match group.peer {
-                None => self.work_alone(group.legs, self.route.spec.max_attempts),
+                None => self.work_alone(work, self.route.spec.max_attempts),
                 Some((name, address)) => {
                     let request = RelayRequest {
                         address,
-                        legs: group.legs,
                         node: name,
                         outgoing: self.outgoing.clone(),
                         route: self.route.clone(),
                         shared: self.shared.clone(),
                         times: self.times,
+                        work,
                     };
                     self.work.push(Box::pin(request.news()));
                 }
@@ -144,8 +148,22 @@
         }
     }
 
+    /// The replicas that each leg may go to, whichever node handles it: as many as may run
+    /// it, so that a leg that is taken back runs nowhere else.
+    fn leg_work(&self, legs: Vec<usize>, services: &[ServiceKey]) -> LegWork {
+        let now_us = self.shared.clock.now_us();
+        let count = self.route.spec.max_attempts as usize;
+        let mut pool = self.shared.pool.borrow_mut();
+        let best = |leg: &usize| pool.best(now_us, services[*leg], count);
+        LegWork {
+            candidates: legs.iter().map(best).collect(),
+            legs,
+        }
+    }
+
     /// Collects legs from this node, each from `max_runs` replicas at most.
-    fn work_alone(&mut self, legs: Vec<usize>, max_runs: u32) {
+    fn work_alone(&mut self, work: LegWork, max_runs: u32) {
+        let LegWork { candidates, legs } = work;
         let exchange = Exchange::of_legs(
             self.route.clone(),
             &legs,
@@ -153,7 +171,8 @@
             self.times.soft_us,
             self.times.deadline_us,
             self.hedge_delay_us,
-        );
+        )
+        .with_candidates(candidates);
         let query = Query::new(&self.shared, exchange, self.outgoing.clone());
         let parts = group_stream::collect(query, legs);
         let news = parts.map(|parts| News::Parts { node: None, parts });
@@ -168,14 +187,14 @@
                 }
                 self.add(parts);
             }
-            News::Failed { error, legs, node } => {
+            News::Failed { error, node, work } => {
                 self.failed(&node, error);
                 let max_runs = match error {
                     RelayError::Declined | RelayError::Unreachable => self.route.spec.max_attempts,
-                    // The node may have sent to a replica; it prefers the same ones.
+                    // The node may have sent the legs to some of the same replicas.
                     RelayError::Lost | RelayError::Silent => 1,
                 };
-                self.work_alone(legs, max_runs);
+                self.work_alone(work, max_runs);
             }
         }
     }
@@ -237,12 +256,12 @@
 /// Legs that another node is asked for.
 struct RelayRequest {
     address: SocketAddr,
-    legs: Vec<usize>,
     node: Arc<str>,
     outgoing: Rc<OutgoingRequest>,
     route: Rc<Route>,
     shared: Rc<Shared>,
     times: RelayTimes,
+    work: LegWork,
 }
 
 /// How far the work at another node is.
@@ -272,7 +291,7 @@
             &self.shared,
             self.address,
             &self.route,
-            &self.legs,
+            &self.work,
             &self.outgoing,
             self.times,
         );
@@ -290,8 +309,8 @@
     fn failure(self, error: RelayError) -> News {
         News::Failed {
             error,
-            legs: self.legs,
             node: self.node,
+            work: self.work,
         }
     }
 }
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -112,7 +112,8 @@
         match result {
             Ok(changes) => {
                 self.regained();
-                time::sleep(Duration::from_millis(watch_pause_ms(changes))).await;
+                let pause_ms = watch_pause_ms(changes, self.bound_ms());
+                time::sleep(Duration::from_millis(pause_ms)).await;
             }
             Err(StoreError::HistoryGone) => {
                 self.count("history_gone");
@@ -296,6 +297,16 @@
         self.report(&new, revision);
     }
 
+    /// Time within which a change of the collection must be in force.
+    fn bound_ms(&self) -> u64 {
+        let settings = &self.shared.settings;
+        match self.collection {
+            Collection::Configuration => settings.config_apply_ms,
+            Collection::Evacuations => settings.evacuation_ms,
+            Collection::Nodes | Collection::Replicas => settings.drain_ms,
+        }
+    }
+
     /// How long a replica without an entry is still used.
     const fn linger_us(&self) -> u64 {
         match self.lost_at_us {
