Split the store's followers and the exchange, one accept loop, NodeState

Cause: store_watch.rs had two jobs (402 lines), exchange.rs two (464), the accept loop stood three times and spun on errors in two of them, and Shared said nothing beside SharedGather. No change of behaviour: 37 process tests, the fuzz and the unit tests pass.

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -1,12 +1,9 @@
 use std::rc::Rc;
 
 use crate::DeadReason;
-use crate::GiveUpReason;
 use crate::LegState;
-use crate::NotRunCause;
 use crate::Outcome;
 use crate::Pool;
-use crate::RefuseReason;
 use crate::ReplicaKey;
 use crate::Reply;
 use crate::Route;
@@ -41,16 +38,16 @@
     hedge_delay_us: u64,
     /// Whether hedges were put off, as too many legs were late at once.
     hedges_put_off: bool,
-    legs: Vec<Leg>,
+    pub(crate) legs: Vec<Leg>,
     /// Replicas that may run one leg.
     max_runs: u32,
     /// Fewest parts in a success; `None` where one answer is passed on.
-    min_parts: Option<usize>,
+    pub(crate) min_parts: Option<usize>,
     /// Hedges and retries that were sent.
     extra_sends: u32,
     route: Rc<Route>,
     /// Time from which an answer goes out as soon as it has `min_parts`.
-    soft_us: u64,
+    pub(crate) soft_us: u64,
 }
 
 /// A request to send to a replica.
@@ -373,92 +370,4 @@
     fn may_repeat(&self) -> bool {
         self.route.spec.kind == RouteKind::Idempotent
     }
-
-    fn done(&self) -> usize {
-        let done = |leg: &&Leg| matches!(leg.state, LegState::Done(_));
-        self.legs.iter().filter(done).count()
-    }
-
-    fn open(&self) -> usize {
-        self.legs.iter().filter(|leg| leg.is_open()).count()
-    }
-
-    /// Whether so many legs are dead that no success can come of the rest.
-    fn out_of_reach(&self) -> bool {
-        self.done() + self.open() < self.min_parts.unwrap_or(1)
-    }
-
-    fn outcome(&mut self, pool: &Pool, now_us: u64) -> Option<Outcome> {
-        if self.out_of_reach() {
-            return Some(self.give_up(pool, now_us, false));
-        }
-        let done = self.done();
-        let Some(min_parts) = self.min_parts else {
-            return match self.legs[0].state {
-                LegState::Done(attempt) => Some(Outcome::Forward { attempt }),
-                LegState::Dead(_) | LegState::Open => None,
-            };
-        };
-        let in_time = self.open() == 0 || now_us >= self.soft_us;
-        (done >= min_parts && in_time).then(|| Outcome::Gather {
-            missing: self.legs.len() - done,
-        })
-    }
-
-    /// The answer to a request that cannot succeed any more.
-    fn give_up(&self, pool: &Pool, now_us: u64, deadline_passed: bool) -> Outcome {
-        let may_have_run = self.legs.iter().any(|leg| leg.runs() > 0);
-        if !may_have_run {
-            let reason = self.refusal(deadline_passed);
-            return self.refuse(pool, now_us, reason);
-        }
-        if self.min_parts.is_none()
-            && let Some(attempt) = self.failed_attempt()
-        {
-            return Outcome::Forward { attempt };
-        }
-        Outcome::GiveUp(if deadline_passed {
-            GiveUpReason::DeadlinePassed
-        } else if self.min_parts.is_some() {
-            GiveUpReason::TooFewParts
-        } else {
-            GiveUpReason::NoAnswer
-        })
-    }
-
-    /// The attempt whose failure is passed on to the caller.
-    fn failed_attempt(&self) -> Option<usize> {
-        let failed = |attempt: &Attempt| matches!(attempt.reply, Some(Reply::Failed { .. }));
-        self.legs[0].attempts.iter().rposition(failed)
-    }
-
-    fn refusal(&self, deadline_passed: bool) -> RefuseReason {
-        if deadline_passed {
-            return RefuseReason::DeadlinePassed;
-        }
-        let busy = |leg: &Leg| {
-            leg.state == LegState::Dead(DeadReason::LastReply(Reply::NotRun(NotRunCause::Busy)))
-        };
-        if self.legs.iter().any(busy) {
-            RefuseReason::Busy
-        } else if self.min_parts.is_some() {
-            RefuseReason::TooFewShards
-        } else {
-            RefuseReason::NoReplica
-        }
-    }
-
-    fn refuse(&self, pool: &Pool, now_us: u64, reason: RefuseReason) -> Outcome {
-        let retry_after_ms = self
-            .legs
-            .iter()
-            .filter(|leg| matches!(leg.state, LegState::Dead(_)))
-            .map(|leg| pool.retry_after_ms(now_us, leg.service))
-            .max()
-            .unwrap_or(0);
-        Outcome::Refuse {
-            reason,
-            retry_after_ms,
-        }
-    }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod configuration;
 mod exchange;
+mod exchange_outcome;
 mod health;
 mod leg;
 mod merge;
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -12,11 +12,11 @@
 use crate::caller_request::CallerHead;
 use crate::event::Event;
 use crate::event::RequestEvent;
+use crate::node_state::NodeState;
 use crate::query::Query;
 use crate::replica_client::OutgoingRequest;
 use crate::responses;
 use crate::responses::CallerResponse;
-use crate::shared::Shared;
 use crate::shared_gather;
 use crate::shared_gather::SharedGather;
 
@@ -34,7 +34,7 @@
 
 /// Answers a caller, alone or together with other nodes.
 pub(crate) async fn answer(
-    shared: &Rc<Shared>,
+    shared: &Rc<NodeState>,
     head: &CallerHead,
     outgoing: OutgoingRequest,
     started_us: u64,
@@ -71,13 +71,13 @@
 }
 
 /// Time after which a send on this route is hedged.
-pub(crate) fn hedge_delay_us(shared: &Shared, route: &Route) -> u64 {
+pub(crate) fn hedge_delay_us(shared: &NodeState, route: &Route) -> u64 {
     let mut latencies = shared.latencies.borrow_mut();
     let latency = latencies.entry(route.spec.name.clone()).or_default();
     latency.hedge_delay_us(route.spec.target_latency_ms)
 }
 
-fn plan(shared: &Shared, exchange: &Exchange) -> Option<shared_gather::Plan> {
+fn plan(shared: &NodeState, exchange: &Exchange) -> Option<shared_gather::Plan> {
     exchange.min_parts()?;
     let now_us = shared.clock.now_us();
     let target_ms = exchange.route().spec.target_latency_ms;
@@ -88,7 +88,7 @@
 }
 
 async fn alone(
-    shared: &Rc<Shared>,
+    shared: &Rc<NodeState>,
     exchange: Exchange,
     outgoing: Rc<OutgoingRequest>,
 ) -> (Outcome, CallerResponse, Answered) {
@@ -154,7 +154,7 @@
 }
 
 /// Observes how long after its time an answer was made.
-fn observe_lag(shared: &Shared, soft_us: u64) {
+fn observe_lag(shared: &NodeState, soft_us: u64) {
     // A request that waited longer on purpose says nothing of the node.
     let lag_us = shared.clock.now_us().checked_sub(soft_us);
     if let Some(lag_us) = lag_us.filter(|lag_us| *lag_us <= LAG_MAX_US) {
@@ -163,7 +163,7 @@
 }
 
 fn record(
-    shared: &Shared,
+    shared: &NodeState,
     head: &CallerHead,
     (started_us, deadline_us): (u64, u64),
     outcome: Outcome,
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -27,11 +27,11 @@
 use crate::caller_request::Rejection;
 use crate::event::Event;
 use crate::event::RequestEvent;
+use crate::node_state::NodeState;
+use crate::node_state::Phase;
 use crate::replica_client::OutgoingRequest;
 use crate::responses;
 use crate::responses::CallerResponse;
-use crate::shared::Phase;
-use crate::shared::Shared;
 use crate::socket;
 
 /// When a caller that finds a node without a configuration may come back.
@@ -46,11 +46,8 @@
 /// Longest idle time of a connection before the first configuration.
 const IDLE_TIMEOUT_MS: u64 = 15_000;
 
-/// Pause after an error of `accept`, such as a lack of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Takes callers until the process closes its connections.
-pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+pub(crate) async fn serve(shared: Rc<NodeState>, listener: TcpListener) {
     let mut phase = shared.phase.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -66,13 +63,13 @@
             }
             Err(error) => {
                 log::warn!("cannot accept a caller: {error}");
-                time::sleep(ACCEPT_PAUSE).await;
+                time::sleep(socket::ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
-async fn connection(shared: Rc<Shared>, stream: TcpStream) {
+async fn connection(shared: Rc<NodeState>, stream: TcpStream) {
     shared.connections.set(shared.connections.get() + 1);
     if let Err(error) = connection_until_end(&shared, stream).await {
         log::debug!("connection of a caller ended: {error}");
@@ -80,7 +77,7 @@
     shared.connections.set(shared.connections.get() - 1);
 }
 
-async fn connection_until_end(shared: &Rc<Shared>, stream: TcpStream) -> io::Result<()> {
+async fn connection_until_end(shared: &Rc<NodeState>, stream: TcpStream) -> io::Result<()> {
     socket::prepare(&stream)?;
     let limits = shared.limits();
     let head_ms = limits.map_or(HEAD_TIMEOUT_MS, |limits| limits.header_timeout_ms);
@@ -111,7 +108,7 @@
 }
 
 async fn handle(
-    shared: Rc<Shared>,
+    shared: Rc<NodeState>,
     activity: Rc<CallerActivity>,
     request: Request<Incoming>,
 ) -> Result<CallerResponse, Infallible> {
@@ -125,7 +122,7 @@
     Ok(response)
 }
 
-async fn respond(shared: &Rc<Shared>, request: Request<Incoming>) -> CallerResponse {
+async fn respond(shared: &Rc<NodeState>, request: Request<Incoming>) -> CallerResponse {
     let started_us = shared.clock.now_us();
     let table = shared.table.borrow().clone();
     let Some(table) = table else {
@@ -155,7 +152,7 @@
 }
 
 fn reject(
-    shared: &Shared,
+    shared: &NodeState,
     rejection: &Rejection,
     started_us: u64,
     config_version: u64,
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -11,9 +11,9 @@
 use wigeonhall_adapter::read_settings;
 
 use crate::event::Event;
+use crate::node_state::NodeState;
+use crate::node_state::Phase;
 use crate::peer_registry;
-use crate::shared::Phase;
-use crate::shared::Shared;
 
 /// Time for which callers may still come after a signal to stop: the platform asks
 /// once a second and takes a node out after two misses.
@@ -29,7 +29,7 @@
 const SWEEP_PERIOD: Duration = Duration::from_millis(400);
 
 /// Runs until a signal to stop has been served.
-pub(crate) async fn until_stopped(shared: &Rc<Shared>) -> io::Result<()> {
+pub(crate) async fn until_stopped(shared: &Rc<NodeState>) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hang_up = signal(SignalKind::hangup())?;
@@ -47,7 +47,7 @@
     Ok(())
 }
 
-async fn stop(shared: &Rc<Shared>) {
+async fn stop(shared: &Rc<NodeState>) {
     let killed_at = Instant::now() + Duration::from_millis(shared.settings.grace_ms);
     report(shared, "leaving");
     shared.phase.send_replace(Phase::Leaving);
@@ -62,7 +62,7 @@
     report(shared, "stopped");
 }
 
-fn report(shared: &Shared, phase: &str) {
+fn report(shared: &NodeState, phase: &str) {
     shared.log(&Event::Stop {
         connections: shared.connections.get(),
         phase,
@@ -70,7 +70,7 @@
 }
 
 /// Reads the settings file again; a process keeps the addresses of its start.
-fn reload(shared: &Shared) {
+fn reload(shared: &NodeState) {
     let outcome = match read_settings() {
         Ok(settings) if settings == shared.settings => "unchanged".to_owned(),
         Ok(_) => "changed; in force from the next start".to_owned(),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/node_state.rs
@@ -37,7 +37,7 @@
 
 /// State of a node; all of it belongs to the one thread of the event loop.
 #[derive(Debug)]
-pub(crate) struct Shared {
+pub(crate) struct NodeState {
     /// How long the node takes to answer once an answer is due.
     pub(crate) answer_lag: AnswerLag,
     pub(crate) clock: Clock,
@@ -65,7 +65,7 @@
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
 }
 
-impl Shared {
+impl NodeState {
     pub(crate) fn new(settings: ProcessSettings, events: EventLog, metrics: Metrics) -> Self {
         let own = PeerNode {
             address: settings.internal_address,
--- a/crates/entry/src/peer_registry.rs
+++ b/crates/entry/src/peer_registry.rs
@@ -17,7 +17,7 @@
 use wigeonhall_dispatch::PeerNode;
 
 use crate::event::Event;
-use crate::shared::Shared;
+use crate::node_state::NodeState;
 use crate::store_client::StoreClient;
 use crate::store_client::StoreError;
 
@@ -34,7 +34,7 @@
 const PERIOD: Duration = Duration::from_secs(10);
 
 /// Registers the node in the store, and learns from there which others run.
-pub(crate) async fn run(shared: Rc<Shared>) {
+pub(crate) async fn run(shared: Rc<NodeState>) {
     let mut client = StoreClient::new(shared.settings.store_address);
     while let Err(error) = register(&shared, &mut client).await {
         log::debug!("cannot register the node: {error}");
@@ -52,7 +52,7 @@
 }
 
 /// Removes the node's entry at a planned stop.
-pub(crate) async fn unregister(shared: &Shared) {
+pub(crate) async fn unregister(shared: &NodeState) {
     let mut client = StoreClient::new(shared.settings.store_address);
     let path = object_path(Collection::Nodes, &shared.settings.node_name);
     let result = client
@@ -63,7 +63,7 @@
     }
 }
 
-async fn register(shared: &Shared, client: &mut StoreClient) -> Result<(), StoreError> {
+async fn register(shared: &NodeState, client: &mut StoreClient) -> Result<(), StoreError> {
     let body = encode_node(shared.peers.borrow().own());
     let path = create_path(Collection::Nodes);
     let created = client
@@ -98,7 +98,7 @@
     }
 }
 
-fn replace(shared: &Shared, nodes: Vec<PeerNode>) {
+fn replace(shared: &NodeState, nodes: Vec<PeerNode>) {
     let mut peers = shared.peers.borrow_mut();
     let before = peers.len();
     peers.replace(nodes);
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -21,11 +21,11 @@
 use wigeonhall_dispatch::UnknownCause;
 
 use crate::event::Event;
+use crate::node_state::NodeState;
 use crate::replica_client;
 use crate::replica_client::OutgoingRequest;
 use crate::replica_response::ReplicaResponse;
 use crate::replica_response::SendResult;
-use crate::shared::Shared;
 
 /// Time for which a send may go on after its request was answered: longer than a pause of
 /// a replica, and short enough for a caller that has left meanwhile.
@@ -45,12 +45,12 @@
     pending: FuturesUnordered<SendFuture>,
     /// The usable answer of each leg's newest attempt.
     responses: Vec<Option<(usize, ReplicaResponse)>>,
-    shared: Rc<Shared>,
+    shared: Rc<NodeState>,
 }
 
 impl Query {
     pub(crate) fn new(
-        shared: &Rc<Shared>,
+        shared: &Rc<NodeState>,
         exchange: Exchange,
         outgoing: Rc<OutgoingRequest>,
     ) -> Self {
@@ -226,11 +226,11 @@
     replica: ReplicaKey,
     route: Rc<Route>,
     sent_us: u64,
-    shared: Rc<Shared>,
+    shared: Rc<NodeState>,
 }
 
 impl Flight {
-    fn new(shared: Rc<Shared>, replica: ReplicaKey, route: Rc<Route>) -> Self {
+    fn new(shared: Rc<NodeState>, replica: ReplicaKey, route: Rc<Route>) -> Self {
         Self {
             landed: Cell::new(false),
             replica,
--- a/crates/entry/src/readiness.rs
+++ b/crates/entry/src/readiness.rs
@@ -12,49 +12,43 @@
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task;
 
 use wigeonhall_adapter::readiness_path;
 
+use crate::node_state::NodeState;
 use crate::responses;
 use crate::responses::CallerResponse;
-use crate::shared::Shared;
 use crate::socket;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
 /// Answers the platform's question whether the node takes callers, and serves metrics.
-pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let shared = shared.clone();
-                task::spawn_local(async move {
-                    if let Err(error) = socket::prepare(&stream) {
-                        log::debug!("cannot prepare a connection: {error}");
-                        return;
-                    }
-                    let handler = service::service_fn(|request| {
-                        let response = respond(&shared, &request);
-                        future::ready(Ok::<_, Infallible>(response))
-                    });
-                    let connection =
-                        http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
-                    if let Err(error) = connection.await {
-                        log::debug!("connection of the platform ended: {error}");
-                    }
-                });
-            }
-            Err(error) => {
-                log::warn!("cannot accept the platform: {error}");
-                task::yield_now().await;
-            }
-        }
+pub(crate) async fn serve(shared: Rc<NodeState>, listener: TcpListener) {
+    let serve = |stream| {
+        task::spawn_local(connection(shared.clone(), stream));
+    };
+    socket::accept_each(listener, serve).await;
+}
+
+async fn connection(shared: Rc<NodeState>, stream: TcpStream) {
+    if let Err(error) = socket::prepare(&stream) {
+        log::debug!("cannot prepare a connection: {error}");
+        return;
+    }
+    let handler = service::service_fn(|request| {
+        let response = respond(&shared, &request);
+        future::ready(Ok::<_, Infallible>(response))
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
+    if let Err(error) = connection.await {
+        log::debug!("connection of the platform ended: {error}");
     }
 }
 
-fn respond(shared: &Shared, request: &Request<Incoming>) -> CallerResponse {
+fn respond(shared: &NodeState, request: &Request<Incoming>) -> CallerResponse {
     let path = request.uri().path();
     if path == METRICS_PATH {
         metrics(shared)
@@ -67,7 +61,7 @@
     }
 }
 
-fn metrics(shared: &Shared) -> CallerResponse {
+fn metrics(shared: &NodeState) -> CallerResponse {
     let now_us = shared.clock.now_us();
     let heard_us = shared.replicas_heard_us.get().unwrap_or(0);
     shared
--- a/crates/entry/src/relay_client.rs
+++ b/crates/entry/src/relay_client.rs
@@ -21,9 +21,9 @@
 use crate::group_parts::GroupParts;
 use crate::http_client;
 use crate::http_client::HttpSender;
+use crate::node_state::NodeState;
 use crate::relay_protocol;
 use crate::replica_client::OutgoingRequest;
-use crate::shared::Shared;
 
 /// Shortest wait for a sign of life of a node.
 const SIGN_OF_LIFE_MIN_MS: u64 = 20;
@@ -70,7 +70,7 @@
 
 /// Asks a node for the parts of some legs.
 pub(crate) async fn ask(
-    shared: &Rc<Shared>,
+    shared: &Rc<NodeState>,
     address: SocketAddr,
     route: &Route,
     work: &LegWork,
@@ -103,7 +103,7 @@
     body: Incoming,
     received: BytesMut,
     sender: HttpSender,
-    shared: Rc<Shared>,
+    shared: Rc<NodeState>,
 }
 
 impl RelayedParts {
@@ -149,7 +149,7 @@
 
 /// Sends the request and waits for the head of the response, the sign of life.
 async fn open(
-    shared: &Shared,
+    shared: &NodeState,
     address: SocketAddr,
     route: &Route,
     work: &LegWork,
@@ -176,7 +176,7 @@
     }
 }
 
-fn take_idle(shared: &Shared, address: SocketAddr) -> Option<HttpSender> {
+fn take_idle(shared: &NodeState, address: SocketAddr) -> Option<HttpSender> {
     let mut connections = shared.relay_connections.borrow_mut();
     let idle = connections.get_mut(&address)?;
     while let Some(sender) = idle.pop() {
@@ -188,7 +188,7 @@
 }
 
 fn message(
-    shared: &Shared,
+    shared: &NodeState,
     route: &Route,
     work: &LegWork,
     outgoing: &OutgoingRequest,
--- a/crates/entry/src/relay_server.rs
+++ b/crates/entry/src/relay_server.rs
@@ -27,11 +27,11 @@
 use crate::event::Event;
 use crate::group_parts::GroupParts;
 use crate::group_stream;
+use crate::node_state::NodeState;
+use crate::node_state::Phase;
 use crate::query::Query;
 use crate::relay_protocol;
 use crate::replica_client::OutgoingRequest;
-use crate::shared::Phase;
-use crate::shared::Shared;
 use crate::socket;
 
 /// The parts come some time after the head of the response, which is a sign of life.
@@ -40,21 +40,14 @@
 type RelayResponse = Response<StreamBody<PartsStream>>;
 
 /// Collects parts of gathers for other nodes.
-pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                task::spawn_local(connection(shared.clone(), stream));
-            }
-            Err(error) => {
-                log::warn!("cannot accept a node: {error}");
-                task::yield_now().await;
-            }
-        }
-    }
+pub(crate) async fn serve(shared: Rc<NodeState>, listener: TcpListener) {
+    let serve = |stream| {
+        task::spawn_local(connection(shared.clone(), stream));
+    };
+    socket::accept_each(listener, serve).await;
 }
 
-async fn connection(shared: Rc<Shared>, stream: TcpStream) {
+async fn connection(shared: Rc<NodeState>, stream: TcpStream) {
     if let Err(error) = socket::prepare(&stream) {
         log::debug!("cannot prepare a connection: {error}");
         return;
@@ -69,7 +62,7 @@
     }
 }
 
-async fn handle(shared: &Rc<Shared>, request: Request<Incoming>) -> RelayResponse {
+async fn handle(shared: &Rc<NodeState>, request: Request<Incoming>) -> RelayResponse {
     match accept(shared, request).await {
         Some(query) => {
             let legs = query.legs.len();
@@ -104,7 +97,7 @@
 }
 
 /// Checks a request of another node; `None` if the node must do the work itself.
-async fn accept(shared: &Rc<Shared>, mut request: Request<Incoming>) -> Option<RelayedQuery> {
+async fn accept(shared: &Rc<NodeState>, mut request: Request<Incoming>) -> Option<RelayedQuery> {
     if shared.phase() != Phase::Serving {
         return None;
     }
--- a/crates/entry/src/replica_client.rs
+++ b/crates/entry/src/replica_client.rs
@@ -30,9 +30,9 @@
 
 use crate::http_client;
 use crate::http_client::HttpSender;
+use crate::node_state::NodeState;
 use crate::replica_response::ReplicaResponse;
 use crate::replica_response::SendResult;
-use crate::shared::Shared;
 
 /// Longest time for a new connection to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -110,7 +110,7 @@
 
 /// Sends a request to a replica and reads its whole answer.
 pub(crate) async fn send(
-    shared: &Rc<Shared>,
+    shared: &Rc<NodeState>,
     key: ReplicaKey,
     request: &OutgoingRequest,
     deadline_us: u64,
@@ -146,7 +146,7 @@
 }
 
 /// Opens a connection to a replica ahead of its first request.
-pub(crate) async fn open_ahead(shared: &Rc<Shared>, key: ReplicaKey) {
+pub(crate) async fn open_ahead(shared: &Rc<NodeState>, key: ReplicaKey) {
     let Some(destination) = destination(shared, key) else {
         return;
     };
@@ -161,7 +161,7 @@
     NotWritten,
 }
 
-fn destination(shared: &Shared, key: ReplicaKey) -> Option<Destination> {
+fn destination(shared: &NodeState, key: ReplicaKey) -> Option<Destination> {
     let pool = shared.pool.borrow();
     let replica = pool.replica(key)?;
     Some(Destination {
@@ -171,7 +171,7 @@
     })
 }
 
-async fn open(shared: &Shared, destination: &Destination) -> Option<HttpSender> {
+async fn open(shared: &NodeState, destination: &Destination) -> Option<HttpSender> {
     shared.metrics.replica_connections.inc();
     match http_client::connect(destination.address, CONNECT_TIMEOUT).await {
         Ok(sender) => Some(sender),
@@ -184,7 +184,7 @@
 }
 
 async fn send_over(
-    shared: &Shared,
+    shared: &NodeState,
     mut sender: HttpSender,
     destination: &Destination,
     request: &OutgoingRequest,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -18,10 +18,10 @@
 use crate::front;
 use crate::lifecycle;
 use crate::metrics::Metrics;
+use crate::node_state::NodeState;
 use crate::peer_registry;
 use crate::readiness;
 use crate::relay_server;
-use crate::shared::Shared;
 use crate::store_sentinel;
 use crate::store_watch;
 
@@ -67,7 +67,7 @@
     let settings = read_settings().map_err(EntryError::Settings)?;
     let events = EventLog::start(settings.node_name.clone()).map_err(EntryError::System)?;
     let metrics = Metrics::new().map_err(EntryError::Metrics)?;
-    let shared = Rc::new(Shared::new(settings, events, metrics));
+    let shared = Rc::new(NodeState::new(settings, events, metrics));
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -82,7 +82,7 @@
     result
 }
 
-async fn serve(shared: &Rc<Shared>, options: EntryOptions) -> Result<(), EntryError> {
+async fn serve(shared: &Rc<NodeState>, options: EntryOptions) -> Result<(), EntryError> {
     let settings = &shared.settings;
     let callers = listen(settings.caller_address).await?;
     let platform = listen(settings.readiness_address).await?;
--- a/crates/entry/src/shared_gather.rs
+++ b/crates/entry/src/shared_gather.rs
@@ -23,6 +23,7 @@
 use crate::event::Event;
 use crate::group_parts::GroupParts;
 use crate::group_stream;
+use crate::node_state::NodeState;
 use crate::query::Query;
 use crate::relay_client;
 use crate::relay_client::LegWork;
@@ -32,7 +33,6 @@
 use crate::replica_client::OutgoingRequest;
 use crate::responses;
 use crate::responses::CallerResponse;
-use crate::shared::Shared;
 
 /// How the legs of a gather are shared among nodes.
 pub(crate) type Plan = Vec<RelayGroup>;
@@ -67,14 +67,14 @@
     min_parts: usize,
     outgoing: Rc<OutgoingRequest>,
     route: Rc<Route>,
-    shared: Rc<Shared>,
+    shared: Rc<NodeState>,
     times: RelayTimes,
     work: SelectAll<Work>,
 }
 
 impl SharedGather {
     pub(crate) fn new(
-        shared: &Rc<Shared>,
+        shared: &Rc<NodeState>,
         exchange: &Exchange,
         outgoing: Rc<OutgoingRequest>,
         hedge_delay_us: u64,
@@ -259,7 +259,7 @@
     node: Arc<str>,
     outgoing: Rc<OutgoingRequest>,
     route: Rc<Route>,
-    shared: Rc<Shared>,
+    shared: Rc<NodeState>,
     times: RelayTimes,
     work: LegWork,
 }
--- a/crates/entry/src/store_sentinel.rs
+++ b/crates/entry/src/store_sentinel.rs
@@ -8,7 +8,7 @@
 use wigeonhall_adapter::list_path;
 
 use crate::event::Event;
-use crate::shared::Shared;
+use crate::node_state::NodeState;
 use crate::store_client::StoreClient;
 
 /// Time between two looks at the store.
@@ -25,7 +25,7 @@
 /// A watch that was sent while the store answered nobody stays without an answer, and
 /// its connection looks sound; only another call shows the outage. A stale list of the
 /// smallest collection costs a tenth of a call.
-pub(crate) async fn run(shared: Rc<Shared>) {
+pub(crate) async fn run(shared: Rc<NodeState>) {
     let mut client = StoreClient::new(shared.settings.store_address);
     let path = list_path(Collection::Evacuations, None, Freshness::Stale);
     let mut lost = false;
@@ -53,7 +53,7 @@
     }
 }
 
-fn report(shared: &Shared, reason: &str, state: &str) {
+fn report(shared: &NodeState, reason: &str, state: &str) {
     shared.log(&Event::Dependency {
         name: "store",
         reason,
