--- a/crates/node/tests/soak/faults.rs
+++ b/crates/node/tests/soak/faults.rs
@@ -8,6 +8,7 @@
 
 use wigeonhall_dispatch::RegistrationState;
 
+use crate::oracle::SHARDS;
 use crate::proxy::Mode;
 use crate::proxy::Proxy;
 use crate::world::Deployment;
@@ -43,7 +44,9 @@
         2 => pause(deployment, rng),
         3 => deployment.signal_node(rng, "HUP"),
         4 => harm(&deployment.store_proxies, rng),
-        5..=7 => harm(&deployment.replica_proxies, rng),
+        5 => harm(&deployment.replica_proxies, rng),
+        // Few replicas run the requests that must run once; most faults would miss them.
+        6..=7 => harm(&deployment.replica_proxies[SHARDS * 2..], rng),
         8 => deployment.store.set_down(rng.bool()),
         9 => deployment.store.set_silent(rng.bool()),
         10 => deployment.store.compact(),
@@ -55,12 +58,12 @@
 
 fn harm(proxies: &[Proxy], rng: &mut Rng) {
     let proxy = &proxies[rng.usize(..proxies.len())];
-    match rng.u8(0..8) {
+    match rng.u8(0..10) {
         0 => proxy.set_mode(Mode::Silent),
         1 => proxy.set_mode(Mode::OneWay),
         2 => proxy.set_mode(Mode::Refuse),
         3 => proxy.set_mode(Mode::Delay(rng.u64(5..200))),
-        4 => proxy.reset(),
+        4..=6 => proxy.reset(),
         _ => proxy.set_mode(Mode::Pass),
     }
 }
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -94,12 +94,7 @@
                 shards.push(shard(&oracle::shard_name(index), number));
             }
         }
-        let ones: Vec<ReplicaStandin> = (1..=ONES)
-            .map(|number| {
-                ReplicaStandin::start("one", number, |run| Behaviour::answer(run.body.clone()))
-            })
-            .map(Result::unwrap)
-            .collect();
+        let ones: Vec<ReplicaStandin> = (1..=ONES).map(one).collect();
         let mut registrations = Vec::new();
         let mut replica_proxies = Vec::new();
         for replica in shards.iter().chain(&ones) {
@@ -191,6 +186,18 @@
     ReplicaStandin::start(service, number, decide).unwrap()
 }
 
+/// A replica whose requests take a while, so that faults meet them at work.
+fn one(number: usize) -> ReplicaStandin {
+    let decide = |run: &wigeonhall_adapter_standins::HttpRequest| Behaviour::Answer {
+        body: run.body.clone(),
+        delay: Duration::from_millis(
+            run.body.iter().map(|byte| u64::from(*byte)).sum::<u64>() % 120,
+        ),
+        status: 200,
+    };
+    ReplicaStandin::start("one", number, decide).unwrap()
+}
+
 impl World {
     pub fn start(seed: u64) -> Self {
         let deployment = Deployment::start();
