--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -31,10 +31,10 @@
 /// What the operators say of a service.
 #[derive(Clone, Debug)]
 pub struct ServiceSpec {
+    /// Requests a second that a cold replica tolerates; 0 states no rate.
+    pub cold_rate_per_s: f64,
     /// Connections that one replica accepts from all callers together.
     pub max_connections: u32,
     /// Name of the service.
     pub name: Arc<str>,
-    /// Requests a second that a cold replica tolerates; 0 states no rate.
-    pub warmup_per_s: f64,
 }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -99,7 +99,7 @@
     /// Takes in what the operators say of a service.
     pub fn describe_service(&mut self, spec: &ServiceSpec) {
         let key = self.service_key(&spec.name);
-        self.services[key.0 as usize].warmup_per_s = spec.warmup_per_s;
+        self.services[key.0 as usize].cold_rate_per_s = spec.cold_rate_per_s;
     }
 
     /// Name of a service.
@@ -185,7 +185,7 @@
     ) -> Vec<(f64, ReplicaKey)> {
         let rng = &mut self.rng;
         let entry = &self.services[service.0 as usize];
-        let cold_pause_us = cold_pause_us(entry.warmup_per_s, self.nodes);
+        let cold_pause_us = cold_pause_us(entry.cold_rate_per_s, self.nodes);
         let mut ranked: Vec<(f64, ReplicaKey)> = Vec::with_capacity(entry.replicas.len());
         for key in &entry.replicas {
             let Some(replica) = self.arena[key.index as usize].replica.as_ref() else {
@@ -297,11 +297,11 @@
 }
 
 /// Pause of one node between two requests to a cold replica; 0 without a stated rate.
-fn cold_pause_us(warmup_per_s: f64, nodes: usize) -> u64 {
-    if warmup_per_s <= 0.0 {
+fn cold_pause_us(cold_rate_per_s: f64, nodes: usize) -> u64 {
+    if cold_rate_per_s <= 0.0 {
         return 0;
     }
-    (nodes as f64 / (warmup_per_s * COLD_RATE_SHARE) * 1e6) as u64
+    (nodes as f64 / (cold_rate_per_s * COLD_RATE_SHARE) * 1e6) as u64
 }
 
 fn usable(replica: &Replica, now_us: u64, cold_pause_us: u64) -> bool {
--- a/crates/dispatch/src/registration.rs
+++ b/crates/dispatch/src/registration.rs
@@ -8,6 +8,8 @@
     pub address: SocketAddr,
     /// Unix milliseconds of its start; tells two lifetimes under one id apart.
     pub born_unix_ms: u64,
+    /// Time until it is warm.
+    pub cold_for_ms: u64,
     /// Data centre that it is in.
     pub data_centre: Arc<str>,
     /// Its id.
@@ -20,8 +22,6 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub state: RegistrationState,
-    /// Time until it is warm.
-    pub warmup_remaining_ms: u64,
 }
 
 /// Whether a replica takes new requests.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -25,7 +25,7 @@
     /// Replicas that are registered; each is in the arena.
     pub(crate) replicas: Vec<ReplicaKey>,
     /// Requests a second that a cold replica tolerates; 0 states no rate.
-    pub(crate) warmup_per_s: f64,
+    pub(crate) cold_rate_per_s: f64,
 }
 
 impl Service {
@@ -34,7 +34,7 @@
             budget: HedgeBudget::new(EXTRA_COST, EXTRA_BURST),
             name,
             replicas: Vec::new(),
-            warmup_per_s: 0.0,
+            cold_rate_per_s: 0.0,
         }
     }
 }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -43,7 +43,7 @@
         service: service.into(),
         slots: 2,
         state: RegistrationState::Ready,
-        warmup_remaining_ms: 0,
+        cold_for_ms: 0,
     }
 }
 
--- a/crates/dispatch/tests/pool.rs
+++ b/crates/dispatch/tests/pool.rs
@@ -214,10 +214,10 @@
         pool.describe_service(&ServiceSpec {
             max_connections: 50,
             name: "a".into(),
-            warmup_per_s: RATE_PER_S as f64,
+            cold_rate_per_s: RATE_PER_S as f64,
         });
         let mut cold = registration("a", 1, "north");
-        cold.warmup_remaining_ms = 10_000;
+        cold.cold_for_ms = 10_000;
         let key = pool.register(0, cold).unwrap();
         for now_us in (0..10 * S).step_by(50_000) {
             if chosen(&mut pool, now_us).is_some() {
@@ -236,7 +236,7 @@
 fn a_warm_replica_is_preferred_to_a_cold_one_nearby() {
     let mut pool = pool();
     let mut cold = registration("a", 1, "north");
-    cold.warmup_remaining_ms = 5_000;
+    cold.cold_for_ms = 5_000;
     pool.register(0, cold);
     pool.register(0, registration("a", 2, "south"));
     assert_eq!(chosen(&mut pool, 0).as_deref(), Some("a-2"));
