Count the claim of another attempt before a deadline that has passed

Cause: a node that was paused past a write's deadline found the store's reply and the deadline together.

Ruled out: a fault of the oracle. Its exception for several first attempts ends with the store's reply, which had arrived.

Change: the reply is noted before any timer fires.

--- a/crates/query/src/coordinator.rs
+++ b/crates/query/src/coordinator.rs
@@ -125,6 +125,7 @@
 
     /// Takes one event and pushes what follows from it.
     pub fn handle(&mut self, now_us: u64, event: QueryEvent, actions: &mut Vec<QueryAction>) {
+        self.note_claim(&event);
         self.fire_before(now_us, now_us, actions);
         match event {
             QueryEvent::CallerGone(id) => self.caller_gone(now_us, id, actions),
--- a/crates/query/src/write_claims.rs
+++ b/crates/query/src/write_claims.rs
@@ -6,6 +6,7 @@
 use crate::ClaimResult;
 use crate::Coordinator;
 use crate::QueryAction;
+use crate::QueryEvent;
 use crate::QueryId;
 use crate::limits::SETTLE_US;
 use crate::limits::TAKEOVERS;
@@ -33,6 +34,24 @@
         Progress::Open
     }
 
+    /// Notes that the claim of a write is another attempt's, before any timer fires: a node
+    /// that was paused past a deadline finds the reply together with the timer, and "not
+    /// run" may be false then.
+    pub(crate) fn note_claim(&mut self, event: &QueryEvent) {
+        let QueryEvent::Claim {
+            id,
+            result: ClaimResult::Conflict { held, .. },
+        } = event
+        else {
+            return;
+        };
+        if let Some(write) = self.writes.get_mut(id)
+            && held.token != write.claim.token
+        {
+            write.not_run_before = false;
+        }
+    }
+
     pub(crate) fn claim_result(
         &mut self,
         now_us: u64,
@@ -53,7 +72,6 @@
             }
             ClaimResult::Conflict { held, version } => {
                 self.counters.claim_conflicts += 1;
-                write.not_run_before = false;
                 self.conflict(&mut write, &held, version, actions)
             }
             ClaimResult::Stored { version } => self.hold(now_us, &mut write, version, actions),
--- a/crates/query/tests/writes.rs
+++ b/crates/query/tests/writes.rs
@@ -125,6 +125,21 @@
     assert_eq!(world.core.counters().claims_taken_over, 1);
 }
 
+// A node that was paused past the deadline finds the reply and the timer at once. The reply
+// shows that the write is not the first of its id, so "not run" may be false.
+#[test]
+fn a_claim_of_another_attempt_counts_before_a_deadline_that_has_passed() {
+    for outcome in [ClaimOutcome::Open, ClaimOutcome::Released] {
+        let mut world = World::new(1);
+        world.write(1, true);
+        world.now_us = world.write_query(1, true).deadline_us + 1;
+        let actions = claim_result(&mut world, held_by_other(outcome));
+        let answer = only_answer(&actions);
+        assert_eq!(answer.verdict, Verdict::MayHaveRun);
+        assert!(sends(&actions).is_empty());
+    }
+}
+
 // Nodes with equal tokens would each take the claim of the other for its own.
 #[test]
 fn draws_other_tokens_on_nodes_with_the_same_seed() {
