Keep one replica of a shared leg for the node that may take it back

Cause: the planning node named the replicas of a leg, and the node that was asked could leave them for far better ones. Named replicas also cost worth, as the planning node knows less of them.

Ruled out: an acknowledgement before the first hedge, a round trip more in the very case where a node is slow.

Change: only one replica, the fallback, is named. It counts as one of those that may run the leg; a leg that is taken back goes to it alone. The two tests of named replicas are replaced: the new one takes every number of allowed replicas, every fallback and several views of slow replicas, and demands the limit in all (before: one view, no slow replicas).

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -118,13 +118,14 @@
         }
     }
 
-    /// Sets the replicas that each leg is sent to if they are usable.
+    /// Sets the replica of each leg that another node uses if it takes the leg back.
     ///
-    /// A leg that goes from one node to another stays within the replicas that may run it.
+    /// It counts as one of those that may run the leg, so that no more than these run it
+    /// on both nodes together.
     #[must_use]
-    pub fn with_candidates(mut self, candidates: Vec<Vec<ReplicaKey>>) -> Self {
-        for (leg, candidates) in self.legs.iter_mut().zip(candidates) {
-            leg.candidates = candidates;
+    pub fn with_fallbacks(mut self, fallbacks: &[Option<ReplicaKey>]) -> Self {
+        for (leg, fallback) in self.legs.iter_mut().zip(fallbacks) {
+            leg.fallback = *fallback;
         }
         self
     }
@@ -143,10 +144,8 @@
         sends: &mut Vec<Send>,
     ) -> Option<Outcome> {
         for index in 0..self.legs.len() {
-            let service = self.legs[index].service;
-            pool.earn(service);
-            let candidates = &self.legs[index].candidates;
-            match pool.choose_among(now_us, service, &[], candidates) {
+            pool.earn(self.legs[index].service);
+            match self.choose(pool, now_us, index) {
                 Some(replica) => self.send(pool, now_us, index, replica, sends),
                 None => self.legs[index].state = LegState::Dead(DeadReason::NoReplica),
             }
@@ -321,6 +320,17 @@
         });
     }
 
+    /// The replica for the next send of a leg.
+    fn choose(&self, pool: &mut Pool, now_us: u64, index: usize) -> Option<ReplicaKey> {
+        let leg = &self.legs[index];
+        let tried = leg.tried();
+        if leg.may_leave_fallback(self.max_runs) {
+            return pool.choose(now_us, leg.service, &tried);
+        }
+        let fallback = leg.fallback.filter(|key| !tried.contains(key))?;
+        pool.is_usable(now_us, fallback).then_some(fallback)
+    }
+
     /// Sends once more, if the route, the budget and the replicas allow it.
     fn extra(&mut self, pool: &mut Pool, now_us: u64, index: usize, sends: &mut Vec<Send>) -> bool {
         let leg = &self.legs[index];
@@ -332,8 +342,7 @@
             return false;
         }
         let service = leg.service;
-        let chosen = pool.choose_among(now_us, service, &leg.tried(), &leg.candidates);
-        let Some(replica) = chosen else {
+        let Some(replica) = self.choose(pool, now_us, index) else {
             return false;
         };
         if !pool.take_extra(service) {
--- a/crates/dispatch/src/leg.rs
+++ b/crates/dispatch/src/leg.rs
@@ -34,8 +34,8 @@
 #[derive(Debug)]
 pub(crate) struct Leg {
     pub(crate) attempts: Vec<Attempt>,
-    /// Replicas that are chosen before all others.
-    pub(crate) candidates: Vec<ReplicaKey>,
+    /// Replica that another node uses if it takes the leg back, and counts as used.
+    pub(crate) fallback: Option<ReplicaKey>,
     /// Time of the next hedge; `None` when there is none to come.
     pub(crate) hedge_at_us: Option<u64>,
     pub(crate) service: ServiceKey,
@@ -46,7 +46,7 @@
     pub(crate) const fn new(service: ServiceKey) -> Self {
         Self {
             attempts: Vec::new(),
-            candidates: Vec::new(),
+            fallback: None,
             hedge_at_us: None,
             service,
             state: LegState::Open,
@@ -62,6 +62,20 @@
         runs.count() as u32
     }
 
+    /// Whether a replica other than the fallback may be sent to, where `max_runs` replicas
+    /// may run the leg on all nodes together.
+    pub(crate) fn may_leave_fallback(&self, max_runs: u32) -> bool {
+        let Some(fallback) = self.fallback else {
+            return true;
+        };
+        let elsewhere = self
+            .attempts
+            .iter()
+            .filter(|attempt| attempt.replica != fallback)
+            .filter(|attempt| attempt.reply.is_none_or(Reply::may_have_run));
+        elsewhere.count() + 1 < max_runs as usize
+    }
+
     pub(crate) fn in_flight(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.reply.is_none())
     }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -20,10 +20,6 @@
 /// Part of a cold replica's stated rate that the nodes use together.
 const COLD_RATE_SHARE: f64 = 0.8;
 
-/// Ratio of costs from which a replica is far better than a candidate, by its answers
-/// alone: load and distance are no reason to leave the candidates.
-const FAR_BETTER: f64 = 1.4;
-
 /// Shortest time after which a caller may come back.
 const RETRY_AFTER_MIN_MS: u64 = 50;
 
@@ -141,33 +137,14 @@
         ranked.first().map(|(_, key)| *key)
     }
 
-    /// The best replicas for a request, `count` at most.
-    pub fn best(&mut self, now_us: u64, service: ServiceKey, count: usize) -> Vec<ReplicaKey> {
-        let ranked = self.rank(now_us, service, &[]);
-        ranked.into_iter().take(count).map(|(_, key)| key).collect()
-    }
-
-    /// Chooses among `candidates`, or another replica if this node knows it to be far better.
-    pub fn choose_among(
-        &mut self,
-        now_us: u64,
-        service: ServiceKey,
-        tried: &[ReplicaKey],
-        candidates: &[ReplicaKey],
-    ) -> Option<ReplicaKey> {
-        let ranked = self.rank(now_us, service, tried);
-        let (_, best) = *ranked.first()?;
-        let preferred = ranked.iter().find(|(_, key)| candidates.contains(key));
-        let chosen = preferred.map(|(_, key)| *key).filter(|key| {
-            self.health_cost(now_us, *key) <= self.health_cost(now_us, best) * FAR_BETTER
-        });
-        Some(chosen.unwrap_or(best))
-    }
-
-    /// Expected cost of a replica by what was seen of it, 1 for a usual one.
-    fn health_cost(&self, now_us: u64, key: ReplicaKey) -> f64 {
-        self.replica(key)
-            .map_or(1.0, |replica| replica.health.cost(now_us))
+    /// Whether a replica may be sent a request now.
+    #[must_use]
+    pub fn is_usable(&self, now_us: u64, key: ReplicaKey) -> bool {
+        self.replica(key).is_some_and(|replica| {
+            let service = &self.services[replica.service.0 as usize];
+            let cold_pause_us = cold_pause_us(service.cold_rate_per_s, self.nodes);
+            usable(replica, now_us, cold_pause_us)
+        })
     }
 
     /// The key of a replica.
--- a/crates/dispatch/src/replica_key.rs
+++ b/crates/dispatch/src/replica_key.rs
@@ -6,3 +6,11 @@
     /// Place in the arena.
     pub(crate) index: u32,
 }
+
+impl ReplicaKey {
+    /// Key of a replica that another node knows and this one does not; no pool has it.
+    pub const UNKNOWN: Self = Self {
+        generation: u32::MAX,
+        index: u32::MAX,
+    };
+}
--- a/crates/dispatch/tests/exchange.rs
+++ b/crates/dispatch/tests/exchange.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
 use wigeonhall_dispatch::Exchange;
 use wigeonhall_dispatch::GiveUpReason;
 use wigeonhall_dispatch::NotRunCause;
@@ -317,44 +319,73 @@
     assert_eq!(case.out.len(), shards.len() * 2);
 }
 
-/// A leg that went from one node to another ran at three replicas where two may run it.
-#[test]
-fn a_leg_that_changes_nodes_stays_within_its_candidates() {
+/// Sends of one leg on a node that other nodes' answers made `slow` look slow to; each send
+/// is followed by a hedge where one is allowed.
+fn relayed(slow: &[usize], max_runs: u32, fallback: usize) -> Vec<usize> {
     let mut pool = pool();
     let keys: Vec<_> = (0..5).map(|number| add(&mut pool, "a", number)).collect();
+    for index in slow {
+        for _ in 0..8 {
+            pool.started(0, keys[*index]);
+            pool.finished(0, keys[*index], Reply::Success, 8.0);
+        }
+    }
     let route = common::route(
         &mut pool,
         common::route_spec(RouteKind::Idempotent, gather(&["a"], 1.0)),
     );
-    for _ in 0..50 {
-        let candidates = vec![keys[3], keys[1]];
-        let mut used = Vec::new();
-        for max_runs in [2, 1] {
-            let exchange = Exchange::of_legs(
-                route.clone(),
-                &[0],
-                max_runs,
-                DEADLINE_US,
-                DEADLINE_US,
-                HEDGE_US,
-            );
-            let mut exchange = exchange.with_candidates(vec![candidates.clone()]);
-            let mut sends = Vec::new();
-            exchange.start(&mut pool, 0, &mut sends);
-            exchange.timer(&mut pool, HEDGE_US, &mut sends);
-            used.extend(sends.iter().map(|send| send.replica));
-            for send in sends {
-                pool.finished(0, send.replica, Reply::Success, 1.0);
+    let exchange = Exchange::of_legs(route, &[0], max_runs, DEADLINE_US, DEADLINE_US, HEDGE_US);
+    let mut exchange = exchange.with_fallbacks(&[Some(keys[fallback])]);
+    let mut sends = Vec::new();
+    exchange.start(&mut pool, 0, &mut sends);
+    exchange.timer(&mut pool, HEDGE_US, &mut sends);
+    exchange.timer(&mut pool, 3 * HEDGE_US, &mut sends);
+    let index = |send: &Send| keys.iter().position(|key| *key == send.replica);
+    sends.iter().filter_map(index).collect()
+}
+
+/// A leg that went from one node to another ran at three replicas where two may run it:
+/// the first node passed over the replicas that the second one chose from.
+#[test]
+fn a_leg_that_changes_nodes_runs_at_no_more_replicas_than_allowed() {
+    for max_runs in 1..=4 {
+        for fallback in 0..5 {
+            for slow in [vec![], vec![fallback], vec![0, 1, 2], vec![1, 2, 3, 4]] {
+                let first = relayed(&slow, max_runs, fallback);
+                let second = relayed(&[], 1, fallback);
+                assert_eq!(second, [fallback]);
+                let all: BTreeSet<usize> = first.iter().chain(&second).copied().collect();
+                assert!(all.len() <= max_runs as usize, "{first:?} then {second:?}");
+                assert!(!first.is_empty());
             }
         }
-        assert!(used.iter().all(|key| candidates.contains(key)), "{used:?}");
     }
-    // Candidates that are gone, or known to be slow, do not leave the leg without a part.
-    pool.unregister("a-3", 0);
+}
+
+/// The node that was asked knows the replicas better than the node that asks.
+#[test]
+fn a_fallback_that_is_known_to_be_slow_is_left_for_the_hedge() {
+    for _ in 0..20 {
+        let used = relayed(&[2], 2, 2);
+        assert_ne!(used[0], 2);
+        assert_eq!(used[1..], [2]);
+    }
+}
+
+#[test]
+fn a_leg_whose_fallback_is_gone_still_gets_a_part() {
+    let mut pool = pool();
+    let keys: Vec<_> = (0..3).map(|number| add(&mut pool, "a", number)).collect();
     pool.unregister("a-1", 0);
+    let route = common::route(
+        &mut pool,
+        common::route_spec(RouteKind::Idempotent, gather(&["a"], 1.0)),
+    );
     let exchange = Exchange::of_legs(route, &[0], 2, DEADLINE_US, DEADLINE_US, HEDGE_US);
-    let mut exchange = exchange.with_candidates(vec![vec![keys[3], keys[1]]]);
+    let mut exchange = exchange.with_fallbacks(&[Some(keys[1])]);
     let mut sends = Vec::new();
     exchange.start(&mut pool, 0, &mut sends);
+    exchange.timer(&mut pool, HEDGE_US, &mut sends);
     assert_eq!(sends.len(), 1);
+    assert_ne!(sends[0].replica, keys[1]);
 }
--- a/crates/dispatch/tests/pool.rs
+++ b/crates/dispatch/tests/pool.rs
@@ -287,18 +287,3 @@
     assert_eq!(chosen(&mut pool, 300 * MS).as_deref(), Some("a-2"));
     assert_eq!(chosen(&mut pool, 20 * S).as_deref(), Some("a-1"));
 }
-
-/// A node that is asked for parts knows the replicas better than the node that asks.
-#[test]
-fn a_candidate_that_is_known_to_be_slow_is_passed_over() {
-    let mut pool = pool();
-    let slow = add(&mut pool, "a", 1);
-    let other = add(&mut pool, "a", 2);
-    let service = pool.service_key(&Arc::from("a"));
-    assert_eq!(pool.choose_among(0, service, &[], &[slow]), Some(slow));
-    for _ in 0..8 {
-        pool.started(0, slow);
-        pool.finished(0, slow, Reply::Success, 8.0);
-    }
-    assert_eq!(pool.choose_among(0, service, &[], &[slow]), Some(other));
-}
--- a/crates/entry/src/relay_client.rs
+++ b/crates/entry/src/relay_client.rs
@@ -53,11 +53,11 @@
 /// Idle connections to other nodes.
 pub(crate) type RelayConnections = HashMap<SocketAddr, Vec<HttpSender>>;
 
-/// Legs of a gather, and the replicas that each may go to.
+/// Legs of a gather that another node is asked for.
 #[derive(Clone, Debug)]
 pub(crate) struct LegWork {
-    /// One list a leg, in the order of `legs`.
-    pub(crate) candidates: Vec<Vec<ReplicaKey>>,
+    /// The replica that this node uses if it takes the leg back, in the order of `legs`.
+    pub(crate) fallbacks: Vec<Option<ReplicaKey>>,
     pub(crate) legs: Vec<usize>,
 }
 
@@ -210,7 +210,7 @@
         relay_protocol::LEGS,
         relay_protocol::legs_value(&work.legs)?,
     );
-    let candidates = relay_protocol::candidates_value(&work.candidates, &shared.pool.borrow())?;
-    headers.insert(relay_protocol::CANDIDATES, candidates);
+    let fallbacks = relay_protocol::fallbacks_value(&work.fallbacks, &shared.pool.borrow())?;
+    headers.insert(relay_protocol::FALLBACKS, fallbacks);
     Some(message)
 }
--- a/crates/entry/src/relay_protocol.rs
+++ b/crates/entry/src/relay_protocol.rs
@@ -11,9 +11,8 @@
 /// Legs that the node is asked for, separated by commas.
 pub(crate) const LEGS: HeaderName = HeaderName::from_static("x-wigeonhall-legs");
 
-/// Ids of the replicas that each leg may go to: legs are separated by semicolons, ids by
-/// spaces.
-pub(crate) const CANDIDATES: HeaderName = HeaderName::from_static("x-wigeonhall-candidates");
+/// Id of the fallback replica of each leg, separated by commas; empty without one.
+pub(crate) const FALLBACKS: HeaderName = HeaderName::from_static("x-wigeonhall-fallbacks");
 
 /// Milliseconds after which the parts that are in are to be sent.
 pub(crate) const SOFT_MS: HeaderName = HeaderName::from_static("x-wigeonhall-soft-ms");
@@ -23,28 +22,29 @@
     headers.remove(name)?.to_str().ok()?.parse().ok()
 }
 
-/// Takes the candidates of each leg out of the headers; replicas that are not known here
-/// are left out.
-pub(crate) fn take_candidates(headers: &mut HeaderMap, pool: &Pool) -> Vec<Vec<ReplicaKey>> {
-    let Some(value) = headers.remove(&CANDIDATES) else {
-        return Vec::new();
-    };
-    let legs = value.to_str().unwrap_or_default().split(';');
-    let keys = legs.map(|ids| ids.split(' ').filter_map(|id| pool.key_of(id)).collect());
-    keys.collect()
+/// Takes the fallback replica of each leg out of the headers; `None` without the header.
+///
+/// A replica that is not known here still counts as one that may run the leg.
+pub(crate) fn take_fallbacks(
+    headers: &mut HeaderMap,
+    pool: &Pool,
+) -> Option<Vec<Option<ReplicaKey>>> {
+    let value = headers.remove(&FALLBACKS)?;
+    let key = |id: &str| (!id.is_empty()).then(|| pool.key_of(id).unwrap_or(ReplicaKey::UNKNOWN));
+    Some(value.to_str().ok()?.split(',').map(key).collect())
 }
 
-/// The value of [`CANDIDATES`].
-pub(crate) fn candidates_value(candidates: &[Vec<ReplicaKey>], pool: &Pool) -> Option<HeaderValue> {
-    let legs: Vec<String> = candidates
-        .iter()
-        .map(|keys| {
-            let replicas = keys.iter().filter_map(|key| pool.replica(*key));
-            let ids: Vec<&str> = replicas.map(|replica| &**replica.id()).collect();
-            ids.join(" ")
-        })
-        .collect();
-    HeaderValue::from_str(&legs.join(";")).ok()
+/// The value of [`FALLBACKS`].
+pub(crate) fn fallbacks_value(
+    fallbacks: &[Option<ReplicaKey>],
+    pool: &Pool,
+) -> Option<HeaderValue> {
+    let id = |key: &Option<ReplicaKey>| {
+        let replica = key.and_then(|key| pool.replica(key));
+        replica.map_or("", |replica| replica.id())
+    };
+    let ids: Vec<&str> = fallbacks.iter().map(id).collect();
+    HeaderValue::from_str(&ids.join(",")).ok()
 }
 
 /// Takes the legs out of the headers.
--- a/crates/entry/src/relay_server.rs
+++ b/crates/entry/src/relay_server.rs
@@ -137,7 +137,7 @@
     let version = relay_protocol::take_number(headers, &relay_protocol::VERSION)?;
     let soft_ms = relay_protocol::take_number(headers, &relay_protocol::SOFT_MS)?;
     let legs = relay_protocol::take_legs(headers)?;
-    let candidates = relay_protocol::take_candidates(headers, &shared.pool.borrow());
+    let fallbacks = relay_protocol::take_fallbacks(headers, &shared.pool.borrow())?;
     if version != table.version {
         return None;
     }
@@ -158,7 +158,7 @@
         started_us + remaining_ms * 1_000,
         hedge_delay_us,
     )
-    .with_candidates(candidates);
+    .with_fallbacks(&fallbacks);
     Some(RelayedQuery {
         legs,
         query: Query::new(shared, exchange, Rc::new(outgoing)),
--- a/crates/entry/src/shared_gather.rs
+++ b/crates/entry/src/shared_gather.rs
@@ -15,6 +15,7 @@
 use wigeonhall_dispatch::GiveUpReason;
 use wigeonhall_dispatch::Outcome;
 use wigeonhall_dispatch::RelayGroup;
+use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::ServiceKey;
 
@@ -129,10 +130,10 @@
     fn start(&mut self, plan: Plan) {
         let services = self.route.select().services;
         for group in plan {
-            let work = self.leg_work(group.legs, &services);
             match group.peer {
-                None => self.work_alone(work, self.route.spec.max_attempts),
+                None => self.work_alone(group.legs, self.route.spec.max_attempts, &[]),
                 Some((name, address)) => {
+                    let work = self.leg_work(group.legs, &services);
                     let request = RelayRequest {
                         address,
                         node: name,
@@ -148,22 +149,21 @@
         }
     }
 
-    /// The replicas that each leg may go to, whichever node handles it: as many as may run
-    /// it, so that a leg that is taken back runs nowhere else.
+    /// The work of another node, with the replicas that this node uses if it takes the legs
+    /// back.
     fn leg_work(&self, legs: Vec<usize>, services: &[ServiceKey]) -> LegWork {
         let now_us = self.shared.clock.now_us();
-        let count = self.route.spec.max_attempts as usize;
         let mut pool = self.shared.pool.borrow_mut();
-        let best = |leg: &usize| pool.best(now_us, services[*leg], count);
+        let fallback = |leg: &usize| pool.choose(now_us, services[*leg], &[]);
         LegWork {
-            candidates: legs.iter().map(best).collect(),
+            fallbacks: legs.iter().map(fallback).collect(),
             legs,
         }
     }
 
-    /// Collects legs from this node, each from `max_runs` replicas at most.
-    fn work_alone(&mut self, work: LegWork, max_runs: u32) {
-        let LegWork { candidates, legs } = work;
+    /// Collects legs from this node, each from `max_runs` replicas at most, its fallback
+    /// among them.
+    fn work_alone(&mut self, legs: Vec<usize>, max_runs: u32, fallbacks: &[Option<ReplicaKey>]) {
         let exchange = Exchange::of_legs(
             self.route.clone(),
             &legs,
@@ -172,13 +172,23 @@
             self.times.deadline_us,
             self.hedge_delay_us,
         )
-        .with_candidates(candidates);
+        .with_fallbacks(fallbacks);
         let query = Query::new(&self.shared, exchange, self.outgoing.clone());
         let parts = group_stream::collect(query, legs);
         let news = parts.map(|parts| News::Parts { node: None, parts });
         self.work.push(Box::pin(news));
     }
 
+    /// Takes back the legs that have a fallback from a node that may have sent them.
+    fn take_back(&mut self, work: LegWork) {
+        let legs = work.legs.into_iter().zip(work.fallbacks);
+        let (legs, fallbacks): (Vec<usize>, Vec<_>) =
+            legs.filter(|(_, fallback)| fallback.is_some()).unzip();
+        if !legs.is_empty() {
+            self.work_alone(legs, 1, &fallbacks);
+        }
+    }
+
     fn take(&mut self, news: News) {
         match news {
             News::Parts { node, parts } => {
@@ -189,12 +199,13 @@
             }
             News::Failed { error, node, work } => {
                 self.failed(&node, error);
-                let max_runs = match error {
-                    RelayError::Declined | RelayError::Unreachable => self.route.spec.max_attempts,
-                    // The node may have sent the legs to some of the same replicas.
-                    RelayError::Lost | RelayError::Silent => 1,
-                };
-                self.work_alone(work, max_runs);
+                match error {
+                    RelayError::Declined | RelayError::Unreachable => {
+                        self.work_alone(work.legs, self.route.spec.max_attempts, &[]);
+                    }
+                    // The node may have sent the legs to other replicas.
+                    RelayError::Lost | RelayError::Silent => self.take_back(work),
+                }
             }
         }
     }
