Try suspended replicas as a last resort, and keep credit for retries

Change: a leg of a gather without another replica tries a suspended one, one request a node; it is not counted on, and waited for until a hedge would go out. The budget is 0.85 of the share that the settings allow; a hedge leaves credit for one retry.

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -1,14 +1,11 @@
 use std::rc::Rc;
 
-use crate::DeadReason;
 use crate::LegState;
 use crate::Outcome;
 use crate::Pool;
 use crate::ReplicaKey;
 use crate::Reply;
 use crate::Route;
-use crate::RouteKind;
-use crate::leg::Attempt;
 use crate::leg::Leg;
 
 /// Time kept free before the target latency for the ways of a caller: a new connection
@@ -18,34 +15,25 @@
 /// Least part of the target latency that a gather waits for its parts.
 const SOFT_MIN_DIVISOR: u64 = 3;
 
-/// Part of the legs of a gather that is many to be late at once.
-const MANY_LATE_DIVISOR: usize = 4;
-
-/// Late legs that are never many.
-const MANY_LATE_MIN: usize = 2;
-
-/// Sends of one leg, whatever they came to.
-const SENDS_MAX: usize = 4;
-
 /// One request, from its arrival to its final answer.
 ///
 /// Takes replies and times, and says what to send and how to answer.
 #[derive(Debug)]
 pub struct Exchange {
     /// The caller's deadline or the route's timeout, whichever is first.
-    deadline_us: u64,
+    pub(crate) deadline_us: u64,
     /// Time after which a send without an answer is hedged.
-    hedge_delay_us: u64,
+    pub(crate) hedge_delay_us: u64,
     /// Whether hedges were put off, as too many legs were late at once.
-    hedges_put_off: bool,
+    pub(crate) hedges_put_off: bool,
     pub(crate) legs: Vec<Leg>,
     /// Replicas that may run one leg.
-    max_runs: u32,
+    pub(crate) max_runs: u32,
     /// Fewest parts in a success; `None` where one answer is passed on.
     pub(crate) min_parts: Option<usize>,
     /// Hedges and retries that were sent.
-    extra_sends: u32,
-    route: Rc<Route>,
+    pub(crate) extra_sends: u32,
+    pub(crate) route: Rc<Route>,
     /// Time from which an answer goes out as soon as it has `min_parts`.
     pub(crate) soft_us: u64,
 }
@@ -147,7 +135,7 @@
             pool.earn(self.legs[index].service);
             match self.choose(pool, now_us, index) {
                 Some(replica) => self.send(pool, now_us, index, replica, sends),
-                None => self.legs[index].state = LegState::Dead(DeadReason::NoReplica),
+                None => self.try_last_resort(pool, now_us, index, sends),
             }
         }
         if self.out_of_reach() {
@@ -194,28 +182,6 @@
         self.outcome(pool, now_us)
     }
 
-    /// Hedges the legs that are late.
-    ///
-    /// When many are late at once, the node or the network is, and hedges would add to
-    /// it; they are put off once.
-    fn hedge(&mut self, pool: &mut Pool, now_us: u64, sends: &mut Vec<Send>) {
-        let due = |leg: &Leg| leg.is_open() && leg.hedge_at_us.is_some_and(|at| at <= now_us);
-        let late: Vec<usize> = (0..self.legs.len())
-            .filter(|index| due(&self.legs[*index]))
-            .collect();
-        let many = (self.legs.len() / MANY_LATE_DIVISOR).max(MANY_LATE_MIN);
-        let put_off = late.len() > many && !self.hedges_put_off;
-        self.hedges_put_off |= put_off;
-        for index in late {
-            if put_off {
-                self.legs[index].hedge_at_us = Some(now_us + self.hedge_delay_us);
-            } else {
-                self.legs[index].hedge_at_us = None;
-                self.extra(pool, now_us, index, sends);
-            }
-        }
-    }
-
     /// Time at which [`Exchange::timer`] has something to do.
     #[must_use]
     pub fn next_timer_us(&self, now_us: u64) -> u64 {
@@ -225,8 +191,14 @@
             .filter(|leg| leg.is_open())
             .filter_map(|leg| leg.hedge_at_us)
             .min();
+        let doubtful_us = self
+            .legs
+            .iter()
+            .filter(|leg| leg.is_awaited(now_us))
+            .filter_map(|leg| leg.doubtful_until_us)
+            .min();
         let soft_us = (self.min_parts.is_some() && now_us < self.soft_us).then_some(self.soft_us);
-        [hedge_us, soft_us, Some(self.deadline_us)]
+        [hedge_us, doubtful_us, soft_us, Some(self.deadline_us)]
             .into_iter()
             .flatten()
             .min()
@@ -293,90 +265,4 @@
     pub fn sent_us(&self, send: Send) -> u64 {
         self.legs[send.leg].attempts[send.attempt].sent_us
     }
-
-    fn send(
-        &mut self,
-        pool: &mut Pool,
-        now_us: u64,
-        index: usize,
-        replica: ReplicaKey,
-        sends: &mut Vec<Send>,
-    ) {
-        let may_repeat = self.may_repeat();
-        let leg = &mut self.legs[index];
-        let attempt = leg.attempts.len();
-        leg.attempts.push(Attempt {
-            replica,
-            reply: None,
-            sent_us: now_us,
-        });
-        let may_hedge = may_repeat && leg.runs() < self.max_runs;
-        leg.hedge_at_us = may_hedge.then_some(now_us + self.hedge_delay_us);
-        pool.started(now_us, replica);
-        sends.push(Send {
-            attempt,
-            leg: index,
-            replica,
-        });
-    }
-
-    /// The replica for the next send of a leg.
-    fn choose(&self, pool: &mut Pool, now_us: u64, index: usize) -> Option<ReplicaKey> {
-        let leg = &self.legs[index];
-        let tried = leg.tried();
-        if leg.may_leave_fallback(self.max_runs) {
-            return pool.choose(now_us, leg.service, &tried);
-        }
-        let fallback = leg.fallback.filter(|key| !tried.contains(key))?;
-        pool.is_usable(now_us, fallback).then_some(fallback)
-    }
-
-    /// Sends once more, if the route, the budget and the replicas allow it.
-    fn extra(&mut self, pool: &mut Pool, now_us: u64, index: usize, sends: &mut Vec<Send>) -> bool {
-        let leg = &self.legs[index];
-        let allowed = leg.is_open()
-            && leg.attempts.len() < SENDS_MAX
-            && leg.runs() < self.max_runs
-            && now_us < self.deadline_us;
-        if !allowed {
-            return false;
-        }
-        let service = leg.service;
-        let Some(replica) = self.choose(pool, now_us, index) else {
-            return false;
-        };
-        if !pool.take_extra(service) {
-            return false;
-        }
-        self.extra_sends += 1;
-        self.send(pool, now_us, index, replica, sends);
-        true
-    }
-
-    fn after_failure(
-        &mut self,
-        pool: &mut Pool,
-        now_us: u64,
-        index: usize,
-        reply: Reply,
-        sends: &mut Vec<Send>,
-    ) {
-        let repeatable = match reply {
-            // The request itself is at fault; another replica would say the same.
-            Reply::Failed { status } => self.may_repeat() && status >= 500,
-            Reply::NotRun(_) => true,
-            Reply::Unknown(_) => self.may_repeat(),
-            Reply::Success => false,
-        };
-        if repeatable && self.extra(pool, now_us, index, sends) {
-            return;
-        }
-        if !self.legs[index].in_flight() {
-            self.legs[index].state = LegState::Dead(DeadReason::LastReply(reply));
-        }
-    }
-
-    fn may_repeat(&self) -> bool {
-        self.route.spec.kind == RouteKind::Idempotent
-    }
 }
--- a/crates/dispatch/src/exchange_outcome.rs
+++ b/crates/dispatch/src/exchange_outcome.rs
@@ -17,13 +17,13 @@
         self.legs.iter().filter(done).count()
     }
 
-    pub(crate) fn open(&self) -> usize {
-        self.legs.iter().filter(|leg| leg.is_open()).count()
+    pub(crate) fn promising(&self) -> usize {
+        self.legs.iter().filter(|leg| leg.is_promising()).count()
     }
 
     /// Whether so many legs are dead that no success can come of the rest.
     pub(crate) fn out_of_reach(&self) -> bool {
-        self.done() + self.open() < self.min_parts.unwrap_or(1)
+        self.done() + self.promising() < self.min_parts.unwrap_or(1)
     }
 
     pub(crate) fn outcome(&mut self, pool: &Pool, now_us: u64) -> Option<Outcome> {
@@ -37,7 +37,8 @@
                 LegState::Dead(_) | LegState::Open => None,
             };
         };
-        let in_time = self.open() == 0 || now_us >= self.soft_us;
+        let awaited = self.legs.iter().any(|leg| leg.is_awaited(now_us));
+        let in_time = !awaited || now_us >= self.soft_us;
         (done >= min_parts && in_time).then(|| Outcome::Gather {
             missing: self.legs.len() - done,
         })
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -85,6 +85,11 @@
         slowness / (1.0 - failure_share).max(0.1)
     }
 
+    /// Whether the last request to the replica got no usable answer.
+    pub(crate) const fn failed_lately(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Whether the replica failed so often that one request at a time tries it.
     pub(crate) const fn on_trial(&self) -> bool {
         self.failures >= SILENCES_TO_SUSPEND
--- a/crates/dispatch/src/leg.rs
+++ b/crates/dispatch/src/leg.rs
@@ -34,6 +34,9 @@
 #[derive(Debug)]
 pub(crate) struct Leg {
     pub(crate) attempts: Vec<Attempt>,
+    /// Time until which the answer of a suspended replica is waited for; `None` for a leg
+    /// that was sent to a sound one.
+    pub(crate) doubtful_until_us: Option<u64>,
     /// Replica that another node uses if it takes the leg back, and counts as used.
     pub(crate) fallback: Option<ReplicaKey>,
     /// Time of the next hedge; `None` when there is none to come.
@@ -46,6 +49,7 @@
     pub(crate) const fn new(service: ServiceKey) -> Self {
         Self {
             attempts: Vec::new(),
+            doubtful_until_us: None,
             fallback: None,
             hedge_at_us: None,
             service,
@@ -90,4 +94,17 @@
     pub(crate) fn is_open(&self) -> bool {
         self.state == LegState::Open
     }
+
+    /// Whether an answer is likely enough to count on it.
+    pub(crate) fn is_promising(&self) -> bool {
+        self.is_open() && self.doubtful_until_us.is_none()
+    }
+
+    /// Whether an answer of this leg is worth waiting for.
+    pub(crate) fn is_awaited(&self, now_us: u64) -> bool {
+        self.is_open()
+            && self
+                .doubtful_until_us
+                .is_none_or(|until_us| now_us < until_us)
+    }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,10 +5,12 @@
 //! one request, and [`merge_records`] joins the parts of a gather. Times are
 //! microseconds of one monotonic clock.
 
+mod availability;
 mod change_log;
 mod configuration;
 mod exchange;
 mod exchange_outcome;
+mod exchange_sends;
 mod health;
 mod leg;
 mod merge;
@@ -30,6 +32,7 @@
 mod store_health;
 mod suspicions;
 
+pub use availability::Availability;
 pub use change_log::BatchFit;
 pub use change_log::ChangeBatch;
 pub use change_log::ChangeLog;
@@ -50,6 +53,7 @@
 pub use peers::PeerNode;
 pub use peers::Peers;
 pub use peers::RelayGroup;
+pub use pool::ExtraReason;
 pub use pool::Pool;
 pub use pool::PoolCounts;
 pub use reading_role::ReadingRole;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -2,14 +2,16 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::Availability;
 use crate::NotRunCause;
-use crate::RegistrationState;
 use crate::Replica;
 use crate::ReplicaKey;
 use crate::Reply;
 use crate::ServiceKey;
 use crate::ServiceSpec;
+use crate::service::EXTRA_COST;
 use crate::service::Service;
+use crate::service::extra_cost;
 
 /// Cost factor of a replica in another data centre; bytes between them are paid for.
 const OTHER_DATA_CENTRE: f64 = 1.3;
@@ -20,6 +22,9 @@
 /// Part of a cold replica's stated rate that the nodes use together.
 const COLD_RATE_SHARE: f64 = 0.8;
 
+/// Extra requests for which a hedge leaves credit.
+const RETRIES_RESERVED: u32 = 1;
+
 /// Shortest time after which a caller may come back.
 const RETRY_AFTER_MIN_MS: u64 = 50;
 
@@ -32,6 +37,8 @@
     pub(crate) arena: Vec<Slot>,
     pub(crate) by_id: HashMap<Arc<str>, ReplicaKey>,
     pub(crate) data_centre: Arc<str>,
+    /// First requests for a service that pay for one extra one.
+    extra_cost: u32,
     pub(crate) free: Vec<u32>,
     /// Nodes of the whole tier.
     nodes: usize,
@@ -41,6 +48,15 @@
     pub(crate) taken_out: BTreeSet<Arc<str>>,
 }
 
+/// Why a request is sent once more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExtraReason {
+    /// A send has no answer yet, and may still get one.
+    Hedge,
+    /// A send came to nothing.
+    Retry,
+}
+
 /// A place of the arena.
 #[derive(Debug)]
 pub(crate) struct Slot {
@@ -67,6 +83,7 @@
             arena: Vec::new(),
             by_id: HashMap::new(),
             data_centre,
+            extra_cost: EXTRA_COST,
             free: Vec::new(),
             nodes: NODES_UNKNOWN,
             rng: fastrand::Rng::with_seed(seed),
@@ -81,13 +98,20 @@
         self.nodes = nodes.max(1);
     }
 
+    /// Sets the extra requests that operators allow for each first one of a service; it
+    /// counts for services that are not known yet.
+    pub fn set_extra_share(&mut self, extra_share: f64) {
+        self.extra_cost = extra_cost(extra_share);
+    }
+
     /// The key of a service; a new one is made for an unknown name.
     pub fn service_key(&mut self, name: &Arc<str>) -> ServiceKey {
         if let Some(key) = self.services_by_name.get(name) {
             return *key;
         }
         let key = ServiceKey(self.services.len() as u32);
-        self.services.push(Service::new(name.clone()));
+        self.services
+            .push(Service::new(name.clone(), self.extra_cost));
         self.services_by_name.insert(name.clone(), key);
         key
     }
@@ -137,14 +161,28 @@
         ranked.first().map(|(_, key)| *key)
     }
 
+    /// A suspended replica that no request tries at the moment, the one whose suspension
+    /// ends first: a request that would go nowhere may as well try it.
+    #[must_use]
+    pub fn last_resort(&self, now_us: u64, service: ServiceKey) -> Option<ReplicaKey> {
+        let entry = &self.services[service.0 as usize];
+        let cold_pause_us = self.cold_pause_us(service);
+        let suspended = |key: &ReplicaKey| {
+            let replica = self.replica(*key)?;
+            let idle = replica.in_flight == 0 && replica.health.failed_lately();
+            let allowed = replica.is_open(now_us) && replica.may_start(now_us, cold_pause_us);
+            (idle && allowed).then_some((replica.health.suspended_until_us, *key))
+        };
+        let candidates = entry.replicas.iter().filter_map(suspended);
+        candidates
+            .min_by_key(|(until_us, _)| *until_us)
+            .map(|(_, key)| key)
+    }
+
     /// Whether a replica may be sent a request now.
     #[must_use]
     pub fn is_usable(&self, now_us: u64, key: ReplicaKey) -> bool {
-        self.replica(key).is_some_and(|replica| {
-            let service = &self.services[replica.service.0 as usize];
-            let cold_pause_us = cold_pause_us(service.cold_rate_per_s, self.nodes);
-            usable(replica, now_us, cold_pause_us)
-        })
+        self.availability(now_us, key) == Some(Availability::Ready)
     }
 
     /// The key of a replica.
@@ -153,6 +191,12 @@
         self.by_id.get(id).copied()
     }
 
+    /// Pause of this node between two requests to a cold replica of a service.
+    pub(crate) fn cold_pause_us(&self, service: ServiceKey) -> u64 {
+        let entry = &self.services[service.0 as usize];
+        cold_pause_us(entry.cold_rate_per_s, self.nodes)
+    }
+
     /// Usable replicas of a service with their expected costs, the least first.
     fn rank(
         &mut self,
@@ -168,7 +212,8 @@
             let Some(replica) = self.arena[key.index as usize].replica.as_ref() else {
                 continue;
             };
-            if tried.contains(key) || !usable(replica, now_us, cold_pause_us) {
+            let availability = replica.availability(now_us, cold_pause_us);
+            if tried.contains(key) || availability != Availability::Ready {
                 continue;
             }
             let cost = cost(replica, now_us, &self.data_centre) * (1.0 + rng.f64() * 0.05);
@@ -193,9 +238,15 @@
             .collect()
     }
 
-    /// Pays for a hedge or a retry at a service, if its budget allows it.
-    pub fn take_extra(&mut self, service: ServiceKey) -> bool {
-        self.services[service.0 as usize].budget.take()
+    /// Pays for an extra request to a service, if its budget allows it.
+    ///
+    /// A hedge leaves credit for a retry: its first send may still bring the answer.
+    pub fn take_extra(&mut self, service: ServiceKey, reason: ExtraReason) -> bool {
+        let reserve = match reason {
+            ExtraReason::Hedge => RETRIES_RESERVED,
+            ExtraReason::Retry => 0,
+        };
+        self.services[service.0 as usize].budget.take_above(reserve)
     }
 
     /// Counts a request for a service.
@@ -241,7 +292,7 @@
             .replicas_of(service)
             .iter()
             .filter_map(|key| self.replica(*key))
-            .filter(|replica| open(replica, now_us))
+            .filter(|replica| replica.is_open(now_us))
             .map(|replica| replica.health.suspended_until_us)
             .min()
             .unwrap_or(u64::MAX);
@@ -254,7 +305,7 @@
     pub fn counts(&self, now_us: u64) -> PoolCounts {
         let mut counts = PoolCounts::default();
         for replica in self.arena.iter().filter_map(|slot| slot.replica.as_ref()) {
-            if !open(replica, now_us) {
+            if !replica.is_open(now_us) {
                 counts.leaving += 1;
             } else if replica.health.suspended_until_us > now_us {
                 counts.suspended += 1;
@@ -266,13 +317,6 @@
     }
 }
 
-/// Whether a replica may be sent requests at all.
-fn open(replica: &Replica, now_us: u64) -> bool {
-    replica.registration.state == RegistrationState::Ready
-        && !replica.taken_out
-        && replica.removed_at_us.is_none_or(|at_us| now_us < at_us)
-}
-
 /// Pause of one node between two requests to a cold replica; 0 without a stated rate.
 fn cold_pause_us(cold_rate_per_s: f64, nodes: usize) -> u64 {
     if cold_rate_per_s <= 0.0 {
@@ -281,19 +325,6 @@
     (nodes as f64 / (cold_rate_per_s * COLD_RATE_SHARE) * 1e6) as u64
 }
 
-fn usable(replica: &Replica, now_us: u64, cold_pause_us: u64) -> bool {
-    if !open(replica, now_us) || now_us < replica.health.suspended_until_us {
-        return false;
-    }
-    if replica.health.on_trial() && replica.in_flight > 0 {
-        return false;
-    }
-    let cold_turn = replica
-        .cold_start_us
-        .is_none_or(|last_us| now_us >= last_us + cold_pause_us);
-    now_us >= replica.warm_at_us || cold_turn
-}
-
 fn cost(replica: &Replica, now_us: u64, data_centre: &str) -> f64 {
     /// Cost factor of a replica that is still slow after its start.
     const COLD: f64 = 2.0;
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -4,10 +4,13 @@
 
 use crate::ReplicaKey;
 
-/// First requests that pay for one extra one: an eighth, below the share that
-/// operators allow, since each node counts its own requests only.
+/// First requests that pay for one extra one before the operators' share is known.
 pub(crate) const EXTRA_COST: u32 = 7;
 
+/// Part of the operators' share of extra requests that the nodes use together: legs that
+/// are taken back from another node are sent once more without payment.
+const EXTRA_SHARE_USED: f64 = 0.85;
+
 /// Extra requests that a node may send in a row to one service.
 pub(crate) const EXTRA_BURST: u32 = 4;
 
@@ -28,10 +31,17 @@
     pub(crate) cold_rate_per_s: f64,
 }
 
+/// First requests that pay for one extra one, where operators allow `extra_share` extra
+/// requests for each.
+pub(crate) fn extra_cost(extra_share: f64) -> u32 {
+    let used_share = (extra_share * EXTRA_SHARE_USED).max(1e-3);
+    used_share.recip().ceil() as u32
+}
+
 impl Service {
-    pub(crate) fn new(name: Arc<str>) -> Self {
+    pub(crate) fn new(name: Arc<str>, extra_cost: u32) -> Self {
         Self {
-            budget: HedgeBudget::new(EXTRA_COST, EXTRA_BURST),
+            budget: HedgeBudget::new(extra_cost, EXTRA_BURST),
             name,
             replicas: Vec::new(),
             cold_rate_per_s: 0.0,
--- a/crates/dispatch/tests/exchange.rs
+++ b/crates/dispatch/tests/exchange.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 
 use wigeonhall_dispatch::Exchange;
+use wigeonhall_dispatch::ExtraReason;
 use wigeonhall_dispatch::GiveUpReason;
 use wigeonhall_dispatch::NotRunCause;
 use wigeonhall_dispatch::Outcome;
@@ -389,3 +390,121 @@
     assert_eq!(sends.len(), 1);
     assert_ne!(sends[0].replica, keys[1]);
 }
+
+/// A gather over four shards; both replicas of the last one were unreachable a moment ago.
+fn with_suspended_shard(min_fraction: f64) -> Case {
+    let mut case = Case::gather(&["a", "b", "c", "d"], min_fraction);
+    for id in ["d-30", "d-31"] {
+        let key = case.pool.key_of(id).unwrap();
+        case.pool.started(0, key);
+        case.pool.finished(0, key, UNREACHABLE, 1.0);
+    }
+    case
+}
+
+fn reply_to_all_but_the_last(case: &mut Case, at_us: u64) -> Option<Outcome> {
+    let outcomes = (0..3).map(|leg| case.reply(at_us, leg, Reply::Success));
+    outcomes.last().unwrap()
+}
+
+/// Two of 20 shards had no part for seconds after a short crash, though their replicas were
+/// back: both were suspended, and nobody tried them.
+#[test]
+fn a_shard_whose_replicas_are_all_suspended_is_tried() {
+    let mut case = with_suspended_shard(0.75);
+    assert_eq!(case.start(), None);
+    assert_eq!(case.out.len(), 4);
+    assert_eq!(reply_to_all_but_the_last(&mut case, MS), None);
+    let outcome = case.reply(2 * MS, 3, Reply::Success);
+    assert_eq!(outcome, Some(Outcome::Gather { missing: 0 }));
+}
+
+/// A replica that is dark must not hold back the answer.
+#[test]
+fn a_suspended_replica_is_waited_for_no_longer_than_until_a_hedge() {
+    let mut case = with_suspended_shard(0.75);
+    case.start();
+    assert_eq!(reply_to_all_but_the_last(&mut case, MS), None);
+    assert_eq!(case.exchange.next_timer_us(MS), HEDGE_US);
+    let outcome = case.timer(HEDGE_US);
+    assert_eq!(outcome, Some(Outcome::Gather { missing: 1 }));
+}
+
+/// One request at a time tries a suspended replica; the next one goes without it.
+#[test]
+fn a_suspended_replica_is_tried_by_one_request_at_a_time() {
+    let mut case = with_suspended_shard(0.75);
+    case.start();
+    let service = case.exchange.service(3);
+    let other = case.pool.last_resort(0, service).unwrap();
+    assert_ne!(other, case.out[3].replica);
+    case.pool.started(0, other);
+    assert_eq!(case.pool.last_resort(0, service), None);
+}
+
+/// What is not likely to be answered is refused at once, and nothing is sent.
+#[test]
+fn a_gather_that_needs_a_suspended_replica_is_refused() {
+    let mut case = with_suspended_shard(1.0);
+    let outcome = case.start();
+    let refused = matches!(
+        outcome,
+        Some(Outcome::Refuse {
+            reason: RefuseReason::TooFewShards,
+            ..
+        })
+    );
+    assert!(refused, "{outcome:?}");
+    assert!(case.out.is_empty());
+}
+
+/// While answers were lost, hedges used up the budget, and legs whose answer was lost for
+/// certain were not sent again.
+#[test]
+fn a_hedge_leaves_credit_for_a_retry() {
+    let mut case = Case::gather(&["a", "b"], 0.5);
+    let service = case.exchange.service(1);
+    while case.pool.take_extra(service, ExtraReason::Hedge) {}
+    case.start();
+    case.timer(HEDGE_US);
+    assert_eq!(case.out.iter().filter(|send| send.leg == 1).count(), 1);
+    case.reply(HEDGE_US, 1, RESET);
+    assert_eq!(case.out.iter().filter(|send| send.leg == 1).count(), 1);
+    assert!(!case.pool.take_extra(service, ExtraReason::Retry));
+}
+
+/// The operators' share of extra requests is used, and kept.
+#[test]
+fn extra_requests_follow_the_share_that_operators_allow() {
+    const REQUESTS: u32 = 1_000;
+    for share in [0.1, 0.2, 0.5] {
+        let mut pool = pool();
+        pool.set_extra_share(share);
+        add(&mut pool, "a", 1);
+        let service = pool.service_key(&"a".into());
+        let mut extra = 0;
+        for _ in 0..REQUESTS {
+            pool.earn(service);
+            extra += u32::from(pool.take_extra(service, ExtraReason::Retry));
+        }
+        let used = f64::from(extra) / f64::from(REQUESTS);
+        assert!((share * 0.6..=share).contains(&used), "{used} of {share}");
+    }
+}
+
+/// A single request is refused at once when its replicas are full: the caller is told when
+/// to come back, and nothing is held.
+#[test]
+fn a_single_request_does_not_wait_for_room() {
+    let mut case = Case::single(RouteKind::Idempotent, 1);
+    case.start();
+    let outcome = case.reply(MS, 0, BUSY);
+    let refused = matches!(
+        outcome,
+        Some(Outcome::Refuse {
+            reason: RefuseReason::Busy,
+            ..
+        })
+    );
+    assert!(refused, "{outcome:?}");
+}
--- a/crates/entry/src/node_state.rs
+++ b/crates/entry/src/node_state.rs
@@ -71,7 +71,8 @@
             name: settings.node_name.clone(),
             processor_share: settings.processor_share,
         };
-        let seed = fastrand::u64(..);
+        let mut pool = Pool::new(settings.data_centre.clone(), fastrand::u64(..));
+        pool.set_extra_share(settings.retry_share);
         Self {
             answer_lag: AnswerLag::default(),
             clock: Clock::start(),
@@ -83,7 +84,7 @@
             metrics,
             peers: RefCell::new(Peers::new(own)),
             phase: watch::Sender::new(Phase::Serving),
-            pool: RefCell::new(Pool::new(settings.data_centre.clone(), seed)),
+            pool: RefCell::new(pool),
             relay_connections: RefCell::default(),
             replicas_heard_us: Cell::new(None),
             replicas_lost: Cell::new(false),
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -11,9 +11,11 @@
 use tokio::task;
 use tokio::time;
 
+use wigeonhall_dispatch::DeadReason;
 use wigeonhall_dispatch::Exchange;
 use wigeonhall_dispatch::LegState;
 use wigeonhall_dispatch::Outcome;
+use wigeonhall_dispatch::Pool;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::Route;
@@ -179,7 +181,8 @@
         });
     }
 
-    /// Services without an answer, each with its state and the replicas that were asked.
+    /// Services without an answer, each with its state and the replicas that were asked, or
+    /// why none was.
     pub(crate) fn missing(&self) -> Vec<String> {
         let pool = self.shared.pool.borrow();
         let mut missing = Vec::new();
@@ -188,6 +191,13 @@
                 continue;
             }
             let service = pool.service_name(self.exchange.service(leg));
+            if state == LegState::Dead(DeadReason::NoReplica) {
+                missing.push(format!(
+                    "{service}: {state:?}, {}",
+                    self.unavailable(&pool, leg)
+                ));
+                continue;
+            }
             let replicas = self.exchange.replicas(leg);
             let asked: Vec<&str> = replicas
                 .map(|key| pool.replica(key).map_or("gone", |replica| replica.id()))
@@ -197,6 +207,18 @@
         missing
     }
 
+    /// The replicas of a leg's service, and why they take no requests.
+    fn unavailable(&self, pool: &Pool, leg: usize) -> String {
+        let now_us = self.shared.clock.now_us();
+        let replicas = pool.replicas_of(self.exchange.service(leg)).iter();
+        let states = replicas.filter_map(|key| {
+            let availability = pool.availability(now_us, *key)?;
+            Some(format!("{} {availability:?}", pool.replica(*key)?.id()))
+        });
+        let states: Vec<String> = states.collect();
+        format!("known [{}]", states.join(", "))
+    }
+
     /// Records that an answer was made: sends that are still out may then end by
     /// themselves for a while, which keeps their connections.
     pub(crate) const fn answered(&mut self) {
--- a/crates/query/src/hedge_budget.rs
+++ b/crates/query/src/hedge_budget.rs
@@ -44,6 +44,14 @@
 
     /// Pays for an extra sub-request, if the credit allows it.
     pub fn take(&mut self) -> bool {
+        self.take_above(0)
+    }
+
+    /// Pays for an extra sub-request, if credit for `reserve` further ones is left then.
+    pub fn take_above(&mut self, reserve: u32) -> bool {
+        if self.credit < self.cost * (1 + reserve) {
+            return false;
+        }
         let Some(rest) = self.credit.checked_sub(self.cost) else {
             return false;
         };
