Write warnings into the structured log; check the platform's settings without a start

A malformed settings file ended the start with several lines. A bound of 0 in the settings gave a timer without a period, which panics.

The silence limit is 300 ms at least.

--- a/crates/dispatch/src/pacing.rs
+++ b/crates/dispatch/src/pacing.rs
@@ -7,6 +7,9 @@
 /// it fell silent, and for a call of its own.
 const SILENCE_DIVISOR: u64 = 3;
 
+/// Shortest silence limit; a shorter one would be exceeded by the pauses of a busy node.
+const SILENCE_MIN_MS: u64 = 300;
+
 /// Changes in one answer from which on more are waiting.
 const BACKLOG_CHANGES: usize = 100;
 
@@ -27,5 +30,10 @@
 /// most urgent change must be in force within `bound_ms`.
 #[must_use]
 pub const fn silence_limit_ms(bound_ms: u64) -> u64 {
-    bound_ms / SILENCE_DIVISOR
+    let limit_ms = bound_ms / SILENCE_DIVISOR;
+    if limit_ms < SILENCE_MIN_MS {
+        SILENCE_MIN_MS
+    } else {
+        limit_ms
+    }
 }
--- a/crates/dispatch/tests/pacing.rs
+++ b/crates/dispatch/tests/pacing.rs
@@ -27,4 +27,6 @@
         let worst_ms = watch_pause_ms(1, bound_ms) + silence_limit_ms(bound_ms);
         assert!(worst_ms * 5 < bound_ms * 3);
     }
+    // Settings without a bound ended the process: a timer needs a period.
+    assert!(silence_limit_ms(0) > 0);
 }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -28,6 +28,12 @@
         name: &'a str,
         reason: String,
     },
+    /// A warning or an error that belongs to no decision.
+    Message {
+        level: &'a str,
+        source: &'a str,
+        text: String,
+    },
     /// How many nodes of the own data centre are known.
     Nodes { near: usize },
     /// Another node did not hand over the parts that it was asked for.
--- a/crates/entry/src/event_log.rs
+++ b/crates/entry/src/event_log.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 
 use crate::event::Event;
+use crate::record_log;
 
 /// Lines that wait for the writer; later ones are dropped and counted.
 const QUEUE_LINES: usize = 2_048;
@@ -65,6 +66,9 @@
             .name("event-log".into())
             .stack_size(64 * 1024)
             .spawn(move || write_lines(&queue))?;
+        if let Err(error) = record_log::install(lines.downgrade(), node.clone()) {
+            eprintln!("wigeonhall-node: warnings are not logged: {error}");
+        }
         Ok(Self {
             dropped: Cell::new(0),
             lines,
@@ -81,21 +85,10 @@
             self.dropped.set(self.dropped.get() + 1);
             return;
         }
-        let line = Line {
-            at_ms: now_us / 1_000,
-            dropped: self.dropped.get(),
-            event,
-            node: &self.node,
-            unix_ms: unix_ms(),
-        };
-        let Ok(mut text) = serde_json::to_vec(&line) else {
-            self.dropped.set(self.dropped.get() + 1);
-            return;
-        };
-        text.push(b'\n');
-        match self.lines.try_send(text) {
-            Ok(()) => self.dropped.set(0),
-            Err(_) => self.dropped.set(self.dropped.get() + 1),
+        let text = line(now_us / 1_000, self.dropped.get(), event, &self.node);
+        match text.map(|text| self.lines.try_send(text)) {
+            Some(Ok(())) => self.dropped.set(0),
+            Some(Err(_)) | None => self.dropped.set(self.dropped.get() + 1),
         }
     }
 
@@ -121,6 +114,20 @@
     }
 }
 
+/// The text of a line; `None` for an event that cannot be written as JSON.
+pub(crate) fn line(at_ms: u64, dropped: u64, event: &Event<'_>, node: &str) -> Option<Vec<u8>> {
+    let line = Line {
+        at_ms,
+        dropped,
+        event,
+        node,
+        unix_ms: unix_ms(),
+    };
+    let mut text = serde_json::to_vec(&line).ok()?;
+    text.push(b'\n');
+    Some(text)
+}
+
 /// The time of day; 0 while the clock is before 1970.
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod peer_registry;
 mod query;
 mod readiness;
+mod record_log;
 mod relay_client;
 mod relay_protocol;
 mod relay_server;
@@ -42,4 +43,5 @@
 
 pub use run::EntryError;
 pub use run::EntryOptions;
+pub use run::check_settings;
 pub use run::run;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -59,6 +59,15 @@
     }
 }
 
+/// Reads the settings that the platform provides, and starts nothing.
+///
+/// # Errors
+///
+/// When they are missing or malformed.
+pub fn check_settings() -> Result<(), EntryError> {
+    read_settings().map(drop).map_err(EntryError::Settings)
+}
+
 /// Runs a node of the entry tier until it is told to stop.
 ///
 /// # Errors
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -42,6 +42,11 @@
 }
 
 fn run(options: &Options) -> Result<(), String> {
+    if options.entry && options.check {
+        wigeonhall_entry::check_settings().map_err(|error| error.to_string())?;
+        println!("settings of the platform: ok");
+        return Ok(());
+    }
     if options.entry {
         let entry = EntryOptions {
             metrics_port: options.metrics_port,
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -75,7 +75,23 @@
             settings_text(store, node_name, "north", GRACE_MS),
         )
         .unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_wigeonhall-node"))
+        let command = Command::new(env!("CARGO_BIN_EXE_wigeonhall-node"));
+        Self::run(command, settings)
+    }
+
+    /// Starts a node that may open few descriptors.
+    pub fn start_with_descriptors(store: &StoreStandin, count: usize) -> Self {
+        let settings = std::env::temp_dir().join(format!("wigeonhall-few-{}.yaml", process::id()));
+        let text = settings_text(store.address(), "node-1", "north", GRACE_MS);
+        fs::write(&settings, text).unwrap();
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {count}; exec \"$0\" \"$@\"");
+        command.args(["-c", &script, env!("CARGO_BIN_EXE_wigeonhall-node")]);
+        Self::run(command, settings)
+    }
+
+    fn run(mut command: Command, settings: PathBuf) -> Self {
+        let mut child = command
             .args(["--entry", "--metrics-port", "0"])
             .env(SETTINGS_VARIABLE, &settings)
             .stdout(Stdio::piped())
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod feed;
 mod forwarding;
 mod planned_stop;
+mod process;
 #[path = "../soak/proxy.rs"]
 mod proxy;
 mod shared_gather;
