Let a node that starts catch up with a reader that goes back less far

Cause: found while reading: a node that starts reads each collection once and then asks a reader. Where the reader did not go back as far as that list, the node asked for a look at what is new, which nobody heard in that state, and read the store by itself after 1.5 s.

Change: the followers of collections hear of it in every state. The look has a name of its own (reissue_watches).

Before: the new test fails ("no node to follow" after 1,530 ms). After: it passes, 3 of 3; 47 of 47 tests of the entry tier pass.

--- a/crates/entry/src/change_feed.rs
+++ b/crates/entry/src/change_feed.rs
@@ -39,8 +39,8 @@
     pub(crate) may_follow: Cell<bool>,
     /// Whether the nodes of the tier were listed.
     pub(crate) nodes_listed: watch::Sender<bool>,
-    /// The newest outage of the store that has ended: watches that were sent after its
-    /// beginning, in microseconds, are to be sent again.
+    /// Beginning of the newest outage of the store that has ended: watches that were sent
+    /// after it are to be sent again.
     pub(crate) outage_began_us: watch::Sender<u64>,
     source: watch::Sender<ChangeSource>,
     /// Whether the store answers, by this node's looks or by those of the one it follows.
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Has all waiting watches sent again.
+    pub(crate) fn reissue_watches(&self) {
+        self.outage_began_us.send_replace(0);
+    }
+
     pub(crate) const fn epoch(&self) -> u64 {
         self.epoch.get()
     }
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -51,7 +51,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(125);
 
 /// Time after an outage in which a node that may follow another one does not call.
-const READERS_FIRST: Duration = Duration::from_millis(500);
+const READERS_CATCH_UP: Duration = Duration::from_millis(500);
 
 /// Longest pause after failed calls.
 const RETRY_PAUSE_MAX: Duration = Duration::from_secs(2);
@@ -60,6 +60,7 @@
 /// other node passes them on.
 pub(crate) async fn follow(view: Rc<CollectionView>) {
     let mut source = view.shared.feed.source();
+    let mut reissued = view.shared.feed.outage_began_us.subscribe();
     let mut follower = Follower {
         client: StoreClient::new(view.shared.settings.store_address),
         failures: 0,
@@ -78,6 +79,8 @@
         };
         tokio::select! {
             () = follower.step(), if due => {}
+            // A look at what is new may be due now.
+            _ = reissued.changed(), if !due => {}
             changed = source.changed() => {
                 if changed.is_err() {
                     return;
@@ -161,7 +164,7 @@
         }
         if self.view.is_lost() && shared.feed.may_follow.get() && !self.readers_waited_for {
             self.readers_waited_for = true;
-            time::sleep(READERS_FIRST).await;
+            time::sleep(READERS_CATCH_UP).await;
         }
     }
 
--- a/crates/entry/src/views.rs
+++ b/crates/entry/src/views.rs
@@ -33,7 +33,7 @@
     for view in views.iter() {
         view.hurried.set(true);
     }
-    shared.feed.outage_began_us.send_replace(0);
+    shared.feed.reissue_watches();
     let reading = async {
         while views.iter().any(|view| view.hurried.get()) {
             time::sleep(LOOK).await;
--- a/crates/node/tests/entry/feed.rs
+++ b/crates/node/tests/entry/feed.rs
@@ -175,3 +175,28 @@
         });
     }
 }
+
+/// Stale lists are some seconds old, and a reader that listed again goes back to that list
+/// only; a node that started then waited in vain, and read the store by itself.
+#[test]
+fn a_node_that_starts_with_stale_lists_catches_up_and_follows() {
+    let fleet = fleet();
+    fleet.store.set_stale(true);
+    fleet.store.set_silent(true);
+    fleet.store.unregister("a-2");
+    fleet.store.compact();
+    fleet.store.set_silent(false);
+    for node in &fleet.nodes {
+        wait_until("the replica is gone", || {
+            let line = node.last_logged(|line| line["event"] == "replicas");
+            line.is_some_and(|line| line["revision"].as_u64() >= Some(fleet.store.revision()))
+        });
+    }
+    wait_until("one reader", || {
+        let follows = |node: &&Node| source(node) != "store";
+        fleet.nodes.iter().filter(follows).count() == NODES - 1
+    });
+    let node = Node::start_named(&fleet.store, "node-9");
+    let line = node.logged(|line| line["event"] == "change_source");
+    assert_ne!(line["source"], "store", "{line}");
+}
