--- /dev/null
+++ b/crates/dispatch/tests/common/case.rs
@@ -0,0 +1,92 @@
+//! One exchange, its pool and the sends that are out.
+
+use wigeonhall_dispatch::Exchange;
+use wigeonhall_dispatch::NotRunCause;
+use wigeonhall_dispatch::Outcome;
+use wigeonhall_dispatch::Pool;
+use wigeonhall_dispatch::RefuseReason;
+use wigeonhall_dispatch::Reply;
+use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::Send;
+use wigeonhall_dispatch::UnknownCause;
+
+use super::add;
+use super::exchange;
+use super::gather;
+use super::pool;
+use super::service;
+
+pub const BUSY: Reply = Reply::NotRun(NotRunCause::Busy);
+pub const UNREACHABLE: Reply = Reply::NotRun(NotRunCause::Unreachable);
+pub const RESET: Reply = Reply::Unknown(UnknownCause::Reset);
+
+/// An exchange with its pool and the sends that are out.
+pub struct Case {
+    pub exchange: Exchange,
+    pub out: Vec<Send>,
+    pub pool: Pool,
+}
+
+impl Case {
+    pub fn single(kind: RouteKind, replicas: u16) -> Self {
+        let mut pool = pool();
+        for number in 1..=replicas {
+            add(&mut pool, "a", number);
+        }
+        let exchange = exchange(&mut pool, kind, service("a"));
+        Self {
+            exchange,
+            out: Vec::new(),
+            pool,
+        }
+    }
+
+    /// A gather over `shards` services with two replicas each.
+    pub fn gather(shards: &[&str], min_fraction: f64) -> Self {
+        let mut pool = pool();
+        for (index, shard) in shards.iter().enumerate() {
+            add(&mut pool, shard, 10 * index as u16);
+            add(&mut pool, shard, 10 * index as u16 + 1);
+        }
+        let exchange = exchange(
+            &mut pool,
+            RouteKind::Idempotent,
+            gather(shards, min_fraction),
+        );
+        Self {
+            exchange,
+            out: Vec::new(),
+            pool,
+        }
+    }
+
+    pub fn start(&mut self) -> Option<Outcome> {
+        self.exchange.start(&mut self.pool, 0, &mut self.out)
+    }
+
+    pub fn timer(&mut self, now_us: u64) -> Option<Outcome> {
+        self.exchange.timer(&mut self.pool, now_us, &mut self.out)
+    }
+
+    /// Answers the oldest send of a leg.
+    pub fn reply(&mut self, now_us: u64, leg: usize, reply: Reply) -> Option<Outcome> {
+        let index = self.out.iter().position(|send| send.leg == leg).unwrap();
+        let send = self.out.remove(index);
+        self.pool.finished(now_us, send.replica, reply, 1.0);
+        self.exchange
+            .reply(&mut self.pool, now_us, send, reply, &mut self.out)
+    }
+}
+
+/// Demands a refusal for want of shards before anything was sent.
+pub fn demand_too_few_shards(case: &Case, outcome: Option<Outcome>) {
+    let refused = matches!(
+        outcome,
+        Some(Outcome::Refuse {
+            reason: RefuseReason::TooFewShards,
+            ..
+        })
+    );
+    assert!(refused, "{outcome:?}");
+    assert!(case.out.is_empty());
+}
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of these")]
 
+pub mod case;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -237,6 +237,13 @@
     }
 }
 
+/// An idempotent route, under its name as prefix, to the service `a`.
+pub fn route_to_a(name: &str) -> RouteSpec {
+    let target = TargetSpec::Service("a".into());
+    let prefix = format!("/{name}/");
+    route(name, &prefix, RouteKind::Idempotent, target)
+}
+
 pub fn gather(shards: &[&str], min_fraction: f64) -> TargetSpec {
     TargetSpec::Gather {
         min_fraction,
--- a/crates/node/tests/entry/feed.rs
+++ b/crates/node/tests/entry/feed.rs
@@ -7,14 +7,11 @@
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::ReplicaStandin;
 use wigeonhall_adapter_standins::StoreStandin;
-use wigeonhall_dispatch::RouteKind;
-use wigeonhall_dispatch::RouteSpec;
-use wigeonhall_dispatch::TargetSpec;
 
 use crate::caller::ask;
 use crate::deployment::Node;
 use crate::deployment::configuration;
-use crate::deployment::route;
+use crate::deployment::route_to_a;
 use crate::deployment::wait_until;
 use crate::proxy::Mode;
 use crate::proxy::Proxy;
@@ -31,15 +28,9 @@
     store: StoreStandin,
 }
 
-fn one(name: &str) -> RouteSpec {
-    let target = TargetSpec::Service("a".into());
-    let prefix = format!("/{name}/");
-    route(name, &prefix, RouteKind::Idempotent, target)
-}
-
 fn fleet() -> Fleet {
     let store = StoreStandin::start().unwrap();
-    store.configure(&configuration(1, vec![one("first")]));
+    store.configure(&configuration(1, vec![route_to_a("first")]));
     let replica = |number| ReplicaStandin::start("a", number, |_| Behaviour::answer("1"));
     let replicas = [1, 2].map(|number| replica(number).unwrap());
     for replica in &replicas {
@@ -85,7 +76,7 @@
     /// Adds a route, and waits until these nodes have it.
     fn demand_change(&self, version: u64, nodes: impl Iterator<Item = usize>) {
         let name = format!("at-{version}");
-        let routes = vec![one("first"), one(&name)];
+        let routes = vec![route_to_a("first"), route_to_a(&name)];
         self.store.configure(&configuration(version, routes));
         let path = format!("/{name}/x");
         for index in nodes {
@@ -213,7 +204,7 @@
     alive[0] = u8::MAX;
     let server = ReplicaStandin::start("b", 1, move |_| Behaviour::answer(alive.clone())).unwrap();
     let store = StoreStandin::start().unwrap();
-    store.configure(&configuration(1, vec![one("first")]));
+    store.configure(&configuration(1, vec![route_to_a("first")]));
     let entry = json!({
         "address": server.registration("north").address,
         "data_centre": "north",
--- a/crates/node/tests/entry/store.rs
+++ b/crates/node/tests/entry/store.rs
@@ -6,15 +6,13 @@
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::ReplicaStandin;
 use wigeonhall_dispatch::RegistrationState;
-use wigeonhall_dispatch::RouteKind;
 use wigeonhall_dispatch::RouteSpec;
-use wigeonhall_dispatch::TargetSpec;
 
 use crate::caller::ask;
 use crate::deployment::Node;
 use crate::deployment::configuration;
 use crate::deployment::deploy;
-use crate::deployment::route;
+use crate::deployment::route_to_a;
 use crate::deployment::wait_until;
 
 fn replica(number: usize) -> ReplicaStandin {
@@ -23,8 +21,7 @@
 }
 
 fn routes() -> Vec<RouteSpec> {
-    let target = TargetSpec::Service("a".into());
-    vec![route("one", "/one/", RouteKind::Idempotent, target)]
+    vec![route_to_a("one")]
 }
 
 fn status(node: &Node, path: &str) -> u16 {
@@ -36,12 +33,7 @@
     let replica = replica(1);
     let (store, node) = deploy(routes(), &[&replica]);
     let mut more = routes();
-    more.push(route(
-        "two",
-        "/two/",
-        RouteKind::Idempotent,
-        TargetSpec::Service("a".into()),
-    ));
+    more.push(route_to_a("two"));
     store.configure(&configuration(5, more));
     wait_until("the new route", || status(&node, "/two/x") == 200);
     store.configure(&configuration(3, routes()));
@@ -82,12 +74,7 @@
     assert_eq!(status(&node, "/one/x"), 200);
     assert_eq!(node.readiness_status(), 200);
     let mut more = routes();
-    more.push(route(
-        "two",
-        "/two/",
-        RouteKind::Idempotent,
-        TargetSpec::Service("a".into()),
-    ));
+    more.push(route_to_a("two"));
     store.configure(&configuration(2, more));
     store.set_down(false);
     node.logged(|line| line["event"] == "dependency" && line["state"] == "back");
@@ -192,24 +179,14 @@
     let replica = replica(1);
     let (store, node) = deploy(routes(), &[&replica]);
     let mut more = routes();
-    more.push(route(
-        "two",
-        "/two/",
-        RouteKind::Idempotent,
-        TargetSpec::Service("a".into()),
-    ));
+    more.push(route_to_a("two"));
     store.configure(&configuration(2, more.clone()));
     wait_until("the second version", || status(&node, "/two/x") == 200);
     // The next watch of the configuration is sent after a pause, into the silence.
     store.set_silent(true);
     node.logged(|line| line["event"] == "dependency" && line["name"] == "store");
     store.set_silent(false);
-    more.push(route(
-        "three",
-        "/three/",
-        RouteKind::Idempotent,
-        TargetSpec::Service("a".into()),
-    ));
+    more.push(route_to_a("three"));
     store.configure(&configuration(3, more));
     wait_until("the third version", || status(&node, "/three/x") == 200);
 }
