--- a/crates/dispatch/src/leg.rs
+++ b/crates/dispatch/src/leg.rs
@@ -37,7 +37,8 @@
     /// Time until which the answer of a suspended replica is waited for; `None` for a leg
     /// that was sent to a sound one.
     pub(crate) doubtful_until_us: Option<u64>,
-    /// Replica that another node uses if it takes the leg back, and counts as used.
+    /// Replica that another node uses if it takes the leg back; it counts as one of those
+    /// that run the leg.
     pub(crate) fallback: Option<ReplicaKey>,
     /// Time of the next hedge; `None` when there is none to come.
     pub(crate) hedge_at_us: Option<u64>,
--- a/crates/entry/src/feed_protocol.rs
+++ b/crates/entry/src/feed_protocol.rs
@@ -32,7 +32,8 @@
 /// A message from a node that reads the store to one that follows it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum FeedMessage {
-    /// All changes that the store had this long ago were sent before.
+    /// The store answered this long ago, and the watches of the sender are sound; it may
+    /// hold changes back for the pause between two watches.
     Alive { age_ms: u64 },
     /// Changes of a collection.
     Batch(Collection, ChangeBatch),
