Test that a last resort spares cold, leaving and evacuated replicas

The new test fails when the check of the cold rate is taken out, and when the check of drain and evacuation is; it passes on the code as it is.

--- a/crates/dispatch/tests/exchange_replicas.rs
+++ b/crates/dispatch/tests/exchange_replicas.rs
@@ -8,9 +8,11 @@
 use wigeonhall_dispatch::Exchange;
 use wigeonhall_dispatch::ExtraReason;
 use wigeonhall_dispatch::Outcome;
+use wigeonhall_dispatch::RegistrationState;
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::RouteKind;
 use wigeonhall_dispatch::Send;
+use wigeonhall_dispatch::ServiceSpec;
 
 use common::DEADLINE_US;
 use common::HEDGE_US;
@@ -22,6 +24,7 @@
 use common::case::demand_too_few_shards;
 use common::gather;
 use common::pool;
+use common::registration;
 
 /// Sends of one leg on a node that other nodes' answers made `slow` look slow to; each send
 /// is followed by a hedge where one is allowed.
@@ -186,3 +189,32 @@
         assert!((share * 0.6..=share).contains(&used), "{used} of {share}");
     }
 }
+
+/// A suspended replica may also be cold, leave, or be out; none of that is set aside for a
+/// last resort.
+#[test]
+fn a_last_resort_spares_replicas_that_are_cold_leave_or_are_out() {
+    let mut pool = pool();
+    pool.describe_service(&ServiceSpec {
+        cold_rate_per_s: 1.0,
+        max_connections: 50,
+        name: "a".into(),
+    });
+    let mut cold = registration("a", 1, "north");
+    cold.cold_for_ms = 60_000;
+    let mut draining = registration("a", 2, "north");
+    let out = registration("a", 3, "south");
+    let keys = [&cold, &draining, &out].map(|it| pool.register(0, it.clone()).unwrap());
+    let service = pool.service_key(&"a".into());
+    for key in keys {
+        pool.started(0, key);
+        pool.finished(0, key, UNREACHABLE, 1.0);
+    }
+    draining.state = RegistrationState::Draining;
+    draining.sequence += 1;
+    assert_eq!(pool.register(0, draining), None);
+    pool.set_taken_out(["south".into()].into());
+    assert_eq!(pool.last_resort(MS, service), None);
+    pool.set_taken_out(BTreeSet::new());
+    assert_eq!(pool.last_resort(MS, service), Some(keys[2]));
+}
