Count a request's time from when it may have come, not from when it was read

Change: the event loop keeps the times of its looks for events. A connection knows the earliest time at which what it read may have come: the end of the look before, or the beginning of the look in which the process was stopped (an overdue timer shows that). The deadline, the target latency and the legs run for other nodes count from there. A request whose time has passed is refused at once. An idle limit that ends looks once more for bytes. At a planned stop the listener takes what waits before it closes, and kept connections are read once more.

Tests: event_look (pure), held_up (a stopped process): failed before with 3,999 ms of 4,000 handed on after 1,500 ms, and with a closed connection.

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -50,12 +50,12 @@
 }
 
 impl Exchange {
-    /// A request that arrived at `now_us` and is given up at `deadline_us`.
+    /// A request that arrived at `arrived_us` and is given up at `deadline_us`.
     ///
     /// `answer_lag_us` is how long the node itself takes to answer once it is due.
     #[must_use]
     pub fn new(
-        now_us: u64,
+        arrived_us: u64,
         deadline_us: u64,
         hedge_delay_us: u64,
         answer_lag_us: u64,
@@ -74,7 +74,7 @@
             max_runs: route.spec.max_attempts,
             min_parts: selection.min_parts,
             route,
-            soft_us: now_us + target_us.saturating_sub(margin_us).max(soft_min_us),
+            soft_us: arrived_us + target_us.saturating_sub(margin_us).max(soft_min_us),
         }
     }
 
@@ -131,6 +131,10 @@
         now_us: u64,
         sends: &mut Vec<Send>,
     ) -> Option<Outcome> {
+        if now_us >= self.deadline_us {
+            // It waited too long in a node that was busy.
+            return Some(self.refuse(pool, now_us, self.refusal(true)));
+        }
         for index in 0..self.legs.len() {
             pool.earn(self.legs[index].service);
             match self.choose(pool, now_us, index) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod availability;
 mod change_log;
 mod configuration;
+mod event_look;
 mod exchange;
 mod exchange_outcome;
 mod exchange_sends;
@@ -39,6 +40,7 @@
 pub use configuration::Configuration;
 pub use configuration::RequestLimits;
 pub use configuration::ServiceSpec;
+pub use event_look::EventLook;
 pub use exchange::Exchange;
 pub use exchange::Send;
 pub use leg::DeadReason;
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -37,17 +37,17 @@
     shared: &Rc<NodeState>,
     head: &CallerHead,
     outgoing: OutgoingRequest,
-    started_us: u64,
+    arrived_us: u64,
 ) -> CallerResponse {
     let route = head.route.clone();
     let timeout_us = route.spec.timeout_ms * 1_000;
     let remaining_us = head
         .remaining_ms
         .map_or(timeout_us, |ms| ms.saturating_mul(1_000));
-    let deadline_us = started_us + timeout_us.min(remaining_us);
+    let deadline_us = arrived_us + timeout_us.min(remaining_us);
     let hedge_delay_us = hedge_delay_us(shared, &route);
     let exchange = Exchange::new(
-        started_us,
+        arrived_us,
         deadline_us,
         hedge_delay_us,
         shared.answer_lag.get(),
@@ -65,7 +65,7 @@
         None => alone(shared, exchange, outgoing).await,
     };
     observe_lag(shared, soft_us);
-    let times = (started_us, deadline_us);
+    let times = (arrived_us, deadline_us);
     record(shared, head, times, outcome, response.status(), answered);
     response
 }
@@ -165,13 +165,13 @@
 fn record(
     shared: &NodeState,
     head: &CallerHead,
-    (started_us, deadline_us): (u64, u64),
+    (arrived_us, deadline_us): (u64, u64),
     outcome: Outcome,
     status: StatusCode,
     answered: Answered,
 ) {
     let now_us = shared.clock.now_us();
-    let elapsed_us = now_us - started_us;
+    let elapsed_us = now_us - arrived_us;
     let heard_us = shared.replicas_heard_us.get().unwrap_or(0);
     let route = &head.route;
     let metrics = &shared.metrics;
@@ -187,7 +187,7 @@
         .observe(elapsed_us as f64 / 1_000_000.0);
     shared.log(&Event::Request(RequestEvent {
         config_version: route.version,
-        deadline_ms: (deadline_us - started_us) / 1_000,
+        deadline_ms: (deadline_us - arrived_us) / 1_000,
         elapsed_ms: elapsed_us as f64 / 1_000.0,
         extra_sends: answered.extra_sends,
         legs: answered.legs,
--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -9,11 +9,16 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 use tokio::time;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use crate::probed_stream::ProbedStream;
+
+/// Time between the end of a limit and the close: the event loop looks once more for bytes
+/// that came while the process did not run.
+const LAST_LOOK: Duration = Duration::from_millis(5);
+
 /// What a caller's connection is doing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Activity {
@@ -29,6 +34,8 @@
 #[derive(Debug)]
 pub(crate) struct CallerActivity {
     activity: Cell<Activity>,
+    /// Earliest time at which the first bytes of the current request may have come.
+    arrived_us: Cell<Option<u64>>,
     head_timeout: Duration,
     idle_timeout: Duration,
 }
@@ -37,14 +44,17 @@
     pub(crate) fn new(head_timeout: Duration, idle_timeout: Duration) -> Self {
         Self {
             activity: Cell::new(Activity::Idle(Instant::now())),
+            arrived_us: Cell::new(None),
             head_timeout,
             idle_timeout,
         }
     }
 
-    /// Records that the head of a request is whole.
-    pub(crate) fn request_read(&self) {
+    /// Records that the head of a request is whole; returns the earliest time at which it
+    /// may have come, `None` if it came behind another one.
+    pub(crate) fn request_read(&self) -> Option<u64> {
         self.activity.set(Activity::Answering);
+        self.arrived_us.take()
     }
 
     /// Records that the answer to a request is handed over.
@@ -52,9 +62,10 @@
         self.activity.set(Activity::Idle(Instant::now()));
     }
 
-    fn bytes_read(&self) {
+    fn bytes_read(&self, arrived_us: u64) {
         if let Activity::Idle(_) = self.activity.get() {
             self.activity.set(Activity::Head(Instant::now()));
+            self.arrived_us.set(Some(arrived_us));
         }
     }
 
@@ -78,15 +89,18 @@
 #[derive(Debug)]
 pub(crate) struct CallerIo {
     activity: Rc<CallerActivity>,
+    /// Whether a limit has ended and bytes are looked for once more.
+    last_look: bool,
     sleep: Pin<Box<Sleep>>,
-    stream: TcpStream,
+    stream: ProbedStream,
 }
 
 impl CallerIo {
-    pub(crate) fn new(stream: TcpStream, activity: Rc<CallerActivity>) -> Self {
+    pub(crate) fn new(stream: ProbedStream, activity: Rc<CallerActivity>) -> Self {
         let sleep = Box::pin(time::sleep(activity.idle_timeout));
         Self {
             activity,
+            last_look: false,
             sleep,
             stream,
         }
@@ -101,10 +115,13 @@
                 .activity
                 .closes_at()
                 .unwrap_or(now + self.activity.idle_timeout);
-            if closes_at <= now {
+            let ended = closes_at <= now;
+            if ended && self.last_look {
                 return true;
             }
-            self.sleep.as_mut().reset(closes_at);
+            self.last_look = ended;
+            let wake_at = if ended { now + LAST_LOOK } else { closes_at };
+            self.sleep.as_mut().reset(wake_at);
         }
         false
     }
@@ -127,7 +144,7 @@
     ) -> Poll<io::Result<()>> {
         let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if result.is_ready() {
-            self.activity.bytes_read();
+            self.activity.bytes_read(self.stream.arrived_us().get());
             return result;
         }
         self.tighten();
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -12,8 +12,7 @@
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task;
 use tokio::time;
 
@@ -29,10 +28,11 @@
 use crate::event::RequestEvent;
 use crate::node_state::NodeState;
 use crate::node_state::Phase;
+use crate::probed_listener::ProbedListener;
+use crate::probed_stream::ProbedStream;
 use crate::replica_client::OutgoingRequest;
 use crate::responses;
 use crate::responses::CallerResponse;
-use crate::socket;
 
 /// When a caller that finds a node without a configuration may come back.
 const UNCONFIGURED_RETRY_MS: u64 = 100;
@@ -46,30 +46,33 @@
 /// Longest idle time of a connection before the first configuration.
 const IDLE_TIMEOUT_MS: u64 = 15_000;
 
+/// Time for which a closing process still reads what has come to it: at least one look of
+/// the event loop for what waits to be accepted or read.
+const LAST_READS: Duration = Duration::from_millis(50);
+
 /// Takes callers until the process closes its connections.
-pub(crate) async fn serve(shared: Rc<NodeState>, listener: TcpListener) {
+pub(crate) async fn serve(shared: Rc<NodeState>, mut listener: ProbedListener) {
     let mut phase = shared.phase.subscribe();
+    let mut closing = pin!(closing(&mut phase));
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            closing = phase.wait_for(|phase| *phase == Phase::Closing) => {
-                drop(closing);
-                return;
-            }
+        let stream = tokio::select! {
+            // Whatever waits is accepted before the listener closes.
+            biased;
+            stream = listener.accept() => stream,
+            () = &mut closing => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                task::spawn_local(connection(shared.clone(), stream));
-            }
-            Err(error) => {
-                log::warn!("cannot accept a caller: {error}");
-                time::sleep(socket::ACCEPT_PAUSE).await;
-            }
-        }
+        task::spawn_local(connection(shared.clone(), stream));
     }
 }
 
-async fn connection(shared: Rc<NodeState>, stream: TcpStream) {
+/// Waits until the process closes its connections and has read what came before.
+async fn closing(phase: &mut watch::Receiver<Phase>) {
+    // The sender lasts as long as the process.
+    drop(phase.wait_for(|phase| *phase == Phase::Closing).await);
+    time::sleep(LAST_READS).await;
+}
+
+async fn connection(shared: Rc<NodeState>, stream: ProbedStream) {
     shared.connections.set(shared.connections.get() + 1);
     if let Err(error) = connection_until_end(&shared, stream).await {
         log::debug!("connection of a caller ended: {error}");
@@ -77,8 +80,7 @@
     shared.connections.set(shared.connections.get() - 1);
 }
 
-async fn connection_until_end(shared: &Rc<NodeState>, stream: TcpStream) -> io::Result<()> {
-    socket::prepare(&stream)?;
+async fn connection_until_end(shared: &Rc<NodeState>, stream: ProbedStream) -> io::Result<()> {
     let limits = shared.limits();
     let head_ms = limits.map_or(HEAD_TIMEOUT_MS, |limits| limits.header_timeout_ms);
     let idle_ms = limits.map_or(IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
@@ -97,9 +99,9 @@
     let mut connection = pin!(builder.serve_connection(TokioIo::new(io), handler));
     let mut phase = shared.phase.subscribe();
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => result,
-        closing = phase.wait_for(|phase| *phase == Phase::Closing) => {
-            drop(closing);
+        () = closing(&mut phase) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -112,8 +114,9 @@
     activity: Rc<CallerActivity>,
     request: Request<Incoming>,
 ) -> Result<CallerResponse, Infallible> {
-    activity.request_read();
-    let mut response = respond(&shared, request).await;
+    let now_us = shared.clock.now_us();
+    let arrived_us = activity.request_read().unwrap_or(now_us);
+    let mut response = respond(&shared, request, arrived_us).await;
     activity.request_answered();
     if shared.phase() != Phase::Serving {
         let close = HeaderValue::from_static("close");
@@ -122,19 +125,23 @@
     Ok(response)
 }
 
-async fn respond(shared: &Rc<NodeState>, request: Request<Incoming>) -> CallerResponse {
-    let started_us = shared.clock.now_us();
+/// Answers a request that came at `arrived_us`: its caller has been waiting since then.
+async fn respond(
+    shared: &Rc<NodeState>,
+    request: Request<Incoming>,
+    arrived_us: u64,
+) -> CallerResponse {
     let table = shared.table.borrow().clone();
     let Some(table) = table else {
         return responses::refusal("no configuration is known yet", UNCONFIGURED_RETRY_MS);
     };
     let head = match caller_request::read_head(&request, &table) {
         Ok(head) => head,
-        Err(rejection) => return reject(shared, &rejection, started_us, table.version),
+        Err(rejection) => return reject(shared, &rejection, arrived_us, table.version),
     };
     match read_in_time(request, &head, &table).await {
-        Ok(outgoing) => answer::answer(shared, &head, outgoing, started_us).await,
-        Err(rejection) => reject(shared, &rejection, started_us, table.version),
+        Ok(outgoing) => answer::answer(shared, &head, outgoing, arrived_us).await,
+        Err(rejection) => reject(shared, &rejection, arrived_us, table.version),
     }
 }
 
@@ -154,10 +161,10 @@
 fn reject(
     shared: &NodeState,
     rejection: &Rejection,
-    started_us: u64,
+    arrived_us: u64,
     config_version: u64,
 ) -> CallerResponse {
-    let elapsed_us = shared.clock.now_us() - started_us;
+    let elapsed_us = shared.clock.now_us() - arrived_us;
     shared
         .metrics
         .requests
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod answer_lag;
+mod arrival_probe;
 mod caller_io;
 mod caller_request;
 mod change_feed;
@@ -21,9 +22,12 @@
 mod group_stream;
 mod http_client;
 mod lifecycle;
+mod loop_times;
 mod metrics;
 mod node_state;
 mod peer_registry;
+mod probed_listener;
+mod probed_stream;
 mod query;
 mod readiness;
 mod record_log;
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -40,7 +40,11 @@
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = hang_up.recv() => reload(shared),
-            _ = sweep.tick() => drop(shared.sweep()),
+            _ = sweep.tick() => {
+                let due_us = shared.clock.now_us() + SWEEP_PERIOD.as_micros() as u64;
+                shared.loop_times.set_timer_due(due_us);
+                shared.sweep();
+            }
         }
     }
     stop(shared).await;
--- a/crates/entry/src/node_state.rs
+++ b/crates/entry/src/node_state.rs
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::event::Event;
 use crate::event_log::EventLog;
+use crate::loop_times::LoopTimes;
 use crate::metrics::Metrics;
 use crate::relay_client::RelayConnections;
 use crate::replica_client::IdleConnections;
@@ -48,6 +49,7 @@
     pub(crate) feed: ChangeFeed,
     pub(crate) idle: RefCell<IdleConnections>,
     pub(crate) latencies: RefCell<HashMap<Arc<str>, RouteLatency>>,
+    pub(crate) loop_times: Arc<LoopTimes>,
     pub(crate) metrics: Metrics,
     /// Nodes of the own data centre.
     pub(crate) peers: RefCell<Peers>,
@@ -73,14 +75,16 @@
         };
         let mut pool = Pool::new(settings.data_centre.clone(), fastrand::u64(..));
         pool.set_extra_share(settings.retry_share);
+        let clock = Clock::start();
         Self {
             answer_lag: AnswerLag::default(),
-            clock: Clock::start(),
+            clock,
             connections: Cell::new(0),
             events,
             feed: ChangeFeed::default(),
             idle: RefCell::default(),
             latencies: RefCell::default(),
+            loop_times: Arc::new(LoopTimes::new(clock)),
             metrics,
             peers: RefCell::new(Peers::new(own)),
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/entry/src/readiness.rs
+++ b/crates/entry/src/readiness.rs
@@ -11,33 +11,28 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::task;
 
 use wigeonhall_adapter::readiness_path;
 
 use crate::node_state::NodeState;
+use crate::probed_listener::ProbedListener;
+use crate::probed_stream::ProbedStream;
 use crate::responses;
 use crate::responses::CallerResponse;
-use crate::socket;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
 /// Answers the platform's question whether the node takes callers, and serves metrics.
-pub(crate) async fn serve(shared: Rc<NodeState>, listener: TcpListener) {
-    let serve = |stream| {
+pub(crate) async fn serve(shared: Rc<NodeState>, mut listener: ProbedListener) {
+    loop {
+        let stream = listener.accept().await;
         task::spawn_local(connection(shared.clone(), stream));
-    };
-    socket::accept_each(listener, serve).await;
+    }
 }
 
-async fn connection(shared: Rc<NodeState>, stream: TcpStream) {
-    if let Err(error) = socket::prepare(&stream) {
-        log::debug!("cannot prepare a connection: {error}");
-        return;
-    }
+async fn connection(shared: Rc<NodeState>, stream: ProbedStream) {
     let handler = service::service_fn(|request| {
         let response = respond(&shared, &request);
         future::ready(Ok::<_, Infallible>(response))
--- a/crates/entry/src/relay_server.rs
+++ b/crates/entry/src/relay_server.rs
@@ -17,8 +17,6 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::task;
 
 use wigeonhall_dispatch::Exchange;
@@ -34,10 +32,11 @@
 use crate::group_stream;
 use crate::node_state::NodeState;
 use crate::node_state::Phase;
+use crate::probed_listener::ProbedListener;
+use crate::probed_stream::ProbedStream;
 use crate::query::Query;
 use crate::relay_protocol;
 use crate::replica_client::OutgoingRequest;
-use crate::socket;
 use crate::views::Views;
 
 /// Messages to another node; the head of a response to a gather comes before its parts, as
@@ -47,21 +46,19 @@
 type RelayResponse = Response<StreamBody<MessageStream>>;
 
 /// Collects parts of gathers for other nodes, and passes changes of the store on to them.
-pub(crate) async fn serve(shared: Rc<NodeState>, views: Views, listener: TcpListener) {
-    let serve = |stream| {
+pub(crate) async fn serve(shared: Rc<NodeState>, views: Views, mut listener: ProbedListener) {
+    loop {
+        let stream = listener.accept().await;
         task::spawn_local(connection(shared.clone(), views.clone(), stream));
-    };
-    socket::accept_each(listener, serve).await;
+    }
 }
 
-async fn connection(shared: Rc<NodeState>, views: Views, stream: TcpStream) {
-    if let Err(error) = socket::prepare(&stream) {
-        log::debug!("cannot prepare a connection: {error}");
-        return;
-    }
+async fn connection(shared: Rc<NodeState>, views: Views, stream: ProbedStream) {
+    let arrived_us = stream.arrived_us().clone();
     let handler = service::service_fn(|request| {
         let (shared, views) = (shared.clone(), views.clone());
-        async move { Ok::<_, Infallible>(handle(&shared, &views, request).await) }
+        let arrived_us = arrived_us.get();
+        async move { Ok::<_, Infallible>(handle(&shared, &views, request, arrived_us).await) }
     });
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
     if let Err(error) = connection.await {
@@ -73,11 +70,12 @@
     shared: &Rc<NodeState>,
     views: &Views,
     request: Request<Incoming>,
+    arrived_us: u64,
 ) -> RelayResponse {
     if let Some(revisions) = feed_protocol::read_follow(request.headers()) {
         return pass_on(shared, views, &revisions);
     }
-    match accept(shared, request).await {
+    match accept(shared, request, arrived_us).await {
         Some(query) => {
             let legs = query.legs.len();
             let request_id = query.query.request_id().clone();
@@ -131,11 +129,16 @@
 }
 
 /// Checks a request of another node; `None` if the node must do the work itself.
-async fn accept(shared: &Rc<NodeState>, mut request: Request<Incoming>) -> Option<RelayedQuery> {
+///
+/// Its times count from when it came, which may be well before a busy node reads it.
+async fn accept(
+    shared: &Rc<NodeState>,
+    mut request: Request<Incoming>,
+    arrived_us: u64,
+) -> Option<RelayedQuery> {
     if shared.phase() != Phase::Serving {
         return None;
     }
-    let started_us = shared.clock.now_us();
     let table = shared.table.borrow().clone()?;
     let headers = request.headers_mut();
     let version = relay_protocol::take_number(headers, &relay_protocol::VERSION)?;
@@ -158,8 +161,8 @@
         head.route.clone(),
         &legs,
         head.route.spec.max_attempts,
-        started_us + soft_ms * 1_000,
-        started_us + remaining_ms * 1_000,
+        arrived_us + soft_ms * 1_000,
+        arrived_us + remaining_ms * 1_000,
         hedge_delay_us,
     )
     .with_fallbacks(&fallbacks);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -20,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::node_state::NodeState;
 use crate::peer_registry;
+use crate::probed_listener::ProbedListener;
 use crate::readiness;
 use crate::relay_server;
 use crate::store_sentinel;
@@ -78,8 +79,12 @@
     let events = EventLog::start(settings.node_name.clone()).map_err(EntryError::System)?;
     let metrics = Metrics::new().map_err(EntryError::Metrics)?;
     let shared = Rc::new(NodeState::new(settings, events, metrics));
+    let parked = shared.loop_times.clone();
+    let resumed = shared.loop_times.clone();
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
+        .on_thread_park(move || parked.parked())
+        .on_thread_unpark(move || resumed.resumed())
         .build()
         .map_err(EntryError::System)?;
     let local = LocalSet::new();
@@ -98,13 +103,14 @@
     let platform = listen(settings.readiness_address).await?;
     let nodes = listen(settings.internal_address).await?;
     let internal_address = nodes.local_addr().map_err(EntryError::System)?;
+    let probed = |listener| ProbedListener::new(listener, shared.loop_times.clone());
     shared.peers.borrow_mut().set_own_address(internal_address);
     let mut metrics_address = None;
     if let Some(port) = options.metrics_port {
         let address = SocketAddr::new(settings.caller_address.ip(), port);
         let listener = listen(address).await?;
         metrics_address = listener.local_addr().ok();
-        task::spawn_local(readiness::serve(shared.clone(), listener));
+        task::spawn_local(readiness::serve(shared.clone(), probed(listener)));
     }
     shared.log(&Event::Start {
         caller_address: callers.local_addr().map_err(EntryError::System)?,
@@ -113,15 +119,15 @@
         readiness_address: platform.local_addr().map_err(EntryError::System)?,
         version: env!("CARGO_PKG_VERSION"),
     });
-    task::spawn_local(front::serve(shared.clone(), callers));
-    task::spawn_local(readiness::serve(shared.clone(), platform));
+    task::spawn_local(front::serve(shared.clone(), probed(callers)));
+    task::spawn_local(readiness::serve(shared.clone(), probed(platform)));
     let views = views::new(shared);
     for view in views.iter() {
         task::spawn_local(store_watch::follow(view.clone()));
     }
     task::spawn_local(feed_client::run(shared.clone(), views.clone()));
     task::spawn_local(peer_registry::run(shared.clone()));
-    task::spawn_local(relay_server::serve(shared.clone(), views, nodes));
+    task::spawn_local(relay_server::serve(shared.clone(), views, probed(nodes)));
     task::spawn_local(store_sentinel::run(shared.clone()));
     lifecycle::until_stopped(shared)
         .await
--- a/crates/entry/src/socket.rs
+++ b/crates/entry/src/socket.rs
@@ -3,9 +3,7 @@
 
 use socket2::SockRef;
 use socket2::TcpKeepalive;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::time;
 
 /// Idle time after which a connection is checked for a peer that went silent.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -16,22 +14,6 @@
 /// Checks without an answer that end a connection.
 const KEEPALIVE_RETRIES: u32 = 2;
 
-/// Pause after an error of `accept`, such as a lack of descriptors.
-pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
-/// Hands each connection to `serve` until the process ends.
-pub(crate) async fn accept_each(listener: TcpListener, serve: impl Fn(TcpStream)) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => serve(stream),
-            Err(error) => {
-                log::warn!("cannot accept a connection: {error}");
-                time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 /// Sets what every connection needs: no delay, and notice of a peer that went silent.
 pub(crate) fn prepare(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod feed;
 mod forwarding;
+mod held_up;
 mod planned_stop;
 mod process;
 #[path = "../soak/proxy.rs"]
