Heed replicas that say in an answer that they leave or want nothing for a while

Cause: a replica that leaves says so in its answers before, or without, an entry in the store, and a refusal may name a time for which the replica wants nothing. Neither was read, so such a replica went on being chosen, hedged to and tried as a last resort.

Change: the adapter names the header, dispatch keeps the notices of each replica for its lifetime, also while its entry is lost. Choosing, hedging, the last resort, fallbacks and connections ahead go by them. A node that passes on the answer of a replica that leaves to another node says so, and that node spares the replica, too. A request whose replica was closed to it while its connection opened is not written.

--- a/crates/dispatch/src/availability.rs
+++ b/crates/dispatch/src/availability.rs
@@ -8,10 +8,12 @@
 pub enum Availability {
     /// Its cold start leaves no request for this node at the moment.
     Cold,
-    /// It is about to leave.
+    /// It is about to leave, by its entry or by its answers.
     Draining,
     /// Its entry has gone.
     Gone,
+    /// It asked to be left alone for a while.
+    HoldingOff,
     /// Operators took its data centre out.
     Out,
     /// It takes requests.
@@ -39,10 +41,12 @@
         let gone = self.removed_at_us.is_some_and(|at_us| at_us <= now_us);
         if gone {
             Availability::Gone
-        } else if self.registration.state != RegistrationState::Ready {
+        } else if self.registration.state != RegistrationState::Ready || self.standing.leaving {
             Availability::Draining
         } else if self.taken_out {
             Availability::Out
+        } else if self.standing.holds_off(now_us) {
+            Availability::HoldingOff
         } else if now_us < self.health.suspended_until_us {
             Availability::Suspended
         } else if self.health.on_trial() && self.in_flight > 0 {
@@ -54,11 +58,24 @@
         }
     }
 
+    /// Whether the replica will take no more requests.
+    pub(crate) fn is_leaving(&self, now_us: u64) -> bool {
+        self.registration.state != RegistrationState::Ready
+            || self.standing.leaving
+            || self.taken_out
+            || self.removed_at_us.is_some_and(|at_us| at_us <= now_us)
+    }
+
     /// Whether the replica may be sent requests at all.
     pub(crate) fn is_open(&self, now_us: u64) -> bool {
-        self.registration.state == RegistrationState::Ready
-            && !self.taken_out
-            && self.removed_at_us.is_none_or(|at_us| now_us < at_us)
+        !self.is_leaving(now_us) && !self.standing.holds_off(now_us)
+    }
+
+    /// When a replica that is suspended or holds off may be tried again.
+    pub(crate) fn back_at_us(&self) -> u64 {
+        self.health
+            .suspended_until_us
+            .max(self.standing.held_until_us)
     }
 
     /// Whether a request now keeps the rate that a cold replica tolerates.
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -74,6 +74,7 @@
             Reply::NotRun(NotRunCause::OtherInstance | NotRunCause::Unreachable) => {
                 self.fail(now_us, 1);
             }
+            Reply::NotRun(NotRunCause::Withdrawn) => {}
         }
     }
 
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -4,11 +4,13 @@
 
 use crate::Availability;
 use crate::NotRunCause;
+use crate::Notice;
 use crate::Replica;
 use crate::ReplicaKey;
 use crate::Reply;
 use crate::ServiceKey;
 use crate::ServiceSpec;
+use crate::former_notices::FormerNotices;
 use crate::service::EXTRA_COST;
 use crate::service::Service;
 use crate::service::extra_cost;
@@ -39,6 +41,7 @@
     pub(crate) data_centre: Arc<str>,
     /// First requests for a service that pay for one extra one.
     extra_cost: u32,
+    pub(crate) former_notices: FormerNotices,
     pub(crate) free: Vec<u32>,
     /// Nodes of the whole tier.
     nodes: usize,
@@ -84,6 +87,7 @@
             by_id: HashMap::new(),
             data_centre,
             extra_cost: EXTRA_COST,
+            former_notices: FormerNotices::default(),
             free: Vec::new(),
             nodes: NODES_UNKNOWN,
             rng: fastrand::Rng::with_seed(seed),
@@ -278,6 +282,19 @@
         }
     }
 
+    /// Takes in what a replica asks of this node; returns whether it is news.
+    pub fn heed(&mut self, now_us: u64, key: ReplicaKey, notice: Notice) -> bool {
+        self.replica_mut(key)
+            .is_some_and(|replica| replica.standing.heed(now_us, notice))
+    }
+
+    /// Whether a request that was decided on may still be written to the replica.
+    #[must_use]
+    pub fn may_still_send(&self, now_us: u64, key: ReplicaKey) -> bool {
+        self.replica(key)
+            .is_some_and(|replica| replica.is_open(now_us))
+    }
+
     /// Records that a request was withdrawn before its answer was in.
     pub fn abandoned(&mut self, key: ReplicaKey) {
         if let Some(replica) = self.replica_mut(key) {
@@ -292,8 +309,8 @@
             .replicas_of(service)
             .iter()
             .filter_map(|key| self.replica(*key))
-            .filter(|replica| replica.is_open(now_us))
-            .map(|replica| replica.health.suspended_until_us)
+            .filter(|replica| !replica.is_leaving(now_us))
+            .map(Replica::back_at_us)
             .min()
             .unwrap_or(u64::MAX);
         let wait_ms = back_us.saturating_sub(now_us) / 1_000;
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -35,9 +35,9 @@
                 replica.warm_at_us = warm_at_us;
                 return None;
             }
-            self.remove(key);
+            self.remove(now_us, key);
         }
-        self.drop_address(&registration);
+        self.drop_address(now_us, &registration);
         Some(self.insert(now_us, registration, warm_at_us, taken_out))
     }
 
@@ -101,13 +101,14 @@
             })
             .collect();
         for key in &gone {
-            self.remove(*key);
+            self.remove(now_us, *key);
         }
+        self.former_notices.sweep(now_us);
         gone
     }
 
     /// An address belongs to one replica; the newest registration has it.
-    fn drop_address(&mut self, registration: &Registration) {
+    fn drop_address(&mut self, now_us: u64, registration: &Registration) {
         let former: Vec<ReplicaKey> = self
             .by_id
             .values()
@@ -120,7 +121,7 @@
             })
             .collect();
         for key in former {
-            self.remove(key);
+            self.remove(now_us, key);
         }
     }
 
@@ -133,6 +134,7 @@
     ) -> ReplicaKey {
         let service = self.service_key(&registration.service);
         let id = registration.id.clone();
+        let standing = self.former_notices.take(&id, registration.born_unix_ms);
         let replica = Replica {
             cold_start_us: None,
             health: Health::new(now_us),
@@ -140,6 +142,7 @@
             registration,
             removed_at_us: None,
             service,
+            standing,
             taken_out,
             warm_at_us,
         };
@@ -168,7 +171,7 @@
         }
     }
 
-    fn remove(&mut self, key: ReplicaKey) {
+    fn remove(&mut self, now_us: u64, key: ReplicaKey) {
         let slot = &mut self.arena[key.index as usize];
         if slot.generation != key.generation {
             return;
@@ -177,6 +180,7 @@
             return;
         };
         slot.generation += 1;
+        self.former_notices.keep(now_us, &replica);
         self.free.push(key.index);
         self.by_id.remove(&replica.registration.id);
         let replicas = &mut self.services[replica.service.0 as usize].replicas;
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -3,6 +3,7 @@
 use crate::Registration;
 use crate::ServiceKey;
 use crate::health::Health;
+use crate::notice::Standing;
 
 /// A replica as one node knows it.
 #[derive(Debug)]
@@ -19,6 +20,8 @@
     pub(crate) removed_at_us: Option<u64>,
     /// Its service.
     pub service: ServiceKey,
+    /// What it asked of the node in its answers.
+    pub(crate) standing: Standing,
     /// Whether operators took its data centre out.
     pub(crate) taken_out: bool,
     /// Time at which it is warm.
--- a/crates/dispatch/src/reply.rs
+++ b/crates/dispatch/src/reply.rs
@@ -31,6 +31,8 @@
     OtherInstance,
     /// No connection could be opened.
     Unreachable,
+    /// The replica came to be closed to requests before this one was written.
+    Withdrawn,
 }
 
 /// Why nothing is known of a request that was sent.
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -36,6 +36,12 @@
     },
     /// How many nodes of the own data centre are known.
     Nodes { near: usize },
+    /// A replica asked in an answer to be left alone, for a while or until it is gone.
+    Notice {
+        hold_off_ms: Option<u64>,
+        leaving: bool,
+        replica: &'a str,
+    },
     /// Another node did not hand over the parts that it was asked for.
     Relay {
         peer: &'a str,
--- a/crates/entry/src/group_parts.rs
+++ b/crates/entry/src/group_parts.rs
@@ -36,6 +36,9 @@
     pub(crate) extra_sends: u32,
     /// Whether no more parts can come.
     pub(crate) last: bool,
+    /// Replicas that said in their parts that they leave.
+    #[serde(default)]
+    pub(crate) leaving: Vec<String>,
     /// Legs whose parts are in.
     pub(crate) legs: Vec<usize>,
     /// Receipts of the parts, in the order of `legs`.
@@ -43,18 +46,12 @@
 }
 
 impl GroupParts {
-    /// Merges parts; one whose receipt is no text is left out.
+    /// Adds merged parts to a head; one whose receipt is no text is left out.
     pub(crate) fn merge(
+        mut head: GroupHead,
         parts: &[(usize, ReplicaResponse)],
         top_records: usize,
-        extra_sends: u32,
-        last: bool,
     ) -> Self {
-        let mut head = GroupHead {
-            extra_sends,
-            last,
-            ..GroupHead::default()
-        };
         let mut bodies: Vec<&[u8]> = Vec::with_capacity(parts.len());
         for (leg, part) in parts {
             let receipt = part
--- a/crates/entry/src/group_stream.rs
+++ b/crates/entry/src/group_stream.rs
@@ -7,6 +7,7 @@
 use wigeonhall_dispatch::Outcome;
 
 use crate::answer;
+use crate::group_parts::GroupHead;
 use crate::group_parts::GroupParts;
 use crate::query::Query;
 
@@ -54,8 +55,10 @@
 
     fn take_parts(&mut self) -> GroupParts {
         let legs = &self.legs;
-        let new = self.query.take_parts().into_iter();
+        let new = self.query.take_parts();
+        let leaving = self.query.leaving(&new);
         let new: Vec<_> = new
+            .into_iter()
             .map(|(index, part)| (legs[index], part))
             .filter(|(leg, _)| !self.sent.contains(leg))
             .collect();
@@ -63,6 +66,12 @@
         let exchange = &self.query.exchange;
         let top_records = answer::top_records(exchange.route());
         let last = exchange.legs().all(|leg| leg != LegState::Open);
-        GroupParts::merge(&new, top_records, exchange.extra_sends(), last)
+        let head = GroupHead {
+            extra_sends: exchange.extra_sends(),
+            last,
+            leaving,
+            ..GroupHead::default()
+        };
+        GroupParts::merge(head, &new, top_records)
     }
 }
--- a/crates/entry/src/node_state.rs
+++ b/crates/entry/src/node_state.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use wigeonhall_adapter::ProcessSettings;
+use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::PeerNode;
 use wigeonhall_dispatch::Peers;
 use wigeonhall_dispatch::Pool;
@@ -115,6 +116,23 @@
         self.table.borrow().as_ref().map(|table| table.limits)
     }
 
+    /// Takes in what a replica asks of this node in an answer.
+    pub(crate) fn heed(&self, key: ReplicaKey, notice: Notice) {
+        let now_us = self.clock.now_us();
+        let mut pool = self.pool.borrow_mut();
+        if !pool.heed(now_us, key, notice) {
+            return;
+        }
+        if notice.leaving {
+            self.idle.borrow_mut().close(key);
+        }
+        self.log(&Event::Notice {
+            hold_off_ms: notice.hold_off_ms,
+            leaving: notice.leaving,
+            replica: pool.replica(key).map_or("gone", |replica| replica.id()),
+        });
+    }
+
     /// Drops replicas whose time has come, and connections that are not used again.
     pub(crate) fn sweep(&self) -> Vec<ReplicaKey> {
         let now_us = self.clock.now_us();
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -11,6 +11,7 @@
 use tokio::task;
 use tokio::time;
 
+use wigeonhall_adapter::LEAVING;
 use wigeonhall_dispatch::DeadReason;
 use wigeonhall_dispatch::Exchange;
 use wigeonhall_dispatch::LegState;
@@ -137,7 +138,7 @@
         let flight = Flight::new(shared.clone(), send.replica, route);
         self.pending.push(Box::pin(async move {
             let result = replica_client::send(&shared, send.replica, &outgoing, deadline_us).await;
-            flight.land(result.reply);
+            flight.land(&result);
             (send, result)
         }));
     }
@@ -166,6 +167,22 @@
         parts
     }
 
+    /// Replicas that said in the answers of these legs that they leave.
+    pub(crate) fn leaving(&self, parts: &[(usize, ReplicaResponse)]) -> Vec<String> {
+        let pool = self.shared.pool.borrow();
+        let says_so = parts
+            .iter()
+            .filter(|(_, response)| response.headers.contains_key(&LEAVING));
+        let replica = |leg: usize| {
+            let LegState::Done(attempt) = self.exchange.legs().nth(leg)? else {
+                return None;
+            };
+            let key = self.exchange.replicas(leg).nth(attempt)?;
+            Some(pool.replica(key)?.id().to_string())
+        };
+        says_so.filter_map(|(leg, _)| replica(*leg)).collect()
+    }
+
     fn log_send(&self, send: Send, reply: Reply) {
         let shared = &self.shared;
         let pool = shared.pool.borrow();
@@ -262,9 +279,11 @@
         }
     }
 
-    fn land(&self, reply: Reply) {
+    fn land(&self, result: &SendResult) {
         self.landed.set(true);
+        let reply = result.reply;
         let shared = &self.shared;
+        shared.heed(self.replica, result.notice);
         let now_us = shared.clock.now_us();
         let latency_us = now_us - self.sent_us;
         let mut latencies = shared.latencies.borrow_mut();
--- a/crates/entry/src/replica_client.rs
+++ b/crates/entry/src/replica_client.rs
@@ -19,11 +19,15 @@
 use hyper::body::Incoming;
 
 use wigeonhall_adapter::EXPECTED_INSTANCE;
+use wigeonhall_adapter::LEAVING;
 use wigeonhall_adapter::NOT_RUN;
 use wigeonhall_adapter::RECEIPT;
 use wigeonhall_adapter::REMAINING_MS;
 use wigeonhall_adapter::REQUEST_ID;
+use wigeonhall_adapter::RETRY_AFTER;
+use wigeonhall_adapter::retry_after_ms;
 use wigeonhall_dispatch::NotRunCause;
+use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::UnknownCause;
@@ -134,6 +138,13 @@
                 }
             },
         };
+        if !shared
+            .pool
+            .borrow()
+            .may_still_send(shared.clock.now_us(), key)
+        {
+            return SendResult::without_response(Reply::NotRun(NotRunCause::Withdrawn));
+        }
         match send_over(shared, sender, &destination, request, deadline_us).await {
             Sent::Ended(result) => return result,
             // The connection ended before the request was written to it.
@@ -250,6 +261,7 @@
     };
     let reply = classify(&response);
     let result = SendResult {
+        notice: notice(reply, &response),
         reply,
         response: Some(response),
     };
@@ -277,7 +289,21 @@
     }
 }
 
-const fn unknown(cause: UnknownCause) -> SendResult {
+/// What the replica asks of this node; an answer of another instance does not count.
+fn notice(reply: Reply, response: &ReplicaResponse) -> Notice {
+    if reply == Reply::NotRun(NotRunCause::OtherInstance) {
+        return Notice::default();
+    }
+    let headers = &response.headers;
+    let refused = response.status == StatusCode::SERVICE_UNAVAILABLE;
+    let hold_off = headers.get(&RETRY_AFTER).filter(|_| refused);
+    Notice {
+        hold_off_ms: hold_off.and_then(retry_after_ms),
+        leaving: headers.contains_key(&LEAVING),
+    }
+}
+
+fn unknown(cause: UnknownCause) -> SendResult {
     SendResult::without_response(Reply::Unknown(cause))
 }
 
--- a/crates/entry/src/replica_response.rs
+++ b/crates/entry/src/replica_response.rs
@@ -2,6 +2,7 @@
 use http::HeaderMap;
 use http::StatusCode;
 
+use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::Reply;
 
 /// The whole answer of a replica.
@@ -15,13 +16,16 @@
 /// What came of a send, with the answer if there is one to use.
 #[derive(Debug)]
 pub(crate) struct SendResult {
+    /// What the replica asks of the node besides.
+    pub(crate) notice: Notice,
     pub(crate) reply: Reply,
     pub(crate) response: Option<ReplicaResponse>,
 }
 
 impl SendResult {
-    pub(crate) const fn without_response(reply: Reply) -> Self {
+    pub(crate) fn without_response(reply: Reply) -> Self {
         Self {
+            notice: Notice::default(),
             reply,
             response: None,
         }
--- a/crates/entry/src/shared_gather.rs
+++ b/crates/entry/src/shared_gather.rs
@@ -13,6 +13,7 @@
 
 use wigeonhall_dispatch::Exchange;
 use wigeonhall_dispatch::GiveUpReason;
+use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::Outcome;
 use wigeonhall_dispatch::RelayGroup;
 use wigeonhall_dispatch::ReplicaKey;
@@ -211,11 +212,27 @@
     }
 
     fn add(&mut self, parts: GroupParts) {
+        self.heed_leaving(&parts.head.leaving);
         self.extra_sends += parts.head.extra_sends;
         self.done.extend(&parts.head.legs);
         self.collected.push(parts);
     }
 
+    /// Spares replicas that told another node that they leave: their answers pass through
+    /// this node, too.
+    fn heed_leaving(&self, ids: &[String]) {
+        let notice = Notice {
+            hold_off_ms: None,
+            leaving: true,
+        };
+        for id in ids {
+            let key = self.shared.pool.borrow().key_of(id);
+            if let Some(key) = key {
+                self.shared.heed(key, notice);
+            }
+        }
+    }
+
     fn failed(&self, node: &Arc<str>, error: RelayError) {
         self.shared.metrics.relay_failures.inc();
         if error != RelayError::Declined {
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod feed;
 mod forwarding;
 mod held_up;
+mod notices;
 mod planned_stop;
 mod process;
 #[path = "../soak/proxy.rs"]
--- /dev/null
+++ b/crates/node/tests/entry/notices.rs
@@ -0,0 +1,64 @@
+//! Guards against requests to replicas that said in an answer that they leave, or that they
+//! want to be left alone.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use wigeonhall_adapter_standins::Behaviour;
+use wigeonhall_adapter_standins::ReplicaStandin;
+
+use crate::caller::ask;
+use crate::deployment::deploy;
+use crate::deployment::route_to_a;
+
+/// A replica that behaves in its own way when it is asked first.
+fn first_then(first: Behaviour, later: Behaviour) -> ReplicaStandin {
+    let asked = AtomicUsize::new(0);
+    let decide = move |_: &_| match asked.fetch_add(1, Ordering::Relaxed) {
+        0 => first.clone(),
+        _ => later.clone(),
+    };
+    ReplicaStandin::start("a", 1, decide).unwrap()
+}
+
+/// The store may hear of it long after, or never.
+#[test]
+fn a_replica_that_says_in_an_answer_that_it_leaves_gets_nothing_more() {
+    let leaving = Behaviour::Leaving {
+        body: b"last".to_vec(),
+    };
+    let replica = first_then(leaving, Behaviour::answer("more"));
+    let (store, node) = deploy(vec![route_to_a("one")], &[&replica]);
+    let last = ask(node.callers, "GET", "/one/x", "q1", "");
+    assert_eq!(
+        (last.status, &*last.message.body),
+        (200, b"last".as_slice())
+    );
+    let mut heartbeat = replica.registration("north");
+    heartbeat.sequence = 2;
+    store.register(&heartbeat);
+    node.logged(|line| line["event"] == "notice" && line["leaving"] == true);
+    assert_eq!(ask(node.callers, "GET", "/one/x", "q2", "").status, 503);
+    assert_eq!(replica.runs().len(), 1);
+}
+
+/// The other replica serves meanwhile; alone, the first one is not tried as a last resort.
+#[test]
+fn a_replica_that_wants_nothing_for_a_while_gets_nothing() {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let counted = asked.clone();
+    let decide = move |_: &_| {
+        counted.fetch_add(1, Ordering::Relaxed);
+        Behaviour::BusyFor { seconds: "60.5" }
+    };
+    let replica = ReplicaStandin::start("a", 1, decide).unwrap();
+    let (_store, node) = deploy(vec![route_to_a("one")], &[&replica]);
+    for number in 0..8 {
+        let id = format!("q{number}");
+        let answer = ask(node.callers, "GET", "/one/x", &id, "");
+        assert_eq!(answer.status, 503);
+    }
+    node.logged(|line| line["event"] == "notice" && line["hold_off_ms"] == 60_500);
+    assert_eq!(asked.load(Ordering::Relaxed), 1);
+}
