Let followers look for another reader before the store; pass lists on as changes

Ruled out: watches in steady state (a tenth of the calls).

Change: a follower asks other readers until what it knows may be out of date, and only then reads the store. Readers say when it is the store that does not answer. A list after a lost history is passed on as the difference. A reader keeps its role until it follows another node. A node registers only if the entry of its former process does not hold, and waits for the store's first answer. Calls are counted by purpose, entries that cannot be read and changes passed on apart; failures to register or to list nodes are lines.

Tests: three in entry/feed on calls after a lost reader, a lost history and an outage; reading_role on a node that cannot read.

--- a/crates/dispatch/src/reading_role.rs
+++ b/crates/dispatch/src/reading_role.rs
@@ -25,14 +25,14 @@
     /// Whether the node reads the store or follows others of its data centre.
     ///
     /// Nodes that know the same nodes agree. Nobody relies on that: a node that finds no
-    /// other to follow reads the store.
+    /// other to follow reads the store. A node that `can_read` no more passes itself over.
     #[must_use]
-    pub fn reading_role(&self, now_us: u64) -> ReadingRole {
-        let mut readers: Vec<&PeerNode> = self
-            .nodes
-            .iter()
-            .filter(|node| self.unreadable.is_sound(now_us, &node.name))
-            .collect();
+    pub fn reading_role(&self, now_us: u64, can_read: bool) -> ReadingRole {
+        let usable = |node: &&PeerNode| {
+            let able = can_read || node.name != self.own().name;
+            able && self.unreadable.is_sound(now_us, &node.name)
+        };
+        let mut readers: Vec<&PeerNode> = self.nodes.iter().filter(usable).collect();
         readers.sort_by(|a, b| by_score(a, b, READER_KEY));
         readers.truncate(self.nodes.len().div_ceil(NODES_PER_READER));
         let own = self.own();
--- a/crates/dispatch/tests/reading_role.rs
+++ b/crates/dispatch/tests/reading_role.rs
@@ -38,7 +38,7 @@
         let mut followers: BTreeMap<Arc<str>, usize> = BTreeMap::new();
         let mut reading = Vec::new();
         for own in 0..nodes.len() {
-            match sources(peers(&nodes, own).reading_role(0)).first() {
+            match sources(peers(&nodes, own).reading_role(0, true)).first() {
                 Some(first) => *followers.entry(first.clone()).or_default() += 1,
                 None => reading.push(nodes[own].name.clone()),
             }
@@ -53,7 +53,7 @@
 #[test]
 fn the_next_node_reads_when_a_reader_cannot_be_followed() {
     let nodes = nodes(8);
-    let first = sources(peers(&nodes, 0).reading_role(0));
+    let first = sources(peers(&nodes, 0).reading_role(0, true));
     let lost = match first.first() {
         Some(name) => name.clone(),
         None => nodes[0].name.clone(),
@@ -62,19 +62,19 @@
     for own in (0..nodes.len()).filter(|own| nodes[*own].name != lost) {
         let mut peers = peers(&nodes, own);
         peers.suspect_reader(0, &lost);
-        let role = peers.reading_role(500_000);
+        let role = peers.reading_role(500_000, true);
         assert!(!sources(role.clone()).contains(&lost));
         if role == ReadingRole::Reader {
             reading.push(own);
         }
         assert_eq!(
-            sources(peers.reading_role(1_500_000)),
+            sources(peers.reading_role(1_500_000, true)),
             std::slice::from_ref(&lost)
         );
         peers.suspect_reader(1_500_000, &lost);
         peers.followed(&lost);
         assert_eq!(
-            sources(peers.reading_role(1_500_000)),
+            sources(peers.reading_role(1_500_000, true)),
             std::slice::from_ref(&lost)
         );
     }
@@ -89,5 +89,21 @@
     for node in nodes.iter().filter(|node| node.name != nodes[3].name) {
         peers.suspect_reader(0, &node.name);
     }
-    assert_eq!(peers.reading_role(1), ReadingRole::Reader);
+    assert_eq!(peers.reading_role(1, true), ReadingRole::Reader);
+}
+
+/// A reader that the store refuses follows the next node, which takes its place for others.
+#[test]
+fn a_node_that_cannot_read_follows_the_next_one() {
+    let nodes = nodes(8);
+    let reads = |own: &usize| peers(&nodes, *own).reading_role(0, true) == ReadingRole::Reader;
+    let reader = (0..nodes.len()).find(reads).unwrap();
+    let next = sources(peers(&nodes, reader).reading_role(0, false));
+    assert_eq!(next.len(), 1);
+    assert_ne!(next[0], nodes[reader].name);
+    let mut other = peers(&nodes, (reader + 1) % nodes.len());
+    other.suspect_reader(0, &nodes[reader].name);
+    if next[0] != other.own().name {
+        assert_eq!(sources(other.reading_role(1, true)), next);
+    }
 }
--- a/crates/entry/src/change_feed.rs
+++ b/crates/entry/src/change_feed.rs
@@ -21,7 +21,7 @@
     Listing,
     /// Another node passes changes on.
     Node,
-    /// The node does not know yet whether it will read the store.
+    /// The node looks for another one to follow, and may read the store if it finds none.
     Undecided,
     /// The store.
     Store,
@@ -30,8 +30,6 @@
 /// Changes on their way from the store to the nodes that follow this one.
 #[derive(Debug)]
 pub(crate) struct ChangeFeed {
-    /// Counts the times when streams to followers had to end.
-    epoch: Cell<u64>,
     followers: broadcast::Sender<FeedMessage>,
     /// Asks the sentinel for a look at the store ahead of time.
     pub(crate) look_due: Notify,
@@ -50,7 +48,6 @@
 impl Default for ChangeFeed {
     fn default() -> Self {
         Self {
-            epoch: Cell::new(0),
             followers: broadcast::Sender::new(BEHIND_MAX),
             look_due: Notify::new(),
             may_follow: Cell::new(false),
@@ -124,13 +121,4 @@
     pub(crate) fn reissue_watches(&self) {
         self.outage_began_us.send_replace(0);
     }
-
-    pub(crate) const fn epoch(&self) -> u64 {
-        self.epoch.get()
-    }
-
-    /// Ends the streams of all followers.
-    pub(crate) fn end_streams(&self) {
-        self.epoch.set(self.epoch.get() + 1);
-    }
 }
--- a/crates/entry/src/collection_view.rs
+++ b/crates/entry/src/collection_view.rs
@@ -15,6 +15,7 @@
 use wigeonhall_adapter::decode_changes;
 use wigeonhall_adapter::decode_configuration;
 use wigeonhall_adapter::decode_registration;
+use wigeonhall_adapter::encode_changes;
 use wigeonhall_adapter::is_current_configuration;
 use wigeonhall_dispatch::BatchFit;
 use wigeonhall_dispatch::ChangeBatch;
@@ -38,8 +39,13 @@
     pub(crate) hurried: Cell<bool>,
     /// Changes for nodes that follow this one.
     pub(crate) log: RefCell<ChangeLog>,
+    /// Whether the whole collection has to be read, as the store forgot the changes after
+    /// `revision`.
+    pub(crate) list_due: Cell<bool>,
     /// Time of the first failed call of an outage.
     lost_at_us: Cell<Option<u64>>,
+    /// Names of the objects that are in the collection at `revision`.
+    names: RefCell<BTreeSet<Arc<str>>>,
     /// Revision up to which all is known; `None` before a list.
     pub(crate) revision: Cell<Option<u64>>,
     pub(crate) shared: Rc<NodeState>,
@@ -51,8 +57,10 @@
             collection,
             evacuated: RefCell::default(),
             hurried: Cell::new(false),
+            list_due: Cell::new(false),
             log: RefCell::default(),
             lost_at_us: Cell::new(None),
+            names: RefCell::default(),
             revision: Cell::new(None),
             shared,
         }
@@ -69,10 +77,44 @@
     }
 
     /// Takes in the whole collection as of a revision.
+    ///
+    /// Nodes that follow this one get the difference to what was known before, as changes.
     pub(crate) fn list(&self, objects: Vec<StoredObject>, revision: u64) {
+        let names = objects.iter().map(|object| object.name.clone()).collect();
+        let former_names = self.names.replace(names);
+        match self.revision.get() {
+            Some(former) if former <= revision => {
+                let batch = self.difference(&objects, &former_names, former, revision);
+                self.shared.feed.publish(self.collection, &batch);
+                self.log.borrow_mut().push(batch);
+            }
+            Some(_) | None => self.log.borrow_mut().restart(revision),
+        }
         self.replace(objects, revision);
         self.revision.set(Some(revision));
-        self.log.borrow_mut().restart(revision);
+        self.hurried.set(false);
+        self.list_due.set(false);
+    }
+
+    /// Changes that lead from what was known at `former` to the listed objects.
+    fn difference(
+        &self,
+        objects: &[StoredObject],
+        former_names: &BTreeSet<Arc<str>>,
+        former: u64,
+        revision: u64,
+    ) -> ChangeBatch {
+        let changed: Vec<&StoredObject> = objects
+            .iter()
+            .filter(|object| object.revision > former)
+            .collect();
+        let names = self.names.borrow();
+        let gone: Vec<Arc<str>> = former_names.difference(&names).cloned().collect();
+        ChangeBatch {
+            body: encode_changes(&changed, &gone, revision).into(),
+            from: former,
+            to: revision,
+        }
     }
 
     /// Takes in changes, and hands them to the nodes that follow this one; returns how
@@ -97,8 +139,7 @@
         let fit = batch.fit(self.revision.get());
         if fit == BatchFit::Next {
             self.apply_batch(batch)?;
-            // What came before is not held here for other nodes.
-            self.log.borrow_mut().restart(batch.to);
+            self.log.borrow_mut().push(batch.clone());
         }
         Ok(fit)
     }
@@ -108,6 +149,7 @@
         if !batch.body.is_empty() {
             let changes = decode_changes(&batch.body)?.changes;
             count = changes.len();
+            self.note_names(&changes);
             self.apply(changes, batch.to);
         }
         self.revision.set(Some(batch.to));
@@ -115,6 +157,17 @@
         Ok(count)
     }
 
+    fn note_names(&self, changes: &[ObjectChange]) {
+        let mut names = self.names.borrow_mut();
+        for change in changes {
+            if change.deleted {
+                names.remove(&change.object.name);
+            } else {
+                names.insert(change.object.name.clone());
+            }
+        }
+    }
+
     /// Records that the collection could not be read.
     pub(crate) fn lost(&self, reason: &str) {
         let shared = &self.shared;
@@ -230,7 +283,9 @@
     }
 
     fn malformed(&self, object: &StoredObject, reason: String) {
-        self.count("malformed");
+        let labels = [self.collection.wire_name()];
+        let malformed = &self.shared.metrics.malformed_entries;
+        malformed.with_label_values(&labels).inc();
         self.shared.log(&Event::Malformed {
             collection: self.collection.wire_name(),
             name: &object.name,
@@ -279,15 +334,6 @@
             .set_taken_out(evacuated.clone());
     }
 
-    pub(crate) fn count(&self, outcome: &str) {
-        let labels = [self.collection.wire_name(), outcome];
-        self.shared
-            .metrics
-            .store_calls
-            .with_label_values(&labels)
-            .inc();
-    }
-
     fn report(&self, new: &[ReplicaKey], revision: u64) {
         let gone = self.shared.sweep();
         let now_us = self.shared.clock.now_us();
--- a/crates/entry/src/feed_client.rs
+++ b/crates/entry/src/feed_client.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -36,6 +37,9 @@
 /// The same while other nodes run.
 const NODES: Duration = Duration::from_millis(300);
 
+/// Times that a node waits for the list of the nodes while the store is away.
+const NODES_WAITS: u32 = 20;
+
 /// Time after the list of the nodes that a follower leaves to the readers while the whole
 /// tier starts: a reader can be followed only from the revision at which it began.
 const READERS_FIRST: Duration = Duration::from_millis(400);
@@ -46,8 +50,22 @@
 /// Time after which a node asks again whether it can follow another.
 const REVIEW: Duration = Duration::from_millis(1_500);
 
-/// Rounds in which a node looks for one to follow; after a failed one others are chosen.
-const ROUNDS: usize = 2;
+/// Shortest time in which another node to follow is looked for before the store is read.
+const SEEK_MIN: Duration = Duration::from_millis(250);
+
+/// Pause between two rounds of looking for a node to follow.
+const SEEK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time after which a node asks again whether it can follow another, while neither knows
+/// whether the store answers.
+const REVIEW_IN_DOUBT: Duration = Duration::from_millis(300);
+
+/// Times in a row that a node declines before others are asked in its place: one that has
+/// just become a reader does not know it yet.
+const DECLINES_TO_SUSPECT: u32 = 3;
+
+/// Part of the silence limit that a node may take to answer when it is asked.
+const OPEN_DIVISOR: u32 = 4;
 
 /// Time after an outage of the store that readers get to catch up.
 const READERS_BACK: Duration = Duration::from_millis(200);
@@ -64,14 +82,37 @@
     Declined,
     /// The connection ended.
     Ended,
+    /// The address belongs to a server that is no node.
+    Foreign,
     /// Changes are missing before those that were passed on.
     Gap,
     /// This node is to read the store.
     NowReader,
     /// Nothing was heard within the silence limit.
     Silent,
+    /// The store does not answer the other node at the moment.
+    StoreAway,
     /// A message or a change could not be decoded.
     Undecodable,
+    /// No connection could be opened.
+    Unreachable,
+}
+
+/// The end of an attempt to follow a node.
+#[derive(Clone, Copy, Debug)]
+struct StreamEnd {
+    /// Time until which what is known counts as up to date; `None` if nothing was heard.
+    fresh_until: Option<Instant>,
+    reason: FeedEnd,
+}
+
+impl StreamEnd {
+    const fn unheard(reason: FeedEnd) -> Self {
+        Self {
+            fresh_until: None,
+            reason,
+        }
+    }
 }
 
 /// Follows a node that reads the store, or lets this node read it, until the process ends.
@@ -79,20 +120,12 @@
     start(&shared, &views).await;
     let mut outage_ended = shared.feed.outage_began_us.subscribe();
     loop {
-        for _ in 0..ROUNDS {
-            let role = role(&shared, &views);
-            shared.feed.may_follow.set(role != ReadingRole::Reader);
-            if let ReadingRole::Follower(sources) = role
-                && follow_one(&shared, &views, sources).await
-            {
-                break;
-            }
-        }
+        follow_while_possible(&shared, &views).await;
         if shared.feed.set_source(ChangeSource::Store) {
             report(&shared, "store", "no node to follow");
         }
         tokio::select! {
-            () = time::sleep(REVIEW.mul_f64(0.75 + 0.5 * fastrand::f64())) => {}
+            () = time::sleep(review(&shared)) => {}
             _ = outage_ended.changed() => {
                 time::sleep(READERS_BACK.mul_f64(0.5 + fastrand::f64())).await;
             }
@@ -100,36 +133,84 @@
     }
 }
 
+/// Time until a node that reads the store asks again whether it can follow another.
+fn review(shared: &NodeState) -> Duration {
+    let in_doubt = shared.feed.store_in_doubt() && shared.feed.may_follow.get();
+    let review = if in_doubt { REVIEW_IN_DOUBT } else { REVIEW };
+    review.mul_f64(0.75 + 0.5 * fastrand::f64())
+}
+
+/// Follows one node after the other, as long as the next one is found in time.
+///
+/// While one is looked for, nothing is read from the store: an outage ends the streams of
+/// all readers at once, and each call of each node would be paid for.
+async fn follow_while_possible(shared: &Rc<NodeState>, views: &Views) {
+    let mut seek_until = first_seek_until(shared);
+    let mut declines: HashMap<Arc<str>, u32> = HashMap::new();
+    loop {
+        // A reader that lost the store stays one for the others until it follows a node.
+        let is_reader = reading_role(shared, true) == ReadingRole::Reader;
+        shared.feed.may_follow.set(!is_reader);
+        let ReadingRole::Follower(sources) = role(shared, views) else {
+            return;
+        };
+        for (name, address) in sources {
+            let end = follow_caught_up(shared, views, &name, address).await;
+            ended(shared, &name, end, &mut declines);
+            if end.reason == FeedEnd::NowReader {
+                return;
+            }
+            if let Some(fresh_until) = end.fresh_until {
+                seek_until = fresh_until.max(Instant::now() + SEEK_MIN);
+                break;
+            }
+        }
+        if Instant::now() >= seek_until {
+            return;
+        }
+        time::sleep(SEEK_PAUSE).await;
+    }
+}
+
+/// Time until which a node may look for its first one to follow; one that reads the store
+/// meanwhile asks each node once.
+fn first_seek_until(shared: &NodeState) -> Instant {
+    if shared.feed.reads_store() {
+        Instant::now()
+    } else {
+        Instant::now() + SEEK_MIN
+    }
+}
+
 /// Whether the node should read the store; one that cannot read it should not.
 fn role(shared: &NodeState, views: &Views) -> ReadingRole {
-    let now_us = shared.clock.now_us();
     let limit_us = feed_server::silence_limit(shared).as_micros() as u64;
-    let mut peers = shared.peers.borrow_mut();
-    if views.iter().any(|view| view.lost_us() > limit_us) {
-        let own_name = peers.own().name.clone();
-        peers.suspect_reader(now_us, &own_name);
-    }
-    peers.reading_role(now_us)
+    let can_read = views.iter().all(|view| view.lost_us() <= limit_us);
+    reading_role(shared, can_read)
 }
 
-/// Follows the first node that can be followed; returns whether there was one, after its
-/// stream has ended.
-async fn follow_one(
+fn reading_role(shared: &NodeState, can_read: bool) -> ReadingRole {
+    let now_us = shared.clock.now_us();
+    shared.peers.borrow().reading_role(now_us, can_read)
+}
+
+/// Follows a node; one that does not go back far enough is asked again after a look at
+/// what is new in the store.
+async fn follow_caught_up(
     shared: &Rc<NodeState>,
     views: &Views,
-    sources: Vec<(Arc<str>, SocketAddr)>,
-) -> bool {
-    for (name, address) in sources {
-        let mut end = follow(shared, views, &name, address).await;
-        if end == FeedEnd::Behind {
-            views::catch_up_within(shared, views, LISTS).await;
-            end = follow(shared, views, &name, address).await;
-        }
-        if ended(shared, &name, end) {
-            return true;
-        }
+    name: &Arc<str>,
+    address: SocketAddr,
+) -> StreamEnd {
+    let end = follow(shared, views, name, address).await;
+    if end.reason != FeedEnd::Behind {
+        return end;
+    }
+    if !shared.feed.reads_store() {
+        shared.feed.set_source(ChangeSource::Listing);
     }
-    false
+    views::catch_up_within(shared, views, LISTS).await;
+    follow(shared, views, name, address).await
 }
 
 /// Waits until the nodes are known, and reads the collections once.
@@ -141,11 +222,18 @@
         NODES
     };
     let mut listed = shared.feed.nodes_listed.subscribe();
-    if time::timeout(limit, listed.wait_for(|listed| *listed))
+    let mut waits = 0;
+    while time::timeout(limit, listed.wait_for(|listed| *listed))
         .await
         .is_err()
     {
         log::debug!("the nodes were not listed in time");
+        waits += 1;
+        if !shared.feed.store_in_doubt() || waits >= NODES_WAITS {
+            break;
+        }
+        // The store answers nobody yet; the collections are read once it does.
+        shared.feed.set_source(ChangeSource::Listing);
     }
     if role(shared, views) == ReadingRole::Reader {
         return;
@@ -159,23 +247,42 @@
     }
 }
 
-/// Lets the node read the store again after a stream ended; returns whether it had been
-/// following.
-fn ended(shared: &NodeState, name: &Arc<str>, end: FeedEnd) -> bool {
-    if end != FeedEnd::NowReader {
+/// Records the end of an attempt to follow a node.
+fn ended(
+    shared: &NodeState,
+    name: &Arc<str>,
+    end: StreamEnd,
+    declines: &mut HashMap<Arc<str>, u32>,
+) {
+    let reason = format!("{name}: {:?}", end.reason);
+    if end.fresh_until.is_some() {
+        // The store may be the reason; it is looked at before it is called.
+        shared.feed.doubt_store(shared.clock.now_us());
+        shared.feed.set_source(ChangeSource::Undecided);
+        report(shared, "none", &reason);
+    } else {
+        log::debug!("cannot follow {reason}");
+    }
+    let suspect = match end.reason {
+        FeedEnd::NowReader | FeedEnd::StoreAway => false,
+        FeedEnd::Ended => end.fresh_until.is_none(),
+        FeedEnd::Declined => {
+            let count = declines.entry(name.clone()).or_default();
+            *count += 1;
+            *count >= DECLINES_TO_SUSPECT
+        }
+        FeedEnd::Behind
+        | FeedEnd::Foreign
+        | FeedEnd::Gap
+        | FeedEnd::Silent
+        | FeedEnd::Undecodable
+        | FeedEnd::Unreachable => true,
+    };
+    if suspect {
+        declines.remove(name);
         let now_us = shared.clock.now_us();
         shared.peers.borrow_mut().suspect_reader(now_us, name);
     }
-    let reason = format!("{name}: {end:?}");
-    if !shared.feed.follows() {
-        log::debug!("cannot follow {reason}");
-        return false;
-    }
-    // An outage of the store ends the streams of all readers at once.
-    shared.feed.doubt_store(shared.clock.now_us());
-    shared.feed.set_source(ChangeSource::Store);
-    report(shared, "store", &reason);
-    true
 }
 
 fn report(shared: &NodeState, source: &str, reason: &str) {
@@ -188,12 +295,13 @@
     views: &Views,
     name: &Arc<str>,
     address: SocketAddr,
-) -> FeedEnd {
+) -> StreamEnd {
     let limit = feed_server::silence_limit(shared);
-    let opened = match time::timeout(limit, open(shared, views, address)).await {
+    let opening = open(shared, views, address);
+    let opened = match time::timeout(limit / OPEN_DIVISOR, opening).await {
         Ok(Ok(opened)) => opened,
-        Ok(Err(end)) => return end,
-        Err(_) => return FeedEnd::Silent,
+        Ok(Err(reason)) => return StreamEnd::unheard(reason),
+        Err(_) => return StreamEnd::unheard(FeedEnd::Silent),
     };
     let (body, _sender) = opened;
     let mut follower = Follower {
@@ -206,7 +314,11 @@
         shared: shared.clone(),
         views: views.clone(),
     };
-    follower.run().await
+    let reason = follower.run().await;
+    StreamEnd {
+        fresh_until: shared.feed.follows().then_some(follower.fresh_until),
+        reason,
+    }
 }
 
 /// Asks a node to pass changes on; the connection lasts as long as the sender.
@@ -219,7 +331,7 @@
     let limit = feed_server::silence_limit(shared);
     let mut sender = http_client::connect(address, limit)
         .await
-        .map_err(|_| FeedEnd::Ended)?;
+        .map_err(|_| FeedEnd::Unreachable)?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static(feed_protocol::FOLLOW_PATH);
     let value = feed_protocol::follow_value(&revisions).ok_or(FeedEnd::Undecodable)?;
@@ -232,10 +344,11 @@
         .map_err(|_| FeedEnd::Ended)?;
     if !response.headers().contains_key(feed_protocol::FOLLOW) {
         // The address belongs to another server by now.
-        return Err(FeedEnd::Declined);
+        return Err(FeedEnd::Foreign);
     }
     match response.status() {
         StatusCode::GONE => Err(FeedEnd::Behind),
+        StatusCode::SERVICE_UNAVAILABLE => Err(FeedEnd::StoreAway),
         StatusCode::OK => Ok((response.into_body(), sender)),
         _ => Err(FeedEnd::Declined),
     }
@@ -285,7 +398,9 @@
                     .views
                     .iter()
                     .find(|view| view.collection == collection)?;
-                view.count("passed_on");
+                let labels = [collection.wire_name()];
+                let passed_on = &self.shared.metrics.passed_on_batches;
+                passed_on.with_label_values(&labels).inc();
                 match view.take_passed_on(&batch) {
                     Ok(BatchFit::Gap) => Some(FeedEnd::Gap),
                     Ok(BatchFit::Known | BatchFit::Next) => None,
@@ -311,11 +426,19 @@
         let feed = &self.shared.feed;
         let answered_us = now_us.saturating_sub(age_ms * 1_000);
         feed.store_health.borrow_mut().answered(answered_us);
+        let mut refused = false;
         for view in self.views.iter() {
             if let Some(lost_at_us) = view.regained() {
+                refused = true;
                 feed.outage_ended(now_us, lost_at_us);
             }
         }
+        if refused {
+            // The store answers the other node and not this one.
+            let mut peers = self.shared.peers.borrow_mut();
+            let own_name = peers.own().name.clone();
+            peers.suspect_reader(now_us, &own_name);
+        }
         if now < self.review_at {
             return None;
         }
--- a/crates/entry/src/feed_server.rs
+++ b/crates/entry/src/feed_server.rs
@@ -26,8 +26,10 @@
 pub(crate) enum FeedRefusal {
     /// Changes since a revision that was asked for are not held any more.
     Behind,
-    /// The node stops, follows another one, or is cut off from the store.
+    /// The node stops, or follows another one.
     NotReading,
+    /// The node reads the store, which does not answer it at the moment.
+    StoreAway,
 }
 
 /// Passes changes on from the given revisions; the first messages hold what is newer.
@@ -36,9 +38,12 @@
     views: &Views,
     revisions: &Revisions,
 ) -> Result<impl Stream<Item = FeedMessage> + use<>, FeedRefusal> {
-    if !reads(shared, views) {
+    if !reads(shared) {
         return Err(FeedRefusal::NotReading);
     }
+    if !is_sound(shared, views) {
+        return Err(FeedRefusal::StoreAway);
+    }
     let mut backlog = VecDeque::new();
     for (view, revision) in views.iter().zip(revisions) {
         let batches = view.log.borrow().since(*revision);
@@ -51,14 +56,15 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let feed = Feed {
         backlog,
-        epoch: shared.feed.epoch(),
         opened_us: shared.clock.now_us(),
         receiver: shared.feed.subscribe(),
         shared: shared.clone(),
         ticks,
         views: views.clone(),
     };
-    shared.feed.look_due.notify_one();
+    if answer_age_us(shared).is_none_or(|age_us| age_us > limit.as_micros() as u64 / 2) {
+        shared.feed.look_due.notify_one();
+    }
     Ok(stream::unfold(feed, |mut feed| async move {
         let message = feed.next().await?;
         Some((message, feed))
@@ -75,15 +81,31 @@
     Duration::from_millis(silence_limit_ms(bound_ms))
 }
 
-/// Whether the node reads all collections from the store, and each of them is sound.
-fn reads(shared: &NodeState, views: &Views) -> bool {
+/// Whether the node is one that reads the store.
+fn reads(shared: &NodeState) -> bool {
+    shared.feed.reads_store() && shared.phase() == Phase::Serving
+}
+
+/// Whether all collections are known, and the store answers calls and looks.
+fn is_sound(shared: &NodeState, views: &Views) -> bool {
     let sound = |view: &Rc<CollectionView>| view.revision.get().is_some() && !view.is_lost();
-    shared.feed.reads_store() && shared.phase() == Phase::Serving && views.iter().all(sound)
+    views.iter().all(sound) && !shared.feed.store_in_doubt()
+}
+
+/// Age of the newest answer of the store to a look; `None` before the first one.
+fn answer_age_us(shared: &NodeState) -> Option<u64> {
+    let answered_us = shared.feed.store_health.borrow().answered_us();
+    answered_us.map(|at_us| shared.clock.now_us().saturating_sub(at_us))
+}
+
+/// Whether a collection has to be read as a whole, so that changes are not known.
+fn is_listing(views: &Views) -> bool {
+    views.iter().any(|view| view.list_due.get())
 }
 
 /// Whether a node may vouch for what it passed on.
 enum Standing {
-    /// The store's first answer since the follower came is awaited.
+    /// The store's first answer since the follower came is awaited, or a whole list.
     Awaited,
     /// The store answered this long ago.
     Current { age_ms: u64 },
@@ -95,7 +117,6 @@
 struct Feed {
     /// What the follower lacked at the beginning.
     backlog: VecDeque<FeedMessage>,
-    epoch: u64,
     opened_us: u64,
     receiver: broadcast::Receiver<FeedMessage>,
     shared: Rc<NodeState>,
@@ -125,14 +146,15 @@
 
     fn standing(&self) -> Standing {
         let shared = &self.shared;
-        if shared.feed.epoch() != self.epoch || !reads(shared, &self.views) {
+        if !reads(shared) || !is_sound(shared, &self.views) {
             return Standing::Ended;
         }
+        if is_listing(&self.views) {
+            return Standing::Awaited;
+        }
         let now_us = shared.clock.now_us();
         let limit_us = silence_limit(shared).as_micros() as u64;
-        let answered_us = shared.feed.store_health.borrow().answered_us();
-        let age_us = answered_us.map(|at_us| now_us - at_us);
-        match age_us.filter(|age_us| *age_us < limit_us) {
+        match answer_age_us(shared).filter(|age_us| *age_us < limit_us) {
             Some(age_us) => Standing::Current {
                 age_ms: age_us / 1_000,
             },
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -40,6 +40,7 @@
 mod run;
 mod shared_gather;
 mod socket;
+mod store_call;
 mod store_client;
 mod store_sentinel;
 mod store_watch;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -19,7 +19,9 @@
 pub(crate) struct Metrics {
     pub(crate) config_version: IntGauge,
     pub(crate) extra_sends: IntCounter,
+    pub(crate) malformed_entries: IntCounterVec,
     pub(crate) missing_parts: IntCounter,
+    pub(crate) passed_on_batches: IntCounterVec,
     registry: Registry,
     pub(crate) relay_failures: IntCounter,
     pub(crate) replica_connection_errors: IntCounter,
@@ -44,7 +46,18 @@
         let metrics = Self {
             config_version: IntGauge::new("config_version", "Version in force")?,
             extra_sends: IntCounter::new("extra_sends_total", "Hedges and retries")?,
+            malformed_entries: IntCounterVec::new(
+                Opts::new(
+                    "malformed_entries_total",
+                    "Entries of the store that cannot be read",
+                ),
+                &["collection"],
+            )?,
             missing_parts: IntCounter::new("missing_parts_total", "Parts left out of answers")?,
+            passed_on_batches: IntCounterVec::new(
+                Opts::new("passed_on_batches_total", "Changes from another node"),
+                &["collection"],
+            )?,
             relay_failures: IntCounter::new(
                 "relay_failures_total",
                 "Parts that another node did not hand over",
@@ -77,9 +90,9 @@
             store_calls: IntCounterVec::new(
                 Opts::new(
                     "store_calls_total",
-                    "Calls to the store by collection and outcome",
+                    "Calls to the store by collection, outcome and purpose",
                 ),
-                &["collection", "outcome"],
+                &["collection", "outcome", "purpose"],
             )?,
             registry,
         };
@@ -91,7 +104,9 @@
         let registry = &self.registry;
         registry.register(Box::new(self.config_version.clone()))?;
         registry.register(Box::new(self.extra_sends.clone()))?;
+        registry.register(Box::new(self.malformed_entries.clone()))?;
         registry.register(Box::new(self.missing_parts.clone()))?;
+        registry.register(Box::new(self.passed_on_batches.clone()))?;
         registry.register(Box::new(self.relay_failures.clone()))?;
         registry.register(Box::new(self.replica_connection_errors.clone()))?;
         registry.register(Box::new(self.replica_connections.clone()))?;
--- a/crates/entry/src/peer_registry.rs
+++ b/crates/entry/src/peer_registry.rs
@@ -19,14 +19,23 @@
 
 use crate::event::Event;
 use crate::node_state::NodeState;
+use crate::node_state::Phase;
+use crate::store_call::CallPurpose;
+use crate::store_call::StoreCall;
 use crate::store_client::StoreClient;
 use crate::store_client::StoreError;
 
 /// Longest time for one call.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Pause after a registration that failed.
-const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Shortest pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Time between two looks whether the store is known to answer.
+const DOUBT_LOOK: Duration = Duration::from_millis(100);
+
+/// Longest wait for an answer to a look; a node that follows another one makes none.
+const DOUBT_MAX: Duration = Duration::from_secs(10);
 
 /// Pauses before the first lists while the whole tier starts: by then all have registered.
 const FIRST_START_PAUSES: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(5)];
@@ -38,39 +47,80 @@
 const PERIOD: Duration = Duration::from_secs(10);
 
 /// Registers the node in the store, and learns from there which others run.
+///
+/// A list shows whether the entry of a former process of the node still holds; a stale one
+/// may show an entry that was removed, so later lists are looked through, too.
 pub(crate) async fn run(shared: Rc<NodeState>) {
-    task::spawn_local(register_until_done(shared.clone()));
-    let mut client = StoreClient::new(shared.settings.store_address);
+    let mut client = StoreClient::new(&shared);
     let first_pauses = if shared.settings.first_start {
         FIRST_START_PAUSES
     } else {
         START_PAUSES
     };
     let mut pauses = first_pauses.into_iter();
+    let mut registration = shared
+        .settings
+        .first_start
+        .then(|| task::spawn_local(register_until_done(shared.clone())));
     loop {
         let pause = pauses.next().unwrap_or(PERIOD);
         time::sleep(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
-        match list(&mut client).await {
-            Ok(nodes) => replace(&shared, nodes),
-            Err(error) => log::debug!("cannot list the nodes: {error}"),
+        let nodes = list_until_done(&shared, &mut client).await;
+        let registering = registration
+            .as_ref()
+            .is_some_and(|task| !task.is_finished());
+        let may_register = !registering && shared.phase() == Phase::Serving;
+        if may_register && !nodes.contains(shared.peers.borrow().own()) {
+            registration = Some(task::spawn_local(register_until_done(shared.clone())));
+        }
+        replace(&shared, nodes);
+    }
+}
+
+/// Lists the nodes; waits for the store while it is away.
+async fn list_until_done(shared: &NodeState, client: &mut StoreClient) -> Vec<PeerNode> {
+    loop {
+        match list(client).await {
+            Ok(nodes) => return nodes,
+            Err(error) => failed(shared, "list the nodes", &error).await,
         }
     }
 }
 
 async fn register_until_done(shared: Rc<NodeState>) {
-    let mut client = StoreClient::new(shared.settings.store_address);
+    let mut client = StoreClient::new(&shared);
     while let Err(error) = register(&shared, &mut client).await {
-        log::debug!("cannot register the node: {error}");
-        time::sleep(RETRY_PAUSE).await;
+        failed(&shared, "register the node", &error).await;
+    }
+}
+
+/// Waits after a failed call until the store answers again, for a while at most.
+async fn failed(shared: &NodeState, what: &str, error: &StoreError) {
+    log::warn!("cannot {what}: {error}");
+    shared.feed.doubt_store(shared.clock.now_us());
+    time::sleep(RETRY_PAUSE.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
+    let answers = async {
+        while shared.feed.store_in_doubt() {
+            time::sleep(DOUBT_LOOK).await;
+        }
+    };
+    if time::timeout(DOUBT_MAX, answers).await.is_err() {
+        log::debug!("the store answers no look; calling it all the same");
     }
 }
 
 /// Removes the node's entry at a planned stop.
 pub(crate) async fn unregister(shared: &NodeState) {
-    let mut client = StoreClient::new(shared.settings.store_address);
+    let mut client = StoreClient::new(shared);
     let path = object_path(Collection::Nodes, &shared.settings.node_name);
     let result = client
-        .write(Method::DELETE, &path, String::new(), TIMEOUT)
+        .write(
+            Collection::Nodes,
+            Method::DELETE,
+            &path,
+            String::new(),
+            TIMEOUT,
+        )
         .await;
     if let Err(error) = result {
         log::debug!("cannot remove the node's entry: {error}");
@@ -81,12 +131,20 @@
     let body = encode_node(shared.peers.borrow().own());
     let path = create_path(Collection::Nodes);
     let created = client
-        .write(Method::POST, &path, body.clone(), TIMEOUT)
+        .write(
+            Collection::Nodes,
+            Method::POST,
+            &path,
+            body.clone(),
+            TIMEOUT,
+        )
         .await;
     match created {
         Err(StoreError::Status(StatusCode::CONFLICT)) => {
             let path = object_path(Collection::Nodes, &shared.settings.node_name);
-            client.write(Method::PUT, &path, body, TIMEOUT).await?;
+            client
+                .write(Collection::Nodes, Method::PUT, &path, body, TIMEOUT)
+                .await?;
             Ok(())
         }
         result => result.map(drop),
@@ -94,11 +152,15 @@
 }
 
 async fn list(client: &mut StoreClient) -> Result<Vec<PeerNode>, StoreError> {
+    let call = StoreCall {
+        collection: Collection::Nodes,
+        purpose: CallPurpose::StaleList,
+    };
     let mut nodes = Vec::new();
     let mut after: Option<Arc<str>> = None;
     loop {
         let path = list_path(Collection::Nodes, after.as_deref(), Freshness::Stale);
-        let body = client.get(&path, TIMEOUT).await?;
+        let body = client.get(call, &path, TIMEOUT).await?;
         let page = decode_listing(&body).map_err(StoreError::Decode)?;
         after = page.objects.last().map(|object| object.name.clone());
         nodes.extend(
--- a/crates/entry/src/relay_server.rs
+++ b/crates/entry/src/relay_server.rs
@@ -106,6 +106,7 @@
         Ok(messages) => respond(messages.map(|message| Frame::data(message.encode()))),
         Err(FeedRefusal::Behind) => refused(StatusCode::GONE),
         Err(FeedRefusal::NotReading) => declined(),
+        Err(FeedRefusal::StoreAway) => refused(StatusCode::SERVICE_UNAVAILABLE),
     };
     let proof = HeaderValue::from_static("");
     response.headers_mut().insert(feed_protocol::FOLLOW, proof);
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store_client.rs
@@ -10,12 +10,17 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use prometheus::IntCounterVec;
 use tokio::time;
 
+use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::DecodeError;
 
 use crate::http_client;
 use crate::http_client::HttpSender;
+use crate::node_state::NodeState;
+use crate::store_call::CallPurpose;
+use crate::store_call::StoreCall;
 
 /// Longest time for a new connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -38,6 +43,19 @@
     Transport(String),
 }
 
+impl StoreError {
+    /// Label of the metric.
+    const fn label(&self) -> &'static str {
+        match self {
+            Self::Decode(_) => "undecodable",
+            Self::HistoryGone => "history_gone",
+            Self::Status(_) => "refused",
+            Self::Timeout => "timeout",
+            Self::Transport(_) => "broken",
+        }
+    }
+}
+
 impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -54,13 +72,15 @@
 #[derive(Debug)]
 pub(crate) struct StoreClient {
     address: SocketAddr,
+    calls: IntCounterVec,
     sender: Option<HttpSender>,
 }
 
 impl StoreClient {
-    pub(crate) const fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(shared: &NodeState) -> Self {
         Self {
-            address,
+            address: shared.settings.store_address,
+            calls: shared.metrics.store_calls.clone(),
             sender: None,
         }
     }
@@ -71,29 +91,43 @@
     }
 
     /// Reads a path; a call that takes longer than `timeout` ends its connection.
-    pub(crate) async fn get(&mut self, path: &str, timeout: Duration) -> Result<Bytes, StoreError> {
-        self.call_in_time(Method::GET, path, Bytes::new(), timeout)
+    pub(crate) async fn get(
+        &mut self,
+        call: StoreCall,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Bytes, StoreError> {
+        self.call_in_time(call, Method::GET, path, Bytes::new(), timeout)
             .await
     }
 
     /// Writes an object.
     pub(crate) async fn write(
         &mut self,
+        collection: Collection,
         method: Method,
         path: &str,
         body: String,
         timeout: Duration,
     ) -> Result<Bytes, StoreError> {
-        self.call_in_time(method, path, body.into(), timeout).await
+        let call = StoreCall {
+            collection,
+            purpose: CallPurpose::Write,
+        };
+        self.call_in_time(call, method, path, body.into(), timeout)
+            .await
     }
 
     async fn call_in_time(
         &mut self,
+        call: StoreCall,
         method: Method,
         path: &str,
         body: Bytes,
         timeout: Duration,
     ) -> Result<Bytes, StoreError> {
+        // Counted before the answer: a call that is dropped meanwhile is paid for, too.
+        self.count(call, "sent");
         let result = match time::timeout(timeout, self.call(method, path, body)).await {
             Ok(result) => result,
             Err(_) => Err(StoreError::Timeout),
@@ -101,9 +135,17 @@
         if matches!(result, Err(StoreError::Timeout | StoreError::Transport(_))) {
             self.sender = None;
         }
+        if let Err(error) = &result {
+            self.count(call, error.label());
+        }
         result
     }
 
+    fn count(&self, call: StoreCall, outcome: &str) {
+        let labels = [call.collection.wire_name(), outcome, call.purpose.label()];
+        self.calls.with_label_values(&labels).inc();
+    }
+
     async fn call(&mut self, method: Method, path: &str, body: Bytes) -> Result<Bytes, StoreError> {
         let mut sender = self.connected().await?;
         let request = Request::builder()
--- a/crates/entry/src/store_sentinel.rs
+++ b/crates/entry/src/store_sentinel.rs
@@ -11,6 +11,8 @@
 use crate::event::Event;
 use crate::feed_server;
 use crate::node_state::NodeState;
+use crate::store_call::CallPurpose;
+use crate::store_call::StoreCall;
 use crate::store_client::StoreClient;
 
 /// Time between two looks at the store.
@@ -23,6 +25,9 @@
 /// Time between two looks during an outage.
 const PERIOD_OUTAGE: Duration = Duration::from_millis(700);
 
+/// The same for a node that may follow another one: the readers find the end first.
+const PERIOD_OUTAGE_FOLLOWER: Duration = Duration::from_secs(3);
+
 /// Longest time for one look.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -32,7 +37,11 @@
 /// its connection looks sound; only another call shows the outage. A stale list of the
 /// smallest collection costs a tenth of a call.
 pub(crate) async fn run(shared: Rc<NodeState>) {
-    let mut client = StoreClient::new(shared.settings.store_address);
+    let mut client = StoreClient::new(&shared);
+    let look = StoreCall {
+        collection: Collection::Evacuations,
+        purpose: CallPurpose::Look,
+    };
     let path = list_path(Collection::Evacuations, None, Freshness::Stale);
     let mut source = shared.feed.source();
     let mut answered_us = 0;
@@ -40,7 +49,7 @@
     loop {
         // A node that follows another one relies on that node's looks.
         if source
-            .wait_for(|it| *it == ChangeSource::Store)
+            .wait_for(|it| matches!(it, ChangeSource::Listing | ChangeSource::Store))
             .await
             .is_err()
         {
@@ -51,7 +60,7 @@
             () = shared.feed.look_due.notified() => {}
         }
         let asked_us = shared.clock.now_us();
-        match client.get(&path, TIMEOUT).await {
+        match client.get(look, &path, TIMEOUT).await {
             Ok(_) => {
                 shared.feed.store_health.borrow_mut().answered(asked_us);
                 if lost {
@@ -65,6 +74,7 @@
             Err(error) => {
                 if !lost {
                     report(&shared, &error.to_string(), "lost");
+                    shared.feed.store_health.borrow_mut().doubt(asked_us);
                 }
                 lost = true;
             }
@@ -73,7 +83,10 @@
 }
 
 fn period(shared: &NodeState, lost: bool) -> Duration {
-    if lost || shared.feed.store_in_doubt() {
+    let outage = lost || shared.feed.store_in_doubt();
+    if outage && shared.feed.may_follow.get() {
+        PERIOD_OUTAGE_FOLLOWER
+    } else if outage {
         PERIOD_OUTAGE
     } else if shared.feed.has_followers() {
         feed_server::silence_limit(shared) / LOOKS_PER_LIMIT
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -19,6 +19,8 @@
 
 use crate::change_feed::ChangeSource;
 use crate::collection_view::CollectionView;
+use crate::store_call::CallPurpose;
+use crate::store_call::StoreCall;
 use crate::store_client::StoreClient;
 use crate::store_client::StoreError;
 
@@ -32,6 +34,10 @@
 /// Longest time for which calls wait for an answer to a look.
 const DOUBT_MAX: Duration = Duration::from_secs(4);
 
+/// The same for a node that may follow another one: readers find out whether the store
+/// answers calls although it answers no looks.
+const DOUBT_MAX_FOLLOWER: Duration = Duration::from_secs(10);
+
 /// Wait of a watch that is to return what is new at once, in milliseconds.
 const WATCH_WAIT_HURRIED_MS: u64 = 1;
 
@@ -62,7 +68,7 @@
     let mut source = view.shared.feed.source();
     let mut reissued = view.shared.feed.outage_began_us.subscribe();
     let mut follower = Follower {
-        client: StoreClient::new(view.shared.settings.store_address),
+        client: StoreClient::new(&view.shared),
         failures: 0,
         freshness: Freshness::Stale,
         readers_waited_for: false,
@@ -72,7 +78,8 @@
         let current = *source.borrow_and_update();
         let due = match current {
             ChangeSource::Listing => {
-                follower.view.revision.get().is_none() || follower.view.hurried.get()
+                let view = &follower.view;
+                view.revision.get().is_none() || view.hurried.get() || view.list_due.get()
             }
             ChangeSource::Node | ChangeSource::Undecided => false,
             ChangeSource::Store => true,
@@ -118,8 +125,8 @@
         self.wait_for_store().await;
         self.let_replicas_go_first().await;
         let result = match self.view.revision.get() {
-            Some(revision) => self.watch(revision).await,
-            None => self.list().await,
+            Some(revision) if !self.view.list_due.get() => self.watch(revision).await,
+            Some(_) | None => self.list().await,
         };
         match result {
             Ok(changes) => {
@@ -129,15 +136,15 @@
                     let shared = &self.view.shared;
                     let now_us = shared.clock.now_us();
                     shared.feed.outage_ended(now_us, lost_at_us);
+                    let mut peers = shared.peers.borrow_mut();
+                    let own_name = peers.own().name.clone();
+                    peers.followed(&own_name);
                 }
                 let pause_ms = watch_pause_ms(changes, self.bound_ms());
                 time::sleep(Duration::from_millis(pause_ms)).await;
             }
             Err(StoreError::HistoryGone) => {
-                self.view.count("history_gone");
-                self.view.revision.set(None);
-                // Followers may have missed the end of an object.
-                self.view.shared.feed.end_streams();
+                self.view.list_due.set(true);
                 self.freshness = Freshness::Current;
             }
             Err(error) => self.failed(&error),
@@ -154,7 +161,12 @@
                 time::sleep(DOUBT_LOOK).await;
             }
         };
-        if time::timeout(DOUBT_MAX, answers).await.is_err() {
+        let limit = if shared.feed.may_follow.get() {
+            DOUBT_MAX_FOLLOWER
+        } else {
+            DOUBT_MAX
+        };
+        if time::timeout(limit, answers).await.is_err() {
             log::debug!("the store answers no look; calling it all the same");
             self.failures = 0;
         }
@@ -187,10 +199,13 @@
     async fn list(&mut self) -> Result<usize, StoreError> {
         let mut objects = Vec::new();
         let mut after: Option<Arc<str>> = None;
+        let call = self.call(match self.freshness {
+            Freshness::Current => CallPurpose::List,
+            Freshness::Stale => CallPurpose::StaleList,
+        });
         let revision = loop {
             let path = list_path(self.view.collection, after.as_deref(), self.freshness);
-            let body = self.client.get(&path, LIST_TIMEOUT).await?;
-            self.view.count("list");
+            let body = self.client.get(call, &path, LIST_TIMEOUT).await?;
             let page = decode_listing(&body).map_err(StoreError::Decode)?;
             after = page.objects.last().map(|object| object.name.clone());
             objects.extend(page.objects);
@@ -204,25 +219,24 @@
 
     /// Waits for changes and returns how many there were.
     async fn watch(&mut self, revision: u64) -> Result<usize, StoreError> {
-        let wait_ms = if self.view.hurried.get() {
-            WATCH_WAIT_HURRIED_MS
+        let (wait_ms, purpose) = if self.view.hurried.get() {
+            (WATCH_WAIT_HURRIED_MS, CallPurpose::CatchUp)
         } else {
-            WATCH_WAIT.as_millis() as u64
+            (WATCH_WAIT.as_millis() as u64, CallPurpose::Watch)
         };
         let path = watch_path(self.view.collection, revision, wait_ms);
         let shared = &self.view.shared;
         let outages = shared.feed.outage_began_us.subscribe();
         let mut lost = pin!(lost_in_outage(outages, shared.clock.now_us()));
-        let call = self.client.get(&path, WATCH_WAIT + WATCH_SLACK);
+        let call = self.call(purpose);
+        let call = self.client.get(call, &path, WATCH_WAIT + WATCH_SLACK);
         let body = tokio::select! {
             body = call => body?,
             () = &mut lost => {
                 self.client.disconnect();
-                self.view.count("reissued");
                 return Ok(0);
             }
         };
-        self.view.count("watch");
         let news = decode_changes(&body).map_err(StoreError::Decode)?;
         let body = if news.changes.is_empty() {
             Bytes::new()
@@ -238,9 +252,9 @@
     }
 
     fn failed(&mut self, error: &StoreError) {
-        self.view.count("failed");
         if matches!(error, StoreError::Decode(_)) {
-            self.view.revision.set(None);
+            self.view.list_due.set(true);
+            self.freshness = Freshness::Current;
         }
         let shared = &self.view.shared;
         self.view.lost(&error.to_string());
@@ -249,6 +263,13 @@
         self.failures += 1;
     }
 
+    fn call(&self, purpose: CallPurpose) -> StoreCall {
+        StoreCall {
+            collection: self.view.collection,
+            purpose,
+        }
+    }
+
     /// Time within which a change of the collection must be in force.
     fn bound_ms(&self) -> u64 {
         let settings = &self.view.shared.settings;
--- a/crates/node/tests/entry/feed.rs
+++ b/crates/node/tests/entry/feed.rs
@@ -1,6 +1,10 @@
 //! Guards against nodes that miss a change because the node that reads the store for them
 //! is killed, stands still, or is cut off from the store.
 
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
 use serde_json::json;
 
 use wigeonhall_adapter::Collection;
@@ -86,6 +90,13 @@
         }
     }
 
+    /// Calls to the store for the collections that nodes follow, and to see whether it
+    /// answers.
+    fn followed_calls(&self) -> u64 {
+        let calls = Collection::FOLLOWED.map(|collection| self.store.calls_for(collection));
+        calls.iter().sum()
+    }
+
     /// Holds up all that a node and the store send each other.
     fn cut_off(&self, index: usize, mode: Mode) {
         self.proxies[index].set_mode(mode);
@@ -170,6 +181,70 @@
     }
 }
 
+/// Each call of each node is paid for, and hundreds of nodes have one reader's loss in common.
+#[test]
+fn followers_of_a_lost_reader_follow_the_next_one_and_leave_the_store_alone() {
+    let fleet = fleet();
+    let before = fleet.store.calls_for(Collection::Replicas);
+    fleet.nodes[fleet.reader].signal("KILL");
+    let lost = format!("node-{}", fleet.reader);
+    wait_until("one reader in place of the lost one", || {
+        let sources: Vec<String> = fleet
+            .followers()
+            .map(|index| source(&fleet.nodes[index]))
+            .collect();
+        let reading = sources.iter().filter(|it| *it == "store").count();
+        reading == 1 && sources.iter().all(|it| *it != lost && it != "none")
+    });
+    // What is new at once, and the watch that goes on from there.
+    let calls = fleet.store.calls_for(Collection::Replicas) - before;
+    assert!(calls <= 2, "{calls} calls");
+    fleet.demand_change(2, fleet.followers());
+}
+
+/// A reader that lists again passes on what has changed, so that no other node has to list.
+#[test]
+fn followers_list_nothing_when_the_history_is_gone() {
+    let fleet = fleet();
+    // The newest revision is one of another collection.
+    fleet.store.set_out("south", true);
+    for node in &fleet.nodes {
+        node.logged(|line| line["event"] == "evacuation" && line["out"][0] == "south");
+    }
+    let before = fleet.store.calls_for(Collection::Replicas);
+    let listed = || fleet.store.calls_for(Collection::Replicas) - before >= 2;
+    fleet.store.compact();
+    wait_until("the reader listed and watches again", listed);
+    fleet.demand_change(2, 0..NODES);
+    // The reader alone: a list, a watch, and one more in between at most.
+    let calls = fleet.store.calls_for(Collection::Replicas) - before;
+    assert!(calls <= 3, "{calls} calls");
+}
+
+/// During an outage the readers find out when it ends; the others ask them.
+#[test]
+fn followers_call_a_store_that_is_away_only_now_and_then() {
+    let fleet = fleet();
+    let before = fleet.followed_calls();
+    fleet.store.set_down(true);
+    let outage = Instant::now();
+    let reader = &fleet.nodes[fleet.reader];
+    reader.logged(|line| line["event"] == "dependency" && line["state"] == "lost");
+    thread::sleep(Duration::from_secs(3));
+    fleet.store.set_down(false);
+    let lasted_s = outage.elapsed().as_secs_f64();
+    let calls = fleet.followed_calls() - before;
+    // The reader looks every 0.7 s, after one call that failed for each collection. Each
+    // other node looks once when it has found no one to follow, and then every 3 s.
+    let reader_calls = 3.0 + 1.0 + lasted_s / 0.7;
+    let follower_calls = (NODES - 1) as f64 * (1.0 + lasted_s / 3.0);
+    assert!(
+        calls as f64 <= reader_calls + follower_calls,
+        "{calls} calls in {lasted_s} s"
+    );
+    fleet.demand_change(2, 0..NODES);
+}
+
 /// Stale lists are some seconds old, and a reader that listed again goes back to that list
 /// only; a node that started then waited in vain, and read the store by itself.
 #[test]
