Open connections ahead only to replicas that the node sends to

Cause: each node opened a connection to its first choice among the new replicas of every service. Ruled out: short keep-alive (9.3 s on average) and connections that replicas close (300).

Change: the services of the legs that fall to this node, and of routes to one service, are opened ahead: when replicas come, and when routes or the list of nodes change. Before the nodes are listed, gathers are left out. An idle list that is empty is dropped.

Tests: peers (each leg belongs to one small node), pool (services that are not sent to).

--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -114,6 +114,16 @@
         self.suspicions.clear(name);
     }
 
+    /// Legs of a gather that this node sends, whichever node of its data centre plans it.
+    #[must_use]
+    pub fn own_legs(&self, now_us: u64, legs: usize, target_latency_ms: u64) -> Vec<usize> {
+        let Some(plan) = self.plan(now_us, legs, target_latency_ms) else {
+            return (0..legs).collect();
+        };
+        let own = plan.into_iter().find(|group| group.peer.is_none());
+        own.map_or_else(Vec::new, |group| group.legs)
+    }
+
     /// Shares the legs of a gather among the nodes; `None` if the node does best alone.
     ///
     /// A group of legs stays with one node while the nodes stay, so that this node knows
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -227,16 +227,25 @@
         ranked
     }
 
-    /// Replicas among `new` that this node would choose first; connections to them are
-    /// worth opening ahead. All of them together would exceed what a replica accepts.
-    pub fn to_open_ahead(&mut self, now_us: u64, new: &[ReplicaKey]) -> Vec<ReplicaKey> {
+    /// Replicas among `new` that this node would choose first for the services `sent_to`;
+    /// connections to them are worth opening ahead.
+    ///
+    /// A connection takes a replica's time, and those of all nodes together would exceed
+    /// what a replica accepts.
+    pub fn to_open_ahead(
+        &mut self,
+        now_us: u64,
+        new: &[ReplicaKey],
+        sent_to: &BTreeSet<ServiceKey>,
+    ) -> Vec<ReplicaKey> {
         let services: BTreeSet<ServiceKey> = new
             .iter()
             .filter_map(|key| self.replica(*key))
             .map(|replica| replica.service)
             .collect();
         services
-            .into_iter()
+            .intersection(sent_to)
+            .copied()
             .filter_map(|service| self.choose(now_us, service, &[]))
             .filter(|key| new.contains(key))
             .collect()
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -8,6 +9,7 @@
 use crate::Route;
 use crate::RouteSpec;
 use crate::RouteTarget;
+use crate::ServiceKey;
 use crate::TargetSpec;
 use crate::WeightedService;
 
@@ -46,6 +48,28 @@
         }
     }
 
+    /// Services that a node sends to, which handles the legs `own_legs` of a gather with so
+    /// many legs and such a target latency in milliseconds.
+    pub fn services(&self, own_legs: impl Fn(usize, u64) -> Vec<usize>) -> BTreeSet<ServiceKey> {
+        let mut services = BTreeSet::new();
+        for route in self.by_host.values().flatten() {
+            match &route.target {
+                RouteTarget::Gather { shards, .. } => {
+                    let legs = own_legs(shards.len(), route.spec.target_latency_ms);
+                    services.extend(legs.into_iter().filter_map(|leg| shards.get(leg)));
+                }
+                RouteTarget::Service(service) => {
+                    services.insert(*service);
+                }
+                RouteTarget::Split(parts) => {
+                    let parts = parts.iter().filter(|part| part.weight > 0.0);
+                    services.extend(parts.map(|part| part.service));
+                }
+            }
+        }
+        services
+    }
+
     /// The route with the longest prefix that begins `path`.
     ///
     /// `host` may carry a port and any case.
--- a/crates/dispatch/tests/notices.rs
+++ b/crates/dispatch/tests/notices.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use wigeonhall_dispatch::Availability;
@@ -40,7 +41,9 @@
     let keys: Vec<_> = pool.replicas_of(service).to_vec();
     pool.choose(now_us, service, &[]).is_none()
         && pool.last_resort(now_us, service).is_none()
-        && pool.to_open_ahead(now_us, &keys).is_empty()
+        && pool
+            .to_open_ahead(now_us, &keys, &BTreeSet::from([service]))
+            .is_empty()
         && keys.iter().all(|key| !pool.may_still_send(now_us, *key))
 }
 
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -45,6 +45,22 @@
     }
 }
 
+/// While 135 shards started, every node of three hundred opened a connection to each of
+/// them: two thirds were never used, and replicas turned down those over their cap.
+#[test]
+fn each_leg_belongs_to_one_small_node_of_a_data_centre() {
+    let all: Vec<PeerNode> = (0..30).map(|number| node(number, "north", 0.1)).collect();
+    let own_legs = |own: &PeerNode| {
+        let mut peers = Peers::new(own.clone());
+        peers.replace(all.clone());
+        peers.own_legs(0, 180, 80)
+    };
+    let mut legs: Vec<usize> = all.iter().flat_map(own_legs).collect();
+    legs.sort_unstable();
+    assert_eq!(legs, (0..180).collect::<Vec<usize>>());
+    assert_eq!(peers(30, 0.5).own_legs(0, 20, 120).len(), 20);
+}
+
 #[test]
 fn a_node_with_time_enough_works_alone() {
     assert_eq!(peers(30, 0.5).plan(0, 90, 120), None);
--- a/crates/dispatch/tests/pool.rs
+++ b/crates/dispatch/tests/pool.rs
@@ -262,9 +262,13 @@
     let near = add(&mut pool, "a", 1);
     let far = pool.register(0, registration("a", 2, "south")).unwrap();
     let other = add(&mut pool, "b", 3);
-    let ahead = pool.to_open_ahead(0, &[near, far, other]);
+    let [a, b] = ["a", "b"].map(|name| pool.service_key(&Arc::from(name)));
+    let both = BTreeSet::from([a, b]);
+    let ahead = pool.to_open_ahead(0, &[near, far, other], &both);
     assert_eq!(ahead, [near, other]);
-    assert!(pool.to_open_ahead(0, &[far]).is_empty());
+    assert!(pool.to_open_ahead(0, &[far], &both).is_empty());
+    let one = BTreeSet::from([b]);
+    assert_eq!(pool.to_open_ahead(0, &[near, far, other], &one), [other]);
 }
 
 /// Replicas that turned half of the requests away kept getting them, and the retries
--- a/crates/entry/src/collection_view.rs
+++ b/crates/entry/src/collection_view.rs
@@ -3,10 +3,6 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
-
-use tokio::task;
-use tokio::time;
 
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::DecodeError;
@@ -26,10 +22,7 @@
 
 use crate::event::Event;
 use crate::node_state::NodeState;
-use crate::replica_client;
-
-/// Time over which connections to new replicas are opened.
-const OPEN_AHEAD_SPREAD_MS: u64 = 1_500;
+use crate::open_ahead;
 
 /// What a node knows of one collection of the store, and up to which revision.
 pub(crate) struct CollectionView {
@@ -320,6 +313,7 @@
         drop(pool);
         shared.metrics.config_version.set(table.version as i64);
         shared.table.replace(Some(Rc::new(table)));
+        open_ahead::to_services(shared);
     }
 
     fn evacuate(&self, revision: u64) {
@@ -345,17 +339,6 @@
             revision,
             suspended: counts.suspended,
         });
-        for key in self.shared.pool.borrow_mut().to_open_ahead(now_us, new) {
-            self.open_ahead(key);
-        }
-    }
-
-    fn open_ahead(&self, key: ReplicaKey) {
-        let shared = self.shared.clone();
-        task::spawn_local(async move {
-            let wait_ms = fastrand::u64(0..OPEN_AHEAD_SPREAD_MS);
-            time::sleep(Duration::from_millis(wait_ms)).await;
-            replica_client::open_ahead(&shared, key).await;
-        });
+        open_ahead::to_replicas(&self.shared, new);
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod loop_times;
 mod metrics;
 mod node_state;
+mod open_ahead;
 mod peer_registry;
 mod probed_listener;
 mod probed_stream;
--- /dev/null
+++ b/crates/entry/src/open_ahead.rs
@@ -0,0 +1,72 @@
+//! Connections that are opened ahead of the first request.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task;
+use tokio::time;
+
+use wigeonhall_dispatch::ReplicaKey;
+use wigeonhall_dispatch::ServiceKey;
+
+use crate::node_state::NodeState;
+use crate::replica_client;
+
+/// Time over which connections are opened.
+const SPREAD_MS: u64 = 1_500;
+
+/// Opens connections to those of the `new` replicas that this node sends to first.
+pub(crate) fn to_replicas(shared: &Rc<NodeState>, new: &[ReplicaKey]) {
+    if new.is_empty() {
+        return;
+    }
+    let services = services(shared);
+    let now_us = shared.clock.now_us();
+    let chosen = shared
+        .pool
+        .borrow_mut()
+        .to_open_ahead(now_us, new, &services);
+    for key in chosen {
+        open(shared, key);
+    }
+}
+
+/// Opens connections for the services that this node sends to and has none for, after
+/// routes or nodes have changed.
+pub(crate) fn to_services(shared: &Rc<NodeState>) {
+    let now_us = shared.clock.now_us();
+    for service in services(shared) {
+        let chosen = shared.pool.borrow_mut().choose(now_us, service, &[]);
+        if let Some(key) = chosen.filter(|key| !shared.idle.borrow().has(*key)) {
+            open(shared, key);
+        }
+    }
+}
+
+/// Services that this node sends to; nodes that share gathers send to a part of them.
+fn services(shared: &NodeState) -> BTreeSet<ServiceKey> {
+    let Some(table) = shared.table.borrow().clone() else {
+        return BTreeSet::new();
+    };
+    let peers = shared.peers.borrow();
+    let now_us = shared.clock.now_us();
+    let own_legs = |legs, target_ms| peers.own_legs(now_us, legs, target_ms);
+    if *shared.feed.nodes_listed.borrow() {
+        table.services(own_legs)
+    } else {
+        // Which part is this node's is not known yet.
+        table.services(|_, _| Vec::new())
+    }
+}
+
+fn open(shared: &Rc<NodeState>, key: ReplicaKey) {
+    let shared = shared.clone();
+    task::spawn_local(async move {
+        let wait_ms = fastrand::u64(0..SPREAD_MS);
+        time::sleep(Duration::from_millis(wait_ms)).await;
+        if !shared.idle.borrow().has(key) {
+            replica_client::open_ahead(&shared, key).await;
+        }
+    });
+}
--- a/crates/entry/src/peer_registry.rs
+++ b/crates/entry/src/peer_registry.rs
@@ -20,6 +20,7 @@
 use crate::event::Event;
 use crate::node_state::NodeState;
 use crate::node_state::Phase;
+use crate::open_ahead;
 use crate::store_call::CallPurpose;
 use crate::store_call::StoreCall;
 use crate::store_client::StoreClient;
@@ -66,6 +67,7 @@
         let pause = pauses.next().unwrap_or(PERIOD);
         time::sleep(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
         let nodes = list_until_done(&shared, &mut client).await;
+        let listed = *shared.feed.nodes_listed.borrow();
         let registering = registration
             .as_ref()
             .is_some_and(|task| !task.is_finished());
@@ -74,6 +76,9 @@
             registration = Some(task::spawn_local(register_until_done(shared.clone())));
         }
         replace(&shared, nodes);
+        if !listed {
+            open_ahead::to_services(&shared);
+        }
     }
 }
 
--- a/crates/entry/src/replica_client.rs
+++ b/crates/entry/src/replica_client.rs
@@ -77,12 +77,17 @@
 impl IdleConnections {
     fn take(&mut self, now_us: u64, key: ReplicaKey) -> Option<HttpSender> {
         let idle = self.by_replica.get_mut(&key)?;
+        let mut found = None;
         while let Some(connection) = idle.pop() {
             if connection.expires_us > now_us && !connection.sender.is_closed() {
-                return Some(connection.sender);
+                found = Some(connection.sender);
+                break;
             }
         }
-        None
+        if idle.is_empty() {
+            self.by_replica.remove(&key);
+        }
+        found
     }
 
     fn put(&mut self, key: ReplicaKey, sender: HttpSender, expires_us: u64) {
@@ -90,6 +95,11 @@
         idle.push(Idle { expires_us, sender });
     }
 
+    /// Whether there is a connection to a replica.
+    pub(crate) fn has(&self, key: ReplicaKey) -> bool {
+        self.by_replica.contains_key(&key)
+    }
+
     /// Closes the connections to a replica.
     pub(crate) fn close(&mut self, key: ReplicaKey) {
         self.by_replica.remove(&key);
