Hold a version back until its replicas are known; refuse unservable gathers at once

All nodes switched, and 59 gathers within two seconds ended as 502 after 110 ms; the shards of the version before were all alive. Gathers that nodes share were never refused: after a restart of all nodes others were asked for parts of which none could come, and callers were told 502 in place of a true 503. Ruled out: slow or failing replicas (no failed send in that window).

Change: a version is held back while it lacks replicas for services that its routes serve now, for a quarter of the time in which it must be in force. The planning node refuses a gather with too few known replicas. Callers of a node without a configuration are told to come back after 0.7 s while the store is away, else after 0.2 s.

Tests: configuration_hold, two in entry/store, one in entry/shared_gather.

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -1,5 +1,6 @@
 use std::rc::Rc;
 
+use crate::DeadReason;
 use crate::LegState;
 use crate::Outcome;
 use crate::Pool;
@@ -124,6 +125,20 @@
         !self.out_of_reach()
     }
 
+    /// The refusal of a request that too few services can serve, whichever node sends it.
+    pub fn refuse_unservable(&mut self, pool: &Pool, now_us: u64) -> Option<Outcome> {
+        if now_us >= self.deadline_us {
+            return Some(self.refuse(pool, now_us, self.refusal(true)));
+        }
+        for leg in &mut self.legs {
+            if !pool.is_open(now_us, leg.service) {
+                leg.state = LegState::Dead(DeadReason::NoReplica);
+            }
+        }
+        self.out_of_reach()
+            .then(|| self.refuse(pool, now_us, self.refusal(false)))
+    }
+
     /// Sends the first request of each leg.
     pub fn start(
         &mut self,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod availability;
 mod change_log;
 mod configuration;
+mod configuration_hold;
 mod event_look;
 mod exchange;
 mod exchange_outcome;
@@ -42,6 +43,7 @@
 pub use configuration::Configuration;
 pub use configuration::RequestLimits;
 pub use configuration::ServiceSpec;
+pub use configuration_hold::ConfigurationHold;
 pub use event_look::EventLook;
 pub use exchange::Exchange;
 pub use exchange::Send;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -183,6 +183,15 @@
             .map(|(_, key)| key)
     }
 
+    /// Whether a service has a replica that takes requests, at the moment or before long.
+    #[must_use]
+    pub fn is_open(&self, now_us: u64, service: ServiceKey) -> bool {
+        let replicas = self.replicas_of(service).iter();
+        replicas
+            .filter_map(|key| self.replica(*key))
+            .any(|replica| !replica.is_leaving(now_us))
+    }
+
     /// Whether a replica may be sent a request now.
     #[must_use]
     pub fn is_usable(&self, now_us: u64, key: ReplicaKey) -> bool {
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -113,6 +113,16 @@
 }
 
 impl Route {
+    /// All services that its requests may go to.
+    #[must_use]
+    pub fn services(&self) -> Vec<ServiceKey> {
+        match &self.target {
+            RouteTarget::Gather { shards, .. } => shards.clone(),
+            RouteTarget::Service(service) => vec![*service],
+            RouteTarget::Split(parts) => parts.iter().map(|part| part.service).collect(),
+        }
+    }
+
     /// Chooses the services of the next request.
     #[must_use]
     pub fn select(&self) -> Selection {
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -52,7 +52,7 @@
     /// many legs and such a target latency in milliseconds.
     pub fn services(&self, own_legs: impl Fn(usize, u64) -> Vec<usize>) -> BTreeSet<ServiceKey> {
         let mut services = BTreeSet::new();
-        for route in self.by_host.values().flatten() {
+        for route in self.routes() {
             match &route.target {
                 RouteTarget::Gather { shards, .. } => {
                     let legs = own_legs(shards.len(), route.spec.target_latency_ms);
@@ -70,6 +70,40 @@
         services
     }
 
+    /// Services without a known replica to which routes go that the `current` table serves
+    /// better.
+    #[must_use]
+    pub fn lacking(&self, current: &Self, pool: &Pool, now_us: u64) -> usize {
+        let unserved = |route: &Route| {
+            let services = route.services();
+            let open = services.iter().filter(|key| pool.is_open(now_us, **key));
+            services.len() - open.count()
+        };
+        let former = current.routes().map(|route| (&route.spec.name, route));
+        let former: HashMap<&Arc<str>, &Rc<Route>> = former.collect();
+        let lacking = self.routes().filter_map(|route| {
+            let before = former.get(&route.spec.name)?;
+            Some(unserved(route).saturating_sub(unserved(before)))
+        });
+        lacking.sum()
+    }
+
+    /// Number of routes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.routes().count()
+    }
+
+    /// Whether it has no route.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_host.is_empty()
+    }
+
+    fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.by_host.values().flatten()
+    }
+
     /// The route with the longest prefix that begins `path`.
     ///
     /// `host` may carry a port and any case.
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -46,7 +46,7 @@
         .map_or(timeout_us, |ms| ms.saturating_mul(1_000));
     let deadline_us = arrived_us + timeout_us.min(remaining_us);
     let hedge_delay_us = hedge_delay_us(shared, &route);
-    let exchange = Exchange::new(
+    let mut exchange = Exchange::new(
         arrived_us,
         deadline_us,
         hedge_delay_us,
@@ -55,13 +55,15 @@
     );
     let soft_us = exchange.soft_us();
     let outgoing = Rc::new(outgoing);
-    let plan = plan(shared, &exchange);
-    let (outcome, response, answered) = match plan {
-        Some(plan) => {
-            SharedGather::new(shared, &exchange, outgoing, hedge_delay_us)
-                .run(plan)
-                .await
-        }
+    let (outcome, response, answered) = match plan(shared, &exchange) {
+        Some(plan) => match refuse_unservable(shared, &mut exchange) {
+            Some(outcome) => refused(shared, exchange, outgoing, outcome),
+            None => {
+                SharedGather::new(shared, &exchange, outgoing, hedge_delay_us)
+                    .run(plan)
+                    .await
+            }
+        },
         None => alone(shared, exchange, outgoing).await,
     };
     observe_lag(shared, soft_us);
@@ -87,6 +89,21 @@
         .plan(now_us, exchange.legs().count(), target_ms)
 }
 
+fn refuse_unservable(shared: &NodeState, exchange: &mut Exchange) -> Option<Outcome> {
+    let now_us = shared.clock.now_us();
+    exchange.refuse_unservable(&shared.pool.borrow(), now_us)
+}
+
+/// Refuses a request before any node was asked for its parts.
+fn refused(
+    shared: &Rc<NodeState>,
+    exchange: Exchange,
+    outgoing: Rc<OutgoingRequest>,
+    outcome: Outcome,
+) -> (Outcome, CallerResponse, Answered) {
+    finish(Query::new(shared, exchange, outgoing), outcome)
+}
+
 async fn alone(
     shared: &Rc<NodeState>,
     exchange: Exchange,
@@ -94,6 +111,10 @@
 ) -> (Outcome, CallerResponse, Answered) {
     let mut query = Query::new(shared, exchange, outgoing);
     let outcome = query.run().await;
+    finish(query, outcome)
+}
+
+fn finish(mut query: Query, outcome: Outcome) -> (Outcome, CallerResponse, Answered) {
     let answered = Answered {
         extra_sends: query.exchange.extra_sends(),
         legs: query.exchange.legs().count(),
--- a/crates/entry/src/collection_view.rs
+++ b/crates/entry/src/collection_view.rs
@@ -23,6 +23,7 @@
 use crate::event::Event;
 use crate::node_state::NodeState;
 use crate::open_ahead;
+use crate::route_switch;
 
 /// What a node knows of one collection of the store, and up to which revision.
 pub(crate) struct CollectionView {
@@ -295,15 +296,13 @@
             Err(error) => return self.malformed(object, error.to_string()),
         };
         let shared = &self.shared;
-        let current = shared.table.borrow().as_ref().map(|table| table.version);
-        let newer = current.is_none_or(|version| version < configuration.version);
-        shared.log(&Event::Configuration {
-            outcome: if newer { "in_force" } else { "older" },
-            routes: configuration.routes.len(),
-            version: configuration.version,
-        });
-        if !newer {
-            return;
+        if shared.newest_version() >= Some(configuration.version) {
+            return shared.log(&Event::Configuration {
+                lacking: 0,
+                outcome: "older",
+                routes: configuration.routes.len(),
+                version: configuration.version,
+            });
         }
         let mut pool = shared.pool.borrow_mut();
         for service in &configuration.services {
@@ -311,9 +310,7 @@
         }
         let table = RouteTable::new(&configuration, &mut pool);
         drop(pool);
-        shared.metrics.config_version.set(table.version as i64);
-        shared.table.replace(Some(Rc::new(table)));
-        open_ahead::to_services(shared);
+        route_switch::offer(shared, table);
     }
 
     fn evacuate(&self, revision: u64) {
@@ -340,5 +337,6 @@
             suspended: counts.suspended,
         });
         open_ahead::to_replicas(&self.shared, new);
+        route_switch::review(&self.shared);
     }
 }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -8,8 +8,10 @@
 pub(crate) enum Event<'a> {
     /// The node learns of changes from the store, or from the node that is named.
     ChangeSource { reason: &'a str, source: &'a str },
-    /// A configuration came into force, or was not taken.
+    /// A configuration came into force, is held back, or was not taken; `lacking` of its
+    /// services have no known replica although they are served now.
     Configuration {
+        lacking: usize,
         outcome: &'a str,
         routes: usize,
         version: u64,
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -34,8 +34,11 @@
 use crate::responses;
 use crate::responses::CallerResponse;
 
-/// When a caller that finds a node without a configuration may come back.
-const UNCONFIGURED_RETRY_MS: u64 = 100;
+/// When a caller that finds a node without a configuration may come back: it is being read.
+const UNCONFIGURED_RETRY_MS: u64 = 200;
+
+/// The same while the store is away; the node finds out within this time that it is back.
+const STORE_AWAY_RETRY_MS: u64 = 700;
 
 /// Smallest read buffer that `hyper` takes.
 const READ_BUFFER_MIN_BYTES: usize = 8_192;
@@ -133,7 +136,12 @@
 ) -> CallerResponse {
     let table = shared.table.borrow().clone();
     let Some(table) = table else {
-        return responses::refusal("no configuration is known yet", UNCONFIGURED_RETRY_MS);
+        let retry_after_ms = if shared.feed.store_in_doubt() {
+            STORE_AWAY_RETRY_MS
+        } else {
+            UNCONFIGURED_RETRY_MS
+        };
+        return responses::refusal("no configuration is known yet", retry_after_ms);
     };
     let head = match caller_request::read_head(&request, &table) {
         Ok(head) => head,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -38,6 +38,7 @@
 mod replica_client;
 mod replica_response;
 mod responses;
+mod route_switch;
 mod run;
 mod shared_gather;
 mod socket;
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -14,6 +14,7 @@
 use crate::node_state::NodeState;
 use crate::node_state::Phase;
 use crate::peer_registry;
+use crate::route_switch;
 
 /// Time for which callers may still come after a signal to stop: the platform asks
 /// once a second and takes a node out after two misses.
@@ -44,6 +45,7 @@
                 let due_us = shared.clock.now_us() + SWEEP_PERIOD.as_micros() as u64;
                 shared.loop_times.set_timer_due(due_us);
                 shared.sweep();
+                route_switch::review(shared);
             }
         }
     }
--- a/crates/entry/src/node_state.rs
+++ b/crates/entry/src/node_state.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use wigeonhall_adapter::ProcessSettings;
+use wigeonhall_dispatch::ConfigurationHold;
 use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::PeerNode;
 use wigeonhall_dispatch::Peers;
@@ -43,6 +44,8 @@
     /// How long the node takes to answer once an answer is due.
     pub(crate) answer_lag: AnswerLag,
     pub(crate) clock: Clock,
+    /// Decides when `next_table` comes into force.
+    pub(crate) configuration_hold: RefCell<ConfigurationHold>,
     /// Open connections of callers.
     pub(crate) connections: Cell<usize>,
     pub(crate) events: EventLog,
@@ -52,6 +55,8 @@
     pub(crate) latencies: RefCell<HashMap<Arc<str>, RouteLatency>>,
     pub(crate) loop_times: Arc<LoopTimes>,
     pub(crate) metrics: Metrics,
+    /// Routes that are held back; newer than those in force.
+    pub(crate) next_table: RefCell<Option<Rc<RouteTable>>>,
     /// Nodes of the own data centre.
     pub(crate) peers: RefCell<Peers>,
     pub(crate) phase: watch::Sender<Phase>,
@@ -80,6 +85,7 @@
         Self {
             answer_lag: AnswerLag::default(),
             clock,
+            configuration_hold: RefCell::new(ConfigurationHold::new(settings.config_apply_ms)),
             connections: Cell::new(0),
             events,
             feed: ChangeFeed::default(),
@@ -87,6 +93,7 @@
             latencies: RefCell::default(),
             loop_times: Arc::new(LoopTimes::new(clock)),
             metrics,
+            next_table: RefCell::new(None),
             peers: RefCell::new(Peers::new(own)),
             phase: watch::Sender::new(Phase::Serving),
             pool: RefCell::new(pool),
@@ -108,6 +115,14 @@
         *self.phase.borrow()
     }
 
+    /// Version of the newest routes, in force or held back.
+    pub(crate) fn newest_version(&self) -> Option<u64> {
+        let next = self.next_table.borrow();
+        let current = self.table.borrow();
+        let newest = next.as_ref().or(current.as_ref());
+        newest.map(|table| table.version)
+    }
+
     pub(crate) fn log(&self, event: &Event<'_>) {
         self.events.write(self.clock.now_us(), event);
     }
--- /dev/null
+++ b/crates/entry/src/route_switch.rs
@@ -0,0 +1,59 @@
+//! The change from one configuration to the next.
+
+use std::rc::Rc;
+
+use wigeonhall_dispatch::RouteTable;
+
+use crate::event::Event;
+use crate::node_state::NodeState;
+use crate::open_ahead;
+
+/// Takes in the routes of a newer configuration.
+pub(crate) fn offer(shared: &Rc<NodeState>, table: RouteTable) {
+    let version = table.version;
+    let routes = table.len();
+    shared.next_table.replace(Some(Rc::new(table)));
+    if !review(shared) {
+        shared.log(&Event::Configuration {
+            lacking: lacking(shared),
+            outcome: "held",
+            routes,
+            version,
+        });
+    }
+}
+
+/// Puts the newest routes in force once their replicas are known, or their time has come;
+/// returns whether none are held back.
+pub(crate) fn review(shared: &Rc<NodeState>) -> bool {
+    let Some(table) = shared.next_table.borrow().clone() else {
+        return true;
+    };
+    let lacking = lacking(shared);
+    let now_us = shared.clock.now_us();
+    let mut hold = shared.configuration_hold.borrow_mut();
+    if !hold.comes_into_force(now_us, lacking) {
+        return false;
+    }
+    shared.next_table.replace(None);
+    shared.log(&Event::Configuration {
+        lacking,
+        outcome: "in_force",
+        routes: table.len(),
+        version: table.version,
+    });
+    shared.metrics.config_version.set(table.version as i64);
+    shared.table.replace(Some(table));
+    open_ahead::to_services(shared);
+    true
+}
+
+/// Services of the newest routes that lack a replica and are served now.
+fn lacking(shared: &NodeState) -> usize {
+    let next = shared.next_table.borrow();
+    let current = shared.table.borrow();
+    let (Some(next), Some(current)) = (next.as_ref(), current.as_ref()) else {
+        return 0;
+    };
+    next.lacking(current, &shared.pool.borrow(), shared.clock.now_us())
+}
--- a/crates/node/tests/entry/shared_gather.rs
+++ b/crates/node/tests/entry/shared_gather.rs
@@ -23,7 +23,7 @@
 struct Fleet {
     nodes: Vec<Node>,
     replicas: Vec<ReplicaStandin>,
-    _store: StoreStandin,
+    store: StoreStandin,
 }
 
 fn record(first: usize) -> Vec<u8> {
@@ -57,7 +57,7 @@
     Fleet {
         nodes,
         replicas,
-        _store: store,
+        store,
     }
 }
 
@@ -111,3 +111,20 @@
         fleet.replicas.iter().all(|it| it.cancelled() > 0)
     });
 }
+
+/// Other nodes were asked for the parts of a gather that could not succeed, and the caller
+/// was told that it may have run.
+#[test]
+fn a_gather_with_too_few_replicas_is_refused_before_other_nodes_are_asked() {
+    let fleet = fleet(|index| Behaviour::answer(record(index)));
+    fleet.store.unregister("s00-1");
+    fleet.nodes[0].logged(|line| line["event"] == "replicas" && line["gone"] == 1);
+    let answer = ask(fleet.nodes[0].callers, "GET", "/all/x", "q1", "");
+    assert_eq!(answer.status, 503);
+    assert!(
+        fleet
+            .replicas
+            .iter()
+            .all(|replica| replica.runs().is_empty())
+    );
+}
--- a/crates/node/tests/entry/store.rs
+++ b/crates/node/tests/entry/store.rs
@@ -5,13 +5,18 @@
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::ReplicaStandin;
+use wigeonhall_adapter_standins::receipts_of;
 use wigeonhall_dispatch::RegistrationState;
+use wigeonhall_dispatch::RouteKind;
 use wigeonhall_dispatch::RouteSpec;
+use wigeonhall_dispatch::TargetSpec;
 
 use crate::caller::ask;
 use crate::deployment::Node;
 use crate::deployment::configuration;
 use crate::deployment::deploy;
+use crate::deployment::gather;
+use crate::deployment::route;
 use crate::deployment::route_to_a;
 use crate::deployment::wait_until;
 
@@ -190,3 +195,37 @@
     store.configure(&configuration(3, more));
     wait_until("the third version", || status(&node, "/three/x") == 200);
 }
+
+/// The store was away while replicas started; a version that names them came before them,
+/// and callers were refused although the former shards still served.
+#[test]
+fn a_version_is_held_back_until_the_replicas_that_it_names_are_known() {
+    let shards = ["a", "b", "c"].map(|service| {
+        ReplicaStandin::start(service, 1, move |_| Behaviour::answer(service)).unwrap()
+    });
+    let all = |names: &[&str]| route("all", "/all/", RouteKind::Idempotent, gather(names, 1.0));
+    let (store, node) = deploy(vec![all(&["a", "b"])], &[&shards[0], &shards[1]]);
+    store.configure(&configuration(2, vec![all(&["a", "c"])]));
+    let held = node.logged(|line| line["event"] == "configuration" && line["outcome"] == "held");
+    assert_eq!(held["lacking"], 1);
+    let answer = ask(node.callers, "GET", "/all/x", "q1", "");
+    assert_eq!(receipts_of(&answer.message), ["a-1.q1", "b-1.q1"]);
+    store.register(&shards[2].registration("north"));
+    node.logged(|line| line["outcome"] == "in_force" && line["version"] == 2);
+    let answer = ask(node.callers, "GET", "/all/x", "q2", "");
+    assert_eq!(receipts_of(&answer.message), ["a-1.q2", "c-1.q2"]);
+}
+
+/// A version whose replicas never come must be in force in time all the same.
+#[test]
+fn a_version_is_not_held_back_for_good() {
+    let replica = replica(1);
+    let (store, node) = deploy(routes(), &[&replica]);
+    let nobody = TargetSpec::Service("nobody".into());
+    let moved = route("one", "/one/", RouteKind::Idempotent, nobody);
+    store.configure(&configuration(2, vec![moved]));
+    node.logged(|line| line["event"] == "configuration" && line["outcome"] == "held");
+    assert_eq!(status(&node, "/one/x"), 200);
+    node.logged(|line| line["outcome"] == "in_force" && line["version"] == 2);
+    assert_eq!(status(&node, "/one/x"), 503);
+}
