Send whole collections to nodes that start or are far behind

Followers that were behind their reader read three collections from the store at the full price.

Change: readers keep the objects of each collection and send all of them, compressed, to a node that knows nothing or too little. A node that starts asks readers first, and reads the store after 1.5 s. Lists of nodes and registrations wait while the store is known to be away. Looks belong to nodes that read the store, or that start and know no others.

Tests: entry/feed, a node that starts makes no call for replicas.

--- a/crates/entry/src/change_feed.rs
+++ b/crates/entry/src/change_feed.rs
@@ -17,8 +17,6 @@
 /// From where a node learns of changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ChangeSource {
-    /// The collections are read once, and changes are not followed yet.
-    Listing,
     /// Another node passes changes on.
     Node,
     /// The node looks for another one to follow, and may read the store if it finds none.
@@ -116,9 +114,4 @@
             self.outage_began_us.send_replace(began_us);
         }
     }
-
-    /// Has all waiting watches sent again.
-    pub(crate) fn reissue_watches(&self) {
-        self.outage_began_us.send_replace(0);
-    }
 }
--- a/crates/entry/src/collection_view.rs
+++ b/crates/entry/src/collection_view.rs
@@ -1,9 +1,13 @@
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
+use lz4_flex::block::uncompressed_size;
+use lz4_flex::decompress_size_prepended;
+
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::DecodeError;
 use wigeonhall_adapter::ObjectChange;
@@ -21,9 +25,14 @@
 use wigeonhall_dispatch::RouteTable;
 
 use crate::event::Event;
+use crate::feed_protocol::FeedMessage;
 use crate::node_state::NodeState;
 use crate::open_ahead;
 use crate::route_switch;
+use crate::snapshot_error::SnapshotError;
+
+/// Longest text of a whole collection; 23,000 replicas take about 9 MB.
+const SNAPSHOT_BYTES_MAX: usize = 32 * 1024 * 1024;
 
 /// What a node knows of one collection of the store, and up to which revision.
 pub(crate) struct CollectionView {
@@ -38,11 +47,13 @@
     pub(crate) list_due: Cell<bool>,
     /// Time of the first failed call of an outage.
     lost_at_us: Cell<Option<u64>>,
-    /// Names of the objects that are in the collection at `revision`.
-    names: RefCell<BTreeSet<Arc<str>>>,
+    /// The objects of the collection at `revision`, by name.
+    objects: RefCell<BTreeMap<Arc<str>, StoredObject>>,
     /// Revision up to which all is known; `None` before a list.
     pub(crate) revision: Cell<Option<u64>>,
     pub(crate) shared: Rc<NodeState>,
+    /// The newest message with the whole collection; it serves all who ask at its revision.
+    snapshot: RefCell<Option<(u64, FeedMessage)>>,
 }
 
 impl CollectionView {
@@ -54,9 +65,10 @@
             list_due: Cell::new(false),
             log: RefCell::default(),
             lost_at_us: Cell::new(None),
-            names: RefCell::default(),
+            objects: RefCell::default(),
             revision: Cell::new(None),
             shared,
+            snapshot: RefCell::new(None),
         }
     }
 
@@ -74,36 +86,34 @@
     ///
     /// Nodes that follow this one get the difference to what was known before, as changes.
     pub(crate) fn list(&self, objects: Vec<StoredObject>, revision: u64) {
-        let names = objects.iter().map(|object| object.name.clone()).collect();
-        let former_names = self.names.replace(names);
         match self.revision.get() {
             Some(former) if former <= revision => {
-                let batch = self.difference(&objects, &former_names, former, revision);
+                let batch = self.difference(&objects, former, revision);
                 self.shared.feed.publish(self.collection, &batch);
                 self.log.borrow_mut().push(batch);
             }
             Some(_) | None => self.log.borrow_mut().restart(revision),
         }
-        self.replace(objects, revision);
+        self.replace(&objects, revision);
+        let by_name = objects
+            .into_iter()
+            .map(|object| (object.name.clone(), object));
+        self.objects.replace(by_name.collect());
         self.revision.set(Some(revision));
         self.hurried.set(false);
         self.list_due.set(false);
     }
 
     /// Changes that lead from what was known at `former` to the listed objects.
-    fn difference(
-        &self,
-        objects: &[StoredObject],
-        former_names: &BTreeSet<Arc<str>>,
-        former: u64,
-        revision: u64,
-    ) -> ChangeBatch {
+    fn difference(&self, objects: &[StoredObject], former: u64, revision: u64) -> ChangeBatch {
         let changed: Vec<&StoredObject> = objects
             .iter()
             .filter(|object| object.revision > former)
             .collect();
-        let names = self.names.borrow();
-        let gone: Vec<Arc<str>> = former_names.difference(&names).cloned().collect();
+        let names: BTreeSet<&Arc<str>> = objects.iter().map(|object| &object.name).collect();
+        let known = self.objects.borrow();
+        let gone = known.keys().filter(|name| !names.contains(name));
+        let gone: Vec<Arc<str>> = gone.cloned().collect();
         ChangeBatch {
             body: encode_changes(&changed, &gone, revision).into(),
             from: former,
@@ -111,6 +121,48 @@
         }
     }
 
+    /// A message with the whole collection; `None` before a list.
+    pub(crate) fn snapshot(&self) -> Option<FeedMessage> {
+        let revision = self.revision.get()?;
+        if let Some((of, message)) = &*self.snapshot.borrow()
+            && *of == revision
+        {
+            return Some(message.clone());
+        }
+        let objects = self.objects.borrow();
+        let all: Vec<&StoredObject> = objects.values().collect();
+        let body = encode_changes(&all, &[], revision);
+        let message = FeedMessage::Snapshot {
+            body: lz4_flex::compress_prepend_size(&body).into(),
+            collection: self.collection,
+            revision,
+        };
+        self.snapshot.replace(Some((revision, message.clone())));
+        Some(message)
+    }
+
+    /// Takes in the whole collection from another node, if it is newer than what is known.
+    ///
+    /// # Errors
+    ///
+    /// When the body holds no objects.
+    pub(crate) fn take_snapshot(&self, body: &[u8], revision: u64) -> Result<(), SnapshotError> {
+        if self.revision.get() >= Some(revision) {
+            return Ok(());
+        }
+        let (length, _) = uncompressed_size(body).map_err(SnapshotError::Compression)?;
+        if length > SNAPSHOT_BYTES_MAX {
+            return Err(SnapshotError::TooLong(length));
+        }
+        let body = decompress_size_prepended(body).map_err(SnapshotError::Compression)?;
+        let changes = decode_changes(&body)
+            .map_err(SnapshotError::Decode)?
+            .changes;
+        let objects = changes.into_iter().map(|change| change.object);
+        self.list(objects.collect(), revision);
+        Ok(())
+    }
+
     /// Takes in changes, and hands them to the nodes that follow this one; returns how
     /// many there were.
     ///
@@ -143,21 +195,21 @@
         if !batch.body.is_empty() {
             let changes = decode_changes(&batch.body)?.changes;
             count = changes.len();
-            self.note_names(&changes);
-            self.apply(changes, batch.to);
+            self.apply(&changes, batch.to);
+            self.keep(changes);
         }
         self.revision.set(Some(batch.to));
         self.hurried.set(false);
         Ok(count)
     }
 
-    fn note_names(&self, changes: &[ObjectChange]) {
-        let mut names = self.names.borrow_mut();
+    fn keep(&self, changes: Vec<ObjectChange>) {
+        let mut objects = self.objects.borrow_mut();
         for change in changes {
             if change.deleted {
-                names.remove(&change.object.name);
+                objects.remove(&change.object.name);
             } else {
-                names.insert(change.object.name.clone());
+                objects.insert(change.object.name.clone(), change.object);
             }
         }
     }
@@ -197,15 +249,15 @@
         Some(lost_at_us)
     }
 
-    fn replace(&self, objects: Vec<StoredObject>, revision: u64) {
+    fn replace(&self, objects: &[StoredObject], revision: u64) {
         match self.collection {
             Collection::Configuration => {
-                for object in &objects {
+                for object in objects {
                     self.configure(object);
                 }
             }
             Collection::Evacuations => {
-                let names = objects.into_iter().map(|object| object.name);
+                let names = objects.iter().map(|object| object.name.clone());
                 self.evacuated.replace(names.collect());
                 self.evacuate(revision);
             }
@@ -223,7 +275,7 @@
         }
     }
 
-    fn apply(&self, changes: Vec<ObjectChange>, revision: u64) {
+    fn apply(&self, changes: &[ObjectChange], revision: u64) {
         match self.collection {
             Collection::Configuration => {
                 for change in changes.iter().filter(|change| !change.deleted) {
@@ -236,13 +288,13 @@
                     if change.deleted {
                         evacuated.remove(&change.object.name);
                     } else {
-                        evacuated.insert(change.object.name);
+                        evacuated.insert(change.object.name.clone());
                     }
                 }
                 self.evacuate(revision);
             }
             Collection::Nodes => {}
-            Collection::Replicas => self.apply_replicas(&changes, revision),
+            Collection::Replicas => self.apply_replicas(changes, revision),
         }
     }
 
--- a/crates/entry/src/feed_client.rs
+++ b/crates/entry/src/feed_client.rs
@@ -16,10 +16,13 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use wigeonhall_adapter::Collection;
 use wigeonhall_dispatch::BatchFit;
+use wigeonhall_dispatch::ChangeBatch;
 use wigeonhall_dispatch::ReadingRole;
 
 use crate::change_feed::ChangeSource;
+use crate::collection_view::CollectionView;
 use crate::event::Event;
 use crate::feed_protocol;
 use crate::feed_protocol::DecodedMessage;
@@ -44,8 +47,9 @@
 /// tier starts: a reader can be followed only from the revision at which it began.
 const READERS_FIRST: Duration = Duration::from_millis(400);
 
-/// Time for a list, or for a look at what is new.
-const LISTS: Duration = Duration::from_millis(1_500);
+/// Time in which a node that starts looks for one that sends it all collections before it
+/// reads the store.
+const FIRST_SEEK: Duration = Duration::from_millis(1_500);
 
 /// Time after which a node asks again whether it can follow another.
 const REVIEW: Duration = Duration::from_millis(1_500);
@@ -76,8 +80,6 @@
 /// Why a node does not follow another one, or not any more.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum FeedEnd {
-    /// The other node does not hold all changes that this one lacks.
-    Behind,
     /// The other node does not read the store.
     Declined,
     /// The connection ended.
@@ -155,7 +157,7 @@
             return;
         };
         for (name, address) in sources {
-            let end = follow_caught_up(shared, views, &name, address).await;
+            let end = follow(shared, views, &name, address).await;
             ended(shared, &name, end, &mut declines);
             if end.reason == FeedEnd::NowReader {
                 return;
@@ -178,7 +180,7 @@
     if shared.feed.reads_store() {
         Instant::now()
     } else {
-        Instant::now() + SEEK_MIN
+        Instant::now() + FIRST_SEEK
     }
 }
 
@@ -194,26 +196,7 @@
     shared.peers.borrow().reading_role(now_us, can_read)
 }
 
-/// Follows a node; one that does not go back far enough is asked again after a look at
-/// what is new in the store.
-async fn follow_caught_up(
-    shared: &Rc<NodeState>,
-    views: &Views,
-    name: &Arc<str>,
-    address: SocketAddr,
-) -> StreamEnd {
-    let end = follow(shared, views, name, address).await;
-    if end.reason != FeedEnd::Behind {
-        return end;
-    }
-    if !shared.feed.reads_store() {
-        shared.feed.set_source(ChangeSource::Listing);
-    }
-    views::catch_up_within(shared, views, LISTS).await;
-    follow(shared, views, name, address).await
-}
-
-/// Waits until the nodes are known, and reads the collections once.
+/// Waits until the nodes are known.
 async fn start(shared: &Rc<NodeState>, views: &Views) {
     let first_start = shared.settings.first_start;
     let limit = if first_start {
@@ -232,19 +215,10 @@
         if !shared.feed.store_in_doubt() || waits >= NODES_WAITS {
             break;
         }
-        // The store answers nobody yet; the collections are read once it does.
-        shared.feed.set_source(ChangeSource::Listing);
-    }
-    if role(shared, views) == ReadingRole::Reader {
-        return;
     }
-    if first_start {
+    if first_start && role(shared, views) != ReadingRole::Reader {
         time::sleep(READERS_FIRST).await;
     }
-    shared.feed.set_source(ChangeSource::Listing);
-    if views::read_within(views, LISTS).await.is_none() {
-        log::debug!("the collections were not read in time");
-    }
 }
 
 /// Records the end of an attempt to follow a node.
@@ -271,8 +245,7 @@
             *count += 1;
             *count >= DECLINES_TO_SUSPECT
         }
-        FeedEnd::Behind
-        | FeedEnd::Foreign
+        FeedEnd::Foreign
         | FeedEnd::Gap
         | FeedEnd::Silent
         | FeedEnd::Undecodable
@@ -327,7 +300,7 @@
     views: &Views,
     address: SocketAddr,
 ) -> Result<(Incoming, HttpSender), FeedEnd> {
-    let revisions = views::revisions(views).ok_or(FeedEnd::Declined)?;
+    let revisions = views::revisions(views);
     let limit = feed_server::silence_limit(shared);
     let mut sender = http_client::connect(address, limit)
         .await
@@ -347,7 +320,6 @@
         return Err(FeedEnd::Foreign);
     }
     match response.status() {
-        StatusCode::GONE => Err(FeedEnd::Behind),
         StatusCode::SERVICE_UNAVAILABLE => Err(FeedEnd::StoreAway),
         StatusCode::OK => Ok((response.into_body(), sender)),
         _ => Err(FeedEnd::Declined),
@@ -393,26 +365,39 @@
     fn take(&mut self, message: FeedMessage) -> Option<FeedEnd> {
         match message {
             FeedMessage::Alive { age_ms } => self.alive(age_ms),
-            FeedMessage::Batch(collection, batch) => {
-                let view = self
-                    .views
-                    .iter()
-                    .find(|view| view.collection == collection)?;
-                let labels = [collection.wire_name()];
-                let passed_on = &self.shared.metrics.passed_on_batches;
-                passed_on.with_label_values(&labels).inc();
-                match view.take_passed_on(&batch) {
-                    Ok(BatchFit::Gap) => Some(FeedEnd::Gap),
-                    Ok(BatchFit::Known | BatchFit::Next) => None,
-                    Err(error) => {
-                        log::warn!("cannot decode changes from {}: {error}", self.name);
-                        Some(FeedEnd::Undecodable)
-                    }
-                }
+            FeedMessage::Batch(collection, batch) => self.take_batch(collection, &batch),
+            FeedMessage::Snapshot {
+                body,
+                collection,
+                revision,
+            } => {
+                let taken = self.view(collection)?.take_snapshot(&body, revision);
+                let error = taken.err()?;
+                log::warn!("cannot decode a collection from {}: {error}", self.name);
+                Some(FeedEnd::Undecodable)
             }
         }
     }
 
+    fn take_batch(&self, collection: Collection, batch: &ChangeBatch) -> Option<FeedEnd> {
+        let labels = [collection.wire_name()];
+        let passed_on = &self.shared.metrics.passed_on_batches;
+        passed_on.with_label_values(&labels).inc();
+        match self.view(collection)?.take_passed_on(batch) {
+            Ok(BatchFit::Gap) => Some(FeedEnd::Gap),
+            Ok(BatchFit::Known | BatchFit::Next) => None,
+            Err(error) => {
+                log::warn!("cannot decode changes from {}: {error}", self.name);
+                Some(FeedEnd::Undecodable)
+            }
+        }
+    }
+
+    fn view(&self, collection: Collection) -> Option<&CollectionView> {
+        let found = self.views.iter().find(|view| view.collection == collection);
+        found.map(|view| &**view)
+    }
+
     /// The other node vouches for all that it sent.
     fn alive(&mut self, age_ms: u64) -> Option<FeedEnd> {
         let now = Instant::now();
--- a/crates/entry/src/feed_protocol.rs
+++ b/crates/entry/src/feed_protocol.rs
@@ -20,14 +20,18 @@
 /// Kind of the message that vouches for what was sent before.
 const ALIVE: u8 = u8::MAX;
 
+/// Added to the kind of a collection in messages that hold all of it.
+const SNAPSHOT: u8 = 0x40;
+
 /// A kind, two numbers and the length of the body.
 const HEAD_BYTES: usize = 1 + 8 + 8 + 4;
 
 /// Largest body of a message; an answer of the store is about 1 MB at most.
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 
-/// Revisions of the followed collections, in their order.
-pub(crate) type Revisions = [u64; Collection::FOLLOWED.len()];
+/// Revisions of the followed collections, in their order; `None` for one that the node
+/// knows nothing of.
+pub(crate) type Revisions = [Option<u64>; Collection::FOLLOWED.len()];
 
 /// A message from a node that reads the store to one that follows it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -37,6 +41,12 @@
     Alive { age_ms: u64 },
     /// Changes of a collection.
     Batch(Collection, ChangeBatch),
+    /// All objects of a collection at a revision, compressed.
+    Snapshot {
+        body: Bytes,
+        collection: Collection,
+        revision: u64,
+    },
 }
 
 /// What the bytes received so far hold.
@@ -55,6 +65,11 @@
             Self::Batch(collection, batch) => {
                 (kind_of(*collection), batch.from, batch.to, &batch.body)
             }
+            Self::Snapshot {
+                body,
+                collection,
+                revision,
+            } => (kind_of(*collection) | SNAPSHOT, *revision, *revision, body),
         };
         let mut message = BytesMut::with_capacity(HEAD_BYTES + body.len());
         message.put_u8(kind);
@@ -85,9 +100,16 @@
         if kind == ALIVE {
             return DecodedMessage::Whole(Self::Alive { age_ms: first });
         }
-        let Some(collection) = Collection::FOLLOWED.get(usize::from(kind)) else {
+        let Some(collection) = Collection::FOLLOWED.get(usize::from(kind & !SNAPSHOT)) else {
             return DecodedMessage::Malformed;
         };
+        if kind & SNAPSHOT != 0 {
+            return DecodedMessage::Whole(Self::Snapshot {
+                body,
+                collection: *collection,
+                revision: second,
+            });
+        }
         let batch = ChangeBatch {
             body,
             from: first,
@@ -104,13 +126,18 @@
 
 /// The value of [`FOLLOW`].
 pub(crate) fn follow_value(revisions: &Revisions) -> Option<HeaderValue> {
-    let text = revisions.map(|revision| revision.to_string()).join(",");
+    let text = |revision: Option<u64>| revision.map_or_else(String::new, |it| it.to_string());
+    let text = revisions.map(text).join(",");
     HeaderValue::from_str(&text).ok()
 }
 
 /// The revisions that a node wants to follow from; `None` if it asks for something else.
 pub(crate) fn read_follow(headers: &HeaderMap) -> Option<Revisions> {
     let text = headers.get(&FOLLOW)?.to_str().ok()?;
-    let numbers: Option<Vec<u64>> = text.split(',').map(|part| part.parse().ok()).collect();
-    numbers?.try_into().ok()
+    let revision = |part: &str| match part {
+        "" => Some(None),
+        number => Some(Some(number.parse().ok()?)),
+    };
+    let revisions: Option<Vec<Option<u64>>> = text.split(',').map(revision).collect();
+    revisions?.try_into().ok()
 }
--- a/crates/entry/src/feed_server.rs
+++ b/crates/entry/src/feed_server.rs
@@ -24,15 +24,14 @@
 /// Why a node passes no changes on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum FeedRefusal {
-    /// Changes since a revision that was asked for are not held any more.
-    Behind,
     /// The node stops, or follows another one.
     NotReading,
     /// The node reads the store, which does not answer it at the moment.
     StoreAway,
 }
 
-/// Passes changes on from the given revisions; the first messages hold what is newer.
+/// Passes changes on from the given revisions. The first messages hold what is newer, or
+/// the whole of a collection where the changes are not held any more.
 pub(crate) fn open(
     shared: &Rc<NodeState>,
     views: &Views,
@@ -46,10 +45,14 @@
     }
     let mut backlog = VecDeque::new();
     for (view, revision) in views.iter().zip(revisions) {
-        let batches = view.log.borrow().since(*revision);
-        let batches = batches.ok_or(FeedRefusal::Behind)?;
-        let message = |batch| FeedMessage::Batch(view.collection, batch);
-        backlog.extend(batches.into_iter().map(message));
+        let newer = revision.and_then(|revision| view.log.borrow().since(revision));
+        match newer {
+            Some(batches) => {
+                let message = |batch| FeedMessage::Batch(view.collection, batch);
+                backlog.extend(batches.into_iter().map(message));
+            }
+            None => backlog.extend(view.snapshot()),
+        }
     }
     let limit = silence_limit(shared);
     let mut ticks = time::interval(limit / ALIVE_PER_LIMIT);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -41,6 +41,7 @@
 mod route_switch;
 mod run;
 mod shared_gather;
+mod snapshot_error;
 mod socket;
 mod store_call;
 mod store_client;
--- a/crates/entry/src/peer_registry.rs
+++ b/crates/entry/src/peer_registry.rs
@@ -85,6 +85,7 @@
 /// Lists the nodes; waits for the store while it is away.
 async fn list_until_done(shared: &NodeState, client: &mut StoreClient) -> Vec<PeerNode> {
     loop {
+        until_answered(shared).await;
         match list(client).await {
             Ok(nodes) => return nodes,
             Err(error) => failed(shared, "list the nodes", &error).await,
@@ -94,16 +95,22 @@
 
 async fn register_until_done(shared: Rc<NodeState>) {
     let mut client = StoreClient::new(&shared);
+    until_answered(&shared).await;
     while let Err(error) = register(&shared, &mut client).await {
         failed(&shared, "register the node", &error).await;
+        until_answered(&shared).await;
     }
 }
 
-/// Waits after a failed call until the store answers again, for a while at most.
+/// Reports a failed call, and pauses.
 async fn failed(shared: &NodeState, what: &str, error: &StoreError) {
     log::warn!("cannot {what}: {error}");
     shared.feed.doubt_store(shared.clock.now_us());
     time::sleep(RETRY_PAUSE.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
+}
+
+/// Waits while it is not known whether the store answers, for a while at most.
+async fn until_answered(shared: &NodeState) {
     let answers = async {
         while shared.feed.store_in_doubt() {
             time::sleep(DOUBT_LOOK).await;
--- a/crates/entry/src/relay_server.rs
+++ b/crates/entry/src/relay_server.rs
@@ -104,7 +104,6 @@
 fn pass_on(shared: &Rc<NodeState>, views: &Views, revisions: &Revisions) -> RelayResponse {
     let mut response = match feed_server::open(shared, views, revisions) {
         Ok(messages) => respond(messages.map(|message| Frame::data(message.encode()))),
-        Err(FeedRefusal::Behind) => refused(StatusCode::GONE),
         Err(FeedRefusal::NotReading) => declined(),
         Err(FeedRefusal::StoreAway) => refused(StatusCode::SERVICE_UNAVAILABLE),
     };
--- a/crates/entry/src/store_sentinel.rs
+++ b/crates/entry/src/store_sentinel.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio::time;
 
 use wigeonhall_adapter::Collection;
@@ -44,17 +45,11 @@
     };
     let path = list_path(Collection::Evacuations, None, Freshness::Stale);
     let mut source = shared.feed.source();
+    let mut listed = shared.feed.nodes_listed.subscribe();
     let mut answered_us = 0;
     let mut lost = false;
     loop {
-        // A node that follows another one relies on that node's looks.
-        if source
-            .wait_for(|it| matches!(it, ChangeSource::Listing | ChangeSource::Store))
-            .await
-            .is_err()
-        {
-            return;
-        }
+        until_due(&mut source, &mut listed).await;
         tokio::select! {
             () = time::sleep(period(&shared, lost)) => {}
             () = shared.feed.look_due.notified() => {}
@@ -82,6 +77,18 @@
     }
 }
 
+/// Waits until the node reads the store, or starts and cannot list the nodes yet. One that
+/// follows another node relies on that node's looks.
+async fn until_due(source: &mut watch::Receiver<ChangeSource>, listed: &mut watch::Receiver<bool>) {
+    let reads = source.wait_for(|it| *it == ChangeSource::Store);
+    let starts = listed.wait_for(|listed| !*listed);
+    // Their senders last as long as the process.
+    tokio::select! {
+        waited = reads => drop(waited),
+        waited = starts => drop(waited),
+    }
+}
+
 fn period(shared: &NodeState, lost: bool) -> Duration {
     let outage = lost || shared.feed.store_in_doubt();
     if outage && shared.feed.may_follow.get() {
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -77,10 +77,6 @@
     loop {
         let current = *source.borrow_and_update();
         let due = match current {
-            ChangeSource::Listing => {
-                let view = &follower.view;
-                view.revision.get().is_none() || view.hurried.get() || view.list_due.get()
-            }
             ChangeSource::Node | ChangeSource::Undecided => false,
             ChangeSource::Store => true,
         };
--- a/crates/node/tests/entry/feed.rs
+++ b/crates/node/tests/entry/feed.rs
@@ -270,6 +270,20 @@
     assert_ne!(line["source"], "store", "{line}");
 }
 
+/// Three hundred nodes that start at once, and each list all replicas, take the store a second.
+#[test]
+fn a_node_that_starts_learns_all_from_a_reader() {
+    let fleet = fleet();
+    fleet.demand_change(2, 0..NODES);
+    let before = fleet.store.calls_for(Collection::Replicas);
+    let node = Node::start_named(&fleet.store, "node-9");
+    node.wait_ready();
+    assert_eq!(ask(node.callers, "GET", "/at-2/x", "q", "").status, 200);
+    let line = node.logged(|line| line["event"] == "change_source");
+    assert_ne!(line["source"], "store", "{line}");
+    assert_eq!(fleet.store.calls_for(Collection::Replicas), before);
+}
+
 /// The port of a node that is gone may belong to another server; what that answers must not
 /// count as changes.
 #[test]
