Keep one malformed message from ending a task or a process

Times that are stated in milliseconds (deadlines of nodes, cold times, time-outs of routes) overflowed when multiplied.

Tasks that learn from the store or from nodes are started again when they panic. Times saturate. Ruled out for the others: a panic in the task of one connection or request ends that connection only (each has a task of its own).

The restart of a task has no test of its own.

--- a/crates/dispatch/src/configuration_hold.rs
+++ b/crates/dispatch/src/configuration_hold.rs
@@ -18,7 +18,7 @@
     #[must_use]
     pub const fn new(config_apply_ms: u64) -> Self {
         Self {
-            limit_us: config_apply_ms * 1_000 / HOLD_DIVISOR,
+            limit_us: config_apply_ms.saturating_mul(1_000) / HOLD_DIVISOR,
             since_us: None,
         }
     }
--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -63,7 +63,7 @@
         route: Rc<Route>,
     ) -> Self {
         let selection = route.select();
-        let target_us = route.spec.target_latency_ms * 1_000;
+        let target_us = route.spec.target_latency_ms.saturating_mul(1_000);
         let margin_us = CALLER_TRIPS_US + answer_lag_us;
         let soft_min_us = target_us / SOFT_MIN_DIVISOR;
         Self {
@@ -75,7 +75,8 @@
             max_runs: route.spec.max_attempts,
             min_parts: selection.min_parts,
             route,
-            soft_us: arrived_us + target_us.saturating_sub(margin_us).max(soft_min_us),
+            soft_us: arrived_us
+                .saturating_add(target_us.saturating_sub(margin_us).max(soft_min_us)),
         }
     }
 
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -15,7 +15,8 @@
     /// A report of an earlier lifetime, or an earlier one of the same, is ignored.
     pub fn register(&mut self, now_us: u64, registration: Registration) -> Option<ReplicaKey> {
         let taken_out = self.taken_out.contains(&registration.data_centre);
-        let warm_at_us = now_us + registration.cold_for_ms * 1_000;
+        let cold_us = registration.cold_for_ms.saturating_mul(1_000);
+        let warm_at_us = now_us.saturating_add(cold_us);
         if let Some(key) = self.by_id.get(&registration.id).copied()
             && let Some(replica) = self.replica_mut(key)
         {
--- a/crates/dispatch/src/route_latency.rs
+++ b/crates/dispatch/src/route_latency.rs
@@ -39,7 +39,7 @@
     /// Time after which a send without an answer is hedged, in microseconds.
     #[must_use]
     pub fn hedge_delay_us(&self, target_latency_ms: u64) -> u64 {
-        let latest_us = target_latency_ms * 1_000 / LATEST_DELAY_DIVISOR;
+        let latest_us = target_latency_ms.saturating_mul(1_000) / LATEST_DELAY_DIVISOR;
         self.quantile
             .delay_us()
             .map_or(latest_us, |delay_us| delay_us.min(latest_us))
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -40,11 +40,11 @@
     arrived_us: u64,
 ) -> CallerResponse {
     let route = head.route.clone();
-    let timeout_us = route.spec.timeout_ms * 1_000;
+    let timeout_us = route.spec.timeout_ms.saturating_mul(1_000);
     let remaining_us = head
         .remaining_ms
         .map_or(timeout_us, |ms| ms.saturating_mul(1_000));
-    let deadline_us = arrived_us + timeout_us.min(remaining_us);
+    let deadline_us = arrived_us.saturating_add(timeout_us.min(remaining_us));
     let hedge_delay_us = hedge_delay_us(shared, &route);
     let mut exchange = Exchange::new(
         arrived_us,
--- a/crates/entry/src/collection_view.rs
+++ b/crates/entry/src/collection_view.rs
@@ -88,9 +88,16 @@
     pub(crate) fn list(&self, objects: Vec<StoredObject>, revision: u64) {
         match self.revision.get() {
             Some(former) if former <= revision => {
-                let batch = self.difference(&objects, former, revision);
-                self.shared.feed.publish(self.collection, &batch);
-                self.log.borrow_mut().push(batch);
+                match self.difference(&objects, former, revision) {
+                    Ok(batch) => {
+                        self.shared.feed.publish(self.collection, &batch);
+                        self.log.borrow_mut().push(batch);
+                    }
+                    Err(error) => {
+                        log::error!("cannot encode changes: {error}");
+                        self.log.borrow_mut().restart(revision);
+                    }
+                }
             }
             Some(_) | None => self.log.borrow_mut().restart(revision),
         }
@@ -105,7 +112,12 @@
     }
 
     /// Changes that lead from what was known at `former` to the listed objects.
-    fn difference(&self, objects: &[StoredObject], former: u64, revision: u64) -> ChangeBatch {
+    fn difference(
+        &self,
+        objects: &[StoredObject],
+        former: u64,
+        revision: u64,
+    ) -> Result<ChangeBatch, DecodeError> {
         let changed: Vec<&StoredObject> = objects
             .iter()
             .filter(|object| object.revision > former)
@@ -114,11 +126,11 @@
         let known = self.objects.borrow();
         let gone = known.keys().filter(|name| !names.contains(name));
         let gone: Vec<Arc<str>> = gone.cloned().collect();
-        ChangeBatch {
-            body: encode_changes(&changed, &gone, revision).into(),
+        Ok(ChangeBatch {
+            body: encode_changes(&changed, &gone, revision)?.into(),
             from: former,
             to: revision,
-        }
+        })
     }
 
     /// A message with the whole collection; `None` before a list.
@@ -131,7 +143,13 @@
         }
         let objects = self.objects.borrow();
         let all: Vec<&StoredObject> = objects.values().collect();
-        let body = encode_changes(&all, &[], revision);
+        let body = match encode_changes(&all, &[], revision) {
+            Ok(body) => body,
+            Err(error) => {
+                log::error!("cannot encode a collection: {error}");
+                return None;
+            }
+        };
         let message = FeedMessage::Snapshot {
             body: lz4_flex::compress_prepend_size(&body).into(),
             collection: self.collection,
--- a/crates/entry/src/feed_client.rs
+++ b/crates/entry/src/feed_client.rs
@@ -409,7 +409,7 @@
         }
         let now_us = self.shared.clock.now_us();
         let feed = &self.shared.feed;
-        let answered_us = now_us.saturating_sub(age_ms * 1_000);
+        let answered_us = now_us.saturating_sub(age_ms.saturating_mul(1_000));
         feed.store_health.borrow_mut().answered(answered_us);
         let mut refused = false;
         for view in self.views.iter() {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -47,6 +47,7 @@
 mod store_client;
 mod store_sentinel;
 mod store_watch;
+mod supervisor;
 mod views;
 
 pub use run::EntryError;
--- a/crates/entry/src/relay_server.rs
+++ b/crates/entry/src/relay_server.rs
@@ -161,8 +161,8 @@
         head.route.clone(),
         &legs,
         head.route.spec.max_attempts,
-        arrived_us + soft_ms * 1_000,
-        arrived_us + remaining_ms * 1_000,
+        arrived_us.saturating_add(soft_ms.saturating_mul(1_000)),
+        arrived_us.saturating_add(remaining_ms.saturating_mul(1_000)),
         hedge_delay_us,
     )
     .with_fallbacks(&fallbacks);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -25,7 +25,9 @@
 use crate::relay_server;
 use crate::store_sentinel;
 use crate::store_watch;
+use crate::supervisor;
 use crate::views;
+use crate::views::Views;
 
 /// What the command line says of a node.
 #[derive(Clone, Copy, Debug, Default)]
@@ -122,18 +124,29 @@
     task::spawn_local(front::serve(shared.clone(), probed(callers)));
     task::spawn_local(readiness::serve(shared.clone(), probed(platform)));
     let views = views::new(shared);
-    for view in views.iter() {
-        task::spawn_local(store_watch::follow(view.clone()));
-    }
-    task::spawn_local(feed_client::run(shared.clone(), views.clone()));
-    task::spawn_local(peer_registry::run(shared.clone()));
+    supervise(shared, &views);
     task::spawn_local(relay_server::serve(shared.clone(), views, probed(nodes)));
-    task::spawn_local(store_sentinel::run(shared.clone()));
     lifecycle::until_stopped(shared)
         .await
         .map_err(EntryError::System)
 }
 
+/// Starts the tasks that learn from the store and from other nodes.
+fn supervise(shared: &Rc<NodeState>, views: &Views) {
+    for view in views.iter() {
+        let view = view.clone();
+        supervisor::spawn("store_watch", move || store_watch::follow(view.clone()));
+    }
+    let (state, views) = (shared.clone(), views.clone());
+    supervisor::spawn("feed_client", move || {
+        feed_client::run(state.clone(), views.clone())
+    });
+    let state = shared.clone();
+    supervisor::spawn("peer_registry", move || peer_registry::run(state.clone()));
+    let state = shared.clone();
+    supervisor::spawn("store_sentinel", move || store_sentinel::run(state.clone()));
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
     TcpListener::bind(address)
         .await
