Test that a stop answers what waits unread when connections close

Guards against requests that were just accepted, or wait to be accepted, and are cut by a planned stop: the process is held up from before the time at which connections close until after it.

--- a/crates/node/tests/entry/planned_stop.rs
+++ b/crates/node/tests/entry/planned_stop.rs
@@ -1,6 +1,8 @@
 //! Guards against requests that are cut by a planned stop, and against a slow return.
 
+use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::ReplicaStandin;
@@ -54,6 +56,31 @@
     assert_eq!(ask(node.callers, "POST", "/one/x", "q1", "").status, 200);
 }
 
+/// A process that is behind when it closes has requests that it did not read yet, on
+/// connections that it accepted and on such as wait to be accepted.
+#[test]
+fn a_stop_answers_requests_that_wait_unread_when_connections_close() {
+    let replica = slow(0);
+    let (_store, mut node) = deploy(routes(), &[&replica]);
+    let signalled = Instant::now();
+    node.signal("TERM");
+    node.logged(|line| line["event"] == "stop" && line["phase"] == "leaving");
+    // Held up from before the time at which connections close until after it.
+    thread::sleep(Duration::from_millis(1_800).saturating_sub(signalled.elapsed()));
+    let mut accepted = Caller::connect(node.callers);
+    thread::sleep(Duration::from_millis(2_400).saturating_sub(signalled.elapsed()));
+    node.signal("STOP");
+    accepted.ask("POST", "/one/x", "q1", "");
+    let mut new = Caller::connect(node.callers);
+    new.ask("POST", "/one/x", "q2", "");
+    thread::sleep(Duration::from_millis(900));
+    node.signal("CONT");
+    for caller in [&mut accepted, &mut new] {
+        assert_eq!(caller.read().expect("an answer").status, 200);
+    }
+    assert!(node.wait_end());
+}
+
 #[test]
 fn an_idle_connection_does_not_hold_up_a_stop() {
     let replica = slow(0);
