Bound answers without end; take answers without an id on new connections only

A second copy of an answer, late, on a connection in use again: an answer without the id of its request was taken, also on a kept connection (shown: two requests that run once, the second one got the stray answer). Bytes without end: each answer was read up to 8 MiB, so 24 shards hold 192 MB of a process that has 112; interim answers were parsed for as long as they came, and requests for other services got no answer within 0.6 s.

Change: an answer counts without an id only as the first of its connection. Answers beyond 64 KiB share a quarter of the memory that the settings state, each a quarter of that; the replica whose answer does not fit is suspended, its connection closed, and the send line says TooLong. Before the head of an answer only 192 KiB are read, interim answers included.

Open: an answer that is written to a caller who does not read it is not counted.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -66,6 +66,10 @@
                 self.sample(RATIO_MAX, 1.0);
                 self.fail(now_us, SILENCES_TO_SUSPEND);
             }
+            Reply::Unknown(UnknownCause::TooLong) => {
+                self.sample(RATIO_MAX, 1.0);
+                self.fail(now_us, 1);
+            }
             Reply::NotRun(NotRunCause::Busy) => {
                 // A replica that turns many away costs others their retries.
                 self.failure_share += (1.0 - self.failure_share) * SAMPLE_WEIGHT;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! one request, and [`merge_records`] joins the parts of a gather. Times are
 //! microseconds of one monotonic clock.
 
+mod answer_memory;
 mod availability;
 mod change_log;
 mod configuration;
@@ -36,6 +37,7 @@
 mod store_health;
 mod suspicions;
 
+pub use answer_memory::AnswerMemory;
 pub use availability::Availability;
 pub use change_log::BatchFit;
 pub use change_log::ChangeBatch;
--- a/crates/dispatch/src/reply.rs
+++ b/crates/dispatch/src/reply.rs
@@ -44,6 +44,8 @@
     Reset,
     /// No answer came in time.
     Silent,
+    /// The answer is longer than the node can hold, or has no end.
+    TooLong,
     /// A success without its receipt.
     Unproved,
 }
--- a/crates/entry/src/http_client.rs
+++ b/crates/entry/src/http_client.rs
@@ -1,9 +1,15 @@
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Request;
+use http::Response;
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -11,18 +17,61 @@
 use tokio::task;
 use tokio::time;
 
+use crate::allowance_stream::AllowanceStream;
 use crate::socket;
 
-/// Read buffer of a connection to a replica or the store.
+/// Read buffer of a connection to a replica, the store or another node; also the longest head
+/// of an answer.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Bytes that may come before an answer has its head, interim answers among them: a head and
+/// the beginning of the body that is read with it.
+const HEAD_ALLOWANCE_BYTES: usize = 3 * READ_BUFFER_BYTES;
+
 /// Sends requests over one connection.
-pub(crate) type HttpSender = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub(crate) struct HttpSender {
+    allowance_bytes: Rc<Cell<usize>>,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl HttpSender {
+    /// Sends a request; an error hands it back if none of it was written.
+    pub(crate) async fn try_send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.allowance_bytes.set(HEAD_ALLOWANCE_BYTES);
+        let response = self.sender.try_send_request(request).await;
+        self.allowance_bytes.set(usize::MAX);
+        response
+    }
+
+    /// Sends a request.
+    pub(crate) async fn send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        let response = self.try_send_request(request).await;
+        response.map_err(TrySendError::into_error)
+    }
+
+    /// Waits until the answer before is read.
+    pub(crate) async fn ready(&mut self) -> hyper::Result<()> {
+        self.sender.ready().await
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
 
 /// Opens a connection and runs it until its sender is dropped.
 pub(crate) async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<HttpSender> {
     let stream = time::timeout(timeout, TcpStream::connect(address)).await??;
     socket::prepare(&stream)?;
+    let allowance_bytes = Rc::new(Cell::new(usize::MAX));
+    let stream = AllowanceStream::new(stream, allowance_bytes.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -34,5 +83,8 @@
             log::debug!("connection to {address} ended: {error}");
         }
     });
-    Ok(sender)
+    Ok(HttpSender {
+        allowance_bytes,
+        sender,
+    })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! answer is decided in `wigeonhall-dispatch`; names and formats of the platform stand
 //! in `wigeonhall-adapter`.
 
+mod allowance_stream;
 mod answer;
 mod answer_lag;
 mod arrival_probe;
@@ -20,6 +21,7 @@
 mod front;
 mod group_parts;
 mod group_stream;
+mod held_body;
 mod http_client;
 mod lifecycle;
 mod loop_times;
--- a/crates/entry/src/node_state.rs
+++ b/crates/entry/src/node_state.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use wigeonhall_adapter::ProcessSettings;
+use wigeonhall_dispatch::AnswerMemory;
 use wigeonhall_dispatch::ConfigurationHold;
 use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::PeerNode;
@@ -41,6 +42,8 @@
 /// State of a node; all of it belongs to the one thread of the event loop.
 #[derive(Debug)]
 pub(crate) struct NodeState {
+    /// Memory that answers of replicas hold.
+    pub(crate) answer_memory: RefCell<AnswerMemory>,
     /// How long the node takes to answer once an answer is due.
     pub(crate) answer_lag: AnswerLag,
     pub(crate) clock: Clock,
@@ -83,6 +86,7 @@
         pool.set_extra_share(settings.retry_share);
         let clock = Clock::start();
         Self {
+            answer_memory: RefCell::new(AnswerMemory::new(settings.memory_bytes)),
             answer_lag: AnswerLag::default(),
             clock,
             configuration_hold: RefCell::new(ConfigurationHold::new(settings.config_apply_ms)),
--- a/crates/entry/src/replica_client.rs
+++ b/crates/entry/src/replica_client.rs
@@ -12,9 +12,7 @@
 use http::StatusCode;
 use http::Uri;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Response;
 use hyper::body::Incoming;
 
@@ -32,6 +30,7 @@
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::UnknownCause;
 
+use crate::held_body;
 use crate::http_client;
 use crate::http_client::HttpSender;
 use crate::node_state::NodeState;
@@ -41,12 +40,12 @@
 /// Longest time for a new connection to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Largest answer of a replica.
-const RESPONSE_BYTES_MAX: usize = 8 * 1024 * 1024;
-
 /// Idle time after which a connection is not used again, unless the replica states one.
 const IDLE_US: u64 = 4_000_000;
 
+/// Longest idle time of a connection, whatever the replica states.
+const IDLE_MAX_US: u64 = 600_000_000;
+
 /// Time before the replica's own idle timeout in which a connection is not used.
 const IDLE_MARGIN_US: u64 = 700_000;
 
@@ -155,7 +154,7 @@
         {
             return SendResult::without_response(Reply::NotRun(NotRunCause::Withdrawn));
         }
-        match send_over(shared, sender, &destination, request, deadline_us).await {
+        match send_over(shared, sender, reused, &destination, request, deadline_us).await {
             Sent::Ended(result) => return result,
             // The connection ended before the request was written to it.
             Sent::NotWritten if reused => {}
@@ -205,8 +204,9 @@
 }
 
 async fn send_over(
-    shared: &NodeState,
+    shared: &Rc<NodeState>,
     mut sender: HttpSender,
+    reused: bool,
     destination: &Destination,
     request: &OutgoingRequest,
     deadline_us: u64,
@@ -222,7 +222,7 @@
             return Sent::Ended(unknown(UnknownCause::Reset));
         }
     };
-    let (result, keep_us) = read_response(request, response).await;
+    let (result, keep_us) = read_response(shared, request, response, reused).await;
     if let Some(idle_us) = keep_us {
         let expires_us = shared.clock.now_us() + idle_us;
         let mut idle = shared.idle.borrow_mut();
@@ -249,24 +249,33 @@
 }
 
 /// Reads a response; also returns how long its connection may stay idle, if it is kept.
+///
+/// On a `reused` connection a second copy of an earlier answer may come first, which only the
+/// echoed id tells apart.
 async fn read_response(
+    shared: &Rc<NodeState>,
     request: &OutgoingRequest,
     response: Response<Incoming>,
+    reused: bool,
 ) -> (SendResult, Option<u64>) {
     let (head, body) = response.into_parts();
-    if let Some(echo) = head.headers.get(&REQUEST_ID)
-        && *echo != request.request_id
-    {
+    let own = match head.headers.get(&REQUEST_ID) {
+        Some(echo) => *echo == request.request_id,
+        None => !reused,
+    };
+    if !own {
         // The connection is out of step; it is dropped with the bytes that follow.
         return (unknown(UnknownCause::Foreign), None);
     }
-    let Ok(body) = Limited::new(body, RESPONSE_BYTES_MAX).collect().await else {
-        return (unknown(UnknownCause::Reset), None);
+    let (bytes, memory) = match held_body::read(shared, body).await {
+        Ok(read) => read,
+        Err(cause) => return (unknown(cause), None),
     };
     let keep_us = keep_us(&head.headers);
     let response = ReplicaResponse {
-        body: body.to_bytes(),
+        body: bytes,
         headers: head.headers,
+        memory,
         status: head.status,
     };
     let reply = classify(&response);
@@ -332,8 +341,13 @@
         .get("keep-alive")
         .and_then(|value| value.to_str().ok())
         .and_then(keep_alive_timeout_s)
-        .map(|timeout_s| (timeout_s * 1_000_000).saturating_sub(IDLE_MARGIN_US));
-    Some(stated_us.unwrap_or(IDLE_US))
+        .map(|timeout_s| {
+            timeout_s
+                .saturating_mul(1_000_000)
+                .saturating_sub(IDLE_MARGIN_US)
+        });
+    // A time beyond this states no limit.
+    Some(stated_us.unwrap_or(IDLE_US).min(IDLE_MAX_US))
 }
 
 /// The timeout in a keep-alive header, in whole seconds.
--- a/crates/entry/src/replica_response.rs
+++ b/crates/entry/src/replica_response.rs
@@ -5,11 +5,16 @@
 use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::Reply;
 
+use crate::held_body::HeldMemory;
+
 /// The whole answer of a replica.
 #[derive(Debug)]
 pub(crate) struct ReplicaResponse {
     pub(crate) body: Bytes,
     pub(crate) headers: HeaderMap,
+    /// Memory of the body.
+    #[expect(dead_code, reason = "given back when the answer is dropped")]
+    pub(crate) memory: HeldMemory,
     pub(crate) status: StatusCode,
 }
 
--- a/crates/node/tests/entry/answers.rs
+++ b/crates/node/tests/entry/answers.rs
@@ -1,5 +1,7 @@
 //! Guards against answers that are not whole, not true or not the caller's own.
 
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use wigeonhall_adapter::RETRY_AFTER;
@@ -184,3 +186,22 @@
         assert_eq!(answer.message.body, format!("/one/{index}").as_bytes());
     }
 }
+
+/// On a connection that is used again, an answer without the id of the request may be a late
+/// copy of an earlier one; on a new connection there is none.
+#[test]
+fn an_answer_without_an_id_counts_on_a_new_connection_only() {
+    let asked = AtomicUsize::new(0);
+    let replica = ReplicaStandin::start("a", 1, move |_| {
+        let body = b"1".to_vec();
+        match asked.fetch_add(1, Ordering::Relaxed) {
+            0 | 1 => Behaviour::Unnamed { body },
+            _ => Behaviour::answer(body),
+        }
+    })
+    .unwrap();
+    let (_store, node) = deploy(one(RouteKind::AtMostOnce), &[&replica]);
+    let statuses = ["q1", "q2", "q3"].map(|id| ask(node.callers, "POST", "/one/x", id, "").status);
+    assert_eq!(statuses, [200, 502, 200]);
+    assert_eq!(replica.runs().len(), 3);
+}
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -140,6 +140,14 @@
         self.child.id()
     }
 
+    /// Most memory that the process has had so far.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kilobytes = line.unwrap().split_whitespace().nth(1).unwrap();
+        kilobytes.parse::<u64>().unwrap() * 1_024
+    }
+
     /// Waits for the end of a process that was told to stop.
     pub fn end(mut self) {
         self.wait_end();
--- /dev/null
+++ b/crates/node/tests/entry/endless.rs
@@ -0,0 +1,55 @@
+//! Guards against replicas that send without end: their bytes filled the memory of a node,
+//! and requests for other services waited behind them.
+
+use wigeonhall_adapter_standins::Behaviour;
+use wigeonhall_adapter_standins::Endless;
+use wigeonhall_adapter_standins::MEMORY_MB;
+use wigeonhall_adapter_standins::ReplicaStandin;
+use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::TargetSpec;
+
+use crate::caller::Caller;
+use crate::caller::ask;
+use crate::deployment::deploy;
+use crate::deployment::gather;
+use crate::deployment::route;
+use crate::deployment::wait_until;
+
+/// Shards of the gather; each replica sends as fast as it is read.
+const SHARDS: usize = 24;
+
+#[test]
+fn replicas_that_send_without_end_fill_no_memory_and_hold_up_no_other_request() {
+    for kind in [Endless::Body, Endless::Head, Endless::Interim] {
+        let names: Vec<String> = (0..SHARDS).map(|index| format!("s{index:02}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let start = |name: &&str| {
+            ReplicaStandin::start(name, 1, move |_| Behaviour::Endless(kind)).unwrap()
+        };
+        let mut replicas: Vec<ReplicaStandin> = names.iter().map(start).collect();
+        replicas.push(ReplicaStandin::start("a", 1, |_| Behaviour::answer("1")).unwrap());
+        let mut all = route("all", "/all/", RouteKind::Idempotent, gather(&names, 0.5));
+        all.timeout_ms = 1_000;
+        all.target_latency_ms = 500;
+        let target = TargetSpec::Service("a".into());
+        let one = route("one", "/one/", RouteKind::AtMostOnce, target);
+        let all_replicas: Vec<&ReplicaStandin> = replicas.iter().collect();
+        let (_store, node) = deploy(vec![all, one], &all_replicas);
+        let mut caller = Caller::connect(node.callers);
+        caller.ask("GET", "/all/x", "q1", "");
+        wait_until("all replicas are asked", || {
+            replicas[..SHARDS].iter().all(|it| !it.runs().is_empty())
+        });
+        for number in 0..5 {
+            let id = format!("other-{number}");
+            assert_eq!(ask(node.callers, "POST", "/one/x", &id, "").status, 200);
+        }
+        let answer = caller.read().expect("an answer");
+        assert_ne!(answer.status, 200, "{kind:?}");
+        wait_until("the connections end", || {
+            replicas[..SHARDS].iter().all(|it| it.cancelled() > 0)
+        });
+        let peak_bytes = node.peak_memory_bytes();
+        assert!(peak_bytes < MEMORY_MB * 1_000_000, "{kind:?}: {peak_bytes}");
+    }
+}
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod cancellation;
 mod deployment;
+mod endless;
 mod feed;
 mod forwarding;
 mod held_up;
