Share retry slack and cold rates by the nodes that send to a service

Cause: of the extra requests that operators allow for each service, a share of its requests and a slack in each window, nodes used the share and four in a row each. The rate of a cold replica was shared by all nodes, though one or two of a data centre send a leg.

Change: each service knows how many nodes send to it, from the routes and the list of nodes: three of a data centre that shares gathers, and each node that works alone. Their equal part of the slack is spent a quarter at once and the rest over the window; what a node may send in a row is bounded by it. A cold replica's rate is shared by the same number, and first turns are spread, as later ones are.

Tests: extra_budget plays 1 to 295 senders that would send everything twice; peers.

--- a/crates/dispatch/src/exchange_sends.rs
+++ b/crates/dispatch/src/exchange_sends.rs
@@ -99,7 +99,7 @@
         let Some(replica) = self.choose(pool, now_us, index) else {
             return false;
         };
-        if !pool.take_extra(service, reason) {
+        if !pool.take_extra(now_us, service, reason) {
             return false;
         }
         self.extra_sends += 1;
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -14,6 +14,10 @@
 /// Fewest nodes in a data centre that share the parts of a gather.
 const NODES_MIN: usize = 4;
 
+/// Nodes of a data centre that send one leg where gathers are shared: the one that it belongs
+/// to, one that takes it back, and one that it belonged to before the nodes changed.
+const SENDERS_OF_A_LEG: usize = 3;
+
 /// A node of the entry tier as it registered itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerNode {
@@ -44,8 +48,8 @@
     own: PeerNode,
     /// Nodes that did not hand over parts.
     suspicions: Suspicions,
-    /// Nodes of all data centres.
-    total: usize,
+    /// Data centre and share of a core of each node of all data centres.
+    everywhere: Vec<(Arc<str>, f64)>,
     /// Nodes that could not be followed as readers of the store.
     pub(crate) unreadable: Suspicions,
 }
@@ -55,10 +59,10 @@
     #[must_use]
     pub fn new(own: PeerNode) -> Self {
         Self {
+            everywhere: vec![(own.data_centre.clone(), own.processor_share)],
             nodes: vec![own.clone()],
             own,
             suspicions: Suspicions::default(),
-            total: 1,
             unreadable: Suspicions::default(),
         }
     }
@@ -76,7 +80,11 @@
 
     /// Takes in a whole list of nodes; those of other data centres are left out.
     pub fn replace(&mut self, nodes: Vec<PeerNode>) {
-        self.total = nodes.len().max(1);
+        let place = |node: &PeerNode| (node.data_centre.clone(), node.processor_share);
+        self.everywhere = nodes.iter().map(place).collect();
+        if nodes.iter().all(|node| node.name != self.own.name) {
+            self.everywhere.push(place(&self.own));
+        }
         let own = &self.own;
         let near = |node: &PeerNode| node.data_centre == own.data_centre && node.name != own.name;
         self.nodes = nodes.into_iter().filter(near).collect();
@@ -94,8 +102,27 @@
 
     /// Number of known nodes in all data centres.
     #[must_use]
-    pub const fn total(&self) -> usize {
-        self.total
+    pub fn total(&self) -> usize {
+        self.everywhere.len().max(1)
+    }
+
+    /// Number of nodes that send one leg of a gather with so many legs, in all data centres.
+    #[must_use]
+    pub fn senders(&self, legs: usize, target_latency_ms: u64) -> usize {
+        let mut by_data_centre: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+        for (data_centre, share) in &self.everywhere {
+            by_data_centre.entry(data_centre).or_default().push(*share);
+        }
+        let senders = by_data_centre.values().map(|shares| {
+            let alone = |share: &&f64| works_alone(legs, **share, target_latency_ms);
+            let alone = shares.iter().filter(alone).count();
+            if shares.len() < NODES_MIN || alone == shares.len() {
+                shares.len()
+            } else {
+                alone + SENDERS_OF_A_LEG
+            }
+        });
+        senders.sum::<usize>().max(1)
     }
 
     /// Whether no node is known; the own one always is.
@@ -135,8 +162,7 @@
         legs: usize,
         target_latency_ms: u64,
     ) -> Option<Vec<RelayGroup>> {
-        let alone_us = legs as f64 * PART_COST_US / self.own.processor_share.max(0.01);
-        if alone_us <= target_latency_ms as f64 * 1_000.0 / OWN_PART_DIVISOR {
+        if works_alone(legs, self.own.processor_share, target_latency_ms) {
             return None;
         }
         let sound: Vec<&PeerNode> = self
@@ -168,6 +194,12 @@
     }
 }
 
+/// Whether a node with such a share of a core sends all legs of a gather by itself.
+fn works_alone(legs: usize, processor_share: f64, target_latency_ms: u64) -> bool {
+    let alone_us = legs as f64 * PART_COST_US / processor_share.max(0.01);
+    alone_us <= target_latency_ms as f64 * 1_000.0 / OWN_PART_DIVISOR
+}
+
 /// The node with the highest score for a group, weighted by its share of a core.
 fn best_node<'a>(nodes: &[&'a PeerNode], group: usize) -> Option<&'a PeerNode> {
     let best = nodes
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::Availability;
+use crate::ExtraAllowance;
 use crate::NotRunCause;
 use crate::Notice;
 use crate::Replica;
@@ -11,9 +12,7 @@
 use crate::ServiceKey;
 use crate::ServiceSpec;
 use crate::former_notices::FormerNotices;
-use crate::service::EXTRA_COST;
 use crate::service::Service;
-use crate::service::extra_cost;
 
 /// Cost factor of a replica in another data centre; bytes between them are paid for.
 const OTHER_DATA_CENTRE: f64 = 1.3;
@@ -24,9 +23,6 @@
 /// Part of a cold replica's stated rate that the nodes use together.
 const COLD_RATE_SHARE: f64 = 0.8;
 
-/// Extra requests for which a hedge leaves credit.
-const RETRIES_RESERVED: u32 = 1;
-
 /// Shortest time after which a caller may come back.
 const RETRY_AFTER_MIN_MS: u64 = 50;
 
@@ -39,13 +35,13 @@
     pub(crate) arena: Vec<Slot>,
     pub(crate) by_id: HashMap<Arc<str>, ReplicaKey>,
     pub(crate) data_centre: Arc<str>,
-    /// First requests for a service that pay for one extra one.
-    extra_cost: u32,
+    /// Extra requests that operators allow for each service.
+    extra_allowance: ExtraAllowance,
     pub(crate) former_notices: FormerNotices,
     pub(crate) free: Vec<u32>,
     /// Nodes of the whole tier.
     nodes: usize,
-    rng: fastrand::Rng,
+    pub(crate) rng: fastrand::Rng,
     pub(crate) services: Vec<Service>,
     pub(crate) services_by_name: HashMap<Arc<str>, ServiceKey>,
     pub(crate) taken_out: BTreeSet<Arc<str>>,
@@ -86,7 +82,7 @@
             arena: Vec::new(),
             by_id: HashMap::new(),
             data_centre,
-            extra_cost: EXTRA_COST,
+            extra_allowance: ExtraAllowance::default(),
             former_notices: FormerNotices::default(),
             free: Vec::new(),
             nodes: NODES_UNKNOWN,
@@ -102,10 +98,20 @@
         self.nodes = nodes.max(1);
     }
 
-    /// Sets the extra requests that operators allow for each first one of a service; it
-    /// counts for services that are not known yet.
-    pub fn set_extra_share(&mut self, extra_share: f64) {
-        self.extra_cost = extra_cost(extra_share);
+    /// Sets the extra requests that operators allow; it counts for services that are not
+    /// known yet.
+    pub const fn set_extra_allowance(&mut self, allowance: ExtraAllowance) {
+        self.extra_allowance = allowance;
+    }
+
+    /// Sets how many nodes send to a service; they share what its replicas and its operators
+    /// allow.
+    pub fn set_senders(&mut self, service: ServiceKey, senders: usize) {
+        let entry = &mut self.services[service.0 as usize];
+        if entry.senders != Some(senders) {
+            entry.senders = Some(senders);
+            entry.budget.set_senders(self.extra_allowance, senders);
+        }
     }
 
     /// The key of a service; a new one is made for an unknown name.
@@ -115,7 +121,7 @@
         }
         let key = ServiceKey(self.services.len() as u32);
         self.services
-            .push(Service::new(name.clone(), self.extra_cost));
+            .push(Service::new(name.clone(), self.extra_allowance));
         self.services_by_name.insert(name.clone(), key);
         key
     }
@@ -207,7 +213,7 @@
     /// Pause of this node between two requests to a cold replica of a service.
     pub(crate) fn cold_pause_us(&self, service: ServiceKey) -> u64 {
         let entry = &self.services[service.0 as usize];
-        cold_pause_us(entry.cold_rate_per_s, self.nodes)
+        cold_pause_us(entry.cold_rate_per_s, entry.senders.unwrap_or(self.nodes))
     }
 
     /// Usable replicas of a service with their expected costs, the least first.
@@ -217,9 +223,9 @@
         service: ServiceKey,
         tried: &[ReplicaKey],
     ) -> Vec<(f64, ReplicaKey)> {
+        let cold_pause_us = self.cold_pause_us(service);
         let rng = &mut self.rng;
         let entry = &self.services[service.0 as usize];
-        let cold_pause_us = cold_pause_us(entry.cold_rate_per_s, self.nodes);
         let mut ranked: Vec<(f64, ReplicaKey)> = Vec::with_capacity(entry.replicas.len());
         for key in &entry.replicas {
             let Some(replica) = self.arena[key.index as usize].replica.as_ref() else {
@@ -261,14 +267,9 @@
     }
 
     /// Pays for an extra request to a service, if its budget allows it.
-    ///
-    /// A hedge leaves credit for a retry: its first send may still bring the answer.
-    pub fn take_extra(&mut self, service: ServiceKey, reason: ExtraReason) -> bool {
-        let reserve = match reason {
-            ExtraReason::Hedge => RETRIES_RESERVED,
-            ExtraReason::Retry => 0,
-        };
-        self.services[service.0 as usize].budget.take_above(reserve)
+    pub fn take_extra(&mut self, now_us: u64, service: ServiceKey, reason: ExtraReason) -> bool {
+        let budget = &mut self.services[service.0 as usize].budget;
+        budget.take(now_us, reason)
     }
 
     /// Counts a request for a service.
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -136,8 +136,12 @@
         let service = self.service_key(&registration.service);
         let id = registration.id.clone();
         let standing = self.former_notices.take(&id, registration.born_unix_ms);
+        // The nodes take their first turns one after the other, as the later ones.
+        let pause_us = self.cold_pause_us(service) as f64;
+        let cold = now_us < warm_at_us;
+        let turn_us = now_us.saturating_sub((pause_us * self.rng.f64()) as u64);
         let replica = Replica {
-            cold_start_us: None,
+            cold_start_us: cold.then_some(turn_us),
             health: Health::new(now_us),
             in_flight: 0,
             registration,
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -70,6 +71,29 @@
         services
     }
 
+    /// Each service with the number of nodes that send to it, where `senders` is that of a
+    /// gather with so many legs and such a target latency in milliseconds, and `nodes` that
+    /// of all nodes.
+    pub fn senders(
+        &self,
+        nodes: usize,
+        senders: impl Fn(usize, u64) -> usize,
+    ) -> BTreeMap<ServiceKey, usize> {
+        let mut by_service = BTreeMap::new();
+        for route in self.routes() {
+            let services = route.services();
+            let count = match route.target {
+                RouteTarget::Gather { .. } => senders(services.len(), route.spec.target_latency_ms),
+                RouteTarget::Service(_) | RouteTarget::Split(_) => nodes,
+            };
+            for service in services {
+                let most: &mut usize = by_service.entry(service).or_default();
+                *most = count.max(*most);
+            }
+        }
+        by_service
+    }
+
     /// Services without a known replica to which routes go that the `current` table serves
     /// better.
     #[must_use]
--- a/crates/dispatch/tests/exchange_replicas.rs
+++ b/crates/dispatch/tests/exchange_replicas.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 
 use wigeonhall_dispatch::Exchange;
+use wigeonhall_dispatch::ExtraAllowance;
 use wigeonhall_dispatch::ExtraReason;
 use wigeonhall_dispatch::Outcome;
 use wigeonhall_dispatch::RegistrationState;
@@ -162,13 +163,13 @@
 fn a_hedge_leaves_credit_for_a_retry() {
     let mut case = Case::gather(&["a", "b"], 0.5);
     let service = case.exchange.service(1);
-    while case.pool.take_extra(service, ExtraReason::Hedge) {}
+    while case.pool.take_extra(0, service, ExtraReason::Hedge) {}
     case.start();
     case.timer(HEDGE_US);
     assert_eq!(case.out.iter().filter(|send| send.leg == 1).count(), 1);
     case.reply(HEDGE_US, 1, RESET);
     assert_eq!(case.out.iter().filter(|send| send.leg == 1).count(), 1);
-    assert!(!case.pool.take_extra(service, ExtraReason::Retry));
+    assert!(!case.pool.take_extra(0, service, ExtraReason::Retry));
 }
 
 /// The operators' share of extra requests is used, and kept.
@@ -177,13 +178,16 @@
     const REQUESTS: u32 = 1_000;
     for share in [0.1, 0.2, 0.5] {
         let mut pool = pool();
-        pool.set_extra_share(share);
+        pool.set_extra_allowance(ExtraAllowance {
+            share,
+            ..ExtraAllowance::default()
+        });
         add(&mut pool, "a", 1);
         let service = pool.service_key(&"a".into());
         let mut extra = 0;
         for _ in 0..REQUESTS {
             pool.earn(service);
-            extra += u32::from(pool.take_extra(service, ExtraReason::Retry));
+            extra += u32::from(pool.take_extra(0, service, ExtraReason::Retry));
         }
         let used = f64::from(extra) / f64::from(REQUESTS);
         assert!((share * 0.6..=share).contains(&used), "{used} of {share}");
--- /dev/null
+++ b/crates/dispatch/tests/extra_budget.rs
@@ -0,0 +1,118 @@
+//! Guards against extra requests that exceed, over all nodes together, what operators allow
+//! in a window, and against slack that nobody uses while shards are slow.
+
+mod common;
+
+use std::sync::Arc;
+
+use wigeonhall_dispatch::ExtraAllowance;
+use wigeonhall_dispatch::ExtraReason;
+use wigeonhall_dispatch::Pool;
+use wigeonhall_dispatch::ServiceKey;
+
+use common::MS;
+use common::S;
+use common::add;
+use common::pool;
+
+const WINDOW_US: u64 = 10 * S;
+
+const SHARE: f64 = 0.2;
+
+/// Nodes that send to one service and would send every request twice.
+struct Fleet {
+    nodes: Vec<Pool>,
+    service: ServiceKey,
+}
+
+impl Fleet {
+    fn new(senders: usize, slack: f64) -> Self {
+        let mut service = None;
+        let nodes = (0..senders).map(|_| {
+            let mut node = pool();
+            node.set_extra_allowance(ExtraAllowance {
+                share: SHARE,
+                slack,
+                window_ms: WINDOW_US / 1_000,
+            });
+            add(&mut node, "a", 1);
+            let key = node.service_key(&Arc::from("a"));
+            node.set_senders(key, senders);
+            service = Some(key);
+            node
+        });
+        Self {
+            nodes: nodes.collect(),
+            service: service.unwrap(),
+        }
+    }
+
+    /// Sends `per_s` requests a second from all nodes in turn; returns the times of extra ones.
+    fn play(&mut self, per_s: u64, seconds: u64) -> Vec<u64> {
+        let count = per_s * seconds;
+        let mut extra_us = Vec::new();
+        for index in 0..count {
+            let now_us = index * S / per_s;
+            let node = index as usize % self.nodes.len();
+            self.nodes[node].earn(self.service);
+            let reason = if index % 2 == 0 {
+                ExtraReason::Hedge
+            } else {
+                ExtraReason::Retry
+            };
+            if self.nodes[node].take_extra(now_us, self.service, reason) {
+                extra_us.push(now_us);
+            }
+        }
+        extra_us
+    }
+}
+
+fn most_in_a_window(times_us: &[u64]) -> usize {
+    let within = |start_us: &u64| {
+        let window = *start_us..start_us + WINDOW_US;
+        times_us
+            .iter()
+            .filter(|at_us| window.contains(at_us))
+            .count()
+    };
+    times_us.iter().map(within).max().unwrap_or(0)
+}
+
+/// Each of 295 nodes could send four extra requests in a row, more than the 630 allowed.
+#[test]
+fn all_nodes_together_keep_what_operators_allow_in_every_window() {
+    for (senders, slack, per_s) in [
+        (295, 630.0, 400),
+        (21, 630.0, 60),
+        (21, 135.0, 90),
+        (14, 108.0, 112),
+        (109, 282.0, 80),
+        (1, 20.0, 50),
+    ] {
+        let mut fleet = Fleet::new(senders, slack);
+        let extra_us = fleet.play(per_s, 40);
+        let allowed = SHARE * (per_s * WINDOW_US / S) as f64 + slack;
+        let most = most_in_a_window(&extra_us);
+        assert!(most as f64 <= allowed, "{senders}: {most} of {allowed}");
+    }
+}
+
+/// The share alone left three quarters of what operators allow unused on large fleets.
+#[test]
+fn slack_that_is_allowed_is_used_where_few_nodes_send_to_a_service() {
+    let mut fleet = Fleet::new(21, 630.0);
+    let extra_us = fleet.play(60, 40);
+    let allowed = SHARE * 60.0 * 40.0 + 4.0 * 630.0;
+    let used = extra_us.len() as f64;
+    assert!(used >= allowed / 2.0, "{used} of {allowed}");
+}
+
+#[test]
+fn a_service_without_slack_keeps_to_the_share() {
+    let mut fleet = Fleet::new(4, 0.0);
+    let extra = fleet.play(100, 40).len();
+    assert!(extra as f64 <= SHARE * 4_000.0, "{extra}");
+    let more = fleet.nodes[0].take_extra(500 * MS, fleet.service, ExtraReason::Hedge);
+    assert!(!more);
+}
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -61,6 +61,22 @@
     assert_eq!(peers(30, 0.5).own_legs(0, 20, 120).len(), 20);
 }
 
+/// Of hundreds of nodes one or two of a data centre send a leg; a cold replica that was
+/// shared by all of them got a request from each once a minute.
+#[test]
+fn few_nodes_send_one_leg_of_a_shared_gather() {
+    let small = peers(30, 0.084);
+    // Three of the small nodes in each of two data centres.
+    assert_eq!(small.senders(90, 120), 6);
+    // A node that works alone sends every leg.
+    let mut mixed = Peers::new(node(0, "north", 0.084));
+    let nodes = (0..30).map(|number| node(number, "north", if number < 4 { 0.5 } else { 0.084 }));
+    mixed.replace(nodes.collect());
+    assert_eq!(mixed.senders(90, 120), 7);
+    // Too few nodes to share: each sends every leg.
+    assert_eq!(peers(1, 0.084).senders(90, 120), 4);
+}
+
 #[test]
 fn a_node_with_time_enough_works_alone() {
     assert_eq!(peers(30, 0.5).plan(0, 90, 120), None);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -42,6 +42,7 @@
 mod responses;
 mod route_switch;
 mod run;
+mod senders;
 mod shared_gather;
 mod snapshot_error;
 mod socket;
--- a/crates/entry/src/node_state.rs
+++ b/crates/entry/src/node_state.rs
@@ -9,6 +9,7 @@
 use wigeonhall_adapter::ProcessSettings;
 use wigeonhall_dispatch::AnswerMemory;
 use wigeonhall_dispatch::ConfigurationHold;
+use wigeonhall_dispatch::ExtraAllowance;
 use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::PeerNode;
 use wigeonhall_dispatch::Peers;
@@ -83,7 +84,11 @@
             processor_share: settings.processor_share,
         };
         let mut pool = Pool::new(settings.data_centre.clone(), fastrand::u64(..));
-        pool.set_extra_share(settings.retry_share);
+        pool.set_extra_allowance(ExtraAllowance {
+            share: settings.retry_share,
+            slack: settings.retry_slack,
+            window_ms: settings.retry_window_ms,
+        });
         let clock = Clock::start();
         Self {
             answer_memory: RefCell::new(AnswerMemory::new(settings.memory_bytes)),
--- a/crates/entry/src/peer_registry.rs
+++ b/crates/entry/src/peer_registry.rs
@@ -21,6 +21,7 @@
 use crate::node_state::NodeState;
 use crate::node_state::Phase;
 use crate::open_ahead;
+use crate::senders;
 use crate::store_call::CallPurpose;
 use crate::store_call::StoreCall;
 use crate::store_client::StoreClient;
@@ -76,6 +77,7 @@
             registration = Some(task::spawn_local(register_until_done(shared.clone())));
         }
         replace(&shared, nodes);
+        senders::review(&shared);
         if !listed {
             open_ahead::to_services(&shared);
         }
--- a/crates/entry/src/route_switch.rs
+++ b/crates/entry/src/route_switch.rs
@@ -7,6 +7,7 @@
 use crate::event::Event;
 use crate::node_state::NodeState;
 use crate::open_ahead;
+use crate::senders;
 
 /// Takes in the routes of a newer configuration.
 pub(crate) fn offer(shared: &Rc<NodeState>, table: RouteTable) {
@@ -44,6 +45,7 @@
     });
     shared.metrics.config_version.set(table.version as i64);
     shared.table.replace(Some(table));
+    senders::review(shared);
     open_ahead::to_services(shared);
     true
 }
--- /dev/null
+++ b/crates/entry/src/senders.rs
@@ -0,0 +1,19 @@
+use crate::node_state::NodeState;
+
+/// Notes how many nodes send to each service, after routes or nodes have changed.
+pub(crate) fn review(shared: &NodeState) {
+    let Some(table) = shared.table.borrow().clone() else {
+        return;
+    };
+    if !*shared.feed.nodes_listed.borrow() {
+        return;
+    }
+    let peers = shared.peers.borrow();
+    let senders = table.senders(peers.total(), |legs, target_ms| {
+        peers.senders(legs, target_ms)
+    });
+    let mut pool = shared.pool.borrow_mut();
+    for (service, count) in senders {
+        pool.set_senders(service, count);
+    }
+}
--- a/crates/query/src/hedge_budget.rs
+++ b/crates/query/src/hedge_budget.rs
@@ -32,6 +32,16 @@
         }
     }
 
+    /// The same budget with another number of extra sub-requests in a row.
+    #[must_use]
+    pub const fn with_burst(mut self, burst: u32) -> Self {
+        self.burst = burst;
+        if self.credit > burst * self.cost {
+            self.credit = burst * self.cost;
+        }
+        self
+    }
+
     /// Earns the credit of one first sub-request.
     pub fn earn(&mut self) {
         self.credit = (self.credit + 1).min(self.burst * self.cost);
