Keep one type of connection with hooks in place of three

HookedStream is read by a closure and tells another one of writes; the three users keep their own logic only. A last look before an idle connection closes is no longer cut short when the library polls twice in one pass.

--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_stream.rs
@@ -7,13 +7,12 @@
 use std::time::Duration;
 
 use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::time;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
-use crate::probed_stream::ProbedStream;
+use crate::accepted::Accepted;
+use crate::hooked_stream::HookedStream;
 
 /// Time between the end of a limit and the close: the event loop looks once more for bytes
 /// that came while the process did not run.
@@ -85,29 +84,50 @@
     }
 }
 
-/// A caller's connection that ends when it stays idle, or a head incomplete, too long.
+/// Watches a caller's connection: it ends when it stays idle, or a head incomplete, too long.
+pub(crate) fn watch(accepted: Accepted, activity: Rc<CallerActivity>) -> HookedStream {
+    let Accepted { mut probe, stream } = accepted;
+    let mut limit = ActivityLimit::new(activity.clone());
+    let written = activity.clone();
+    let stream = HookedStream::new(
+        stream,
+        Box::new(move |mut stream, cx, buffer| {
+            let result = probe.poll(cx, |cx| stream.as_mut().poll_read(cx, buffer));
+            if result.is_ready() {
+                activity.bytes_read(probe.arrived_us());
+                return result;
+            }
+            if limit.has_ended(cx) {
+                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+            }
+            Poll::Pending
+        }),
+    );
+    stream.on_write(move || written.bytes_written())
+}
+
+/// The time for which a connection may be left without progress.
 #[derive(Debug)]
-pub(crate) struct CallerIo {
+struct ActivityLimit {
     activity: Rc<CallerActivity>,
     /// Whether a limit has ended and bytes are looked for once more.
     last_look: bool,
     sleep: Pin<Box<Sleep>>,
-    stream: ProbedStream,
 }
 
-impl CallerIo {
-    pub(crate) fn new(stream: ProbedStream, activity: Rc<CallerActivity>) -> Self {
+impl ActivityLimit {
+    fn new(activity: Rc<CallerActivity>) -> Self {
         let sleep = Box::pin(time::sleep(activity.idle_timeout));
         Self {
             activity,
             last_look: false,
             sleep,
-            stream,
         }
     }
 
     /// Whether the connection was left without progress for too long.
-    fn expired(&mut self, cx: &mut Context<'_>) -> bool {
+    fn has_ended(&mut self, cx: &mut Context<'_>) -> bool {
+        self.tighten();
         while self.sleep.as_mut().poll(cx).is_ready() {
             let now = Instant::now();
             // While a request is answered, its own deadline counts.
@@ -130,59 +150,9 @@
     fn tighten(&mut self) {
         if let Some(closes_at) = self.activity.closes_at()
             && closes_at < self.sleep.deadline()
+            && !self.last_look
         {
             self.sleep.as_mut().reset(closes_at);
         }
     }
 }
-
-impl AsyncRead for CallerIo {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if result.is_ready() {
-            self.activity.bytes_read(self.stream.arrived_us().get());
-            return result;
-        }
-        self.tighten();
-        if self.expired(cx) {
-            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
-        }
-        Poll::Pending
-    }
-}
-
-impl AsyncWrite for CallerIo {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.activity.bytes_written();
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.activity.bytes_written();
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -18,18 +18,18 @@
 
 use wigeonhall_dispatch::RouteTable;
 
+use crate::accepted::Accepted;
 use crate::answer;
-use crate::caller_io::CallerActivity;
-use crate::caller_io::CallerIo;
 use crate::caller_request;
 use crate::caller_request::CallerHead;
 use crate::caller_request::Rejection;
+use crate::caller_stream;
+use crate::caller_stream::CallerActivity;
 use crate::event::Event;
 use crate::event::RequestEvent;
 use crate::node_state::NodeState;
 use crate::node_state::Phase;
 use crate::probed_listener::ProbedListener;
-use crate::probed_stream::ProbedStream;
 use crate::replica_client::OutgoingRequest;
 use crate::responses;
 use crate::responses::CallerResponse;
@@ -58,13 +58,13 @@
     let mut phase = shared.phase.subscribe();
     let mut closing = pin!(closing(&mut phase));
     loop {
-        let stream = tokio::select! {
+        let accepted = tokio::select! {
             // Whatever waits is accepted before the listener closes.
             biased;
-            stream = listener.accept() => stream,
+            accepted = listener.accept() => accepted,
             () = &mut closing => return,
         };
-        task::spawn_local(connection(shared.clone(), stream));
+        task::spawn_local(connection(shared.clone(), accepted));
     }
 }
 
@@ -75,15 +75,15 @@
     time::sleep(LAST_READS).await;
 }
 
-async fn connection(shared: Rc<NodeState>, stream: ProbedStream) {
+async fn connection(shared: Rc<NodeState>, accepted: Accepted) {
     shared.connections.set(shared.connections.get() + 1);
-    if let Err(error) = connection_until_end(&shared, stream).await {
+    if let Err(error) = connection_until_end(&shared, accepted).await {
         log::debug!("connection of a caller ended: {error}");
     }
     shared.connections.set(shared.connections.get() - 1);
 }
 
-async fn connection_until_end(shared: &Rc<NodeState>, stream: ProbedStream) -> io::Result<()> {
+async fn connection_until_end(shared: &Rc<NodeState>, accepted: Accepted) -> io::Result<()> {
     let limits = shared.limits();
     let head_ms = limits.map_or(HEAD_TIMEOUT_MS, |limits| limits.header_timeout_ms);
     let idle_ms = limits.map_or(IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
@@ -92,14 +92,14 @@
         Duration::from_millis(head_ms),
         Duration::from_millis(idle_ms),
     ));
-    let io = CallerIo::new(stream, activity.clone());
+    let stream = caller_stream::watch(accepted, activity.clone());
     let handler = service::service_fn(|request| handle(shared.clone(), activity.clone(), request));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(buffer_bytes.max(READ_BUFFER_MIN_BYTES));
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(io), handler));
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), handler));
     let mut phase = shared.phase.subscribe();
     let result = tokio::select! {
         biased;
--- a/crates/entry/src/probed_stream.rs
+++ b/crates/entry/src/hooked_stream.rs
@@ -1,8 +1,6 @@
-use std::cell::Cell;
+use std::fmt;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
-use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -11,55 +9,58 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-use crate::arrival_probe::ArrivalProbe;
-use crate::loop_times::LoopTimes;
+type PollRead =
+    dyn FnMut(Pin<&mut TcpStream>, &mut Context<'_>, &mut ReadBuf<'_>) -> Poll<io::Result<()>>;
 
-/// A connection that knows since when what was read from it may have been waiting.
-#[derive(Debug)]
-pub(crate) struct ProbedStream {
-    arrived_us: Rc<Cell<u64>>,
-    probe: ArrivalProbe,
+/// A connection that is read by a closure, and tells another one of each write.
+pub(crate) struct HookedStream {
+    on_write: Box<dyn Fn()>,
+    poll_read: Box<PollRead>,
     stream: TcpStream,
 }
 
-impl ProbedStream {
-    /// A connection that may have been waiting to be accepted since `arrived_us`.
-    pub(crate) fn new(stream: TcpStream, times: Arc<LoopTimes>, arrived_us: u64) -> Self {
+impl HookedStream {
+    pub(crate) fn new(stream: TcpStream, poll_read: Box<PollRead>) -> Self {
         Self {
-            arrived_us: Rc::new(Cell::new(arrived_us)),
-            probe: ArrivalProbe::new(times, arrived_us),
+            on_write: Box::new(|| {}),
+            poll_read,
             stream,
         }
     }
 
-    /// Earliest time at which the bytes that were read last may have come.
-    pub(crate) const fn arrived_us(&self) -> &Rc<Cell<u64>> {
-        &self.arrived_us
+    /// Sets what is called before each write.
+    pub(crate) fn on_write(mut self, on_write: impl Fn() + 'static) -> Self {
+        self.on_write = Box::new(on_write);
+        self
     }
 }
 
-impl AsyncRead for ProbedStream {
+impl fmt::Debug for HookedStream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HookedStream")
+            .field("stream", &self.stream)
+            .finish_non_exhaustive()
+    }
+}
+
+impl AsyncRead for HookedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
-        let stream = Pin::new(&mut this.stream);
-        let result = this.probe.poll(cx, |cx| stream.poll_read(cx, buffer));
-        if result.is_ready() {
-            this.arrived_us.set(this.probe.arrived_us());
-        }
-        result
+        (this.poll_read)(Pin::new(&mut this.stream), cx, buffer)
     }
 }
 
-impl AsyncWrite for ProbedStream {
+impl AsyncWrite for HookedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        (self.on_write)();
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
@@ -76,6 +77,7 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        (self.on_write)();
         Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
     }
 
--- a/crates/entry/src/http_client.rs
+++ b/crates/entry/src/http_client.rs
@@ -2,6 +2,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,11 +14,12 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncRead;
 use tokio::net::TcpStream;
 use tokio::task;
 use tokio::time;
 
-use crate::allowance_stream::AllowanceStream;
+use crate::hooked_stream::HookedStream;
 use crate::socket;
 
 /// Read buffer of a connection to a replica, the store or another node; also the longest head
@@ -71,7 +73,7 @@
     let stream = time::timeout(timeout, TcpStream::connect(address)).await??;
     socket::prepare(&stream)?;
     let allowance_bytes = Rc::new(Cell::new(usize::MAX));
-    let stream = AllowanceStream::new(stream, allowance_bytes.clone());
+    let stream = with_allowance(stream, allowance_bytes.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -88,3 +90,23 @@
         sender,
     })
 }
+
+/// A connection from which only so many bytes may be read as are allowed.
+///
+/// The library reads interim answers, and a head, as fast as they come; a server in trouble
+/// may send them without end, and the event loop would do nothing else meanwhile.
+fn with_allowance(stream: TcpStream, allowance_bytes: Rc<Cell<usize>>) -> HookedStream {
+    HookedStream::new(
+        stream,
+        Box::new(move |stream, cx, buffer| {
+            if allowance_bytes.get() == 0 {
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
+            let before_bytes = buffer.filled().len();
+            let result = stream.poll_read(cx, buffer);
+            let read_bytes = buffer.filled().len() - before_bytes;
+            allowance_bytes.set(allowance_bytes.get().saturating_sub(read_bytes));
+            result
+        }),
+    )
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,12 +4,12 @@
 //! answer is decided in `wigeonhall-dispatch`; names and formats of the platform stand
 //! in `wigeonhall-adapter`.
 
-mod allowance_stream;
+mod accepted;
 mod answer;
 mod answer_lag;
 mod arrival_probe;
-mod caller_io;
 mod caller_request;
+mod caller_stream;
 mod change_feed;
 mod clock;
 mod collection_view;
@@ -22,6 +22,7 @@
 mod group_parts;
 mod group_stream;
 mod held_body;
+mod hooked_stream;
 mod http_client;
 mod lifecycle;
 mod loop_times;
@@ -31,7 +32,6 @@
 mod packing;
 mod peer_registry;
 mod probed_listener;
-mod probed_stream;
 mod query;
 mod readiness;
 mod record_log;
--- a/crates/entry/src/probed_listener.rs
+++ b/crates/entry/src/probed_listener.rs
@@ -7,9 +7,9 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
+use crate::accepted::Accepted;
 use crate::arrival_probe::ArrivalProbe;
 use crate::loop_times::LoopTimes;
-use crate::probed_stream::ProbedStream;
 use crate::socket;
 
 /// Pause after an error of `accept`, such as a lack of descriptors.
@@ -34,12 +34,13 @@
     }
 
     /// The next connection.
-    pub(crate) async fn accept(&mut self) -> ProbedStream {
+    pub(crate) async fn accept(&mut self) -> Accepted {
         loop {
             match self.try_accept().await {
                 Ok(stream) => {
                     let arrived_us = self.probe.arrived_us();
-                    return ProbedStream::new(stream, self.times.clone(), arrived_us);
+                    let probe = ArrivalProbe::new(self.times.clone(), arrived_us);
+                    return Accepted { probe, stream };
                 }
                 Err(error) => {
                     log::warn!("cannot accept a connection: {error}");
--- a/crates/entry/src/readiness.rs
+++ b/crates/entry/src/readiness.rs
@@ -15,9 +15,9 @@
 
 use wigeonhall_adapter::readiness_path;
 
+use crate::accepted::Accepted;
 use crate::node_state::NodeState;
 use crate::probed_listener::ProbedListener;
-use crate::probed_stream::ProbedStream;
 use crate::responses;
 use crate::responses::CallerResponse;
 
@@ -27,17 +27,17 @@
 /// Answers the platform's question whether the node takes callers, and serves metrics.
 pub(crate) async fn serve(shared: Rc<NodeState>, mut listener: ProbedListener) {
     loop {
-        let stream = listener.accept().await;
-        task::spawn_local(connection(shared.clone(), stream));
+        let accepted = listener.accept().await;
+        task::spawn_local(connection(shared.clone(), accepted));
     }
 }
 
-async fn connection(shared: Rc<NodeState>, stream: ProbedStream) {
+async fn connection(shared: Rc<NodeState>, accepted: Accepted) {
     let handler = service::service_fn(|request| {
         let response = respond(&shared, &request);
         future::ready(Ok::<_, Infallible>(response))
     });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(accepted.stream), handler);
     if let Err(error) = connection.await {
         log::debug!("connection of the platform ended: {error}");
     }
--- a/crates/entry/src/relay_server.rs
+++ b/crates/entry/src/relay_server.rs
@@ -21,6 +21,7 @@
 
 use wigeonhall_dispatch::Exchange;
 
+use crate::accepted::Accepted;
 use crate::answer;
 use crate::caller_request;
 use crate::event::Event;
@@ -33,7 +34,6 @@
 use crate::node_state::NodeState;
 use crate::node_state::Phase;
 use crate::probed_listener::ProbedListener;
-use crate::probed_stream::ProbedStream;
 use crate::query::Query;
 use crate::relay_protocol;
 use crate::replica_client::OutgoingRequest;
@@ -48,13 +48,13 @@
 /// Collects parts of gathers for other nodes, and passes changes of the store on to them.
 pub(crate) async fn serve(shared: Rc<NodeState>, views: Views, mut listener: ProbedListener) {
     loop {
-        let stream = listener.accept().await;
-        task::spawn_local(connection(shared.clone(), views.clone(), stream));
+        let accepted = listener.accept().await;
+        task::spawn_local(connection(shared.clone(), views.clone(), accepted));
     }
 }
 
-async fn connection(shared: Rc<NodeState>, views: Views, stream: ProbedStream) {
-    let arrived_us = stream.arrived_us().clone();
+async fn connection(shared: Rc<NodeState>, views: Views, accepted: Accepted) {
+    let (stream, arrived_us) = accepted.into_stream();
     let handler = service::service_fn(|request| {
         let (shared, views) = (shared.clone(), views.clone());
         let arrived_us = arrived_us.get();
