--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -78,7 +78,8 @@
         self.own.address = address;
     }
 
-    /// Takes in a whole list of nodes; those of other data centres are left out.
+    /// Takes in a whole list of nodes; of those of other data centres only the place and the
+    /// share of a core are kept.
     pub fn replace(&mut self, nodes: Vec<PeerNode>) {
         let place = |node: &PeerNode| (node.data_centre.clone(), node.processor_share);
         self.everywhere = nodes.iter().map(place).collect();
