Add a simulation of the entry tier and a policy struct for its decisions

The simulation plays the pools and exchanges of all nodes against replicas with slots, queues, pauses and faults, in virtual time, on a deployment like a customer's, one with single slots and drawn ones. Each mechanism is a field of `Policy`; new ones are off here: the exponent of the failure share, the geometric slowness, the admission of gathers and the level below which nothing is hedged. Routes carry the priority of the configuration.

No decision changes. Not simulated: gathers shared among nodes, connections, processor time.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -104,6 +104,8 @@
     /// Compare with a plain way of routing, in virtual time
     #[bpaf(command)]
     Measure {
+        /// Compare policies of the entry tier instead
+        policies: bool,
         /// Measure the processor time of the decision logic instead
         processor_time: bool,
         /// Print the result as JSON
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -117,11 +117,7 @@
             file,
         } => diff(&context(&connection, None), &read(&file)?, generation),
         Command::Explain { logs, subject, .. } if !logs.is_empty() => {
-            let texts: Result<Vec<String>, CtlError> = logs
-                .into_iter()
-                .map(|path| read(&TextFile { path }))
-                .collect();
-            Ok(explain_logs(&texts?.join("\n"), &subject_of(subject)))
+            Ok(explain_logs(&read_all(logs)?, &subject_of(subject)))
         }
         Command::Explain {
             connection,
@@ -146,6 +142,7 @@
         }
         Command::Measure {
             plot,
+            policies,
             processor_time,
             product_only,
             run_ms,
@@ -157,6 +154,7 @@
             ..
         } => measure(&MeasureOptions {
             plot,
+            policies,
             processor_time,
             product_only,
             run_ms,
@@ -197,6 +195,12 @@
     }
 }
 
+/// Reads files and joins their lines.
+fn read_all(paths: Vec<String>) -> Result<String, CtlError> {
+    let texts = paths.into_iter().map(|path| read(&TextFile { path }));
+    Ok(texts.collect::<Result<Vec<String>, CtlError>>()?.join("\n"))
+}
+
 fn context(connection: &Connection, change: Option<&ChangeOptions>) -> Context {
     let api = connection
         .store
--- a/crates/ctl/src/measure.rs
+++ b/crates/ctl/src/measure.rs
@@ -14,6 +14,7 @@
 use wigeonhall_measure::comparison_table;
 use wigeonhall_measure::limit_scheme_scenarios;
 use wigeonhall_measure::limit_scheme_table;
+use wigeonhall_measure::policy_table;
 use wigeonhall_measure::processor_time_table;
 use wigeonhall_measure::scenarios;
 use wigeonhall_measure::sites;
@@ -31,6 +32,8 @@
 pub struct MeasureOptions {
     /// Directory for charts that compare the limit schemes; `None` for no charts.
     pub plot: Option<PathBuf>,
+    /// Compare policies of the entry tier instead of the scenarios.
+    pub policies: bool,
     /// Measure the processor time of the decision logic instead of the scenarios.
     pub processor_time: bool,
     /// Leave out the baseline, a plain way of routing.
@@ -58,6 +61,10 @@
     if options.processor_time {
         return Ok(Report::new(0, options, processor_time_table()));
     }
+    if options.policies {
+        let seeds: Vec<u64> = (1..=options.seeds.max(1)).collect();
+        return Ok(Report::new(0, options, policy_table(&seeds)));
+    }
     let plan = RunPlan {
         product_only: options.product_only,
         run_ms: WARM_UP_MS + options.run_ms,
--- /dev/null
+++ b/crates/dispatch/src/admission.rs
@@ -0,0 +1,51 @@
+use crate::Policy;
+
+/// Largest level. The margin above 1 keeps single late answers from causing refusals.
+const LEVEL_MAX: f64 = 2.0;
+
+/// Smallest level; the requests that are still admitted show when the overload has ended.
+const LEVEL_MIN: f64 = 0.2;
+
+/// Factor of the level for each gather with enough parts in time.
+const INCREASE: f64 = 1.05;
+
+/// Factor of the level for each gather that has too few parts when its answer is due. With
+/// [`INCREASE`] the level falls while more than a sixth of the gathers are late.
+const DECREASE: f64 = 0.8;
+
+/// Share of the gathers over one set of shards that can be answered in time, as observed by this
+/// node.
+///
+/// Beyond their capacity, replicas queue requests until every answer is late. Refusing some
+/// requests at once leaves the rest in time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Admission {
+    /// The share; a value above 1 is a margin.
+    level: f64,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self { level: LEVEL_MAX }
+    }
+}
+
+impl Admission {
+    /// Records whether a gather had enough parts when its answer was due.
+    pub(crate) fn observe(&mut self, in_time: bool) {
+        let factor = if in_time { INCREASE } else { DECREASE };
+        self.level = (self.level * factor).clamp(LEVEL_MIN, LEVEL_MAX);
+    }
+
+    /// Whether a gather is admitted, given its `rank` (0 is the most urgent) and a `draw` that is
+    /// uniform in 0 to 1. The less urgent ones are refused first.
+    pub(crate) fn admits(self, rank: i32, draw: f64) -> bool {
+        draw <= self.level.powi(1 + rank.max(0))
+    }
+
+    /// Whether the replicas have room for hedges. A hedge to replicas that queue requests delays
+    /// others by as much as it gains.
+    pub(crate) fn allows_hedges(self, policy: &Policy) -> bool {
+        self.level >= policy.hedging_level
+    }
+}
--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -39,6 +39,11 @@
     pub(crate) min_parts: Option<usize>,
     /// Number of hedges and retries sent so far.
     pub(crate) extra_sends: u32,
+    /// Whether it was recorded whether the gather had enough parts when its answer was due.
+    pub(crate) observed: bool,
+    /// Latency of a part above which its replica counts as queueing requests; `None` if it is
+    /// unknown, or if another node answers the caller and observes the gather.
+    pub(crate) queueing_us: Option<u64>,
     pub(crate) route: Rc<Route>,
     /// Time from which the request is answered as soon as it has `min_parts`.
     pub(crate) soft_deadline_us: u64,
@@ -81,6 +86,8 @@
             legs: selection.services.into_iter().map(Leg::new).collect(),
             max_runs: route.spec.max_attempts,
             min_parts: selection.min_parts,
+            observed: false,
+            queueing_us: None,
             route,
             soft_deadline_us: arrived_us
                 .saturating_add(target_us.saturating_sub(margin_us).max(min_wait_us)),
@@ -111,11 +118,21 @@
             legs: legs.copied().map(Leg::new).collect(),
             max_runs,
             min_parts: Some(0),
+            observed: false,
+            queueing_us: None,
             route,
             soft_deadline_us,
         }
     }
 
+    /// Sets the latency above which a replica counts as queueing requests; without it, the request
+    /// is neither refused for overload nor observed.
+    #[must_use]
+    pub const fn with_queueing_latency(mut self, queueing_us: Option<u64>) -> Self {
+        self.queueing_us = queueing_us;
+        self
+    }
+
     /// Sets the fallback replica of each leg, which another node uses if it takes the leg back.
     ///
     /// The fallback counts toward the replicas that may run the leg, so that both nodes
@@ -161,6 +178,9 @@
             // The request waited in the node's queue until after its deadline.
             return Some(self.refuse(pool, now_us, self.refusal_reason(true)));
         }
+        if let Some(refusal) = self.refuse_overload(pool) {
+            return Some(refusal);
+        }
         for index in 0..self.legs.len() {
             pool.earn(self.legs[index].service);
             match self.choose(pool, now_us, index) {
@@ -187,7 +207,9 @@
         reply: Reply,
         sub_requests: &mut Vec<SubRequest>,
     ) -> Option<Outcome> {
-        self.legs[sub_request.leg].attempts[sub_request.attempt].reply = Some(reply);
+        let attempt = &mut self.legs[sub_request.leg].attempts[sub_request.attempt];
+        attempt.replied_us = now_us;
+        attempt.reply = Some(reply);
         if self.legs[sub_request.leg].is_open() {
             if reply == Reply::Success {
                 self.legs[sub_request.leg].state = LegState::Done(sub_request.attempt);
@@ -195,6 +217,7 @@
                 self.handle_failure(pool, now_us, sub_request.leg, reply, sub_requests);
             }
         }
+        self.observe_gather(pool, now_us);
         self.outcome(pool, now_us)
     }
 
@@ -209,6 +232,7 @@
             return Some(self.give_up(pool, now_us, true));
         }
         self.hedge_late_legs(pool, now_us, sub_requests);
+        self.observe_gather(pool, now_us);
         self.outcome(pool, now_us)
     }
 
--- a/crates/dispatch/src/exchange_outcome.rs
+++ b/crates/dispatch/src/exchange_outcome.rs
@@ -10,6 +10,9 @@
 use crate::leg::Attempt;
 use crate::leg::Leg;
 
+/// Retry-After time of a request that was refused for overload.
+const OVERLOAD_RETRY_AFTER_MS: u64 = 300;
+
 /// Decides when and how a request is answered.
 impl Exchange {
     /// Returns the number of legs, the request's shares for one service each, that succeeded.
@@ -29,6 +32,38 @@
         self.done_legs() + self.likely_legs() < self.min_parts.unwrap_or(1)
     }
 
+    /// Refuses a gather that is not admitted because its shards are overloaded.
+    pub fn refuse_overload(&self, pool: &mut Pool) -> Option<Outcome> {
+        self.queueing_us?;
+        let admits = pool.admits_gather(self.route.legs_key, self.route.rank);
+        (!admits).then_some(Outcome::Refuse {
+            reason: RefuseReason::Overloaded,
+            retry_after_ms: OVERLOAD_RETRY_AFTER_MS,
+        })
+    }
+
+    /// Records once, when the answer of a gather is due, whether it has enough parts.
+    ///
+    /// A gather that is late for the sake of a few replicas says nothing about the load; it counts
+    /// as late only if most of the replicas queue requests.
+    pub(crate) fn observe_gather(&mut self, pool: &mut Pool, now_us: u64) {
+        let (Some(min_parts), Some(queueing_us)) = (self.min_parts, self.queueing_us) else {
+            return;
+        };
+        let ended = self.legs.iter().all(|leg| !leg.is_open());
+        if self.observed || !(ended || now_us >= self.soft_deadline_us) {
+            return;
+        }
+        self.observed = true;
+        let prompt = self
+            .legs
+            .iter()
+            .filter(|leg| leg.is_done_within(queueing_us));
+        let queueing = prompt.count() * 2 < self.legs.len();
+        let in_time = self.done_legs() >= min_parts || !queueing;
+        pool.observe_gather(self.route.legs_key, in_time);
+    }
+
     /// Returns the outcome of the request if it is due.
     pub(crate) fn outcome(&mut self, pool: &Pool, now_us: u64) -> Option<Outcome> {
         if self.cannot_succeed() {
--- a/crates/dispatch/src/exchange_sub_requests.rs
+++ b/crates/dispatch/src/exchange_sub_requests.rs
@@ -36,10 +36,11 @@
         let attempt = leg.attempts.len();
         leg.attempts.push(Attempt {
             replica,
+            replied_us: 0,
             reply: None,
             sent_us: now_us,
         });
-        let may_hedge = may_repeat && leg.runs() < self.max_runs;
+        let may_hedge = pool.policy().hedging && may_repeat && leg.runs() < self.max_runs;
         leg.hedge_at_us = may_hedge.then_some(now_us + self.hedge_delay_us);
         pool.request_started(now_us, replica);
         sub_requests.push(SubRequest {
@@ -61,7 +62,9 @@
         sub_requests: &mut Vec<SubRequest>,
     ) {
         let leg = &self.legs[leg_index];
-        let allowed = self.min_parts.is_some() && leg.may_choose_any_replica(self.max_runs);
+        let allowed = pool.policy().last_resort
+            && self.min_parts.is_some()
+            && leg.may_choose_any_replica(self.max_runs);
         let suspended_replica = pool.last_resort(now_us, leg.service);
         if let Some(replica) = suspended_replica.filter(|_| allowed) {
             self.legs[leg_index].last_resort_until_us = Some(now_us + self.hedge_delay_us);
@@ -111,6 +114,9 @@
         let Some(replica) = self.choose(pool, now_us, leg_index) else {
             return false;
         };
+        if reason == ExtraReason::Hedge && !pool.allows_hedges(self.route.legs_key) {
+            return false;
+        }
         if !pool.try_charge_extra(now_us, service, reason) {
             return false;
         }
@@ -166,7 +172,8 @@
             .filter(|leg_index| due(&self.legs[*leg_index]))
             .collect();
         let late_legs_max = (self.legs.len() / LATE_LEGS_DIVISOR).max(LATE_LEGS_MIN);
-        let postpone = late.len() > late_legs_max && !self.hedges_postponed;
+        let postpone =
+            pool.policy().postponement && late.len() > late_legs_max && !self.hedges_postponed;
         self.hedges_postponed |= postpone;
         for leg_index in late {
             if postpone {
--- a/crates/dispatch/src/extra_budget.rs
+++ b/crates/dispatch/src/extra_budget.rs
@@ -1,7 +1,5 @@
 use wigeonhall_query::ExtraSubRequestBudget;
 
-use crate::ExtraReason;
-
 /// First requests per extra sub-request until the operators' ratio is known.
 const DEFAULT_REQUESTS_PER_EXTRA: u32 = 7;
 
@@ -20,9 +18,6 @@
 /// Fraction of a node's slack that may be used at once; the rest accrues over the window.
 const IMMEDIATE_FRACTION: f64 = 0.25;
 
-/// Extra sub-requests for which credit must remain after a hedge.
-const RESERVED_RETRIES: u32 = 1;
-
 /// Extra sub-requests, that is hedges and retries, that operators allow for each service from
 /// all nodes together.
 #[derive(Clone, Copy, Debug)]
@@ -93,14 +88,10 @@
         self.earned.earn();
     }
 
-    /// Charges an extra sub-request; returns false if the budget does not allow it. A hedge must
-    /// leave credit for a retry, because the sub-request that it duplicates may still succeed.
-    pub(crate) fn try_charge(&mut self, now_us: u64, reason: ExtraReason) -> bool {
+    /// Charges an extra sub-request if earned credit for `reserve` more remains, or from the
+    /// slack; returns false if the budget does not allow it.
+    pub(crate) fn try_charge(&mut self, now_us: u64, reserve: u32) -> bool {
         self.refill(now_us);
-        let reserve = match reason {
-            ExtraReason::Hedge => RESERVED_RETRIES,
-            ExtraReason::Retry => 0,
-        };
         if self.earned.try_charge_above_reserve(reserve) {
             return true;
         }
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -1,4 +1,5 @@
 use crate::NotRunCause;
+use crate::Policy;
 use crate::Reply;
 use crate::UnknownCause;
 
@@ -51,24 +52,24 @@
     }
 
     /// Adds the result of a request; `ratio` is its latency divided by the mean latency.
-    pub(crate) fn observe(&mut self, now_us: u64, reply: Reply, ratio: f64) {
+    pub(crate) fn observe(&mut self, policy: &Policy, now_us: u64, reply: Reply, ratio: f64) {
         self.apply_decay(now_us);
         match reply {
             Reply::Success => {
                 self.failures = 0;
                 self.suspended_until_us = 0;
-                self.add_sample(ratio, 0.0);
+                self.add_sample(policy, ratio, 0.0);
             }
             Reply::Failed { .. }
             | Reply::Unknown(
                 UnknownCause::Foreign | UnknownCause::Reset | UnknownCause::Unproved,
-            ) => self.add_sample(1.0, 1.0),
+            ) => self.add_sample(policy, 1.0, 1.0),
             Reply::Unknown(UnknownCause::Silent) => {
-                self.add_sample(MAX_LATENCY_RATIO, 1.0);
+                self.add_sample(policy, MAX_LATENCY_RATIO, 1.0);
                 self.record_failure(now_us, TIMEOUTS_TO_SUSPEND);
             }
             Reply::Unknown(UnknownCause::TooLong) => {
-                self.add_sample(MAX_LATENCY_RATIO, 1.0);
+                self.add_sample(policy, MAX_LATENCY_RATIO, 1.0);
                 self.record_failure(now_us, 1);
             }
             Reply::NotRun(NotRunCause::Busy) => {
@@ -82,15 +83,21 @@
             }
             Reply::NotRun(NotRunCause::Withdrawn) => {}
         }
+        if !policy.slowness {
+            self.slowness = 1.0;
+        }
+        if !policy.suspension {
+            self.suspended_until_us = 0;
+        }
     }
 
     /// Returns the expected cost of a request relative to an average replica, which has cost
     /// 1.
-    pub(crate) fn cost(&self, now_us: u64) -> f64 {
+    pub(crate) fn cost(&self, policy: &Policy, now_us: u64) -> f64 {
         let decay = self.decay_factor(now_us);
         let slowness = 1.0 + (self.slowness - 1.0) * decay;
         let failure_share = self.failure_share * decay;
-        slowness / (1.0 - failure_share).max(0.1)
+        slowness / (1.0 - failure_share).max(0.1).powf(policy.failure_exponent)
     }
 
     /// Whether the last request to the replica got no usable response.
@@ -103,9 +110,13 @@
         self.failures >= TIMEOUTS_TO_SUSPEND
     }
 
-    fn add_sample(&mut self, ratio: f64, failed: f64) {
+    fn add_sample(&mut self, policy: &Policy, ratio: f64, failed: f64) {
         let ratio = ratio.clamp(0.25, MAX_LATENCY_RATIO);
-        self.slowness += (ratio - self.slowness) * SAMPLE_WEIGHT;
+        if policy.geometric_slowness {
+            self.slowness *= (ratio / self.slowness).powf(SAMPLE_WEIGHT);
+        } else {
+            self.slowness += (ratio - self.slowness) * SAMPLE_WEIGHT;
+        }
         self.failure_share += (failed - self.failure_share) * SAMPLE_WEIGHT;
     }
 
--- a/crates/dispatch/src/leg.rs
+++ b/crates/dispatch/src/leg.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt {
     pub(crate) replica: ReplicaKey,
+    /// Time of the reply, if there is one.
+    pub(crate) replied_us: u64,
     pub(crate) reply: Option<Reply>,
     pub(crate) sent_us: u64,
 }
@@ -110,6 +112,15 @@
         self.is_open() && self.last_resort_until_us.is_none()
     }
 
+    /// Whether the leg has a part that its replica returned within `latency_us`.
+    pub(crate) fn is_done_within(&self, latency_us: u64) -> bool {
+        let LegState::Done(attempt) = self.state else {
+            return false;
+        };
+        let attempt = &self.attempts[attempt];
+        attempt.replied_us - attempt.sent_us <= latency_us
+    }
+
     /// Whether the gather still waits for the part of this leg.
     pub(crate) fn is_awaited(&self, now_us: u64) -> bool {
         self.is_open()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! gather is a request to one replica of each shard, whose parts [`merge_records`] merges into
 //! the answer. Times are in microseconds of one monotonic clock.
 
+mod admission;
 mod availability;
 mod change_log;
 mod configuration;
@@ -21,6 +22,7 @@
 mod outcome;
 mod pacing;
 mod peers;
+mod policy;
 mod pool;
 mod pool_membership;
 mod reading_role;
@@ -61,6 +63,7 @@
 pub use peers::PeerNode;
 pub use peers::Peers;
 pub use peers::RelayGroup;
+pub use policy::Policy;
 pub use pool::ExtraReason;
 pub use pool::Pool;
 pub use pool::PoolCounts;
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -42,6 +42,8 @@
     DeadlinePassed,
     /// No replica is available.
     NoReplica,
+    /// More gathers arrive than their shards can answer in time.
+    Overloaded,
     /// Too few shards have an available replica.
     TooFewShards,
 }
--- /dev/null
+++ b/crates/dispatch/src/policy.rs
@@ -0,0 +1,58 @@
+/// Strengths of the mechanisms by which replicas are chosen, hedged and suspended.
+///
+/// The default is in use on every deployment. Measurements and tests change single fields to
+/// find out what a mechanism is worth.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each turns off one mechanism of its own"
+)]
+pub struct Policy {
+    /// Whether some gathers are refused while more arrive than can be answered in time.
+    pub admission: bool,
+    /// Cost factor of a replica in another data centre; traffic between data centres is charged
+    /// for.
+    pub cross_data_centre_cost: f64,
+    /// Exponent of the share of successful requests by which the cost of a replica is divided; 0 if
+    /// failures do not raise the cost. A failed request costs its own time and a retry, which the
+    /// budget of its service limits.
+    pub failure_exponent: f64,
+    /// Level of the admission, from 0 to 2, below which no leg is hedged.
+    pub hedging_level: f64,
+    /// Whether the slowness of a replica is the geometric mean of its latencies, in which a single
+    /// long one counts for less.
+    pub geometric_slowness: bool,
+    /// Whether late legs are sent to a second replica.
+    pub hedging: bool,
+    /// Whether a leg without an available replica is sent to a suspended one.
+    pub last_resort: bool,
+    /// Whether hedges are postponed once when many legs are late at the same time.
+    pub postponement: bool,
+    /// Extra sub-requests for which credit remains after a hedge.
+    pub reserved_retries: u32,
+    /// Whether the latencies of a replica change its cost.
+    pub slowness: bool,
+    /// Whether replicas are suspended after failures and refusals.
+    pub suspension: bool,
+    /// Largest share by which the cost of a replica is raised at random.
+    pub tie_breaking: f64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            admission: false,
+            cross_data_centre_cost: 1.3,
+            failure_exponent: 1.0,
+            geometric_slowness: false,
+            hedging: true,
+            hedging_level: 0.0,
+            last_resort: true,
+            postponement: true,
+            reserved_retries: 1,
+            slowness: true,
+            suspension: true,
+            tie_breaking: 0.05,
+        }
+    }
+}
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -6,18 +6,16 @@
 use crate::ExtraAllowance;
 use crate::NotRunCause;
 use crate::Notice;
+use crate::Policy;
 use crate::Replica;
 use crate::ReplicaKey;
 use crate::Reply;
 use crate::ServiceKey;
 use crate::ServiceSpec;
+use crate::admission::Admission;
 use crate::retained_notices::RetainedNotices;
 use crate::service::Service;
 
-/// Cost factor of a replica in another data centre; traffic between data centres is charged
-/// for.
-const CROSS_DATA_CENTRE_COST_FACTOR: f64 = 1.3;
-
 /// Number of nodes that are assumed to share the rate of a cold (newly started) replica until
 /// their number is known.
 const ASSUMED_NODES: usize = 16;
@@ -34,6 +32,8 @@
 /// The services and replicas that a node knows; chooses the replica for each sub-request.
 #[derive(Debug)]
 pub struct Pool {
+    /// Admission of gathers by [`Route::legs_key`](crate::Route::legs_key).
+    admissions: HashMap<u64, Admission>,
     pub(crate) arena: Vec<ArenaSlot>,
     pub(crate) by_id: HashMap<Arc<str>, ReplicaKey>,
     pub(crate) data_centre: Arc<str>,
@@ -44,6 +44,7 @@
     pub(crate) free_slots: Vec<u32>,
     /// Number of nodes in all data centres.
     nodes: usize,
+    policy: Policy,
     pub(crate) rng: fastrand::Rng,
     pub(crate) services: Vec<Service>,
     pub(crate) services_by_name: HashMap<Arc<str>, ServiceKey>,
@@ -85,6 +86,7 @@
     #[must_use]
     pub fn new(data_centre: Arc<str>, seed: u64) -> Self {
         Self {
+            admissions: HashMap::new(),
             arena: Vec::new(),
             by_id: HashMap::new(),
             data_centre,
@@ -92,6 +94,7 @@
             retained_notices: RetainedNotices::default(),
             free_slots: Vec::new(),
             nodes: ASSUMED_NODES,
+            policy: Policy::default(),
             rng: fastrand::Rng::with_seed(seed),
             services: Vec::new(),
             services_by_name: HashMap::new(),
@@ -104,6 +107,17 @@
         self.nodes = nodes.max(1);
     }
 
+    /// Sets the policy of this node.
+    pub const fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
+    /// Returns the policy of this node.
+    #[must_use]
+    pub const fn policy(&self) -> &Policy {
+        &self.policy
+    }
+
     /// Sets the extra sub-requests that operators allow; applies to services that become known
     /// later.
     pub const fn set_extra_allowance(&mut self, allowance: ExtraAllowance) {
@@ -233,6 +247,7 @@
         tried: &[ReplicaKey],
     ) -> Vec<(f64, ReplicaKey)> {
         let cold_interval_us = self.cold_interval_us(service);
+        let policy = self.policy;
         let rng = &mut self.rng;
         let entry = &self.services[service.0 as usize];
         let mut ranked: Vec<(f64, ReplicaKey)> = Vec::with_capacity(entry.replicas.len());
@@ -244,7 +259,8 @@
             if tried.contains(key) || availability != Availability::Ready {
                 continue;
             }
-            let cost = expected_cost(replica, now_us, &self.data_centre) * (1.0 + rng.f64() * 0.05);
+            let variation = 1.0 + rng.f64() * policy.tie_breaking;
+            let cost = expected_cost(&policy, replica, now_us, &self.data_centre) * variation;
             ranked.push((cost, *key));
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -284,7 +300,33 @@
         reason: ExtraReason,
     ) -> bool {
         let budget = &mut self.services[service.0 as usize].budget;
-        budget.try_charge(now_us, reason)
+        let reserve = match reason {
+            ExtraReason::Hedge => self.policy.reserved_retries,
+            ExtraReason::Retry => 0,
+        };
+        budget.try_charge(now_us, reserve)
+    }
+
+    /// Whether a gather over the shards with this [`Route::legs_key`](crate::Route::legs_key) is
+    /// admitted; some are refused while more arrive than can be answered in time.
+    pub fn admits_gather(&mut self, legs_key: u64, rank: i32) -> bool {
+        let draw = self.rng.f64();
+        let admission = self.admissions.entry(legs_key).or_default();
+        !self.policy.admission || admission.admits(rank, draw)
+    }
+
+    /// Records whether a gather had enough parts when its answer was due.
+    pub fn observe_gather(&mut self, legs_key: u64, in_time: bool) {
+        self.admissions
+            .entry(legs_key)
+            .or_default()
+            .observe(in_time);
+    }
+
+    /// Whether the shards of a gather have room for hedges.
+    pub(crate) fn allows_hedges(&self, legs_key: u64) -> bool {
+        let admission = self.admissions.get(&legs_key);
+        admission.is_none_or(|admission| admission.allows_hedges(&self.policy))
     }
 
     /// Credits a first request to a service's budget of extra sub-requests.
@@ -312,11 +354,14 @@
         reply: Reply,
         latency_ratio: f64,
     ) {
+        let policy = self.policy;
         let Some(replica) = self.replica_mut(key) else {
             return;
         };
         replica.in_flight = replica.in_flight.saturating_sub(1);
-        replica.health.observe(now_us, reply, latency_ratio);
+        replica
+            .health
+            .observe(&policy, now_us, reply, latency_ratio);
         if reply == Reply::NotRun(NotRunCause::OtherInstance) {
             // The address now belongs to another replica; this one is dropped at the next
             // sweep.
@@ -386,19 +431,19 @@
     (nodes as f64 / (cold_rate_per_s * COLD_RATE_SHARE) * 1e6) as u64
 }
 
-fn expected_cost(replica: &Replica, now_us: u64, data_centre: &str) -> f64 {
+fn expected_cost(policy: &Policy, replica: &Replica, now_us: u64, data_centre: &str) -> f64 {
     /// Cost factor of a replica that is still slow because of its cold start.
     const COLD_COST_FACTOR: f64 = 2.0;
     let utilisation = f64::from(replica.in_flight) / f64::from(replica.registration.slots.max(1));
     let distance_factor = if *replica.registration.data_centre == *data_centre {
         1.0
     } else {
-        CROSS_DATA_CENTRE_COST_FACTOR
+        policy.cross_data_centre_cost
     };
     let cold = if now_us < replica.warm_at_us {
         COLD_COST_FACTOR
     } else {
         1.0
     };
-    replica.health.cost(now_us) * (1.0 + utilisation) * distance_factor * cold
+    replica.health.cost(policy, now_us) * (1.0 + utilisation) * distance_factor * cold
 }
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -28,6 +28,8 @@
     pub name: Arc<str>,
     /// Prefix of the requests' paths; begins and ends with a slash.
     pub path_prefix: Arc<str>,
+    /// Priority of its requests; lower numbers are more urgent.
+    pub priority: u32,
     /// Target of its requests.
     pub target: TargetSpec,
     /// Latency that the caller aims for; a later answer is worth less to it.
@@ -112,6 +114,8 @@
     /// Hash of a gather's shards and `max_attempts`. Nodes may divide the legs of a gather, its
     /// requests to one shard each, only if their keys are equal.
     pub legs_key: u64,
+    /// Number of more urgent priorities among the gathers over the same shards.
+    pub rank: i32,
     /// The route as written in the configuration.
     pub spec: RouteSpec,
     /// Target of its requests.
--- a/crates/dispatch/src/route_latency.rs
+++ b/crates/dispatch/src/route_latency.rs
@@ -7,10 +7,30 @@
 /// the quotient at the latest, so that the response to the hedge can still meet the target.
 const MAX_HEDGE_DELAY_DIVISOR: u64 = 3;
 
+/// Ratio of the median latency of a gather's parts to the fast latency of the route from which the
+/// replicas count as queueing requests; without queues it is below 2.
+const QUEUEING_RATIO: f64 = 2.5;
+
+/// Largest share of the latencies that are below the fast latency.
+const FAST_SHARE: f64 = 0.1;
+
+/// Step of the fast latency for each sample, once it is known. It is small, so that the fast
+/// latency doesn't follow queues that last for seconds.
+const FAST_STEP: f64 = 0.002;
+
+/// Step of the fast latency for the first samples.
+const FIRST_FAST_STEP: f64 = 0.02;
+
+/// Number of samples after which the fast latency is known.
+const FAST_SAMPLES: u32 = 200;
+
 /// Latencies of replicas on one route, as observed by this node.
 #[derive(Clone, Debug, Default)]
 pub struct RouteLatency {
+    /// Latency of a fast reply, without a queue; estimates the lowest tenth of the latencies.
+    fast_us: Option<f64>,
     quantile: LatencyQuantile,
+    samples: u32,
     /// Moving mean latency; `None` before the first sample.
     mean_us: Option<f64>,
 }
@@ -25,9 +45,27 @@
         let sample_us = (latency_us as f64).min(mean_us * 3.0);
         self.mean_us = Some(mean_us + (sample_us - mean_us) * SAMPLE_WEIGHT);
         self.quantile.observe(latency_us);
+        self.observe_fast(latency_us as f64);
         ratio
     }
 
+    fn observe_fast(&mut self, latency_us: f64) {
+        let fast_us = self.fast_us.unwrap_or(latency_us);
+        let known = self.samples >= FAST_SAMPLES;
+        let step = if known { FAST_STEP } else { FIRST_FAST_STEP };
+        let below = f64::from(latency_us < fast_us);
+        self.fast_us = Some(fast_us * (1.0 + step * (FAST_SHARE - below)));
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    /// Returns the latency in microseconds above which a replica probably queued the request;
+    /// `None` before enough samples.
+    #[must_use]
+    pub fn queueing_us(&self) -> Option<u64> {
+        let fast_us = self.fast_us.filter(|_| self.samples >= FAST_SAMPLES)?;
+        Some((fast_us * QUEUEING_RATIO) as u64)
+    }
+
     /// Returns the ratio of a latency to the mean; 1 before the first sample.
     #[must_use]
     pub fn ratio(&self, latency_us: u64) -> f64 {
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -33,6 +33,7 @@
         for spec in &configuration.routes {
             let route = Rc::new(Route {
                 legs_key: spec.legs_key(),
+                rank: rank(spec, &configuration.routes),
                 spec: spec.clone(),
                 target: resolve_target(spec, pool),
                 version: configuration.version,
@@ -153,6 +154,24 @@
     }
 }
 
+/// Returns the number of priorities before that of a route, among gathers over the same shards.
+fn rank(spec: &RouteSpec, routes: &[RouteSpec]) -> i32 {
+    let TargetSpec::Gather { shards, .. } = &spec.target else {
+        return 0;
+    };
+    let same_shards = |other: &&RouteSpec| match &other.target {
+        TargetSpec::Gather { shards: others, .. } => others == shards,
+        TargetSpec::Service(_) | TargetSpec::Split(_) => false,
+    };
+    let more_urgent: BTreeSet<u32> = routes
+        .iter()
+        .filter(|other| other.priority < spec.priority)
+        .filter(same_shards)
+        .map(|other| other.priority)
+        .collect();
+    more_urgent.len() as i32
+}
+
 fn resolve_target(spec: &RouteSpec, pool: &mut Pool) -> RouteTarget {
     match &spec.target {
         TargetSpec::Gather {
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -62,6 +62,7 @@
         max_attempts: 2,
         name: "route".into(),
         path_prefix: "/find/".into(),
+        priority: 0,
         target,
         target_latency_ms: 120,
         timeout_ms: 1_000,
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -53,7 +53,8 @@
         hedge_delay_us,
         shared.answer_lag.get(),
         route.clone(),
-    );
+    )
+    .with_queueing_latency(queueing_us(shared, &route));
     let soft_deadline_us = exchange.soft_deadline_us();
     let outgoing = Rc::new(outgoing);
     let (outcome, response, summary) = match plan(shared, &exchange) {
@@ -80,6 +81,12 @@
     latency.hedge_delay_us(route.spec.target_latency_ms)
 }
 
+/// Returns the latency above which replicas of this route count as queueing requests.
+fn queueing_us(shared: &NodeState, route: &Route) -> Option<u64> {
+    let latencies = shared.latencies.borrow();
+    latencies.get(&route.spec.name)?.queueing_us()
+}
+
 fn plan(shared: &NodeState, exchange: &Exchange) -> Option<shared_gather::GatherPlan> {
     exchange.min_parts()?;
     let now_us = shared.clock.now_us();
@@ -92,7 +99,9 @@
 
 fn refuse_unservable(shared: &NodeState, exchange: &mut Exchange) -> Option<Outcome> {
     let now_us = shared.clock.now_us();
-    exchange.refuse_unservable(&shared.pool.borrow(), now_us)
+    let mut pool = shared.pool.borrow_mut();
+    let refusal = exchange.refuse_unservable(&pool, now_us);
+    refusal.or_else(|| exchange.refuse_overload(&mut pool))
 }
 
 /// Refuses a request before any node is asked for its parts.
@@ -171,6 +180,7 @@
         RefuseReason::Busy => "replicas have no room",
         RefuseReason::DeadlinePassed => "no replica was reached in time",
         RefuseReason::NoReplica => "no replica is available",
+        RefuseReason::Overloaded => "more requests arrive than can be answered in time",
         RefuseReason::TooFewShards => "too few shards have an available replica",
     }
 }
--- a/crates/entry/src/shared_gather.rs
+++ b/crates/entry/src/shared_gather.rs
@@ -133,15 +133,27 @@
                         break;
                     }
                     due = true;
+                    self.observe();
                 }
             }
             if self.done.len() == self.legs {
                 break;
             }
         }
+        if !due {
+            self.observe();
+        }
         self.answer(nodes)
     }
 
+    /// Records whether the gather had enough parts when its answer was due. It counts as late only
+    /// if most parts were missing, because too few may also be missing for the sake of a few replicas.
+    fn observe(&self) {
+        let in_time = self.done.len() >= self.min_parts || self.done.len() * 2 >= self.legs;
+        let mut pool = self.shared.pool.borrow_mut();
+        pool.observe_gather(self.route.legs_key, in_time);
+    }
+
     fn start(&mut self, plan: GatherPlan) {
         let services = self.route.select().services;
         for group in plan {
--- /dev/null
+++ b/crates/measure/src/entry/entry_result.rs
@@ -0,0 +1,70 @@
+use std::ops::AddAssign;
+
+/// What callers and replicas saw of a simulated load.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EntryResult {
+    /// Sub-requests beyond the first of each leg.
+    pub extra_sends: u64,
+    /// Sub-requests in total.
+    pub sends: u64,
+    /// Results of each route.
+    pub routes: Vec<RouteResult>,
+    /// Largest number of extra sub-requests to one service in a window of the budget, as a share
+    /// of what the operators allow.
+    pub worst_budget_use: f64,
+}
+
+/// What the callers of one route got.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RouteResult {
+    /// Benefit that the callers got: the square of the share of the parts in an answer, less if
+    /// late.
+    pub benefit: f64,
+    /// Requests that failed after all retries of their callers.
+    pub failed: u64,
+    /// Answers within the target latency, whole or in part.
+    pub in_time: u64,
+    /// Answers after the target latency.
+    pub late: u64,
+    /// Parts left out of answers.
+    pub missing_parts: u64,
+    /// Requests of callers.
+    pub offered: u64,
+    /// Refusals, of which a caller retries the first.
+    pub refusals: u64,
+    /// Benefit of a whole answer in time to every request.
+    pub owed: f64,
+}
+
+impl EntryResult {
+    /// Returns the share of the benefit owed that callers got, over all routes.
+    #[must_use]
+    pub fn benefit_share(&self) -> f64 {
+        let benefit: f64 = self.routes.iter().map(|route| route.benefit).sum();
+        let owed: f64 = self.routes.iter().map(|route| route.owed).sum();
+        benefit / owed.max(1.0)
+    }
+
+    /// Returns the sum over all routes.
+    #[must_use]
+    pub fn total(&self) -> RouteResult {
+        let mut total = RouteResult::default();
+        for route in &self.routes {
+            total += *route;
+        }
+        total
+    }
+}
+
+impl AddAssign for RouteResult {
+    fn add_assign(&mut self, other: Self) {
+        self.benefit += other.benefit;
+        self.failed += other.failed;
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.missing_parts += other.missing_parts;
+        self.offered += other.offered;
+        self.refusals += other.refusals;
+        self.owed += other.owed;
+    }
+}
--- /dev/null
+++ b/crates/measure/src/entry/policy_variant.rs
@@ -0,0 +1,38 @@
+use wigeonhall_dispatch::Policy;
+
+/// A policy to compare.
+#[derive(Clone, Copy, Debug)]
+pub struct PolicyVariant {
+    /// Name in tables.
+    pub name: &'static str,
+    /// The policy.
+    pub policy: Policy,
+}
+
+/// Returns the policy in use, and variants that lack or replace one of its mechanisms.
+#[must_use]
+pub fn policy_variants() -> Vec<PolicyVariant> {
+    let with = |name, change: fn(&mut Policy)| {
+        let mut policy = Policy::default();
+        change(&mut policy);
+        PolicyVariant { name, policy }
+    };
+    vec![
+        with("in use", |_| {}),
+        with("no admission", |policy| policy.admission = false),
+        with("hedges under load", |policy| policy.hedging_level = 0.0),
+        with("no hedges", |policy| policy.hedging = false),
+        with("no postponement", |policy| policy.postponement = false),
+        with("no reserve", |policy| policy.reserved_retries = 0),
+        with("no slowness", |policy| policy.slowness = false),
+        with("mean slowness", |policy| policy.geometric_slowness = false),
+        with("no failure share", |policy| policy.failure_exponent = 0.0),
+        with("plain failure share", |policy| {
+            policy.failure_exponent = 1.0;
+        }),
+        with("no suspension", |policy| policy.suspension = false),
+        with("no last resort", |policy| policy.last_resort = false),
+        with("no distance", |policy| policy.cross_data_centre_cost = 1.0),
+        with("no tie breaking", |policy| policy.tie_breaking = 0.0),
+    ]
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -8,6 +8,9 @@
 //! ownership changes only when a scenario loses or replaces a node. A [`Session`] runs a script
 //! of requests and faults instead and records a trace.
 //!
+//! An [`EntryWorld`] runs the decisions of the entry tier of every node, which sends to replicas
+//! directly, against fake replicas; [`policy_table`] compares its policies.
+//!
 //! A [`DirectWorld`] simulates schemes without owners, including the baseline, and an
 //! [`IdealScheduler`] bounds what any scheduler can achieve without hedges.
 
@@ -17,6 +20,7 @@
 mod direct_limits;
 mod direct_targets;
 mod direct_world;
+mod entry;
 mod event_queue;
 mod fake_store;
 mod fake_target;
@@ -66,6 +70,22 @@
 pub use comparison::comparison_table;
 pub use comparison::scenarios;
 pub use direct_world::DirectWorld;
+pub use entry::DeploymentShape;
+pub use entry::EntryFault;
+pub use entry::EntryLoad;
+pub use entry::EntryResult;
+pub use entry::EntryWorld;
+pub use entry::FaultKind;
+pub use entry::PolicyVariant;
+pub use entry::RouteResult;
+pub use entry::RouteShape;
+pub use entry::customer_shape;
+pub use entry::drawn_shapes;
+pub use entry::entry_loads;
+pub use entry::mean_benefit;
+pub use entry::policy_table;
+pub use entry::policy_variants;
+pub use entry::single_slot_shape;
 pub use fake_store::FakeStore;
 pub use fake_target::LimitViolations;
 pub use ideal::IdealScheduler;
--- a/crates/node/examples/part_cost.rs
+++ b/crates/node/examples/part_cost.rs
@@ -157,6 +157,7 @@
             max_attempts: 2,
             name: "all".into(),
             path_prefix: "/all/".into(),
+            priority: 0,
             target,
             target_latency_ms: 120,
             timeout_ms: 1_200,
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -244,6 +244,7 @@
         max_attempts: 2,
         name: name.into(),
         path_prefix: prefix.into(),
+        priority: 0,
         target,
         target_latency_ms: 2_000,
         timeout_ms: 5_000,
