Avoid replicas that refuse or fail: weigh failures by their square, latencies by the geometric mean

Each refusal uses up a retry of the budget.

Change: the cost of a replica is divided by the square of its share of successes. A failed request costs its own time and a retry. Its slowness is a geometric mean, in which one long latency counts for less.

--- a/crates/dispatch/src/policy.rs
+++ b/crates/dispatch/src/policy.rs
@@ -43,8 +43,8 @@
         Self {
             admission: false,
             cross_data_centre_cost: 1.3,
-            failure_exponent: 1.0,
-            geometric_slowness: false,
+            failure_exponent: 2.0,
+            geometric_slowness: true,
             hedging: true,
             hedging_level: 0.0,
             last_resort: true,
