Answer every request before the end of a planned stop, refuse those that are read too late

Another operator's report: in a planned stop requests that came late in the grace period were passed on and cut at its end without an answer, among them requests that may not be repeated.

It could happen here: a request whose replica was still at work 0.4 s before the end of the grace period was cut with the process, whatever its deadline. The new test of the planned stop failed on this (no answer) and passes now.

Change: a stopping node gives every open request its final answer 0.2 s before it ends: 504 if it may have run, 503 if not. A request that is read when less than its target latency is left is refused at once as not run. A node that lags waits for connections that are about to be accepted before it ends.

The other report, a replica that closes in the middle of its head: cannot happen here. hyper reports an incomplete head as an error at every byte. The new test cuts a response at each of its first 160 bytes, with and without a stated length, on new and used connections, for both kinds of routes: 640 requests, none a success.

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -145,6 +145,11 @@
         self
     }
 
+    /// Moves the deadline of the request to `deadline_us` if it is later.
+    pub fn limit_deadline(&mut self, deadline_us: u64) {
+        self.deadline_us = self.deadline_us.min(deadline_us);
+    }
+
     /// Raises the minimum number of parts to one more than have been received; returns false
     /// if no further part can be received.
     pub fn require_one_more_part(&mut self) -> bool {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 mod route_latency;
 mod route_table;
 mod service;
+mod stop_limit;
 mod store_health;
 
 pub use availability::Availability;
@@ -86,4 +87,5 @@
 pub use route_latency::RouteLatency;
 pub use route_table::RouteTable;
 pub use service::ServiceKey;
+pub use stop_limit::StopLimit;
 pub use store_health::StoreHealth;
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -44,6 +44,8 @@
     NoReplica,
     /// More gathers arrive than their shards can answer in time.
     Overloaded,
+    /// The node stops before the request could be answered.
+    Stopping,
     /// Too few shards have an available replica.
     TooFewShards,
 }
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -23,6 +23,12 @@
 /// Longest time between a soft deadline and its answer that counts as the node's own delay.
 const ANSWER_LAG_MAX_US: u64 = 30_000;
 
+/// Refusal of a request that this node cannot answer before it stops; another node can at once.
+const STOPPING: Outcome = Outcome::Refuse {
+    reason: RefuseReason::Stopping,
+    retry_after_ms: 50,
+};
+
 /// Numbers about an answered request, for the log and the metrics.
 pub(crate) struct AnswerSummary {
     pub(crate) extra_sends: u32,
@@ -57,7 +63,9 @@
     .with_queueing_latency(queueing_us(shared, &route));
     let soft_deadline_us = exchange.soft_deadline_us();
     let outgoing = Rc::new(outgoing);
-    let (outcome, response, summary) = match plan(shared, &exchange) {
+    let plan = plan(shared, &exchange);
+    let (outcome, response, summary) = match plan {
+        _ if is_too_late(shared, &route) => refuse(shared, exchange, outgoing, STOPPING),
         Some(plan) => match refuse_unservable(shared, &mut exchange) {
             Some(outcome) => refuse(shared, exchange, outgoing, outcome),
             None => {
@@ -74,6 +82,14 @@
     response
 }
 
+/// Whether the node stops before a request on this route can be answered.
+fn is_too_late(shared: &NodeState, route: &Route) -> bool {
+    let now_us = shared.clock.now_us();
+    let target_ms = route.spec.target_latency_ms;
+    let limit = shared.stop_limit.get();
+    limit.is_some_and(|limit| !limit.accepts(now_us, target_ms))
+}
+
 /// Returns the time after which a sub-request on this route is hedged.
 pub(crate) fn hedge_delay_us(shared: &NodeState, route: &Route) -> u64 {
     let mut latencies = shared.latencies.borrow_mut();
@@ -181,6 +197,7 @@
         RefuseReason::DeadlinePassed => "no replica was reached in time",
         RefuseReason::NoReplica => "no replica is available",
         RefuseReason::Overloaded => "more requests arrive than can be answered in time",
+        RefuseReason::Stopping => "this node stops",
         RefuseReason::TooFewShards => "too few shards have an available replica",
     }
 }
--- a/crates/entry/src/caller_server.rs
+++ b/crates/entry/src/caller_server.rs
@@ -54,7 +54,7 @@
 
 /// Time for which a closing process still accepts and reads: at least one poll of the event
 /// loop for connections and bytes that are waiting.
-const FINAL_READ_PERIOD: Duration = Duration::from_millis(50);
+pub(crate) const FINAL_READ_PERIOD: Duration = Duration::from_millis(50);
 
 /// Serves callers until the process closes its connections.
 pub(crate) async fn serve(shared: Rc<NodeState>, mut listener: ProbedListener) {
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -11,7 +11,9 @@
 use tokio::time::Instant;
 
 use wigeonhall_adapter::read_settings;
+use wigeonhall_dispatch::StopLimit;
 
+use crate::caller_server::FINAL_READ_PERIOD;
 use crate::event::Event;
 use crate::node_state::NodeState;
 use crate::node_state::Phase;
@@ -57,6 +59,11 @@
 
 async fn stop(shared: &Rc<NodeState>) {
     let killed_at = Instant::now() + Duration::from_millis(shared.settings.grace_ms);
+    let ends_us = shared.clock.now_us() + shared.settings.grace_ms * 1_000;
+    let margin_us = KILL_MARGIN.as_micros() as u64;
+    shared.stop_limit.set(Some(StopLimit {
+        ends_us: ends_us.saturating_sub(margin_us),
+    }));
     log_phase(shared, "leaving");
     shared.phase.send_replace(Phase::Leaving);
     let state = shared.clone();
@@ -64,6 +71,8 @@
     time::sleep(LEAVE_PERIOD).await;
     log_phase(shared, "closing");
     shared.phase.send_replace(Phase::Closing);
+    // Connections that wait to be accepted are not counted yet.
+    time::sleep(FINAL_READ_PERIOD + CONNECTION_CHECK_INTERVAL).await;
     while shared.connections.get() > 0 && Instant::now() + KILL_MARGIN < killed_at {
         time::sleep(CONNECTION_CHECK_INTERVAL).await;
     }
--- a/crates/entry/src/node_state.rs
+++ b/crates/entry/src/node_state.rs
@@ -1,6 +1,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::future;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -17,6 +18,7 @@
 use wigeonhall_dispatch::ResponseMemoryBudget;
 use wigeonhall_dispatch::RouteLatency;
 use wigeonhall_dispatch::RouteTable;
+use wigeonhall_dispatch::StopLimit;
 
 use crate::answer_lag::AnswerLag;
 use crate::change_feed::ChangeFeed;
@@ -71,6 +73,8 @@
     /// Whether the last call to read the replicas failed.
     pub(crate) replicas_unavailable: Cell<bool>,
     pub(crate) settings: ProcessSettings,
+    /// End of the process, once it was told to stop.
+    pub(crate) stop_limit: Cell<Option<StopLimit>>,
     /// Routes in force; `None` before the first configuration.
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
 }
@@ -109,6 +113,7 @@
             replicas_fresh_us: Cell::new(None),
             replicas_unavailable: Cell::new(false),
             settings,
+            stop_limit: Cell::new(None),
             table: RefCell::new(None),
         }
     }
@@ -123,6 +128,22 @@
         *self.phase.borrow()
     }
 
+    /// Waits until the process is told to stop; never returns after that.
+    pub(crate) async fn told_to_stop(&self) {
+        if self.phase() != Phase::Serving {
+            return future::pending().await;
+        }
+        let mut phase = self.phase.subscribe();
+        // Never fails: the sender lives as long as the process.
+        drop(phase.wait_for(|phase| *phase != Phase::Serving).await);
+    }
+
+    /// Returns the time by which the node answers all requests; `u64::MAX` unless it stops.
+    pub(crate) fn answers_due_us(&self) -> u64 {
+        let limit = self.stop_limit.get();
+        limit.map_or(u64::MAX, StopLimit::answers_due_us)
+    }
+
     /// Returns the version of the newest routes, in force or held back.
     pub(crate) fn newest_version(&self) -> Option<u64> {
         let pending = self.pending_table.borrow();
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/query.rs
@@ -2,6 +2,7 @@
 use std::future;
 use std::mem;
 use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -91,7 +92,10 @@
     /// Drives the exchange to its next outcome.
     pub(crate) async fn drive(&mut self) -> Outcome {
         let mut sub_requests = Vec::new();
+        let shared = self.shared.clone();
+        let mut told_to_stop = pin!(shared.told_to_stop());
         loop {
+            self.exchange.limit_deadline(shared.answers_due_us());
             let now_us = self.shared.clock.now_us();
             let next_us = self.exchange.next_timer_us(now_us);
             let wake_at = self.shared.clock.instant(next_us);
@@ -99,6 +103,10 @@
                 biased;
                 Some((sub_request, result)) = self.pending.next() => self.handle_result(sub_request, result, &mut sub_requests),
                 () = time::sleep_until(wake_at) => self.handle_timer(&mut sub_requests),
+                () = &mut told_to_stop => {
+                    told_to_stop.set(shared.told_to_stop());
+                    None
+                }
             };
             self.dispatch_all(std::mem::take(&mut sub_requests));
             if let Some(outcome) = outcome {
--- a/crates/entry/src/shared_gather.rs
+++ b/crates/entry/src/shared_gather.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -118,9 +119,12 @@
         let nodes = plan.len();
         self.start(plan);
         let soft_at = self.shared.clock.instant(self.deadlines.soft_deadline_us);
-        let deadline_at = self.shared.clock.instant(self.deadlines.deadline_us);
+        let shared = self.shared.clone();
+        let mut told_to_stop = pin!(shared.told_to_stop());
         let mut due = false;
         while !(due && self.done.len() >= self.min_parts) {
+            let deadline_us = self.deadlines.deadline_us.min(shared.answers_due_us());
+            let deadline_at = shared.clock.instant(deadline_us);
             let wake_at = if due { deadline_at } else { soft_at };
             tokio::select! {
                 biased;
@@ -128,7 +132,8 @@
                     Some(update) => self.handle_update(update),
                     None => break,
                 },
-                () = time::sleep_until(wake_at) => {
+                () = &mut told_to_stop => told_to_stop.set(shared.told_to_stop()),
+                () = time::sleep_until(wake_at.min(deadline_at)) => {
                     if due {
                         break;
                     }
--- a/crates/node/tests/entry/answers.rs
+++ b/crates/node/tests/entry/answers.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use wigeonhall_adapter::REQUEST_ID;
 use wigeonhall_adapter::RETRY_AFTER;
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::ReplicaStandin;
@@ -209,3 +210,51 @@
     assert_eq!(statuses, [200, 502, 200]);
     assert_eq!(replica.runs().len(), 3);
 }
+
+/// A replica that ends in the middle of the head must not look like one with a short body, whether
+/// the connection is new or was used before.
+#[test]
+fn a_response_cut_at_any_byte_is_never_a_success() {
+    const BYTES_MAX: usize = 160;
+    let replica = ReplicaStandin::start("a", 1, |request| {
+        let id = request.header(REQUEST_ID.as_str()).unwrap_or_default();
+        let mut words = id.split('-');
+        let kind = words.next();
+        let number = words.next().and_then(|text| text.parse().ok());
+        match (kind, number) {
+            (Some(kind @ ("stated" | "open")), Some(bytes)) => Behaviour::TruncatedAfter {
+                length_stated: kind == "stated",
+                bytes,
+            },
+            _ => Behaviour::answer("whole"),
+        }
+    })
+    .unwrap();
+    let single = TargetSpec::Service("a".into());
+    let gather = TargetSpec::Gather {
+        min_fraction: 0.5,
+        shards: vec!["a".into()],
+        top_records: 2,
+    };
+    let routes = vec![
+        route("one", "/one/", RouteKind::AtMostOnce, single),
+        route("all", "/all/", RouteKind::Idempotent, gather),
+    ];
+    let (_store, node) = deploy(routes, &[&replica]);
+    for kind in ["stated", "open"] {
+        for bytes in 0..BYTES_MAX {
+            for path in ["/one/x", "/all/x"] {
+                let id = format!("{kind}-{bytes}");
+                let status = ask(node.callers, "GET", path, &id, "").status;
+                assert!(
+                    status >= 500,
+                    "{status} after {bytes} bytes of {kind} {path}"
+                );
+            }
+            // Every other cut is on a connection that was used before.
+            if bytes % 2 == 0 {
+                ask(node.callers, "GET", "/one/x", "sound", "");
+            }
+        }
+    }
+}
--- a/crates/node/tests/entry/caller.rs
+++ b/crates/node/tests/entry/caller.rs
@@ -72,6 +72,12 @@
         self.send(&text);
     }
 
+    /// Sends a request without a body for `path` with a deadline.
+    pub fn ask_within(&mut self, method: &str, path: &str, id: &str, deadline_ms: u64) {
+        let text = request(method, path, id, deadline_ms, "");
+        self.send(&text);
+    }
+
     /// Reads an answer; `None` if the connection ends instead.
     pub fn read(&mut self) -> Option<Answer> {
         let mut line = String::new();
--- a/crates/node/tests/entry/planned_stop.rs
+++ b/crates/node/tests/entry/planned_stop.rs
@@ -81,6 +81,50 @@
     assert!(node.wait_end());
 }
 
+/// A replica may still be at work when the node must end. Its caller gets an answer that promises
+/// nothing, in place of a connection that is cut.
+#[test]
+fn a_stop_answers_requests_whose_replica_is_still_at_work_at_its_end() {
+    let replica = slow(9_000);
+    let mut routes = routes();
+    routes[0].timeout_ms = 20_000;
+    let (_store, mut node) = deploy(routes, &[&replica]);
+    let mut early = Caller::connect(node.callers);
+    early.ask_within("POST", "/one/x", "q1", 20_000);
+    wait_until("one run at the replica", || replica.runs().len() == 1);
+    node.signal("TERM");
+    node.logged(|line| line["event"] == "stop" && line["phase"] == "leaving");
+    let mut leaving = Caller::connect(node.callers);
+    leaving.ask_within("POST", "/one/x", "q2", 20_000);
+    for caller in [&mut early, &mut leaving] {
+        assert_eq!(caller.read().expect("an answer").status, 504);
+    }
+    assert!(node.wait_end());
+}
+
+/// A process that lags may read a request late in the grace period, when it cannot be served any
+/// more. Passed on, it would be cut at the end although it runs.
+#[test]
+fn a_request_that_is_read_late_in_a_stop_is_refused_and_does_not_run() {
+    let replica = slow(0);
+    let (_store, mut node) = deploy(routes(), &[&replica]);
+    let signalled = Instant::now();
+    node.signal("TERM");
+    node.logged(|line| line["event"] == "stop" && line["phase"] == "leaving");
+    thread::sleep(Duration::from_millis(2_200).saturating_sub(signalled.elapsed()));
+    let mut caller = Caller::connect(node.callers);
+    thread::sleep(Duration::from_millis(2_400).saturating_sub(signalled.elapsed()));
+    node.signal("STOP");
+    caller.ask("POST", "/one/x", "q1", "");
+    thread::sleep(Duration::from_millis(4_400).saturating_sub(signalled.elapsed()));
+    node.signal("CONT");
+    let answer = caller.read().expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(replica.runs().is_empty());
+    assert!(node.wait_end());
+}
+
 #[test]
 fn an_idle_connection_does_not_delay_a_stop() {
     let replica = slow(0);
