Hedge nothing while a third of the legs are queued by their replicas

The level of the admission falls only once gathers are late, when hedges have already filled the queues.

Change: hedges stop while more than 35% of the legs of recent gathers took longer than 2.5 times the fast latency of their route, instead of while the level is below 1.5.

Tried and reverted: a gather that would fail waits for room at replicas that refused its legs. Whether a refused sub-request may be repeated there is left open.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -13,6 +13,9 @@
 /// [`INCREASE`] the level falls while more than a sixth of the gathers are late.
 const DECREASE: f64 = 0.8;
 
+/// Weight of the newest gather in the moving average.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
 /// Share of the gathers over one set of shards that can be answered in time, as observed by this
 /// node.
 ///
@@ -22,17 +25,24 @@
 pub(crate) struct Admission {
     /// The share; a value above 1 is a margin.
     level: f64,
+    /// Moving average of the share of a gather's legs whose replicas queued them.
+    queueing_share: f64,
 }
 
 impl Default for Admission {
     fn default() -> Self {
-        Self { level: LEVEL_MAX }
+        Self {
+            level: LEVEL_MAX,
+            queueing_share: 0.0,
+        }
     }
 }
 
 impl Admission {
-    /// Records whether a gather had enough parts when its answer was due.
-    pub(crate) fn observe(&mut self, in_time: bool) {
+    /// Records whether a gather had enough parts when its answer was due, and the share of its legs
+    /// whose replicas queued them.
+    pub(crate) fn observe(&mut self, in_time: bool, queueing_share: f64) {
+        self.queueing_share += (queueing_share - self.queueing_share) * SAMPLE_WEIGHT;
         let factor = if in_time { INCREASE } else { DECREASE };
         self.level = (self.level * factor).clamp(LEVEL_MIN, LEVEL_MAX);
     }
@@ -46,6 +56,6 @@
     /// Whether the replicas have room for hedges. A hedge to replicas that queue requests delays
     /// others by as much as it gains.
     pub(crate) fn allows_hedges(self, policy: &Policy) -> bool {
-        self.level >= policy.hedging_level
+        self.queueing_share <= policy.hedging_queue_share
     }
 }
--- a/crates/dispatch/src/exchange_outcome.rs
+++ b/crates/dispatch/src/exchange_outcome.rs
@@ -59,9 +59,9 @@
             .legs
             .iter()
             .filter(|leg| leg.is_done_within(queueing_us));
-        let queueing = prompt.count() * 2 < self.legs.len();
-        let in_time = self.done_legs() >= min_parts || !queueing;
-        pool.observe_gather(self.route.legs_key, in_time);
+        let queueing_share = 1.0 - prompt.count() as f64 / self.legs.len() as f64;
+        let in_time = self.done_legs() >= min_parts || queueing_share <= 0.5;
+        pool.observe_gather(self.route.legs_key, in_time, queueing_share);
     }
 
     /// Returns the outcome of the request if it is due.
--- a/crates/dispatch/src/policy.rs
+++ b/crates/dispatch/src/policy.rs
@@ -17,8 +17,9 @@
     /// failures do not raise the cost. A failed request costs its own time and a retry, which the
     /// budget of its service limits.
     pub failure_exponent: f64,
-    /// Level of the admission, from 0 to 2, below which no leg is hedged.
-    pub hedging_level: f64,
+    /// Share of the legs of recent gathers, from 0 to 1, that were queued by their replicas, above
+    /// which no leg is hedged.
+    pub hedging_queue_share: f64,
     /// Whether the slowness of a replica is the geometric mean of its latencies, in which a single
     /// long one counts for less.
     pub geometric_slowness: bool,
@@ -46,7 +47,7 @@
             failure_exponent: 2.0,
             geometric_slowness: true,
             hedging: true,
-            hedging_level: 1.5,
+            hedging_queue_share: 0.35,
             last_resort: true,
             postponement: true,
             reserved_retries: 1,
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -316,11 +316,11 @@
     }
 
     /// Records whether a gather had enough parts when its answer was due.
-    pub fn observe_gather(&mut self, legs_key: u64, in_time: bool) {
+    pub fn observe_gather(&mut self, legs_key: u64, in_time: bool, queueing_share: f64) {
         self.admissions
             .entry(legs_key)
             .or_default()
-            .observe(in_time);
+            .observe(in_time, queueing_share);
     }
 
     /// Whether the shards of a gather have room for hedges.
--- a/crates/entry/src/shared_gather.rs
+++ b/crates/entry/src/shared_gather.rs
@@ -156,7 +156,7 @@
     fn observe(&self) {
         let in_time = self.done.len() >= self.min_parts || self.done.len() * 2 >= self.legs;
         let mut pool = self.shared.pool.borrow_mut();
-        pool.observe_gather(self.route.legs_key, in_time);
+        pool.observe_gather(self.route.legs_key, in_time, 0.0);
     }
 
     fn start(&mut self, plan: GatherPlan) {
--- a/crates/measure/src/entry/entry_result.rs
+++ b/crates/measure/src/entry/entry_result.rs
@@ -30,7 +30,9 @@
     pub missing_parts: u64,
     /// Requests of callers.
     pub offered: u64,
-    /// Refusals, of which a caller retries the first.
+    /// Refusals because more requests arrived than could be answered in time.
+    pub overload_refusals: u64,
+    /// Refusals for any reason, of which a caller retries the first.
     pub refusals: u64,
     /// Benefit of a whole answer in time to every request.
     pub owed: f64,
@@ -65,6 +67,7 @@
         self.missing_parts += other.missing_parts;
         self.offered += other.offered;
         self.refusals += other.refusals;
+        self.overload_refusals += other.overload_refusals;
         self.owed += other.owed;
     }
 }
