Keep the less urgent gathers from being starved, and log the share that is admitted

The share of admitted gathers fell with the power of their rank; with three ranks and the lowest level hardly any of the last rank was left. All ranks after the most urgent one now have the same share, the square of the level, and the level stays above a quarter. A refusal's log line states the share that decided it.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -4,7 +4,7 @@
 const LEVEL_MAX: f64 = 2.0;
 
 /// Smallest level; the requests that are still admitted show when the overload has ended.
-const LEVEL_MIN: f64 = 0.2;
+const LEVEL_MIN: f64 = 0.25;
 
 /// Factor of the level for each gather with enough parts in time.
 const INCREASE: f64 = 1.05;
@@ -47,10 +47,13 @@
         self.level = (self.level * factor).clamp(LEVEL_MIN, LEVEL_MAX);
     }
 
-    /// Whether a gather is admitted, given its `rank` (0 is the most urgent) and a `draw` that is
-    /// uniform in 0 to 1. The less urgent ones are refused first.
-    pub(crate) fn admits(self, rank: i32, draw: f64) -> bool {
-        draw <= self.level.powi(1 + rank.max(0))
+    /// Returns the share of the gathers of a `rank` that are admitted; 0 is the most urgent rank.
+    ///
+    /// The less urgent ones are refused first. All of their ranks have the same share, so that none
+    /// of them is starved.
+    pub(crate) fn admitted_share(self, rank: u32) -> f64 {
+        let share = self.level.min(1.0);
+        if rank == 0 { share } else { share * share }
     }
 
     /// Whether the replicas have room for hedges. A hedge to replicas that queue requests delays
--- a/crates/dispatch/src/exchange_outcome.rs
+++ b/crates/dispatch/src/exchange_outcome.rs
@@ -10,6 +10,10 @@
 use crate::leg::Attempt;
 use crate::leg::Leg;
 
+/// Share of a gather's legs that may be queued by their replicas without an overload. A late answer
+/// is then due to a few replicas, and refusing others would not make it earlier.
+const FEW_QUEUEING_SHARE: f64 = 0.5;
+
 /// Retry-After time of a request that was refused for overload.
 const OVERLOAD_RETRY_AFTER_MS: u64 = 300;
 
@@ -35,9 +39,9 @@
     /// Refuses a gather that is not admitted because its shards are overloaded.
     pub fn refuse_overload(&self, pool: &mut Pool) -> Option<Outcome> {
         self.queueing_us?;
-        let admits = pool.admits_gather(self.route.legs_key, self.route.rank);
-        (!admits).then_some(Outcome::Refuse {
-            reason: RefuseReason::Overloaded,
+        let reason = pool.refuse_gather(self.route.legs_key, self.route.rank)?;
+        Some(Outcome::Refuse {
+            reason,
             retry_after_ms: OVERLOAD_RETRY_AFTER_MS,
         })
     }
@@ -60,7 +64,7 @@
             .iter()
             .filter(|leg| leg.is_done_within(queueing_us));
         let queueing_share = 1.0 - prompt.count() as f64 / self.legs.len() as f64;
-        let in_time = self.done_legs() >= min_parts || queueing_share <= 0.5;
+        let in_time = self.done_legs() >= min_parts || queueing_share <= FEW_QUEUEING_SHARE;
         pool.observe_gather(self.route.legs_key, in_time, queueing_share);
     }
 
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -43,7 +43,10 @@
     /// No replica is available.
     NoReplica,
     /// More gathers arrive than their shards can answer in time.
-    Overloaded,
+    Overloaded {
+        /// Share of the gathers of its rank that this node admits.
+        admitted_percent: u32,
+    },
     /// The node stops before the request could be answered.
     Stopping,
     /// Too few shards have an available replica.
--- a/crates/dispatch/src/policy.rs
+++ b/crates/dispatch/src/policy.rs
@@ -17,14 +17,14 @@
     /// failures do not raise the cost. A failed request costs its own time and a retry, which the
     /// budget of its service limits.
     pub failure_exponent: f64,
-    /// Share of the legs of recent gathers, from 0 to 1, that were queued by their replicas, above
-    /// which no leg is hedged.
-    pub hedging_queue_share: f64,
     /// Whether the slowness of a replica is the geometric mean of its latencies, in which a single
     /// long one counts for less.
     pub geometric_slowness: bool,
     /// Whether late legs are sent to a second replica.
     pub hedging: bool,
+    /// Share of the legs of recent gathers, from 0 to 1, that were queued by their replicas, above
+    /// which no leg is hedged.
+    pub hedging_queue_share: f64,
     /// Whether a leg without an available replica is sent to a suspended one.
     pub last_resort: bool,
     /// Whether hedges are postponed once when many legs are late at the same time.
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -7,6 +7,7 @@
 use crate::NotRunCause;
 use crate::Notice;
 use crate::Policy;
+use crate::RefuseReason;
 use crate::Replica;
 use crate::ReplicaKey;
 use crate::Reply;
@@ -307,12 +308,16 @@
         budget.try_charge(now_us, reserve)
     }
 
-    /// Whether a gather over the shards with this [`Route::legs_key`](crate::Route::legs_key) is
-    /// admitted; some are refused while more arrive than can be answered in time.
-    pub fn admits_gather(&mut self, legs_key: u64, rank: i32) -> bool {
+    /// Refuses some gathers of a `rank` over the shards with this
+    /// [`Route::legs_key`](crate::Route::legs_key), while more arrive than can be answered in time.
+    pub(crate) fn refuse_gather(&mut self, legs_key: u64, rank: u32) -> Option<RefuseReason> {
         let draw = self.rng.f64();
         let admission = self.admissions.entry(legs_key).or_default();
-        !self.policy.admission || admission.admits(rank, draw)
+        let admitted_share = admission.admitted_share(rank);
+        let refused = self.policy.admission && draw > admitted_share;
+        refused.then_some(RefuseReason::Overloaded {
+            admitted_percent: (admitted_share * 100.0) as u32,
+        })
     }
 
     /// Records whether a gather had enough parts when its answer was due.
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -115,7 +115,7 @@
     /// requests to one shard each, only if their keys are equal.
     pub legs_key: u64,
     /// Number of more urgent priorities among the gathers over the same shards.
-    pub rank: i32,
+    pub rank: u32,
     /// The route as written in the configuration.
     pub spec: RouteSpec,
     /// Target of its requests.
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -155,7 +155,7 @@
 }
 
 /// Returns the number of priorities before that of a route, among gathers over the same shards.
-fn rank(spec: &RouteSpec, routes: &[RouteSpec]) -> i32 {
+fn rank(spec: &RouteSpec, routes: &[RouteSpec]) -> u32 {
     let TargetSpec::Gather { shards, .. } = &spec.target else {
         return 0;
     };
@@ -169,7 +169,7 @@
         .filter(same_shards)
         .map(|other| other.priority)
         .collect();
-    more_urgent.len() as i32
+    more_urgent.len() as u32
 }
 
 fn resolve_target(spec: &RouteSpec, pool: &mut Pool) -> RouteTarget {
--- a/crates/dispatch/tests/admission.rs
+++ b/crates/dispatch/tests/admission.rs
@@ -53,7 +53,7 @@
         let mut sends = Vec::new();
         let started = exchange.start(pool, now_us, &mut sends);
         if let Some(Outcome::Refuse { reason, .. }) = started {
-            assert_eq!(reason, RefuseReason::Overloaded);
+            assert!(matches!(reason, RefuseReason::Overloaded { .. }));
             assert!(sends.is_empty(), "a refusal says that nothing ran");
             refused += 1;
             continue;
--- a/crates/dispatch/tests/routes.rs
+++ b/crates/dispatch/tests/routes.rs
@@ -110,3 +110,28 @@
     assert_ne!(key(&["a", "b", "c"], &|_| {}), same);
     assert_ne!(key(&["a", "b"], &|spec| spec.max_attempts += 1), same);
 }
+
+/// The less urgent gathers are refused first, so the rank must come from the priorities of the
+/// gathers over the same shards alone.
+#[test]
+fn gathers_are_ranked_by_priority_among_those_over_the_same_shards() {
+    let spec = |name: &str, priority, shards: &[&str]| {
+        let mut spec = spec_named(name, "a.example", &format!("/{name}/"));
+        spec.target = gather(shards, 0.5);
+        spec.priority = priority;
+        spec
+    };
+    let routes = vec![
+        spec("urgent", 3, &["a", "b"]),
+        spec("later", 7, &["a", "b"]),
+        spec("last", 9, &["a", "b"]),
+        spec("elsewhere", 9, &["c"]),
+    ];
+    let table = RouteTable::new(&configuration(1, routes), &mut pool());
+    let rank = |name: &str| {
+        let route = table.find("a.example", &format!("/{name}/x"));
+        route.unwrap().rank
+    };
+    let ranks = ["urgent", "later", "last", "elsewhere"].map(rank);
+    assert_eq!(ranks, [0, 1, 2, 0]);
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -196,7 +196,7 @@
         RefuseReason::Busy => "replicas have no room",
         RefuseReason::DeadlinePassed => "no replica was reached in time",
         RefuseReason::NoReplica => "no replica is available",
-        RefuseReason::Overloaded => "more requests arrive than can be answered in time",
+        RefuseReason::Overloaded { .. } => "more requests arrive than can be answered in time",
         RefuseReason::Stopping => "this node stops",
         RefuseReason::TooFewShards => "too few shards have an available replica",
     }
--- a/crates/entry/src/shared_gather.rs
+++ b/crates/entry/src/shared_gather.rs
@@ -156,7 +156,9 @@
     fn observe(&self) {
         let in_time = self.done.len() >= self.min_parts || self.done.len() * 2 >= self.legs;
         let mut pool = self.shared.pool.borrow_mut();
-        pool.observe_gather(self.route.legs_key, in_time, 0.0);
+        // The latencies of parts that other nodes collect are not known here.
+        let queueing_share = 0.0;
+        pool.observe_gather(self.route.legs_key, in_time, queueing_share);
     }
 
     fn start(&mut self, plan: GatherPlan) {
--- a/crates/measure/src/entry/entry_world.rs
+++ b/crates/measure/src/entry/entry_world.rs
@@ -368,7 +368,7 @@
             } if attempt == 0 => {
                 let counts = &mut self.result.routes[route];
                 counts.refusals += u64::from(counted);
-                let overload = reason == RefuseReason::Overloaded;
+                let overload = matches!(reason, RefuseReason::Overloaded { .. });
                 counts.overload_refusals += u64::from(counted && overload);
                 let timeout_us = self.shape.routes[route].timeout_ms * 1_000;
                 let left_us = (started_us + timeout_us).saturating_sub(at_us);
