--- a/crates/measure/tests/entry.rs
+++ b/crates/measure/tests/entry.rs
@@ -32,6 +32,16 @@
     mean_benefit(shapes, &load(load_name), policy, &SEEDS)
 }
 
+/// Asserts that callers get more under a policy than under another one.
+fn assert_better(load_name: &str, policy: Policy, other: Policy) {
+    for shape in [customer_shape(), single_slot_shape()] {
+        let shapes = [shape];
+        let with = benefit(&shapes, load_name, policy);
+        let without = benefit(&shapes, load_name, other);
+        assert!(with > without, "{load_name}: {with} and {without}");
+    }
+}
+
 /// Asserts that a policy is not worse than another one on the mean of drawn deployments and loads.
 fn assert_holds_on_drawn_shapes(loads: &[&str], policy: Policy, other: Policy) {
     let drawn = drawn_shapes(2, 4);
@@ -81,12 +91,7 @@
         hedging_queue_share: 1.0,
         ..Policy::default()
     };
-    for shape in [customer_shape(), single_slot_shape()] {
-        let shapes = [shape];
-        let kept = benefit(&shapes, "calm 0.8", Policy::default());
-        let lost = benefit(&shapes, "calm 0.8", hedging);
-        assert!(kept > lost, "{kept} and {lost}");
-    }
+    assert_better("calm 0.8", Policy::default(), hedging);
     assert_holds_on_drawn_shapes(&["slow", "calm 0.8"], Policy::default(), hedging);
 }
 
@@ -98,12 +103,7 @@
         failure_exponent: 1.0,
         ..Policy::default()
     };
-    for shape in [customer_shape(), single_slot_shape()] {
-        let shapes = [shape];
-        let kept = benefit(&shapes, "shed", Policy::default());
-        let lost = benefit(&shapes, "shed", plain);
-        assert!(kept > lost, "{kept} and {lost}");
-    }
+    assert_better("shed", Policy::default(), plain);
     let loads = ["shed", "reset", "slow", "calm 0.45"];
     assert_holds_on_drawn_shapes(&loads, Policy::default(), plain);
 }
