Observe queues at each node that sends legs, and log changes of the load

Cause: a gather whose legs are divided among nodes told nothing of the queues of its replicas, so that its nodes hedged whatever the load, and counted as late only if half of its parts were missing; a gather that failed at once for want of room was not observed at all. Two mechanisms did one job.

Change: each node records the share of queued legs of what it sends itself, for its own callers or for another node, and the node that answers a caller records whether there were enough parts. A late gather counts while the moving average of queued legs is above a half. Replicas that are down or failing no longer count as queueing.

Ruled out: recording the legs of a gather that fails early.

--- a/crates/ctl/src/explain_logs.rs
+++ b/crates/ctl/src/explain_logs.rs
@@ -27,10 +27,11 @@
 const CONTEXT_LINES: usize = 12;
 
 /// Events that log a state change of a node.
-const CONTEXT_EVENTS: [&str; 7] = [
+const CONTEXT_EVENTS: [&str; 8] = [
     "configuration",
     "dependency",
     "evacuation",
+    "load",
     "reload",
     "replicas",
     "start",
--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -25,6 +25,8 @@
 /// Takes replies and times as input, and decides which sub-requests to send and how to answer.
 #[derive(Debug)]
 pub struct Exchange {
+    /// Whether this node answers the caller; false for legs that another node assigned to it.
+    pub(crate) answers_caller: bool,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
     pub(crate) deadline_us: u64,
     /// Delay after which a sub-request without a response is hedged.
@@ -39,10 +41,9 @@
     pub(crate) min_parts: Option<usize>,
     /// Number of hedges and retries sent so far.
     pub(crate) extra_sends: u32,
-    /// Whether it was recorded whether the gather had enough parts when its answer was due.
+    /// Whether the load of its shards was observed, which happens once.
     pub(crate) observed: bool,
-    /// Latency of a part above which its replica counts as queueing requests; `None` if it is
-    /// unknown, or if another node answers the caller and observes the gather.
+    /// Latency of a part above which its replica queued the request; `None` if it is unknown.
     pub(crate) queueing_us: Option<u64>,
     pub(crate) route: Rc<Route>,
     /// Time from which the request is answered as soon as it has `min_parts`.
@@ -79,6 +80,7 @@
         let margin_us = CALLER_ROUND_TRIPS_US + answer_lag_us;
         let min_wait_us = target_us / MIN_WAIT_DIVISOR;
         Self {
+            answers_caller: true,
             deadline_us,
             extra_sends: 0,
             hedge_delay_us,
@@ -111,6 +113,7 @@
         let services = route.select().services;
         let legs = legs.iter().filter_map(|index| services.get(*index));
         Self {
+            answers_caller: false,
             deadline_us,
             extra_sends: 0,
             hedge_delay_us,
@@ -125,8 +128,8 @@
         }
     }
 
-    /// Sets the latency above which a replica counts as queueing requests; without it, the request
-    /// is neither refused for overload nor observed.
+    /// Sets the latency above which a replica queued a request; without it, the queues of the
+    /// replicas are not observed.
     #[must_use]
     pub const fn with_queueing_latency(mut self, queueing_us: Option<u64>) -> Self {
         self.queueing_us = queueing_us;
@@ -193,7 +196,7 @@
                 None => self.try_last_resort(pool, now_us, index, sub_requests),
             }
         }
-        if self.cannot_succeed() {
+        if self.cannot_succeed() && pool.policy().early_refusal {
             // The sub-requests have not been written yet, so no replica runs the request.
             for sub_request in sub_requests.drain(..) {
                 pool.request_dropped(sub_request.replica);
--- a/crates/dispatch/src/exchange_outcome.rs
+++ b/crates/dispatch/src/exchange_outcome.rs
@@ -10,10 +10,6 @@
 use crate::leg::Attempt;
 use crate::leg::Leg;
 
-/// Share of a gather's legs that may be queued by their replicas without an overload. A late answer
-/// is then due to a few replicas, and refusing others would not make it earlier.
-const FEW_QUEUEING_SHARE: f64 = 0.5;
-
 /// Retry-After time of a request that was refused for overload.
 const OVERLOAD_RETRY_AFTER_MS: u64 = 300;
 
@@ -38,7 +34,9 @@
 
     /// Refuses a gather that is not admitted because its shards are overloaded.
     pub fn refuse_overload(&self, pool: &mut Pool) -> Option<Outcome> {
-        self.queueing_us?;
+        if self.min_parts.is_none() || !self.answers_caller {
+            return None;
+        }
         let reason = pool.refuse_gather(self.route.legs_key, self.route.rank)?;
         Some(Outcome::Refuse {
             reason,
@@ -46,26 +44,29 @@
         })
     }
 
-    /// Records once, when the answer of a gather is due, whether it has enough parts.
-    ///
-    /// A gather that is late for the sake of a few replicas says nothing about the load; it counts
-    /// as late only if most of the replicas queue requests.
+    /// Records once, when the answer of a gather is due or it has failed, how many of its legs were
+    /// queued and whether it has enough parts.
     pub(crate) fn observe_gather(&mut self, pool: &mut Pool, now_us: u64) {
-        let (Some(min_parts), Some(queueing_us)) = (self.min_parts, self.queueing_us) else {
+        let Some(min_parts) = self.min_parts.filter(|_| !self.observed) else {
             return;
         };
         let ended = self.legs.iter().all(|leg| !leg.is_open());
-        if self.observed || !(ended || now_us >= self.soft_deadline_us) {
+        let due = ended || now_us >= self.soft_deadline_us;
+        if !due && !self.cannot_succeed() {
             return;
         }
         self.observed = true;
-        let prompt = self
-            .legs
-            .iter()
-            .filter(|leg| leg.is_done_within(queueing_us));
-        let queueing_share = 1.0 - prompt.count() as f64 / self.legs.len() as f64;
-        let in_time = self.done_legs() >= min_parts || queueing_share <= FEW_QUEUEING_SHARE;
-        pool.observe_gather(self.route.legs_key, in_time, queueing_share);
+        // Of a gather that fails before its answer is due, it is not known how long the open legs
+        // will take.
+        if let Some(queueing_us) = self.queueing_us.filter(|_| due) {
+            let queued = |leg: &&Leg| leg.was_queued(now_us, queueing_us);
+            let queued = self.legs.iter().filter(queued).count();
+            let share = queued as f64 / self.legs.len().max(1) as f64;
+            pool.observe_legs(self.route.legs_key, share);
+        }
+        if self.answers_caller {
+            pool.observe_gather(self.route.legs_key, self.done_legs() >= min_parts);
+        }
     }
 
     /// Returns the outcome of the request if it is due.
--- a/crates/dispatch/src/leg.rs
+++ b/crates/dispatch/src/leg.rs
@@ -3,6 +3,7 @@
 //! A gather is a request with a leg for each shard; its answer is merged from the parts, the
 //! responses of the replicas.
 
+use crate::NotRunCause;
 use crate::ReplicaKey;
 use crate::Reply;
 use crate::ServiceKey;
@@ -112,13 +113,23 @@
         self.is_open() && self.last_resort_until_us.is_none()
     }
 
-    /// Whether the leg has a part that its replica returned within `latency_us`.
-    pub(crate) fn is_done_within(&self, latency_us: u64) -> bool {
-        let LegState::Done(attempt) = self.state else {
-            return false;
-        };
-        let attempt = &self.attempts[attempt];
-        attempt.replied_us - attempt.sent_us <= latency_us
+    /// Whether the replicas of the leg queued it: its part took longer than `queueing_us`, or it
+    /// waits longer already, or they had no room for it.
+    pub(crate) fn was_queued(&self, now_us: u64, queueing_us: u64) -> bool {
+        match self.state {
+            LegState::Dead(DeadReason::LastReply(reply)) => {
+                reply == Reply::NotRun(NotRunCause::Busy)
+            }
+            LegState::Dead(DeadReason::NoReplica) => false,
+            LegState::Done(attempt) => {
+                let attempt = &self.attempts[attempt];
+                attempt.replied_us - attempt.sent_us > queueing_us
+            }
+            LegState::Open => {
+                let first = self.attempts.first();
+                first.is_some_and(|attempt| now_us - attempt.sent_us > queueing_us)
+            }
+        }
     }
 
     /// Whether the gather still waits for the part of this leg.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 mod route_latency;
 mod route_table;
 mod service;
+mod shard_load;
 mod stop_limit;
 mod store_health;
 
@@ -87,5 +88,7 @@
 pub use route_latency::RouteLatency;
 pub use route_table::RouteTable;
 pub use service::ServiceKey;
+pub use shard_load::LoadChange;
+pub use shard_load::ShardLoad;
 pub use stop_limit::StopLimit;
 pub use store_health::StoreHealth;
--- a/crates/dispatch/src/policy.rs
+++ b/crates/dispatch/src/policy.rs
@@ -10,9 +10,13 @@
 pub struct Policy {
     /// Whether some gathers are refused while more arrive than can be answered in time.
     pub admission: bool,
+    /// Whether a cold (newly started) replica gets no more requests than its service states.
+    pub cold_rate: bool,
     /// Cost factor of a replica in another data centre; traffic between data centres is charged
     /// for.
     pub cross_data_centre_cost: f64,
+    /// Whether a gather that cannot succeed is refused before anything is sent.
+    pub early_refusal: bool,
     /// Exponent of the share of successful requests by which the cost of a replica is divided; 0 if
     /// failures do not raise the cost. A failed request costs its own time and a retry, which the
     /// budget of its service limits.
@@ -29,8 +33,12 @@
     pub last_resort: bool,
     /// Whether hedges are postponed once when many legs are late at the same time.
     pub postponement: bool,
+    /// Whether connections to replicas are opened before the first request.
+    pub preconnects: bool,
     /// Extra sub-requests for which credit remains after a hedge.
     pub reserved_retries: u32,
+    /// Whether nodes with little processor time divide the legs of a gather among them.
+    pub shared_gathers: bool,
     /// Whether the latencies of a replica change its cost.
     pub slowness: bool,
     /// Whether replicas are suspended after failures and refusals.
@@ -43,14 +51,18 @@
     fn default() -> Self {
         Self {
             admission: true,
+            cold_rate: true,
             cross_data_centre_cost: 1.3,
+            early_refusal: true,
             failure_exponent: 2.0,
             geometric_slowness: true,
             hedging: true,
             hedging_queue_share: 0.35,
             last_resort: true,
             postponement: true,
+            preconnects: true,
             reserved_retries: 1,
+            shared_gathers: true,
             slowness: true,
             suspension: true,
             tie_breaking: 0.05,
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -4,6 +4,7 @@
 
 use crate::Availability;
 use crate::ExtraAllowance;
+use crate::LoadChange;
 use crate::NotRunCause;
 use crate::Notice;
 use crate::Policy;
@@ -236,6 +237,9 @@
 
     /// Minimum interval between two requests of this node to a cold replica of a service.
     pub(crate) fn cold_interval_us(&self, service: ServiceKey) -> u64 {
+        if !self.policy.cold_rate {
+            return 0;
+        }
         let entry = &self.services[service.0 as usize];
         cold_interval_us(entry.cold_rate_per_s, entry.senders.unwrap_or(self.nodes))
     }
@@ -320,12 +324,33 @@
         })
     }
 
-    /// Records whether a gather had enough parts when its answer was due.
-    pub fn observe_gather(&mut self, legs_key: u64, in_time: bool, queueing_share: f64) {
-        self.admissions
-            .entry(legs_key)
-            .or_default()
-            .observe(in_time, queueing_share);
+    /// Records whether a gather of this node's callers had enough parts when its answer was due.
+    pub fn observe_gather(&mut self, legs_key: u64, enough_parts: bool) {
+        let admission = self.admissions.entry(legs_key).or_default();
+        admission.observe_gather(enough_parts);
+    }
+
+    /// Records the share of the legs that this node sent for a gather and that were queued.
+    pub(crate) fn observe_legs(&mut self, legs_key: u64, queued_share: f64) {
+        let admission = self.admissions.entry(legs_key).or_default();
+        admission.observe_legs(queued_share);
+    }
+
+    /// Returns the changes of the load of shards since the last call, and forgets the sets of
+    /// shards for which `is_used` is false.
+    pub fn load_changes(&mut self, is_used: impl Fn(u64) -> bool) -> Vec<LoadChange> {
+        let policy = self.policy;
+        self.admissions.retain(|legs_key, _| is_used(*legs_key));
+        let changes = self.admissions.iter_mut().filter_map(|(key, admission)| {
+            let load = admission.load_change(&policy)?;
+            Some(LoadChange {
+                admitted_percent: (admission.admitted_share(0) * 100.0) as u32,
+                legs_key: *key,
+                load,
+                queued_percent: (admission.queued_share() * 100.0) as u32,
+            })
+        });
+        changes.collect()
     }
 
     /// Whether the shards of a gather have room for hedges.
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -138,6 +138,14 @@
         self.by_host.values().flatten()
     }
 
+    /// Returns the names of the gathers with a [`Route::legs_key`].
+    pub fn gathers(&self, legs_key: u64) -> impl Iterator<Item = &str> {
+        let routes = self.routes().filter(move |route| {
+            route.legs_key == legs_key && matches!(route.target, RouteTarget::Gather { .. })
+        });
+        routes.map(|route| &*route.spec.name)
+    }
+
     /// Returns the route with the longest prefix of `path` for `host`.
     ///
     /// `host` may include a port and be in any case.
--- a/crates/dispatch/tests/admission.rs
+++ b/crates/dispatch/tests/admission.rs
@@ -6,12 +6,14 @@
 use std::rc::Rc;
 
 use wigeonhall_dispatch::Exchange;
+use wigeonhall_dispatch::NotRunCause;
 use wigeonhall_dispatch::Outcome;
 use wigeonhall_dispatch::Pool;
 use wigeonhall_dispatch::RefuseReason;
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::ShardLoad;
 
 use common::MS;
 use common::S;
@@ -89,3 +91,89 @@
     let (mut pool, route) = overloaded_pool();
     assert_eq!(play(&mut pool, &route, 0, 100, 2), 0);
 }
+
+/// A peer that collects legs for another node sees the queues of their replicas as well; otherwise
+/// its hedges would fill them further.
+#[test]
+fn legs_of_another_node_are_not_hedged_while_replicas_queue_requests() {
+    let (mut pool, route) = overloaded_pool();
+    for (index, shard) in SHARDS.iter().enumerate() {
+        add(&mut pool, shard, 100 + index as u16);
+    }
+    let legs = [0, 1, 2, 3];
+    let soft_us = 108 * MS;
+    let mut hedges = Vec::new();
+    for number in 0..20 {
+        let now_us = number * S;
+        let exchange =
+            Exchange::for_legs(route.clone(), &legs, 2, now_us + soft_us, now_us + S, MS);
+        let mut exchange = exchange.with_queueing_latency(Some(QUEUEING_US));
+        let mut sends = Vec::new();
+        exchange.start(&mut pool, now_us, &mut sends);
+        let first_sends = sends.len();
+        // The first timer may postpone the hedges, as all legs are late at once.
+        exchange.timer(&mut pool, now_us + 2 * MS, &mut sends);
+        exchange.timer(&mut pool, now_us + 4 * MS, &mut sends);
+        hedges.push(sends.len() - first_sends);
+        exchange.timer(&mut pool, now_us + soft_us, &mut sends);
+        for sub_request in sends {
+            pool.request_dropped(sub_request.replica);
+        }
+    }
+    assert!(hedges[0] > 0, "{hedges:?}");
+    assert_eq!(hedges[10..].iter().sum::<usize>(), 0, "{hedges:?}");
+}
+
+/// Gathers that fail at once because replicas have no room are the clearest sign of an overload,
+/// once the other gathers show that most replicas queue requests.
+#[test]
+fn gathers_that_fail_for_want_of_room_count_as_late() {
+    let (mut pool, route) = overloaded_pool();
+    play(&mut pool, &route, 0, LATE_GATHERS, 0);
+    let mut refused = 0;
+    for number in 0..40 {
+        let now_us = 100 * S + number * S;
+        let mut exchange = new_exchange(now_us, &route);
+        let mut sends = Vec::new();
+        if exchange.start(&mut pool, now_us, &mut sends).is_some() {
+            refused += 1;
+            continue;
+        }
+        for sub_request in sends.clone() {
+            let busy = Reply::NotRun(NotRunCause::Busy);
+            pool.request_finished(now_us + MS, sub_request.replica, busy, 1.0);
+            exchange.reply(&mut pool, now_us + MS, sub_request, busy, &mut sends);
+        }
+    }
+    assert!(refused >= 20, "{refused}");
+}
+
+/// The log must say when an overload begins and ends, and on what numbers that was decided.
+#[test]
+fn changes_of_the_load_are_reported_once() {
+    let (mut pool, route) = overloaded_pool();
+    assert_eq!(pool.load_changes(|_| true), Vec::new());
+    play(&mut pool, &route, 0, 3, 0);
+    play(&mut pool, &route, 10 * S, 4 * LATE_GATHERS, 0);
+    let changes = pool.load_changes(|_| true);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].load, ShardLoad::Refusing);
+    assert_eq!(changes[0].legs_key, route.legs_key);
+    assert!(changes[0].queued_percent > 50, "{changes:?}");
+    assert!(changes[0].admitted_percent < 100, "{changes:?}");
+    assert_eq!(pool.load_changes(|_| true), Vec::new());
+    play(&mut pool, &route, 100 * S, 400, SHARDS.len());
+    let changes = pool.load_changes(|_| true);
+    assert_eq!(changes[0].load, ShardLoad::Normal);
+    assert_eq!(changes[0].admitted_percent, 100);
+}
+
+/// Sets of shards that no route names any more are forgotten, so that their number is bounded.
+#[test]
+fn the_load_of_shards_without_a_route_is_forgotten() {
+    let (mut pool, route) = overloaded_pool();
+    play(&mut pool, &route, 0, 4 * LATE_GATHERS, 0);
+    assert_eq!(pool.load_changes(|_| false), Vec::new());
+    assert_eq!(play(&mut pool, &route, 100 * S, 3, SHARDS.len()), 0);
+    assert_eq!(pool.load_changes(|_| true), Vec::new());
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -97,14 +97,17 @@
     latency.hedge_delay_us(route.spec.target_latency_ms)
 }
 
-/// Returns the latency above which replicas of this route count as queueing requests.
-fn queueing_us(shared: &NodeState, route: &Route) -> Option<u64> {
+/// Returns the latency above which a replica queued a request of this route.
+pub(crate) fn queueing_us(shared: &NodeState, route: &Route) -> Option<u64> {
     let latencies = shared.latencies.borrow();
     latencies.get(&route.spec.name)?.queueing_us()
 }
 
 fn plan(shared: &NodeState, exchange: &Exchange) -> Option<shared_gather::GatherPlan> {
     exchange.min_parts()?;
+    if !shared.pool.borrow().policy().shared_gathers {
+        return None;
+    }
     let now_us = shared.clock.now_us();
     let target_ms = exchange.route().spec.target_latency_ms;
     shared
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -24,6 +24,13 @@
     },
     /// The set of data centres that operators evacuated changed or was read; `out` lists them.
     Evacuation { out: Vec<&'a str>, revision: u64 },
+    /// What this node does about the load of the shards of some routes changed.
+    Load {
+        admitted_percent: u32,
+        queued_percent: u32,
+        routes: Vec<&'a str>,
+        state: &'a str,
+    },
     /// An object of the store could not be decoded.
     Malformed {
         collection: &'a str,
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use wigeonhall_adapter::read_settings;
+use wigeonhall_dispatch::ShardLoad;
 use wigeonhall_dispatch::StopLimit;
 
 use crate::caller_server::FINAL_READ_PERIOD;
@@ -49,6 +50,7 @@
                 let due_us = shared.clock.now_us() + SWEEP_INTERVAL.as_micros() as u64;
                 shared.loop_times.set_timer_due(due_us);
                 shared.sweep();
+                log_load_changes(shared);
                 route_switch::activate_pending(shared);
             }
         }
@@ -57,6 +59,30 @@
     Ok(())
 }
 
+/// Logs what changed in the load of shards since the last sweep.
+fn log_load_changes(shared: &NodeState) {
+    let Some(table) = shared.table.borrow().clone() else {
+        return;
+    };
+    let is_used = |legs_key| table.gathers(legs_key).next().is_some();
+    for change in shared.pool.borrow_mut().load_changes(is_used) {
+        shared.log(&Event::Load {
+            admitted_percent: change.admitted_percent,
+            queued_percent: change.queued_percent,
+            routes: table.gathers(change.legs_key).collect(),
+            state: load_label(change.load),
+        });
+    }
+}
+
+const fn load_label(load: ShardLoad) -> &'static str {
+    match load {
+        ShardLoad::NoHedges => "no_hedges",
+        ShardLoad::Normal => "normal",
+        ShardLoad::Refusing => "refusing",
+    }
+}
+
 async fn stop(shared: &Rc<NodeState>) {
     let killed_at = Instant::now() + Duration::from_millis(shared.settings.grace_ms);
     let ends_us = shared.clock.now_us() + shared.settings.grace_ms * 1_000;
--- a/crates/entry/src/preconnect.rs
+++ b/crates/entry/src/preconnect.rs
@@ -47,7 +47,9 @@
 /// Returns the services that this node sends to: of a shared gather, whose legs (requests to one
 /// shard each) are divided among nodes, only those of the legs that are assigned to this node.
 fn services(shared: &NodeState) -> BTreeSet<ServiceKey> {
-    let Some(table) = shared.table.borrow().clone() else {
+    let table = shared.table.borrow().clone();
+    let wanted = shared.pool.borrow().policy().preconnects;
+    let Some(table) = table.filter(|_| wanted) else {
         return BTreeSet::new();
     };
     let peers = shared.peers.borrow();
--- a/crates/entry/src/relay_server.rs
+++ b/crates/entry/src/relay_server.rs
@@ -185,7 +185,8 @@
         arrived_us.saturating_add(remaining_ms.saturating_mul(1_000)),
         hedge_delay_us,
     )
-    .with_fallbacks(&fallbacks);
+    .with_fallbacks(&fallbacks)
+    .with_queueing_latency(answer::queueing_us(shared, &head.route));
     Some(PeerQuery {
         legs,
         query: Query::new(shared, exchange, Rc::new(outgoing)),
--- a/crates/entry/src/shared_gather.rs
+++ b/crates/entry/src/shared_gather.rs
@@ -151,14 +151,11 @@
         self.answer(nodes)
     }
 
-    /// Records whether the gather had enough parts when its answer was due. It counts as late only
-    /// if most parts were missing, because too few may also be missing for the sake of a few replicas.
+    /// Records whether the gather had enough parts when its answer was due.
     fn observe(&self) {
-        let in_time = self.done.len() >= self.min_parts || self.done.len() * 2 >= self.legs;
+        let enough_parts = self.done.len() >= self.min_parts;
         let mut pool = self.shared.pool.borrow_mut();
-        // The latencies of parts that other nodes collect are not known here.
-        let queueing_share = 0.0;
-        pool.observe_gather(self.route.legs_key, in_time, queueing_share);
+        pool.observe_gather(self.route.legs_key, enough_parts);
     }
 
     fn start(&mut self, plan: GatherPlan) {
@@ -209,7 +206,8 @@
             self.deadlines.deadline_us,
             self.hedge_delay_us,
         )
-        .with_fallbacks(fallbacks);
+        .with_fallbacks(fallbacks)
+        .with_queueing_latency(answer::queueing_us(&self.shared, &self.route));
         let query = Query::new(&self.shared, exchange, self.outgoing.clone());
         let parts = group_stream::collect(query, legs);
         let updates = parts.map(|parts| GatherUpdate::Parts { node: None, parts });
