Split the endings of writes and the event loop of the fleet's tests from their files

writes.rs handled a write from arrival to answer in 510 lines; what ends it (outcome, deadline, lost owner, disconnected caller) is write_endings.rs now. The harness of the fleet's tests held nodes, virtual time and operators' actions in 513 lines; node.rs and event_loop.rs hold the first two, and the conversion to a node's clock stands once.

--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -11,6 +11,8 @@
 
 mod actions;
 mod checks;
+mod event_loop;
+mod node;
 mod store;
 
 use std::cmp::Reverse;
@@ -20,7 +22,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use wigeonhall_fleet::ConfigManifest;
 use wigeonhall_fleet::ConfigRecord;
@@ -28,18 +29,17 @@
 use wigeonhall_fleet::Fleet;
 use wigeonhall_fleet::FleetEvent;
 use wigeonhall_fleet::FleetSettings;
-use wigeonhall_fleet::NotReadyReason;
 use wigeonhall_fleet::PartHash;
 use wigeonhall_fleet::PushTopology;
 use wigeonhall_types::ColdBound;
 use wigeonhall_types::DataCentre;
 use wigeonhall_types::Deployment;
 use wigeonhall_types::NameCatalog;
-use wigeonhall_types::OwnershipTable;
 use wigeonhall_types::Replica;
 use wigeonhall_types::Vm;
 use wigeonhall_types::VmState;
 
+pub use node::Node;
 pub use store::Store;
 
 /// Microseconds in a millisecond.
@@ -51,48 +51,6 @@
 
 type Task = Box<dyn FnOnce(&mut Simulation)>;
 
-pub struct Node {
-    pub boot: u64,
-    catalog: NameCatalog,
-    /// Drift of the local clock in microseconds per second, and its value at time 0 of the
-    /// simulation.
-    clock: (i64, u64),
-    pub data_centre: usize,
-    pub fleet: Option<Fleet>,
-    /// Smallest generation with which the node may be ready, also after a restart.
-    min_ready_generation: u64,
-    /// Replicas granted in this boot.
-    pub grants: BTreeSet<Arc<str>>,
-    pub in_force: Option<Arc<Deployment>>,
-    pub lease_until: u64,
-    pub lost_nodes: Vec<Arc<str>>,
-    /// Ids of the overrides whose effect this boot has shown.
-    shown_overrides: BTreeSet<Arc<str>>,
-    pub name: Arc<str>,
-    paused_until: u64,
-    /// Latest reported readiness: `Some(None)` if ready, `None` before the first report.
-    pub ready: Option<Option<NotReadyReason>>,
-    pub stopped: bool,
-    pub tables: BTreeMap<Arc<str>, Arc<OwnershipTable>>,
-    /// Time of the scheduled tick; 0 if none is scheduled.
-    wake_at: u64,
-}
-
-impl Node {
-    pub fn generation(&self) -> u64 {
-        self.in_force.as_ref().map_or(0, |it| it.generation)
-    }
-
-    fn local_time(&self, now: u64) -> u64 {
-        self.clock.1 + (now as i128 * (1_000_000 + self.clock.0) as i128 / 1_000_000) as u64
-    }
-
-    fn global_time(&self, local_time: u64) -> u64 {
-        let passed = local_time.saturating_sub(self.clock.1) as i128 * 1_000_000;
-        (passed / (1_000_000 + self.clock.0) as i128) as u64 + 1
-    }
-}
-
 pub struct Simulation {
     /// Processor time spent in the decision logic of all nodes.
     pub cpu_time: Duration,
@@ -217,27 +175,6 @@
         sim
     }
 
-    /// Schedules a task.
-    pub fn at(&mut self, time: u64, task: impl FnOnce(&mut Self) + 'static) {
-        self.sequence += 1;
-        self.queue
-            .push(Reverse((time.max(self.now), self.sequence)));
-        self.tasks.insert(self.sequence, Box::new(task));
-    }
-
-    /// Advances virtual time by `time` and runs the tasks that fall due.
-    pub fn run(&mut self, time: u64) {
-        let end = self.now + time;
-        while let Some(&Reverse((at, id))) = self.queue.peek().filter(|it| it.0.0 <= end) {
-            self.queue.pop();
-            self.now = at;
-            if let Some(task) = self.tasks.remove(&id) {
-                task(self);
-            }
-        }
-        self.now = end;
-    }
-
     /// Starts a node with a new boot id and no state.
     pub fn start(&mut self, node: usize) {
         let dc = self.data_centres[self.nodes[node].data_centre].clone();
@@ -436,78 +373,4 @@
         }
         deployment
     }
-
-    fn handle(
-        &mut self,
-        node: usize,
-        boot: u64,
-        event: impl FnOnce(&mut NameCatalog) -> FleetEvent,
-    ) {
-        let now = self.now;
-        let it = &mut self.nodes[node];
-        let Some(fleet) = it.fleet.as_mut().filter(|_| it.boot == boot) else {
-            return;
-        };
-        let local_time =
-            it.clock.1 + (now as i128 * (1_000_000 + it.clock.0) as i128 / 1_000_000) as u64;
-        let event = event(&mut it.catalog);
-        let mut actions = Vec::new();
-        let begin = Instant::now();
-        fleet.handle(local_time, event, &mut it.catalog, &mut actions);
-        self.cpu_time += begin.elapsed();
-        let wake = fleet.next_wake_us();
-        for action in actions {
-            self.perform(node, boot, local_time, action);
-        }
-        self.check_single_owner(node);
-        let it = &mut self.nodes[node];
-        let wake = wake.map_or(u64::MAX, |wake| it.global_time(wake).max(now + 1));
-        if wake != u64::MAX && (it.wake_at != wake) {
-            it.wake_at = wake;
-            self.at(wake, move |sim| sim.wake(node, boot, wake));
-        }
-    }
-
-    fn wake(&mut self, node: usize, boot: u64, wake: u64) {
-        let it = &self.nodes[node];
-        if it.boot != boot || it.wake_at != wake {
-            return;
-        }
-        if it.paused_until > self.now {
-            let until = it.paused_until;
-            self.at(until, move |sim| sim.wake(node, boot, wake));
-            return;
-        }
-        self.nodes[node].wake_at = 0;
-        self.handle(node, boot, |_| FleetEvent::Tick);
-    }
-
-    /// Delivers an event to a node, at the end of its pause if it is paused.
-    fn deliver(
-        &mut self,
-        node: usize,
-        boot: u64,
-        event: impl FnOnce(&mut NameCatalog) -> FleetEvent + 'static,
-    ) {
-        let until = self.nodes[node].paused_until;
-        if until > self.now {
-            self.at(until, move |sim| sim.deliver(node, boot, event));
-        } else {
-            self.handle(node, boot, event);
-        }
-    }
-
-    /// Delivers an event after a random delay.
-    fn deliver_after_delay(
-        &mut self,
-        node: usize,
-        boot: u64,
-        event: impl FnOnce(&mut NameCatalog) -> FleetEvent + 'static,
-    ) {
-        let late = self.rng.u8(..100) < self.late_percent;
-        let delay = self.rng.u64(MS..if late { 5 * SECOND } else { 3 * MS });
-        self.at(self.now + delay, move |sim| {
-            sim.deliver(node, boot, event);
-        });
-    }
 }
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -40,6 +40,7 @@
 mod timers;
 mod version_plan;
 mod write_claims;
+mod write_endings;
 mod writes;
 
 pub use answer::AbsentRange;
