Sum the causes of requests over many log lines

Change: 'wigeonhall causes FILE...' counts outcomes and missing parts by route, and failed sends. The reading of structured lines is shared with explain.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -34,6 +34,15 @@
         #[bpaf(external)]
         connection: Connection,
     },
+    /// Sum what became of requests, and why, from structured logs of the entry tier
+    #[bpaf(command)]
+    Causes {
+        /// Print the result as JSON
+        json: bool,
+        /// Structured logs; - for standard input
+        #[bpaf(positional("FILE"), some("no file is named"))]
+        logs: Vec<String>,
+    },
     /// List every mistake of a deployment text
     #[bpaf(command)]
     Check {
--- a/crates/ctl/src/explain_logs.rs
+++ b/crates/ctl/src/explain_logs.rs
@@ -39,21 +39,9 @@
 ];
 
 /// Lists the lines on a request or replica in the structured logs of any number of nodes.
-///
-/// Skips everything before the first brace of a line, where log collectors add a prefix.
 #[must_use]
 pub fn explain_logs(text: &str, subject: &Subject) -> Report {
-    let mut all: Vec<Map<String, Value>> = Vec::new();
-    let mut unreadable = 0;
-    for line in text.lines().filter(|line| !line.trim().is_empty()) {
-        let object = line
-            .find('{')
-            .and_then(|start| serde_json::from_str(&line[start..]).ok());
-        match object {
-            Some(object) => all.push(object),
-            None => unreadable += 1,
-        }
-    }
+    let (mut all, unreadable) = read_lines(text);
     all.sort_by_key(unix_ms);
     let (name, value) = match subject {
         Subject::Replica(id) => ("replica", id),
@@ -74,6 +62,24 @@
     Report::new(exit_code, &excerpt, text_of(&excerpt))
 }
 
+/// Returns the lines of structured logs, and the number of other lines that are not empty.
+///
+/// Skips everything before the first brace of a line, where log collectors add a prefix.
+pub(crate) fn read_lines(text: &str) -> (Vec<Map<String, Value>>, usize) {
+    let mut lines = Vec::new();
+    let mut unreadable = 0;
+    for line in text.lines().filter(|line| !line.trim().is_empty()) {
+        let object = line
+            .find('{')
+            .and_then(|start| serde_json::from_str(&line[start..]).ok());
+        match object {
+            Some(object) => lines.push(object),
+            None => unreadable += 1,
+        }
+    }
+    (lines, unreadable)
+}
+
 /// Returns the last state changes on the nodes of `lines`.
 fn context(all: &[Map<String, Value>], lines: &[Map<String, Value>]) -> Vec<Map<String, Value>> {
     let Some(last) = lines.last() else {
@@ -94,7 +100,7 @@
     line.get("unix_ms").and_then(Value::as_u64).unwrap_or(0)
 }
 
-fn field<'a>(line: &'a Map<String, Value>, name: &str) -> &'a str {
+pub(crate) fn field<'a>(line: &'a Map<String, Value>, name: &str) -> &'a str {
     line.get(name).and_then(Value::as_str).unwrap_or("")
 }
 
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -40,6 +40,7 @@
 use wigeonhall_ctl::explain_logs;
 use wigeonhall_ctl::history;
 use wigeonhall_ctl::http_node_client;
+use wigeonhall_ctl::log_causes;
 use wigeonhall_ctl::measure;
 use wigeonhall_ctl::set_place_out;
 use wigeonhall_ctl::show;
@@ -88,9 +89,10 @@
         | Command::In { connection, .. }
         | Command::Out { connection, .. }
         | Command::Status { connection } => connection.json,
-        Command::Check { json, .. } | Command::Demo { json } | Command::Measure { json, .. } => {
-            *json
-        }
+        Command::Causes { json, .. }
+        | Command::Check { json, .. }
+        | Command::Demo { json }
+        | Command::Measure { json, .. } => *json,
         Command::Completion { .. } | Command::Standins { .. } => false,
     }
 }
@@ -108,6 +110,7 @@
             Ok(apply(&context, &text, base)?.report())
         }
         Command::Burn { connection } => burn(&context(&connection, None)),
+        Command::Causes { logs, .. } => Ok(log_causes(&read_all(logs)?)),
         Command::Check { node, file, .. } => Ok(check_text(&read(&file)?, node)),
         Command::Completion { shell } => Ok(completion(shell)),
         Command::Demo { .. } => demo().map_err(|error| CtlError::Demo(error.to_string())),
