--- a/crates/node/tests/burst.rs
+++ b/crates/node/tests/burst.rs
@@ -13,6 +13,9 @@
 /// Number of callers that a node serves at the same time.
 const CALLERS: usize = 256;
 
+/// Number of callers beyond the limit, more than the node has threads for refusals.
+const REFUSED_CALLERS: usize = 40;
+
 /// Guards against callers beyond the limit that queue until their deadline instead of being
 /// refused with a retry delay, and against health checks and operators that queue behind
 /// callers.
@@ -81,3 +84,20 @@
     assert!(served >= CALLERS, "{served}");
     common::wait_for_whole_reads(address);
 }
+
+/// Guards against refused callers that have not sent their body and hold the threads which refuse
+/// others: the HTTP library reads the rest of a body before it lets go of its request.
+#[test]
+fn refused_callers_without_their_body_do_not_block_later_refusals() {
+    let cluster = Cluster::start(1);
+    let address = cluster.address(0);
+    let head = "POST /query HTTP/1.1\r\nHost: node\r\nContent-Length: 5000\r\n\r\n";
+    let mut waiting_callers = Vec::new();
+    for _ in 0..CALLERS + REFUSED_CALLERS {
+        let mut caller = TcpStream::connect(address).unwrap();
+        caller.write_all(head.as_bytes()).unwrap();
+        waiting_callers.push(caller);
+    }
+    let answer = common::read(address).expect("an answer beyond the limit");
+    assert_eq!(answer.status, StatusName::Refused);
+}
--- a/crates/node/tests/entry/shared_gather.rs
+++ b/crates/node/tests/entry/shared_gather.rs
@@ -1,8 +1,21 @@
 //! Guards against gathers that lose or duplicate a part when nodes divide their shards among
 //! themselves, and against waiting for a peer that was killed or suspended.
 
+use std::collections::BTreeSet;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use serde_json::Value;
+use serde_json::json;
+
+use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::REQUEST_ID;
 use wigeonhall_adapter_standins::Behaviour;
+use wigeonhall_adapter_standins::Listener;
 use wigeonhall_adapter_standins::ReplicaStandin;
 use wigeonhall_adapter_standins::StoreStandin;
 use wigeonhall_adapter_standins::parts_of;
@@ -37,7 +50,14 @@
 
 /// Starts a fleet and waits until all nodes know each other.
 fn fleet(decide: impl Fn(usize) -> Behaviour + Clone + Send + Sync + 'static) -> Fleet {
-    let store = StoreStandin::start().unwrap();
+    fleet_of(StoreStandin::start().unwrap(), NODES, decide)
+}
+
+fn fleet_of(
+    store: StoreStandin,
+    count: usize,
+    decide: impl Fn(usize) -> Behaviour + Clone + Send + Sync + 'static,
+) -> Fleet {
     let names: Vec<String> = (0..SHARDS).map(|index| format!("s{index:02}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     let mut all = route("all", "/all/", RouteKind::Idempotent, gather(&names, 1.0));
@@ -52,11 +72,13 @@
         store.register(&replica.registration("north"));
     }
     let start = |number| Node::start_named(&store, &format!("node-{number}"));
-    let nodes: Vec<Node> = (1..=NODES).map(start).collect();
+    let nodes: Vec<Node> = (1..=count).map(start).collect();
     for node in &nodes {
         node.wait_ready();
-        // `near` is the number of known nodes in the node's data centre.
-        node.logged(|line| line["event"] == "nodes" && line["near"] == NODES);
+        // `near` is the number of known nodes in the data centre; it is logged when it changes.
+        if count > 1 {
+            node.logged(|line| line["event"] == "nodes" && line["near"] == count);
+        }
     }
     Fleet {
         nodes,
@@ -136,3 +158,49 @@
     };
     assert!(!fleet.replicas.iter().any(ran));
 }
+
+/// A peer that ends in the middle of the head of its response has delivered nothing; its legs must
+/// be sent again, and no part of it may count.
+#[test]
+fn a_gather_is_whole_although_peers_close_at_any_byte_of_a_head() {
+    const HEAD: &str = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let store = StoreStandin::start().unwrap();
+    let asked: Arc<Mutex<BTreeSet<usize>>> = Arc::default();
+    let peer = |bytes: usize| {
+        let asked = asked.clone();
+        let close_in_head = move |stream| {
+            asked.lock().unwrap().insert(bytes);
+            send_head(stream, &HEAD[..bytes]);
+        };
+        Listener::start(close_in_head).unwrap()
+    };
+    let peers: Vec<Listener> = (0..=HEAD.len()).map(peer).collect();
+    for (bytes, peer) in peers.iter().enumerate() {
+        let spec = json!({
+            "address": peer.address(), "data_centre": "north", "processor_share": 0.1
+        });
+        store.put(Collection::Nodes, &format!("peer-{bytes:02}"), &spec);
+    }
+    let fleet = fleet_of(store, 1, |index| Behaviour::answer(record(index)));
+    // A node avoids peers that failed for a while, so that each gather asks others.
+    let mut gathers = 0..20 * peers.len();
+    while asked.lock().unwrap().len() < peers.len() {
+        let gather = gathers.next().expect("all peers to be asked");
+        assert_whole(&fleet, &format!("q{gather}"));
+    }
+    let relay_failed = |line: &Value| line["event"] == "relay" && line["request_id"] == "q0";
+    fleet.nodes[0].logged(relay_failed);
+}
+
+/// Reads a request and sends the beginning of a response, then closes the connection.
+fn send_head(stream: TcpStream, head: &str) {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    while reader.read_line(&mut line).is_ok_and(|bytes| bytes > 0) {
+        if line == "\r\n" {
+            drop(reader.get_mut().write_all(head.as_bytes()));
+            return;
+        }
+        line.clear();
+    }
+}
