Leave a reader without power after 75 ms, and ask the next one at once

Cause: when all nodes start together, a node that follows waits for its reader, which may have no power yet: 250 ms until the timeout, and 100 ms until the next round.

Change: connections to nodes of the same data centre time out after 75 ms, and no pause follows a peer that failed, since another one takes its place in the ranking.

Ruled out: that each node reads the store at its start, which costs priced calls: a list of each collection and its watches until the node follows a peer.

--- a/crates/entry/src/feed_client.rs
+++ b/crates/entry/src/feed_client.rs
@@ -62,7 +62,11 @@
 /// Shortest search for another peer to follow before the store is read.
 const SEARCH_LIMIT_MIN: Duration = Duration::from_millis(250);
 
-/// Pause between two rounds of a search.
+/// Timeout for opening a connection to a peer, which is in the same data centre. A node that starts
+/// serves nobody while it waits for a peer without power.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(75);
+
+/// Pause between two rounds of a search if no peer failed.
 const SEARCH_PAUSE: Duration = Duration::from_millis(100);
 
 /// Interval at which a node that reads the store tries to follow a peer while an outage of the
@@ -168,9 +172,10 @@
         let ReadingRole::Follower(sources) = own_role(shared, views) else {
             return;
         };
+        let mut any_failed = false;
         for (name, address) in sources {
             let end = follow(shared, views, &name, address, search_until).await;
-            handle_end(shared, &name, end, &mut declines);
+            any_failed |= handle_end(shared, &name, end, &mut declines);
             if end.reason == FeedEnd::NowReader {
                 return;
             }
@@ -185,7 +190,10 @@
         if Instant::now() >= search_until {
             return;
         }
-        time::sleep(SEARCH_PAUSE).await;
+        // Others take the places of peers that failed, and can be asked at once.
+        if !any_failed {
+            time::sleep(SEARCH_PAUSE).await;
+        }
     }
 }
 
@@ -240,13 +248,13 @@
 }
 
 /// Handles the end of an attempt to follow a peer: logs it, and if the peer failed, excludes it
-/// from the readers for a time.
+/// from the readers for a time. Returns whether it failed.
 fn handle_end(
     shared: &NodeState,
     name: &Arc<str>,
     end: FollowEnd,
     declines: &mut HashMap<Arc<str>, u32>,
-) {
+) -> bool {
     let reason = format!("{name}: {:?}", end.reason);
     if end.fresh_until.is_some() {
         // The store may be unavailable: while an outage is suspected, calls wait for a successful
@@ -276,6 +284,7 @@
         let now_us = shared.clock.now_us();
         shared.peers.borrow_mut().suspect_reader(now_us, name);
     }
+    peer_failed
 }
 
 fn log_change_source(shared: &NodeState, source: &str, reason: &str) {
@@ -293,7 +302,7 @@
 ) -> FollowEnd {
     let silence_limit = feed_server::silence_limit(shared);
     let confirm_by = confirm_by.max(Instant::now() + silence_limit / OPEN_TIMEOUT_DIVISOR);
-    let opening = open(shared, views, address);
+    let opening = open(views, address);
     let opened = match time::timeout(silence_limit / OPEN_TIMEOUT_DIVISOR, opening).await {
         Ok(Ok(opened)) => opened,
         Ok(Err(reason)) => return FollowEnd::unconfirmed(reason),
@@ -319,13 +328,11 @@
 
 /// Requests a stream of changes from a peer; the connection lasts as long as the sender.
 async fn open(
-    shared: &NodeState,
     views: &CollectionViews,
     address: SocketAddr,
 ) -> Result<(Incoming, HttpSender), FeedEnd> {
     let revisions = collection_views::revisions(views);
-    let limit = feed_server::silence_limit(shared);
-    let mut sender = http_client::connect(address, limit)
+    let mut sender = http_client::connect(address, CONNECT_TIMEOUT)
         .await
         .map_err(|_| FeedEnd::Unreachable)?;
     let mut request = Request::new(Full::new(Bytes::new()));
