Let callers wait longer the longer an outage of the store lasts

Cause: a node that starts in an outage of the store refuses all requests with a retry after 0.7 s, whatever its caller has left. Callers with 8 s left came back into the same outage and had no further retry.

Change: the retry comes after as long as the outage has lasted as seen by this node, and the 0.7 s that it takes to notice its end, within a third of what the caller has left. The decision moves to dispatch (StoreHealth::unconfigured_retry_ms).

Ruled out: holding the request until the store is back: it would be an answer held back.

--- a/crates/dispatch/src/store_health.rs
+++ b/crates/dispatch/src/store_health.rs
@@ -7,6 +7,15 @@
 /// about two seconds after its end.
 const REMOVAL_DELAY_AFTER_OUTAGE_US: u64 = 2_300_000;
 
+/// Time after which a caller may retry while the node reads its first configuration.
+const START_RETRY_MS: u64 = 200;
+
+/// Time in which a node notices the end of an outage and reads its first configuration.
+const OUTAGE_END_MS: u64 = 700;
+
+/// Part of a caller's remaining time that it is asked to wait at most, as a divisor.
+const WAIT_DIVISOR: u64 = 3;
+
 /// Availability of the store, in which replicas register and operators write the configuration,
 /// as observed by this node. Times are in microseconds.
 #[derive(Debug, Default)]
@@ -44,6 +53,21 @@
         self.suspected_us.is_some() && self.answered_call_sent_us < self.suspected_us
     }
 
+    /// Returns the time after which a caller may retry while the node has no configuration.
+    ///
+    /// A caller may have one retry only, which is lost if it comes before the end of an outage. An
+    /// outage is expected to last for as long again as it has lasted already.
+    #[must_use]
+    pub fn unconfigured_retry_ms(&self, now_us: u64, remaining_ms: Option<u64>) -> u64 {
+        if !self.outage_suspected() {
+            return START_RETRY_MS;
+        }
+        let outage_us = now_us.saturating_sub(self.answered_call_sent_us.unwrap_or(0));
+        let wait_ms = outage_us / 1_000 + OUTAGE_END_MS;
+        let wait_max_ms = remaining_ms.map_or(OUTAGE_END_MS, |ms| ms / WAIT_DIVISOR);
+        wait_ms.min(wait_max_ms).max(START_RETRY_MS)
+    }
+
     /// Records the end of an outage that began at `began_us`; returns false if the end of the
     /// same outage was recorded before.
     pub fn record_outage_end(&mut self, now_us: u64, began_us: u64) -> bool {
--- a/crates/dispatch/tests/store_health.rs
+++ b/crates/dispatch/tests/store_health.rs
@@ -52,3 +52,22 @@
     assert!(!health.record_outage_end(21, 11));
     assert!(health.record_outage_end(40, 30));
 }
+
+/// Guards against callers with a single retry that come back before the outage has ended, and
+/// against callers that are left too little time for their retry.
+#[test]
+fn callers_wait_longer_the_longer_an_outage_of_the_store_lasts() {
+    let mut health = StoreHealth::default();
+    assert_eq!(health.unconfigured_retry_ms(0, Some(8_000)), 200);
+    health.suspect_outage(SECOND_US / 10);
+    let retry_ms = |health: &StoreHealth, seconds: u64, remaining_ms| {
+        health.unconfigured_retry_ms(seconds * SECOND_US, remaining_ms)
+    };
+    assert_eq!(retry_ms(&health, 1, Some(8_000)), 1_700);
+    assert_eq!(retry_ms(&health, 5, Some(8_000)), 2_666);
+    assert_eq!(retry_ms(&health, 5, Some(1_000)), 333);
+    assert_eq!(retry_ms(&health, 5, Some(100)), 200);
+    assert_eq!(retry_ms(&health, 5, None), 700);
+    health.record_response(6 * SECOND_US);
+    assert_eq!(retry_ms(&health, 6, Some(8_000)), 200);
+}
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/caller_request.rs
@@ -81,17 +81,22 @@
     let request_id = headers
         .get(&REQUEST_ID)
         .ok_or_else(|| bad("no request id"))?;
-    let remaining_ms = match headers.get(&REMAINING_MS) {
-        Some(value) => Some(parse_milliseconds(value).ok_or_else(|| bad("malformed deadline"))?),
-        None => None,
-    };
     Ok(CallerHead {
         request_id: request_id.clone(),
-        remaining_ms,
+        remaining_ms: remaining_ms(headers)?,
         route: route.clone(),
     })
 }
 
+/// Returns the milliseconds until the caller's deadline; `None` if the request states none.
+pub(crate) fn remaining_ms(headers: &HeaderMap) -> Result<Option<u64>, Rejection> {
+    let Some(value) = headers.get(&REMAINING_MS) else {
+        return Ok(None);
+    };
+    let malformed = || Rejection::new(StatusCode::BAD_REQUEST, "malformed deadline");
+    parse_milliseconds(value).map(Some).ok_or_else(malformed)
+}
+
 /// Reads the body and builds the request for the replicas.
 pub(crate) async fn read_request(
     request: Request<Incoming>,
--- a/crates/entry/src/caller_server.rs
+++ b/crates/entry/src/caller_server.rs
@@ -36,13 +36,6 @@
 use crate::responses;
 use crate::responses::CallerResponse;
 
-/// Retry-after time that callers get while the node reads its first configuration.
-const UNCONFIGURED_RETRY_MS: u64 = 200;
-
-/// Retry-after time that callers get while the node has no configuration because an
-/// outage of the store is suspected; the node detects the end of an outage within this time.
-const STORE_OUTAGE_RETRY_MS: u64 = 700;
-
 /// Smallest read buffer that `hyper` accepts.
 const READ_BUFFER_MIN_BYTES: usize = 8_192;
 
@@ -139,11 +132,9 @@
 ) -> CallerResponse {
     let table = shared.table.borrow().clone();
     let Some(table) = table else {
-        let retry_after_ms = if shared.feed.is_store_outage_suspected() {
-            STORE_OUTAGE_RETRY_MS
-        } else {
-            UNCONFIGURED_RETRY_MS
-        };
+        let remaining_ms = caller_request::remaining_ms(request.headers()).unwrap_or(None);
+        let health = shared.feed.store_health.borrow();
+        let retry_after_ms = health.unconfigured_retry_ms(shared.clock.now_us(), remaining_ms);
         return responses::refusal("no configuration is known yet", retry_after_ms);
     };
     let head = match caller_request::read_head(&request, &table) {
