Give the entry tier's crate folders, and end two circles of its files

crates/entry/src held 51 files in one folder. They are in callers, requests, replicas, peers, store, process and net now; paths follow, nothing else changes there.

answer.rs used shared_gather.rs and group_stream.rs, which used it: for texts of failures, for latencies of a route and for the summary of an answer. The texts are in responses.rs, the latencies methods of the node's state, the summary a file of its own, and the number of records a method of the route.

No behaviour changes: clippy, the tests of dispatch and the operations page pass.

--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -139,6 +139,15 @@
 }
 
 impl Route {
+    /// Returns the number of records in the answer to a gather; 0 for other routes.
+    #[must_use]
+    pub fn top_records(&self) -> usize {
+        match &self.target {
+            RouteTarget::Gather { top_records, .. } => *top_records,
+            RouteTarget::Service(_) | RouteTarget::Split(_) => 0,
+        }
+    }
+
     /// Returns all services that its requests may be sent to.
     #[must_use]
     pub fn services(&self) -> Vec<ServiceKey> {
--- a/crates/entry/src/accepted_connection.rs
+++ b/crates/entry/src/callers/accepted_connection.rs
@@ -4,8 +4,8 @@
 use tokio::io::AsyncRead;
 use tokio::net::TcpStream;
 
-use crate::arrival_probe::ArrivalProbe;
-use crate::hooked_stream::HookedStream;
+use crate::callers::arrival_probe::ArrivalProbe;
+use crate::net::hooked_stream::HookedStream;
 
 /// An accepted connection, with the earliest time at which its first bytes may have arrived.
 #[derive(Debug)]
--- a/crates/entry/src/arrival_probe.rs
+++ b/crates/entry/src/callers/arrival_probe.rs
@@ -6,7 +6,7 @@
 use std::task::Wake;
 use std::task::Waker;
 
-use crate::loop_times::LoopTimes;
+use crate::process::loop_times::LoopTimes;
 
 /// Marks an unknown time.
 const UNKNOWN_US: u64 = u64::MAX;
--- a/crates/entry/src/caller_request.rs
+++ b/crates/entry/src/callers/caller_request.rs
@@ -20,7 +20,7 @@
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::RouteTable;
 
-use crate::replica_client::OutgoingRequest;
+use crate::replicas::replica_client::OutgoingRequest;
 
 /// Headers that apply to a single connection and aren't forwarded.
 const HOP_BY_HOP: [HeaderName; 10] = [
--- a/crates/entry/src/caller_server.rs
+++ b/crates/entry/src/callers/caller_server.rs
@@ -20,21 +20,21 @@
 
 use wigeonhall_dispatch::RouteTable;
 
-use crate::accepted_connection::AcceptedConnection;
-use crate::answer;
-use crate::caller_request;
-use crate::caller_request::CallerHead;
-use crate::caller_request::Rejection;
-use crate::caller_stream;
-use crate::caller_stream::CallerActivity;
-use crate::event::Event;
-use crate::event::RequestEvent;
-use crate::node_state::NodeState;
-use crate::node_state::Phase;
-use crate::probed_listener::ProbedListener;
-use crate::replica_client::OutgoingRequest;
-use crate::responses;
-use crate::responses::CallerResponse;
+use crate::callers::accepted_connection::AcceptedConnection;
+use crate::callers::caller_request;
+use crate::callers::caller_request::CallerHead;
+use crate::callers::caller_request::Rejection;
+use crate::callers::caller_stream;
+use crate::callers::caller_stream::CallerActivity;
+use crate::callers::probed_listener::ProbedListener;
+use crate::callers::responses;
+use crate::callers::responses::CallerResponse;
+use crate::process::event::Event;
+use crate::process::event::RequestEvent;
+use crate::process::node_state::NodeState;
+use crate::process::node_state::Phase;
+use crate::replicas::replica_client::OutgoingRequest;
+use crate::requests::answer;
 
 /// Smallest read buffer that `hyper` accepts.
 const READ_BUFFER_MIN_BYTES: usize = 8_192;
--- a/crates/entry/src/caller_stream.rs
+++ b/crates/entry/src/callers/caller_stream.rs
@@ -11,8 +11,8 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
-use crate::accepted_connection::AcceptedConnection;
-use crate::hooked_stream::HookedStream;
+use crate::callers::accepted_connection::AcceptedConnection;
+use crate::net::hooked_stream::HookedStream;
 
 /// Time between a timeout and the close, in which the event loop polls once more for bytes
 /// that arrived while the process was suspended.
--- /dev/null
+++ b/crates/entry/src/callers/mod.rs
@@ -0,0 +1,9 @@
+//! Callers: their connections and requests, and the responses that they get.
+
+pub(crate) mod accepted_connection;
+pub(crate) mod arrival_probe;
+pub(crate) mod caller_request;
+pub(crate) mod caller_server;
+pub(crate) mod caller_stream;
+pub(crate) mod probed_listener;
+pub(crate) mod responses;
--- a/crates/entry/src/probed_listener.rs
+++ b/crates/entry/src/callers/probed_listener.rs
@@ -7,10 +7,10 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
-use crate::accepted_connection::AcceptedConnection;
-use crate::arrival_probe::ArrivalProbe;
-use crate::loop_times::LoopTimes;
-use crate::socket;
+use crate::callers::accepted_connection::AcceptedConnection;
+use crate::callers::arrival_probe::ArrivalProbe;
+use crate::net::socket;
+use crate::process::loop_times::LoopTimes;
 
 /// Pause after an error of `accept`, such as a shortage of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/entry/src/responses.rs
+++ b/crates/entry/src/callers/responses.rs
@@ -10,11 +10,13 @@
 use wigeonhall_adapter::RECEIPT;
 use wigeonhall_adapter::RETRY_AFTER;
 use wigeonhall_adapter::retry_after_value;
+use wigeonhall_dispatch::GiveUpReason;
+use wigeonhall_dispatch::RefuseReason;
 use wigeonhall_dispatch::merge_records;
 
-use crate::caller_request;
-use crate::group_parts::GroupParts;
-use crate::replica_response::ReplicaResponse;
+use crate::callers::caller_request;
+use crate::replicas::replica_response::ReplicaResponse;
+use crate::requests::group_parts::GroupParts;
 
 /// A response to a caller.
 pub(crate) type CallerResponse = Response<Full<Bytes>>;
@@ -34,6 +36,32 @@
     response
 }
 
+/// Answers a request that may have run and has no result.
+pub(crate) fn given_up(reason: GiveUpReason) -> CallerResponse {
+    let (status, text) = match reason {
+        GiveUpReason::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, "the deadline passed"),
+        GiveUpReason::NoAnswer => (StatusCode::BAD_GATEWAY, "no replica gave a usable answer"),
+        GiveUpReason::TooFewParts => (StatusCode::BAD_GATEWAY, "too few shards can answer"),
+    };
+    plain(status, text)
+}
+
+/// Refuses a request that has not run and never will.
+pub(crate) fn refused(reason: RefuseReason, retry_after_ms: u64) -> CallerResponse {
+    refusal(refusal_text(reason), retry_after_ms)
+}
+
+const fn refusal_text(reason: RefuseReason) -> &'static str {
+    match reason {
+        RefuseReason::Busy => "replicas have no room",
+        RefuseReason::DeadlinePassed => "no replica was reached in time",
+        RefuseReason::NoReplica => "no replica is available",
+        RefuseReason::Overloaded { .. } => "more requests arrive than can be answered in time",
+        RefuseReason::Stopping => "this node stops",
+        RefuseReason::TooFewShards => "too few shards have an available replica",
+    }
+}
+
 /// Forwards the response of a replica without its hop-by-hop headers.
 pub(crate) fn forwarded(replica: ReplicaResponse) -> CallerResponse {
     let mut response = Response::new(Full::new(replica.body));
--- a/crates/entry/src/http_client.rs
+++ b/crates/entry/src/net/http_client.rs
@@ -19,8 +19,8 @@
 use tokio::task;
 use tokio::time;
 
-use crate::hooked_stream::HookedStream;
-use crate::socket;
+use crate::net::hooked_stream::HookedStream;
+use crate::net::socket;
 
 /// Read buffer of a connection to a replica, the store or a peer; also the longest head of a
 /// response.
--- /dev/null
+++ b/crates/entry/src/net/mod.rs
@@ -0,0 +1,5 @@
+//! Sockets and HTTP connections to replicas, peers and the store.
+
+pub(crate) mod hooked_stream;
+pub(crate) mod http_client;
+pub(crate) mod socket;
--- a/crates/entry/src/change_feed.rs
+++ b/crates/entry/src/peers/change_feed.rs
@@ -9,7 +9,7 @@
 use wigeonhall_dispatch::ChangeBatch;
 use wigeonhall_dispatch::StoreHealth;
 
-use crate::feed_protocol::FeedMessage;
+use crate::peers::feed_protocol::FeedMessage;
 
 /// Messages queued for a follower; its stream ends when it falls further behind.
 const FOLLOWER_QUEUE_MESSAGES: usize = 64;
--- a/crates/entry/src/feed_client.rs
+++ b/crates/entry/src/peers/feed_client.rs
@@ -26,18 +26,18 @@
 use wigeonhall_dispatch::ChangeBatch;
 use wigeonhall_dispatch::ReadingRole;
 
-use crate::change_feed::ChangeSource;
-use crate::collection_view::CollectionView;
-use crate::collection_views;
-use crate::collection_views::CollectionViews;
-use crate::event::Event;
-use crate::feed_protocol;
-use crate::feed_protocol::DecodedMessage;
-use crate::feed_protocol::FeedMessage;
-use crate::feed_server;
-use crate::http_client;
-use crate::http_client::HttpSender;
-use crate::node_state::NodeState;
+use crate::net::http_client;
+use crate::net::http_client::HttpSender;
+use crate::peers::change_feed::ChangeSource;
+use crate::peers::feed_protocol;
+use crate::peers::feed_protocol::DecodedMessage;
+use crate::peers::feed_protocol::FeedMessage;
+use crate::peers::feed_server;
+use crate::process::event::Event;
+use crate::process::node_state::NodeState;
+use crate::store::collection_view::CollectionView;
+use crate::store::collection_views;
+use crate::store::collection_views::CollectionViews;
 
 /// Longest wait for the first list of the nodes during the first start of the whole tier.
 const FIRST_START_NODE_LIST_WAIT: Duration = Duration::from_millis(1_600);
--- a/crates/entry/src/feed_server.rs
+++ b/crates/entry/src/peers/feed_server.rs
@@ -13,12 +13,12 @@
 
 use wigeonhall_dispatch::silence_limit_ms;
 
-use crate::collection_view::CollectionView;
-use crate::collection_views::CollectionViews;
-use crate::feed_protocol::FeedMessage;
-use crate::feed_protocol::Revisions;
-use crate::node_state::NodeState;
-use crate::node_state::Phase;
+use crate::peers::feed_protocol::FeedMessage;
+use crate::peers::feed_protocol::Revisions;
+use crate::process::node_state::NodeState;
+use crate::process::node_state::Phase;
+use crate::store::collection_view::CollectionView;
+use crate::store::collection_views::CollectionViews;
 
 /// Heartbeats sent within the silence limit, the time for which a follower waits for a message.
 const HEARTBEATS_PER_LIMIT: u32 = 3;
--- /dev/null
+++ b/crates/entry/src/peers/mod.rs
@@ -0,0 +1,12 @@
+//! The other nodes: the stream of changes from readers to followers, and the gathers whose legs
+//! nodes divide among them.
+
+pub(crate) mod change_feed;
+pub(crate) mod feed_client;
+pub(crate) mod feed_protocol;
+pub(crate) mod feed_server;
+pub(crate) mod packing;
+pub(crate) mod relay_client;
+pub(crate) mod relay_protocol;
+pub(crate) mod relay_server;
+pub(crate) mod unpack_error;
--- a/crates/entry/src/packing.rs
+++ b/crates/entry/src/peers/packing.rs
@@ -8,7 +8,7 @@
 use wigeonhall_adapter::Changes;
 use wigeonhall_adapter::decode_changes;
 
-use crate::unpack_error::UnpackError;
+use crate::peers::unpack_error::UnpackError;
 
 /// Largest uncompressed text of changes; those of 23,000 replicas take about 9 MB.
 const TEXT_BYTES_MAX: usize = 32 * 1024 * 1024;
--- a/crates/entry/src/relay_client.rs
+++ b/crates/entry/src/peers/relay_client.rs
@@ -20,13 +20,13 @@
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::Route;
 
-use crate::group_parts::DecodedParts;
-use crate::group_parts::GroupParts;
-use crate::http_client;
-use crate::http_client::HttpSender;
-use crate::node_state::NodeState;
-use crate::relay_protocol;
-use crate::replica_client::OutgoingRequest;
+use crate::net::http_client;
+use crate::net::http_client::HttpSender;
+use crate::peers::relay_protocol;
+use crate::process::node_state::NodeState;
+use crate::replicas::replica_client::OutgoingRequest;
+use crate::requests::group_parts::DecodedParts;
+use crate::requests::group_parts::GroupParts;
 
 /// Shortest timeout for the response head of a peer.
 const PEER_HEAD_TIMEOUT_MIN_MS: u64 = 20;
--- a/crates/entry/src/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -24,23 +24,22 @@
 
 use wigeonhall_dispatch::Exchange;
 
-use crate::accepted_connection::AcceptedConnection;
-use crate::answer;
-use crate::caller_request;
-use crate::collection_views::CollectionViews;
-use crate::event::Event;
-use crate::feed_protocol;
-use crate::feed_protocol::Revisions;
-use crate::feed_server;
-use crate::feed_server::FeedRefusal;
-use crate::group_parts::GroupParts;
-use crate::group_stream;
-use crate::node_state::NodeState;
-use crate::node_state::Phase;
-use crate::probed_listener::ProbedListener;
-use crate::query::Query;
-use crate::relay_protocol;
-use crate::replica_client::OutgoingRequest;
+use crate::callers::accepted_connection::AcceptedConnection;
+use crate::callers::caller_request;
+use crate::callers::probed_listener::ProbedListener;
+use crate::peers::feed_protocol;
+use crate::peers::feed_protocol::Revisions;
+use crate::peers::feed_server;
+use crate::peers::feed_server::FeedRefusal;
+use crate::peers::relay_protocol;
+use crate::process::event::Event;
+use crate::process::node_state::NodeState;
+use crate::process::node_state::Phase;
+use crate::replicas::replica_client::OutgoingRequest;
+use crate::requests::group_parts::GroupParts;
+use crate::requests::group_stream;
+use crate::requests::query::Query;
+use crate::store::collection_views::CollectionViews;
 
 /// Messages to a peer. The head of the response to a gather is sent before any part, as a sign
 /// that this node is alive.
@@ -176,7 +175,7 @@
     if legs.iter().any(|leg| *leg >= leg_count) {
         return None;
     }
-    let hedge_delay_us = answer::hedge_delay_us(shared, &head.route);
+    let hedge_delay_us = shared.hedge_delay_us(&head.route);
     let exchange = Exchange::for_legs(
         head.route.clone(),
         &legs,
@@ -186,7 +185,7 @@
         hedge_delay_us,
     )
     .with_fallbacks(&fallbacks)
-    .with_queueing_latency(answer::queueing_us(shared, &head.route));
+    .with_queueing_latency(shared.queueing_us(&head.route));
     Some(PeerQuery {
         legs,
         query: Query::new(shared, exchange, Rc::new(outgoing)),
--- a/crates/entry/src/event_log.rs
+++ b/crates/entry/src/process/event_log.rs
@@ -12,8 +12,8 @@
 use flume::Sender;
 use serde::Serialize;
 
-use crate::event::Event;
-use crate::record_log;
+use crate::process::event::Event;
+use crate::process::record_log;
 
 /// Capacity of the queue to the writer; lines beyond it are dropped and counted.
 const QUEUE_LINES: usize = 2_048;
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/process/lifecycle.rs
@@ -14,12 +14,12 @@
 use wigeonhall_dispatch::ShardLoad;
 use wigeonhall_dispatch::StopLimit;
 
-use crate::caller_server::FINAL_READ_PERIOD;
-use crate::event::Event;
-use crate::node_state::NodeState;
-use crate::node_state::Phase;
-use crate::peer_registry;
-use crate::route_switch;
+use crate::callers::caller_server::FINAL_READ_PERIOD;
+use crate::process::event::Event;
+use crate::process::node_state::NodeState;
+use crate::process::node_state::Phase;
+use crate::store::peer_registry;
+use crate::store::route_switch;
 
 /// Time for which new callers are served after a signal to stop: the platform checks readiness
 /// once a second and removes a node after two failures.
--- a/crates/entry/src/loop_times.rs
+++ b/crates/entry/src/process/loop_times.rs
@@ -3,7 +3,7 @@
 
 use wigeonhall_dispatch::EventPoll;
 
-use crate::clock::Clock;
+use crate::process::clock::Clock;
 
 /// Times at which the event loop polled for events.
 ///
--- a/crates/entry/src/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -16,19 +16,20 @@
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::RequestLimits;
 use wigeonhall_dispatch::ResponseMemoryBudget;
+use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::RouteLatency;
 use wigeonhall_dispatch::RouteTable;
 use wigeonhall_dispatch::StopLimit;
 
-use crate::answer_lag::AnswerLag;
-use crate::change_feed::ChangeFeed;
-use crate::clock::Clock;
-use crate::event::Event;
-use crate::event_log::EventLog;
-use crate::loop_times::LoopTimes;
-use crate::metrics::Metrics;
-use crate::relay_client::RelayConnections;
-use crate::replica_client::IdleConnections;
+use crate::peers::change_feed::ChangeFeed;
+use crate::peers::relay_client::RelayConnections;
+use crate::process::clock::Clock;
+use crate::process::event::Event;
+use crate::process::event_log::EventLog;
+use crate::process::loop_times::LoopTimes;
+use crate::process::metrics::Metrics;
+use crate::replicas::replica_client::IdleConnections;
+use crate::requests::answer_lag::AnswerLag;
 
 /// Phase of the process, until it has stopped.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -118,6 +119,19 @@
         }
     }
 
+    /// Returns the time after which a sub-request on this route is hedged.
+    pub(crate) fn hedge_delay_us(&self, route: &Route) -> u64 {
+        let mut latencies = self.latencies.borrow_mut();
+        let latency = latencies.entry(route.spec.name.clone()).or_default();
+        latency.hedge_delay_us(route.spec.target_latency_ms)
+    }
+
+    /// Returns the latency above which a replica queued a request of this route.
+    pub(crate) fn queueing_us(&self, route: &Route) -> Option<u64> {
+        let latencies = self.latencies.borrow();
+        latencies.get(&route.spec.name)?.queueing_us()
+    }
+
     /// Returns whether the platform may send callers to this node.
     pub(crate) fn ready(&self) -> bool {
         let known = self.table.borrow().is_some() && self.replicas_fresh_us.get().is_some();
--- a/crates/entry/src/readiness.rs
+++ b/crates/entry/src/process/readiness.rs
@@ -15,11 +15,11 @@
 
 use wigeonhall_adapter::readiness_path;
 
-use crate::accepted_connection::AcceptedConnection;
-use crate::node_state::NodeState;
-use crate::probed_listener::ProbedListener;
-use crate::responses;
-use crate::responses::CallerResponse;
+use crate::callers::accepted_connection::AcceptedConnection;
+use crate::callers::probed_listener::ProbedListener;
+use crate::callers::responses;
+use crate::callers::responses::CallerResponse;
+use crate::process::node_state::NodeState;
 
 /// HTTP path of the Prometheus metrics.
 const METRICS_PATH: &str = "/metrics";
--- a/crates/entry/src/record_log.rs
+++ b/crates/entry/src/process/record_log.rs
@@ -10,8 +10,8 @@
 use log::Record;
 use log::SetLoggerError;
 
-use crate::event::Event;
-use crate::event_log;
+use crate::process::event::Event;
+use crate::process::event_log;
 
 /// Records written per second; records beyond it are dropped.
 const RECORDS_PER_S: u64 = 20;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/process/run.rs
@@ -12,22 +12,22 @@
 use wigeonhall_adapter::DecodeError;
 use wigeonhall_adapter::read_settings;
 
-use crate::caller_server;
-use crate::collection_views;
-use crate::collection_views::CollectionViews;
-use crate::event::Event;
-use crate::event_log::EventLog;
-use crate::feed_client;
-use crate::lifecycle;
-use crate::metrics::Metrics;
-use crate::node_state::NodeState;
-use crate::peer_registry;
-use crate::probed_listener::ProbedListener;
-use crate::readiness;
-use crate::relay_server;
-use crate::store_health;
-use crate::store_watch;
-use crate::supervisor;
+use crate::callers::caller_server;
+use crate::callers::probed_listener::ProbedListener;
+use crate::peers::feed_client;
+use crate::peers::relay_server;
+use crate::process::event::Event;
+use crate::process::event_log::EventLog;
+use crate::process::lifecycle;
+use crate::process::metrics::Metrics;
+use crate::process::node_state::NodeState;
+use crate::process::readiness;
+use crate::process::supervisor;
+use crate::store::collection_views;
+use crate::store::collection_views::CollectionViews;
+use crate::store::peer_registry;
+use crate::store::store_health;
+use crate::store::store_watch;
 
 /// Command line options of a node.
 #[derive(Clone, Copy, Debug, Default)]
--- /dev/null
+++ b/crates/entry/src/replicas/mod.rs
@@ -0,0 +1,7 @@
+//! Replicas: connections and requests to them, and their responses.
+
+pub(crate) mod preconnect;
+pub(crate) mod replica_client;
+pub(crate) mod replica_response;
+pub(crate) mod response_body;
+pub(crate) mod sender_counts;
--- a/crates/entry/src/preconnect.rs
+++ b/crates/entry/src/replicas/preconnect.rs
@@ -10,8 +10,8 @@
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::ServiceKey;
 
-use crate::node_state::NodeState;
-use crate::replica_client;
+use crate::process::node_state::NodeState;
+use crate::replicas::replica_client;
 
 /// Window over which connection attempts are spread at random.
 const SPREAD_MS: u64 = 1_500;
--- a/crates/entry/src/replica_client.rs
+++ b/crates/entry/src/replicas/replica_client.rs
@@ -30,12 +30,12 @@
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::UnknownCause;
 
-use crate::http_client;
-use crate::http_client::HttpSender;
-use crate::node_state::NodeState;
-use crate::replica_response::ReplicaResponse;
-use crate::replica_response::SubRequestResult;
-use crate::response_body;
+use crate::net::http_client;
+use crate::net::http_client::HttpSender;
+use crate::process::node_state::NodeState;
+use crate::replicas::replica_response::ReplicaResponse;
+use crate::replicas::replica_response::SubRequestResult;
+use crate::replicas::response_body;
 
 /// Idle time after which a connection isn't reused, unless the replica states a timeout.
 const IDLE_TIMEOUT_US: u64 = 4_000_000;
--- a/crates/entry/src/replica_response.rs
+++ b/crates/entry/src/replicas/replica_response.rs
@@ -5,7 +5,7 @@
 use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::Reply;
 
-use crate::response_body::ReservedMemory;
+use crate::replicas::response_body::ReservedMemory;
 
 /// The whole response of a replica.
 #[derive(Debug)]
--- a/crates/entry/src/response_body.rs
+++ b/crates/entry/src/replicas/response_body.rs
@@ -7,7 +7,7 @@
 
 use wigeonhall_dispatch::UnknownCause;
 
-use crate::node_state::NodeState;
+use crate::process::node_state::NodeState;
 
 /// Memory reserved for the body of a response; released when dropped.
 #[derive(Debug)]
--- a/crates/entry/src/sender_counts.rs
+++ b/crates/entry/src/replicas/sender_counts.rs
@@ -1,4 +1,4 @@
-use crate::node_state::NodeState;
+use crate::process::node_state::NodeState;
 
 /// Updates the number of nodes that send to each service, after a change of routes or nodes.
 pub(crate) fn update(shared: &NodeState) {
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -7,18 +7,18 @@
 use wigeonhall_dispatch::Outcome;
 use wigeonhall_dispatch::RefuseReason;
 use wigeonhall_dispatch::Route;
-use wigeonhall_dispatch::RouteTarget;
 
-use crate::caller_request::CallerHead;
-use crate::event::Event;
-use crate::event::RequestEvent;
-use crate::node_state::NodeState;
-use crate::query::Query;
-use crate::replica_client::OutgoingRequest;
-use crate::responses;
-use crate::responses::CallerResponse;
-use crate::shared_gather;
-use crate::shared_gather::SharedGather;
+use crate::callers::caller_request::CallerHead;
+use crate::callers::responses;
+use crate::callers::responses::CallerResponse;
+use crate::process::event::Event;
+use crate::process::event::RequestEvent;
+use crate::process::node_state::NodeState;
+use crate::replicas::replica_client::OutgoingRequest;
+use crate::requests::answer_summary::AnswerSummary;
+use crate::requests::query::Query;
+use crate::requests::shared_gather;
+use crate::requests::shared_gather::SharedGather;
 
 /// Longest time between a soft deadline and its answer that counts as the node's own delay.
 const ANSWER_LAG_MAX_US: u64 = 30_000;
@@ -29,15 +29,6 @@
     retry_after_ms: 50,
 };
 
-/// Numbers about an answered request, for the log and the metrics.
-pub(crate) struct AnswerSummary {
-    pub(crate) extra_sends: u32,
-    pub(crate) legs: usize,
-    pub(crate) missing: Vec<String>,
-    /// Number of nodes that collected parts.
-    pub(crate) nodes: usize,
-}
-
 /// Answers a caller. The parts of a gather, which one replica of each shard returns, are collected
 /// by this node alone or together with its peers.
 pub(crate) async fn answer(
@@ -52,7 +43,7 @@
         .remaining_ms
         .map_or(timeout_us, |ms| ms.saturating_mul(1_000));
     let deadline_us = arrived_us.saturating_add(timeout_us.min(remaining_us));
-    let hedge_delay_us = hedge_delay_us(shared, &route);
+    let hedge_delay_us = shared.hedge_delay_us(&route);
     let mut exchange = Exchange::new(
         arrived_us,
         deadline_us,
@@ -60,7 +51,7 @@
         shared.answer_lag.get(),
         route.clone(),
     )
-    .with_queueing_latency(queueing_us(shared, &route));
+    .with_queueing_latency(shared.queueing_us(&route));
     let soft_deadline_us = exchange.soft_deadline_us();
     let outgoing = Rc::new(outgoing);
     let plan = plan(shared, &exchange);
@@ -90,19 +81,6 @@
     limit.is_some_and(|limit| !limit.accepts(now_us, target_ms))
 }
 
-/// Returns the time after which a sub-request on this route is hedged.
-pub(crate) fn hedge_delay_us(shared: &NodeState, route: &Route) -> u64 {
-    let mut latencies = shared.latencies.borrow_mut();
-    let latency = latencies.entry(route.spec.name.clone()).or_default();
-    latency.hedge_delay_us(route.spec.target_latency_ms)
-}
-
-/// Returns the latency above which a replica queued a request of this route.
-pub(crate) fn queueing_us(shared: &NodeState, route: &Route) -> Option<u64> {
-    let latencies = shared.latencies.borrow();
-    latencies.get(&route.spec.name)?.queueing_us()
-}
-
 fn plan(shared: &NodeState, exchange: &Exchange) -> Option<shared_gather::GatherPlan> {
     exchange.min_parts()?;
     if !shared.pool.borrow().policy().shared_gathers {
@@ -164,44 +142,15 @@
         Outcome::Gather { missing } => {
             let parts = query.take_parts().into_iter().map(|(_, part)| part);
             let parts: Vec<_> = parts.collect();
-            let top_records = top_records(query.exchange.route());
+            let top_records = query.exchange.route().top_records();
             responses::merged_parts(&parts, missing, top_records)
                 .unwrap_or_else(|| responses::plain(StatusCode::BAD_GATEWAY, "malformed receipt"))
         }
-        Outcome::GiveUp(reason) => give_up(reason),
+        Outcome::GiveUp(reason) => responses::given_up(reason),
         Outcome::Refuse {
             reason,
             retry_after_ms,
-        } => responses::refusal(refusal_text(reason), retry_after_ms),
-    }
-}
-
-/// Returns the number of records in the answer to a gather; 0 for other routes.
-pub(crate) fn top_records(route: &Route) -> usize {
-    match &route.target {
-        RouteTarget::Gather { top_records, .. } => *top_records,
-        RouteTarget::Service(_) | RouteTarget::Split(_) => 0,
-    }
-}
-
-/// Returns the answer to a request that may have run and has no result.
-pub(crate) fn give_up(reason: GiveUpReason) -> CallerResponse {
-    let (status, text) = match reason {
-        GiveUpReason::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, "the deadline passed"),
-        GiveUpReason::NoAnswer => (StatusCode::BAD_GATEWAY, "no replica gave a usable answer"),
-        GiveUpReason::TooFewParts => (StatusCode::BAD_GATEWAY, "too few shards can answer"),
-    };
-    responses::plain(status, text)
-}
-
-const fn refusal_text(reason: RefuseReason) -> &'static str {
-    match reason {
-        RefuseReason::Busy => "replicas have no room",
-        RefuseReason::DeadlinePassed => "no replica was reached in time",
-        RefuseReason::NoReplica => "no replica is available",
-        RefuseReason::Overloaded { .. } => "more requests arrive than can be answered in time",
-        RefuseReason::Stopping => "this node stops",
-        RefuseReason::TooFewShards => "too few shards have an available replica",
+        } => responses::refused(reason, retry_after_ms),
     }
 }
 
--- a/crates/entry/src/group_parts.rs
+++ b/crates/entry/src/requests/group_parts.rs
@@ -11,7 +11,7 @@
 use wigeonhall_adapter::RECEIPT;
 use wigeonhall_dispatch::merge_records;
 
-use crate::replica_response::ReplicaResponse;
+use crate::replicas::replica_response::ReplicaResponse;
 
 /// Size of the two 4-byte lengths before a message.
 const LENGTHS_BYTES: usize = 8;
--- a/crates/entry/src/group_stream.rs
+++ b/crates/entry/src/requests/group_stream.rs
@@ -9,10 +9,9 @@
 use wigeonhall_dispatch::LegState;
 use wigeonhall_dispatch::Outcome;
 
-use crate::answer;
-use crate::group_parts::GroupHead;
-use crate::group_parts::GroupParts;
-use crate::query::Query;
+use crate::requests::group_parts::GroupHead;
+use crate::requests::group_parts::GroupParts;
+use crate::requests::query::Query;
 
 /// The legs of a gather that this node collects.
 struct Group {
@@ -68,7 +67,7 @@
             .collect();
         self.sent_legs.extend(new.iter().map(|(leg, _)| *leg));
         let exchange = &self.query.exchange;
-        let top_records = answer::top_records(exchange.route());
+        let top_records = exchange.route().top_records();
         let last = exchange.legs().all(|leg| leg != LegState::Open);
         let head = GroupHead {
             extra_sends: exchange.extra_sends(),
--- a/crates/entry/src/query.rs
+++ b/crates/entry/src/requests/query.rs
@@ -24,12 +24,12 @@
 use wigeonhall_dispatch::SubRequest;
 use wigeonhall_dispatch::UnknownCause;
 
-use crate::event::Event;
-use crate::node_state::NodeState;
-use crate::replica_client;
-use crate::replica_client::OutgoingRequest;
-use crate::replica_response::ReplicaResponse;
-use crate::replica_response::SubRequestResult;
+use crate::process::event::Event;
+use crate::process::node_state::NodeState;
+use crate::replicas::replica_client;
+use crate::replicas::replica_client::OutgoingRequest;
+use crate::replicas::replica_response::ReplicaResponse;
+use crate::replicas::replica_response::SubRequestResult;
 
 /// Time for which a sub-request may continue after its request was answered: longer than a typical
 /// pause of a replica, and short enough if the caller has disconnected meanwhile.
--- a/crates/entry/src/shared_gather.rs
+++ b/crates/entry/src/requests/shared_gather.rs
@@ -28,21 +28,20 @@
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::ServiceKey;
 
-use crate::answer;
-use crate::answer::AnswerSummary;
-use crate::event::Event;
-use crate::group_parts::GroupParts;
-use crate::group_stream;
-use crate::node_state::NodeState;
-use crate::query::Query;
-use crate::relay_client;
-use crate::relay_client::LegAssignment;
-use crate::relay_client::PartsStream;
-use crate::relay_client::RelayDeadlines;
-use crate::relay_client::RelayError;
-use crate::replica_client::OutgoingRequest;
-use crate::responses;
-use crate::responses::CallerResponse;
+use crate::callers::responses;
+use crate::callers::responses::CallerResponse;
+use crate::peers::relay_client;
+use crate::peers::relay_client::LegAssignment;
+use crate::peers::relay_client::PartsStream;
+use crate::peers::relay_client::RelayDeadlines;
+use crate::peers::relay_client::RelayError;
+use crate::process::event::Event;
+use crate::process::node_state::NodeState;
+use crate::replicas::replica_client::OutgoingRequest;
+use crate::requests::answer_summary::AnswerSummary;
+use crate::requests::group_parts::GroupParts;
+use crate::requests::group_stream;
+use crate::requests::query::Query;
 
 /// The assignment of a gather's legs to nodes.
 pub(crate) type GatherPlan = Vec<RelayGroup>;
@@ -207,7 +206,7 @@
             self.hedge_delay_us,
         )
         .with_fallbacks(fallbacks)
-        .with_queueing_latency(answer::queueing_us(&self.shared, &self.route));
+        .with_queueing_latency(self.shared.queueing_us(&self.route));
         let query = Query::new(&self.shared, exchange, self.outgoing.clone());
         let parts = group_stream::collect(query, legs);
         let updates = parts.map(|parts| GatherUpdate::Parts { node: None, parts });
@@ -294,7 +293,7 @@
             nodes,
         };
         if self.done.len() >= self.min_parts {
-            let top_records = answer::top_records(&self.route);
+            let top_records = self.route.top_records();
             if let Some(response) = responses::merged_groups(&self.collected, missing, top_records)
             {
                 return (Outcome::Gather { missing }, response, summary);
@@ -306,7 +305,11 @@
         } else {
             GiveUpReason::TooFewParts
         };
-        (Outcome::GiveUp(reason), answer::give_up(reason), summary)
+        (
+            Outcome::GiveUp(reason),
+            responses::given_up(reason),
+            summary,
+        )
     }
 
     /// Returns the services whose parts have not arrived.
--- a/crates/entry/src/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -21,13 +21,13 @@
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::RouteTable;
 
-use crate::event::Event;
-use crate::feed_protocol::FeedMessage;
-use crate::node_state::NodeState;
-use crate::packing;
-use crate::preconnect;
-use crate::route_switch;
-use crate::unpack_error::UnpackError;
+use crate::peers::feed_protocol::FeedMessage;
+use crate::peers::packing;
+use crate::peers::unpack_error::UnpackError;
+use crate::process::event::Event;
+use crate::process::node_state::NodeState;
+use crate::replicas::preconnect;
+use crate::store::route_switch;
 
 /// A node's copy of one collection of the store, as of a revision.
 pub(crate) struct CollectionView {
--- a/crates/entry/src/collection_views.rs
+++ b/crates/entry/src/store/collection_views.rs
@@ -2,9 +2,9 @@
 
 use wigeonhall_adapter::Collection;
 
-use crate::collection_view::CollectionView;
-use crate::feed_protocol::Revisions;
-use crate::node_state::NodeState;
+use crate::peers::feed_protocol::Revisions;
+use crate::process::node_state::NodeState;
+use crate::store::collection_view::CollectionView;
 
 /// A node's copies of the collections that it watches, in the order of
 /// [`Collection::WATCHED`].
--- /dev/null
+++ b/crates/entry/src/store/mod.rs
@@ -0,0 +1,10 @@
+//! The platform's store: calls, watches, copies of its collections, and what follows from changes.
+
+pub(crate) mod collection_view;
+pub(crate) mod collection_views;
+pub(crate) mod peer_registry;
+pub(crate) mod route_switch;
+pub(crate) mod store_call;
+pub(crate) mod store_client;
+pub(crate) mod store_health;
+pub(crate) mod store_watch;
--- a/crates/entry/src/peer_registry.rs
+++ b/crates/entry/src/store/peer_registry.rs
@@ -19,15 +19,15 @@
 use wigeonhall_adapter::object_path;
 use wigeonhall_dispatch::PeerNode;
 
-use crate::event::Event;
-use crate::node_state::NodeState;
-use crate::node_state::Phase;
-use crate::preconnect;
-use crate::sender_counts;
-use crate::store_call::CallPurpose;
-use crate::store_call::StoreCall;
-use crate::store_client::StoreClient;
-use crate::store_client::StoreError;
+use crate::process::event::Event;
+use crate::process::node_state::NodeState;
+use crate::process::node_state::Phase;
+use crate::replicas::preconnect;
+use crate::replicas::sender_counts;
+use crate::store::store_call::CallPurpose;
+use crate::store::store_call::StoreCall;
+use crate::store::store_client::StoreClient;
+use crate::store::store_client::StoreError;
 
 /// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/entry/src/route_switch.rs
+++ b/crates/entry/src/store/route_switch.rs
@@ -4,10 +4,10 @@
 
 use wigeonhall_dispatch::RouteTable;
 
-use crate::event::Event;
-use crate::node_state::NodeState;
-use crate::preconnect;
-use crate::sender_counts;
+use crate::process::event::Event;
+use crate::process::node_state::NodeState;
+use crate::replicas::preconnect;
+use crate::replicas::sender_counts;
 
 /// Makes the routes of a newer configuration pending and puts them in force if possible.
 pub(crate) fn set_pending(shared: &Rc<NodeState>, table: RouteTable) {
--- a/crates/entry/src/store_client.rs
+++ b/crates/entry/src/store/store_client.rs
@@ -16,11 +16,11 @@
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::DecodeError;
 
-use crate::http_client;
-use crate::http_client::HttpSender;
-use crate::node_state::NodeState;
-use crate::store_call::CallPurpose;
-use crate::store_call::StoreCall;
+use crate::net::http_client;
+use crate::net::http_client::HttpSender;
+use crate::process::node_state::NodeState;
+use crate::store::store_call::CallPurpose;
+use crate::store::store_call::StoreCall;
 
 /// Timeout for opening a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/crates/entry/src/store_health.rs
+++ b/crates/entry/src/store/store_health.rs
@@ -10,13 +10,13 @@
 use wigeonhall_adapter::Freshness;
 use wigeonhall_adapter::list_path;
 
-use crate::change_feed::ChangeSource;
-use crate::event::Event;
-use crate::feed_server;
-use crate::node_state::NodeState;
-use crate::store_call::CallPurpose;
-use crate::store_call::StoreCall;
-use crate::store_client::StoreClient;
+use crate::peers::change_feed::ChangeSource;
+use crate::peers::feed_server;
+use crate::process::event::Event;
+use crate::process::node_state::NodeState;
+use crate::store::store_call::CallPurpose;
+use crate::store::store_call::StoreCall;
+use crate::store::store_client::StoreClient;
 
 /// Interval between health checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -22,12 +22,12 @@
 use wigeonhall_dispatch::ChangeBatch;
 use wigeonhall_dispatch::watch_pause_ms;
 
-use crate::change_feed::ChangeSource;
-use crate::collection_view::CollectionView;
-use crate::store_call::CallPurpose;
-use crate::store_call::StoreCall;
-use crate::store_client::StoreClient;
-use crate::store_client::StoreError;
+use crate::peers::change_feed::ChangeSource;
+use crate::store::collection_view::CollectionView;
+use crate::store::store_call::CallPurpose;
+use crate::store::store_call::StoreCall;
+use crate::store::store_client::StoreClient;
+use crate::store::store_client::StoreError;
 
 /// Longest wait of one watch. A longer wait saves calls, which cost money, but followers
 /// continue from the revision of the last watch, which must still be in the store's history.
--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-const EVENT_SOURCE: &str = include_str!("../../entry/src/event.rs");
+const EVENT_SOURCE: &str = include_str!("../../entry/src/process/event.rs");
 
 const OPERATIONS_PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
