Time answers by the round trips to their caller

Cause: 12 ms were reserved for the way to the caller. Gathers that wait for their last parts until the soft deadline are late for callers farther away, and 6 of the 12 ms are lost on connections that are reused. Change: the kernel's TCP_INFO of the caller's connection gives the round trips; reserved are one on a reused connection, two on a new one, two deviations, and 2 ms for timers and writing. The option has no safe call in a library, so that a crate of its own, wigeonhall-socket, holds the only unsafe code. Ruled out: the node's processor time (the same with a plain longer reserve), and a higher quantile of the node's own lag in place of the 2 ms. Virtual time: the test plays far callers and drawn deployments. The log line of a request has the time at which its answer was due (due_ms).

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -1,5 +1,6 @@
 use std::rc::Rc;
 
+use crate::Arrival;
 use crate::DeadReason;
 use crate::LegState;
 use crate::Outcome;
@@ -9,10 +10,6 @@
 use crate::Route;
 use crate::leg::Leg;
 
-/// Time reserved before the target latency for network transfer to and from the caller: a new
-/// connection and its first request take two round trips.
-const CALLER_ROUND_TRIPS_US: u64 = 12_000;
-
 /// Divisor of the target latency that gives the shortest time for which a gather waits for
 /// its parts.
 const MIN_WAIT_DIVISOR: u64 = 3;
@@ -62,22 +59,11 @@
 }
 
 impl Exchange {
-    /// Creates the state of a request that arrived at `arrived_us` and is given up at
-    /// `deadline_us`.
-    ///
-    /// `answer_lag_us` is the node's own delay between the time at which an answer is due and
-    /// the time at which it is written.
+    /// Creates the state of a request that is given up at `deadline_us`.
     #[must_use]
-    pub fn new(
-        arrived_us: u64,
-        deadline_us: u64,
-        hedge_delay_us: u64,
-        answer_lag_us: u64,
-        route: Rc<Route>,
-    ) -> Self {
+    pub fn new(arrival: Arrival, deadline_us: u64, hedge_delay_us: u64, route: Rc<Route>) -> Self {
         let selection = route.select();
         let target_us = route.spec.target_latency_ms.saturating_mul(1_000);
-        let margin_us = CALLER_ROUND_TRIPS_US + answer_lag_us;
         let min_wait_us = target_us / MIN_WAIT_DIVISOR;
         Self {
             answers_caller: true,
@@ -91,8 +77,11 @@
             observed: false,
             queueing_us: None,
             route,
-            soft_deadline_us: arrived_us
-                .saturating_add(target_us.saturating_sub(margin_us).max(min_wait_us)),
+            soft_deadline_us: arrival.arrived_us.saturating_add(
+                target_us
+                    .saturating_sub(arrival.margin_us())
+                    .max(min_wait_us),
+            ),
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! the answer. Times are in microseconds of one monotonic clock.
 
 mod admission;
+mod arrival;
 mod availability;
 mod change_log;
 mod configuration;
@@ -34,6 +35,7 @@
 mod reply;
 mod response_memory;
 mod retained_notices;
+mod round_trip;
 mod route;
 mod route_latency;
 mod route_table;
@@ -42,6 +44,7 @@
 mod stop_limit;
 mod store_health;
 
+pub use arrival::Arrival;
 pub use availability::Availability;
 pub use change_log::BatchFit;
 pub use change_log::ChangeBatch;
@@ -79,6 +82,7 @@
 pub use reply::Reply;
 pub use reply::UnknownCause;
 pub use response_memory::ResponseMemoryBudget;
+pub use round_trip::RoundTrip;
 pub use route::Route;
 pub use route::RouteKind;
 pub use route::RouteSpec;
--- a/crates/dispatch/src/policy.rs
+++ b/crates/dispatch/src/policy.rs
@@ -1,3 +1,5 @@
+use crate::RoundTrip;
+
 /// Strengths of the mechanisms by which replicas are chosen, hedged and suspended.
 ///
 /// The default is in use on every deployment. Measurements and tests change single fields to
@@ -39,6 +41,8 @@
     pub preconnects: bool,
     /// Extra sub-requests for which credit remains after a hedge.
     pub reserved_retries: u32,
+    /// Whether the time reserved for the answer's way to the caller follows the caller's round trips.
+    pub round_trips: bool,
     /// Whether nodes with little processor time divide the legs of a gather among them.
     pub shared_gathers: bool,
     /// Whether the latencies of a replica change its cost.
@@ -65,6 +69,7 @@
             postponement: true,
             preconnects: true,
             reserved_retries: 1,
+            round_trips: true,
             shared_gathers: true,
             slowness: true,
             suspension: true,
@@ -72,3 +77,11 @@
         }
     }
 }
+
+impl Policy {
+    /// Returns the round trips by which answers are timed; `measured` is `None` if they are unknown.
+    #[must_use]
+    pub fn round_trip(&self, measured: Option<RoundTrip>) -> RoundTrip {
+        measured.filter(|_| self.round_trips).unwrap_or_default()
+    }
+}
--- a/crates/dispatch/tests/admission.rs
+++ b/crates/dispatch/tests/admission.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use wigeonhall_dispatch::Arrival;
 use wigeonhall_dispatch::Exchange;
 use wigeonhall_dispatch::NotRunCause;
 use wigeonhall_dispatch::Outcome;
@@ -41,7 +42,11 @@
 
 fn new_exchange(now_us: u64, route: &Rc<Route>) -> Exchange {
     let hedge_us = S;
-    Exchange::new(now_us, now_us + S, hedge_us, 0, route.clone())
+    let arrival = Arrival {
+        arrived_us: now_us,
+        ..Arrival::default()
+    };
+    Exchange::new(arrival, now_us + S, hedge_us, route.clone())
         .with_queueing_latency(Some(QUEUEING_US))
 }
 
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use wigeonhall_dispatch::Arrival;
 use wigeonhall_dispatch::Configuration;
 use wigeonhall_dispatch::Exchange;
 use wigeonhall_dispatch::Pool;
@@ -98,7 +99,7 @@
 
 pub fn exchange(pool: &mut Pool, kind: RouteKind, target: TargetSpec) -> Exchange {
     let route = route(pool, route_spec(kind, target));
-    Exchange::new(0, DEADLINE_US, HEDGE_US, 0, route)
+    Exchange::new(Arrival::default(), DEADLINE_US, HEDGE_US, route)
 }
 
 pub fn service(name: &str) -> TargetSpec {
--- a/crates/dispatch/tests/promises.rs
+++ b/crates/dispatch/tests/promises.rs
@@ -12,6 +12,7 @@
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
 
+use wigeonhall_dispatch::Arrival;
 use wigeonhall_dispatch::Exchange;
 use wigeonhall_dispatch::LegState;
 use wigeonhall_dispatch::NotRunCause;
@@ -126,7 +127,7 @@
         };
         let route = route(&mut pool, route_spec(kind, target));
         Self {
-            exchange: Exchange::new(0, DEADLINE_US, 30_000, 0, route),
+            exchange: Exchange::new(Arrival::default(), DEADLINE_US, 30_000, route),
             history: Vec::new(),
             now_us: 0,
             pool,
--- a/crates/entry/src/callers/caller_server.rs
+++ b/crates/entry/src/callers/caller_server.rs
@@ -18,6 +18,7 @@
 use tokio::task;
 use tokio::time;
 
+use wigeonhall_dispatch::Arrival;
 use wigeonhall_dispatch::RouteTable;
 
 use crate::callers::accepted_connection::AcceptedConnection;
@@ -115,7 +116,14 @@
 ) -> Result<CallerResponse, Infallible> {
     let now_us = shared.clock.now_us();
     let arrived_us = activity.request_read().unwrap_or(now_us);
-    let mut response = respond(&shared, request, arrived_us).await;
+    let policy = *shared.pool.borrow().policy();
+    let arrival = Arrival {
+        answer_lag_us: shared.answer_lag.get(),
+        arrived_us,
+        connection_reused: activity.has_answered(),
+        round_trip: policy.round_trip(activity.round_trip()),
+    };
+    let mut response = respond(&shared, request, arrival).await;
     activity.request_answered();
     if shared.phase() != Phase::Serving {
         let close = HeaderValue::from_static("close");
@@ -124,11 +132,11 @@
     Ok(response)
 }
 
-/// Answers a request that arrived at `arrived_us`; its deadline counts from then.
+/// Answers a request; its deadline counts from its arrival.
 async fn respond(
     shared: &Rc<NodeState>,
     request: Request<Incoming>,
-    arrived_us: u64,
+    arrival: Arrival,
 ) -> CallerResponse {
     let table = shared.table.borrow().clone();
     let Some(table) = table else {
@@ -139,11 +147,11 @@
     };
     let head = match caller_request::read_head(&request, &table) {
         Ok(head) => head,
-        Err(rejection) => return reject(shared, &rejection, arrived_us, table.version),
+        Err(rejection) => return reject(shared, &rejection, arrival.arrived_us, table.version),
     };
     match read_within_timeout(request, &head, &table).await {
-        Ok(outgoing) => answer::answer(shared, &head, outgoing, arrived_us).await,
-        Err(rejection) => reject(shared, &rejection, arrived_us, table.version),
+        Ok(outgoing) => answer::answer(shared, &head, outgoing, arrival).await,
+        Err(rejection) => reject(shared, &rejection, arrival.arrived_us, table.version),
     }
 }
 
@@ -175,6 +183,7 @@
     shared.log(&Event::Request(RequestEvent {
         config_version,
         deadline_ms: 0,
+        due_ms: 0,
         elapsed_ms: elapsed_us as f64 / 1_000.0,
         extra_sends: 0,
         legs: 0,
--- a/crates/entry/src/callers/caller_stream.rs
+++ b/crates/entry/src/callers/caller_stream.rs
@@ -7,12 +7,16 @@
 use std::time::Duration;
 
 use tokio::io::AsyncRead;
+use tokio::net::TcpStream;
 use tokio::time;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use wigeonhall_dispatch::RoundTrip;
+
 use crate::callers::accepted_connection::AcceptedConnection;
 use crate::net::hooked_stream::HookedStream;
+use crate::net::socket;
 
 /// Time between a timeout and the close, in which the event loop polls once more for bytes
 /// that arrived while the process was suspended.
@@ -33,19 +37,25 @@
 #[derive(Debug)]
 pub(crate) struct CallerActivity {
     activity: Cell<Activity>,
+    /// Whether a request on this connection was answered.
+    answered: Cell<bool>,
     /// Earliest time at which the first bytes of the current request may have arrived.
     arrived_us: Cell<Option<u64>>,
     head_timeout: Duration,
     idle_timeout: Duration,
+    /// Round trips when the current request arrived; `None` if they are unknown.
+    round_trip: Cell<Option<RoundTrip>>,
 }
 
 impl CallerActivity {
     pub(crate) fn new(head_timeout: Duration, idle_timeout: Duration) -> Self {
         Self {
             activity: Cell::new(Activity::Idle(Instant::now())),
+            answered: Cell::new(false),
             arrived_us: Cell::new(None),
             head_timeout,
             idle_timeout,
+            round_trip: Cell::new(None),
         }
     }
 
@@ -58,11 +68,23 @@
 
     /// Records that the answer to a request was handed to the HTTP connection.
     pub(crate) fn request_answered(&self) {
+        self.answered.set(true);
         self.activity.set(Activity::Idle(Instant::now()));
     }
 
-    fn bytes_read(&self, arrived_us: u64) {
+    /// Whether a request on this connection was answered.
+    pub(crate) const fn has_answered(&self) -> bool {
+        self.answered.get()
+    }
+
+    /// Returns the round trips when the current request arrived; `None` if they are unknown.
+    pub(crate) const fn round_trip(&self) -> Option<RoundTrip> {
+        self.round_trip.get()
+    }
+
+    fn bytes_read(&self, arrived_us: u64, stream: &TcpStream) {
         if let Activity::Idle(_) = self.activity.get() {
+            self.round_trip.set(socket::round_trip(stream));
             self.activity.set(Activity::Head(Instant::now()));
             self.arrived_us.set(Some(arrived_us));
         }
@@ -99,7 +121,7 @@
         Box::new(move |mut stream, cx, buffer| {
             let result = probe.poll(cx, |cx| stream.as_mut().poll_read(cx, buffer));
             if result.is_ready() {
-                activity.bytes_read(probe.arrived_us());
+                activity.bytes_read(probe.arrived_us(), &stream);
                 return result;
             }
             if timeout.has_expired(cx) {
--- a/crates/entry/src/net/socket.rs
+++ b/crates/entry/src/net/socket.rs
@@ -1,10 +1,14 @@
 use std::io;
+use std::os::fd::AsFd;
 use std::time::Duration;
 
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 
+use wigeonhall_dispatch::RoundTrip;
+use wigeonhall_socket::TcpInfo;
+
 /// Idle time after which keepalive checks start.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
@@ -24,3 +28,17 @@
         .with_retries(KEEPALIVE_RETRIES);
     SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
+
+/// Returns the times of round trips on a connection; `None` if the kernel does not tell them.
+pub(crate) fn round_trip(stream: &TcpStream) -> Option<RoundTrip> {
+    match TcpInfo::read(stream.as_fd()) {
+        Ok(info) => Some(RoundTrip {
+            deviation_us: info.round_trip_deviation_us.into(),
+            mean_us: info.round_trip_us.into(),
+        }),
+        Err(error) => {
+            log::warn!("cannot read the round-trip time of a caller's connection: {error}");
+            None
+        }
+    }
+}
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -102,6 +102,8 @@
     /// Version of the configuration that the request was routed by.
     pub(crate) config_version: u64,
     pub(crate) deadline_ms: u64,
+    /// Time from the arrival at which a gather is answered with the parts received so far.
+    pub(crate) due_ms: u64,
     pub(crate) elapsed_ms: f64,
     /// Number of hedges and retries.
     pub(crate) extra_sends: u32,
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -2,6 +2,7 @@
 
 use http::StatusCode;
 
+use wigeonhall_dispatch::Arrival;
 use wigeonhall_dispatch::Exchange;
 use wigeonhall_dispatch::GiveUpReason;
 use wigeonhall_dispatch::Outcome;
@@ -29,14 +30,24 @@
     retry_after_ms: 50,
 };
 
+/// Times of a request, for its log line.
+#[derive(Clone, Copy, Debug)]
+struct RequestTimes {
+    arrived_us: u64,
+    deadline_us: u64,
+    /// Time from which a gather is answered with the parts received so far.
+    due_us: u64,
+}
+
 /// Answers a caller. The parts of a gather, which one replica of each shard returns, are collected
 /// by this node alone or together with its peers.
 pub(crate) async fn answer(
     shared: &Rc<NodeState>,
     head: &CallerHead,
     outgoing: OutgoingRequest,
-    arrived_us: u64,
+    arrival: Arrival,
 ) -> CallerResponse {
+    let arrived_us = arrival.arrived_us;
     let route = head.route.clone();
     let timeout_us = route.spec.timeout_ms.saturating_mul(1_000);
     let remaining_us = head
@@ -44,14 +55,8 @@
         .map_or(timeout_us, |ms| ms.saturating_mul(1_000));
     let deadline_us = arrived_us.saturating_add(timeout_us.min(remaining_us));
     let hedge_delay_us = shared.hedge_delay_us(&route);
-    let mut exchange = Exchange::new(
-        arrived_us,
-        deadline_us,
-        hedge_delay_us,
-        shared.answer_lag.get(),
-        route.clone(),
-    )
-    .with_queueing_latency(shared.queueing_us(&route));
+    let mut exchange = Exchange::new(arrival, deadline_us, hedge_delay_us, route.clone())
+        .with_queueing_latency(shared.queueing_us(&route));
     let soft_deadline_us = exchange.soft_deadline_us();
     let outgoing = Rc::new(outgoing);
     let plan = plan(shared, &exchange);
@@ -68,7 +73,11 @@
         None => answer_locally(shared, exchange, outgoing).await,
     };
     observe_lag(shared, soft_deadline_us);
-    let times = (arrived_us, deadline_us);
+    let times = RequestTimes {
+        arrived_us,
+        deadline_us,
+        due_us: soft_deadline_us,
+    };
     record_answer(shared, head, times, outcome, response.status(), summary);
     response
 }
@@ -166,13 +175,13 @@
 fn record_answer(
     shared: &NodeState,
     head: &CallerHead,
-    (arrived_us, deadline_us): (u64, u64),
+    times: RequestTimes,
     outcome: Outcome,
     status: StatusCode,
     summary: AnswerSummary,
 ) {
     let now_us = shared.clock.now_us();
-    let elapsed_us = now_us - arrived_us;
+    let elapsed_us = now_us - times.arrived_us;
     let fresh_us = shared.replicas_fresh_us.get().unwrap_or(0);
     let route = &head.route;
     let metrics = &shared.metrics;
@@ -188,7 +197,8 @@
         .observe(elapsed_us as f64 / 1_000_000.0);
     shared.log(&Event::Request(RequestEvent {
         config_version: route.version,
-        deadline_ms: (deadline_us - arrived_us) / 1_000,
+        deadline_ms: (times.deadline_us - times.arrived_us) / 1_000,
+        due_ms: (times.due_us - times.arrived_us) / 1_000,
         elapsed_ms: elapsed_us as f64 / 1_000.0,
         extra_sends: summary.extra_sends,
         legs: summary.legs,
--- a/crates/measure/src/entry/callers.rs
+++ b/crates/measure/src/entry/callers.rs
@@ -29,6 +29,8 @@
     /// Time of the caller's attempt if its first one was refused at once; otherwise of its first
     /// one.
     attempted_us: u64,
+    /// Whether the attempt uses the connection of an earlier one.
+    pub(crate) connection_reused: bool,
     pub(crate) exchange: Option<Exchange>,
     pub(crate) jobs: Vec<JobKey>,
     pub(crate) node: usize,
@@ -81,11 +83,13 @@
         attempt: u32,
     ) {
         let node = self.rng.usize(..self.nodes.len());
-        let ways = if self.rng.bool() { 3 } else { 1 };
+        let connection_reused = !self.rng.bool();
+        let ways = if connection_reused { 1 } else { 3 };
         self.queries.push(Query {
             answered: false,
             attempt,
             attempted_us,
+            connection_reused,
             exchange: None,
             jobs: Vec::new(),
             node,
--- a/crates/measure/src/entry/drawn_shapes.rs
+++ b/crates/measure/src/entry/drawn_shapes.rs
@@ -36,6 +36,16 @@
     }
 }
 
+/// Returns a deployment whose callers are in another country.
+#[must_use]
+pub fn far_callers_shape() -> DeploymentShape {
+    DeploymentShape {
+        caller_us: 8_000,
+        name: "far callers".to_owned(),
+        ..customer_shape()
+    }
+}
+
 /// Returns a deployment with one service, to which each node sends about one request a second;
 /// only one replica may run a request.
 #[must_use]
@@ -71,7 +81,7 @@
     let work_ms = target_ms as f64 / pick(rng, &[6.0, 8.0, 12.0]);
     let min_fraction = pick(rng, &[0.75, 0.85, 0.95]);
     DeploymentShape {
-        caller_us: pick(rng, &[500, 1_000, 3_000]),
+        caller_us: pick(rng, &[500, 1_000, 3_000, 8_000]),
         cross_us: pick(rng, &[500, 1_000, 2_000]),
         data_centres: rng.usize(1..=4),
         local_us: 200,
--- a/crates/measure/src/entry/entry_world.rs
+++ b/crates/measure/src/entry/entry_world.rs
@@ -1,9 +1,11 @@
 use fastrand::Rng;
+use wigeonhall_dispatch::Arrival;
 use wigeonhall_dispatch::Exchange;
 use wigeonhall_dispatch::Outcome;
 use wigeonhall_dispatch::Policy;
 use wigeonhall_dispatch::Pool;
 use wigeonhall_dispatch::Reply;
+use wigeonhall_dispatch::RoundTrip;
 use wigeonhall_dispatch::SubRequest;
 
 use crate::entry::DeploymentShape;
@@ -118,13 +120,24 @@
         self.budget_use.count_request(now_us);
         let shape = self.shape.routes[self.queries[query].route];
         let deadline_us = self.queries[query].started_us + shape.timeout_ms * 1_000;
+        let connection_reused = self.queries[query].connection_reused;
         let node = &mut self.nodes[self.queries[query].node];
         let route = self.queries[query].route;
         let hedge_us = node.latencies[route].hedge_delay_us(shape.target_ms);
         let queueing_us = node.latencies[route].queueing_us();
         let route = node.routes[route].clone();
-        let mut exchange = Exchange::new(now_us, deadline_us, hedge_us, 0, route)
-            .with_queueing_latency(queueing_us);
+        let round_trip = RoundTrip {
+            deviation_us: 0,
+            mean_us: 2 * self.shape.caller_us,
+        };
+        let arrival = Arrival {
+            answer_lag_us: 0,
+            arrived_us: now_us,
+            connection_reused,
+            round_trip: node.pool.policy().round_trip(Some(round_trip)),
+        };
+        let mut exchange =
+            Exchange::new(arrival, deadline_us, hedge_us, route).with_queueing_latency(queueing_us);
         let mut sends = Vec::new();
         let outcome = exchange.start(&mut node.pool, now_us, &mut sends);
         self.queries[query].exchange = Some(exchange);
--- a/crates/measure/src/entry/mod.rs
+++ b/crates/measure/src/entry/mod.rs
@@ -22,6 +22,7 @@
 pub use deployment_shape::RouteShape;
 pub use drawn_shapes::customer_shape;
 pub use drawn_shapes::drawn_shapes;
+pub use drawn_shapes::far_callers_shape;
 pub use drawn_shapes::lookup_shape;
 pub use drawn_shapes::single_slot_shape;
 pub use entry_load::EntryFault;
--- a/crates/measure/src/entry/policy_table.rs
+++ b/crates/measure/src/entry/policy_table.rs
@@ -11,6 +11,7 @@
 use crate::entry::customer_shape;
 use crate::entry::drawn_shapes;
 use crate::entry::entry_loads;
+use crate::entry::far_callers_shape;
 use crate::entry::lookup_shape;
 use crate::entry::policy_variants;
 use crate::entry::single_slot_shape;
@@ -24,14 +25,19 @@
 /// Share of the benefit that callers get under one policy, by deployment and load.
 type Benefits = Vec<Vec<f64>>;
 
-/// Compares the policy in use with its variants, on deployments of two kinds and on drawn ones.
+/// Compares the policy in use with its variants, on deployments of four kinds and on drawn ones.
 ///
 /// The first table has the share of the benefit that callers get, in percent; for the drawn
 /// deployments it is the mean. The second one has the difference that each variant makes on each
 /// drawn deployment, as the mean over the loads.
 #[must_use]
 pub fn policy_table(seeds: &[u64]) -> String {
-    let mut shapes = vec![customer_shape(), single_slot_shape(), lookup_shape()];
+    let mut shapes = vec![
+        customer_shape(),
+        single_slot_shape(),
+        far_callers_shape(),
+        lookup_shape(),
+    ];
     let fixed = shapes.len();
     shapes.extend(drawn_shapes(DRAWN_SEED, DRAWN_SHAPES));
     let loads = entry_loads();
--- a/crates/measure/src/entry/policy_variant.rs
+++ b/crates/measure/src/entry/policy_variant.rs
@@ -37,6 +37,7 @@
         with("no hedges", |policy| policy.hedging = false),
         with("no postponement", |policy| policy.postponement = false),
         with("no reserve", |policy| policy.reserved_retries = 0),
+        with("assumed round trips", |policy| policy.round_trips = false),
         with("no slowness", |policy| policy.slowness = false),
         with("mean slowness", |policy| policy.geometric_slowness = false),
         with("no failure share", |policy| policy.failure_exponent = 0.0),
--- a/crates/measure/tests/entry.rs
+++ b/crates/measure/tests/entry.rs
@@ -10,6 +10,7 @@
 use wigeonhall_measure::customer_shape;
 use wigeonhall_measure::drawn_shapes;
 use wigeonhall_measure::entry_loads;
+use wigeonhall_measure::far_callers_shape;
 use wigeonhall_measure::lookup_shape;
 use wigeonhall_measure::mean_benefit;
 use wigeonhall_measure::single_slot_shape;
@@ -117,6 +118,23 @@
     assert_holds_on_drawn_shapes(&loads, Policy::default(), plain);
 }
 
+/// An answer that waits for its last parts must leave in time for its way to a caller far away.
+#[test]
+fn callers_that_are_far_away_get_answers_in_time() {
+    let assumed = Policy {
+        round_trips: false,
+        ..Policy::default()
+    };
+    let shapes = [far_callers_shape()];
+    for name in ["calm 0.45", "slow", "down"] {
+        let with = benefit(&shapes, name, Policy::default());
+        let without = benefit(&shapes, name, assumed);
+        assert!(with > without + 0.02, "{name}: {with} and {without}");
+    }
+    let loads = ["calm 0.45", "slow", "down", "shed"];
+    assert_holds_on_drawn_shapes(&loads, Policy::default(), assumed);
+}
+
 /// A replica without power must not hold a request for most of its target latency: only one replica
 /// may run it, so that it is not hedged.
 #[test]
