--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -32,6 +32,7 @@
 
 /// Times of a request, for its log line.
 #[derive(Clone, Copy, Debug)]
+#[expect(clippy::struct_field_names, reason = "the unit is the suffix")]
 struct RequestTimes {
     arrived_us: u64,
     deadline_us: u64,
