Divide gathers among nodes if their replicas run one request at a time

Cause: nodes choose replicas without knowing what other nodes have in flight. With one slot, two of their requests wait for one another, and a node knows a shard by a few requests a second only. Change: where most replicas of a gather's shards have one slot, as their registrations state, nodes divide its legs as they do where processor time is scarce: one node of a data centre sends a shard's legs and knows its replicas. Virtual time: the test plays fewer senders.

--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::GatherSize;
 use crate::node_backoffs::NodeBackoffs;
 use crate::rendezvous::score;
 
@@ -113,16 +114,15 @@
         self.all_nodes.len().max(1)
     }
 
-    /// Returns the number of nodes in all data centres that may send one given leg of a
-    /// gather with `legs` legs.
+    /// Returns the number of nodes in all data centres that may send one given leg of a gather.
     #[must_use]
-    pub fn senders(&self, legs: usize, target_latency_ms: u64) -> usize {
+    pub fn senders(&self, gather: GatherSize) -> usize {
         let mut by_data_centre: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
         for (data_centre, share) in &self.all_nodes {
             by_data_centre.entry(data_centre).or_default().push(*share);
         }
         let senders = by_data_centre.values().map(|shares| {
-            let alone = |share: &&f64| sends_alone(legs, **share, target_latency_ms);
+            let alone = |share: &&f64| sends_alone(gather, **share);
             let alone = shares.iter().filter(alone).count();
             if shares.len() < SHARING_NODES_MIN || alone == shares.len() {
                 shares.len()
@@ -153,9 +153,9 @@
     /// Returns the legs of a gather that this node sends, whichever node of its data centre
     /// plans the gather.
     #[must_use]
-    pub fn own_legs(&self, now_us: u64, legs: usize, target_latency_ms: u64) -> Vec<usize> {
-        let Some(plan) = self.plan(now_us, legs, target_latency_ms) else {
-            return (0..legs).collect();
+    pub fn own_legs(&self, now_us: u64, gather: GatherSize) -> Vec<usize> {
+        let Some(plan) = self.plan(now_us, gather) else {
+            return (0..gather.legs).collect();
         };
         let own = plan.into_iter().find(|group| group.peer.is_none());
         own.map_or_else(Vec::new, |group| group.legs)
@@ -168,13 +168,8 @@
     /// change, so that this node keeps its connections to the replicas and its statistics
     /// about them.
     #[must_use]
-    pub fn plan(
-        &self,
-        now_us: u64,
-        legs: usize,
-        target_latency_ms: u64,
-    ) -> Option<Vec<RelayGroup>> {
-        if sends_alone(legs, self.own.processor_share, target_latency_ms) {
+    pub fn plan(&self, now_us: u64, gather: GatherSize) -> Option<Vec<RelayGroup>> {
+        if sends_alone(gather, self.own.processor_share) {
             return None;
         }
         let usable: Vec<&PeerNode> = self
@@ -185,6 +180,7 @@
         if usable.len() < SHARING_NODES_MIN {
             return None;
         }
+        let legs = gather.legs;
         let groups = (legs as f64).sqrt().round() as usize;
         let mut by_node: BTreeMap<Arc<str>, RelayGroup> = BTreeMap::new();
         for group in 0..groups {
@@ -207,9 +203,10 @@
 }
 
 /// Whether a node with this share of a core sends all legs of a gather itself.
-fn sends_alone(legs: usize, processor_share: f64, target_latency_ms: u64) -> bool {
-    let alone_us = legs as f64 * LEG_PROCESSOR_TIME_US / processor_share.max(0.01);
-    alone_us <= target_latency_ms as f64 * 1_000.0 / ALONE_TIME_DIVISOR
+fn sends_alone(gather: GatherSize, processor_share: f64) -> bool {
+    let alone_us = gather.legs as f64 * LEG_PROCESSOR_TIME_US / processor_share.max(0.01);
+    let fast = alone_us <= gather.target_latency_ms as f64 * 1_000.0 / ALONE_TIME_DIVISOR;
+    fast && !gather.single_slots
 }
 
 /// Returns the node with the highest score for a group, weighted by its share of a core.
--- a/crates/dispatch/src/policy.rs
+++ b/crates/dispatch/src/policy.rs
@@ -45,6 +45,10 @@
     pub round_trips: bool,
     /// Whether nodes with little processor time divide the legs of a gather among them.
     pub shared_gathers: bool,
+    /// Whether nodes divide the legs of a gather among them also where they have enough processor
+    /// time, if the replicas run one request at a time. Two requests that nodes send without knowing
+    /// of each other then always wait for one another.
+    pub shared_single_slots: bool,
     /// Whether the latencies of a replica change its cost.
     pub slowness: bool,
     /// Whether replicas are suspended after failures and refusals.
@@ -71,6 +75,7 @@
             reserved_retries: 1,
             round_trips: true,
             shared_gathers: true,
+            shared_single_slots: true,
             slowness: true,
             suspension: true,
             tie_breaking: 0.05,
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -53,13 +53,13 @@
 
     /// Returns the services that a node sends to. The nodes of a data centre may divide the legs
     /// of a gather (its requests to one shard each); `own_legs` returns the indices of those that
-    /// this node sends, given the number of legs and the target latency in milliseconds.
-    pub fn services(&self, own_legs: impl Fn(usize, u64) -> Vec<usize>) -> BTreeSet<ServiceKey> {
+    /// this node sends.
+    pub fn services(&self, own_legs: impl Fn(&Route) -> Vec<usize>) -> BTreeSet<ServiceKey> {
         let mut services = BTreeSet::new();
         for route in self.routes() {
             match &route.target {
                 RouteTarget::Gather { shards, .. } => {
-                    let legs = own_legs(shards.len(), route.spec.target_latency_ms);
+                    let legs = own_legs(route);
                     services.extend(legs.into_iter().filter_map(|leg| shards.get(leg)));
                 }
                 RouteTarget::Service(service) => {
@@ -74,20 +74,18 @@
         services
     }
 
-    /// Returns each service with the number of nodes that send to it. `senders` returns
-    /// this number for a gather, given its number of legs and its target latency in milliseconds:
-    /// a node sends all legs itself if it can do so in a part of that time. For all other routes
-    /// it is `nodes`.
+    /// Returns each service with the number of nodes that send to it. `senders` returns this number
+    /// for a gather, whose legs nodes may divide; for all other routes it is `nodes`.
     pub fn senders_by_service(
         &self,
         nodes: usize,
-        senders: impl Fn(usize, u64) -> usize,
+        senders: impl Fn(&Route) -> usize,
     ) -> BTreeMap<ServiceKey, usize> {
         let mut by_service = BTreeMap::new();
         for route in self.routes() {
             let services = route.services();
             let count = match route.target {
-                RouteTarget::Gather { .. } => senders(services.len(), route.spec.target_latency_ms),
+                RouteTarget::Gather { .. } => senders(route),
                 RouteTarget::Service(_) | RouteTarget::Split(_) => nodes,
             };
             for service in services {
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use wigeonhall_dispatch::GatherSize;
 use wigeonhall_dispatch::PeerNode;
 use wigeonhall_dispatch::Peers;
 use wigeonhall_dispatch::RelayGroup;
@@ -26,6 +27,14 @@
     peers
 }
 
+fn gather(legs: usize, target_latency_ms: u64) -> GatherSize {
+    GatherSize {
+        legs,
+        single_slots: false,
+        target_latency_ms,
+    }
+}
+
 fn legs(plan: &[RelayGroup]) -> Vec<usize> {
     let mut legs: Vec<usize> = plan.iter().flat_map(|group| group.legs.clone()).collect();
     legs.sort_unstable();
@@ -34,7 +43,7 @@
 
 #[test]
 fn every_leg_is_in_one_group_within_the_data_centre() {
-    let plan = peers(30, 0.084).plan(0, 90, 120).unwrap();
+    let plan = peers(30, 0.084).plan(0, gather(90, 120)).unwrap();
     assert_eq!(legs(&plan), (0..90).collect::<Vec<usize>>());
     assert!(plan.len() > 3);
     for group in plan {
@@ -53,12 +62,12 @@
     let own_legs = |own: &PeerNode| {
         let mut peers = Peers::new(own.clone());
         peers.replace(all.clone());
-        peers.own_legs(0, 180, 80)
+        peers.own_legs(0, gather(180, 80))
     };
     let mut legs: Vec<usize> = all.iter().flat_map(own_legs).collect();
     legs.sort_unstable();
     assert_eq!(legs, (0..180).collect::<Vec<usize>>());
-    assert_eq!(peers(30, 0.5).own_legs(0, 20, 120).len(), 20);
+    assert_eq!(peers(30, 0.5).own_legs(0, gather(20, 120)).len(), 20);
 }
 
 /// Of hundreds of nodes, only one or two of a data centre send a given leg. If the rate of a
@@ -68,23 +77,38 @@
     let small = peers(30, 0.084);
     // Three of the small nodes in each of two data centres, for 90 legs and a target latency of
     // 120 ms.
-    assert_eq!(small.senders(90, 120), 6);
+    assert_eq!(small.senders(gather(90, 120)), 6);
     // A node that works alone sends every leg.
     let mut mixed = Peers::new(node(0, "north", 0.084));
     let nodes = (0..30).map(|number| node(number, "north", if number < 4 { 0.5 } else { 0.084 }));
     mixed.replace(nodes.collect());
-    assert_eq!(mixed.senders(90, 120), 7);
+    assert_eq!(mixed.senders(gather(90, 120)), 7);
     // Too few nodes to share: each sends every leg.
-    assert_eq!(peers(1, 0.084).senders(90, 120), 4);
+    assert_eq!(peers(1, 0.084).senders(gather(90, 120)), 4);
 }
 
 #[test]
 fn node_with_enough_processor_time_sends_all_legs() {
     // Half a core sends 90 legs within a sixth of the target latency of 120 ms.
-    assert_eq!(peers(30, 0.5).plan(0, 90, 120), None);
-    assert_eq!(peers(15, 0.17).plan(0, 20, 120), None);
+    assert_eq!(peers(30, 0.5).plan(0, gather(90, 120)), None);
+    assert_eq!(peers(15, 0.17).plan(0, gather(20, 120)), None);
     // Three small nodes are too few to share.
-    assert_eq!(peers(3, 0.084).plan(0, 90, 120), None);
+    assert_eq!(peers(3, 0.084).plan(0, gather(90, 120)), None);
+}
+
+/// Two nodes that send to a replica with one slot, without knowing of each other, wait for one
+/// another; one node that sends a shard's legs for its data centre chooses another replica.
+#[test]
+fn one_node_of_a_data_centre_sends_a_leg_to_replicas_with_one_slot() {
+    let single = GatherSize {
+        single_slots: true,
+        ..gather(20, 120)
+    };
+    let plan = peers(15, 0.5).plan(0, single).unwrap();
+    assert_eq!(legs(&plan), (0..20).collect::<Vec<usize>>());
+    assert!(plan.len() > 1);
+    // Three nodes in each of two data centres.
+    assert_eq!(peers(15, 0.5).senders(single), 6);
 }
 
 /// All nodes must assign a leg to the same node, which then has the connections and
@@ -102,7 +126,7 @@
     let plan_of = |own: usize| {
         let mut peers = Peers::new(nodes[own].clone());
         peers.replace(nodes.clone());
-        node_of_each_leg(peers.plan(0, 90, 120).unwrap())
+        node_of_each_leg(peers.plan(0, gather(90, 120)).unwrap())
     };
     let (first, second) = (plan_of(3), plan_of(4));
     for (leg, name) in first {
@@ -114,10 +138,10 @@
 #[test]
 fn unresponsive_peer_is_excluded_until_its_backoff_passes() {
     let mut peers = peers(30, 0.084);
-    let plan = peers.plan(0, 90, 120).unwrap();
+    let plan = peers.plan(0, gather(90, 120)).unwrap();
     let name = plan.iter().find_map(|group| group.peer.clone()).unwrap().0;
     let is_assigned = |peers: &Peers, now_us| {
-        let plan = peers.plan(now_us, 90, 120).unwrap();
+        let plan = peers.plan(now_us, gather(90, 120)).unwrap();
         assert_eq!(legs(&plan).len(), 90);
         plan.iter()
             .any(|group| group.peer.as_ref().is_some_and(|peer| peer.0 == name))
@@ -143,7 +167,7 @@
         nodes.push(node(base + 10, "north", 0.5));
         let mut peers = Peers::new(nodes[0].clone());
         peers.replace(nodes.clone());
-        for group in peers.plan(0, 90, 120).unwrap() {
+        for group in peers.plan(0, gather(90, 120)).unwrap() {
             let large = group.peer.is_some_and(|peer| peer.0 == nodes[10].name);
             total[usize::from(large)] += group.legs.len();
         }
--- a/crates/entry/src/replicas/preconnect.rs
+++ b/crates/entry/src/replicas/preconnect.rs
@@ -8,6 +8,7 @@
 use tokio::time;
 
 use wigeonhall_dispatch::ReplicaKey;
+use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::ServiceKey;
 
 use crate::process::node_state::NodeState;
@@ -54,12 +55,13 @@
     };
     let peers = shared.peers.borrow();
     let now_us = shared.clock.now_us();
-    let own_legs = |legs, target_ms| peers.own_legs(now_us, legs, target_ms);
+    let pool = shared.pool.borrow();
+    let own_legs = |route: &Route| peers.own_legs(now_us, pool.gather_size(route));
     if *shared.feed.nodes_listed.borrow() {
         table.services(own_legs)
     } else {
         // The legs that are assigned to this node aren't known yet.
-        table.services(|_, _| Vec::new())
+        table.services(|_| Vec::new())
     }
 }
 
--- a/crates/entry/src/replicas/sender_counts.rs
+++ b/crates/entry/src/replicas/sender_counts.rs
@@ -9,10 +9,10 @@
         return;
     }
     let peers = shared.peers.borrow();
-    let senders = table.senders_by_service(peers.total_nodes(), |legs, target_ms| {
-        peers.senders(legs, target_ms)
-    });
     let mut pool = shared.pool.borrow_mut();
+    let senders = table.senders_by_service(peers.total_nodes(), |route| {
+        peers.senders(pool.gather_size(route))
+    });
     for (service, count) in senders {
         pool.set_senders(service, count);
     }
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -93,15 +93,13 @@
 
 fn plan(shared: &NodeState, exchange: &Exchange) -> Option<shared_gather::GatherPlan> {
     exchange.min_parts()?;
-    if !shared.pool.borrow().policy().shared_gathers {
+    let pool = shared.pool.borrow();
+    if !pool.policy().shared_gathers {
         return None;
     }
     let now_us = shared.clock.now_us();
-    let target_ms = exchange.route().spec.target_latency_ms;
-    shared
-        .peers
-        .borrow()
-        .plan(now_us, exchange.legs().count(), target_ms)
+    let gather = pool.gather_size(exchange.route());
+    shared.peers.borrow().plan(now_us, gather)
 }
 
 fn refuse_unservable(shared: &NodeState, exchange: &mut Exchange) -> Option<Outcome> {
--- a/crates/measure/tests/entry.rs
+++ b/crates/measure/tests/entry.rs
@@ -118,6 +118,26 @@
     assert_holds_on_drawn_shapes(&loads, Policy::default(), plain);
 }
 
+/// Nodes that send to replicas with one slot, without knowing of each other, wait for one another.
+/// If one node of each data centre sends a shard's legs, it knows what is in flight; the nodes of
+/// the simulation, which divide no gathers, stand for these senders.
+#[test]
+fn fewer_senders_serve_more_callers_of_replicas_with_one_slot() {
+    let apart = single_slot_shape();
+    let together = DeploymentShape {
+        nodes: apart.data_centres,
+        ..apart.clone()
+    };
+    for name in ["calm 0.45", "shed", "slow"] {
+        let policy = Policy::default();
+        let (with, without) = (
+            benefit(&[together.clone()], name, policy),
+            benefit(&[apart.clone()], name, policy),
+        );
+        assert!(with > without, "{name}: {with} and {without}");
+    }
+}
+
 /// An answer that waits for its last parts must leave in time for its way to a caller far away.
 #[test]
 fn callers_that_are_far_away_get_answers_in_time() {
