--- a/crates/dispatch/tests/arrival.rs
+++ b/crates/dispatch/tests/arrival.rs
@@ -38,7 +38,7 @@
 fn answers_to_far_callers_are_due_earlier() {
     for round_trip_us in [MS, 6 * MS, 16 * MS, 30 * MS] {
         let arrival = callers_at(round_trip_us);
-        // The request and the connection have taken three quarters of the round trips by then.
+        // Three ways between caller and node come before the arrival, and one after the answer.
         let reaches_us = due_us(arrival) + 2 * round_trip_us;
         assert!(reaches_us <= TARGET_US, "{round_trip_us}: {reaches_us}");
     }
@@ -54,7 +54,7 @@
     assert_eq!(due_us(reused) - due_us(new), 16 * MS);
 }
 
-/// Answers that take half a millisecond longer than the mean would be late half of the time.
+/// An answer that is due at the mean of its way to the caller is late half of the time.
 #[test]
 fn answers_are_due_before_the_mean_of_their_way() {
     let reused = Arrival {
--- a/crates/entry/src/callers/caller_stream.rs
+++ b/crates/entry/src/callers/caller_stream.rs
@@ -43,7 +43,8 @@
     arrived_us: Cell<Option<u64>>,
     head_timeout: Duration,
     idle_timeout: Duration,
-    /// Round trips when the current request arrived; `None` if they are unknown.
+    /// Round trips when the first request arrived; `None` if they are unknown. Later ones may include
+    /// delayed acknowledgements.
     round_trip: Cell<Option<RoundTrip>>,
 }
 
@@ -77,14 +78,16 @@
         self.answered.get()
     }
 
-    /// Returns the round trips when the current request arrived; `None` if they are unknown.
+    /// Returns the round trips on the connection; `None` if they are unknown.
     pub(crate) const fn round_trip(&self) -> Option<RoundTrip> {
         self.round_trip.get()
     }
 
     fn bytes_read(&self, arrived_us: u64, stream: &TcpStream) {
         if let Activity::Idle(_) = self.activity.get() {
-            self.round_trip.set(socket::round_trip(stream));
+            if self.round_trip.get().is_none() {
+                self.round_trip.set(socket::round_trip(stream));
+            }
             self.activity.set(Activity::Head(Instant::now()));
             self.arrived_us.set(Some(arrived_us));
         }
--- a/crates/entry/src/net/socket.rs
+++ b/crates/entry/src/net/socket.rs
@@ -29,10 +29,11 @@
     SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
-/// Returns the times of round trips on a connection; `None` if the kernel does not tell them.
+/// Returns the times of round trips on a connection; `None` if the kernel does not know them, as
+/// after a handshake whose packets were lost.
 pub(crate) fn round_trip(stream: &TcpStream) -> Option<RoundTrip> {
     match TcpInfo::read(stream.as_fd()) {
-        Ok(info) => Some(RoundTrip {
+        Ok(info) => (info.round_trip_us > 0).then(|| RoundTrip {
             deviation_us: info.round_trip_deviation_us.into(),
             mean_us: info.round_trip_us.into(),
         }),
