Log the rate limits that replicas name, and the requests sent under them

The logs could not tell whether nodes miss a limit, keep it each for itself, or lose count of it in retries or restarts: no line named a limit, and a successful sub-request leaves no line. A notice line now names the limit when it changes, and how many requests the node sent since it was first named. The limit itself is not heeded yet.

Ruled out: the restart of a node and extra sub-requests.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -373,6 +373,7 @@
             return;
         };
         replica.in_flight += 1;
+        replica.notice_state.rate_limit.record_request();
         if now_us < replica.warm_at_us {
             replica.last_cold_request_us = Some(now_us);
         }
@@ -417,10 +418,17 @@
         self.connect_latency.timeout_us(failures.unwrap_or(0))
     }
 
-    /// Applies a replica's notice; returns whether it changes the replica's state.
-    pub fn apply_notice(&mut self, now_us: u64, key: ReplicaKey, notice: Notice) -> bool {
+    /// Applies the notice in a replica's response to a request that was sent at `sent_us`; returns
+    /// whether it changes the replica's state.
+    pub fn apply_notice(
+        &mut self,
+        now_us: u64,
+        sent_us: u64,
+        key: ReplicaKey,
+        notice: Notice,
+    ) -> bool {
         self.replica_mut(key)
-            .is_some_and(|replica| replica.notice_state.apply(now_us, notice))
+            .is_some_and(|replica| replica.notice_state.apply(now_us, sent_us, notice))
     }
 
     /// Returns whether a sub-request that was already decided may still be written to the replica.
--- /dev/null
+++ b/crates/dispatch/src/rate_limit.rs
@@ -0,0 +1,54 @@
+/// What a response says about the rate that its replica accepts.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateLimit {
+    /// The replica names no limit.
+    None,
+    /// The replica accepts this many requests per second from all nodes together.
+    PerSecond(f64),
+    /// There is no response, or its limit cannot be read.
+    #[default]
+    Unknown,
+}
+
+/// The limit that a replica names, and what this node sent since then.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RateLimitState {
+    /// Time of the newest response that named a limit.
+    named_us: u64,
+    /// Requests per second from all nodes together; `None` while the replica names no limit.
+    pub(crate) per_s: Option<f64>,
+    /// Requests that this node sent since the replica first named a limit; kept after its end.
+    pub(crate) requests: u32,
+}
+
+impl RateLimitState {
+    /// Applies the response to a request that was sent at `sent_us`; returns whether the limit
+    /// changes.
+    ///
+    /// A limit ends with a response to a request that was sent after the newest one that named it:
+    /// responses may arrive out of order.
+    pub(crate) fn apply(&mut self, now_us: u64, sent_us: u64, limit: RateLimit) -> bool {
+        let per_s = match limit {
+            RateLimit::Unknown => return false,
+            RateLimit::None if sent_us < self.named_us => return false,
+            RateLimit::None => None,
+            RateLimit::PerSecond(per_s) => {
+                self.named_us = now_us;
+                Some(per_s)
+            }
+        };
+        if self.per_s.is_none() && per_s.is_some() {
+            self.requests = 0;
+        }
+        let changed = per_s != self.per_s;
+        self.per_s = per_s;
+        changed
+    }
+
+    /// Records a request to the replica.
+    pub(crate) const fn record_request(&mut self) {
+        if self.per_s.is_some() {
+            self.requests += 1;
+        }
+    }
+}
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -20,7 +20,8 @@
     pub(crate) removed_at_us: Option<u64>,
     /// Service that the replica belongs to.
     pub service: ServiceKey,
-    /// Draining and hold-off (a time without requests) that its responses announced, if in force.
+    /// Draining, hold-off (a time without requests) and limit of the rate that its responses
+    /// announced, if in force.
     pub(crate) notice_state: NoticeState,
     /// Whether operators evacuated the replica's data centre, so that it gets no requests.
     pub(crate) evacuated: bool,
@@ -34,4 +35,18 @@
     pub const fn id(&self) -> &Arc<str> {
         &self.registration.id
     }
+
+    /// Returns the requests per second that the replica accepts from all nodes together; `None`
+    /// while it names no limit.
+    #[must_use]
+    pub const fn limit_per_s(&self) -> Option<f64> {
+        self.notice_state.rate_limit.per_s
+    }
+
+    /// Returns how many requests this node sent since the replica first named its present limit, or
+    /// its last one.
+    #[must_use]
+    pub const fn limited_requests(&self) -> u32 {
+        self.notice_state.rate_limit.requests
+    }
 }
--- a/crates/dispatch/src/retained_notices.rs
+++ b/crates/dispatch/src/retained_notices.rs
@@ -7,8 +7,8 @@
 /// Time for which the notices of a dropped replica are kept.
 const RETENTION_US: u64 = 600_000_000;
 
-/// Notices of dropped replicas: that they are draining, or asked for a time without requests. A
-/// registration that lapsed may be restored by the same incarnation (process) of the replica, whose
+/// Notices of dropped replicas: that they are draining, asked for a time without requests, or limit
+/// the rate. A registration that lapsed may be restored by the same incarnation (process) of the replica, whose
 /// notices are then still in force.
 #[derive(Debug, Default)]
 pub(crate) struct RetainedNotices {
@@ -26,7 +26,7 @@
     /// Saves the notices of a replica that is being dropped.
     pub(crate) fn keep(&mut self, now_us: u64, replica: &Replica) {
         let notice_state = replica.notice_state;
-        if notice_state.draining || notice_state.hold_off_in_force(now_us) {
+        if notice_state.in_force(now_us) {
             let retained = RetainedNotice {
                 started_unix_ms: replica.registration.started_unix_ms,
                 dropped_at_us: now_us,
--- a/crates/dispatch/tests/notices.rs
+++ b/crates/dispatch/tests/notices.rs
@@ -10,6 +10,7 @@
 use wigeonhall_dispatch::NotRunCause;
 use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::Pool;
+use wigeonhall_dispatch::RateLimit;
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::UnknownCause;
 
@@ -22,11 +23,13 @@
 const DRAINING: Notice = Notice {
     hold_off_ms: None,
     draining: true,
+    rate_limit: RateLimit::Unknown,
 };
 
 const HOLD_OFF: Notice = Notice {
     hold_off_ms: Some(3_000),
     draining: false,
+    rate_limit: RateLimit::Unknown,
 };
 
 const BUSY: Reply = Reply::NotRun(NotRunCause::Busy);
@@ -54,7 +57,7 @@
 fn replica_that_announces_draining_gets_no_requests_although_its_registration_is_ready() {
     let mut pool = pool();
     let key = add(&mut pool, "a", 1);
-    assert!(pool.apply_notice(S, key, DRAINING));
+    assert!(pool.apply_notice(S, S, key, DRAINING));
     // 1.0 is the ratio of the latency to the route's mean.
     pool.request_finished(S, key, Reply::Success, 1.0);
     let mut heartbeat = registration("a", 1, "north");
@@ -69,7 +72,7 @@
 fn draining_replica_is_still_draining_after_its_registration_lapses_and_is_restored() {
     let mut pool = pool();
     let key = add(&mut pool, "a", 1);
-    pool.apply_notice(S, key, DRAINING);
+    pool.apply_notice(S, S, key, DRAINING);
     pool.unregister("a-1", 2 * S);
     pool.sweep(2 * S);
     assert_eq!(availability(&pool, 2 * S), None);
@@ -81,7 +84,7 @@
 fn later_incarnation_under_the_same_id_is_not_draining() {
     let mut pool = pool();
     let key = add(&mut pool, "a", 1);
-    pool.apply_notice(S, key, DRAINING);
+    pool.apply_notice(S, S, key, DRAINING);
     let mut restarted = registration("a", 1, "north");
     restarted.started_unix_ms += 1;
     pool.register(2 * S, restarted);
@@ -95,13 +98,13 @@
     let mut pool = pool();
     let key = add(&mut pool, "a", 1);
     pool.request_finished(S, key, BUSY, 1.0);
-    assert!(pool.apply_notice(S, key, HOLD_OFF));
+    assert!(pool.apply_notice(S, S, key, HOLD_OFF));
     pool.request_finished(S + 5 * MS, key, Reply::Success, 1.0);
     let shorter = Notice {
         hold_off_ms: Some(100),
-        draining: false,
+        ..Notice::default()
     };
-    assert!(!pool.apply_notice(S + 6 * MS, key, shorter));
+    assert!(!pool.apply_notice(S + 6 * MS, S, key, shorter));
     pool.request_finished(S + 6 * MS, key, Reply::Unknown(UnknownCause::Reset), 1.0);
     assert!(gets_nothing(&mut pool, 4 * S - 1));
     assert_eq!(
@@ -120,9 +123,9 @@
         let key = add(&mut pool, "a", number);
         let hold_off = Notice {
             hold_off_ms: Some(400 * u64::from(number)),
-            draining: false,
+            ..Notice::default()
         };
-        pool.apply_notice(0, key, hold_off);
+        pool.apply_notice(0, 0, key, hold_off);
     }
     let service = pool.service_key(&Arc::from("a"));
     assert_eq!(pool.retry_after_ms(100 * MS, service), 300);
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -45,10 +45,14 @@
     },
     /// The number of known nodes in this node's data centre changed.
     Nodes { near: usize },
-    /// A replica asked in a response for no more requests, for a time or because it is draining.
+    /// A replica asked in a response for no more requests, for a time or because it is draining, or
+    /// changed the limit of the rate that it accepts from all nodes together. `limited_requests`
+    /// counts the requests that this node sent since the replica first named a limit.
     Notice {
         hold_off_ms: Option<u64>,
         leaving: bool,
+        limit_per_s: Option<f64>,
+        limited_requests: u32,
         replica: &'a str,
     },
     /// A peer failed to deliver the parts that it was asked for.
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -13,6 +13,7 @@
 use wigeonhall_dispatch::PeerNode;
 use wigeonhall_dispatch::Peers;
 use wigeonhall_dispatch::Pool;
+use wigeonhall_dispatch::Replica;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::RequestLimits;
 use wigeonhall_dispatch::ResponseMemoryBudget;
@@ -174,20 +175,24 @@
         self.table.borrow().as_ref().map(|table| table.limits)
     }
 
-    /// Applies what a replica asked of its callers in a response: to stop or pause sending.
-    pub(crate) fn apply_notice(&self, key: ReplicaKey, notice: Notice) {
+    /// Applies what a replica asked of its callers in the response to a request that was sent at
+    /// `sent_us`: to stop or pause sending, or to stay within a rate.
+    pub(crate) fn apply_notice(&self, sent_us: u64, key: ReplicaKey, notice: Notice) {
         let now_us = self.clock.now_us();
         let mut pool = self.pool.borrow_mut();
-        if !pool.apply_notice(now_us, key, notice) {
+        if !pool.apply_notice(now_us, sent_us, key, notice) {
             return;
         }
         if notice.draining {
             self.idle_connections.borrow_mut().close(key);
         }
+        let replica = pool.replica(key);
         self.log(&Event::Notice {
             hold_off_ms: notice.hold_off_ms,
             leaving: notice.draining,
-            replica: pool.replica(key).map_or("gone", |replica| replica.id()),
+            limit_per_s: replica.and_then(Replica::limit_per_s),
+            limited_requests: replica.map_or(0, Replica::limited_requests),
+            replica: replica.map_or("gone", |replica| replica.id()),
         });
     }
 
--- a/crates/entry/src/replicas/replica_client.rs
+++ b/crates/entry/src/replicas/replica_client.rs
@@ -19,13 +19,16 @@
 use wigeonhall_adapter::EXPECTED_INSTANCE;
 use wigeonhall_adapter::LEAVING;
 use wigeonhall_adapter::NOT_RUN;
+use wigeonhall_adapter::RATE_LIMIT;
 use wigeonhall_adapter::RECEIPT;
 use wigeonhall_adapter::REMAINING_MS;
 use wigeonhall_adapter::REQUEST_ID;
 use wigeonhall_adapter::RETRY_AFTER;
+use wigeonhall_adapter::rate_limit_per_s;
 use wigeonhall_adapter::retry_after_ms;
 use wigeonhall_dispatch::NotRunCause;
 use wigeonhall_dispatch::Notice;
+use wigeonhall_dispatch::RateLimit;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::UnknownCause;
@@ -329,9 +332,21 @@
     Notice {
         hold_off_ms: hold_off.and_then(retry_after_ms),
         draining: headers.contains_key(&LEAVING),
+        rate_limit: rate_limit(headers),
     }
 }
 
+fn rate_limit(headers: &HeaderMap) -> RateLimit {
+    let Some(value) = headers.get(&RATE_LIMIT) else {
+        return RateLimit::None;
+    };
+    let Some(per_s) = rate_limit_per_s(value) else {
+        log::warn!("a replica names a rate limit that is not a number: {value:?}");
+        return RateLimit::Unknown;
+    };
+    RateLimit::PerSecond(per_s)
+}
+
 fn unknown_result(cause: UnknownCause) -> SubRequestResult {
     SubRequestResult::without_response(Reply::Unknown(cause))
 }
--- a/crates/entry/src/requests/query.rs
+++ b/crates/entry/src/requests/query.rs
@@ -306,7 +306,7 @@
         self.completed.set(true);
         let reply = result.reply;
         let shared = &self.shared;
-        shared.apply_notice(self.replica, result.notice);
+        shared.apply_notice(self.sent_us, self.replica, result.notice);
         let now_us = shared.clock.now_us();
         let latency_us = now_us - self.sent_us;
         let mut latencies = shared.latencies.borrow_mut();
--- a/crates/entry/src/requests/shared_gather.rs
+++ b/crates/entry/src/requests/shared_gather.rs
@@ -259,14 +259,15 @@
     /// Stops sending to replicas that announced to a peer that they are draining, as if this node
     /// had received their responses itself.
     fn apply_draining_notices(&self, ids: &[String]) {
+        let now_us = self.shared.clock.now_us();
         let notice = Notice {
-            hold_off_ms: None,
             draining: true,
+            ..Notice::default()
         };
         for id in ids {
             let key = self.shared.pool.borrow().key_of(id);
             if let Some(key) = key {
-                self.shared.apply_notice(key, notice);
+                self.shared.apply_notice(now_us, key, notice);
             }
         }
     }
