Add a red test for replicas that get more requests than their limit

Three nodes ask a replica that names a limit of 5 requests a second: 150 requests in 4 s, 35 allowed (one and a half times the limit, and 5).

--- a/crates/node/tests/entry/notices.rs
+++ b/crates/node/tests/entry/notices.rs
@@ -1,14 +1,17 @@
 //! Guards against requests to replicas that announced in a response that they are draining, or
-//! that asked for a hold-off, a time without requests.
+//! that asked for a hold-off, a time without requests, and against more requests than they accept.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::ReplicaStandin;
 
 use crate::caller::ask;
+use crate::deployment::Node;
 use crate::deployment::deploy;
 use crate::deployment::route_to_a;
 
@@ -62,3 +65,35 @@
     node.logged(|line| line["event"] == "notice" && line["hold_off_ms"] == 60_500);
     assert_eq!(asked.load(Ordering::Relaxed), 1);
 }
+
+/// Three nodes that together ask much more of a replica than the limit that it names.
+#[test]
+fn replicas_do_not_get_more_requests_than_the_limit_that_they_name() {
+    const WINDOW: Duration = Duration::from_secs(4);
+    const LIMIT_PER_S: usize = 5;
+    let limited = Behaviour::Limited {
+        body: b"some".to_vec(),
+        per_s: "5",
+    };
+    let replica = ReplicaStandin::start("a", 1, move |_| limited.clone()).unwrap();
+    let (store, first) = deploy(vec![route_to_a("one")], &[&replica]);
+    let others = ["node-2", "node-3"].map(|name| Node::start_named(&store, name));
+    let nodes = [&first, &others[0], &others[1]];
+    for node in nodes {
+        node.wait_ready();
+        node.logged(|line| line["event"] == "nodes" && line["near"] == 3);
+    }
+    let start = Instant::now();
+    let mut number = 0;
+    while number < 150 && start.elapsed() < WINDOW {
+        for node in nodes {
+            number += 1;
+            ask(node.callers, "GET", "/one/x", &format!("q{number}"), "");
+        }
+    }
+    let runs = replica.runs().len();
+    assert!(
+        runs <= LIMIT_PER_S * 4 * 3 / 2 + 5,
+        "{runs} requests in 4 s"
+    );
+}
