Keep to the rates that replicas name, over all nodes together

Callers noticed nothing; the replica in need got no relief.

Cause: the header was not read. The next fault would have been nodes that keep the whole limit each, so the design is a share: each node uses the part of the limit that it has of all nodes for whose callers it sends. Of the nodes that divide a gather, the assigned one has the parts of those that hand legs to it; equal shares would leave most of the limit unused there. Parts that come from another node carry the limits that their replicas named.

--- a/crates/dispatch/src/availability.rs
+++ b/crates/dispatch/src/availability.rs
@@ -2,6 +2,7 @@
 use crate::RegistrationState;
 use crate::Replica;
 use crate::ReplicaKey;
+use crate::service::SendingRates;
 
 /// Whether a replica takes requests of this node, or the reason why it does not.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -15,6 +16,9 @@
     Gone,
     /// The replica asked for a hold-off, a time without requests, that has not ended.
     HoldingOff,
+    /// The replica limits the rate of requests from all nodes, and this node's share of the limit
+    /// is used up for now.
+    Limited,
     /// The replica's data centre is out of service: operators evacuated it.
     Out,
     /// The replica takes requests.
@@ -31,15 +35,14 @@
     #[must_use]
     pub fn availability(&self, now_us: u64, key: ReplicaKey) -> Option<Availability> {
         let replica = self.replica(key)?;
-        let cold_interval_us = self.cold_interval_us(replica.service);
-        Some(replica.availability(now_us, cold_interval_us))
+        let rates = self.sending_rates(replica.service);
+        Some(replica.availability(now_us, rates))
     }
 }
 
 impl Replica {
-    /// Returns whether the replica takes requests of a node that sends a cold replica one
-    /// request in `cold_interval_us`.
-    pub(crate) fn availability(&self, now_us: u64, cold_interval_us: u64) -> Availability {
+    /// Returns whether the replica takes requests of a node with these rates.
+    pub(crate) fn availability(&self, now_us: u64, rates: SendingRates) -> Availability {
         let removed = self.removed_at_us.is_some_and(|at_us| at_us <= now_us);
         if removed {
             Availability::Gone
@@ -54,10 +57,12 @@
             Availability::Suspended
         } else if self.health.needs_probe() && self.in_flight > 0 {
             Availability::Tried
-        } else if self.within_cold_rate(now_us, cold_interval_us) {
-            Availability::Ready
-        } else {
+        } else if !self.within_cold_rate(now_us, rates) {
             Availability::Cold
+        } else if !self.within_limit(now_us, rates) {
+            Availability::Limited
+        } else {
+            Availability::Ready
         }
     }
 
@@ -69,24 +74,44 @@
             || self.removed_at_us.is_some_and(|at_us| at_us <= now_us)
     }
 
-    /// Whether requests may be sent to the replica, apart from suspensions and the cold
-    /// rate, the rate that a cold (newly started) replica accepts.
+    /// Whether requests may be sent to the replica, apart from suspensions and the rates that it
+    /// accepts.
     pub(crate) fn accepts_requests(&self, now_us: u64) -> bool {
         !self.is_out_of_service(now_us) && !self.notice_state.hold_off_in_force(now_us)
     }
 
-    /// Time at which the suspension and the hold-off of the replica have both ended.
-    pub(crate) fn available_at_us(&self) -> u64 {
+    /// Time at which the suspension and the hold-off of the replica have both ended and this node
+    /// may be within the limit of the replica.
+    pub(crate) fn available_at_us(&self, now_us: u64, rates: SendingRates) -> u64 {
+        let limited_until_us = if self.within_limit(now_us, rates) {
+            now_us
+        } else {
+            self.rate_allowance.next_window_us(now_us)
+        };
         self.health
             .suspended_until_us
             .max(self.notice_state.hold_off_until_us)
+            .max(limited_until_us)
+    }
+
+    /// Whether a request now stays within the rates that the replica accepts.
+    pub(crate) fn within_rates(&self, now_us: u64, rates: SendingRates) -> bool {
+        self.within_cold_rate(now_us, rates) && self.within_limit(now_us, rates)
     }
 
     /// Whether the replica is warm, or a request now stays within its cold rate.
-    pub(crate) fn within_cold_rate(&self, now_us: u64, cold_interval_us: u64) -> bool {
+    fn within_cold_rate(&self, now_us: u64, rates: SendingRates) -> bool {
         let interval_passed = self
             .last_cold_request_us
-            .is_none_or(|last_us| now_us >= last_us + cold_interval_us);
+            .is_none_or(|last_us| now_us >= last_us + rates.cold_interval_us);
         now_us >= self.warm_at_us || interval_passed
     }
+
+    /// Whether the replica names no limit, or a request now stays within this node's share of it.
+    fn within_limit(&self, now_us: u64, rates: SendingRates) -> bool {
+        let Some((limit_per_s, share)) = self.limit_per_s().zip(rates.limit_share) else {
+            return true;
+        };
+        self.rate_allowance.allows(now_us, limit_per_s, share)
+    }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -28,6 +28,7 @@
 mod policy;
 mod pool;
 mod pool_membership;
+mod rate_allowance;
 mod rate_limit;
 mod reading_role;
 mod refusal_period;
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -161,6 +161,27 @@
         own.map_or_else(Vec::new, |group| group.legs)
     }
 
+    /// Returns, for each leg of a gather, the share of all nodes for whose callers this node sends
+    /// the leg, from 0 to 1.
+    ///
+    /// These are its own callers, and for legs that are assigned to it also those of the nodes of
+    /// its data centre that divide the gather.
+    #[must_use]
+    pub fn sender_shares(&self, now_us: u64, gather: GatherSize) -> Vec<f64> {
+        let total = self.total_nodes() as f64;
+        let mut shares = vec![1.0 / total; gather.legs];
+        let dividing = self.nodes.iter().filter(|node| {
+            node.name != self.own.name && !sends_alone(gather, node.processor_share)
+        });
+        let dividing = dividing.count() as f64;
+        let plan = self.assign_legs(now_us, gather).unwrap_or_default();
+        let own = plan.into_iter().filter(|group| group.peer.is_none());
+        for leg in own.flat_map(|group| group.legs) {
+            shares[leg] += dividing / total;
+        }
+        shares
+    }
+
     /// Assigns the legs of a gather to the nodes; returns `None` if this node should send all
     /// of them itself.
     ///
@@ -172,6 +193,11 @@
         if sends_alone(gather, self.own.processor_share) {
             return None;
         }
+        self.assign_legs(now_us, gather)
+    }
+
+    /// Assigns the legs of a gather that nodes divide; returns `None` if there are too few nodes.
+    fn assign_legs(&self, now_us: u64, gather: GatherSize) -> Option<Vec<RelayGroup>> {
         let usable: Vec<&PeerNode> = self
             .nodes
             .iter()
--- a/crates/dispatch/src/policy.rs
+++ b/crates/dispatch/src/policy.rs
@@ -41,6 +41,8 @@
     pub preconnects: bool,
     /// Whether callers are told to wait longer the longer a service has had no room for requests.
     pub prolonged_retries: bool,
+    /// Whether the nodes together stay within the rates that replicas name in their responses.
+    pub rate_limits: bool,
     /// Extra sub-requests for which credit remains after a hedge.
     pub reserved_retries: u32,
     /// Whether the time reserved for the answer's way to the caller follows the caller's round trips.
@@ -75,6 +77,7 @@
             postponement: true,
             preconnects: true,
             prolonged_retries: true,
+            rate_limits: true,
             reserved_retries: 1,
             round_trips: true,
             shared_gathers: true,
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -17,10 +17,10 @@
 use crate::admission::Admission;
 use crate::connect_latency::ConnectLatency;
 use crate::retained_notices::RetainedNotices;
+use crate::service::SendingRates;
 use crate::service::Service;
 
-/// Number of nodes that are assumed to share the rate of a cold (newly started) replica until
-/// their number is known.
+/// Number of nodes that are assumed to share the rate of a replica until their number is known.
 const ASSUMED_NODES: usize = 16;
 
 /// Part of a cold replica's stated rate that all nodes together use.
@@ -50,6 +50,7 @@
     nodes: usize,
     policy: Policy,
     pub(crate) rng: fastrand::Rng,
+    pub(crate) seed: u64,
     pub(crate) services: Vec<Service>,
     pub(crate) services_by_name: HashMap<Arc<str>, ServiceKey>,
     /// Data centres that operators evacuated: their replicas get no requests.
@@ -86,7 +87,7 @@
 
 impl Pool {
     /// Creates an empty pool for a node in `data_centre`; `seed` is for the random numbers
-    /// that vary the costs of replicas a little.
+    /// that vary the costs of replicas a little and spread the requests of nodes over time.
     #[must_use]
     pub fn new(data_centre: Arc<str>, seed: u64) -> Self {
         Self {
@@ -101,13 +102,14 @@
             nodes: ASSUMED_NODES,
             policy: Policy::default(),
             rng: fastrand::Rng::with_seed(seed),
+            seed,
             services: Vec::new(),
             services_by_name: HashMap::new(),
             evacuated: BTreeSet::new(),
         }
     }
 
-    /// Sets the number of nodes that share the rates of cold replicas.
+    /// Sets the number of nodes that share the rates of replicas.
     pub fn set_nodes(&mut self, nodes: usize) {
         self.nodes = nodes.max(1);
     }
@@ -139,6 +141,12 @@
         }
     }
 
+    /// Sets this node's share of the requests of all nodes to a service, from 0 to 1; the node uses
+    /// the same share of the limits that replicas of the service name.
+    pub fn set_sender_share(&mut self, service: ServiceKey, share: f64) {
+        self.services[service.0 as usize].sender_share = Some(share);
+    }
+
     /// Returns the key of a service; creates one for an unknown name.
     pub fn service_key(&mut self, name: &Arc<str>) -> ServiceKey {
         if let Some(key) = self.services_by_name.get(name) {
@@ -202,12 +210,11 @@
     #[must_use]
     pub fn last_resort(&self, now_us: u64, service: ServiceKey) -> Option<ReplicaKey> {
         let entry = &self.services[service.0 as usize];
-        let cold_interval_us = self.cold_interval_us(service);
+        let rates = self.sending_rates(service);
         let suspended = |key: &ReplicaKey| {
             let replica = self.replica(*key)?;
             let no_request = replica.in_flight == 0 && replica.health.last_request_failed();
-            let allowed = replica.accepts_requests(now_us)
-                && replica.within_cold_rate(now_us, cold_interval_us);
+            let allowed = replica.accepts_requests(now_us) && replica.within_rates(now_us, rates);
             (no_request && allowed).then_some((replica.health.suspended_until_us, *key))
         };
         let candidates = entry.replicas.iter().filter_map(suspended);
@@ -247,6 +254,16 @@
         cold_interval_us(entry.cold_rate_per_s, entry.senders.unwrap_or(self.nodes))
     }
 
+    /// Returns what this node may send to the replicas of a service that limit their rate.
+    pub(crate) fn sending_rates(&self, service: ServiceKey) -> SendingRates {
+        let known = self.services[service.0 as usize].sender_share;
+        let share = known.unwrap_or_else(|| 1.0 / self.nodes as f64);
+        SendingRates {
+            cold_interval_us: self.cold_interval_us(service),
+            limit_share: self.policy.rate_limits.then_some(share),
+        }
+    }
+
     /// Returns the usable replicas of a service with their expected costs, the lowest first.
     fn rank(
         &mut self,
@@ -254,7 +271,7 @@
         service: ServiceKey,
         tried: &[ReplicaKey],
     ) -> Vec<(f64, ReplicaKey)> {
-        let cold_interval_us = self.cold_interval_us(service);
+        let rates = self.sending_rates(service);
         let policy = self.policy;
         let rng = &mut self.rng;
         let entry = &self.services[service.0 as usize];
@@ -263,7 +280,7 @@
             let Some(replica) = self.arena[key.index as usize].replica.as_ref() else {
                 continue;
             };
-            let availability = replica.availability(now_us, cold_interval_us);
+            let availability = replica.availability(now_us, rates);
             if tried.contains(key) || availability != Availability::Ready {
                 continue;
             }
@@ -373,7 +390,10 @@
             return;
         };
         replica.in_flight += 1;
-        replica.notice_state.rate_limit.record_request();
+        if replica.limit_per_s().is_some() {
+            replica.notice_state.rate_limit.record_request();
+            replica.rate_allowance.record_request(now_us);
+        }
         if now_us < replica.warm_at_us {
             replica.last_cold_request_us = Some(now_us);
         }
@@ -449,12 +469,13 @@
     /// `service` may retry.
     #[must_use]
     pub fn retry_after_ms(&self, now_us: u64, service: ServiceKey) -> u64 {
+        let rates = self.sending_rates(service);
         let retry_at_us = self
             .replicas_of(service)
             .iter()
             .filter_map(|key| self.replica(*key))
             .filter(|replica| !replica.is_out_of_service(now_us))
-            .map(Replica::available_at_us)
+            .map(|replica| replica.available_at_us(now_us, rates))
             .min()
             .unwrap_or(u64::MAX);
         let wait_ms = retry_at_us.saturating_sub(now_us) / 1_000;
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -8,6 +8,8 @@
 use crate::ReplicaKey;
 use crate::health::Health;
 use crate::pool::ArenaSlot;
+use crate::rate_allowance::RateAllowance;
+use crate::rendezvous::hash_name;
 
 /// Adds and removes replicas as their registrations change.
 impl Pool {
@@ -150,6 +152,7 @@
             last_cold_request_us: cold.then_some(initial_cold_request_us),
             health: Health::new(now_us),
             in_flight: 0,
+            rate_allowance: RateAllowance::new(self.seed ^ hash_name(&id)),
             registration,
             removed_at_us: None,
             service,
--- a/crates/dispatch/src/rate_limit.rs
+++ b/crates/dispatch/src/rate_limit.rs
@@ -47,8 +47,6 @@
 
     /// Records a request to the replica.
     pub(crate) const fn record_request(&mut self) {
-        if self.per_s.is_some() {
-            self.requests += 1;
-        }
+        self.requests = self.requests.saturating_add(1);
     }
 }
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -4,6 +4,7 @@
 use crate::ServiceKey;
 use crate::health::Health;
 use crate::notice::NoticeState;
+use crate::rate_allowance::RateAllowance;
 
 /// What this node knows about a replica.
 #[derive(Debug)]
@@ -14,6 +15,8 @@
     pub(crate) health: Health,
     /// Number of this node's requests in flight.
     pub(crate) in_flight: u32,
+    /// Requests that this node may send while the replica limits their rate.
+    pub(crate) rate_allowance: RateAllowance,
     /// Newest registration of the replica.
     pub registration: Registration,
     /// Time at which the replica is dropped; `None` while its registration exists.
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -96,6 +96,34 @@
         by_service
     }
 
+    /// Returns this node's share of the requests of all nodes to each service, from 0 to 1: the mean
+    /// over the routes to the service. `shares` returns it for each leg of a gather; for all other
+    /// routes it is one of `nodes`.
+    pub fn sender_shares_by_service(
+        &self,
+        nodes: usize,
+        shares: impl Fn(&Route) -> Vec<f64>,
+    ) -> BTreeMap<ServiceKey, f64> {
+        let mut by_service: BTreeMap<ServiceKey, Vec<f64>> = BTreeMap::new();
+        for route in self.routes() {
+            let services = route.services();
+            let shares = match route.target {
+                RouteTarget::Gather { .. } => shares(route),
+                RouteTarget::Service(_) | RouteTarget::Split(_) => {
+                    vec![1.0 / nodes.max(1) as f64; services.len()]
+                }
+            };
+            for (service, share) in services.into_iter().zip(shares) {
+                by_service.entry(service).or_default().push(share);
+            }
+        }
+        let mean = |shares: Vec<f64>| shares.iter().sum::<f64>() / shares.len() as f64;
+        let means = by_service.into_iter();
+        means
+            .map(|(service, shares)| (service, mean(shares)))
+            .collect()
+    }
+
     /// Returns the number of services that would newly have no replica in service. For each route
     /// that is also in the `current` table, counts how many more of its services have none than in
     /// that table.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -24,10 +24,23 @@
     /// Requests per second that a cold (newly started) replica accepts from all nodes together; 0
     /// means no limit.
     pub(crate) cold_rate_per_s: f64,
+    /// This node's share of the requests of all nodes to the service, from 0 to 1; `None` until it
+    /// is known.
+    pub(crate) sender_share: Option<f64>,
     /// Number of nodes in all data centres that send to the service; `None` until it is known.
     pub(crate) senders: Option<usize>,
 }
 
+/// What this node may send to the replicas of a service that limit the rate of their requests.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SendingRates {
+    /// Minimum interval between two requests to a cold (newly started) replica.
+    pub(crate) cold_interval_us: u64,
+    /// This node's share of the limit that a replica names in its responses, from 0 to 1; `None` if
+    /// limits are ignored.
+    pub(crate) limit_share: Option<f64>,
+}
+
 impl Service {
     pub(crate) fn new(name: Arc<str>, allowance: ExtraAllowance) -> Self {
         Self {
@@ -36,6 +49,7 @@
             name,
             refusals: Cell::default(),
             replicas: Vec::new(),
+            sender_share: None,
             senders: None,
         }
     }
--- a/crates/entry/src/requests/group_parts.rs
+++ b/crates/entry/src/requests/group_parts.rs
@@ -25,7 +25,7 @@
 }
 
 /// The merged parts of a gather that one node collected.
-#[derive(Debug, Default, Eq, PartialEq)]
+#[derive(Debug, Default, PartialEq)]
 pub(crate) struct GroupParts {
     pub(crate) head: GroupHead,
     /// The greatest records of the parts, in descending order.
@@ -33,7 +33,7 @@
 }
 
 /// Head of a message with the parts that a node collected.
-#[derive(Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct GroupHead {
     /// Number of hedges and retries that the node sent.
     pub(crate) extra_sends: u32,
@@ -44,11 +44,22 @@
     pub(crate) leaving: Vec<String>,
     /// Legs whose parts the message holds.
     pub(crate) legs: Vec<usize>,
+    /// Limits of the rate that replicas named in their responses.
+    #[serde(default)]
+    pub(crate) limits: Vec<NamedLimit>,
     /// Receipts of the parts, the replicas' proofs that they ran the request, in the order of
     /// `legs`.
     pub(crate) receipts: Vec<String>,
 }
 
+/// The limit that a replica named in its response.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct NamedLimit {
+    /// Requests per second from all nodes together.
+    pub(crate) per_s: f64,
+    pub(crate) replica: String,
+}
+
 impl GroupParts {
     /// Merges parts into a message; a part without a receipt, or whose receipt is not text, is left
     /// out.
--- a/crates/entry/src/requests/group_stream.rs
+++ b/crates/entry/src/requests/group_stream.rs
@@ -60,6 +60,7 @@
         let legs = &self.legs;
         let new = self.query.take_parts();
         let leaving = self.query.draining_replicas(&new);
+        let limits = self.query.named_limits(&new);
         let new: Vec<_> = new
             .into_iter()
             .map(|(index, part)| (legs[index], part))
@@ -73,6 +74,7 @@
             extra_sends: exchange.extra_sends(),
             last,
             leaving,
+            limits,
             ..GroupHead::default()
         };
         GroupParts::merge(head, &new, top_records)
--- a/crates/entry/src/requests/query.rs
+++ b/crates/entry/src/requests/query.rs
@@ -13,11 +13,14 @@
 use tokio::time;
 
 use wigeonhall_adapter::LEAVING;
+use wigeonhall_adapter::RATE_LIMIT;
+use wigeonhall_adapter::rate_limit_per_s;
 use wigeonhall_dispatch::DeadReason;
 use wigeonhall_dispatch::Exchange;
 use wigeonhall_dispatch::LegState;
 use wigeonhall_dispatch::Outcome;
 use wigeonhall_dispatch::Pool;
+use wigeonhall_dispatch::Replica;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::Route;
@@ -30,6 +33,7 @@
 use crate::replicas::replica_client::OutgoingRequest;
 use crate::replicas::replica_response::ReplicaResponse;
 use crate::replicas::replica_response::SubRequestResult;
+use crate::requests::group_parts::NamedLimit;
 
 /// Time for which a sub-request may continue after its request was answered: longer than a typical
 /// pause of a replica, and short enough if the caller has disconnected meanwhile.
@@ -192,14 +196,31 @@
         let announcing = parts
             .iter()
             .filter(|(_, response)| response.headers.contains_key(&LEAVING));
-        let replica = |leg: usize| {
-            let LegState::Done(attempt) = self.exchange.legs().nth(leg)? else {
-                return None;
-            };
-            let key = self.exchange.replicas(leg).nth(attempt)?;
-            Some(pool.replica(key)?.id().to_string())
+        let id = |leg: usize| Some(self.replica_of_part(&pool, leg)?.id().to_string());
+        announcing.filter_map(|(leg, _)| id(*leg)).collect()
+    }
+
+    /// Returns the limits of the rate that replicas named in these responses.
+    pub(crate) fn named_limits(&self, parts: &[(usize, ReplicaResponse)]) -> Vec<NamedLimit> {
+        let pool = self.shared.pool.borrow();
+        let limits = parts.iter().filter_map(|(leg, response)| {
+            let per_s = response
+                .headers
+                .get(&RATE_LIMIT)
+                .and_then(rate_limit_per_s)?;
+            let replica = self.replica_of_part(&pool, *leg)?.id().to_string();
+            Some(NamedLimit { per_s, replica })
+        });
+        limits.collect()
+    }
+
+    /// Returns the replica whose response is the part of a leg.
+    fn replica_of_part<'a>(&self, pool: &'a Pool, leg: usize) -> Option<&'a Replica> {
+        let LegState::Done(attempt) = self.exchange.legs().nth(leg)? else {
+            return None;
         };
-        announcing.filter_map(|(leg, _)| replica(*leg)).collect()
+        let key = self.exchange.replicas(leg).nth(attempt)?;
+        pool.replica(key)
     }
 
     fn log_failed_sub_request(&self, sub_request: SubRequest, reply: Reply) {
--- a/crates/entry/src/requests/shared_gather.rs
+++ b/crates/entry/src/requests/shared_gather.rs
@@ -23,6 +23,7 @@
 use wigeonhall_dispatch::GiveUpReason;
 use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::Outcome;
+use wigeonhall_dispatch::RateLimit;
 use wigeonhall_dispatch::RelayGroup;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::Route;
@@ -39,6 +40,7 @@
 use crate::process::node_state::NodeState;
 use crate::replicas::replica_client::OutgoingRequest;
 use crate::requests::answer_summary::AnswerSummary;
+use crate::requests::group_parts::GroupHead;
 use crate::requests::group_parts::GroupParts;
 use crate::requests::group_stream;
 use crate::requests::query::Query;
@@ -250,25 +252,36 @@
     }
 
     fn add(&mut self, parts: GroupParts) {
-        self.apply_draining_notices(&parts.head.leaving);
+        self.apply_notices(&parts.head);
         self.extra_sends += parts.head.extra_sends;
         self.done.extend(&parts.head.legs);
         self.collected.push(parts);
     }
 
-    /// Stops sending to replicas that announced to a peer that they are draining, as if this node
-    /// had received their responses itself.
-    fn apply_draining_notices(&self, ids: &[String]) {
+    /// Heeds what replicas announced to a peer, that they are draining or limit their rate, as if
+    /// this node had received their responses itself.
+    fn apply_notices(&self, head: &GroupHead) {
+        for id in &head.leaving {
+            let notice = Notice {
+                draining: true,
+                ..Notice::default()
+            };
+            self.apply_notice(id, notice);
+        }
+        for limit in &head.limits {
+            let notice = Notice {
+                rate_limit: RateLimit::PerSecond(limit.per_s),
+                ..Notice::default()
+            };
+            self.apply_notice(&limit.replica, notice);
+        }
+    }
+
+    fn apply_notice(&self, replica: &str, notice: Notice) {
         let now_us = self.shared.clock.now_us();
-        let notice = Notice {
-            draining: true,
-            ..Notice::default()
-        };
-        for id in ids {
-            let key = self.shared.pool.borrow().key_of(id);
-            if let Some(key) = key {
-                self.shared.apply_notice(now_us, key, notice);
-            }
+        let key = self.shared.pool.borrow().key_of(replica);
+        if let Some(key) = key {
+            self.shared.apply_notice(now_us, key, notice);
         }
     }
 
