--- a/crates/measure/src/entry/entry_load.rs
+++ b/crates/measure/src/entry/entry_load.rs
@@ -39,6 +39,9 @@
     Dark,
     /// It is out of reach; connections to it are refused.
     Down,
+    /// It names a limit of its rate: this share of the requests that it gets in the calm. It
+    /// runs what it gets beyond that all the same.
+    Limited(f64),
     /// It resets this share of the connections after it ran the request.
     Reset(f64),
     /// It refuses this share of the requests without running them.
@@ -81,6 +84,24 @@
     ]
 }
 
+/// Returns a load in which replicas of most shards limit their rate to half of what they get in the
+/// calm: all replicas of these shards, or only one of each.
+#[must_use]
+pub fn limited_load(all_replicas: bool) -> EntryLoad {
+    EntryLoad {
+        faults: vec![EntryFault {
+            all_replicas,
+            from_us: FAULT_FROM_US,
+            kind: FaultKind::Limited(0.5),
+            share: 0.7,
+            until_us: 2 * RUN_US,
+        }],
+        load: 0.3,
+        name: "limited",
+        run_us: 2 * RUN_US,
+    }
+}
+
 /// Returns a load of which all replicas of all shards are out of reach for some seconds.
 #[must_use]
 pub fn outage_load(outage_us: u64) -> EntryLoad {
--- a/crates/measure/src/entry/entry_world.rs
+++ b/crates/measure/src/entry/entry_world.rs
@@ -11,6 +11,7 @@
 use crate::entry::DeploymentShape;
 use crate::entry::EntryLoad;
 use crate::entry::EntryResult;
+use crate::entry::FaultKind;
 use crate::entry::RouteResult;
 use crate::entry::budget_use::BudgetUse;
 use crate::entry::callers::Query;
@@ -19,6 +20,7 @@
 use crate::entry::entry_node::EntryNode;
 use crate::entry::fake_replica::FakeReplica;
 use crate::entry::fake_replica::fake_replicas;
+use crate::entry::limit_use::LimitUse;
 use crate::event_queue::EventQueue;
 
 /// The nodes of an entry tier with their callers and replicas.
@@ -27,6 +29,7 @@
     pub(crate) budget_use: BudgetUse,
     pub(crate) events: EventQueue<EntryEvent>,
     pub(crate) jobs: Vec<Job>,
+    pub(crate) limit_use: LimitUse,
     pub(crate) load: EntryLoad,
     pub(crate) nodes: Vec<EntryNode>,
     pub(crate) queries: Vec<Query>,
@@ -64,6 +67,7 @@
             budget_use: BudgetUse::new(shape.nodes, shape.shards),
             events: EventQueue::default(),
             jobs: Vec::new(),
+            limit_use: LimitUse::default(),
             nodes: nodes.collect(),
             queries: Vec::new(),
             replicas,
@@ -90,6 +94,7 @@
             self.handle(now_us, event);
         }
         self.result.worst_budget_use = self.budget_use.worst_share;
+        self.result.worst_limit_use = self.limit_use.worst_share;
         self.result
     }
 
@@ -100,14 +105,15 @@
             EntryEvent::AtReplica(job) => self.at_replica(now_us, job),
             EntryEvent::Done(job) => self.done(now_us, job),
             EntryEvent::Drop(query) => self.drop_leftovers(now_us, query),
-            EntryEvent::Fault(index) => self.set_fault(index, true),
-            EntryEvent::FaultEnd(index) => self.set_fault(index, false),
+            EntryEvent::Fault(index) => self.set_fault(now_us, index, true),
+            EntryEvent::FaultEnd(index) => self.set_fault(now_us, index, false),
             EntryEvent::Reply(job, reply) => self.reply(now_us, job, reply),
             EntryEvent::Timer(query) => self.timer(now_us, query),
         }
     }
 
-    fn set_fault(&mut self, index: usize, begins: bool) {
+    fn set_fault(&mut self, now_us: u64, index: usize, begins: bool) {
+        let usual_per_s = self.shape.capacity_per_s() * self.load.load / self.shape.replicas as f64;
         let fault = self.load.faults[index];
         let shards = (self.shape.shards as f64 * fault.share).ceil() as usize;
         for shard in 0..shards.min(self.shape.shards) {
@@ -117,8 +123,14 @@
                 1
             };
             let first = shard * self.shape.replicas;
-            for replica in &mut self.replicas[first..first + faulty] {
-                replica.fault = begins.then_some(fault.kind);
+            for replica in first..first + faulty {
+                self.replicas[replica].fault = begins.then_some(fault.kind);
+                match fault.kind {
+                    FaultKind::Limited(share) if begins => {
+                        self.limit_use.name(now_us, replica, share * usual_per_s);
+                    }
+                    _ => self.limit_use.lift(replica),
+                }
             }
         }
     }
--- a/crates/measure/src/entry/replica_events.rs
+++ b/crates/measure/src/entry/replica_events.rs
@@ -1,8 +1,11 @@
 use wigeonhall_dispatch::NotRunCause;
+use wigeonhall_dispatch::Notice;
+use wigeonhall_dispatch::RateLimit;
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::UnknownCause;
 
 use crate::entry::EntryWorld;
+use crate::entry::entry_job::Job;
 use crate::entry::entry_job::JobKey;
 use crate::entry::entry_world::EntryEvent;
 use crate::entry::fake_replica::Arrival;
@@ -20,6 +23,8 @@
             return;
         }
         let replica = self.jobs[job.0].replica;
+        let node = self.queries[self.jobs[job.0].query].node;
+        self.limit_use.arrive(now_us, replica, node);
         match self.replicas[replica].arrive(&mut self.rng, job) {
             Arrival::Dropped => {
                 let sub_request = &self.jobs[job.0].sub_request;
@@ -82,6 +87,9 @@
             return;
         }
         self.jobs[key.0].ended = true;
+        if reply != Reply::NotRun(NotRunCause::Unreachable) {
+            self.hear_limit(now_us, job);
+        }
         let query = &self.queries[job.query];
         let node = &mut self.nodes[query.node];
         let latency = &mut node.latencies[query.route];
@@ -98,6 +106,22 @@
         });
     }
 
+    /// Tells a node what the response to a job says about the rate that its replica accepts.
+    fn hear_limit(&mut self, now_us: u64, job: Job) {
+        let node = self.queries[job.query].node;
+        let limit_per_s = self.limit_use.limit_per_s(job.replica);
+        if limit_per_s.is_some() {
+            self.limit_use.hear(now_us, job.replica, node);
+        }
+        let notice = Notice {
+            rate_limit: limit_per_s.map_or(RateLimit::None, RateLimit::PerSecond),
+            ..Notice::default()
+        };
+        let replica = job.sub_request.replica;
+        let pool = &mut self.nodes[node].pool;
+        pool.apply_notice(now_us, job.sent_us, replica, notice);
+    }
+
     pub(crate) fn drop_leftovers(&mut self, now_us: u64, query: usize) {
         for key in std::mem::take(&mut self.queries[query].jobs) {
             let job = self.jobs[key.0];
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -83,6 +83,7 @@
 pub use entry::drawn_shapes;
 pub use entry::entry_loads;
 pub use entry::far_callers_shape;
+pub use entry::limited_load;
 pub use entry::lookup_shape;
 pub use entry::mean_benefit;
 pub use entry::outage_load;
--- a/crates/measure/tests/entry.rs
+++ b/crates/measure/tests/entry.rs
@@ -9,10 +9,12 @@
 use wigeonhall_measure::EntryLoad;
 use wigeonhall_measure::EntryResult;
 use wigeonhall_measure::EntryWorld;
+use wigeonhall_measure::FaultKind;
 use wigeonhall_measure::customer_shape;
 use wigeonhall_measure::drawn_shapes;
 use wigeonhall_measure::entry_loads;
 use wigeonhall_measure::far_callers_shape;
+use wigeonhall_measure::limited_load;
 use wigeonhall_measure::lookup_shape;
 use wigeonhall_measure::mean_benefit;
 use wigeonhall_measure::outage_load;
@@ -233,6 +235,40 @@
     }
 }
 
+/// Nodes know nothing of each other; together they must stay within the limit that a replica names,
+/// also where each of them sends to it only now and then.
+#[test]
+fn replicas_that_limit_their_rate_get_no_more_than_that() {
+    let shapes = [customer_shape(), single_slot_shape(), lookup_shape()];
+    for shape in shapes.into_iter().chain(drawn_shapes(2, 6)) {
+        for all_replicas in [false, true] {
+            let load = limited_load(all_replicas);
+            let used = play(&shape, &load, Policy::default()).worst_limit_use;
+            assert!(used <= 1.0, "{}, {all_replicas}: {used}", shape.name);
+        }
+    }
+}
+
+/// Replicas that limit their rate must still be used within the limit, for hedges and while their
+/// siblings pause.
+#[test]
+fn callers_get_more_beside_replicas_with_a_limit_than_beside_lost_ones() {
+    let limited = limited_load(false);
+    let mut lost = limited.clone();
+    lost.faults[0].kind = FaultKind::Down;
+    let drawn = drawn_shapes(2, 6);
+    for shapes in [
+        vec![customer_shape()],
+        vec![single_slot_shape()],
+        vec![lookup_shape()],
+        drawn,
+    ] {
+        let with = mean_benefit(&shapes, &limited, Policy::default(), &SEEDS);
+        let without = mean_benefit(&shapes, &lost, Policy::default(), &SEEDS);
+        assert!(with > without, "{}: {with} and {without}", shapes[0].name);
+    }
+}
+
 #[test]
 fn results_of_the_customer_shape_are_as_before() {
     let rows = entry_loads().into_iter().map(|load| {
