Log lists and messages that are older than a node's copy

Nothing in the logs said what a follower did with a message of its reader, nor that the store had gone back. Now each replaced or ignored collection is a line.

--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -8,6 +8,14 @@
 pub(crate) enum Event<'a> {
     /// The source of changes was switched to the store, to the peer named in `source`, or to none.
     ChangeSource { reason: &'a str, source: &'a str },
+    /// A list of the store is older than the copy that it replaces (`replaced`), or a message of a
+    /// peer is not newer than the copy and was not applied (`ignored`).
+    Collection {
+        copy: Option<u64>,
+        name: &'a str,
+        outcome: &'a str,
+        revision: u64,
+    },
     /// A configuration came into force, is held back, or was ignored as older than the current
     /// one; `lacking` counts the services that would newly have no replica in service.
     Configuration {
--- a/crates/entry/src/store/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -84,6 +84,9 @@
     ///
     /// Followers receive the difference to the previous copy as changes.
     pub(crate) fn apply_list(&self, objects: Vec<StoredObject>, revision: u64) {
+        if self.revision.get() > Some(revision) {
+            self.log_older(revision, "replaced");
+        }
         match self.revision.get() {
             Some(former) if former <= revision => {
                 match self.difference(&objects, former, revision) {
@@ -164,6 +167,7 @@
     /// When the body cannot be decoded.
     pub(crate) fn apply_snapshot(&self, body: &[u8], revision: u64) -> Result<(), UnpackError> {
         if self.revision.get() >= Some(revision) {
+            self.log_older(revision, "ignored");
             return Ok(());
         }
         let changes = packing::unpack(body)?.changes;
@@ -198,6 +202,9 @@
     /// When the body cannot be decoded.
     pub(crate) fn apply_peer_batch(&self, batch: &ChangeBatch) -> Result<BatchFit, UnpackError> {
         let fit = batch.fit(self.revision.get());
+        if fit == BatchFit::Applied && !batch.body.is_empty() {
+            self.log_older(batch.to, "ignored");
+        }
         if fit == BatchFit::Next {
             let changes = if batch.body.is_empty() {
                 Vec::new()
@@ -210,6 +217,16 @@
         Ok(fit)
     }
 
+    /// Logs what is done with a list or a message that is not newer than the copy.
+    fn log_older(&self, revision: u64, outcome: &str) {
+        self.shared.log(&Event::Collection {
+            copy: self.revision.get(),
+            name: self.collection.wire_name(),
+            outcome,
+            revision,
+        });
+    }
+
     fn apply_changes(&self, changes: Vec<ObjectChange>, revision: u64) {
         if !changes.is_empty() {
             self.apply_object_changes(&changes, revision);
