--- a/crates/node/tests/entry/feed.rs
+++ b/crates/node/tests/entry/feed.rs
@@ -147,6 +147,43 @@
     fleet.assert_change_arrives(2, fleet.followers());
 }
 
+/// Writes objects that no node reads, which use up revisions of the store.
+fn use_up_revisions(store: &StoreStandin) {
+    for number in 0..5 {
+        store.put(Collection::Nodes, &format!("other-{number}"), &json!({}));
+    }
+}
+
+/// The store gives revisions out again that the followers have applied in its former era.
+#[test]
+fn followers_apply_the_changes_of_a_store_that_was_restored_from_a_copy() {
+    let fleet = fleet();
+    fleet.store.keep_copy();
+    use_up_revisions(&fleet.store);
+    fleet.assert_change_arrives(2, 0..NODES);
+    fleet.store.set_down(true);
+    for node in &fleet.nodes {
+        wait_until("no node to follow", || source(node) == "store");
+    }
+    fleet.store.restore_copy();
+    fleet.store.set_down(false);
+    wait_until("exactly one reader", || {
+        fleet
+            .nodes
+            .iter()
+            .filter(|node| source(node) == "store")
+            .count()
+            == 1
+    });
+    fleet.assert_change_arrives(3, 0..NODES);
+    fleet.store.set_evacuated("north", true);
+    for node in &fleet.nodes {
+        wait_until("requests to an evacuated data centre to be refused", || {
+            ask(node.callers, "GET", "/first/x", "q", "").status == 503
+        });
+    }
+}
+
 /// The former reader follows the peer that reads the store in its place, which must still have
 /// all changes that the former reader has not received. Each collection changes before the store
 /// refuses the reader, so that the newest revisions of the collections differ.
--- a/crates/node/tests/entry/store.rs
+++ b/crates/node/tests/entry/store.rs
@@ -120,6 +120,64 @@
     });
 }
 
+/// Writes objects that no node reads until the store has the revision.
+fn use_up_revisions(store: &StoreStandin, revision: u64) {
+    while store.revision() < revision {
+        store.put(Collection::Nodes, "other", &json!({}));
+    }
+}
+
+/// The store gives revisions out again up to the one that the node has, so that watches go on without
+/// an error.
+#[test]
+fn a_node_misses_no_change_before_its_revision_after_the_store_is_restored() {
+    let replica = replica(1);
+    let (store, node) = deploy(routes(), &[&replica]);
+    store.keep_copy();
+    let mut more = routes();
+    more.push(route_to_a("two"));
+    store.configure(&configuration(2, more.clone()));
+    use_up_revisions(&store, store.revision() + 5);
+    wait_until("the second version", || status(&node, "/two/x") == 200);
+    store.set_evacuated("south", true);
+    node.logged(|line| line["event"] == "evacuation" && line["out"][0] == "south");
+    let before = store.revision();
+    store.set_down(true);
+    node.logged(|line| line["event"] == "dependency" && line["name"] == "config");
+    store.restore_copy();
+    more.push(route_to_a("three"));
+    store.configure(&configuration(3, more));
+    store.set_evacuated("east", true);
+    use_up_revisions(&store, before + 5);
+    store.set_down(false);
+    wait_until("the third version", || status(&node, "/three/x") == 200);
+    node.logged(|line| line["event"] == "evacuation" && line["out"] == json!(["east"]));
+}
+
+/// A list that may be stale shows the state before the store went back, with a revision that the
+/// store has given out again since.
+#[test]
+fn a_node_that_starts_from_a_list_of_the_former_era_misses_no_change() {
+    let replica = replica(1);
+    let store = StoreStandin::start().unwrap();
+    store.register(&replica.registration("north"));
+    store.configure(&configuration(1, routes()));
+    store.keep_copy();
+    let mut more = routes();
+    more.push(route_to_a("two"));
+    store.configure(&configuration(2, more.clone()));
+    use_up_revisions(&store, store.revision() + 5);
+    store.set_stale(true);
+    let before = store.revision();
+    store.restore_copy();
+    more.push(route_to_a("three"));
+    store.configure(&configuration(3, more));
+    use_up_revisions(&store, before + 5);
+    let node = Node::start(&store);
+    node.wait_ready();
+    wait_until("the third version", || status(&node, "/three/x") == 200);
+}
+
 /// Objects that another writer made malformed are reported; the others stay in use.
 #[test]
 fn malformed_objects_are_reported_and_ignored() {
