Compare revisions of the store by its era first

Cause: revisions were compared as bare numbers, although a restored store gives them out again. A follower that had applied revision 70 took the change that got 70 later for applied; a reader whose revision had been given out again went on watching from it and missed what came before. The class is a counter that is trusted across a restart of its owner. Ruled out by the logs: a wrong comparison of configuration versions.

A node that sees a newer era lists all collections anew, from a list that is not stale; changes never cross an era, followers get whole collections. Looked for elsewhere: registrations of replicas carry the time of their start, so their sequence is safe; configuration versions are the operators' and only rise; the list of nodes has no revision.

Nodes of this version and earlier ones do not follow each other, as the header and the messages of a follower changed; while both run, more of them read the store.

--- a/crates/dispatch/src/change_log.rs
+++ b/crates/dispatch/src/change_log.rs
@@ -2,21 +2,23 @@
 
 use bytes::Bytes;
 
+use crate::StoreRevision;
+
 /// Maximum number of batches in a log.
 const BATCHES_MAX: usize = 64;
 
 /// Maximum size of all batches in a log.
 const BYTES_MAX: usize = 512 * 1024;
 
-/// Changes of one collection between two revisions of the store.
+/// Changes of one collection between two revisions of the store in one era.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ChangeBatch {
     /// The changes as the store sent them; empty if there are none.
     pub body: Bytes,
     /// Store revision before the changes.
-    pub from: u64,
-    /// Store revision after the changes, not below `from`.
-    pub to: u64,
+    pub from: StoreRevision,
+    /// Store revision after the changes, in the era of `from` and not below it.
+    pub to: StoreRevision,
 }
 
 /// How a batch relates to the revision that a node has applied.
@@ -34,7 +36,7 @@
     /// Returns how the batch relates to a node that has applied all changes up to `revision`;
     /// `None` means that the node has not read a list yet.
     #[must_use]
-    pub const fn fit(&self, revision: Option<u64>) -> BatchFit {
+    pub fn fit(&self, revision: Option<StoreRevision>) -> BatchFit {
         match revision {
             Some(applied) if self.to <= applied => BatchFit::Applied,
             Some(applied) if self.from <= applied => BatchFit::Next,
@@ -50,12 +52,12 @@
     batches: VecDeque<ChangeBatch>,
     bytes: usize,
     /// Revision after which all changes are held; `None` before the collection was first listed.
-    from: Option<u64>,
+    from: Option<StoreRevision>,
 }
 
 impl ChangeLog {
     /// Drops all changes; the next batch is expected to begin at `revision`.
-    pub fn reset(&mut self, revision: u64) {
+    pub fn reset(&mut self, revision: StoreRevision) {
         self.batches.clear();
         self.bytes = 0;
         self.from = Some(revision);
@@ -85,7 +87,7 @@
     /// The first batch may also contain changes up to `revision`. Applying those again in
     /// order leads to the same state.
     #[must_use]
-    pub fn since(&self, revision: u64) -> Option<Vec<ChangeBatch>> {
+    pub fn since(&self, revision: StoreRevision) -> Option<Vec<ChangeBatch>> {
         if self.from? > revision {
             return None;
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -47,6 +47,7 @@
 mod shard_load;
 mod stop_limit;
 mod store_health;
+mod store_revision;
 
 pub use arrival::Arrival;
 pub use availability::Availability;
@@ -103,3 +104,4 @@
 pub use shard_load::ShardLoad;
 pub use stop_limit::StopLimit;
 pub use store_health::StoreHealth;
+pub use store_revision::StoreRevision;
--- a/crates/entry/src/peers/change_feed.rs
+++ b/crates/entry/src/peers/change_feed.rs
@@ -40,6 +40,9 @@
     /// sent since its start may be lost and are sent again.
     pub(crate) ended_outage_start_us: watch::Sender<u64>,
     source: watch::Sender<ChangeSource>,
+    /// Newest known era of the store, which rises when the store is restored from a copy; copies of
+    /// an earlier era must be read anew.
+    pub(crate) store_era: watch::Sender<u64>,
     /// Health of the store, from this node's health checks or those of the peer it follows.
     pub(crate) store_health: RefCell<StoreHealth>,
 }
@@ -53,6 +56,7 @@
             nodes_listed: watch::Sender::new(false),
             ended_outage_start_us: watch::Sender::new(0),
             source: watch::Sender::new(ChangeSource::Undecided),
+            store_era: watch::Sender::new(0),
             store_health: RefCell::default(),
         }
     }
@@ -83,12 +87,29 @@
 
     pub(crate) fn publish(&self, collection: Collection, batch: &ChangeBatch) {
         if self.has_followers() {
-            let batch = batch.clone();
-            // Fails only if the last follower has just disconnected.
-            drop(self.followers.send(FeedMessage::Batch(collection, batch)));
+            self.publish_message(FeedMessage::Batch(collection, batch.clone()));
         }
     }
 
+    pub(crate) fn publish_message(&self, message: FeedMessage) {
+        // Fails only if the last follower has just disconnected.
+        drop(self.followers.send(message));
+    }
+
+    /// Records the era that a response of the store or a message of a peer states; returns whether
+    /// it is newer than the known one.
+    pub(crate) fn observe_era(&self, era: u64) -> bool {
+        self.store_era.send_if_modified(|known| {
+            let newer = era > *known;
+            *known = era.max(*known);
+            newer
+        })
+    }
+
+    pub(crate) fn era(&self) -> u64 {
+        *self.store_era.borrow()
+    }
+
     pub(crate) fn subscribe(&self) -> broadcast::Receiver<FeedMessage> {
         self.followers.subscribe()
     }
--- a/crates/entry/src/peers/feed_client.rs
+++ b/crates/entry/src/peers/feed_client.rs
@@ -396,7 +396,7 @@
 
     fn apply(&mut self, message: FeedMessage) -> Option<FeedEnd> {
         match message {
-            FeedMessage::Heartbeat { age_ms } => self.apply_heartbeat(age_ms),
+            FeedMessage::Heartbeat { age_ms, era } => self.apply_heartbeat(age_ms, era),
             FeedMessage::Batch(collection, batch) => self.apply_batch(collection, &batch),
             FeedMessage::Snapshot {
                 body,
@@ -431,7 +431,13 @@
     }
 
     /// Applies a heartbeat: all that the peer sent before is current.
-    fn apply_heartbeat(&mut self, age_ms: u64) -> Option<FeedEnd> {
+    ///
+    /// The peer may not have noticed yet that the store was restored from a copy.
+    fn apply_heartbeat(&mut self, age_ms: u64, era: u64) -> Option<FeedEnd> {
+        self.shared.observe_era(era);
+        if era < self.shared.feed.era() || self.views.iter().any(|view| view.must_list()) {
+            return Some(FeedEnd::Gap);
+        }
         let now = Instant::now();
         let fresh = self
             .silence_limit
--- a/crates/entry/src/peers/feed_protocol.rs
+++ b/crates/entry/src/peers/feed_protocol.rs
@@ -11,9 +11,10 @@
 
 use wigeonhall_adapter::Collection;
 use wigeonhall_dispatch::ChangeBatch;
+use wigeonhall_dispatch::StoreRevision;
 
-/// Header with the revisions from which a follower needs changes, in the order of
-/// [`Collection::WATCHED`], separated by commas.
+/// Header with the revisions from which a follower needs changes, each with the era of the store
+/// before a dot, in the order of [`Collection::WATCHED`], separated by commas.
 pub(crate) const FOLLOW_HEADER: HeaderName = HeaderName::from_static("x-wigeonhall-follow");
 
 /// Path of the request to follow a node. It shows the purpose of the request if another server
@@ -26,29 +27,29 @@
 /// Flag in the kind of a collection's message that marks a snapshot.
 const SNAPSHOT_FLAG: u8 = 0x40;
 
-/// Size of a message head: the kind, two numbers and the length of the body.
-const HEAD_BYTES: usize = 1 + 8 + 8 + 4;
+/// Size of a message head: the kind, the era of the store, two numbers and the length of the body.
+const HEAD_BYTES: usize = 1 + 8 + 8 + 8 + 4;
 
 /// Largest body of a message; a response of the store is about 1 MB at most.
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 /// Revisions of the watched collections, in the order of [`Collection::WATCHED`]; `None` for
 /// one that the node has no copy of.
-pub(crate) type Revisions = [Option<u64>; Collection::WATCHED.len()];
+pub(crate) type Revisions = [Option<StoreRevision>; Collection::WATCHED.len()];
 
 /// A message from a node that reads the store to a follower.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum FeedMessage {
-    /// Heartbeat: the store answered this long ago and the sender's watches are healthy. Changes
-    /// may be delayed by the pause between two watches.
-    Heartbeat { age_ms: u64 },
+    /// Heartbeat: the store answered this long ago, in this era, and the sender's watches are
+    /// healthy. Changes may be delayed by the pause between two watches.
+    Heartbeat { age_ms: u64, era: u64 },
     /// Changes of a collection, compressed.
     Batch(Collection, ChangeBatch),
     /// All objects of a collection at a revision, compressed.
     Snapshot {
         body: Bytes,
         collection: Collection,
-        revision: u64,
+        revision: StoreRevision,
     },
 }
 
@@ -63,24 +64,30 @@
 impl FeedMessage {
     pub(crate) fn encode(&self) -> Bytes {
         let no_body = Bytes::new();
-        let (kind, first, second, body) = match self {
-            Self::Heartbeat { age_ms } => (HEARTBEAT_KIND, *age_ms, 0, &no_body),
-            Self::Batch(collection, batch) => {
-                (kind_of(*collection), batch.from, batch.to, &batch.body)
-            }
+        let (kind, era, first, second, body) = match self {
+            Self::Heartbeat { age_ms, era } => (HEARTBEAT_KIND, *era, *age_ms, 0, &no_body),
+            Self::Batch(collection, batch) => (
+                kind_of(*collection),
+                batch.to.era,
+                batch.from.number,
+                batch.to.number,
+                &batch.body,
+            ),
             Self::Snapshot {
                 body,
                 collection,
                 revision,
             } => (
                 kind_of(*collection) | SNAPSHOT_FLAG,
-                *revision,
-                *revision,
+                revision.era,
+                revision.number,
+                revision.number,
                 body,
             ),
         };
         let mut message = BytesMut::with_capacity(HEAD_BYTES + body.len());
         message.put_u8(kind);
+        message.put_u64(era);
         message.put_u64(first);
         message.put_u64(second);
         message.put_u32(body.len() as u32);
@@ -94,6 +101,7 @@
             return DecodedMessage::Incomplete;
         };
         let kind = head.get_u8();
+        let era = head.get_u64();
         let first = head.get_u64();
         let second = head.get_u64();
         let body_bytes = head.get_u32() as usize;
@@ -106,7 +114,7 @@
         received.advance(HEAD_BYTES);
         let body = received.split_to(body_bytes).freeze();
         if kind == HEARTBEAT_KIND {
-            return DecodedMessage::Whole(Self::Heartbeat { age_ms: first });
+            return DecodedMessage::Whole(Self::Heartbeat { age_ms: first, era });
         }
         let Some(collection) = Collection::WATCHED.get(usize::from(kind & !SNAPSHOT_FLAG)) else {
             return DecodedMessage::Malformed;
@@ -115,13 +123,19 @@
             return DecodedMessage::Whole(Self::Snapshot {
                 body,
                 collection: *collection,
-                revision: second,
+                revision: StoreRevision {
+                    era,
+                    number: second,
+                },
             });
         }
         let batch = ChangeBatch {
             body,
-            from: first,
-            to: second,
+            from: StoreRevision { era, number: first },
+            to: StoreRevision {
+                era,
+                number: second,
+            },
         };
         DecodedMessage::Whole(Self::Batch(*collection, batch))
     }
@@ -134,7 +148,8 @@
 
 /// Formats the value of [`FOLLOW_HEADER`].
 pub(crate) fn follow_value(revisions: &Revisions) -> Option<HeaderValue> {
-    let text = |revision: Option<u64>| revision.map_or_else(String::new, |it| it.to_string());
+    let text =
+        |revision: Option<StoreRevision>| revision.map_or_else(String::new, |it| it.to_string());
     let text = revisions.map(text).join(",");
     HeaderValue::from_str(&text).ok()
 }
@@ -145,8 +160,12 @@
     let text = headers.get(&FOLLOW_HEADER)?.to_str().ok()?;
     let revision = |part: &str| match part {
         "" => Some(None),
-        number => Some(Some(number.parse().ok()?)),
+        text => {
+            let (era, number) = text.split_once('.')?;
+            let (era, number) = (era.parse().ok()?, number.parse().ok()?);
+            Some(Some(StoreRevision { era, number }))
+        }
     };
-    let revisions: Option<Vec<Option<u64>>> = text.split(',').map(revision).collect();
+    let revisions: Option<Vec<Option<StoreRevision>>> = text.split(',').map(revision).collect();
     revisions?.try_into().ok()
 }
--- a/crates/entry/src/peers/feed_server.rs
+++ b/crates/entry/src/peers/feed_server.rs
@@ -45,6 +45,16 @@
     if !is_healthy(shared, views) {
         return Err(FeedRefusal::StoreUnavailable);
     }
+    let newest_era = revisions
+        .iter()
+        .flatten()
+        .map(|revision| revision.era)
+        .max();
+    if newest_era > Some(shared.feed.era()) {
+        // The store was restored from a copy, which this node has not noticed yet.
+        shared.feed.health_check_due.notify_one();
+        return Err(FeedRefusal::StoreUnavailable);
+    }
     let mut backlog = VecDeque::new();
     for (view, revision) in views.iter().zip(revisions) {
         let newer = revision.and_then(|revision| view.log.borrow().since(revision));
@@ -109,7 +119,7 @@
 
 /// Returns whether a collection must be listed again; until then its changes are unknown.
 fn is_listing(views: &CollectionViews) -> bool {
-    views.iter().any(|view| view.list_due.get())
+    views.iter().any(|view| view.must_list())
 }
 
 /// Whether a heartbeat may be sent to a follower.
@@ -146,7 +156,10 @@
                 message = self.receiver.recv() => return message.ok(),
                 _ = self.ticks.tick() => match self.heartbeat_state() {
                     HeartbeatState::Pending => {}
-                    HeartbeatState::Current { age_ms } => return Some(FeedMessage::Heartbeat { age_ms }),
+                    HeartbeatState::Current { age_ms } => {
+                        let era = self.shared.feed.era();
+                        return Some(FeedMessage::Heartbeat { age_ms, era });
+                    }
                     HeartbeatState::Ended => return None,
                 }
             }
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -11,10 +11,10 @@
     /// A list of the store is older than the copy that it replaces (`replaced`), or a message of a
     /// peer is not newer than the copy and was not applied (`ignored`).
     Collection {
-        copy: Option<u64>,
+        copy: Option<String>,
         name: &'a str,
         outcome: &'a str,
-        revision: u64,
+        revision: String,
     },
     /// A configuration came into force, is held back, or was ignored as older than the current
     /// one; `lacking` counts the services that would newly have no replica in service.
@@ -102,6 +102,9 @@
         readiness_address: SocketAddr,
         version: &'a str,
     },
+    /// The store was restored from a copy, and gives revisions out again; all collections are read
+    /// anew.
+    StoreRestored { era: u64, known: u64 },
     /// The process is stopping or has stopped.
     Stop { connections: usize, phase: &'a str },
     /// The settings file was reloaded.
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -167,6 +167,14 @@
         newest.map(|table| table.version)
     }
 
+    /// Records the era of the store that a response or a peer states, and logs a newer one.
+    pub(crate) fn observe_era(&self, era: u64) {
+        let known = self.feed.era();
+        if self.feed.observe_era(era) && known > 0 {
+            self.log(&Event::StoreRestored { era, known });
+        }
+    }
+
     pub(crate) fn log(&self, event: &Event<'_>) {
         self.events.enqueue(self.clock.now_us(), event);
     }
--- a/crates/entry/src/store/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -20,6 +20,7 @@
 use wigeonhall_dispatch::Registration;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::RouteTable;
+use wigeonhall_dispatch::StoreRevision;
 
 use crate::peers::feed_protocol::FeedMessage;
 use crate::peers::packing;
@@ -46,10 +47,10 @@
     /// The objects of the collection at `revision`, by name.
     objects: RefCell<BTreeMap<Arc<str>, StoredObject>>,
     /// Revision of the copy; `None` before the first list.
-    pub(crate) revision: Cell<Option<u64>>,
+    pub(crate) revision: Cell<Option<StoreRevision>>,
     pub(crate) shared: Rc<NodeState>,
     /// Cached message with the whole collection and its revision, reused for all followers.
-    snapshot: RefCell<Option<(u64, FeedMessage)>>,
+    snapshot: RefCell<Option<(StoreRevision, FeedMessage)>>,
 }
 
 impl CollectionView {
@@ -82,13 +83,16 @@
 
     /// Replaces the copy with the whole collection as of a revision.
     ///
-    /// Followers receive the difference to the previous copy as changes.
-    pub(crate) fn apply_list(&self, objects: Vec<StoredObject>, revision: u64) {
+    /// Followers receive the difference to the previous copy as changes, or the whole collection if
+    /// the store was restored from a copy since.
+    pub(crate) fn apply_list(&self, objects: Vec<StoredObject>, revision: StoreRevision) {
+        let former = self.revision.get();
+        let restored = former.is_some_and(|former| former.era < revision.era);
         if self.revision.get() > Some(revision) {
             self.log_older(revision, "replaced");
         }
-        match self.revision.get() {
-            Some(former) if former <= revision => {
+        match former {
+            Some(former) if former <= revision && !restored => {
                 match self.difference(&objects, former, revision) {
                     Ok(batch) => {
                         self.shared.feed.publish(self.collection, &batch);
@@ -102,7 +106,7 @@
             }
             Some(_) | None => self.log.borrow_mut().reset(revision),
         }
-        self.apply_listed_objects(&objects, revision);
+        self.apply_listed_objects(&objects, revision.number);
         let by_name = objects
             .into_iter()
             .map(|object| (object.name.clone(), object));
@@ -110,25 +114,36 @@
         self.revision.set(Some(revision));
         self.catch_up_due.set(false);
         self.list_due.set(false);
+        if restored && self.shared.feed.has_followers() {
+            let snapshot = self.snapshot().into_iter();
+            snapshot.for_each(|message| self.shared.feed.publish_message(message));
+        }
+    }
+
+    /// Whether the collection must be listed before it can be watched.
+    pub(crate) fn must_list(&self) -> bool {
+        let era = self.shared.feed.era();
+        let current_era = |revision: StoreRevision| revision.era >= era;
+        self.list_due.get() || !self.revision.get().is_some_and(current_era)
     }
 
     /// Returns the changes that lead from the copy at `former` to the listed objects.
     fn difference(
         &self,
         objects: &[StoredObject],
-        former: u64,
-        revision: u64,
+        former: StoreRevision,
+        revision: StoreRevision,
     ) -> Result<ChangeBatch, DecodeError> {
         let changed: Vec<&StoredObject> = objects
             .iter()
-            .filter(|object| object.revision > former)
+            .filter(|object| object.revision > former.number)
             .collect();
         let names: BTreeSet<&Arc<str>> = objects.iter().map(|object| &object.name).collect();
         let known = self.objects.borrow();
         let deleted = known.keys().filter(|name| !names.contains(name));
         let deleted: Vec<Arc<str>> = deleted.cloned().collect();
         Ok(ChangeBatch {
-            body: packing::pack(&encode_changes(&changed, &deleted, revision)?),
+            body: packing::pack(&encode_changes(&changed, &deleted, revision.number)?),
             from: former,
             to: revision,
         })
@@ -144,7 +159,7 @@
         }
         let objects = self.objects.borrow();
         let all: Vec<&StoredObject> = objects.values().collect();
-        let body = match encode_changes(&all, &[], revision) {
+        let body = match encode_changes(&all, &[], revision.number) {
             Ok(body) => body,
             Err(error) => {
                 log::error!("cannot encode a collection: {error}");
@@ -165,7 +180,11 @@
     /// # Errors
     ///
     /// When the body cannot be decoded.
-    pub(crate) fn apply_snapshot(&self, body: &[u8], revision: u64) -> Result<(), UnpackError> {
+    pub(crate) fn apply_snapshot(
+        &self,
+        body: &[u8],
+        revision: StoreRevision,
+    ) -> Result<(), UnpackError> {
         if self.revision.get() >= Some(revision) {
             self.log_older(revision, "ignored");
             return Ok(());
@@ -218,18 +237,18 @@
     }
 
     /// Logs what is done with a list or a message that is not newer than the copy.
-    fn log_older(&self, revision: u64, outcome: &str) {
+    fn log_older(&self, revision: StoreRevision, outcome: &str) {
         self.shared.log(&Event::Collection {
-            copy: self.revision.get(),
+            copy: self.revision.get().map(|copy| copy.to_string()),
             name: self.collection.wire_name(),
             outcome,
-            revision,
+            revision: revision.to_string(),
         });
     }
 
-    fn apply_changes(&self, changes: Vec<ObjectChange>, revision: u64) {
+    fn apply_changes(&self, changes: Vec<ObjectChange>, revision: StoreRevision) {
         if !changes.is_empty() {
-            self.apply_object_changes(&changes, revision);
+            self.apply_object_changes(&changes, revision.number);
             self.update_objects(changes);
         }
         self.revision.set(Some(revision));
--- a/crates/entry/src/store/peer_registry.rs
+++ b/crates/entry/src/store/peer_registry.rs
@@ -183,8 +183,8 @@
     let mut after: Option<Arc<str>> = None;
     loop {
         let path = list_path(Collection::Nodes, after.as_deref(), Freshness::Stale);
-        let body = client.get(call, &path, CALL_TIMEOUT).await?;
-        let page = decode_listing(&body).map_err(StoreError::Decode)?;
+        let response = client.get(call, &path, CALL_TIMEOUT).await?;
+        let page = decode_listing(&response.body).map_err(StoreError::Decode)?;
         after = page.objects.last().map(|object| object.name.clone());
         nodes.extend(
             page.objects
--- a/crates/entry/src/store/store_client.rs
+++ b/crates/entry/src/store/store_client.rs
@@ -15,6 +15,8 @@
 
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::DecodeError;
+use wigeonhall_adapter::STORE_ERA;
+use wigeonhall_adapter::store_era;
 
 use crate::net::http_client;
 use crate::net::http_client::HttpSender;
@@ -35,6 +37,8 @@
     Decode(DecodeError),
     /// The store no longer has the changes after the given revision.
     HistoryGone,
+    /// The response is of another era of the store than expected: the store was restored from a copy.
+    OtherEra,
     /// The store responded with an error status.
     Status(StatusCode),
     /// No response arrived in time.
@@ -49,6 +53,7 @@
         match self {
             Self::Decode(_) => "undecodable",
             Self::HistoryGone => "history_gone",
+            Self::OtherEra => "other_era",
             Self::Status(_) => "refused",
             Self::Timeout => "timeout",
             Self::Transport(_) => "broken",
@@ -61,6 +66,7 @@
         match self {
             Self::Decode(error) => write!(f, "{error}"),
             Self::HistoryGone => f.write_str("the history after the revision is gone"),
+            Self::OtherEra => f.write_str("the store was restored from a copy"),
             Self::Status(status) => write!(f, "status {status}"),
             Self::Timeout => f.write_str("no response in time"),
             Self::Transport(error) => f.write_str(error),
@@ -68,6 +74,15 @@
     }
 }
 
+/// A successful response of the store.
+#[derive(Debug)]
+pub(crate) struct StoreResponse {
+    pub(crate) body: Bytes,
+    /// Era of the store, which rises when the store is restored from a copy; `None` if the response
+    /// does not state it.
+    pub(crate) era: Option<u64>,
+}
+
 /// A client of the platform's store over one connection, which is reopened after a failure.
 #[derive(Debug)]
 pub(crate) struct StoreClient {
@@ -96,7 +111,7 @@
         call: StoreCall,
         path: &str,
         timeout: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreResponse, StoreError> {
         self.call_with_timeout(call, Method::GET, path, Bytes::new(), timeout)
             .await
     }
@@ -109,7 +124,7 @@
         path: &str,
         body: String,
         timeout: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreResponse, StoreError> {
         let call = StoreCall {
             collection,
             purpose: CallPurpose::Write,
@@ -125,7 +140,7 @@
         path: &str,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreResponse, StoreError> {
         // Counted before the response arrives: a call that is dropped meanwhile still costs money.
         self.count(call, "sent");
         let result = match time::timeout(timeout, self.call(method, path, body)).await {
@@ -146,7 +161,12 @@
         self.calls.with_label_values(&labels).inc();
     }
 
-    async fn call(&mut self, method: Method, path: &str, body: Bytes) -> Result<Bytes, StoreError> {
+    async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<StoreResponse, StoreError> {
         let mut sender = self.take_connection().await?;
         let request = Request::builder()
             .method(method)
@@ -160,6 +180,7 @@
             .await
             .map_err(transport_error)?;
         let status = response.status();
+        let era = response.headers().get(&STORE_ERA).and_then(store_era);
         let body = Limited::new(response.into_body(), RESPONSE_BYTES_MAX)
             .collect()
             .await
@@ -167,7 +188,7 @@
             .to_bytes();
         self.sender = Some(sender);
         match status {
-            StatusCode::OK | StatusCode::CREATED => Ok(body),
+            StatusCode::OK | StatusCode::CREATED => Ok(StoreResponse { body, era }),
             StatusCode::GONE => Err(StoreError::HistoryGone),
             status => Err(StoreError::Status(status)),
         }
--- a/crates/entry/src/store/store_health.rs
+++ b/crates/entry/src/store/store_health.rs
@@ -59,7 +59,10 @@
         }
         let sent_us = shared.clock.now_us();
         match client.get(check, &path, CHECK_TIMEOUT).await {
-            Ok(_) => {
+            Ok(response) => {
+                if let Some(era) = response.era {
+                    shared.observe_era(era);
+                }
                 shared
                     .feed
                     .store_health
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -20,6 +20,7 @@
 use wigeonhall_adapter::list_path;
 use wigeonhall_adapter::watch_path;
 use wigeonhall_dispatch::ChangeBatch;
+use wigeonhall_dispatch::StoreRevision;
 use wigeonhall_dispatch::watch_pause_ms;
 
 use crate::peers::change_feed::ChangeSource;
@@ -28,6 +29,7 @@
 use crate::store::store_call::StoreCall;
 use crate::store::store_client::StoreClient;
 use crate::store::store_client::StoreError;
+use crate::store::store_client::StoreResponse;
 
 /// Longest wait of one watch. A longer wait saves calls, which cost money, but followers
 /// continue from the revision of the last watch, which must still be in the store's history.
@@ -128,7 +130,7 @@
         self.wait_for_store().await;
         self.wait_for_replicas().await;
         let result = match self.view.revision.get() {
-            Some(revision) if !self.view.list_due.get() => self.watch(revision).await,
+            Some(revision) if !self.view.must_list() => self.watch(revision).await,
             Some(_) | None => self.list().await,
         };
         match result {
@@ -146,14 +148,18 @@
                 let pause_ms = watch_pause_ms(changes, self.bound_ms());
                 time::sleep(Duration::from_millis(pause_ms)).await;
             }
-            Err(StoreError::HistoryGone) => {
-                self.view.list_due.set(true);
-                self.freshness = Freshness::Current;
-            }
+            Err(StoreError::HistoryGone) => self.list_anew(),
+            // A list that is not stale either must not be repeated without a pause.
+            Err(StoreError::OtherEra) if !self.view.list_due.get() => self.list_anew(),
             Err(error) => self.handle_failure(&error),
         }
     }
 
+    fn list_anew(&mut self) {
+        self.view.list_due.set(true);
+        self.freshness = Freshness::Current;
+    }
+
     /// Waits while an outage of the store is suspected, and backs off after calls that failed
     /// although the store passed health checks. A node that may follow a peer first gives the
     /// readers time to catch up.
@@ -198,23 +204,37 @@
         }
     }
 
+    /// Returns the era of a response; the newest known one if the response states none.
+    fn observe_era(&self, response: &StoreResponse) -> u64 {
+        let shared = &self.view.shared;
+        let era = response.era.unwrap_or_else(|| shared.feed.era());
+        shared.observe_era(era);
+        era
+    }
+
     /// Lists the whole collection. Returns 0 changes, so that the next watch follows without a
     /// pause.
     async fn list(&mut self) -> Result<usize, StoreError> {
         let mut objects = Vec::new();
         let mut after: Option<Arc<str>> = None;
+        let mut list_era = None;
         let call = self.call(match self.freshness {
             Freshness::Current => CallPurpose::List,
             Freshness::Stale => CallPurpose::StaleList,
         });
         let revision = loop {
             let path = list_path(self.view.collection, after.as_deref(), self.freshness);
-            let body = self.client.get(call, &path, LIST_TIMEOUT).await?;
-            let page = decode_listing(&body).map_err(StoreError::Decode)?;
+            let response = self.client.get(call, &path, LIST_TIMEOUT).await?;
+            let era = self.observe_era(&response);
+            if *list_era.get_or_insert(era) != era || era < self.view.shared.feed.era() {
+                return Err(StoreError::OtherEra);
+            }
+            let page = decode_listing(&response.body).map_err(StoreError::Decode)?;
             after = page.objects.last().map(|object| object.name.clone());
             objects.extend(page.objects);
             if !page.more || after.is_none() {
-                break page.revision;
+                let number = page.revision;
+                break StoreRevision { era, number };
             }
         };
         self.view.apply_list(objects, revision);
@@ -222,37 +242,49 @@
     }
 
     /// Waits for changes, applies them and returns their number.
-    async fn watch(&mut self, revision: u64) -> Result<usize, StoreError> {
+    async fn watch(&mut self, revision: StoreRevision) -> Result<usize, StoreError> {
         let (wait_ms, purpose) = if self.view.catch_up_due.get() {
             (CATCH_UP_WAIT_MS, CallPurpose::CatchUp)
         } else {
             (WATCH_WAIT.as_millis() as u64, CallPurpose::Watch)
         };
-        let path = watch_path(self.view.collection, revision, wait_ms);
+        let path = watch_path(self.view.collection, revision.number, wait_ms);
         let shared = &self.view.shared;
         let ended_outages = shared.feed.ended_outage_start_us.subscribe();
         let mut watch_lost = pin!(wait_for_outage_end(ended_outages, shared.clock.now_us()));
+        let mut newer_era = shared.feed.store_era.subscribe();
         let call = self.call(purpose);
         let call = self
             .client
             .get(call, &path, WATCH_WAIT + WATCH_TIMEOUT_MARGIN);
-        let body = tokio::select! {
-            body = call => body?,
+        let response = tokio::select! {
+            response = call => response?,
             () = &mut watch_lost => {
                 self.client.disconnect();
                 return Ok(0);
             }
+            _ = newer_era.wait_for(|era| *era > revision.era) => {
+                // The watch waits for changes after a revision of the former era.
+                self.client.disconnect();
+                return Err(StoreError::OtherEra);
+            }
         };
-        let response = decode_changes(&body).map_err(StoreError::Decode)?;
-        let body = if response.changes.is_empty() {
+        if self.observe_era(&response) != revision.era {
+            return Err(StoreError::OtherEra);
+        }
+        let changes = decode_changes(&response.body).map_err(StoreError::Decode)?;
+        let body = if changes.changes.is_empty() {
             Bytes::new()
         } else {
-            body
+            response.body
         };
         let batch = ChangeBatch {
             body,
             from: revision,
-            to: response.revision,
+            to: StoreRevision {
+                era: revision.era,
+                number: changes.revision,
+            },
         };
         self.view
             .apply_store_batch(&batch)
@@ -260,9 +292,8 @@
     }
 
     fn handle_failure(&mut self, error: &StoreError) {
-        if matches!(error, StoreError::Decode(_)) {
-            self.view.list_due.set(true);
-            self.freshness = Freshness::Current;
+        if matches!(error, StoreError::Decode(_) | StoreError::OtherEra) {
+            self.list_anew();
         }
         let shared = &self.view.shared;
         self.view.mark_unavailable(&error.to_string());
