Do not take back evacuations and departures when the store is restored

A restored store lacks its newest writes until their writers repeat them, and lists what was removed since its copy was made. Nodes that list it anew took its word: they sent again to a data centre that operators had taken out seconds before, and to replicas that had left without reporting that they drain.

Now an evacuation that the copy lacks holds until operators had time to write it again, and a registration that was written before its replica was dropped does not bring it back; a later one does. A restoration counts as the end of an outage, so that missing registrations are awaited as long.

--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -44,11 +44,6 @@
         changed
     }
 
-    /// Whether a notice is in force.
-    pub(crate) const fn in_force(&self, now_us: u64) -> bool {
-        self.draining || self.hold_off_in_force(now_us) || self.rate_limit.per_s.is_some()
-    }
-
     /// Whether the hold-off is still in force.
     pub(crate) const fn hold_off_in_force(&self, now_us: u64) -> bool {
         now_us < self.hold_off_until_us
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -16,7 +17,7 @@
 use crate::ServiceSpec;
 use crate::admission::Admission;
 use crate::connect_latency::ConnectLatency;
-use crate::retained_notices::RetainedNotices;
+use crate::departed_replicas::DepartedReplicas;
 use crate::service::SendingRates;
 use crate::service::Service;
 
@@ -43,8 +44,8 @@
     pub(crate) data_centre: Arc<str>,
     /// Extra sub-requests, that is hedges and retries, that operators allow for each service.
     extra_allowance: ExtraAllowance,
-    /// Notices of dropped replicas, for replicas that register again.
-    pub(crate) retained_notices: RetainedNotices,
+    /// Dropped replicas, some of which register again.
+    pub(crate) departed: DepartedReplicas,
     pub(crate) free_slots: Vec<u32>,
     /// Number of nodes in all data centres.
     nodes: usize,
@@ -55,6 +56,9 @@
     pub(crate) services_by_name: HashMap<Arc<str>, ServiceKey>,
     /// Data centres that operators evacuated: their replicas get no requests.
     pub(crate) evacuated: BTreeSet<Arc<str>>,
+    /// Those of `evacuated` that a restored store lacks, each with the time until which operators
+    /// may write it again.
+    pub(crate) lost_evacuations: BTreeMap<Arc<str>, u64>,
 }
 
 /// Kind of an extra sub-request.
@@ -97,7 +101,7 @@
             connect_latency: ConnectLatency::default(),
             data_centre,
             extra_allowance: ExtraAllowance::default(),
-            retained_notices: RetainedNotices::default(),
+            departed: DepartedReplicas::default(),
             free_slots: Vec::new(),
             nodes: ASSUMED_NODES,
             policy: Policy::default(),
@@ -106,6 +110,7 @@
             services: Vec::new(),
             services_by_name: HashMap::new(),
             evacuated: BTreeSet::new(),
+            lost_evacuations: BTreeMap::new(),
         }
     }
 
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -9,6 +9,7 @@
 use crate::health::Health;
 use crate::pool::ArenaSlot;
 use crate::rate_allowance::RateAllowance;
+use crate::store_health::REMOVAL_DELAY_AFTER_OUTAGE_US;
 
 /// Adds and removes replicas as their registrations change.
 impl Pool {
@@ -80,8 +81,75 @@
             .collect()
     }
 
+    /// Applies a complete list of registrations of a store that was restored from an older copy.
+    ///
+    /// Replicas that have left since the copy was made are listed again, and stay out of use.
+    pub fn register_restored(
+        &mut self,
+        now_us: u64,
+        registrations: Vec<Registration>,
+        missing_at_us: u64,
+    ) -> Vec<ReplicaKey> {
+        let present = registrations.into_iter();
+        let present = present
+            .filter(|item| !self.precedes_removal(item))
+            .collect();
+        self.register_all(now_us, present, missing_at_us)
+    }
+
+    /// Whether a registration was written before that of its replica was removed.
+    fn precedes_removal(&self, registration: &Registration) -> bool {
+        let replica = self
+            .key_of(&registration.id)
+            .and_then(|key| self.replica(key));
+        let Some(replica) = replica else {
+            return self.departed.precedes_departure(registration);
+        };
+        let known = &replica.registration;
+        replica.removed_at_us.is_some()
+            && (registration.started_unix_ms, registration.sequence)
+                <= (known.started_unix_ms, known.sequence)
+    }
+
     /// Sets the data centres that operators evacuated; their replicas get no requests.
     pub fn set_evacuated_data_centres(&mut self, data_centres: BTreeSet<Arc<str>>) {
+        self.lost_evacuations
+            .retain(|name, _| !data_centres.contains(name));
+        let lost = self.lost_evacuations.keys().cloned();
+        self.apply_evacuated(data_centres.into_iter().chain(lost).collect());
+    }
+
+    /// Sets the data centres that operators evacuated by a store that was restored from an older
+    /// copy. Those that it lacks stay evacuated until operators had time to write them again.
+    pub fn restore_evacuated_data_centres(
+        &mut self,
+        now_us: u64,
+        data_centres: BTreeSet<Arc<str>>,
+    ) {
+        let until_us = now_us + REMOVAL_DELAY_AFTER_OUTAGE_US;
+        let lost = self.evacuated.difference(&data_centres).cloned();
+        self.lost_evacuations = lost.map(|name| (name, until_us)).collect();
+        self.set_evacuated_data_centres(data_centres);
+    }
+
+    /// Ends the evacuations that a restored store lacks and that were not written again in time.
+    fn sweep_evacuations(&mut self, now_us: u64) {
+        let ended = |until_us: &u64| *until_us <= now_us;
+        if !self.lost_evacuations.values().any(ended) {
+            return;
+        }
+        let mut data_centres = self.evacuated.clone();
+        self.lost_evacuations.retain(|name, until_us| {
+            let ended = ended(until_us);
+            if ended {
+                data_centres.remove(name);
+            }
+            !ended
+        });
+        self.apply_evacuated(data_centres);
+    }
+
+    fn apply_evacuated(&mut self, data_centres: BTreeSet<Arc<str>>) {
         for replica in self
             .arena
             .iter_mut()
@@ -107,7 +175,8 @@
         for key in &expired {
             self.remove(now_us, *key);
         }
-        self.retained_notices.sweep(now_us);
+        self.departed.sweep(now_us);
+        self.sweep_evacuations(now_us);
         expired
     }
 
@@ -139,9 +208,8 @@
     ) -> ReplicaKey {
         let service = self.service_key(&registration.service);
         let id = registration.id.clone();
-        let notice_state = self
-            .retained_notices
-            .take(&id, registration.started_unix_ms);
+        let started_unix_ms = registration.started_unix_ms;
+        let notice_state = self.departed.take_notices(&id, started_unix_ms);
         // A cold (newly started) replica gets one request from each node in an interval; a random
         // offset spreads the first requests of all nodes over it.
         let interval_us = self.cold_interval_us(service) as f64;
@@ -194,7 +262,7 @@
             return;
         };
         slot.generation += 1;
-        self.retained_notices.keep(now_us, &replica);
+        self.departed.keep(now_us, &replica);
         self.free_slots.push(key.index);
         self.by_id.remove(&replica.registration.id);
         let replicas = &mut self.services[replica.service.0 as usize].replicas;
--- a/crates/dispatch/src/store_health.rs
+++ b/crates/dispatch/src/store_health.rs
@@ -5,7 +5,7 @@
 /// Time for which a replica is still used after its registration was removed, during an
 /// outage of the store and right after it; registrations that lapsed in the outage are restored
 /// about two seconds after its end.
-const REMOVAL_DELAY_AFTER_OUTAGE_US: u64 = 2_300_000;
+pub(crate) const REMOVAL_DELAY_AFTER_OUTAGE_US: u64 = 2_300_000;
 
 /// Time after which a caller may retry while the node reads its first configuration.
 const START_RETRY_MS: u64 = 200;
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -168,9 +168,16 @@
     }
 
     /// Records the era of the store that a response or a peer states, and logs a newer one.
+    ///
+    /// The writes that the store has lost are repeated as after an outage.
     pub(crate) fn observe_era(&self, era: u64) {
         let known = self.feed.era();
         if self.feed.observe_era(era) && known > 0 {
+            let now_us = self.clock.now_us();
+            self.feed
+                .store_health
+                .borrow_mut()
+                .record_outage_end(now_us, now_us);
             self.log(&Event::StoreRestored { era, known });
         }
     }
--- a/crates/entry/src/store/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -106,7 +106,7 @@
             }
             Some(_) | None => self.log.borrow_mut().reset(revision),
         }
-        self.apply_listed_objects(&objects, revision.number);
+        self.apply_listed_objects(&objects, revision.number, restored);
         let by_name = objects
             .into_iter()
             .map(|object| (object.name.clone(), object));
@@ -304,7 +304,8 @@
         Some(unavailable_since_us)
     }
 
-    fn apply_listed_objects(&self, objects: &[StoredObject], revision: u64) {
+    /// Applies a list; `restored` if it is the first one after the store was restored from a copy.
+    fn apply_listed_objects(&self, objects: &[StoredObject], revision: u64, restored: bool) {
         match self.collection {
             Collection::Configuration => {
                 for object in objects {
@@ -314,7 +315,7 @@
             Collection::Evacuations => {
                 let names = objects.iter().map(|object| object.name.clone());
                 self.evacuated.replace(names.collect());
-                self.apply_evacuations(revision);
+                self.apply_evacuations(revision, restored);
             }
             Collection::Nodes => {}
             Collection::Replicas => {
@@ -323,7 +324,11 @@
                 let now_us = self.shared.clock.now_us();
                 let missing_at_us = now_us + self.removal_delay_us(now_us);
                 let mut pool = self.shared.pool.borrow_mut();
-                let new = pool.register_all(now_us, registrations, missing_at_us);
+                let new = if restored {
+                    pool.register_restored(now_us, registrations, missing_at_us)
+                } else {
+                    pool.register_all(now_us, registrations, missing_at_us)
+                };
                 drop(pool);
                 self.replicas_changed(&new, revision);
             }
@@ -346,7 +351,7 @@
                         evacuated.insert(change.object.name.clone());
                     }
                 }
-                self.apply_evacuations(revision);
+                self.apply_evacuations(revision, false);
             }
             Collection::Nodes => {}
             Collection::Replicas => self.apply_replicas(changes, revision),
@@ -424,16 +429,19 @@
         route_switch::set_pending(shared, table);
     }
 
-    fn apply_evacuations(&self, revision: u64) {
+    fn apply_evacuations(&self, revision: u64, restored: bool) {
         let evacuated = self.evacuated.borrow();
         self.shared.log(&Event::Evacuation {
             out: evacuated.iter().map(|name| &**name).collect(),
             revision,
         });
-        self.shared
-            .pool
-            .borrow_mut()
-            .set_evacuated_data_centres(evacuated.clone());
+        let mut pool = self.shared.pool.borrow_mut();
+        if restored {
+            let now_us = self.shared.clock.now_us();
+            pool.restore_evacuated_data_centres(now_us, evacuated.clone());
+        } else {
+            pool.set_evacuated_data_centres(evacuated.clone());
+        }
     }
 
     fn replicas_changed(&self, new: &[ReplicaKey], revision: u64) {
