Test that limits named to a peer reach the node that answers

A node that answers a shared gather may later send to replicas whose parts a peer collected. The test fails (24 replicas, 20 s without the notice) if the message between nodes leaves the limits out.

--- a/crates/node/tests/entry/shared_gather.rs
+++ b/crates/node/tests/entry/shared_gather.rs
@@ -101,6 +101,23 @@
     line["nodes"].as_u64().unwrap()
 }
 
+/// The node that answers may send to these replicas later, and then counts toward their limit.
+#[test]
+fn a_limit_that_a_replica_names_to_a_peer_is_known_to_the_node_that_answers() {
+    let fleet = fleet(|index| Behaviour::Limited {
+        body: record(index),
+        per_s: "40.5",
+    });
+    assert_whole(&fleet, "q1");
+    assert!(nodes_of(&fleet, "q1") > 1);
+    for replica in &fleet.replicas {
+        let id = &*replica.registration("north").id;
+        fleet.nodes[0].logged(|line| {
+            line["event"] == "notice" && line["replica"] == id && line["limit_per_s"] == 40.5
+        });
+    }
+}
+
 #[test]
 fn a_shared_gather_is_whole_and_each_replica_runs_it_once() {
     let fleet = fleet(|index| Behaviour::answer(record(index)));
