--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -5,11 +5,9 @@
 
 use crate::Availability;
 use crate::ExtraAllowance;
-use crate::LoadChange;
 use crate::NotRunCause;
 use crate::Notice;
 use crate::Policy;
-use crate::RefuseReason;
 use crate::Replica;
 use crate::ReplicaKey;
 use crate::Reply;
@@ -23,17 +21,11 @@
 /// Number of nodes that are assumed to share the rate of a replica until their number is known.
 const ASSUMED_NODES: usize = 16;
 
-/// Minimum time after which a caller may retry.
-const RETRY_AFTER_MIN_MS: u64 = 50;
-
-/// Maximum time after which a caller may retry.
-const RETRY_AFTER_MAX_MS: u64 = 1_000;
-
 /// The services and replicas that a node knows; chooses the replica for each sub-request.
 #[derive(Debug)]
 pub struct Pool {
     /// Admission of gathers by [`Route::legs_key`](crate::Route::legs_key).
-    admissions: HashMap<u64, Admission>,
+    pub(crate) admissions: HashMap<u64, Admission>,
     pub(crate) arena: Vec<ArenaSlot>,
     pub(crate) by_id: HashMap<Arc<str>, ReplicaKey>,
     connect_latency: ConnectLatency,
@@ -45,7 +37,7 @@
     pub(crate) free_slots: Vec<u32>,
     /// Number of nodes in all data centres.
     pub(crate) nodes: usize,
-    policy: Policy,
+    pub(crate) policy: Policy,
     pub(crate) rng: fastrand::Rng,
     pub(crate) seed: u64,
     pub(crate) services: Vec<Service>,
@@ -314,53 +306,6 @@
         budget.try_charge(now_us, reserve)
     }
 
-    /// Refuses some gathers of a `rank` over the shards with this
-    /// [`Route::legs_key`](crate::Route::legs_key), while more arrive than can be answered in time.
-    pub(crate) fn refuse_gather(&mut self, legs_key: u64, rank: u32) -> Option<RefuseReason> {
-        let draw = self.rng.f64();
-        let admission = self.admissions.entry(legs_key).or_default();
-        let admitted_share = admission.admitted_share(rank);
-        let refused = self.policy.admission && draw > admitted_share;
-        refused.then_some(RefuseReason::Overloaded {
-            admitted_percent: (admitted_share * 100.0) as u32,
-        })
-    }
-
-    /// Records whether a gather of this node's callers had enough parts when its answer was due.
-    pub fn observe_gather(&mut self, legs_key: u64, enough_parts: bool) {
-        let admission = self.admissions.entry(legs_key).or_default();
-        admission.observe_gather(enough_parts);
-    }
-
-    /// Records the share of the legs that this node sent for a gather and that were queued.
-    pub(crate) fn observe_legs(&mut self, legs_key: u64, queued_share: f64) {
-        let admission = self.admissions.entry(legs_key).or_default();
-        admission.observe_legs(queued_share);
-    }
-
-    /// Returns the changes of the load of shards since the last call, and forgets the sets of
-    /// shards for which `is_used` is false.
-    pub fn load_changes(&mut self, is_used: impl Fn(u64) -> bool) -> Vec<LoadChange> {
-        let policy = self.policy;
-        self.admissions.retain(|legs_key, _| is_used(*legs_key));
-        let changes = self.admissions.iter_mut().filter_map(|(key, admission)| {
-            let load = admission.load_change(&policy)?;
-            Some(LoadChange {
-                admitted_percent: (admission.admitted_share(0) * 100.0) as u32,
-                legs_key: *key,
-                load,
-                queued_percent: (admission.queued_share() * 100.0) as u32,
-            })
-        });
-        changes.collect()
-    }
-
-    /// Whether the shards of a gather have room for hedges.
-    pub(crate) fn allows_hedges(&self, legs_key: u64) -> bool {
-        let admission = self.admissions.get(&legs_key);
-        admission.is_none_or(|admission| admission.allows_hedges(&self.policy))
-    }
-
     /// Credits a first request to a service's budget of extra sub-requests.
     pub fn earn(&mut self, service: ServiceKey) {
         self.services[service.0 as usize].budget.earn();
@@ -447,33 +392,6 @@
         }
     }
 
-    /// Returns the time in milliseconds after which a caller that found no replica of
-    /// `service` may retry.
-    #[must_use]
-    pub fn retry_after_ms(&self, now_us: u64, service: ServiceKey) -> u64 {
-        let rates = self.sending_rates(service);
-        let retry_at_us = self
-            .replicas_of(service)
-            .iter()
-            .filter_map(|key| self.replica(*key))
-            .filter(|replica| !replica.is_out_of_service(now_us))
-            .map(|replica| replica.available_at_us(now_us, rates))
-            .min()
-            .unwrap_or(u64::MAX);
-        let wait_ms = retry_at_us.saturating_sub(now_us) / 1_000;
-        wait_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
-    }
-
-    /// Records that a request to a service is refused; returns for how long, in milliseconds, such
-    /// requests have been refused.
-    pub(crate) fn record_refusal(&self, now_us: u64, service: ServiceKey) -> u64 {
-        let refusals = &self.services[service.0 as usize].refusals;
-        let mut period = refusals.get();
-        let length_us = period.record(now_us);
-        refusals.set(period);
-        length_us / 1_000
-    }
-
     /// Counts the replicas by whether they take requests.
     #[must_use]
     pub fn counts(&self, now_us: u64) -> PoolCounts {
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -1,4 +1,3 @@
-use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::sync::Arc;
 
@@ -8,7 +7,6 @@
 use crate::ReplicaKey;
 use crate::health::Health;
 use crate::pool::ArenaSlot;
-use crate::store_health::REMOVAL_DELAY_AFTER_OUTAGE_US;
 
 /// Adds and removes replicas as their registrations change.
 impl Pool {
@@ -110,55 +108,6 @@
                 <= (known.started_unix_ms, known.sequence)
     }
 
-    /// Sets the data centres that operators evacuated; their replicas get no requests.
-    pub fn set_evacuated_data_centres(&mut self, data_centres: BTreeSet<Arc<str>>) {
-        self.lost_evacuations
-            .retain(|name, _| !data_centres.contains(name));
-        let lost = self.lost_evacuations.keys().cloned();
-        self.apply_evacuated(data_centres.into_iter().chain(lost).collect());
-    }
-
-    /// Sets the data centres that operators evacuated by a store that was restored from an older
-    /// copy. Those that it lacks stay evacuated until operators had time to write them again.
-    pub fn restore_evacuated_data_centres(
-        &mut self,
-        now_us: u64,
-        data_centres: BTreeSet<Arc<str>>,
-    ) {
-        let until_us = now_us + REMOVAL_DELAY_AFTER_OUTAGE_US;
-        let lost = self.evacuated.difference(&data_centres).cloned();
-        self.lost_evacuations = lost.map(|name| (name, until_us)).collect();
-        self.set_evacuated_data_centres(data_centres);
-    }
-
-    /// Ends the evacuations that a restored store lacks and that were not written again in time.
-    fn sweep_evacuations(&mut self, now_us: u64) {
-        let ended = |until_us: &u64| *until_us <= now_us;
-        if !self.lost_evacuations.values().any(ended) {
-            return;
-        }
-        let mut data_centres = self.evacuated.clone();
-        self.lost_evacuations.retain(|name, until_us| {
-            let ended = ended(until_us);
-            if ended {
-                data_centres.remove(name);
-            }
-            !ended
-        });
-        self.apply_evacuated(data_centres);
-    }
-
-    fn apply_evacuated(&mut self, data_centres: BTreeSet<Arc<str>>) {
-        for replica in self
-            .arena
-            .iter_mut()
-            .filter_map(|slot| slot.replica.as_mut())
-        {
-            replica.evacuated = data_centres.contains(&replica.registration.data_centre);
-        }
-        self.evacuated = data_centres;
-    }
-
     /// Drops the replicas whose removal time has passed; returns their keys.
     pub fn sweep(&mut self, now_us: u64) -> Vec<ReplicaKey> {
         let expired: Vec<ReplicaKey> = self
