Read no stale lists after a restoration or at restarts

A node lists a collection again if its copy is of a former era, and did so from a list that may be some seconds old unless its watch had failed: such a list may still show the store of before the restoration, under a revision that is given out again meanwhile. The same holds for a node that starts then. Found by reading the change; no play shows it, as the store's stale lists of the plays are of the newer era.

Stale lists are now read only while the whole tier starts for the first time; a node that lists again and a node that restarts ask for the current state.

--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -74,11 +74,16 @@
 /// itself.
 pub(crate) async fn run(view: Rc<CollectionView>) {
     let mut source = view.shared.feed.source();
+    let freshness = if view.shared.settings.first_start {
+        Freshness::Stale
+    } else {
+        Freshness::Current
+    };
     let mut ended_outages = view.shared.feed.ended_outage_start_us.subscribe();
     let mut watcher = StoreWatcher {
         client: StoreClient::new(&view.shared),
         failures: 0,
-        freshness: Freshness::Stale,
+        freshness,
         waited_for_readers: false,
         view,
     };
@@ -117,8 +122,8 @@
     client: StoreClient,
     /// Consecutive failed calls while the store passed health checks.
     failures: u32,
-    /// Freshness of the next list; a stale one suffices as long as a watch can continue from its
-    /// revision.
+    /// Freshness of the next list. A stale one suffices only while the whole tier starts for the
+    /// first time: later, it may be of a time before the store was restored from a copy.
     freshness: Freshness,
     /// Whether this node already waited for the readers after the current outage.
     waited_for_readers: bool,
@@ -157,6 +162,7 @@
 
     fn list_anew(&mut self) {
         self.view.list_due.set(true);
+        // A stale list may be of before what made this one necessary.
         self.freshness = Freshness::Current;
     }
 
@@ -237,6 +243,7 @@
                 break StoreRevision { era, number };
             }
         };
+        self.freshness = Freshness::Current;
         self.view.apply_list(objects, revision);
         Ok(0)
     }
