Restore the store from a copy in the soak

Each seed now keeps copies of the store and restores it, drawn apart from its other faults, so that these stay as they were; the operator and the replicas repeat their writes, up to 300 others are lost. At the end of a run a route is added, which every node must serve with whole answers.

--- a/crates/node/tests/soak/faults.rs
+++ b/crates/node/tests/soak/faults.rs
@@ -19,6 +19,9 @@
 /// Longest suspension of a process.
 const SUSPENSION_MAX_MS: u64 = 1_500;
 
+/// Maximum number of writes that a restored store has lost and that nobody repeats.
+const LOST_WRITES_MAX: usize = 300;
+
 /// Injects faults for `length`, then resets the proxies and the store.
 pub fn inject(deployment: &mut Deployment, rng: &mut Rng, length: Duration) {
     let ends = Instant::now() + length;
@@ -57,6 +60,15 @@
     }
 }
 
+/// Keeps a copy of the store now and then, or restores the store from it.
+pub fn restore_store(deployment: &Deployment, rng: &mut Rng) {
+    match rng.u8(0..6) {
+        0..=1 => deployment.store.keep_copy(),
+        2 => deployment.restore_store(rng.usize(..LOST_WRITES_MAX)),
+        _ => {}
+    }
+}
+
 /// Resets the connections of a random proxy or changes its mode.
 fn disturb(proxies: &[Proxy], rng: &mut Rng) {
     let proxy = &proxies[rng.usize(..proxies.len())];
--- a/crates/node/tests/soak/soak_run.rs
+++ b/crates/node/tests/soak/soak_run.rs
@@ -11,6 +11,7 @@
 
 use fastrand::Rng;
 
+use wigeonhall_adapter::Collection;
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::ReplicaStandin;
 use wigeonhall_adapter_standins::StoreStandin;
@@ -64,6 +65,8 @@
     addresses: Arc<Mutex<Vec<SocketAddr>>>,
     deployment: Deployment,
     rng: Rng,
+    /// Draws the restorations of the store, so that the other faults of a seed stay as they are.
+    restoration_rng: Rng,
     observations: Arc<Mutex<Observations>>,
 }
 
@@ -110,6 +113,7 @@
         }
         let proxy = |_| crate::proxy::Proxy::start(store.address());
         let store_proxies: Vec<crate::proxy::Proxy> = (0..NODES).map(proxy).collect();
+        store.keep_copy();
         let mut deployment = Self {
             nodes: (0..NODES).map(|_| None).collect(),
             at_most_once_replicas,
@@ -161,6 +165,23 @@
         self.store.configure(&configuration(self.version, routes()));
     }
 
+    /// Restores the store from its copy; the operator and the replicas repeat their writes, but
+    /// `lost_writes` of another writer are lost.
+    pub fn restore_store(&self, lost_writes: usize) {
+        for _ in 0..lost_writes {
+            let spec = serde_json::json!({});
+            self.store.put(Collection::Nodes, "other", &spec);
+        }
+        self.store.set_down(true);
+        self.store.restore_copy();
+        self.store.set_down(false);
+        let current = configuration(self.version, routes());
+        self.store.configure(&current);
+        for registration in &self.registrations {
+            self.store.register(registration);
+        }
+    }
+
     /// Sets the registration state of a random replica. Of the two replicas of a shard only the
     /// first changes, so that each shard keeps a ready replica.
     pub fn set_replica_state(&mut self, rng: &mut Rng, state: RegistrationState) {
@@ -214,6 +235,7 @@
             addresses,
             deployment,
             rng: Rng::with_seed(seed),
+            restoration_rng: Rng::with_seed(!seed),
             observations: Arc::default(),
         }
     }
@@ -228,6 +250,7 @@
         let slice = Duration::from_millis(400);
         for _ in 0..(fault_time.as_millis() / slice.as_millis()).max(1) {
             faults::inject(&mut self.deployment, &mut self.rng, slice);
+            faults::restore_store(&self.deployment, &mut self.restoration_rng);
             *self.addresses.lock().unwrap() = self.deployment.addresses();
         }
         stopped.store(true, Ordering::Relaxed);
@@ -249,9 +272,20 @@
         std::mem::take(&mut observations.violations)
     }
 
-    /// Registers all replicas as ready, resumes suspended nodes, and waits until every node is
-    /// ready and serves whole answers.
+    /// Registers all replicas as ready, adds a route, resumes suspended nodes, and waits until every
+    /// node is ready and serves whole answers, also on that route.
     fn wait_for_recovery(&mut self) {
+        self.deployment.version += 1;
+        let version = self.deployment.version;
+        let mut last = routes();
+        last.push(RouteSpec {
+            name: "last".into(),
+            path_prefix: "/last/".into(),
+            ..last[0].clone()
+        });
+        self.deployment
+            .store
+            .configure(&configuration(version, last));
         for registration in &mut self.deployment.registrations {
             registration.state = RegistrationState::Ready;
             registration.sequence += 1;
@@ -261,9 +295,11 @@
             crate::deployment::signal(node.id(), "CONT");
             node.wait_ready();
             wait_until("a whole answer after the faults", || {
-                let answer = caller::ask(node.callers, "GET", "/all/x", "settled", "");
-                answer.status == 200
-                    && wigeonhall_adapter_standins::parts_of(&answer.message).1 == 0
+                ["/all/x", "/last/x"].into_iter().all(|path| {
+                    let answer = caller::ask(node.callers, "GET", path, "settled", "");
+                    answer.status == 200
+                        && wigeonhall_adapter_standins::parts_of(&answer.message).1 == 0
+                })
             });
         }
     }
