--- a/crates/dispatch/src/rate_limit.rs
+++ b/crates/dispatch/src/rate_limit.rs
@@ -10,6 +10,10 @@
     Unknown,
 }
 
+/// Share by which a limit must differ from the one that was reported last to be reported again;
+/// replicas name another one in nearly every response.
+const REPORTED_DIFFERENCE: f64 = 0.25;
+
 /// The limit that a replica names, and what this node sent since then.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RateLimitState {
@@ -17,13 +21,15 @@
     named_us: u64,
     /// Requests per second from all nodes together; `None` while the replica names no limit.
     pub(crate) per_s: Option<f64>,
+    /// Limit that was reported last.
+    reported_per_s: Option<f64>,
     /// Requests that this node sent since the replica first named a limit; kept after its end.
     pub(crate) requests: u32,
 }
 
 impl RateLimitState {
     /// Applies the response to a request that was sent at `sent_us`; returns whether the limit
-    /// changes.
+    /// begins, ends or changes much.
     ///
     /// A limit ends with a response to a request that was sent after the newest one that named it:
     /// responses may arrive out of order.
@@ -40,11 +46,23 @@
         if self.per_s.is_none() && per_s.is_some() {
             self.requests = 0;
         }
-        let changed = per_s != self.per_s;
         self.per_s = per_s;
+        let changed = self.differs_from_reported();
+        if changed {
+            self.reported_per_s = per_s;
+        }
         changed
     }
 
+    fn differs_from_reported(&self) -> bool {
+        match (self.per_s, self.reported_per_s) {
+            (Some(per_s), Some(reported_per_s)) => {
+                (per_s - reported_per_s).abs() > reported_per_s * REPORTED_DIFFERENCE
+            }
+            (per_s, reported_per_s) => per_s.is_some() != reported_per_s.is_some(),
+        }
+    }
+
     /// Records a request to the replica.
     pub(crate) const fn record_request(&mut self) {
         self.requests = self.requests.saturating_add(1);
--- a/crates/dispatch/tests/rate_limits.rs
+++ b/crates/dispatch/tests/rate_limits.rs
@@ -144,6 +144,20 @@
     assert_eq!(pool.replica(key).unwrap().limit_per_s(), None);
 }
 
+/// Replicas name another limit in nearly every response; a log line for each would displace others.
+#[test]
+fn small_changes_of_a_limit_are_heeded_and_not_reported() {
+    let mut pool = common::pool();
+    let key = add(&mut pool, "a", 1);
+    assert!(pool.apply_notice(S, 0, key, limit(RateLimit::PerSecond(20.0))));
+    for per_s in [21.0, 18.0, 24.0, 16.0] {
+        assert!(!pool.apply_notice(S, 0, key, limit(RateLimit::PerSecond(per_s))));
+        assert_eq!(pool.replica(key).unwrap().limit_per_s(), Some(per_s));
+    }
+    assert!(pool.apply_notice(S, 0, key, limit(RateLimit::PerSecond(10.0))));
+    assert!(pool.apply_notice(2 * S, S, key, limit(RateLimit::None)));
+}
+
 /// The registration lapses and is restored while the replica names a limit.
 #[test]
 fn a_limit_holds_for_the_lifetime_of_its_replica() {
