State the number of records in requests for parts of a gather

Callers got answers of 200 with all receipts, but without some of the greatest records, while the nodes that divide a gather had different configurations: a peer merged its parts to the number of records of its own route for the path. Only the shards and the attempts were compared.

The request states the number now, and the peer's route no longer determines any part of the result.

Ruled out: deadlines, minimum fraction, priority and fallbacks, none of which a peer takes from its own route into the result.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -5,6 +5,7 @@
 
 use crate::Availability;
 use crate::ExtraAllowance;
+use crate::LegsKey;
 use crate::NotRunCause;
 use crate::Notice;
 use crate::Policy;
@@ -25,7 +26,7 @@
 #[derive(Debug)]
 pub struct Pool {
     /// Admission of gathers by [`Route::legs_key`](crate::Route::legs_key).
-    pub(crate) admissions: HashMap<u64, Admission>,
+    pub(crate) admissions: HashMap<LegsKey, Admission>,
     pub(crate) arena: Vec<ArenaSlot>,
     pub(crate) by_id: HashMap<Arc<str>, ReplicaKey>,
     connect_latency: ConnectLatency,
--- a/crates/dispatch/src/pool_load.rs
+++ b/crates/dispatch/src/pool_load.rs
@@ -1,3 +1,4 @@
+use crate::LegsKey;
 use crate::LoadChange;
 use crate::Pool;
 use crate::RefuseReason;
@@ -6,7 +7,7 @@
 impl Pool {
     /// Refuses some gathers of a `rank` over the shards with this
     /// [`Route::legs_key`](crate::Route::legs_key), while more arrive than can be answered in time.
-    pub(crate) fn refuse_gather(&mut self, legs_key: u64, rank: u32) -> Option<RefuseReason> {
+    pub(crate) fn refuse_gather(&mut self, legs_key: LegsKey, rank: u32) -> Option<RefuseReason> {
         let draw = self.rng.f64();
         let admission = self.admissions.entry(legs_key).or_default();
         let admitted_share = admission.admitted_share(rank);
@@ -17,20 +18,20 @@
     }
 
     /// Records whether a gather of this node's callers had enough parts when its answer was due.
-    pub fn observe_gather(&mut self, legs_key: u64, enough_parts: bool) {
+    pub fn observe_gather(&mut self, legs_key: LegsKey, enough_parts: bool) {
         let admission = self.admissions.entry(legs_key).or_default();
         admission.observe_gather(enough_parts);
     }
 
     /// Records the share of the legs that this node sent for a gather and that were queued.
-    pub(crate) fn observe_legs(&mut self, legs_key: u64, queued_share: f64) {
+    pub(crate) fn observe_legs(&mut self, legs_key: LegsKey, queued_share: f64) {
         let admission = self.admissions.entry(legs_key).or_default();
         admission.observe_legs(queued_share);
     }
 
     /// Returns the changes of the load of shards since the last call, and forgets the sets of
     /// shards for which `is_used` is false.
-    pub fn load_changes(&mut self, is_used: impl Fn(u64) -> bool) -> Vec<LoadChange> {
+    pub fn load_changes(&mut self, is_used: impl Fn(LegsKey) -> bool) -> Vec<LoadChange> {
         let policy = self.policy;
         self.admissions.retain(|legs_key, _| is_used(*legs_key));
         let changes = self.admissions.iter_mut().filter_map(|(key, admission)| {
@@ -46,7 +47,7 @@
     }
 
     /// Whether the shards of a gather have room for hedges.
-    pub(crate) fn allows_hedges(&self, legs_key: u64) -> bool {
+    pub(crate) fn allows_hedges(&self, legs_key: LegsKey) -> bool {
         let admission = self.admissions.get(&legs_key);
         admission.is_none_or(|admission| admission.allows_hedges(&self.policy))
     }
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -1,9 +1,7 @@
 use std::cell::Cell;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::sync::Arc;
 
+use crate::LegsKey;
 use crate::ServiceKey;
 
 /// Whether the requests of a route may run more than once.
@@ -111,9 +109,8 @@
 /// A route of a configuration, with its services resolved to keys.
 #[derive(Clone, Debug)]
 pub struct Route {
-    /// Hash of a gather's shards and `max_attempts`. Nodes may divide the legs of a gather, its
-    /// requests to one shard each, only if their keys are equal.
-    pub legs_key: u64,
+    /// Digest of a gather's shards and `max_attempts`.
+    pub legs_key: LegsKey,
     /// Number of more urgent priorities among the gathers over the same shards.
     pub rank: u32,
     /// The route as written in the configuration.
@@ -126,15 +123,12 @@
 
 impl RouteSpec {
     /// Returns the value of [`Route::legs_key`].
-    pub(crate) fn legs_key(&self) -> u64 {
+    pub(crate) fn legs_key(&self) -> LegsKey {
         let shards: &[Arc<str>] = match &self.target {
             TargetSpec::Gather { shards, .. } => shards,
             TargetSpec::Service(_) | TargetSpec::Split(_) => &[],
         };
-        let mut hasher = DefaultHasher::new();
-        shards.hash(&mut hasher);
-        self.max_attempts.hash(&mut hasher);
-        hasher.finish()
+        LegsKey::new(shards, self.max_attempts)
     }
 }
 
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::Configuration;
+use crate::LegsKey;
 use crate::Pool;
 use crate::RequestLimits;
 use crate::Route;
@@ -165,7 +166,7 @@
     }
 
     /// Returns the names of the gathers with a [`Route::legs_key`].
-    pub fn gathers(&self, legs_key: u64) -> impl Iterator<Item = &str> {
+    pub fn gathers(&self, legs_key: LegsKey) -> impl Iterator<Item = &str> {
         let routes = self.routes().filter(move |route| {
             route.legs_key == legs_key && matches!(route.target, RouteTarget::Gather { .. })
         });
--- a/crates/dispatch/src/shard_load.rs
+++ b/crates/dispatch/src/shard_load.rs
@@ -1,3 +1,5 @@
+use crate::LegsKey;
+
 /// What a node does about the load of a set of shards.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ShardLoad {
@@ -16,7 +18,7 @@
     /// Share of the most urgent gathers that are admitted.
     pub admitted_percent: u32,
     /// [`Route::legs_key`](crate::Route::legs_key) of the gathers over these shards.
-    pub legs_key: u64,
+    pub legs_key: LegsKey,
     /// What the node does from now on.
     pub load: ShardLoad,
     /// Share of the legs of recent gathers that their replicas queued.
--- a/crates/dispatch/tests/routes.rs
+++ b/crates/dispatch/tests/routes.rs
@@ -111,6 +111,18 @@
     assert_ne!(key(&["a", "b"], &|spec| spec.max_attempts += 1), same);
 }
 
+/// Nodes of two releases run side by side during a rollout; a key that depends on the build would
+/// keep them from dividing gathers, or let them divide different ones.
+#[test]
+fn legs_key_does_not_depend_on_the_build() {
+    let spec = route_spec(RouteKind::Idempotent, gather(&["a", "bc"], 0.5));
+    let key = route(&mut pool(), spec).legs_key;
+    insta::assert_snapshot!(key, @"ad8c10cafc5b5b2a106def61d585b9ba");
+    assert_eq!(key.to_string().parse(), Ok(key));
+    let spec = route_spec(RouteKind::Idempotent, gather(&["ab", "c"], 0.5));
+    assert_ne!(route(&mut pool(), spec).legs_key, key);
+}
+
 /// The less urgent gathers are refused first, so the rank must come from the priorities of the
 /// gathers over the same shards alone.
 #[test]
--- a/crates/entry/src/peers/relay_client.rs
+++ b/crates/entry/src/peers/relay_client.rs
@@ -221,7 +221,14 @@
     let headers = message.headers_mut();
     headers.clone_from(&outgoing.headers);
     headers.insert(REMAINING_MS, HeaderValue::from(remaining_ms));
-    headers.insert(relay_protocol::LEGS_KEY, HeaderValue::from(route.legs_key));
+    headers.insert(
+        relay_protocol::LEGS_KEY,
+        relay_protocol::legs_key_value(route.legs_key)?,
+    );
+    headers.insert(
+        relay_protocol::TOP_RECORDS,
+        HeaderValue::from(route.top_records()),
+    );
     headers.insert(relay_protocol::SOFT_DEADLINE_MS, HeaderValue::from(due_ms));
     headers.insert(
         relay_protocol::LEGS,
--- a/crates/entry/src/peers/relay_protocol.rs
+++ b/crates/entry/src/peers/relay_protocol.rs
@@ -5,12 +5,13 @@
 use http::HeaderName;
 use http::HeaderValue;
 
+use wigeonhall_dispatch::LegsKey;
 use wigeonhall_dispatch::Pool;
 use wigeonhall_dispatch::ReplicaKey;
 
 /// Header with the key of the route's legs; the key is equal on nodes that send the same legs
 /// to the same services.
-pub(crate) const LEGS_KEY: HeaderName = HeaderName::from_static("x-wigeonhall-legs-key");
+pub(crate) const LEGS_KEY: HeaderName = HeaderName::from_static("x-wigeonhall-legs-digest");
 
 /// Header with the legs that the peer is asked for, separated by commas.
 pub(crate) const LEGS: HeaderName = HeaderName::from_static("x-wigeonhall-legs");
@@ -24,6 +25,20 @@
 /// sent.
 pub(crate) const SOFT_DEADLINE_MS: HeaderName = HeaderName::from_static("x-wigeonhall-soft-ms");
 
+/// Header with the number of records in the answer, to which the peer merges its parts. The route
+/// that the peer's own configuration has for the path may return another number.
+pub(crate) const TOP_RECORDS: HeaderName = HeaderName::from_static("x-wigeonhall-top-records");
+
+/// Removes [`LEGS_KEY`] and parses its value.
+pub(crate) fn take_legs_key(headers: &mut HeaderMap) -> Option<LegsKey> {
+    headers.remove(&LEGS_KEY)?.to_str().ok()?.parse().ok()
+}
+
+/// Formats the value of [`LEGS_KEY`].
+pub(crate) fn legs_key_value(key: LegsKey) -> Option<HeaderValue> {
+    HeaderValue::from_str(&key.to_string()).ok()
+}
+
 /// Removes a header and parses its value as a number.
 pub(crate) fn take_number(headers: &mut HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.remove(name)?.to_str().ok()?.parse().ok()
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -90,7 +90,7 @@
             let legs = query.legs.len();
             let request_id = query.query.request_id().clone();
             let shared = shared.clone();
-            let parts = group_stream::collect(query.query, query.legs);
+            let parts = group_stream::collect(query.query, query.legs, query.top_records);
             let messages = parts.filter_map(move |parts| {
                 shared.log(&Event::Relayed {
                     extra_sends: parts.head.extra_sends,
@@ -143,10 +143,15 @@
 struct PeerQuery {
     legs: Vec<usize>,
     query: Query,
+    /// Number of records in the answer of the asking node.
+    top_records: usize,
 }
 
 /// Validates a peer's request for parts; `None` if the peer must collect them itself.
 ///
+/// The route of this node's configuration decides which replicas get the legs and when they are
+/// hedged; everything that determines the result is stated by the peer, whose route may differ.
+///
 /// Its deadlines, of which the soft one is the time from which an incomplete answer is enough,
 /// count from the arrival of the request, which may be well before a busy node reads it.
 async fn read_query(
@@ -159,7 +164,8 @@
     }
     let table = shared.table.borrow().clone()?;
     let headers = request.headers_mut();
-    let legs_key = relay_protocol::take_number(headers, &relay_protocol::LEGS_KEY)?;
+    let legs_key = relay_protocol::take_legs_key(headers)?;
+    let top_records = relay_protocol::take_number(headers, &relay_protocol::TOP_RECORDS)?;
     let soft_ms = relay_protocol::take_number(headers, &relay_protocol::SOFT_DEADLINE_MS)?;
     let legs = relay_protocol::take_legs(headers)?;
     let fallbacks = relay_protocol::take_fallbacks(headers, &shared.pool.borrow())?;
@@ -189,6 +195,7 @@
     Some(PeerQuery {
         legs,
         query: Query::new(shared, exchange, Rc::new(outgoing)),
+        top_records: top_records as usize,
     })
 }
 
--- a/crates/entry/src/requests/group_stream.rs
+++ b/crates/entry/src/requests/group_stream.rs
@@ -21,18 +21,27 @@
     legs: Vec<usize>,
     query: Query,
     sent_legs: BTreeSet<usize>,
+    /// Number of records in the answer to the caller.
+    top_records: usize,
 }
 
 /// Collects the parts of the given legs: first those available at the soft deadline, from which
 /// an incomplete answer is enough, or when no more can arrive, then each later one as it arrives.
 ///
+/// The records of the parts are merged to the `top_records` greatest.
+///
 /// Dropping the stream before its first item cancels its sub-requests.
-pub(crate) fn collect(query: Query, legs: Vec<usize>) -> impl Stream<Item = GroupParts> {
+pub(crate) fn collect(
+    query: Query,
+    legs: Vec<usize>,
+    top_records: usize,
+) -> impl Stream<Item = GroupParts> {
     let group = Group {
         first_sent: false,
         legs,
         query,
         sent_legs: BTreeSet::new(),
+        top_records,
     };
     stream::unfold(group, |mut group| async move {
         let parts = group.next().await?;
@@ -68,7 +77,6 @@
             .collect();
         self.sent_legs.extend(new.iter().map(|(leg, _)| *leg));
         let exchange = &self.query.exchange;
-        let top_records = exchange.route().top_records();
         let last = exchange.legs().all(|leg| leg != LegState::Open);
         let head = GroupHead {
             extra_sends: exchange.extra_sends(),
@@ -77,6 +85,6 @@
             limits,
             ..GroupHead::default()
         };
-        GroupParts::merge(head, &new, top_records)
+        GroupParts::merge(head, &new, self.top_records)
     }
 }
--- a/crates/entry/src/requests/shared_gather.rs
+++ b/crates/entry/src/requests/shared_gather.rs
@@ -210,7 +210,7 @@
         .with_fallbacks(fallbacks)
         .with_queueing_latency(self.shared.queueing_us(&self.route));
         let query = Query::new(&self.shared, exchange, self.outgoing.clone());
-        let parts = group_stream::collect(query, legs);
+        let parts = group_stream::collect(query, legs, self.route.top_records());
         let updates = parts.map(|parts| GatherUpdate::Parts { node: None, parts });
         self.updates.push(Box::pin(updates));
     }
--- a/crates/node/tests/entry/shared_gather.rs
+++ b/crates/node/tests/entry/shared_gather.rs
@@ -2,12 +2,15 @@
 //! themselves, and against waiting for a peer that was killed or suspended.
 
 use std::collections::BTreeSet;
+use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::thread;
 
 use serde_json::Value;
 use serde_json::json;
@@ -20,6 +23,8 @@
 use wigeonhall_adapter_standins::StoreStandin;
 use wigeonhall_adapter_standins::parts_of;
 use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::RouteSpec;
+use wigeonhall_dispatch::TargetSpec;
 
 use crate::caller::Caller;
 use crate::caller::ask;
@@ -209,6 +214,104 @@
     fleet.nodes[0].logged(relay_failed);
 }
 
+/// Peers may have an older or a newer configuration, in which the path selects a nested route that
+/// returns fewer records; parts merged by that route lack records of the answer.
+#[test]
+fn a_gather_has_all_records_although_peers_have_another_route_for_its_path() {
+    const PEERS: usize = 6;
+    let names: Vec<String> = (0..SHARDS).map(|index| format!("s{index:02}")).collect();
+    let gather = |name: &str, prefix: &str, top_records| {
+        let target = TargetSpec::Gather {
+            min_fraction: 1.0,
+            shards: names.iter().map(|name| Arc::from(&**name)).collect(),
+            top_records,
+        };
+        RouteSpec {
+            target_latency_ms: 600,
+            ..route(name, prefix, RouteKind::Idempotent, target)
+        }
+    };
+    let all = gather("all", "/all/", SHARDS);
+    let short = gather("short", "/all/short/", 1);
+    let store = StoreStandin::start().unwrap();
+    store.configure(&configuration(1, vec![all.clone()]));
+    let peer_store = StoreStandin::start().unwrap();
+    peer_store.configure(&configuration(2, vec![all, short]));
+    let start = |(index, name): (usize, &String)| {
+        ReplicaStandin::start(name, 1, move |_| Behaviour::answer(record(index))).unwrap()
+    };
+    let replicas: Vec<ReplicaStandin> = names.iter().enumerate().map(start).collect();
+    for replica in &replicas {
+        store.register(&replica.registration("north"));
+        peer_store.register(&replica.registration("north"));
+    }
+    let peer = Node::start_named(&peer_store, "peer");
+    peer.wait_ready();
+    let address = internal_address(&peer_store, "peer");
+    let relay = || Listener::start(move |stream| forward_relay_requests(stream, address)).unwrap();
+    let relays: Vec<Listener> = (0..PEERS).map(|_| relay()).collect();
+    for (index, relay) in relays.iter().enumerate() {
+        let spec = json!({
+            "address": relay.address(), "data_centre": "north", "processor_share": 0.1
+        });
+        store.put(Collection::Nodes, &format!("peer-{index}"), &spec);
+    }
+    let node = Node::start(&store);
+    node.wait_ready();
+    node.logged(|line| line["event"] == "nodes" && line["near"] == PEERS + 1);
+
+    let answer = ask(node.callers, "GET", "/all/short/x", "q1", "");
+
+    let relayed = |line: &Value| line["event"] == "relayed" && line["request_id"] == "q1";
+    peer.logged(relayed);
+    assert_eq!(answer.status, 200);
+    assert_eq!(parts_of(&answer.message), (SHARDS, 0));
+    let expected: Vec<u8> = (0..SHARDS).rev().flat_map(record).collect();
+    assert_eq!(answer.message.body, expected);
+}
+
+/// A node of another release that does not state the number of records would get too few of them.
+#[test]
+fn a_peer_that_does_not_state_the_number_of_records_collects_its_parts_itself() {
+    let fleet = fleet(|index| Behaviour::answer(record(index)));
+    let address = internal_address(&fleet.store, "node-1");
+    let mut stream = TcpStream::connect(address).unwrap();
+    let request = "GET /all/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: q1\r\n\
+        Request-Deadline-Ms: 900\r\nX-Wigeonhall-Legs-Key: 1\r\nX-Wigeonhall-Legs: 0\r\n\
+        X-Wigeonhall-Fallbacks: \r\nX-Wigeonhall-Soft-Ms: 500\r\n\r\n";
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut status = String::new();
+    BufReader::new(stream).read_line(&mut status).unwrap();
+    assert!(status.starts_with("HTTP/1.1 409"), "{status}");
+}
+
+/// Returns the address on which a node listens for other nodes.
+fn internal_address(store: &StoreStandin, node: &str) -> SocketAddr {
+    let mut spec = None;
+    wait_until("the node to register", || {
+        spec = store.spec(Collection::Nodes, node);
+        spec.is_some()
+    });
+    spec.unwrap()["address"].as_str().unwrap().parse().unwrap()
+}
+
+/// Forwards a connection to a peer, but closes it if it is to follow the peer, so that the asking
+/// node keeps its own configuration.
+fn forward_relay_requests(stream: TcpStream, peer: SocketAddr) {
+    let mut input = BufReader::new(stream);
+    let mut head = String::new();
+    if input.read_line(&mut head).is_err() || head.contains("/wigeonhall/changes") {
+        return;
+    }
+    let mut to_peer = TcpStream::connect(peer).unwrap();
+    let mut from_peer = to_peer.try_clone().unwrap();
+    let mut output = input.get_ref().try_clone().unwrap();
+    thread::spawn(move || io::copy(&mut from_peer, &mut output));
+    to_peer.write_all(head.as_bytes()).unwrap();
+    // Fails if a side closes the connection in the middle of a message.
+    drop(io::copy(&mut input, &mut to_peer));
+}
+
 /// Reads a request and sends the beginning of a response, then closes the connection.
 fn send_head(stream: TcpStream, head: &str) {
     let mut reader = BufReader::new(stream);
