Count the delay of a removal from the removal

Requests reached a replica later than drain_ms after its registration was removed, and were lost with it, when the node that reads the store was stopped 0.4 s later. The reader's pause, the notice of its end, the search for another reader and the delay of the removal each had a bound of their own. The loss of the peer counted as an outage of the store, which prolonged the delay from 1.2 to 2.3 s.

A copy now knows until when it has all changes; the longest age of a removal is taken off its delay. Only an outage in which registrations can lapse (no answered call for two intervals of their renewal) prolongs it, until 2.3 s after its end. The log has a line removals with the age and the delay.

--- a/crates/dispatch/src/pool_evacuations.rs
+++ b/crates/dispatch/src/pool_evacuations.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use crate::Pool;
-use crate::store_health::REMOVAL_DELAY_AFTER_OUTAGE_US;
+use crate::store_health::RESTORED_AFTER_OUTAGE_US;
 
 /// Takes data centres out that operators evacuated.
 impl Pool {
@@ -21,7 +21,7 @@
         now_us: u64,
         data_centres: BTreeSet<Arc<str>>,
     ) {
-        let until_us = now_us + REMOVAL_DELAY_AFTER_OUTAGE_US;
+        let until_us = now_us + RESTORED_AFTER_OUTAGE_US;
         let lost = self.evacuated.difference(&data_centres).cloned();
         self.lost_evacuations = lost.map(|name| (name, until_us)).collect();
         self.set_evacuated_data_centres(data_centres);
--- a/crates/dispatch/src/store_health.rs
+++ b/crates/dispatch/src/store_health.rs
@@ -1,11 +1,19 @@
-/// Time for which a replica is still used after its registration was removed: the
-/// registration may have lapsed in an outage of the store that this node has not detected yet.
+/// Time for which a replica is still used after its registration was removed, if its bound allows
+/// it: the registration may have lapsed in an outage of the store that this node has not detected
+/// yet.
 const REMOVAL_DELAY_US: u64 = 1_200_000;
 
-/// Time for which a replica is still used after its registration was removed, during an
-/// outage of the store and right after it; registrations that lapsed in the outage are restored
-/// about two seconds after its end.
-pub(crate) const REMOVAL_DELAY_AFTER_OUTAGE_US: u64 = 2_300_000;
+/// Time after the end of an outage of the store by which registrations that lapsed in the outage
+/// are restored; one that is still missing belongs to a replica that is gone.
+pub(crate) const RESTORED_AFTER_OUTAGE_US: u64 = 2_300_000;
+
+/// Time reserved within the bound of a removal for the requests that were sent to the replica last:
+/// they may wait for a connection or for the processor before they leave.
+const LAST_SEND_US: u64 = 300_000;
+
+/// Intervals between two renewals of a registration that an outage must last for the registration
+/// to lapse. It lapses after three intervals; the last renewal was up to one before the outage.
+const LAPSE_INTERVALS: u64 = 2;
 
 /// Time after which a caller may retry while the node reads its first configuration.
 const START_RETRY_MS: u64 = 200;
@@ -18,28 +26,65 @@
 
 /// Availability of the store, in which replicas register and operators write the configuration,
 /// as observed by this node. Times are in microseconds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 #[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 pub struct StoreHealth {
     /// Time at which the newest call that got a response was sent.
     answered_call_sent_us: Option<u64>,
-    /// Time at which an outage was last suspected.
-    suspected_us: Option<u64>,
+    /// Shortest outage in which registrations of replicas can lapse.
+    lapse_us: u64,
+    /// Time at which the newest outage ended in which registrations may have lapsed.
+    lapses_ended_us: Option<u64>,
     /// Time at which the newest outage ended.
     outage_ended_us: Option<u64>,
+    /// Time at which an outage was last suspected.
+    suspected_us: Option<u64>,
 }
 
 impl StoreHealth {
-    /// Records that an outage of the store is suspected.
+    /// Creates the state of a node that has made no call yet; replicas renew their registrations
+    /// at the given interval.
+    #[must_use]
+    pub const fn new(registration_interval_ms: u64) -> Self {
+        Self {
+            answered_call_sent_us: None,
+            lapse_us: registration_interval_ms * 1_000 * LAPSE_INTERVALS,
+            lapses_ended_us: None,
+            outage_ended_us: None,
+            suspected_us: None,
+        }
+    }
+
+    /// Records that an outage of the store is suspected: a call failed, or the peer is lost from
+    /// which this node receives the store's changes.
     pub const fn suspect_outage(&mut self, now_us: u64) {
         self.suspected_us = Some(now_us);
     }
 
     /// Records a response to a call that was sent at `sent_us`.
-    pub fn record_response(&mut self, sent_us: u64) {
+    ///
+    /// It ends a suspected outage. Registrations may have lapsed if no call was answered for
+    /// long enough: the loss of a peer or of a single response is no such outage.
+    pub fn record_response(&mut self, now_us: u64, sent_us: u64) {
+        if self.outage_suspected() && Some(sent_us) >= self.suspected_us && self.may_lapse(sent_us)
+        {
+            self.lapses_ended_us = Some(now_us);
+        }
         self.answered_call_sent_us = self.answered_call_sent_us.max(Some(sent_us));
     }
 
+    /// Records that the store was restored from a copy, in which registrations may be missing.
+    pub const fn record_restoration(&mut self, now_us: u64) {
+        self.lapses_ended_us = Some(now_us);
+    }
+
+    /// Returns whether no call was answered for so long before `at_us` that registrations may have
+    /// lapsed in the meantime.
+    fn may_lapse(&self, at_us: u64) -> bool {
+        self.answered_call_sent_us
+            .is_none_or(|answered_us| at_us >= answered_us.saturating_add(self.lapse_us))
+    }
+
     /// Returns the time at which the newest call that got a response was sent.
     #[must_use]
     pub const fn answered_call_sent_us(&self) -> Option<u64> {
@@ -84,19 +129,25 @@
     /// be missing: those that lapsed, and those of replicas that started during the outage.
     #[must_use]
     pub fn is_settling(&self, now_us: u64) -> bool {
-        self.outage_ended_us
-            .is_some_and(|ended_us| now_us < ended_us + REMOVAL_DELAY_AFTER_OUTAGE_US)
+        self.lapses_ended_us
+            .is_some_and(|ended_us| now_us < ended_us + RESTORED_AFTER_OUTAGE_US)
     }
 
-    /// Returns how long a replica without a registration is still used.
+    /// Returns the time until which a replica is still used whose registration was removed at most
+    /// `change_age_us` ago; requests must no longer reach it `drain_us` after the removal.
     ///
-    /// An outage counts for all collections, also for those whose calls did not fail.
+    /// Only an outage in which registrations may have lapsed lets a replica be used for longer, also
+    /// one that other calls than those for the registrations detected.
     #[must_use]
-    pub fn removal_delay_us(&self, now_us: u64) -> u64 {
-        if self.outage_suspected() || self.is_settling(now_us) {
-            REMOVAL_DELAY_AFTER_OUTAGE_US
-        } else {
-            REMOVAL_DELAY_US
+    pub fn removal_at_us(&self, now_us: u64, change_age_us: u64, drain_us: u64) -> u64 {
+        if self.outage_suspected() && self.may_lapse(now_us) {
+            return now_us + RESTORED_AFTER_OUTAGE_US;
         }
+        let left_us = drain_us.saturating_sub(change_age_us.saturating_add(LAST_SEND_US));
+        let at_us = now_us + REMOVAL_DELAY_US.min(left_us);
+        let restored_us = self
+            .lapses_ended_us
+            .map(|ended_us| ended_us + RESTORED_AFTER_OUTAGE_US);
+        restored_us.map_or(at_us, |restored_us| at_us.max(restored_us))
     }
 }
--- a/crates/dispatch/tests/store_health.rs
+++ b/crates/dispatch/tests/store_health.rs
@@ -2,25 +2,35 @@
 //! the store, and against calls to the store while it is unavailable.
 
 use wigeonhall_dispatch::StoreHealth;
+use wigeonhall_dispatch::silence_limit_ms;
+use wigeonhall_dispatch::watch_pause_ms;
 
 const SECOND_US: u64 = 1_000_000;
 
+/// Time after the removal of a replica from which no request may reach it.
+const DRAIN_US: u64 = 3 * SECOND_US;
+
 /// Time after the end of an outage by which registrations are restored.
 const REGISTRATIONS_RESTORED_US: u64 = 2 * SECOND_US;
 
+/// Returns the state of a node whose replicas renew their registrations every 1.2 s.
+fn health() -> StoreHealth {
+    StoreHealth::new(1_200)
+}
+
 #[test]
 fn outage_is_suspected_until_a_later_call_gets_a_response() {
-    let mut health = StoreHealth::default();
+    let mut health = self::health();
     assert!(!health.outage_suspected());
-    health.record_response(SECOND_US);
+    health.record_response(SECOND_US, SECOND_US);
     assert!(!health.outage_suspected());
     health.suspect_outage(2 * SECOND_US);
     assert!(health.outage_suspected());
     // A response to a call sent before the outage was suspected does not show that the store is
     // available.
-    health.record_response(SECOND_US + 1);
+    health.record_response(2 * SECOND_US, SECOND_US + 1);
     assert!(health.outage_suspected());
-    health.record_response(2 * SECOND_US);
+    health.record_response(2 * SECOND_US, 2 * SECOND_US);
     assert!(!health.outage_suspected());
     assert_eq!(health.answered_call_sent_us(), Some(2 * SECOND_US));
 }
@@ -29,24 +39,72 @@
 /// pending throughout an outage in which other calls failed, and then reported deletions.
 #[test]
 fn replicas_are_kept_after_an_outage_that_another_call_detected() {
-    let mut health = StoreHealth::default();
-    let normal_us = health.removal_delay_us(0);
-    assert!(normal_us < REGISTRATIONS_RESTORED_US);
+    let mut health = self::health();
+    let delay_us = |health: &StoreHealth, now_us: u64| {
+        health.removal_at_us(now_us, 15 * SECOND_US, DRAIN_US) - now_us
+    };
+    health.record_response(9 * SECOND_US, 9 * SECOND_US);
     health.suspect_outage(10 * SECOND_US);
-    assert!(health.removal_delay_us(11 * SECOND_US) > REGISTRATIONS_RESTORED_US);
-    health.record_response(20 * SECOND_US);
+    assert!(delay_us(&health, 12 * SECOND_US) > REGISTRATIONS_RESTORED_US);
+    health.record_response(20 * SECOND_US, 20 * SECOND_US);
     assert!(health.record_outage_end(20 * SECOND_US, 10 * SECOND_US));
-    assert!(
-        health.removal_delay_us(20 * SECOND_US + REGISTRATIONS_RESTORED_US)
-            > REGISTRATIONS_RESTORED_US
+    assert!(delay_us(&health, 20 * SECOND_US) > REGISTRATIONS_RESTORED_US);
+    // A registration that is not restored by then belongs to a replica that is gone.
+    assert_eq!(delay_us(&health, 23 * SECOND_US), 0);
+}
+
+/// A lost peer or a single lost response lasts for less than the time in which registrations can
+/// lapse; replicas that left were used for 2.3 s all the same, and got requests after the bound.
+#[test]
+fn loss_of_a_peer_does_not_prolong_the_use_of_removed_replicas() {
+    let mut health = self::health();
+    health.record_response(10 * SECOND_US, 10 * SECOND_US);
+    let normal_us = health.removal_at_us(10 * SECOND_US, 0, DRAIN_US) - 10 * SECOND_US;
+    health.suspect_outage(11 * SECOND_US);
+    let lost_us = 12 * SECOND_US;
+    assert_eq!(
+        health.removal_at_us(lost_us, 0, DRAIN_US),
+        lost_us + normal_us
     );
-    assert_eq!(health.removal_delay_us(23 * SECOND_US), normal_us);
+    health.record_response(lost_us, lost_us);
+    health.record_outage_end(lost_us, 11 * SECOND_US);
+    assert_eq!(
+        health.removal_at_us(lost_us, 0, DRAIN_US),
+        lost_us + normal_us
+    );
+    assert!(!health.is_settling(lost_us));
+}
+
+/// The delay counted from the time at which a node heard of a removal, so that it came on top of
+/// what the reader's pause and the search for another reader had taken.
+#[test]
+fn age_of_a_removal_and_its_delay_stay_within_the_bound() {
+    for drain_us in [SECOND_US / 2, DRAIN_US, 60 * SECOND_US] {
+        for age_us in (0..4 * SECOND_US).step_by(SECOND_US as usize / 10) {
+            let now_us = 10 * SECOND_US;
+            let at_us = health().removal_at_us(now_us, age_us, drain_us);
+            assert!(at_us == now_us || age_us + at_us - now_us < drain_us);
+        }
+    }
+}
+
+/// The times that follow one another between a removal in the store and the last request must fit
+/// into its bound, also if the reader of a node falls silent while it pauses.
+#[test]
+fn loss_of_a_reader_leaves_time_for_another_one_within_the_bound() {
+    for bound_ms in [1_000, 3_000, 5_000, 60_000] {
+        let age_us = (watch_pause_ms(1, bound_ms) + silence_limit_ms(bound_ms)) * 1_000;
+        let now_us = 100 * SECOND_US;
+        let delay_us = health().removal_at_us(now_us, age_us, bound_ms * 1_000) - now_us;
+        let search_us = bound_ms * 1_000 / 10;
+        assert!(age_us + search_us + delay_us <= bound_ms * 1_000 || delay_us == 0);
+    }
 }
 
 /// Each collection reports the end of an outage; watches must be sent again only once.
 #[test]
 fn end_of_an_outage_is_recorded_once() {
-    let mut health = StoreHealth::default();
+    let mut health = self::health();
     // The first argument is the time of the end, the second that of the beginning.
     assert!(health.record_outage_end(20, 10));
     assert!(!health.record_outage_end(21, 11));
@@ -57,7 +115,7 @@
 /// against callers that are left too little time for their retry.
 #[test]
 fn callers_wait_longer_the_longer_an_outage_of_the_store_lasts() {
-    let mut health = StoreHealth::default();
+    let mut health = self::health();
     assert_eq!(health.unconfigured_retry_ms(0, Some(8_000)), 200);
     health.suspect_outage(SECOND_US / 10);
     let retry_ms = |health: &StoreHealth, seconds: u64, remaining_ms| {
@@ -68,6 +126,6 @@
     assert_eq!(retry_ms(&health, 5, Some(1_000)), 333);
     assert_eq!(retry_ms(&health, 5, Some(100)), 200);
     assert_eq!(retry_ms(&health, 5, None), 700);
-    health.record_response(6 * SECOND_US);
+    health.record_response(6 * SECOND_US, 6 * SECOND_US);
     assert_eq!(retry_ms(&health, 6, Some(8_000)), 200);
 }
--- a/crates/dispatch/tests/version_switch.rs
+++ b/crates/dispatch/tests/version_switch.rs
@@ -79,9 +79,11 @@
 /// succession and nodes fall behind, versions that wait come into force too late.
 #[test]
 fn versions_wait_only_while_registrations_are_restored_after_an_outage() {
-    let mut health = StoreHealth::default();
+    let mut health = StoreHealth::new(1_200);
     assert!(!health.is_settling(S));
-    health.record_outage_end(10 * S, 6 * S);
+    health.record_response(5 * S, 5 * S);
+    health.suspect_outage(6 * S);
+    health.record_response(10 * S, 10 * S);
     assert!(health.is_settling(10 * S));
     assert!(health.is_settling(12 * S));
     // Registrations are restored about two seconds after the end of an outage; one that is still
--- a/crates/entry/src/peers/change_feed.rs
+++ b/crates/entry/src/peers/change_feed.rs
@@ -47,8 +47,10 @@
     pub(crate) store_health: RefCell<StoreHealth>,
 }
 
-impl Default for ChangeFeed {
-    fn default() -> Self {
+impl ChangeFeed {
+    /// Creates the state of a node that starts; replicas renew their registrations at the given
+    /// interval.
+    pub(crate) fn new(registration_interval_ms: u64) -> Self {
         Self {
             followers: broadcast::Sender::new(FOLLOWER_QUEUE_MESSAGES),
             health_check_due: Notify::new(),
@@ -57,12 +59,10 @@
             ended_outage_start_us: watch::Sender::new(0),
             source: watch::Sender::new(ChangeSource::Undecided),
             store_era: watch::Sender::new(0),
-            store_health: RefCell::default(),
+            store_health: RefCell::new(StoreHealth::new(registration_interval_ms)),
         }
     }
-}
 
-impl ChangeFeed {
     pub(crate) fn source(&self) -> watch::Receiver<ChangeSource> {
         self.source.subscribe()
     }
--- a/crates/entry/src/peers/feed_client.rs
+++ b/crates/entry/src/peers/feed_client.rs
@@ -257,8 +257,8 @@
 ) -> bool {
     let reason = format!("{name}: {:?}", end.reason);
     if end.fresh_until.is_some() {
-        // The store may be unavailable: while an outage is suspected, calls wait for a successful
-        // health check.
+        // An outage of the store ends the streams of all readers: while one is suspected, calls wait
+        // for a successful health check.
         shared.feed.suspect_store_outage(shared.clock.now_us());
         shared.feed.set_source(ChangeSource::Undecided);
         log_change_source(shared, "none", &reason);
@@ -453,7 +453,12 @@
         let now_us = self.shared.clock.now_us();
         let feed = &self.shared.feed;
         let answered_us = now_us.saturating_sub(age_ms.saturating_mul(1_000));
-        feed.store_health.borrow_mut().record_response(answered_us);
+        feed.store_health
+            .borrow_mut()
+            .record_response(now_us, answered_us);
+        self.views
+            .iter()
+            .for_each(|view| view.confirm_by_peer(answered_us));
         let mut store_unavailable = false;
         for view in self.views.iter() {
             if let Some(unavailable_since_us) = view.mark_available() {
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -76,6 +76,13 @@
         parts: usize,
         request_id: &'a str,
     },
+    /// Registrations of replicas were removed, at most `age_ms` ago; the replicas are still used for
+    /// `delay_ms`.
+    Removals {
+        age_ms: u64,
+        delay_ms: u64,
+        removals: usize,
+    },
     /// Registrations of replicas changed.
     Replicas {
         gone: usize,
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -102,7 +102,7 @@
             clock,
             connections: Cell::new(0),
             events,
-            feed: ChangeFeed::default(),
+            feed: ChangeFeed::new(settings.registration_interval_ms),
             idle_connections: RefCell::default(),
             latencies: RefCell::default(),
             loop_times: Arc::new(LoopTimes::new(clock)),
@@ -177,7 +177,7 @@
             self.feed
                 .store_health
                 .borrow_mut()
-                .record_outage_end(now_us, now_us);
+                .record_restoration(now_us);
             self.log(&Event::StoreRestored { era, known });
         }
     }
--- a/crates/entry/src/store/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -21,6 +21,7 @@
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::RouteTable;
 use wigeonhall_dispatch::StoreRevision;
+use wigeonhall_dispatch::watch_pause_ms;
 
 use crate::peers::feed_protocol::FeedMessage;
 use crate::peers::packing;
@@ -35,6 +36,8 @@
     pub(crate) collection: Collection,
     /// Names of the data centres that operators evacuated: their replicas get no requests.
     evacuated: RefCell<BTreeSet<Arc<str>>>,
+    /// Time up to which the copy is known to have all changes; `None` before the first list.
+    current_us: Cell<Option<u64>>,
     /// Whether the next watch returns at once instead of waiting for changes.
     pub(crate) catch_up_due: Cell<bool>,
     /// Recent changes, for peers that follow this node.
@@ -59,6 +62,7 @@
             collection,
             evacuated: RefCell::default(),
             catch_up_due: Cell::new(false),
+            current_us: Cell::new(None),
             list_due: Cell::new(false),
             log: RefCell::default(),
             unavailable_since_us: Cell::new(None),
@@ -69,6 +73,35 @@
         }
     }
 
+    /// Returns the time within which a change of the collection must be in force.
+    pub(crate) fn bound_ms(&self) -> u64 {
+        let settings = &self.shared.settings;
+        match self.collection {
+            Collection::Configuration => settings.config_apply_ms,
+            Collection::Evacuations => settings.evacuation_ms,
+            Collection::Nodes | Collection::Replicas => settings.drain_ms,
+        }
+    }
+
+    /// Records that the copy has all changes made until `at_us`.
+    pub(crate) fn confirm(&self, at_us: u64) {
+        self.current_us.set(self.current_us.get().max(Some(at_us)));
+    }
+
+    /// Records that a peer, which read the store at `read_us`, has sent all changes that it knows.
+    /// Those made during a pause between its watches may be missing.
+    pub(crate) fn confirm_by_peer(&self, read_us: u64) {
+        let pause_us = watch_pause_ms(1, self.bound_ms()) * 1_000;
+        self.confirm(read_us.saturating_sub(pause_us));
+    }
+
+    /// Returns the longest time for which a change that this node hears of now may have been in
+    /// the store.
+    fn change_age_us(&self, now_us: u64) -> u64 {
+        let current_us = self.current_us.get();
+        current_us.map_or(0, |at_us| now_us.saturating_sub(at_us))
+    }
+
     pub(crate) const fn is_unavailable(&self) -> bool {
         self.unavailable_since_us.get().is_some()
     }
@@ -322,7 +355,8 @@
                 let registrations = objects.iter().filter_map(|item| self.registration(item));
                 let registrations: Vec<Registration> = registrations.collect();
                 let now_us = self.shared.clock.now_us();
-                let missing_at_us = now_us + self.removal_delay_us(now_us);
+                let missing_at_us = self.removal_at_us(now_us);
+                self.log_removals(now_us, missing_at_us, self.count_missing(objects));
                 let mut pool = self.shared.pool.borrow_mut();
                 let new = if restored {
                     pool.register_restored(now_us, registrations, missing_at_us)
@@ -360,12 +394,14 @@
 
     fn apply_replicas(&self, changes: &[ObjectChange], revision: u64) {
         let now_us = self.shared.clock.now_us();
+        let removed_at_us = self.removal_at_us(now_us);
+        let removals = changes.iter().filter(|change| change.deleted).count();
+        self.log_removals(now_us, removed_at_us, removals);
         let mut new = Vec::new();
         for change in changes {
             if change.deleted {
-                let at_us = now_us + self.removal_delay_us(now_us);
                 let mut pool = self.shared.pool.borrow_mut();
-                pool.unregister(&change.object.name, at_us);
+                pool.unregister(&change.object.name, removed_at_us);
             } else if let Some(registration) = self.registration(&change.object) {
                 let mut pool = self.shared.pool.borrow_mut();
                 new.extend(pool.register(now_us, registration));
@@ -374,12 +410,30 @@
         self.replicas_changed(&new, revision);
     }
 
-    fn removal_delay_us(&self, now_us: u64) -> u64 {
-        self.shared
-            .feed
-            .store_health
-            .borrow()
-            .removal_delay_us(now_us)
+    /// Returns the time until which replicas are still used whose registrations this node finds
+    /// removed.
+    fn removal_at_us(&self, now_us: u64) -> u64 {
+        let age_us = self.change_age_us(now_us);
+        let drain_us = self.shared.settings.drain_ms * 1_000;
+        let health = self.shared.feed.store_health.borrow();
+        health.removal_at_us(now_us, age_us, drain_us)
+    }
+
+    /// Returns the number of objects of the copy that a list lacks.
+    fn count_missing(&self, listed: &[StoredObject]) -> usize {
+        let names: BTreeSet<&Arc<str>> = listed.iter().map(|object| &object.name).collect();
+        let known = self.objects.borrow();
+        known.keys().filter(|name| !names.contains(name)).count()
+    }
+
+    fn log_removals(&self, now_us: u64, removed_at_us: u64, removals: usize) {
+        if removals > 0 {
+            self.shared.log(&Event::Removals {
+                age_ms: self.change_age_us(now_us) / 1_000,
+                delay_ms: removed_at_us.saturating_sub(now_us) / 1_000,
+                removals,
+            });
+        }
     }
 
     fn registration(&self, object: &StoredObject) -> Option<Registration> {
--- a/crates/entry/src/store/store_health.rs
+++ b/crates/entry/src/store/store_health.rs
@@ -67,7 +67,7 @@
                     .feed
                     .store_health
                     .borrow_mut()
-                    .record_response(sent_us);
+                    .record_response(shared.clock.now_us(), sent_us);
                 if unavailable {
                     log_store_state(&shared, "answers again", "back");
                     let now_us = shared.clock.now_us();
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -51,6 +51,10 @@
 /// Time beyond its wait after which a watch times out.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_secs(3);
 
+/// Time from which the response to a watch shows that it has waited: its changes are new. A sooner
+/// response may hold changes made before the watch was sent.
+const WAITED_MIN_US: u64 = 500_000;
+
 /// Timeout of one page of a list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -150,7 +154,7 @@
                     let own_name = peers.own().name.clone();
                     peers.clear_reader_suspicion(&own_name);
                 }
-                let pause_ms = watch_pause_ms(changes, self.bound_ms());
+                let pause_ms = watch_pause_ms(changes, self.view.bound_ms());
                 time::sleep(Duration::from_millis(pause_ms)).await;
             }
             Err(StoreError::HistoryGone) => self.list_anew(),
@@ -224,6 +228,7 @@
         let mut objects = Vec::new();
         let mut after: Option<Arc<str>> = None;
         let mut list_era = None;
+        let began_us = self.view.shared.clock.now_us();
         let call = self.call(match self.freshness {
             Freshness::Current => CallPurpose::List,
             Freshness::Stale => CallPurpose::StaleList,
@@ -245,6 +250,7 @@
         };
         self.freshness = Freshness::Current;
         self.view.apply_list(objects, revision);
+        self.view.confirm(began_us);
         Ok(0)
     }
 
@@ -258,7 +264,8 @@
         let path = watch_path(self.view.collection, revision.number, wait_ms);
         let shared = &self.view.shared;
         let ended_outages = shared.feed.ended_outage_start_us.subscribe();
-        let mut watch_lost = pin!(wait_for_outage_end(ended_outages, shared.clock.now_us()));
+        let sent_us = shared.clock.now_us();
+        let mut watch_lost = pin!(wait_for_outage_end(ended_outages, sent_us));
         let mut newer_era = shared.feed.store_era.subscribe();
         let call = self.call(purpose);
         let call = self
@@ -293,9 +300,16 @@
                 number: changes.revision,
             },
         };
-        self.view
+        let answered_us = self.view.shared.clock.now_us();
+        if answered_us >= sent_us + WAITED_MIN_US {
+            self.view.confirm(answered_us);
+        }
+        let count = self
+            .view
             .apply_store_batch(&batch)
-            .map_err(StoreError::Decode)
+            .map_err(StoreError::Decode)?;
+        self.view.confirm(sent_us);
+        Ok(count)
     }
 
     fn handle_failure(&mut self, error: &StoreError) {
@@ -317,14 +331,4 @@
             purpose,
         }
     }
-
-    /// Returns the time within which a change of the collection must be in force.
-    fn bound_ms(&self) -> u64 {
-        let settings = &self.view.shared.settings;
-        match self.view.collection {
-            Collection::Configuration => settings.config_apply_ms,
-            Collection::Evacuations => settings.evacuation_ms,
-            Collection::Nodes | Collection::Replicas => settings.drain_ms,
-        }
-    }
 }
--- a/crates/node/tests/entry/feed.rs
+++ b/crates/node/tests/entry/feed.rs
@@ -147,6 +147,22 @@
     fleet.assert_change_arrives(2, fleet.followers());
 }
 
+/// The delay of a removal counted from the time at which a follower heard of it, and the loss of the
+/// reader prolonged it as an outage of the store does: replicas that had left got requests too late.
+#[test]
+fn removals_take_effect_within_their_bound_although_the_reader_is_lost() {
+    const DRAIN_MS: u64 = 3_000;
+    let fleet = fleet();
+    fleet.nodes[fleet.reader].signal("STOP");
+    fleet.store.unregister("a-1");
+    for index in fleet.followers() {
+        let line = fleet.nodes[index].logged(|line| line["event"] == "removals");
+        let delay_ms = line["delay_ms"].as_u64().unwrap();
+        let age_ms = line["age_ms"].as_u64().unwrap();
+        assert!(delay_ms == 0 || age_ms + delay_ms < DRAIN_MS, "{line}");
+    }
+}
+
 /// Writes objects that no node reads, which use up revisions of the store.
 fn use_up_revisions(store: &StoreStandin) {
     for number in 0..5 {
