Let the waits and timeouts of store calls follow from the bounds

3 to 5 s after a version was confirmed, nodes sent requests by an older one, although nothing had been disturbed for 4 s: the answer to a watch had been lost. A lost watch looks like one that waits; it timed out after 18 s, as did one that asks for an answer at once, while health checks on another connection succeeded.

A watch waits for the stabilization time and half of the bound at most, less 1 s; other calls time out after two thirds of the bound. A watch that ends after it has waited leads to a call that catches up, and counts as an outage only if that fails. Heartbeats wait for the calls that confirm the copies.

--- a/crates/entry/src/peers/feed_server.rs
+++ b/crates/entry/src/peers/feed_server.rs
@@ -117,14 +117,17 @@
     checked_us.map(|at_us| shared.clock.now_us().saturating_sub(at_us))
 }
 
-/// Returns whether a collection must be listed again; until then its changes are unknown.
-fn is_listing(views: &CollectionViews) -> bool {
-    views.iter().any(|view| view.must_list())
+/// Returns whether a collection must be read again before its copy counts as current: it must be
+/// listed, or its last watch was lost or made before this node read the store.
+fn is_reading_anew(views: &CollectionViews) -> bool {
+    views
+        .iter()
+        .any(|view| view.must_list() || view.catch_up_due.get())
 }
 
 /// Whether a heartbeat may be sent to a follower.
 enum HeartbeatState {
-    /// Not yet: a list, or the first health check since the follower connected, is pending.
+    /// Not yet: a list, the confirmation of a copy, or the first health check since the follower connected, is pending.
     Pending,
     /// Yes: the store answered this long ago.
     Current { age_ms: u64 },
@@ -171,7 +174,7 @@
         if !serves_from_store(shared) || !is_healthy(shared, &self.views) {
             return HeartbeatState::Ended;
         }
-        if is_listing(&self.views) {
+        if is_reading_anew(&self.views) {
             return HeartbeatState::Pending;
         }
         let now_us = shared.clock.now_us();
--- a/crates/entry/src/store/store_client.rs
+++ b/crates/entry/src/store/store_client.rs
@@ -47,6 +47,8 @@
     Timeout,
     /// The connection failed.
     Transport(String),
+    /// A watch that had waited for changes ended without a response.
+    WatchLost(String),
 }
 
 impl StoreError {
@@ -60,6 +62,7 @@
             Self::Status(_) => "refused",
             Self::Timeout => "timeout",
             Self::Transport(_) => "broken",
+            Self::WatchLost(_) => "watch_lost",
         }
     }
 }
@@ -73,7 +76,7 @@
             Self::OtherEra => f.write_str("the store was restored from a copy"),
             Self::Status(status) => write!(f, "status {status}"),
             Self::Timeout => f.write_str("no response in time"),
-            Self::Transport(error) => f.write_str(error),
+            Self::Transport(error) | Self::WatchLost(error) => f.write_str(error),
         }
     }
 }
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -21,7 +21,10 @@
 use wigeonhall_adapter::watch_path;
 use wigeonhall_dispatch::ChangeBatch;
 use wigeonhall_dispatch::StoreRevision;
+use wigeonhall_dispatch::call_timeout_ms;
 use wigeonhall_dispatch::watch_pause_ms;
+use wigeonhall_dispatch::watch_timeout_ms;
+use wigeonhall_dispatch::watch_wait_ms;
 
 use crate::peers::change_feed::ChangeSource;
 use crate::store::collection_view::CollectionView;
@@ -32,10 +35,6 @@
 use crate::store::store_client::StoreError;
 use crate::store::store_client::StoreResponse;
 
-/// Longest wait of one watch. A longer wait saves calls, which cost money, but followers
-/// continue from the revision of the last watch, which must still be in the store's history.
-const WATCH_WAIT: Duration = Duration::from_secs(15);
-
 /// Interval between checks whether an outage of the store is still suspected.
 const SUSPECTED_OUTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -49,16 +48,10 @@
 /// Wait of a watch that catches up, which returns at once, in milliseconds.
 const CATCH_UP_WAIT_MS: u64 = 1;
 
-/// Time beyond its wait after which a watch times out.
-const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_secs(3);
-
-/// Time from which the response to a watch shows that it has waited: its changes are new. A sooner
-/// response may hold changes made before the watch was sent.
+/// Time from which the end of a watch shows that it has waited: the changes of its response are new,
+/// or the store has cut it off. A sooner response may hold changes made before the watch was sent.
 const WAITED_MIN_US: u64 = 500_000;
 
-/// Timeout of one page of a list.
-const LIST_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// Interval between checks whether the replicas were read after an outage.
 const REPLICAS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -108,6 +101,8 @@
                 }
                 // The call in flight belongs to the previous source.
                 watcher.client.disconnect();
+                // What this node received from a peer is confirmed by a call of its own.
+                watcher.view.catch_up_due.set(watcher.view.revision.get().is_some());
             }
         }
     }
@@ -163,6 +158,14 @@
                 self.list_anew();
                 self.failures += 1;
             }
+            // The next call, which returns at once, shows whether the store is available.
+            Err(StoreError::WatchLost(reason)) => {
+                log::warn!(
+                    "a watch of {} ended: {reason}",
+                    self.view.collection.wire_name()
+                );
+                self.view.catch_up_due.set(true);
+            }
             // A list that is not stale either must not be repeated without a pause.
             Err(StoreError::OtherEra) if !self.view.list_due.get() => self.list_anew(),
             Err(error) => self.handle_failure(&error),
@@ -257,7 +260,7 @@
         });
         loop {
             let path = list_path(self.view.collection, after.as_deref(), self.freshness);
-            let response = self.client.get(call, &path, LIST_TIMEOUT).await?;
+            let response = self.client.get(call, &path, self.call_timeout()).await?;
             let era = self.observe_era(&response);
             if *list_era.get_or_insert(era) != era || era < self.view.shared.feed.era() {
                 return Err(StoreError::OtherEra);
@@ -280,7 +283,7 @@
         while !list.is_complete() {
             let path = watch_path(self.view.collection, list.revision(), CATCH_UP_WAIT_MS);
             let call = self.call(CallPurpose::CatchUp);
-            let response = match self.client.get(call, &path, LIST_TIMEOUT).await {
+            let response = match self.client.get(call, &path, self.call_timeout()).await {
                 Err(StoreError::HistoryGone) => return Err(StoreError::ListExpired),
                 response => response?,
             };
@@ -295,10 +298,13 @@
 
     /// Waits for changes, applies them and returns their number.
     async fn watch(&mut self, revision: StoreRevision) -> Result<usize, StoreError> {
-        let (wait_ms, purpose) = if self.view.catch_up_due.get() {
-            (CATCH_UP_WAIT_MS, CallPurpose::CatchUp)
+        let (wait_ms, timeout, purpose) = if self.view.catch_up_due.get() {
+            (CATCH_UP_WAIT_MS, self.call_timeout(), CallPurpose::CatchUp)
         } else {
-            (WATCH_WAIT.as_millis() as u64, CallPurpose::Watch)
+            let stabilization_ms = self.view.shared.settings.stabilization_ms;
+            let wait_ms = watch_wait_ms(self.view.bound_ms(), stabilization_ms);
+            let timeout = Duration::from_millis(watch_timeout_ms(wait_ms));
+            (wait_ms, timeout, CallPurpose::Watch)
         };
         let path = watch_path(self.view.collection, revision.number, wait_ms);
         let shared = &self.view.shared;
@@ -307,11 +313,9 @@
         let mut watch_lost = pin!(wait_for_outage_end(ended_outages, sent_us));
         let mut newer_era = shared.feed.store_era.subscribe();
         let call = self.call(purpose);
-        let call = self
-            .client
-            .get(call, &path, WATCH_WAIT + WATCH_TIMEOUT_MARGIN);
+        let call = self.client.get(call, &path, timeout);
         let response = tokio::select! {
-            response = call => response?,
+            response = call => response.map_err(|error| self.watch_error(error, purpose, sent_us))?,
             () = &mut watch_lost => {
                 self.client.disconnect();
                 return Ok(0);
@@ -351,6 +355,17 @@
         Ok(count)
     }
 
+    /// Returns the error of a watch: one that has waited may have been cut off, or its answer lost,
+    /// although the store serves other calls.
+    fn watch_error(&self, error: StoreError, purpose: CallPurpose, sent_us: u64) -> StoreError {
+        let ended = matches!(error, StoreError::Timeout | StoreError::Transport(_));
+        let waited = self.view.shared.clock.now_us() >= sent_us + WAITED_MIN_US;
+        if ended && waited && purpose == CallPurpose::Watch {
+            return StoreError::WatchLost(error.to_string());
+        }
+        error
+    }
+
     fn handle_failure(&mut self, error: &StoreError) {
         if matches!(error, StoreError::Decode(_) | StoreError::OtherEra) {
             self.list_anew();
@@ -364,6 +379,11 @@
         self.failures += 1;
     }
 
+    /// Returns the timeout of a call that does not wait for changes.
+    fn call_timeout(&self) -> Duration {
+        Duration::from_millis(call_timeout_ms(self.view.bound_ms()))
+    }
+
     fn call(&self, purpose: CallPurpose) -> StoreCall {
         StoreCall {
             collection: self.view.collection,
--- a/crates/node/tests/entry/store.rs
+++ b/crates/node/tests/entry/store.rs
@@ -380,3 +380,27 @@
     node.logged(|line| line["event"] == "removals" && line["removals"] == 1);
     node.logged(|line| line["event"] == "replicas" && line["ready"] == 4);
 }
+
+/// A watch whose answer is lost looks like one that waits for changes; health checks use another
+/// connection and succeed.
+#[test]
+fn changes_arrive_although_answers_to_watches_are_lost() {
+    let replicas = [1, 2].map(replica);
+    let (store, node) = deploy(routes(), &replicas.each_ref());
+    let lost = [
+        Collection::Configuration,
+        Collection::Evacuations,
+        Collection::Replicas,
+    ];
+    for collection in lost {
+        store.lose_answers(collection, 2);
+    }
+    let mut more = routes();
+    more.push(route_to_a("two"));
+    store.configure(&configuration(2, more));
+    store.unregister("a-2");
+    store.set_evacuated("south", true);
+    wait_until("the new route", || status(&node, "/two/x") == 200);
+    node.logged(|line| line["event"] == "removals" && line["removals"] == 1);
+    node.logged(|line| line["event"] == "evacuation" && line["out"][0] == "south");
+}
