Bound what endless responses of many shards hold together

Operators of similar systems lost machines to replicas that send bytes without end. Here 300 shards, a third of them endless, and 20 gathers at once took a node with 2,870 descriptors to 208 MB, of 112 MB in its settings: the first 64 KiB of each response were not counted, read buffers had 64 KiB, and bodies' buffers grow ahead.

--- a/crates/entry/src/net/http_client.rs
+++ b/crates/entry/src/net/http_client.rs
@@ -23,8 +23,8 @@
 use crate::net::socket;
 
 /// Read buffer of a connection to a replica, the store or a peer; also the longest head of a
-/// response.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// response. A node has thousands of connections to replicas.
+const READ_BUFFER_BYTES: usize = 16 * 1024;
 
 /// Bytes that may be read before the head of a response is complete, interim responses
 /// included: a head and the beginning of the body that is read with it.
--- a/crates/entry/src/replicas/response_body.rs
+++ b/crates/entry/src/replicas/response_body.rs
@@ -17,9 +17,8 @@
 }
 
 impl ReservedMemory {
-    /// Reserves more bytes; returns false if the node's limit doesn't allow them.
-    fn grow(&mut self, more_bytes: usize) -> bool {
-        let to_bytes = self.bytes + more_bytes;
+    /// Reserves memory up to `to_bytes`; returns false if the node's limit doesn't allow them.
+    fn grow(&mut self, to_bytes: usize) -> bool {
         let mut memory = self.shared.response_memory.borrow_mut();
         let grown = memory.grow(self.bytes, to_bytes);
         if grown {
@@ -44,28 +43,55 @@
         bytes: 0,
         shared: shared.clone(),
     };
-    let mut first = Bytes::new();
-    let mut whole = BytesMut::new();
+    let mut whole = BodyBuffer::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| UnknownCause::Reset)?;
         let Ok(data) = frame.into_data() else {
             // Trailers aren't part of the body.
             continue;
         };
-        if !reserved.grow(data.len()) {
+        if !reserved.grow(whole.bytes_with(&data)) {
             return Err(UnknownCause::TooLong);
         }
-        if first.is_empty() && whole.is_empty() {
-            first = data;
-            continue;
+        whole.push(data);
+    }
+    Ok((whole.finish(), reserved))
+}
+
+/// The part of a body that has been received. A body of one frame, as most are, is not copied.
+#[derive(Debug, Default)]
+struct BodyBuffer {
+    first: Bytes,
+    whole: BytesMut,
+}
+
+impl BodyBuffer {
+    /// Returns the memory that is needed with another frame: the buffer grows ahead of its length.
+    fn bytes_with(&self, data: &Bytes) -> usize {
+        let length_bytes = self.first.len() + self.whole.len() + data.len();
+        let is_first = self.first.is_empty() && self.whole.is_empty();
+        if is_first || length_bytes <= self.whole.capacity() {
+            length_bytes.max(self.whole.capacity())
+        } else {
+            length_bytes.max(2 * self.whole.capacity())
+        }
+    }
+
+    fn push(&mut self, data: Bytes) {
+        if self.first.is_empty() && self.whole.is_empty() {
+            self.first = data;
+            return;
+        }
+        self.whole
+            .extend_from_slice(&std::mem::take(&mut self.first));
+        self.whole.extend_from_slice(&data);
+    }
+
+    fn finish(self) -> Bytes {
+        if self.whole.is_empty() {
+            self.first
+        } else {
+            self.whole.freeze()
         }
-        whole.extend_from_slice(&std::mem::take(&mut first));
-        whole.extend_from_slice(&data);
     }
-    let body = if whole.is_empty() {
-        first
-    } else {
-        whole.freeze()
-    };
-    Ok((body, reserved))
 }
--- a/crates/node/tests/entry/endless.rs
+++ b/crates/node/tests/entry/endless.rs
@@ -5,11 +5,14 @@
 use wigeonhall_adapter_standins::Endless;
 use wigeonhall_adapter_standins::MEMORY_MB;
 use wigeonhall_adapter_standins::ReplicaStandin;
+use wigeonhall_adapter_standins::StoreStandin;
 use wigeonhall_dispatch::RouteKind;
 use wigeonhall_dispatch::TargetSpec;
 
 use crate::caller::Caller;
 use crate::caller::ask;
+use crate::deployment::Node;
+use crate::deployment::configuration;
 use crate::deployment::deploy;
 use crate::deployment::gather;
 use crate::deployment::route;
@@ -53,3 +56,49 @@
         assert!(peak_bytes < MEMORY_MB * 1_000_000, "{kind:?}: {peak_bytes}");
     }
 }
+
+/// The bytes that are read of each response before a limit applies may together exceed the memory,
+/// if many gathers ask many shards at once.
+#[test]
+fn endless_responses_to_many_gathers_do_not_exhaust_the_memory() {
+    /// Descriptors of a node on the users' VMs.
+    const DESCRIPTORS: usize = 2_870;
+    const GATHERS: usize = 20;
+    const WIDE_SHARDS: usize = 300;
+    for kind in [Endless::Body, Endless::Head] {
+        let names: Vec<String> = (0..WIDE_SHARDS)
+            .map(|index| format!("s{index:03}"))
+            .collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let start = |(index, name): (usize, &&str)| {
+            let behaviour = if index % 3 == 0 {
+                Behaviour::Endless(kind)
+            } else {
+                Behaviour::answer([7; 16])
+            };
+            ReplicaStandin::start(name, 1, move |_| behaviour.clone()).unwrap()
+        };
+        let replicas: Vec<ReplicaStandin> = names.iter().enumerate().map(start).collect();
+        let mut all = route("all", "/all/", RouteKind::Idempotent, gather(&names, 0.5));
+        all.timeout_ms = 2_000;
+        all.target_latency_ms = 1_000;
+        let store = StoreStandin::start().unwrap();
+        store.configure(&configuration(1, vec![all]));
+        for replica in &replicas {
+            store.register(&replica.registration("north"));
+        }
+        let node = Node::start_with_descriptors(&store, DESCRIPTORS);
+        node.wait_ready();
+        let ask = |number: usize| {
+            let mut caller = Caller::connect(node.callers);
+            caller.ask("GET", "/all/x", &format!("q{number}"), "");
+            caller
+        };
+        let callers: Vec<Caller> = (0..GATHERS).map(ask).collect();
+        for mut caller in callers {
+            caller.read().expect("an answer");
+        }
+        let peak_bytes = node.peak_memory_bytes();
+        assert!(peak_bytes < MEMORY_MB * 1_000_000, "{kind:?}: {peak_bytes}");
+    }
+}
