Contain requests that crash the replicas that run them

A replica whose connection ends without an answer and that then refuses connections has crashed. Its requests are suspected by a digest of what they ask; the next one with the key is tried on one replica, and blocked for 60 s if this one crashes too. Nodes tell each other. Two crashes under one request end it.

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -8,6 +8,7 @@
 use crate::ReplicaKey;
 use crate::Reply;
 use crate::Route;
+use crate::UnknownCause;
 use crate::leg::Leg;
 
 /// Divisor of the target latency that gives the shortest time for which a gather waits for
@@ -24,6 +25,8 @@
 pub struct Exchange {
     /// Whether this node answers the caller; false for legs that another node assigned to it.
     pub(crate) answers_caller: bool,
+    /// Number of replicas that crashed under the request.
+    pub(crate) crashes: usize,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
     pub(crate) deadline_us: u64,
     /// Delay after which a sub-request without a response is hedged.
@@ -67,6 +70,7 @@
         let min_wait_us = target_us / MIN_WAIT_DIVISOR;
         Self {
             answers_caller: true,
+            crashes: 0,
             deadline_us,
             extra_sends: 0,
             hedge_delay_us,
@@ -103,6 +107,7 @@
         let legs = legs.iter().filter_map(|index| services.get(*index));
         Self {
             answers_caller: false,
+            crashes: 0,
             deadline_us,
             extra_sends: 0,
             hedge_delay_us,
@@ -137,6 +142,11 @@
         self
     }
 
+    /// Limits the number of replicas that may run each leg.
+    pub fn limit_runs(&mut self, max_runs: u32) {
+        self.max_runs = self.max_runs.min(max_runs);
+    }
+
     /// Moves the deadline of the request to `deadline_us` if it is later.
     pub fn limit_deadline(&mut self, deadline_us: u64) {
         self.deadline_us = self.deadline_us.min(deadline_us);
@@ -229,6 +239,9 @@
         let attempt = &mut self.legs[sub_request.leg].attempts[sub_request.attempt];
         attempt.replied_us = now_us;
         attempt.reply = Some(reply);
+        if reply == Reply::Unknown(UnknownCause::Crashed) {
+            self.crashes += 1;
+        }
         if self.legs[sub_request.leg].is_open() {
             if reply == Reply::Success {
                 self.legs[sub_request.leg].state = LegState::Done(sub_request.attempt);
--- a/crates/dispatch/src/exchange_outcome.rs
+++ b/crates/dispatch/src/exchange_outcome.rs
@@ -17,8 +17,18 @@
 /// of earlier refusals.
 const RETRY_LEFT_DIVISOR: u64 = 3;
 
+/// Crashes of replicas under one request after which it is given up.
+const CRASHES_MAX: usize = 2;
+
 /// Decides when and how a request is answered.
 impl Exchange {
+    /// Returns whether so many replicas crashed under the request that it must not run on others:
+    /// it is sent to no further one, and what is in flight is cancelled.
+    #[must_use]
+    pub const fn crashes_replicas(&self) -> bool {
+        self.crashes >= CRASHES_MAX
+    }
+
     /// Returns the number of legs, the request's shares for one service each, that succeeded.
     pub(crate) fn done_legs(&self) -> usize {
         let done = |leg: &&Leg| matches!(leg.state, LegState::Done(_));
@@ -75,7 +85,8 @@
 
     /// Returns the outcome of the request if it is due.
     pub(crate) fn outcome(&mut self, pool: &Pool, now_us: u64) -> Option<Outcome> {
-        if self.cannot_succeed() {
+        let too_few = self.done_legs() < self.min_parts.unwrap_or(1);
+        if self.cannot_succeed() || (self.crashes_replicas() && too_few) {
             return Some(self.give_up(pool, now_us, false));
         }
         let done = self.done_legs();
@@ -87,7 +98,7 @@
         };
         // An open leg is no longer awaited once a suspended replica, its last resort, is late.
         let any_awaited = self.legs.iter().any(|leg| leg.is_awaited(now_us));
-        let due = !any_awaited || now_us >= self.soft_deadline_us;
+        let due = !any_awaited || now_us >= self.soft_deadline_us || self.crashes_replicas();
         (done >= min_parts && due).then(|| Outcome::Gather {
             missing: self.legs.len() - done,
         })
@@ -95,8 +106,7 @@
 
     /// Returns the outcome of a request that can no longer succeed.
     pub(crate) fn give_up(&self, pool: &Pool, now_us: u64, deadline_passed: bool) -> Outcome {
-        let may_have_run = self.legs.iter().any(|leg| leg.runs() > 0);
-        if !may_have_run {
+        if !self.may_have_run() {
             let reason = self.refusal_reason(deadline_passed);
             return self.refuse(pool, now_us, reason);
         }
--- a/crates/dispatch/src/exchange_sub_requests.rs
+++ b/crates/dispatch/src/exchange_sub_requests.rs
@@ -106,6 +106,7 @@
         let allowed = leg.is_open()
             && leg.attempts.len() < SUB_REQUESTS_PER_LEG_MAX
             && leg.runs() < self.max_runs
+            && !self.crashes_replicas()
             && now_us < self.deadline_us;
         if !allowed {
             return false;
@@ -126,6 +127,12 @@
         true
     }
 
+    /// Returns whether a replica may have run the request.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        self.legs.iter().any(|leg| leg.runs() > 0)
+    }
+
     /// Retries a failed sub-request if possible; otherwise the leg is dead once nothing is in
     /// flight.
     pub(crate) fn handle_failure(
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -62,7 +62,10 @@
             }
             Reply::Failed { .. }
             | Reply::Unknown(
-                UnknownCause::Foreign | UnknownCause::Reset | UnknownCause::Unproved,
+                UnknownCause::Crashed
+                | UnknownCause::Foreign
+                | UnknownCause::Reset
+                | UnknownCause::Unproved,
             ) => self.add_sample(policy, 1.0, 1.0),
             Reply::Unknown(UnknownCause::Silent) => {
                 self.add_sample(policy, MAX_LATENCY_RATIO, 1.0);
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -38,6 +38,8 @@
 pub enum RefuseReason {
     /// The replicas that the request was sent to have no free capacity.
     Busy,
+    /// Replicas crashed under requests that ask the same.
+    CrashesReplicas,
     /// The deadline passed before a replica received the request.
     DeadlinePassed,
     /// No replica is available.
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -48,6 +48,8 @@
 /// The nodes of one data centre; assigns the legs of a large gather to them.
 #[derive(Debug)]
 pub struct Peers {
+    /// Addresses of all other nodes.
+    addresses: Vec<SocketAddr>,
     /// Nodes of this node's data centre, including this node.
     pub(crate) nodes: Vec<PeerNode>,
     own: PeerNode,
@@ -64,6 +66,7 @@
     #[must_use]
     pub fn new(own: PeerNode) -> Self {
         Self {
+            addresses: Vec::new(),
             all_nodes: vec![(own.data_centre.clone(), own.processor_share)],
             nodes: vec![own.clone()],
             own,
@@ -83,12 +86,20 @@
         self.own.address = address;
     }
 
+    /// Returns the addresses of all other nodes, in all data centres.
+    #[must_use]
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
     /// Replaces the known nodes by a complete list. For nodes of other data centres only the
-    /// data centre and the share of a core are kept.
+    /// data centre, the share of a core and the address are kept.
     pub fn replace(&mut self, nodes: Vec<PeerNode>) {
         let data_centre_and_share =
             |node: &PeerNode| (node.data_centre.clone(), node.processor_share);
         self.all_nodes = nodes.iter().map(data_centre_and_share).collect();
+        let others = nodes.iter().filter(|node| node.name != self.own.name);
+        self.addresses = others.map(|node| node.address).collect();
         if nodes.iter().all(|node| node.name != self.own.name) {
             self.all_nodes.push(data_centre_and_share(&self.own));
         }
--- a/crates/dispatch/src/reply.rs
+++ b/crates/dispatch/src/reply.rs
@@ -38,6 +38,9 @@
 /// Why the result of a request that was sent is unknown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UnknownCause {
+    /// The connection ended before the whole response was received, and the replica refuses
+    /// connections: its process has ended.
+    Crashed,
     /// The response belongs to another request.
     Foreign,
     /// The connection ended before the whole response was received.
--- /dev/null
+++ b/crates/dispatch/tests/crash_suspects.rs
@@ -0,0 +1,117 @@
+//! Guards against requests that crash one replica after the other, and against other requests that
+//! are blocked because they ran beside such a one.
+
+use wigeonhall_dispatch::CrashAdmission;
+use wigeonhall_dispatch::CrashSuspects;
+use wigeonhall_dispatch::RequestKey;
+use wigeonhall_dispatch::Suspicion;
+
+const SECOND_US: u64 = 1_000_000;
+
+fn key(path: &str) -> RequestKey {
+    RequestKey::new("GET", "shop.example", path, b"")
+}
+
+#[test]
+fn request_is_blocked_after_a_second_crash_that_followed_the_first() {
+    let mut suspects = CrashSuspects::default();
+    assert_eq!(suspects.admit(0, key("/a")), CrashAdmission::Free);
+    let first = suspects.record_crash(SECOND_US, key("/a"), 0);
+    assert_eq!(first, Some(Suspicion::Suspected));
+    assert_eq!(
+        suspects.admit(2 * SECOND_US, key("/a")),
+        CrashAdmission::Trial
+    );
+    let second = suspects.record_crash(3 * SECOND_US, key("/a"), 2 * SECOND_US);
+    assert_eq!(second, Some(Suspicion::Blocked));
+    let admission = suspects.admit(4 * SECOND_US, key("/a"));
+    assert!(matches!(admission, CrashAdmission::Refused { .. }));
+    assert_eq!(
+        suspects.admit(4 * SECOND_US, key("/b")),
+        CrashAdmission::Free
+    );
+}
+
+/// An outage ends many replicas at once, under parts of gathers that were all sent before.
+#[test]
+fn crashes_of_one_event_do_not_block_the_requests_that_were_running() {
+    let mut suspects = CrashSuspects::default();
+    for replica in 0..20 {
+        suspects.record_crash(SECOND_US + replica, key("/a"), replica);
+    }
+    assert_eq!(
+        suspects.admit(2 * SECOND_US, key("/a")),
+        CrashAdmission::Trial
+    );
+    suspects.end_trial(key("/a"), true);
+    assert!(suspects.is_empty());
+}
+
+/// All but one replica would be risked if requests with the same key came at once.
+#[test]
+fn one_request_at_a_time_is_tried() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_crash(SECOND_US, key("/a"), 0);
+    assert_eq!(suspects.admit(SECOND_US, key("/a")), CrashAdmission::Trial);
+    let admission = suspects.admit(SECOND_US, key("/a"));
+    assert!(matches!(admission, CrashAdmission::Refused { .. }));
+    // A trial whose caller left has no result.
+    assert_eq!(
+        suspects.admit(10 * SECOND_US, key("/a")),
+        CrashAdmission::Trial
+    );
+}
+
+/// A replica may be mended; a request must not be refused for good.
+#[test]
+fn blocked_request_is_tried_again_after_a_time() {
+    let mut suspects = CrashSuspects::default();
+    assert!(suspects.learn(0, key("/a"), Suspicion::Blocked));
+    let admission = suspects.admit(59 * SECOND_US, key("/a"));
+    assert!(matches!(admission, CrashAdmission::Refused { .. }));
+    assert_eq!(
+        suspects.admit(61 * SECOND_US, key("/a")),
+        CrashAdmission::Trial
+    );
+    suspects.end_trial(key("/a"), true);
+    assert_eq!(
+        suspects.admit(62 * SECOND_US, key("/a")),
+        CrashAdmission::Free
+    );
+}
+
+/// Nodes tell each other, and must not tell the same again.
+#[test]
+fn reports_of_peers_count_once_and_never_weaken_what_is_known() {
+    let mut suspects = CrashSuspects::default();
+    assert!(suspects.learn(0, key("/a"), Suspicion::Suspected));
+    assert!(!suspects.learn(0, key("/a"), Suspicion::Suspected));
+    assert!(suspects.learn(0, key("/a"), Suspicion::Blocked));
+    assert!(!suspects.learn(0, key("/a"), Suspicion::Suspected));
+    let admission = suspects.admit(SECOND_US, key("/a"));
+    assert!(matches!(admission, CrashAdmission::Refused { .. }));
+}
+
+/// A caller that varies its requests must not fill the memory of the nodes.
+#[test]
+fn number_of_suspects_is_limited_and_old_ones_make_room() {
+    let mut suspects = CrashSuspects::default();
+    let record = |suspects: &mut CrashSuspects, second: u64| {
+        let keys = (0..3_000).map(|number| key(&format!("/{second}/{number}")));
+        keys.filter(|key| suspects.record_crash(second * SECOND_US, *key, 0).is_some())
+            .count()
+    };
+    let first = record(&mut suspects, 1);
+    assert!(first < 3_000);
+    assert_eq!(record(&mut suspects, 100), first);
+}
+
+/// Nodes of two releases must agree on the key, and no caller may choose one of another request.
+#[test]
+fn request_key_does_not_depend_on_the_build_and_separates_its_parts() {
+    insta::assert_snapshot!(key("/a?b=1"), @"06b6ff300c6abd0cbeb3f8ccc6487f6c");
+    assert_eq!(key("/a").to_string().parse(), Ok(key("/a")));
+    let other = RequestKey::new("GET", "shop.example/", "a", b"");
+    assert_ne!(key("/a"), other);
+    assert_ne!(key("/a"), RequestKey::new("GET", "shop.example", "/", b"a"));
+}
--- a/crates/entry/src/callers/responses.rs
+++ b/crates/entry/src/callers/responses.rs
@@ -54,6 +54,7 @@
 const fn refusal_text(reason: RefuseReason) -> &'static str {
     match reason {
         RefuseReason::Busy => "replicas have no room",
+        RefuseReason::CrashesReplicas => "replicas crash under this request",
         RefuseReason::DeadlinePassed => "no replica was reached in time",
         RefuseReason::NoReplica => "no replica is available",
         RefuseReason::Overloaded { .. } => "more requests arrive than can be answered in time",
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -2,6 +2,7 @@
 //! nodes divide among them.
 
 pub(crate) mod change_feed;
+pub(crate) mod crash_reports;
 pub(crate) mod feed_client;
 pub(crate) mod feed_protocol;
 pub(crate) mod feed_server;
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -27,6 +27,7 @@
 use crate::callers::accepted_connection::AcceptedConnection;
 use crate::callers::caller_request;
 use crate::callers::probed_listener::ProbedListener;
+use crate::peers::crash_reports;
 use crate::peers::feed_protocol;
 use crate::peers::feed_protocol::Revisions;
 use crate::peers::feed_server;
@@ -36,6 +37,7 @@
 use crate::process::node_state::NodeState;
 use crate::process::node_state::Phase;
 use crate::replicas::replica_client::OutgoingRequest;
+use crate::requests::crash_trial;
 use crate::requests::group_parts::GroupParts;
 use crate::requests::group_stream;
 use crate::requests::query::Query;
@@ -85,6 +87,10 @@
     if let Some(revisions) = feed_protocol::read_follow(request.headers()) {
         return stream_changes(shared, views, &revisions);
     }
+    if let Some(reports) = crash_reports::read(request.headers()) {
+        crash_trial::learn(shared, reports);
+        return empty_response(StatusCode::NO_CONTENT);
+    }
     match read_query(shared, request, arrived_us).await {
         Some(query) => {
             let legs = query.legs.len();
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -24,6 +24,16 @@
         routes: usize,
         version: u64,
     },
+    /// A replica crashed under a request (`suspected`), and another one under a later request that
+    /// asks the same (`blocked`); `replica` and `request_id` are empty if a peer reported it. A
+    /// request with such a key is sent to one replica (`tried`), which answers it (`cleared`), or to
+    /// none (`refused`).
+    CrashSuspicion {
+        key: String,
+        replica: &'a str,
+        request_id: &'a str,
+        state: &'a str,
+    },
     /// A dependency became unavailable or is available again.
     Dependency {
         name: &'a str,
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) extra_sends: IntCounter,
     pub(crate) malformed_entries: IntCounterVec,
     pub(crate) missing_parts: IntCounter,
+    pub(crate) crash_suspicions: IntCounterVec,
     pub(crate) passed_on_batches: IntCounterVec,
     registry: Registry,
     pub(crate) relay_failures: IntCounter,
@@ -56,6 +57,13 @@
                 &["collection"],
             )?,
             missing_parts: IntCounter::new("missing_parts_total", "Parts left out of answers")?,
+            crash_suspicions: IntCounterVec::new(
+                Opts::new(
+                    "crash_suspicions_total",
+                    "Requests under which replicas crashed",
+                ),
+                &["state"],
+            )?,
             passed_on_batches: IntCounterVec::new(
                 Opts::new("passed_on_batches_total", "Changes from another node"),
                 &["collection"],
@@ -108,6 +116,7 @@
         registry.register(Box::new(self.extra_sends.clone()))?;
         registry.register(Box::new(self.malformed_entries.clone()))?;
         registry.register(Box::new(self.missing_parts.clone()))?;
+        registry.register(Box::new(self.crash_suspicions.clone()))?;
         registry.register(Box::new(self.passed_on_batches.clone()))?;
         registry.register(Box::new(self.relay_failures.clone()))?;
         registry.register(Box::new(self.replica_connection_errors.clone()))?;
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use wigeonhall_adapter::ProcessSettings;
+use wigeonhall_dispatch::CrashSuspects;
 use wigeonhall_dispatch::ExtraAllowance;
 use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::PeerNode;
@@ -23,6 +24,7 @@
 use wigeonhall_dispatch::StopLimit;
 
 use crate::peers::change_feed::ChangeFeed;
+use crate::peers::crash_reports::CrashReports;
 use crate::peers::relay_client::RelayConnections;
 use crate::process::clock::Clock;
 use crate::process::event::Event;
@@ -53,6 +55,8 @@
     pub(crate) clock: Clock,
     /// Number of open connections of callers.
     pub(crate) connections: Cell<usize>,
+    pub(crate) crash_reports: CrashReports,
+    pub(crate) crash_suspects: RefCell<CrashSuspects>,
     pub(crate) events: EventLog,
     /// Source of changes of the store, and the followers that receive them.
     pub(crate) feed: ChangeFeed,
@@ -101,6 +105,8 @@
             answer_lag: AnswerLag::default(),
             clock,
             connections: Cell::new(0),
+            crash_reports: CrashReports::default(),
+            crash_suspects: RefCell::default(),
             events,
             feed: ChangeFeed::new(settings.registration_interval_ms),
             idle_connections: RefCell::default(),
--- a/crates/entry/src/process/run.rs
+++ b/crates/entry/src/process/run.rs
@@ -14,6 +14,7 @@
 
 use crate::callers::caller_server;
 use crate::callers::probed_listener::ProbedListener;
+use crate::peers::crash_reports;
 use crate::peers::feed_client;
 use crate::peers::relay_server;
 use crate::process::event::Event;
@@ -143,6 +144,8 @@
         feed_client::run(state.clone(), views.clone())
     });
     let state = shared.clone();
+    supervisor::spawn("crash_reports", move || crash_reports::run(state.clone()));
+    let state = shared.clone();
     supervisor::spawn("peer_registry", move || peer_registry::run(state.clone()));
     let state = shared.clone();
     supervisor::spawn("store_sentinel", move || store_health::run(state.clone()));
--- a/crates/entry/src/replicas/replica_client.rs
+++ b/crates/entry/src/replicas/replica_client.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,6 +16,8 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::body::Incoming;
+use tokio::net::TcpStream;
+use tokio::time;
 
 use wigeonhall_adapter::EXPECTED_INSTANCE;
 use wigeonhall_adapter::LEAVING;
@@ -49,6 +52,9 @@
 /// Time before the end of the replica's idle timeout in which a connection isn't reused.
 const IDLE_MARGIN_US: u64 = 700_000;
 
+/// Timeout of the connection that shows whether a replica has crashed.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// A caller's request as it is sent to replicas.
 #[derive(Debug)]
 pub(crate) struct OutgoingRequest {
@@ -232,10 +238,14 @@
             if error.take_message().is_some() {
                 return DeliveryAttempt::NotWritten;
             }
-            return DeliveryAttempt::Completed(unknown_result(UnknownCause::Reset));
+            let cause = reset_cause(destination.address).await;
+            return DeliveryAttempt::Completed(unknown_result(cause));
         }
     };
-    let (result, idle_timeout_us) = read_response(shared, request, response, reused).await;
+    let (mut result, idle_timeout_us) = read_response(shared, request, response, reused).await;
+    if result.reply == Reply::Unknown(UnknownCause::Reset) {
+        result.reply = Reply::Unknown(reset_cause(destination.address).await);
+    }
     if let Some(idle_us) = idle_timeout_us {
         let expires_us = shared.clock.now_us() + idle_us;
         let mut idle = shared.idle_connections.borrow_mut();
@@ -244,6 +254,15 @@
     DeliveryAttempt::Completed(result)
 }
 
+/// Returns why a connection to a replica ended: a replica whose process has ended refuses new
+/// connections.
+async fn reset_cause(address: SocketAddr) -> UnknownCause {
+    match time::timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => UnknownCause::Crashed,
+        Ok(_) | Err(_) => UnknownCause::Reset,
+    }
+}
+
 fn replica_message(
     request: &OutgoingRequest,
     destination: &Destination,
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -18,6 +18,8 @@
 use crate::replicas::replica_client::OutgoingRequest;
 use crate::requests::answer_lag::AnswerDue;
 use crate::requests::answer_summary::AnswerSummary;
+use crate::requests::crash_trial;
+use crate::requests::crash_trial::Admitted;
 use crate::requests::query::Query;
 use crate::requests::shared_gather;
 use crate::requests::shared_gather::SharedGather;
@@ -58,9 +60,16 @@
         .with_queueing_latency(shared.queueing_us(&route));
     let soft_deadline_us = exchange.soft_deadline_us();
     let outgoing = Rc::new(outgoing);
+    let admitted = if is_too_late(shared, &route) {
+        Admitted::Answered(STOPPING)
+    } else {
+        crash_trial::admit(shared, &mut exchange, &outgoing).await
+    };
     let plan = plan(shared, &exchange);
     let (outcome, mut response, summary) = match plan {
-        _ if is_too_late(shared, &route) => refuse(shared, exchange, outgoing, STOPPING),
+        _ if let Admitted::Answered(outcome) = admitted => {
+            refuse(shared, exchange, outgoing, outcome)
+        }
         Some(plan) => match refuse_unservable(shared, &mut exchange) {
             Some(outcome) => refuse(shared, exchange, outgoing, outcome),
             None => {
@@ -69,7 +78,7 @@
                     .await
             }
         },
-        None => answer_locally(shared, exchange, outgoing).await,
+        None => answer_locally(shared, exchange, outgoing, admitted).await,
     };
     response.extensions_mut().insert(AnswerDue {
         due_us: soft_deadline_us,
@@ -123,9 +132,14 @@
     shared: &Rc<NodeState>,
     exchange: Exchange,
     outgoing: Rc<OutgoingRequest>,
+    admitted: Admitted,
 ) -> (Outcome, CallerResponse, AnswerSummary) {
     let mut query = Query::new(shared, exchange, outgoing);
     let outcome = query.run().await;
+    if let Admitted::Trial(key) = admitted {
+        let passed = matches!(outcome, Outcome::Forward { .. });
+        crash_trial::end_trial(shared, key, passed);
+    }
     finish(query, outcome)
 }
 
--- a/crates/entry/src/requests/query.rs
+++ b/crates/entry/src/requests/query.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -33,6 +34,7 @@
 use crate::replicas::replica_client::OutgoingRequest;
 use crate::replicas::replica_response::ReplicaResponse;
 use crate::replicas::replica_response::SubRequestResult;
+use crate::requests::crash_trial;
 use crate::requests::group_parts::NamedLimit;
 
 /// Time for which a sub-request may continue after its request was answered: longer than a typical
@@ -162,6 +164,10 @@
             let result =
                 replica_client::send(&shared, sub_request.replica, &outgoing, deadline_us).await;
             in_flight.complete(&result);
+            // Also a sub-request that ends after its request was answered.
+            if result.reply == Reply::Unknown(UnknownCause::Crashed) {
+                in_flight.record_crash(&outgoing);
+            }
             (sub_request, result)
         }));
     }
@@ -225,13 +231,12 @@
 
     fn log_failed_sub_request(&self, sub_request: SubRequest, reply: Reply) {
         let shared = &self.shared;
+        let replica = replica_id(shared, sub_request.replica);
         let pool = shared.pool.borrow();
         let elapsed_us = shared.clock.now_us() - self.exchange.sent_us(sub_request);
         shared.log(&Event::Send {
             elapsed_ms: elapsed_us as f64 / 1_000.0,
-            replica: pool
-                .replica(sub_request.replica)
-                .map_or("gone", |replica| replica.id()),
+            replica: &replica,
             reply: format!("{reply:?}"),
             request_id: self.outgoing.request_id.to_str().unwrap_or(""),
             service: pool.service_name(self.exchange.service(sub_request.leg)),
@@ -285,9 +290,10 @@
 
 impl Drop for Query {
     /// Cancels all sub-requests if the request wasn't answered, as its caller has then
-    /// disconnected.
+    /// disconnected, or if it crashes the replicas that run it.
     fn drop(&mut self) {
-        if !self.answered || self.pending.is_empty() {
+        let cancelled = !self.answered || self.exchange.crashes_replicas();
+        if cancelled || self.pending.is_empty() {
             return;
         }
         let leftover_sub_requests = mem::take(&mut self.pending).for_each(|_| future::ready(()));
@@ -323,6 +329,11 @@
         }
     }
 
+    fn record_crash(&self, outgoing: &OutgoingRequest) {
+        let id = replica_id(&self.shared, self.replica);
+        crash_trial::record_crash(&self.shared, outgoing, &id, self.sent_us);
+    }
+
     fn complete(&self, result: &SubRequestResult) {
         self.completed.set(true);
         let reply = result.reply;
@@ -369,6 +380,12 @@
     }
 }
 
+fn replica_id(shared: &NodeState, key: ReplicaKey) -> Arc<str> {
+    let pool = shared.pool.borrow();
+    let replica = pool.replica(key);
+    replica.map_or_else(|| "gone".into(), |replica| replica.id().clone())
+}
+
 const fn reply_label(reply: Reply) -> &'static str {
     match reply {
         Reply::Failed { .. } => "failed",
--- /dev/null
+++ b/crates/node/tests/entry/crashes.rs
@@ -0,0 +1,118 @@
+//! Guards against a request that crashes one replica after the other, sent again with new ids to
+//! different nodes.
+
+use wigeonhall_adapter_standins::Behaviour;
+use wigeonhall_adapter_standins::HttpMessage;
+use wigeonhall_adapter_standins::ReplicaStandin;
+use wigeonhall_adapter_standins::StoreStandin;
+use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::RouteSpec;
+
+use crate::caller::ask;
+use crate::deployment::Node;
+use crate::deployment::configuration;
+use crate::deployment::gather;
+use crate::deployment::route;
+use crate::deployment::route_to_a;
+
+const NODES: usize = 3;
+
+/// Number of copies of each shard, or replicas of a service.
+const COPIES: usize = 4;
+
+/// Starts replicas that crash when a request for a path that ends in `deadly` reaches them.
+fn replicas(services: &[&str]) -> Vec<ReplicaStandin> {
+    let decide = |request: &HttpMessage| {
+        if request.path.ends_with("deadly") {
+            Behaviour::Crash
+        } else {
+            Behaviour::answer([7; 16])
+        }
+    };
+    let copies = services
+        .iter()
+        .flat_map(|name| (1..=COPIES).map(move |it| (*name, it)));
+    copies
+        .map(|(name, number)| ReplicaStandin::start(name, number, decide).unwrap())
+        .collect()
+}
+
+/// Starts nodes that know each other.
+fn fleet(routes: Vec<RouteSpec>, replicas: &[ReplicaStandin]) -> (StoreStandin, Vec<Node>) {
+    let store = StoreStandin::start().unwrap();
+    store.configure(&configuration(1, routes));
+    for replica in replicas {
+        store.register(&replica.registration("north"));
+    }
+    let start = |number| Node::start_named(&store, &format!("node-{number}"));
+    let nodes: Vec<Node> = (0..NODES).map(start).collect();
+    for node in &nodes {
+        node.wait_ready();
+        node.logged(|line| line["event"] == "nodes" && line["near"] == NODES);
+    }
+    (store, nodes)
+}
+
+/// Returns the number of replicas that a deadly request has reached.
+fn crashed(replicas: &[ReplicaStandin]) -> usize {
+    let deadly = |request: &HttpMessage| request.path.ends_with("deadly");
+    replicas
+        .iter()
+        .filter(|it| it.runs().iter().any(deadly))
+        .count()
+}
+
+/// Waits until a node holds this against a request.
+fn wait_for_suspicion(node: &Node, state: &str) {
+    node.logged(|line| line["event"] == "crash_suspicion" && line["state"] == state);
+}
+
+#[test]
+fn a_request_that_crashed_two_replicas_reaches_no_third_one_on_any_node() {
+    let replicas = replicas(&["a"]);
+    let (_store, nodes) = fleet(vec![route_to_a("one")], &replicas);
+    assert_eq!(
+        ask(nodes[0].callers, "GET", "/one/deadly", "q1", "").status,
+        502
+    );
+    for node in &nodes {
+        wait_for_suspicion(node, "blocked");
+    }
+    for (number, node) in nodes.iter().enumerate() {
+        let id = format!("again-{number}");
+        assert_eq!(ask(node.callers, "GET", "/one/deadly", &id, "").status, 503);
+        let id = format!("other-{number}");
+        assert_eq!(ask(node.callers, "GET", "/one/x", &id, "").status, 200);
+    }
+    assert_eq!(crashed(&replicas), 2);
+}
+
+/// All shards lose a replica to the first gather; one more is risked to find out which of the gathers
+/// that ran there was the cause.
+#[test]
+fn a_gather_that_crashed_replicas_of_its_shards_crashes_one_more_at_most() {
+    let shards = ["s0", "s1", "s2", "s3"];
+    let replicas = replicas(&shards);
+    let all = route("all", "/all/", RouteKind::Idempotent, gather(&shards, 0.5));
+    let (_store, nodes) = fleet(vec![all], &replicas);
+    assert_eq!(
+        ask(nodes[0].callers, "GET", "/all/deadly", "q1", "").status,
+        502
+    );
+    wait_for_suspicion(&nodes[1], "suspected");
+    let crashed_first = crashed(&replicas);
+    assert_ne!(
+        ask(nodes[1].callers, "GET", "/all/deadly", "q2", "").status,
+        200
+    );
+    for node in &nodes {
+        wait_for_suspicion(node, "blocked");
+    }
+    for (number, node) in nodes.iter().enumerate() {
+        let id = format!("again-{number}");
+        assert_eq!(ask(node.callers, "GET", "/all/deadly", &id, "").status, 503);
+        let id = format!("other-{number}");
+        assert_eq!(ask(node.callers, "GET", "/all/x", &id, "").status, 200);
+    }
+    assert!(crashed(&replicas) <= crashed_first + 1);
+}
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod caller;
 mod cancellation;
+mod crashes;
 mod deployment;
 mod endless;
 mod feed;
