Ask a peer only once for the parts of a gather

A request for parts was sent again after any error on a connection that had been used before, although the peer may have read it and sent its legs; both nodes together could exceed max_attempts. Now it is sent again only if it was not written.

a_peer_is_not_asked_again_after_it_has_read_the_request failed before (each peer was asked twice).

--- a/crates/entry/src/peers/relay_client.rs
+++ b/crates/entry/src/peers/relay_client.rs
@@ -186,9 +186,14 @@
             .ok_or(RelayError::Lost)?;
         match sender.try_send_request(message).await {
             Ok(response) => return Ok((response, sender)),
-            // A kept connection may belong to an earlier process of the peer.
-            Err(_) if reused => {}
-            Err(_) => return Err(RelayError::Lost),
+            Err(mut error) => {
+                // A kept connection may have been closed before the request was written. Otherwise
+                // the peer may have sent its legs.
+                let unwritten = error.take_message().is_some();
+                if !reused || !unwritten {
+                    return Err(RelayError::Lost);
+                }
+            }
         }
     }
 }
--- a/crates/node/tests/entry/shared_gather.rs
+++ b/crates/node/tests/entry/shared_gather.rs
@@ -6,6 +6,7 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -295,6 +296,86 @@
     spec.unwrap()["address"].as_str().unwrap().parse().unwrap()
 }
 
+/// A peer may have sent its legs before a connection that was used before ends; asked again, more
+/// replicas run them than the route allows.
+#[test]
+fn a_peer_is_not_asked_again_after_it_has_read_the_request() {
+    let peer_store = StoreStandin::start().unwrap();
+    let peer_fleet = fleet_of(peer_store, 1, |index| Behaviour::answer(record(index)));
+    let address = internal_address(&peer_fleet.store, "node-1");
+    let asked: Arc<Mutex<Vec<String>>> = Arc::default();
+    let recorded = asked.clone();
+    let relay = Listener::start(move |stream| forward_first_request(stream, address, &recorded));
+    let relay = relay.unwrap();
+    let store = StoreStandin::start().unwrap();
+    for index in 0..4 {
+        let spec = json!({
+            "address": relay.address(), "data_centre": "north", "processor_share": 0.1
+        });
+        store.put(Collection::Nodes, &format!("peer-{index}"), &spec);
+    }
+    let fleet = fleet_of(store, 1, |index| Behaviour::answer(record(index)));
+    for index in 0..8 {
+        assert_whole(&fleet, &format!("q{index}"));
+    }
+    let asked = asked.lock().unwrap();
+    assert!(asked.iter().any(|request| request.starts_with("again ")));
+    // One request for the legs of each of the four peers.
+    for index in 0..8 {
+        let legs: Vec<&String> = asked
+            .iter()
+            .filter(|it| it.contains(&format!(" q{index} ")))
+            .collect();
+        let distinct: BTreeSet<&str> = legs.iter().filter_map(|it| it.rsplit(' ').next()).collect();
+        assert_eq!(legs.len(), distinct.len(), "{legs:?}");
+    }
+}
+
+/// Forwards the first request of a connection to a peer, then reads another one and closes the
+/// connection. Records for each whether it is another one, its id and its legs.
+fn forward_first_request(stream: TcpStream, peer: SocketAddr, asked: &Mutex<Vec<String>>) {
+    let mut input = BufReader::new(stream);
+    let Some(head) = read_relay_head(&mut input) else {
+        return;
+    };
+    let described = |head: &str| format!("{} {}", header(head, "request-id"), header(head, "legs"));
+    asked
+        .lock()
+        .unwrap()
+        .push(format!("first {}", described(&head)));
+    let mut to_peer = TcpStream::connect(peer).unwrap();
+    let mut from_peer = to_peer.try_clone().unwrap();
+    let mut output = input.get_ref().try_clone().unwrap();
+    thread::spawn(move || io::copy(&mut from_peer, &mut output));
+    to_peer.write_all(head.as_bytes()).unwrap();
+    if let Some(head) = read_relay_head(&mut input) {
+        asked
+            .lock()
+            .unwrap()
+            .push(format!("again {}", described(&head)));
+    }
+    // Fails if the peer has closed the connection already.
+    drop(to_peer.shutdown(Shutdown::Both));
+}
+
+/// Returns the value of the first header whose name ends in `name`.
+fn header<'a>(head: &'a str, name: &str) -> &'a str {
+    let headers = head.lines().filter_map(|line| line.split_once(": "));
+    let mut found = headers.filter(|(key, _)| key.to_lowercase().ends_with(name));
+    found.next().map_or("", |(_, value)| value)
+}
+
+/// Reads the head of a request for parts; `None` for another request or at the end.
+fn read_relay_head(input: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if input.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    (!head.contains("/wigeonhall/changes")).then_some(head)
+}
+
 /// Forwards a connection to a peer, but closes it if it is to follow the peer, so that the asking
 /// node keeps its own configuration.
 fn forward_relay_requests(stream: TcpStream, peer: SocketAddr) {
