Postpone hedges a second time while a gather has no part

A gather that crashes the replicas that run it ended both replicas of most shards: all of its late legs were hedged some 40 ms after the start, before the first crash was known. Now, if many legs are late and no part has arrived by the second time, all but one hedge wait once more.

The test of postponed hedges covers a gather with one part now, where nothing changed, and a new one the gather without any; two crashes that stop a request have a test as well.

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -31,8 +31,8 @@
     pub(crate) deadline_us: u64,
     /// Delay after which a sub-request without a response is hedged.
     pub(crate) hedge_delay_us: u64,
-    /// Whether hedges were postponed because too many legs were late at once.
-    pub(crate) hedges_postponed: bool,
+    /// Number of times that hedges were postponed because too many legs were late at once.
+    pub(crate) hedge_postponements: u32,
     pub(crate) legs: Vec<Leg>,
     /// Maximum number of replicas that may run one leg, each in one sub-request.
     pub(crate) max_runs: u32,
@@ -74,7 +74,7 @@
             deadline_us,
             extra_sends: 0,
             hedge_delay_us,
-            hedges_postponed: false,
+            hedge_postponements: 0,
             legs: selection.services.into_iter().map(Leg::new).collect(),
             max_runs: route.spec.max_attempts,
             min_parts: selection.min_parts,
@@ -111,7 +111,7 @@
             deadline_us,
             extra_sends: 0,
             hedge_delay_us,
-            hedges_postponed: false,
+            hedge_postponements: 0,
             legs: legs.copied().map(Leg::new).collect(),
             max_runs,
             min_parts: Some(0),
--- a/crates/dispatch/src/exchange_sub_requests.rs
+++ b/crates/dispatch/src/exchange_sub_requests.rs
@@ -17,6 +17,10 @@
 /// Number of late legs up to which hedges are never postponed.
 const LATE_LEGS_MIN: usize = 2;
 
+/// Legs of a gather that are hedged at once while no leg has a part and many are late: the request
+/// itself may be the cause, and what it does to a replica it would do to another one of each shard.
+const PROBING_HEDGES: usize = 1;
+
 /// Maximum number of sub-requests for one leg, whatever their results.
 const SUB_REQUESTS_PER_LEG_MAX: usize = 4;
 
@@ -167,7 +171,8 @@
     /// Hedges the legs that are late.
     ///
     /// If many legs are late at once, the cause is probably the node or the network, and
-    /// hedges would add to the load; they are postponed once.
+    /// hedges would add to the load; they are postponed once, and all but a few a second time if no
+    /// part has arrived by then.
     pub(crate) fn hedge_late_legs(
         &mut self,
         pool: &mut Pool,
@@ -179,11 +184,15 @@
             .filter(|leg_index| due(&self.legs[*leg_index]))
             .collect();
         let late_legs_max = (self.legs.len() / LATE_LEGS_DIVISOR).max(LATE_LEGS_MIN);
-        let postpone =
-            pool.policy().postponement && late.len() > late_legs_max && !self.hedges_postponed;
-        self.hedges_postponed |= postpone;
-        for leg_index in late {
-            if postpone {
+        let many_late = pool.policy().postponement && late.len() > late_legs_max;
+        let hedges_max = match self.hedge_postponements {
+            0 if many_late => 0,
+            1 if many_late && self.done_legs() == 0 => PROBING_HEDGES,
+            _ => usize::MAX,
+        };
+        self.hedge_postponements += u32::from(hedges_max < late.len());
+        for (number, leg_index) in late.into_iter().enumerate() {
+            if number >= hedges_max {
                 self.legs[leg_index].hedge_at_us = Some(now_us + self.hedge_delay_us);
             } else {
                 self.legs[leg_index].hedge_at_us = None;
--- a/crates/dispatch/tests/exchange.rs
+++ b/crates/dispatch/tests/exchange.rs
@@ -8,6 +8,7 @@
 use wigeonhall_dispatch::RefuseReason;
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::UnknownCause;
 
 use common::DEADLINE_US;
 use common::HEDGE_US;
@@ -243,6 +244,21 @@
 /// have failed after all.
 #[test]
 fn hedges_are_postponed_once_if_many_legs_are_late() {
+    let shards = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let mut case = Case::gather(&shards, 0.5);
+    case.start();
+    case.reply(MS, 0, Reply::Success);
+    assert_eq!(case.timer(HEDGE_US), None);
+    assert_eq!(case.in_flight.len(), shards.len() - 1);
+    assert_eq!(case.exchange.next_timer_us(HEDGE_US), HEDGE_US * 2);
+    case.timer(HEDGE_US * 2);
+    assert_eq!(case.in_flight.len(), (shards.len() - 1) * 2);
+}
+
+/// If no part has arrived, the request itself may be the cause: one that crashes the replicas that
+/// run it crashed two of each shard, since all legs were hedged before the first crash.
+#[test]
+fn hedges_but_one_are_postponed_again_if_no_part_has_arrived() {
     let shards = ["a", "b", "c", "d", "e", "f", "g", "h"];
     let mut case = Case::gather(&shards, 0.5);
     case.start();
@@ -250,9 +266,26 @@
     assert_eq!(case.in_flight.len(), shards.len());
     assert_eq!(case.exchange.next_timer_us(HEDGE_US), HEDGE_US * 2);
     case.timer(HEDGE_US * 2);
+    assert_eq!(case.in_flight.len(), shards.len() + 1);
+    assert_eq!(case.exchange.next_timer_us(HEDGE_US * 2), HEDGE_US * 3);
+    case.timer(HEDGE_US * 3);
     assert_eq!(case.in_flight.len(), shards.len() * 2);
 }
 
+/// Two replicas that crash under one request stop it: no retry, no hedge, and an answer at once.
+#[test]
+fn gather_is_given_up_after_two_crashes() {
+    let mut case = Case::gather(&["a", "b", "c", "d"], 1.0);
+    case.start();
+    let crashed = Reply::Unknown(UnknownCause::Crashed);
+    assert_eq!(case.reply(MS, 0, crashed), None);
+    let sent = case.in_flight.len();
+    let outcome = case.reply(2 * MS, 1, crashed);
+    assert_eq!(outcome, Some(Outcome::GiveUp(GiveUpReason::TooFewParts)));
+    assert_eq!(case.in_flight.len(), sent - 1);
+    assert!(case.exchange.crashes_replicas());
+}
+
 /// A request to one service is refused at once if its replicas have no capacity, with a time
 /// after which the caller may retry; the node does not queue it.
 #[test]
