Do not state that a gather has not run after its trial

A suspected gather whose trial passed could still be refused for overload or missing shards, with 503, although one of its legs had run. It is answered with 502 then. Found when reading the diff; not seen, no test of its own.

--- a/crates/dispatch/src/legs_key.rs
+++ b/crates/dispatch/src/legs_key.rs
@@ -3,8 +3,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
-use sha2::Digest;
-use sha2::Sha256;
+use crate::digest::digest;
 
 /// Digest of a gather's shards, in their order, and of its `max_attempts`.
 ///
@@ -16,15 +15,10 @@
 impl LegsKey {
     /// Computes the key of a gather; `shards` is empty for other routes.
     pub(crate) fn new(shards: &[Arc<str>], max_attempts: u32) -> Self {
-        let mut hasher = Sha256::new();
-        for shard in shards {
-            hasher.update((shard.len() as u64).to_be_bytes());
-            hasher.update(shard.as_bytes());
-        }
-        hasher.update(max_attempts.to_be_bytes());
-        let digest: [u8; 32] = hasher.finalize().into();
-        let first_half = digest.first_chunk().copied().unwrap_or_default();
-        Self(u128::from_be_bytes(first_half))
+        let attempts = max_attempts.to_be_bytes();
+        let shards = shards.iter().map(|shard| shard.as_bytes());
+        let parts: Vec<&[u8]> = shards.chain([&attempts[..]]).collect();
+        Self(digest(&parts))
     }
 }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod connect_latency;
 mod crash_suspects;
 mod departed_replicas;
+mod digest;
 mod event_poll;
 mod exchange;
 mod exchange_outcome;
--- a/crates/dispatch/src/request_key.rs
+++ b/crates/dispatch/src/request_key.rs
@@ -2,8 +2,7 @@
 use std::num::ParseIntError;
 use std::str::FromStr;
 
-use sha2::Digest;
-use sha2::Sha256;
+use crate::digest::digest;
 
 /// Digest of what a caller asks for, equal on all nodes and for all callers that ask the same.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -13,14 +12,12 @@
     /// Computes the key of a request; `path` includes the query.
     #[must_use]
     pub fn new(method: &str, host: &str, path: &str, body: &[u8]) -> Self {
-        let mut hasher = Sha256::new();
-        for part in [method.as_bytes(), host.as_bytes(), path.as_bytes(), body] {
-            hasher.update((part.len() as u64).to_be_bytes());
-            hasher.update(part);
-        }
-        let digest: [u8; 32] = hasher.finalize().into();
-        let first_half = digest.first_chunk().copied().unwrap_or_default();
-        Self(u128::from_be_bytes(first_half))
+        Self(digest(&[
+            method.as_bytes(),
+            host.as_bytes(),
+            path.as_bytes(),
+            body,
+        ]))
     }
 }
 
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -65,8 +65,9 @@
     } else {
         crash_trial::admit(shared, &mut exchange, &outgoing).await
     };
+    let tried = matches!(admitted, Admitted::Tried);
     let plan = plan(shared, &exchange);
-    let (outcome, mut response, summary) = match plan {
+    let (mut outcome, mut response, summary) = match plan {
         _ if let Admitted::Answered(outcome) = admitted => {
             refuse(shared, exchange, outgoing, outcome)
         }
@@ -80,6 +81,11 @@
         },
         None => answer_locally(shared, exchange, outgoing, admitted).await,
     };
+    if tried && matches!(outcome, Outcome::Refuse { .. }) {
+        // A refusal states that the request has not run.
+        outcome = Outcome::GiveUp(GiveUpReason::TooFewParts);
+        response = responses::given_up(GiveUpReason::TooFewParts);
+    }
     response.extensions_mut().insert(AnswerDue {
         due_us: soft_deadline_us,
     });
--- a/crates/entry/src/requests/crash_trial.rs
+++ b/crates/entry/src/requests/crash_trial.rs
@@ -36,6 +36,8 @@
     Answered(Outcome),
     /// It is sent to one replica; the result must be reported for the key.
     Trial(RequestKey),
+    /// One of its legs has run and was answered; the others are sent as usual.
+    Tried,
 }
 
 /// Records that a replica crashed under a request that was sent to it at `sent_us`, and tells the
@@ -155,7 +157,7 @@
     let passed = matches!(query.exchange.legs().next(), Some(LegState::Done(_)));
     end_trial(shared, key, passed);
     if passed {
-        Admitted::Free
+        Admitted::Tried
     } else if query.exchange.may_have_run() {
         Admitted::Answered(Outcome::GiveUp(GiveUpReason::NoAnswer))
     } else {
