Let readers pause after a watch was cut off

The store may cut off the watches of all nodes at one moment.

No test of its own: the burst needs a store that drops connections.

--- a/crates/entry/src/peers/feed_server.rs
+++ b/crates/entry/src/peers/feed_server.rs
@@ -117,12 +117,15 @@
     checked_us.map(|at_us| shared.clock.now_us().saturating_sub(at_us))
 }
 
-/// Returns whether a collection must be read again before its copy counts as current: it must be
-/// listed, or its last watch was lost or made before this node read the store.
-fn is_reading_anew(views: &CollectionViews) -> bool {
-    views
-        .iter()
-        .any(|view| view.must_list() || view.catch_up_due.get())
+/// Returns whether a collection must be listed again; until then its changes are unknown.
+fn is_listing(views: &CollectionViews) -> bool {
+    views.iter().any(|view| view.must_list())
+}
+
+/// Returns whether a copy waits for the call that confirms it, as its last watch was lost or made
+/// before this node read the store.
+fn is_unconfirmed(views: &CollectionViews) -> bool {
+    views.iter().any(|view| view.catch_up_due.get())
 }
 
 /// Whether a heartbeat may be sent to a follower.
@@ -174,11 +177,19 @@
         if !serves_from_store(shared) || !is_healthy(shared, &self.views) {
             return HeartbeatState::Ended;
         }
-        if is_reading_anew(&self.views) {
+        if is_listing(&self.views) {
             return HeartbeatState::Pending;
         }
         let now_us = shared.clock.now_us();
         let limit_us = silence_limit(shared).as_micros() as u64;
+        if is_unconfirmed(&self.views) {
+            // A follower that is told at once has time to find another source.
+            return if now_us < self.opened_us + limit_us {
+                HeartbeatState::Pending
+            } else {
+                HeartbeatState::Ended
+            };
+        }
         match health_check_age_us(shared).filter(|age_us| *age_us < limit_us) {
             Some(age_us) => HeartbeatState::Current {
                 age_ms: age_us / 1_000,
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -158,13 +158,15 @@
                 self.list_anew();
                 self.failures += 1;
             }
-            // The next call, which returns at once, shows whether the store is available.
+            // The next call, which returns at once, shows whether the store is available. The store may
+            // have cut off the watches of all nodes, which must not reconnect at the same moment.
             Err(StoreError::WatchLost(reason)) => {
                 log::warn!(
                     "a watch of {} ended: {reason}",
                     self.view.collection.wire_name()
                 );
                 self.view.catch_up_due.set(true);
+                time::sleep(RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
             }
             // A list that is not stale either must not be repeated without a pause.
             Err(StoreError::OtherEra) if !self.view.list_due.get() => self.list_anew(),
