--- a/crates/node/tests/entry/shared_gather.rs
+++ b/crates/node/tests/entry/shared_gather.rs
@@ -17,6 +17,7 @@
 use serde_json::json;
 
 use wigeonhall_adapter::Collection;
+use wigeonhall_adapter::REMAINING_MS;
 use wigeonhall_adapter::REQUEST_ID;
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::Listener;
@@ -277,9 +278,11 @@
     let fleet = fleet(|index| Behaviour::answer(record(index)));
     let address = internal_address(&fleet.store, "node-1");
     let mut stream = TcpStream::connect(address).unwrap();
-    let request = "GET /all/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: q1\r\n\
-        Request-Deadline-Ms: 900\r\nX-Wigeonhall-Legs-Key: 1\r\nX-Wigeonhall-Legs: 0\r\n\
-        X-Wigeonhall-Fallbacks: \r\nX-Wigeonhall-Soft-Ms: 500\r\n\r\n";
+    let request = format!(
+        "GET /all/x HTTP/1.1\r\nHost: shop.example\r\n{REQUEST_ID}: q1\r\n{REMAINING_MS}: 900\r\n\
+         X-Wigeonhall-Legs-Key: 1\r\nX-Wigeonhall-Legs: 0\r\n\
+         X-Wigeonhall-Fallbacks: \r\nX-Wigeonhall-Soft-Ms: 500\r\n\r\n"
+    );
     stream.write_all(request.as_bytes()).unwrap();
     let mut status = String::new();
     BufReader::new(stream).read_line(&mut status).unwrap();
@@ -338,7 +341,13 @@
     let Some(head) = read_relay_head(&mut input) else {
         return;
     };
-    let described = |head: &str| format!("{} {}", header(head, "request-id"), header(head, "legs"));
+    let described = |head: &str| {
+        format!(
+            "{} {}",
+            header(head, REQUEST_ID.as_str()),
+            header(head, "legs")
+        )
+    };
     asked
         .lock()
         .unwrap()
