Let nodes that start learn which requests crash replicas

A message about crashes is answered with all that the receiver holds. A node asks three others when it has listed the nodes. Reports state how long they hold, so that a block that is passed on ends with the first one.

a_blocked_request_crashes_no_replica_through_a_node_that_has_just_started failed before (20 s without the block), and block_that_is_passed_on_ends_with_the_first_one is new.

--- a/crates/dispatch/src/crash_suspects.rs
+++ b/crates/dispatch/src/crash_suspects.rs
@@ -31,8 +31,8 @@
     Trial,
 }
 
-/// What is held against a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// What is held against a request, the stronger one first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Suspicion {
     /// A replica crashed under it, and another one that it was sent to after that.
     Blocked,
@@ -40,6 +40,17 @@
     Suspected,
 }
 
+/// What a node holds against a request, as it tells other nodes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SuspicionReport {
+    /// Key of the request.
+    pub key: RequestKey,
+    /// Time for which this is held against it.
+    pub remaining_ms: u64,
+    /// What is held against it.
+    pub suspicion: Suspicion,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
     expires_us: u64,
@@ -75,31 +86,65 @@
         now_us: u64,
         key: RequestKey,
         sent_us: u64,
-    ) -> Option<Suspicion> {
+    ) -> Option<SuspicionReport> {
         self.sweep(now_us);
-        let Some(suspect) = self.by_key.get_mut(&key) else {
-            return self.insert(now_us, key, Suspicion::Suspected);
+        let suspicion = match self.by_key.get_mut(&key) {
+            None => self.insert(now_us, key, Suspicion::Suspected)?,
+            Some(suspect)
+                if suspect.suspicion == Suspicion::Suspected && sent_us > suspect.since_us =>
+            {
+                suspect.block(now_us);
+                Suspicion::Blocked
+            }
+            Some(_) => return None,
         };
-        if suspect.suspicion == Suspicion::Suspected && sent_us > suspect.since_us {
-            suspect.block(now_us);
-            return Some(Suspicion::Blocked);
-        }
-        None
+        let expires_us = self.by_key.get(&key)?.expires_us;
+        Some(SuspicionReport {
+            key,
+            remaining_ms: (expires_us - now_us) / 1_000,
+            suspicion,
+        })
     }
 
     /// Records what another node holds against a key; returns whether it is new to this node.
-    pub fn learn(&mut self, now_us: u64, key: RequestKey, suspicion: Suspicion) -> bool {
+    pub fn learn(&mut self, now_us: u64, report: SuspicionReport) -> bool {
         self.sweep(now_us);
-        let Some(suspect) = self.by_key.get_mut(&key) else {
-            return self.insert(now_us, key, suspicion).is_some();
+        let SuspicionReport { key, suspicion, .. } = report;
+        let newer = match self.by_key.get(&key) {
+            Some(known) => {
+                suspicion == Suspicion::Blocked && known.suspicion == Suspicion::Suspected
+            }
+            None => self.insert(now_us, key, suspicion).is_some(),
         };
-        let newer = suspicion == Suspicion::Blocked && suspect.suspicion == Suspicion::Suspected;
-        if newer {
-            suspect.block(now_us);
+        if newer && let Some(suspect) = self.by_key.get_mut(&key) {
+            if suspicion == Suspicion::Blocked {
+                suspect.block(now_us);
+            }
+            // Passed on from node to node, a suspicion must not last longer than the first one.
+            let remaining_us = report.remaining_ms.saturating_mul(1_000);
+            suspect.expires_us = suspect.expires_us.min(now_us.saturating_add(remaining_us));
         }
         newer
     }
 
+    /// Returns what this node holds against requests, blocked ones first.
+    #[must_use]
+    pub fn reports(&self, now_us: u64) -> Vec<SuspicionReport> {
+        let current = self
+            .by_key
+            .iter()
+            .filter(|(_, suspect)| now_us < suspect.expires_us);
+        let mut reports: Vec<SuspicionReport> = current
+            .map(|(key, suspect)| SuspicionReport {
+                key: *key,
+                remaining_ms: (suspect.expires_us - now_us) / 1_000,
+                suspicion: suspect.suspicion,
+            })
+            .collect();
+        reports.sort_by_key(|report| (report.suspicion, report.key));
+        reports
+    }
+
     /// Decides how a request is treated; [`CrashAdmission::Trial`] begins a trial.
     pub fn admit(&mut self, now_us: u64, key: RequestKey) -> CrashAdmission {
         self.sweep(now_us);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -68,6 +68,7 @@
 pub use crash_suspects::CrashAdmission;
 pub use crash_suspects::CrashSuspects;
 pub use crash_suspects::Suspicion;
+pub use crash_suspects::SuspicionReport;
 pub use event_poll::EventPoll;
 pub use exchange::Exchange;
 pub use exchange::SubRequest;
--- a/crates/dispatch/tests/crash_suspects.rs
+++ b/crates/dispatch/tests/crash_suspects.rs
@@ -5,6 +5,7 @@
 use wigeonhall_dispatch::CrashSuspects;
 use wigeonhall_dispatch::RequestKey;
 use wigeonhall_dispatch::Suspicion;
+use wigeonhall_dispatch::SuspicionReport;
 
 const SECOND_US: u64 = 1_000_000;
 
@@ -12,18 +13,27 @@
     RequestKey::new("GET", "shop.example", path, b"")
 }
 
+/// Returns what a peer holds against the request for `/a`.
+fn report(suspicion: Suspicion, remaining_ms: u64) -> SuspicionReport {
+    SuspicionReport {
+        key: key("/a"),
+        remaining_ms,
+        suspicion,
+    }
+}
+
 #[test]
 fn request_is_blocked_after_a_second_crash_that_followed_the_first() {
     let mut suspects = CrashSuspects::default();
     assert_eq!(suspects.admit(0, key("/a")), CrashAdmission::Free);
     let first = suspects.record_crash(SECOND_US, key("/a"), 0);
-    assert_eq!(first, Some(Suspicion::Suspected));
+    assert_eq!(first.unwrap().suspicion, Suspicion::Suspected);
     assert_eq!(
         suspects.admit(2 * SECOND_US, key("/a")),
         CrashAdmission::Trial
     );
     let second = suspects.record_crash(3 * SECOND_US, key("/a"), 2 * SECOND_US);
-    assert_eq!(second, Some(Suspicion::Blocked));
+    assert_eq!(second.unwrap().suspicion, Suspicion::Blocked);
     let admission = suspects.admit(4 * SECOND_US, key("/a"));
     assert!(matches!(admission, CrashAdmission::Refused { .. }));
     assert_eq!(
@@ -66,7 +76,7 @@
 #[test]
 fn blocked_request_is_tried_again_after_a_time() {
     let mut suspects = CrashSuspects::default();
-    assert!(suspects.learn(0, key("/a"), Suspicion::Blocked));
+    assert!(suspects.learn(0, report(Suspicion::Blocked, 60_000)));
     let admission = suspects.admit(59 * SECOND_US, key("/a"));
     assert!(matches!(admission, CrashAdmission::Refused { .. }));
     assert_eq!(
@@ -84,14 +94,33 @@
 #[test]
 fn reports_of_peers_count_once_and_never_weaken_what_is_known() {
     let mut suspects = CrashSuspects::default();
-    assert!(suspects.learn(0, key("/a"), Suspicion::Suspected));
-    assert!(!suspects.learn(0, key("/a"), Suspicion::Suspected));
-    assert!(suspects.learn(0, key("/a"), Suspicion::Blocked));
-    assert!(!suspects.learn(0, key("/a"), Suspicion::Suspected));
+    assert!(suspects.learn(0, report(Suspicion::Suspected, 60_000)));
+    assert!(!suspects.learn(0, report(Suspicion::Suspected, 60_000)));
+    assert!(suspects.learn(0, report(Suspicion::Blocked, 60_000)));
+    assert!(!suspects.learn(0, report(Suspicion::Suspected, 60_000)));
     let admission = suspects.admit(SECOND_US, key("/a"));
     assert!(matches!(admission, CrashAdmission::Refused { .. }));
 }
 
+/// Nodes that start ask others; passed on with its full time again and again, a block would never
+/// end while nodes restart.
+#[test]
+fn block_that_is_passed_on_ends_with_the_first_one() {
+    let mut first = CrashSuspects::default();
+    first.learn(0, report(Suspicion::Blocked, 60_000));
+    let mut second = CrashSuspects::default();
+    for passed_on in first.reports(50 * SECOND_US) {
+        assert!(second.learn(50 * SECOND_US, passed_on));
+    }
+    let admission = second.admit(59 * SECOND_US, key("/a"));
+    assert!(matches!(admission, CrashAdmission::Refused { .. }));
+    assert_eq!(
+        second.admit(61 * SECOND_US, key("/a")),
+        CrashAdmission::Trial
+    );
+    assert!(first.reports(61 * SECOND_US).is_empty());
+}
+
 /// A caller that varies its requests must not fill the memory of the nodes.
 #[test]
 fn number_of_suspects_is_limited_and_old_ones_make_room() {
--- a/crates/entry/src/peers/crash_reports.rs
+++ b/crates/entry/src/peers/crash_reports.rs
@@ -17,14 +17,15 @@
 use tokio::task;
 use tokio::time;
 
-use wigeonhall_dispatch::RequestKey;
 use wigeonhall_dispatch::Suspicion;
+use wigeonhall_dispatch::SuspicionReport;
 
 use crate::net::http_client;
 use crate::process::node_state::NodeState;
+use crate::requests::crash_trial;
 
-/// Header with what a node holds against requests: key and suspicion with a semicolon between them,
-/// separated by commas.
+/// Header with what a node holds against requests: key, suspicion and remaining milliseconds with
+/// semicolons between them, separated by commas. The response has all that the receiver holds.
 const REPORTS_HEADER: HeaderName = HeaderName::from_static("x-wigeonhall-crashes");
 
 /// Path of the message; it shows its purpose if another server has taken over the address.
@@ -36,29 +37,25 @@
 /// Time for which reports are collected: a gather crashes replicas of many shards at once.
 const COLLECTION_TIME: Duration = Duration::from_millis(1);
 
+/// Number of nodes that a node asks when it starts; some may be starting as well.
+const PEERS_ASKED: usize = 3;
+
 /// Shortest time between two messages to the same node.
 const MESSAGE_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Timeout for opening a connection to a node, and for its response.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// What a node holds against a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct CrashReport {
-    pub(crate) key: RequestKey,
-    pub(crate) suspicion: Suspicion,
-}
-
 /// Reports that the other nodes have not been told yet.
 #[derive(Debug, Default)]
 pub(crate) struct CrashReports {
     due: Notify,
-    pending: RefCell<Vec<CrashReport>>,
+    pending: RefCell<Vec<SuspicionReport>>,
 }
 
 impl CrashReports {
     /// Adds a report; too many at once are dropped, as the nodes suspect a limited number of keys.
-    pub(crate) fn add(&self, report: CrashReport) {
+    pub(crate) fn add(&self, report: SuspicionReport) {
         let mut pending = self.pending.borrow_mut();
         if pending.len() >= REPORTS_MAX {
             log::warn!("too many requests are suspected at once; other nodes are not told of all");
@@ -69,8 +66,10 @@
     }
 }
 
-/// Sends reports to all known nodes until the process ends.
+/// Learns what the other nodes hold against requests, then sends reports to all of them until the
+/// process ends.
 pub(crate) async fn run(shared: Rc<NodeState>) {
+    learn_at_start(&shared).await;
     loop {
         shared.crash_reports.due.notified().await;
         time::sleep(COLLECTION_TIME).await;
@@ -87,6 +86,13 @@
 }
 
 async fn send(address: SocketAddr, value: HeaderValue) {
+    if exchange(address, value).await.is_none() {
+        log::debug!("node {address} could not be told of crashes");
+    }
+}
+
+/// Sends reports to a node and returns what it holds against requests; `None` if it does not answer.
+async fn exchange(address: SocketAddr, value: HeaderValue) -> Option<Vec<SuspicionReport>> {
     let message = async {
         let mut sender = http_client::connect(address, MESSAGE_TIMEOUT).await.ok()?;
         let mut request = Request::new(Full::new(Bytes::new()));
@@ -94,20 +100,41 @@
         let headers = request.headers_mut();
         headers.insert(REPORTS_HEADER, value);
         headers.insert(header::HOST, HeaderValue::from_static("node"));
-        sender.send_request(request).await.ok()
+        let response = sender.send_request(request).await.ok()?;
+        read(response.headers())
     };
-    if !matches!(time::timeout(MESSAGE_TIMEOUT, message).await, Ok(Some(_))) {
-        log::debug!("node {address} could not be told of crashes");
+    time::timeout(MESSAGE_TIMEOUT, message).await.ok().flatten()
+}
+
+/// Learns what other nodes hold against requests, after the start of this node.
+async fn learn_at_start(shared: &NodeState) {
+    let mut listed = shared.feed.nodes_listed.subscribe();
+    // Never fails: the sender lives as long as the process.
+    drop(listed.wait_for(|listed| *listed).await);
+    let mut addresses = shared.peers.borrow().addresses().to_vec();
+    fastrand::shuffle(&mut addresses);
+    for address in addresses.into_iter().take(PEERS_ASKED) {
+        if let Some(reports) = exchange(address, HeaderValue::from_static("")).await {
+            crash_trial::learn(shared, reports);
+        }
     }
 }
 
-fn encode(reports: &[CrashReport]) -> Option<HeaderValue> {
-    let text = |report: &CrashReport| {
+/// Returns the header with all that this node holds against requests.
+pub(crate) fn all_reports(shared: &NodeState) -> Option<(HeaderName, HeaderValue)> {
+    let now_us = shared.clock.now_us();
+    let mut reports = shared.crash_suspects.borrow().reports(now_us);
+    reports.truncate(REPORTS_MAX);
+    Some((REPORTS_HEADER, encode(&reports)?))
+}
+
+fn encode(reports: &[SuspicionReport]) -> Option<HeaderValue> {
+    let text = |report: &SuspicionReport| {
         let suspicion = match report.suspicion {
             Suspicion::Blocked => "blocked",
             Suspicion::Suspected => "suspected",
         };
-        format!("{};{suspicion}", report.key)
+        format!("{};{suspicion};{}", report.key, report.remaining_ms)
     };
     let texts: Vec<String> = reports.iter().map(text).collect();
     HeaderValue::from_str(&texts.join(",")).ok()
@@ -115,17 +142,26 @@
 
 /// Parses the reports of a message; `None` if a message of a peer has another purpose or is
 /// malformed.
-pub(crate) fn read(headers: &HeaderMap) -> Option<Vec<CrashReport>> {
+pub(crate) fn read(headers: &HeaderMap) -> Option<Vec<SuspicionReport>> {
     let text = headers.get(&REPORTS_HEADER)?.to_str().ok()?;
-    let report = |part: &str| {
-        let (key, suspicion) = part.split_once(';')?;
-        let suspicion = match suspicion {
-            "blocked" => Suspicion::Blocked,
-            "suspected" => Suspicion::Suspected,
-            _ => return None,
-        };
-        let key = key.parse().ok()?;
-        Some(CrashReport { key, suspicion })
+    if text.is_empty() {
+        return Some(Vec::new());
+    }
+    text.split(',').take(REPORTS_MAX).map(read_report).collect()
+}
+
+fn read_report(text: &str) -> Option<SuspicionReport> {
+    let mut fields = text.split(';');
+    let key = fields.next()?.parse().ok()?;
+    let suspicion = match fields.next()? {
+        "blocked" => Suspicion::Blocked,
+        "suspected" => Suspicion::Suspected,
+        _ => return None,
     };
-    text.split(',').take(REPORTS_MAX).map(report).collect()
+    let remaining_ms = fields.next()?.parse().ok()?;
+    Some(SuspicionReport {
+        key,
+        remaining_ms,
+        suspicion,
+    })
 }
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -89,7 +89,11 @@
     }
     if let Some(reports) = crash_reports::read(request.headers()) {
         crash_trial::learn(shared, reports);
-        return empty_response(StatusCode::NO_CONTENT);
+        let mut response = empty_response(StatusCode::NO_CONTENT);
+        response
+            .headers_mut()
+            .extend(crash_reports::all_reports(shared));
+        return response;
     }
     match read_query(shared, request, arrived_us).await {
         Some(query) => {
--- a/crates/entry/src/requests/crash_trial.rs
+++ b/crates/entry/src/requests/crash_trial.rs
@@ -15,8 +15,8 @@
 use wigeonhall_dispatch::RequestKey;
 use wigeonhall_dispatch::ServiceKey;
 use wigeonhall_dispatch::Suspicion;
+use wigeonhall_dispatch::SuspicionReport;
 
-use crate::peers::crash_reports::CrashReport;
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
 use crate::replicas::replica_client::OutgoingRequest;
@@ -51,37 +51,30 @@
     let key = request_key(outgoing);
     let now_us = shared.clock.now_us();
     let mut suspects = shared.crash_suspects.borrow_mut();
-    let Some(suspicion) = suspects.record_crash(now_us, key, sent_us) else {
+    let Some(report) = suspects.record_crash(now_us, key, sent_us) else {
         return;
     };
-    shared.crash_reports.add(CrashReport { key, suspicion });
+    shared.crash_reports.add(report);
     let request_id = outgoing.request_id.to_str().unwrap_or("");
-    log_suspicion(shared, key, suspicion, replica, request_id);
+    log_suspicion(shared, report, replica, request_id);
 }
 
 /// Applies the reports of a peer.
-pub(crate) fn learn(shared: &NodeState, reports: Vec<CrashReport>) {
+pub(crate) fn learn(shared: &NodeState, reports: Vec<SuspicionReport>) {
     let now_us = shared.clock.now_us();
-    for CrashReport { key, suspicion } in reports {
-        let mut suspects = shared.crash_suspects.borrow_mut();
-        if suspects.learn(now_us, key, suspicion) {
-            log_suspicion(shared, key, suspicion, "", "");
+    for report in reports {
+        if shared.crash_suspects.borrow_mut().learn(now_us, report) {
+            log_suspicion(shared, report, "", "");
         }
     }
 }
 
-fn log_suspicion(
-    shared: &NodeState,
-    key: RequestKey,
-    suspicion: Suspicion,
-    replica: &str,
-    request_id: &str,
-) {
-    let state = match suspicion {
+fn log_suspicion(shared: &NodeState, report: SuspicionReport, replica: &str, request_id: &str) {
+    let state = match report.suspicion {
         Suspicion::Blocked => "blocked",
         Suspicion::Suspected => "suspected",
     };
-    log_state(shared, key, state, replica, request_id);
+    log_state(shared, report.key, state, replica, request_id);
 }
 
 /// Logs and counts what happens to a request because of crashes under its key.
--- a/crates/node/tests/entry/crashes.rs
+++ b/crates/node/tests/entry/crashes.rs
@@ -67,6 +67,21 @@
     node.logged(|line| line["event"] == "crash_suspicion" && line["state"] == state);
 }
 
+/// Asserts that nodes refuse the deadly request and serve others on its route.
+fn assert_blocked(nodes: &[Node], prefix: &str) {
+    for node in nodes {
+        wait_for_suspicion(node, "blocked");
+    }
+    for (number, node) in nodes.iter().enumerate() {
+        let ask = |name: &str| {
+            let (path, id) = (format!("{prefix}/{name}"), format!("{name}-{number}"));
+            ask(node.callers, "GET", &path, &id, "").status
+        };
+        assert_eq!(ask("deadly"), 503);
+        assert_eq!(ask("x"), 200);
+    }
+}
+
 #[test]
 fn a_request_that_crashed_two_replicas_reaches_no_third_one_on_any_node() {
     let replicas = replicas(&["a"]);
@@ -75,15 +90,23 @@
         ask(nodes[0].callers, "GET", "/one/deadly", "q1", "").status,
         502
     );
-    for node in &nodes {
-        wait_for_suspicion(node, "blocked");
-    }
-    for (number, node) in nodes.iter().enumerate() {
-        let id = format!("again-{number}");
-        assert_eq!(ask(node.callers, "GET", "/one/deadly", &id, "").status, 503);
-        let id = format!("other-{number}");
-        assert_eq!(ask(node.callers, "GET", "/one/x", &id, "").status, 200);
-    }
+    assert_blocked(&nodes, "/one");
+    assert_eq!(crashed(&replicas), 2);
+}
+
+/// A node that starts has not heard what the others hold against a request.
+#[test]
+fn a_blocked_request_crashes_no_replica_through_a_node_that_has_just_started() {
+    let replicas = replicas(&["a"]);
+    let (store, nodes) = fleet(vec![route_to_a("one")], &replicas);
+    assert_eq!(
+        ask(nodes[0].callers, "GET", "/one/deadly", "q1", "").status,
+        502
+    );
+    assert_blocked(&nodes, "/one");
+    let started = Node::start_named(&store, "node-late");
+    started.wait_ready();
+    assert_blocked(&[started], "/one");
     assert_eq!(crashed(&replicas), 2);
 }
 
@@ -105,14 +128,6 @@
         ask(nodes[1].callers, "GET", "/all/deadly", "q2", "").status,
         200
     );
-    for node in &nodes {
-        wait_for_suspicion(node, "blocked");
-    }
-    for (number, node) in nodes.iter().enumerate() {
-        let id = format!("again-{number}");
-        assert_eq!(ask(node.callers, "GET", "/all/deadly", &id, "").status, 503);
-        let id = format!("other-{number}");
-        assert_eq!(ask(node.callers, "GET", "/all/x", &id, "").status, 200);
-    }
+    assert_blocked(&nodes, "/all");
     assert!(crashed(&replicas) <= crashed_first + 1);
 }
