Try no replica for a suspected gather that cannot be answered

Callers of a suspected gather with too few shards got 502 after a replica had run one leg for nothing; the gather could have been refused at once. Whether it can be served is decided before the trial now, as for other gathers.

a_suspected_gather_that_is_refused_has_not_run failed before (502 in place of 503, and a replica that had run it). A refusal for overload after a trial is still answered with 502, since a leg has run; that has no test.

--- a/crates/entry/src/requests/crash_trial.rs
+++ b/crates/entry/src/requests/crash_trial.rs
@@ -128,6 +128,13 @@
     outgoing: &Rc<OutgoingRequest>,
     key: RequestKey,
 ) -> Admitted {
+    let now_us = shared.clock.now_us();
+    let refusal = exchange.refuse_unservable(&shared.pool.borrow(), now_us);
+    if let Some(outcome) = refusal {
+        // No replica is risked for a request that cannot be answered.
+        end_trial(shared, key, false);
+        return Admitted::Answered(outcome);
+    }
     let Some(leg) = trial_leg(shared, exchange) else {
         end_trial(shared, key, false);
         return Admitted::Answered(refuse(RETRY_AFTER_MS));
--- a/crates/node/tests/entry/crashes.rs
+++ b/crates/node/tests/entry/crashes.rs
@@ -1,6 +1,11 @@
 //! Guards against a request that crashes one replica after the other, sent again with new ids to
 //! different nodes.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering::Relaxed;
+
+use wigeonhall_adapter::REQUEST_ID;
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::HttpMessage;
 use wigeonhall_adapter_standins::ReplicaStandin;
@@ -14,6 +19,7 @@
 use crate::deployment::gather;
 use crate::deployment::route;
 use crate::deployment::route_to_a;
+use crate::deployment::wait_until;
 
 const NODES: usize = 3;
 
@@ -110,6 +116,50 @@
     assert_eq!(crashed(&replicas), 2);
 }
 
+/// A trial must not be made for a gather that cannot be answered, and a refusal states that the
+/// request has not run.
+#[test]
+fn a_suspected_gather_that_is_refused_has_not_run() {
+    let crashes = Arc::new(AtomicUsize::new(1));
+    let decide = move |request: &HttpMessage| {
+        let crash = request.path.ends_with("suspected")
+            && crashes
+                .fetch_update(Relaxed, Relaxed, |left| left.checked_sub(1))
+                .is_ok();
+        if crash {
+            Behaviour::Crash
+        } else {
+            Behaviour::answer([7; 16])
+        }
+    };
+    let copy = |number| ReplicaStandin::start("s0", number, decide.clone()).unwrap();
+    let mut replicas: Vec<ReplicaStandin> = (1..=COPIES).map(copy).collect();
+    replicas.push(ReplicaStandin::start("s1", 1, |_| Behaviour::answer([7; 16])).unwrap());
+    let all = route(
+        "all",
+        "/all/",
+        RouteKind::Idempotent,
+        gather(&["s0", "s1"], 1.0),
+    );
+    let (store, nodes) = fleet(vec![all], &replicas);
+    let first = ask(nodes[0].callers, "GET", "/all/suspected", "q1", "");
+    assert_eq!(first.status, 200);
+    wait_for_suspicion(&nodes[0], "suspected");
+    store.unregister("s1-1");
+    let mut number = 0;
+    wait_until("gathers to be refused", || {
+        number += 1;
+        let id = format!("other-{number}");
+        ask(nodes[0].callers, "GET", "/all/x", &id, "").status == 503
+    });
+    assert_eq!(
+        ask(nodes[0].callers, "GET", "/all/suspected", "q2", "").status,
+        503
+    );
+    let ran = |request: &HttpMessage| request.header(REQUEST_ID.as_str()) == Some("q2");
+    assert!(!replicas.iter().any(|it| it.runs().iter().any(ran)));
+}
+
 /// All shards lose a replica to the first gather; one more is risked to find out which of the gathers
 /// that ran there was the cause.
 #[test]
