--- /dev/null
+++ b/crates/entry/src/store/collection_effects.rs
@@ -0,0 +1,203 @@
+//! Applies the objects of a collection to what the node decides by: routes, replicas and
+//! evacuations.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use wigeonhall_adapter::Collection;
+use wigeonhall_adapter::ObjectChange;
+use wigeonhall_adapter::StoredObject;
+use wigeonhall_adapter::decode_configuration;
+use wigeonhall_adapter::decode_registration;
+use wigeonhall_adapter::is_current_configuration;
+use wigeonhall_dispatch::Registration;
+use wigeonhall_dispatch::ReplicaKey;
+use wigeonhall_dispatch::RouteTable;
+
+use crate::process::event::Event;
+use crate::replicas::preconnect;
+use crate::store::collection_view::CollectionView;
+use crate::store::route_switch;
+
+impl CollectionView {
+    /// Applies a list; `restored` if it is the first one after the store was restored from a copy.
+    pub(super) fn apply_listed_objects(
+        &self,
+        objects: &[StoredObject],
+        revision: u64,
+        restored: bool,
+    ) {
+        match self.collection {
+            Collection::Configuration => {
+                for object in objects {
+                    self.apply_configuration(object);
+                }
+            }
+            Collection::Evacuations => {
+                let names = objects.iter().map(|object| object.name.clone());
+                self.evacuated.replace(names.collect());
+                self.apply_evacuations(revision, restored);
+            }
+            Collection::Nodes => {}
+            Collection::Replicas => {
+                let registrations = objects.iter().filter_map(|item| self.registration(item));
+                let registrations: Vec<Registration> = registrations.collect();
+                let now_us = self.shared.clock.now_us();
+                let missing_at_us = self.removal_at_us(now_us);
+                self.log_removals(now_us, missing_at_us, self.count_missing(objects));
+                let mut pool = self.shared.pool.borrow_mut();
+                let new = if restored {
+                    pool.register_restored(now_us, registrations, missing_at_us)
+                } else {
+                    pool.register_all(now_us, registrations, missing_at_us)
+                };
+                drop(pool);
+                self.replicas_changed(&new, revision);
+            }
+        }
+    }
+
+    pub(super) fn apply_object_changes(&self, changes: &[ObjectChange], revision: u64) {
+        match self.collection {
+            Collection::Configuration => {
+                for change in changes.iter().filter(|change| !change.deleted) {
+                    self.apply_configuration(&change.object);
+                }
+            }
+            Collection::Evacuations => {
+                for change in changes {
+                    let mut evacuated = self.evacuated.borrow_mut();
+                    if change.deleted {
+                        evacuated.remove(&change.object.name);
+                    } else {
+                        evacuated.insert(change.object.name.clone());
+                    }
+                }
+                self.apply_evacuations(revision, false);
+            }
+            Collection::Nodes => {}
+            Collection::Replicas => self.apply_replicas(changes, revision),
+        }
+    }
+
+    fn apply_replicas(&self, changes: &[ObjectChange], revision: u64) {
+        let now_us = self.shared.clock.now_us();
+        let removed_at_us = self.removal_at_us(now_us);
+        let removals = changes.iter().filter(|change| change.deleted).count();
+        self.log_removals(now_us, removed_at_us, removals);
+        let mut new = Vec::new();
+        for change in changes {
+            if change.deleted {
+                let mut pool = self.shared.pool.borrow_mut();
+                pool.unregister(&change.object.name, removed_at_us);
+            } else if let Some(registration) = self.registration(&change.object) {
+                let mut pool = self.shared.pool.borrow_mut();
+                new.extend(pool.register(now_us, registration));
+            }
+        }
+        self.replicas_changed(&new, revision);
+    }
+
+    /// Returns the time until which replicas are still used whose registrations this node finds
+    /// removed.
+    fn removal_at_us(&self, now_us: u64) -> u64 {
+        let age_us = self.change_age_us(now_us);
+        let drain_us = self.shared.settings.drain_ms * 1_000;
+        let health = self.shared.feed.store_health.borrow();
+        health.removal_at_us(now_us, age_us, drain_us)
+    }
+
+    /// Returns the number of objects of the copy that a list lacks.
+    fn count_missing(&self, listed: &[StoredObject]) -> usize {
+        let names: BTreeSet<&Arc<str>> = listed.iter().map(|object| &object.name).collect();
+        let known = self.objects.borrow();
+        known.keys().filter(|name| !names.contains(name)).count()
+    }
+
+    fn log_removals(&self, now_us: u64, removed_at_us: u64, removals: usize) {
+        if removals > 0 {
+            self.shared.log(&Event::Removals {
+                age_ms: self.change_age_us(now_us) / 1_000,
+                delay_ms: removed_at_us.saturating_sub(now_us) / 1_000,
+                removals,
+            });
+        }
+    }
+
+    fn registration(&self, object: &StoredObject) -> Option<Registration> {
+        match decode_registration(object) {
+            Ok(registration) => Some(registration),
+            Err(error) => {
+                self.report_malformed(object, error.to_string());
+                None
+            }
+        }
+    }
+
+    fn report_malformed(&self, object: &StoredObject, reason: String) {
+        let labels = [self.collection.wire_name()];
+        let malformed = &self.shared.metrics.malformed_entries;
+        malformed.with_label_values(&labels).inc();
+        self.shared.log(&Event::Malformed {
+            collection: self.collection.wire_name(),
+            name: &object.name,
+            reason,
+        });
+    }
+
+    fn apply_configuration(&self, object: &StoredObject) {
+        if !is_current_configuration(object) {
+            return;
+        }
+        let configuration = match decode_configuration(object) {
+            Ok(configuration) => configuration,
+            Err(error) => return self.report_malformed(object, error.to_string()),
+        };
+        let shared = &self.shared;
+        if shared.newest_version() >= Some(configuration.version) {
+            return shared.log(&Event::Configuration {
+                lacking: 0,
+                outcome: "older",
+                routes: configuration.routes.len(),
+                version: configuration.version,
+            });
+        }
+        let mut pool = shared.pool.borrow_mut();
+        for service in &configuration.services {
+            pool.apply_service_spec(service);
+        }
+        let table = RouteTable::new(&configuration, &mut pool);
+        drop(pool);
+        route_switch::set_pending(shared, table);
+    }
+
+    fn apply_evacuations(&self, revision: u64, restored: bool) {
+        let evacuated = self.evacuated.borrow();
+        self.shared.log(&Event::Evacuation {
+            out: evacuated.iter().map(|name| &**name).collect(),
+            revision,
+        });
+        let mut pool = self.shared.pool.borrow_mut();
+        if restored {
+            let now_us = self.shared.clock.now_us();
+            pool.restore_evacuated_data_centres(now_us, evacuated.clone());
+        } else {
+            pool.set_evacuated_data_centres(evacuated.clone());
+        }
+    }
+
+    fn replicas_changed(&self, new: &[ReplicaKey], revision: u64) {
+        let removed = self.shared.sweep();
+        let now_us = self.shared.clock.now_us();
+        let counts = self.shared.pool.borrow().counts(now_us);
+        self.shared.log(&Event::Replicas {
+            gone: removed.len(),
+            new: new.len(),
+            ready: counts.ready,
+            revision,
+            suspended: counts.suspended,
+        });
+        preconnect::to_replicas(&self.shared, new);
+        route_switch::activate_pending(&self.shared);
+    }
+}
