Check the store at once when the first follower connects

A reader without followers checks the store every 2.5 s; with followers, twice within the silence limit. A first follower got its first heartbeats on the last check of the slow kind, and the next one could come later than the silence limit: the follower lost the reader, looked for another and read the store itself.

open() asked for a check only when the last one was older than half the limit. It now also asks when the follower is the first. The timer's length is chosen before the wait, so that the shorter interval alone takes effect one check late.

The test kills a reader, waits until the others follow the next one and expects no change of source in the next 4 s.

--- a/crates/entry/src/peers/feed_server.rs
+++ b/crates/entry/src/peers/feed_server.rs
@@ -55,6 +55,8 @@
         shared.feed.health_check_due.notify_one();
         return Err(FeedRefusal::StoreUnavailable);
     }
+    // Without followers, the next health check may be later than the silence limit.
+    let is_first = !shared.feed.has_followers();
     let mut backlog = VecDeque::new();
     for (view, revision) in views.iter().zip(revisions) {
         let newer = revision.and_then(|revision| view.log.borrow().since(revision));
@@ -78,7 +80,8 @@
         views: views.clone(),
     };
     // The first heartbeat needs a recent health check.
-    if health_check_age_us(shared).is_none_or(|age_us| age_us > limit.as_micros() as u64 / 2) {
+    let checked_long_ago = |age_us| age_us > limit.as_micros() as u64 / 2;
+    if is_first || health_check_age_us(shared).is_none_or(checked_long_ago) {
         shared.feed.health_check_due.notify_one();
     }
     Ok(stream::unfold(feed, |mut feed| async move {
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -119,6 +119,16 @@
         wait_for(&self.lines, matches_line)
     }
 
+    /// Returns all lines of the log that match so far.
+    pub fn all_logged(&self, matches_line: impl Fn(&Value) -> bool) -> Vec<Value> {
+        let lines = self.lines.lock().unwrap();
+        lines
+            .iter()
+            .filter(|line| matches_line(line))
+            .cloned()
+            .collect()
+    }
+
     /// Returns the last line of the log that matches.
     pub fn last_logged(&self, matches_line: impl Fn(&Value) -> bool) -> Option<Value> {
         let lines = self.lines.lock().unwrap();
--- a/crates/node/tests/entry/feed.rs
+++ b/crates/node/tests/entry/feed.rs
@@ -258,6 +258,34 @@
     fleet.assert_change_arrives(2, fleet.followers());
 }
 
+/// A reader without followers checks the store so rarely that the first ones lost it within a second,
+/// as its last check was too old.
+#[test]
+fn followers_keep_the_reader_that_takes_the_place_of_a_killed_one() {
+    let fleet = fleet();
+    fleet.nodes[fleet.reader].signal("KILL");
+    let killed = format!("node-{}", fleet.reader);
+    let followed = |index: &usize| {
+        let source = source(&fleet.nodes[*index]);
+        (source != "store" && source != "none" && source != killed).then_some(source)
+    };
+    wait_until("the others to follow the next reader", || {
+        fleet
+            .followers()
+            .filter_map(|index| followed(&index))
+            .count()
+            == NODES - 2
+    });
+    let lines = |index: usize| {
+        let all = fleet.nodes[index].all_logged(|line| line["event"] == "change_source");
+        all.len()
+    };
+    let before: Vec<usize> = fleet.followers().map(lines).collect();
+    thread::sleep(Duration::from_secs(4));
+    let after: Vec<usize> = fleet.followers().map(lines).collect();
+    assert_eq!(after, before);
+}
+
 /// A reader that lists again sends the differences, so that no follower has to list.
 #[test]
 fn only_the_reader_lists_after_the_history_is_compacted() {
