--- a/crates/node/tests/entry/feed.rs
+++ b/crates/node/tests/entry/feed.rs
@@ -50,12 +50,16 @@
         node.wait_ready();
     }
     let mut reader = 0;
-    wait_until("exactly one reader", || {
-        let reading: Vec<usize> = (0..NODES)
-            .filter(|index| source(&nodes[*index]) == "store")
-            .collect();
-        reader = reading.first().copied().unwrap_or_default();
-        reading.len() == 1 && nodes.iter().all(|node| !source(node).is_empty())
+    // A node may still follow one that has just begun to follow the reader.
+    wait_until("exactly one reader, followed by all others", || {
+        let sources: Vec<String> = nodes.iter().map(source).collect();
+        reader = sources
+            .iter()
+            .position(|it| it == "store")
+            .unwrap_or_default();
+        let reader_name = format!("node-{reader}");
+        let following = sources.iter().filter(|it| **it == reader_name).count();
+        sources[reader] == "store" && following == NODES - 1
     });
     Fleet {
         nodes,
