Log which peer was asked last when a node reads the store

"no node to follow" did not tell whether no peer was known, or which one failed and why, so that the cause of a second reader could not be read from the log. The line now ends with the last peer asked and the reason.

--- a/crates/entry/src/peers/feed_client.rs
+++ b/crates/entry/src/peers/feed_client.rs
@@ -134,9 +134,13 @@
     wait_for_nodes(&shared, &views).await;
     let mut ended_outages = shared.feed.ended_outage_start_us.subscribe();
     loop {
-        follow_while_possible(&shared, &views).await;
+        let last_failure = follow_while_possible(&shared, &views).await;
         if shared.feed.set_source(ChangeSource::Store) {
-            log_change_source(&shared, "store", "no node to follow");
+            let reason = last_failure.map_or_else(
+                || "no node to follow".to_owned(),
+                |failure| format!("no node to follow, last asked {failure}"),
+            );
+            log_change_source(&shared, "store", &reason);
         }
         tokio::select! {
             () = time::sleep(follow_retry_interval(&shared)) => {}
@@ -161,8 +165,10 @@
 /// Follows one peer after another, as long as the next one is found in time.
 ///
 /// Nothing is read from the store during the search: an outage ends the streams of all readers
-/// at once, and each call of each node costs money.
-async fn follow_while_possible(shared: &Rc<NodeState>, views: &CollectionViews) {
+/// at once, and each call of each node costs money. Returns the last peer asked and why it could
+/// not be followed; `None` if this node should read the store or knows no peer to ask.
+async fn follow_while_possible(shared: &Rc<NodeState>, views: &CollectionViews) -> Option<String> {
+    let mut last_failure = None;
     let mut search_until = first_search_until(shared);
     let mut declines: HashMap<Arc<str>, u32> = HashMap::new();
     loop {
@@ -170,25 +176,26 @@
         let is_reader = reading_role(shared, true) == ReadingRole::Reader;
         shared.feed.may_follow.set(!is_reader);
         let ReadingRole::Follower(sources) = own_role(shared, views) else {
-            return;
+            return last_failure;
         };
         let mut any_failed = false;
         for (name, address) in sources {
             let end = follow(shared, views, &name, address, search_until).await;
             any_failed |= handle_end(shared, &name, end, &mut declines);
             if end.reason == FeedEnd::NowReader {
-                return;
+                return None;
             }
+            last_failure = Some(format!("{name}: {:?}", end.reason));
             if let Some(fresh_until) = end.fresh_until {
                 search_until = fresh_until.max(Instant::now() + SEARCH_LIMIT_MIN);
                 break;
             }
             if Instant::now() >= search_until {
-                return;
+                return last_failure;
             }
         }
         if Instant::now() >= search_until {
-            return;
+            return last_failure;
         }
         // Others take the places of peers that failed, and can be asked at once.
         if !any_failed {
