Send a pending heartbeat as soon as it may be sent

The first heartbeat of a new reader waits for the call that confirms its copies and for a health check. If it was pending at the first tick, the next chance was a third of the silence limit later, 333 ms; a follower waits 250 ms for it, or what is left of its former reader's time. It counted the new reader as failed for some 2.5 s and read the store itself: two more calls at least for each such node. A store that answers in 60 ms is enough.

Ruled out: load alone (the test fails on an idle machine), the backoff of peers that fail (it is what the follower should do after a silent peer).

A pending heartbeat is now checked 40 times within the limit. The check reads the node's own state and calls nobody.

--- a/crates/entry/src/peers/feed_server.rs
+++ b/crates/entry/src/peers/feed_server.rs
@@ -23,6 +23,10 @@
 /// Heartbeats sent within the silence limit, the time for which a follower waits for a message.
 const HEARTBEATS_PER_LIMIT: u32 = 3;
 
+/// Checks within the silence limit of whether a pending heartbeat may be sent: a follower waits only
+/// a part of the limit for its first one.
+const PENDING_CHECKS_PER_LIMIT: u32 = 40;
+
 /// Why a node refuses to stream changes to a follower.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum FeedRefusal {
@@ -164,7 +168,10 @@
                 // Also ends the stream of a follower that is too far behind.
                 message = self.receiver.recv() => return message.ok(),
                 _ = self.ticks.tick() => match self.heartbeat_state() {
-                    HeartbeatState::Pending => {}
+                    HeartbeatState::Pending => {
+                        let limit = silence_limit(&self.shared);
+                        self.ticks.reset_after(limit / PENDING_CHECKS_PER_LIMIT);
+                    }
                     HeartbeatState::Current { age_ms } => {
                         let era = self.shared.feed.era();
                         return Some(FeedMessage::Heartbeat { age_ms, era });
--- a/crates/node/tests/entry/feed.rs
+++ b/crates/node/tests/entry/feed.rs
@@ -262,6 +262,33 @@
     fleet.assert_change_arrives(2, fleet.followers());
 }
 
+/// The first heartbeat of a new reader, once due, came up to a third of the silence limit late, so that
+/// followers gave up and read the store.
+#[test]
+fn followers_wait_for_the_next_reader_although_the_store_answers_late() {
+    let fleet = fleet();
+    fleet.store.set_answer_delay(Duration::from_millis(60));
+    let readings = |index: usize| {
+        let all = fleet.nodes[index].all_logged(|line| line["source"] == "store");
+        all.len()
+    };
+    let before: usize = fleet.followers().map(readings).sum();
+    fleet.nodes[fleet.reader].signal("KILL");
+    let killed = format!("node-{}", fleet.reader);
+    wait_until("the others to have a source", || {
+        fleet.followers().all(|index| {
+            let source = source(&fleet.nodes[index]);
+            source != killed && source != "none"
+        })
+    });
+    let after: usize = fleet.followers().map(readings).sum();
+    let all: Vec<_> = fleet
+        .followers()
+        .flat_map(|index| fleet.nodes[index].all_logged(|line| line["event"] == "change_source"))
+        .collect();
+    assert_eq!(after - before, 1, "{all:#?}");
+}
+
 /// A reader without followers checks the store so rarely that the first ones lost it within a second,
 /// as its last check was too old.
 #[test]
