--- a/crates/entry/src/peers/feed_client.rs
+++ b/crates/entry/src/peers/feed_client.rs
@@ -166,7 +166,7 @@
 ///
 /// Nothing is read from the store during the search: an outage ends the streams of all readers
 /// at once, and each call of each node costs money. Returns the last peer asked and why it could
-/// not be followed; `None` if this node should read the store or knows no peer to ask.
+/// not be followed; `None` if none was asked, or if this node has become a reader.
 async fn follow_while_possible(shared: &Rc<NodeState>, views: &CollectionViews) -> Option<String> {
     let mut last_failure = None;
     let mut search_until = first_search_until(shared);
--- a/crates/entry/src/peers/feed_server.rs
+++ b/crates/entry/src/peers/feed_server.rs
@@ -137,7 +137,8 @@
 
 /// Whether a heartbeat may be sent to a follower.
 enum HeartbeatState {
-    /// Not yet: a list, the confirmation of a copy, or the first health check since the follower connected, is pending.
+    /// Not yet: a list, the confirmation of a copy, or the first health check since the follower
+    /// connected, is pending.
     Pending,
     /// Yes: the store answered this long ago.
     Current { age_ms: u64 },
