Use the usual terms in comments on suspicions of requests

Comments spoke of what "is held against" a request and of what a node "heard of"; they say suspicion, receive and learn now. Comments only: no other line differs.

--- a/crates/dispatch/src/crash_suspects.rs
+++ b/crates/dispatch/src/crash_suspects.rs
@@ -20,7 +20,7 @@
 /// How a request is treated, given the crashes of replicas under earlier ones with its key.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CrashAdmission {
-    /// Nothing is known against it.
+    /// It is not suspected.
     Free,
     /// It must not be sent to a replica; the caller may retry after this time in milliseconds.
     Refused {
@@ -31,7 +31,7 @@
     Trial,
 }
 
-/// What is held against a request, the stronger one first.
+/// How strongly a request is suspected, the stronger state first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Suspicion {
     /// A replica crashed under it, and another one that it was sent to after that.
@@ -40,21 +40,21 @@
     Suspected,
 }
 
-/// What a node holds against a request, as it tells other nodes.
+/// The suspicion of a request, as a node reports it to other nodes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SuspicionReport {
     /// Key of the request.
     pub key: RequestKey,
-    /// Time for which this is held against it.
+    /// Time for which the suspicion still lasts.
     pub remaining_ms: u64,
-    /// What is held against it.
+    /// How strongly it is suspected.
     pub suspicion: Suspicion,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
     expires_us: u64,
-    /// Time at which this node heard of the first crash.
+    /// Time at which this node learned of the first crash.
     since_us: u64,
     suspicion: Suspicion,
     /// Time until which a trial may last; `None` if there is none.
@@ -73,14 +73,14 @@
 }
 
 impl CrashSuspects {
-    /// Returns whether nothing is held against any request.
+    /// Returns whether no request is suspected.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.by_key.is_empty()
     }
 
     /// Records that a replica crashed under a request that was sent to it at `sent_us`; returns
-    /// what is newly held against its key.
+    /// the suspicion of its key if it is new or stronger.
     pub fn record_crash(
         &mut self,
         now_us: u64,
@@ -106,7 +106,7 @@
         })
     }
 
-    /// Records what another node holds against a key; returns whether it is new to this node.
+    /// Records a suspicion that another node reports; returns whether it is new to this node.
     pub fn learn(&mut self, now_us: u64, report: SuspicionReport) -> bool {
         self.sweep(now_us);
         let SuspicionReport { key, suspicion, .. } = report;
@@ -127,7 +127,7 @@
         newer
     }
 
-    /// Returns what this node holds against requests, blocked ones first.
+    /// Returns the suspicions of this node, blocked requests first.
     #[must_use]
     pub fn reports(&self, now_us: u64) -> Vec<SuspicionReport> {
         let current = self
--- a/crates/dispatch/tests/crash_suspects.rs
+++ b/crates/dispatch/tests/crash_suspects.rs
@@ -13,7 +13,7 @@
     RequestKey::new("GET", "shop.example", path, b"")
 }
 
-/// Returns what a peer holds against the request for `/a`.
+/// Returns the report of a peer that suspects the request for `/a`.
 fn report(suspicion: Suspicion, remaining_ms: u64) -> SuspicionReport {
     SuspicionReport {
         key: key("/a"),
--- a/crates/dispatch/tests/store_health.rs
+++ b/crates/dispatch/tests/store_health.rs
@@ -75,7 +75,7 @@
     assert!(!health.is_settling(lost_us));
 }
 
-/// The delay counted from the time at which a node heard of a removal, so that it came on top of
+/// The delay counted from the time at which a node received a removal, so that it came on top of
 /// what the reader's pause and the search for another reader had taken.
 #[test]
 fn age_of_a_removal_and_its_delay_stay_within_the_bound() {
--- a/crates/entry/src/peers/crash_reports.rs
+++ b/crates/entry/src/peers/crash_reports.rs
@@ -24,8 +24,8 @@
 use crate::process::node_state::NodeState;
 use crate::requests::crash_trial;
 
-/// Header with what a node holds against requests: key, suspicion and remaining milliseconds with
-/// semicolons between them, separated by commas. The response has all that the receiver holds.
+/// Header with the suspicions of a node: key, suspicion and remaining milliseconds with
+/// semicolons between them, separated by commas. The response has all suspicions of the receiver.
 const REPORTS_HEADER: HeaderName = HeaderName::from_static("x-wigeonhall-crashes");
 
 /// Path of the message; it shows its purpose if another server has taken over the address.
@@ -66,7 +66,7 @@
     }
 }
 
-/// Learns what the other nodes hold against requests, then sends reports to all of them until the
+/// Learns the suspicions of other nodes, then sends reports to all of them until the
 /// process ends.
 pub(crate) async fn run(shared: Rc<NodeState>) {
     learn_at_start(&shared).await;
@@ -91,7 +91,7 @@
     }
 }
 
-/// Sends reports to a node and returns what it holds against requests; `None` if it does not answer.
+/// Sends reports to a node and returns its suspicions; `None` if it does not answer.
 async fn exchange(address: SocketAddr, value: HeaderValue) -> Option<Vec<SuspicionReport>> {
     let message = async {
         let mut sender = http_client::connect(address, MESSAGE_TIMEOUT).await.ok()?;
@@ -106,7 +106,7 @@
     time::timeout(MESSAGE_TIMEOUT, message).await.ok().flatten()
 }
 
-/// Learns what other nodes hold against requests, after the start of this node.
+/// Learns the suspicions of other nodes after the start of this node.
 async fn learn_at_start(shared: &NodeState) {
     let mut listed = shared.feed.nodes_listed.subscribe();
     // Never fails: the sender lives as long as the process.
@@ -120,7 +120,7 @@
     }
 }
 
-/// Returns the header with all that this node holds against requests.
+/// Returns the header with all suspicions of this node.
 pub(crate) fn all_reports(shared: &NodeState) -> Option<(HeaderName, HeaderValue)> {
     let now_us = shared.clock.now_us();
     let mut reports = shared.crash_suspects.borrow().reports(now_us);
--- a/crates/entry/src/requests/crash_trial.rs
+++ b/crates/entry/src/requests/crash_trial.rs
@@ -28,7 +28,7 @@
 /// Time after which a caller may come back whose request could not be tried.
 const RETRY_AFTER_MS: u64 = 200;
 
-/// How a request is answered, given what is held against its key.
+/// How a request is answered, given the suspicion of its key.
 pub(crate) enum Admitted {
     /// It is sent as usual.
     Free,
--- a/crates/entry/src/store/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -88,7 +88,7 @@
         self.confirm(read_us.saturating_sub(pause_us));
     }
 
-    /// Returns the longest time for which a change that this node hears of now may have been in
+    /// Returns the longest time for which a change that this node receives now may have been in
     /// the store.
     pub(super) fn change_age_us(&self, now_us: u64) -> u64 {
         let current_us = self.current_us.get();
--- a/crates/node/tests/entry/crashes.rs
+++ b/crates/node/tests/entry/crashes.rs
@@ -100,7 +100,7 @@
     assert_eq!(crashed(&replicas), 2);
 }
 
-/// A node that starts has not heard what the others hold against a request.
+/// A node that starts does not know the suspicions of the others.
 #[test]
 fn a_blocked_request_crashes_no_replica_through_a_node_that_has_just_started() {
     let replicas = replicas(&["a"]);
--- a/crates/node/tests/entry/feed.rs
+++ b/crates/node/tests/entry/feed.rs
@@ -152,7 +152,7 @@
     fleet.assert_change_arrives(2, fleet.followers());
 }
 
-/// The delay of a removal counted from the time at which a follower heard of it, and the loss of the
+/// The delay of a removal counted from the time at which a follower received it, and the loss of the
 /// reader prolonged it as an outage of the store does: replicas that had left got requests too late.
 #[test]
 fn removals_take_effect_within_their_bound_although_the_reader_is_lost() {
