Decode the tenants of a configuration

Cause: parts 2 to 4 of docs/design/overview.md share these types. Tenants are decoded into digests of their keys and indexed by key and name in the route table; nothing uses them yet. Ruled out: keys in plain text behind the decoder, which logs and peers' messages could then contain.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use crate::RouteSpec;
+use crate::TenantSpec;
 
 /// One version of the operators' configuration.
 #[derive(Clone, Debug)]
@@ -11,6 +12,8 @@
     pub routes: Vec<RouteSpec>,
     /// Settings of the services that the routes use.
     pub services: Vec<ServiceSpec>,
+    /// Tenants, whose keys callers must present; `None` if callers need no keys.
+    pub tenants: Option<Vec<TenantSpec>>,
     /// Version number; increases with each version, not always by one.
     pub version: u64,
 }
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -16,6 +16,8 @@
 /// A route as written in the configuration.
 #[derive(Clone, Debug)]
 pub struct RouteSpec {
+    /// Whether its requests need no API key where the configuration names tenants.
+    pub allows_anonymous: bool,
     /// Host of the requests.
     pub host: Arc<str>,
     /// Whether its requests may run more than once.
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -13,6 +13,7 @@
 use crate::RouteTarget;
 use crate::ServiceKey;
 use crate::TargetSpec;
+use crate::Tenants;
 use crate::WeightedService;
 
 /// The routes of one configuration version, looked up by host and longest path prefix.
@@ -22,6 +23,8 @@
     by_host: HashMap<Arc<str>, Vec<Rc<Route>>>,
     /// Limits on callers' requests and connections.
     pub limits: RequestLimits,
+    /// Tenants, whose keys callers must present; `None` if callers need no keys.
+    pub tenants: Option<Tenants>,
     /// Version of the configuration.
     pub version: u64,
 }
@@ -48,6 +51,7 @@
         Self {
             by_host,
             limits: configuration.limits,
+            tenants: configuration.tenants.as_deref().map(Tenants::new),
             version: configuration.version,
         }
     }
--- /dev/null
+++ b/crates/dispatch/src/tenants.rs
@@ -0,0 +1,68 @@
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use crate::KeyDigest;
+
+/// A tenant, who holds API keys, as written in the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TenantSpec {
+    /// Requests that the tenant may make at once in addition to its rate.
+    pub burst: f64,
+    /// Digests of the API keys.
+    pub key_digests: Vec<KeyDigest>,
+    /// Name of the tenant.
+    pub name: Arc<str>,
+    /// Priority of its requests, which replaces the route's; lower numbers are more urgent.
+    pub priority: Option<u32>,
+    /// Requests per second that the tenant may make over all nodes together; 0 means no limit.
+    pub rate_per_s: f64,
+}
+
+impl TenantSpec {
+    /// Returns whether the rate of the tenant's requests is limited.
+    #[must_use]
+    pub fn is_limited(&self) -> bool {
+        self.rate_per_s > 0.0
+    }
+}
+
+/// The tenants of one configuration version.
+#[derive(Debug, Default)]
+pub struct Tenants {
+    by_key: HashMap<KeyDigest, Rc<TenantSpec>>,
+    by_name: HashMap<Arc<str>, Rc<TenantSpec>>,
+}
+
+impl Tenants {
+    /// Indexes the tenants of a configuration. A key that two tenants hold belongs to the first.
+    #[must_use]
+    pub fn new(specs: &[TenantSpec]) -> Self {
+        let mut tenants = Self::default();
+        for spec in specs {
+            let tenant = Rc::new(spec.clone());
+            for key in &tenant.key_digests {
+                tenants.by_key.entry(*key).or_insert_with(|| tenant.clone());
+            }
+            tenants.by_name.insert(tenant.name.clone(), tenant);
+        }
+        tenants
+    }
+
+    /// Returns the tenant that holds a key.
+    #[must_use]
+    pub fn by_key(&self, key: KeyDigest) -> Option<&Rc<TenantSpec>> {
+        self.by_key.get(&key)
+    }
+
+    /// Returns the tenant with a name.
+    #[must_use]
+    pub fn by_name(&self, name: &str) -> Option<&Rc<TenantSpec>> {
+        self.by_name.get(name)
+    }
+
+    /// Returns all tenants, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<TenantSpec>> {
+        self.by_name.values()
+    }
+}
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -58,6 +58,7 @@
 
 pub fn route_spec(kind: RouteKind, target: TargetSpec) -> RouteSpec {
     RouteSpec {
+        allows_anonymous: false,
         host: "shop.example".into(),
         kind,
         max_attempts: 2,
@@ -88,6 +89,7 @@
         },
         routes,
         services: Vec::<ServiceSpec>::new(),
+        tenants: None,
         version,
     }
 }
--- a/crates/measure/src/entry/entry_node.rs
+++ b/crates/measure/src/entry/entry_node.rs
@@ -123,6 +123,7 @@
 fn configuration(shape: &DeploymentShape) -> Configuration {
     let routes = shape.routes.iter().enumerate();
     let routes = routes.map(|(index, route)| RouteSpec {
+        allows_anonymous: false,
         host: "a".into(),
         kind: RouteKind::Idempotent,
         max_attempts: route.max_attempts,
@@ -142,6 +143,7 @@
         },
         routes: routes.collect(),
         services: Vec::new(),
+        tenants: None,
         version: 1,
     }
 }
--- a/crates/node/examples/part_cost.rs
+++ b/crates/node/examples/part_cost.rs
@@ -152,6 +152,7 @@
             idle_timeout_ms: 15_000,
         },
         routes: vec![RouteSpec {
+            allows_anonymous: false,
             host: "shop.example".into(),
             kind: RouteKind::Idempotent,
             max_attempts: 2,
@@ -163,6 +164,7 @@
             timeout_ms: 1_200,
         }],
         services: Vec::new(),
+        tenants: None,
         version: 1,
     }
 }
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -249,6 +249,7 @@
 /// Returns a route of the host `shop.example`.
 pub fn route(name: &str, prefix: &str, kind: RouteKind, target: TargetSpec) -> RouteSpec {
     RouteSpec {
+        allows_anonymous: false,
         host: "shop.example".into(),
         kind,
         max_attempts: 2,
@@ -286,6 +287,7 @@
         },
         routes,
         services: Vec::new(),
+        tenants: None,
         version,
     }
 }
--- a/crates/node/tests/soak/soak_run.rs
+++ b/crates/node/tests/soak/soak_run.rs
@@ -279,6 +279,7 @@
         let version = self.deployment.version;
         let mut last = routes();
         last.push(RouteSpec {
+            allows_anonymous: false,
             name: "last".into(),
             path_prefix: "/last/".into(),
             ..last[0].clone()
