Authenticate callers by the keys of their tenants

The key is replaced by the tenant's name at the edge, and unknown keys get 401. Ruled out: a check at the time of sending, which each hedge and each peer would have to repeat.

--- a/crates/entry/src/callers/caller_request.rs
+++ b/crates/entry/src/callers/caller_request.rs
@@ -16,9 +16,13 @@
 use wigeonhall_adapter::EXPECTED_INSTANCE;
 use wigeonhall_adapter::REMAINING_MS;
 use wigeonhall_adapter::REQUEST_ID;
+use wigeonhall_adapter::TENANT;
+use wigeonhall_adapter::api_key;
+use wigeonhall_dispatch::KeyDigest;
 use wigeonhall_dispatch::RequestLimits;
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::RouteTable;
+use wigeonhall_dispatch::TenantSpec;
 
 use crate::replicas::replica_client::OutgoingRequest;
 
@@ -61,6 +65,9 @@
     /// Milliseconds until the caller's deadline; `None` if the request states none.
     pub(crate) remaining_ms: Option<u64>,
     pub(crate) route: Rc<Route>,
+    /// Tenant that holds the caller's key; `None` if callers need no keys, if the caller is
+    /// anonymous, or if a peer forwards the request.
+    pub(crate) tenant: Option<Rc<TenantSpec>>,
 }
 
 /// Parses the head of a request and finds its route.
@@ -85,9 +92,41 @@
         request_id: request_id.clone(),
         remaining_ms: remaining_ms(headers)?,
         route: route.clone(),
+        tenant: None,
     })
 }
 
+/// Parses the head of a caller's request, finds its route and its tenant, and replaces the caller's
+/// key by the name of the tenant, which replicas and peers get instead.
+pub(crate) fn read_caller_head<B>(
+    request: &mut Request<B>,
+    table: &RouteTable,
+) -> Result<CallerHead, Rejection> {
+    let mut head = read_head(request, table)?;
+    let Some(tenants) = &table.tenants else {
+        return Ok(head);
+    };
+    let headers = request.headers_mut();
+    let tenant = match api_key(headers) {
+        Some(key) => tenants.by_key(KeyDigest::new(key)).cloned(),
+        None => None,
+    };
+    let anonymous =
+        head.route.spec.allows_anonymous && !headers.contains_key(header::AUTHORIZATION);
+    if tenant.is_none() && !anonymous {
+        return Err(Rejection::new(StatusCode::UNAUTHORIZED, "unknown key"));
+    }
+    headers.remove(header::AUTHORIZATION);
+    headers.remove(&TENANT);
+    if let Some(tenant) = &tenant {
+        let name = HeaderValue::from_str(&tenant.name)
+            .map_err(|_| Rejection::new(StatusCode::BAD_REQUEST, "malformed name of the tenant"))?;
+        headers.insert(TENANT, name);
+    }
+    head.tenant = tenant;
+    Ok(head)
+}
+
 /// Returns the milliseconds until the caller's deadline; `None` if the request states none.
 pub(crate) fn remaining_ms(headers: &HeaderMap) -> Result<Option<u64>, Rejection> {
     let Some(value) = headers.get(&REMAINING_MS) else {
--- a/crates/entry/src/callers/caller_server.rs
+++ b/crates/entry/src/callers/caller_server.rs
@@ -137,7 +137,7 @@
 /// Answers a request; its deadline counts from its arrival.
 async fn respond(
     shared: &Rc<NodeState>,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
     arrival: Arrival,
 ) -> CallerResponse {
     let table = shared.table.borrow().clone();
@@ -147,7 +147,7 @@
         let retry_after_ms = health.unconfigured_retry_ms(shared.clock.now_us(), remaining_ms);
         return responses::refusal("no configuration is known yet", retry_after_ms);
     };
-    let head = match caller_request::read_head(&request, &table) {
+    let head = match caller_request::read_caller_head(&mut request, &table) {
         Ok(head) => head,
         Err(rejection) => return reject(shared, &rejection, arrival.arrived_us, table.version),
     };
