Weigh the time left, distance and bytes before a leg leaves its data centre

A constant factor of 1.3 decided so far whether a replica elsewhere is used. The factor now falls from 1.7 to 1.3 as the own replicas use up the time that the caller has left, and is smaller for small responses; the expected cost elsewhere is at least what the distance and the responses of that data centre show. Replicas with requests in flight cost more the longer they return nothing. Hedges to another data centre wait until the time left is needed for them, and are not sent to a data centre whose responses show queues. Latencies are compared with the median of the route, because the moving mean follows the slowest parts of the last gather.

Each mechanism is a field of Policy; Policy::constant_distance() is the former policy.

--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -8,6 +8,7 @@
 use crate::ReplicaKey;
 use crate::Reply;
 use crate::Route;
+use crate::RouteProfile;
 use crate::UnknownCause;
 use crate::leg::Leg;
 
@@ -45,6 +46,8 @@
     pub(crate) observed: bool,
     /// Latency of a part above which its replica queued the request; `None` if it is unknown.
     pub(crate) queueing_us: Option<u64>,
+    /// Typical responses of the replicas on the route.
+    pub(crate) profile: RouteProfile,
     pub(crate) route: Rc<Route>,
     /// Time from which the request is answered as soon as it has `min_parts`.
     pub(crate) soft_deadline_us: u64,
@@ -80,6 +83,7 @@
             min_parts: selection.min_parts,
             observed: false,
             queueing_us: None,
+            profile: RouteProfile::default(),
             route,
             soft_deadline_us: arrival.arrived_us.saturating_add(
                 target_us
@@ -117,6 +121,7 @@
             min_parts: Some(0),
             observed: false,
             queueing_us: None,
+            profile: RouteProfile::default(),
             route,
             soft_deadline_us,
         }
@@ -130,6 +135,14 @@
         self
     }
 
+    /// Sets the typical responses on the route; without them, the choice between data centres does
+    /// not follow the time that is left.
+    #[must_use]
+    pub const fn with_profile(mut self, profile: RouteProfile) -> Self {
+        self.profile = profile;
+        self
+    }
+
     /// Sets the fallback replica of each leg, which another node uses if it takes the leg back.
     ///
     /// The fallback counts toward the replicas that may run the leg, so that both nodes
--- a/crates/dispatch/src/exchange_sub_requests.rs
+++ b/crates/dispatch/src/exchange_sub_requests.rs
@@ -5,10 +5,12 @@
 use crate::Pool;
 use crate::ReplicaKey;
 use crate::Reply;
+use crate::Room;
 use crate::RouteKind;
 use crate::SubRequest;
 use crate::leg::Attempt;
 use crate::leg::Leg;
+use crate::locality;
 
 /// Hedges, second sub-requests for legs that are late, are postponed if more than one leg in this
 /// many is late at once.
@@ -90,7 +92,11 @@
         let leg = &self.legs[leg_index];
         let tried = leg.tried();
         if leg.may_choose_any_replica(self.max_runs) {
-            return pool.choose(now_us, leg.service, &tried);
+            let room = Room {
+                left_us: Some(self.soft_deadline_us.saturating_sub(now_us)),
+                profile: self.profile,
+            };
+            return pool.choose_within(now_us, leg.service, &tried, room);
         }
         let fallback = leg.fallback.filter(|key| !tried.contains(key))?;
         pool.is_usable(now_us, fallback).then_some(fallback)
@@ -119,6 +125,15 @@
         let Some(replica) = self.choose(pool, now_us, leg_index) else {
             return false;
         };
+        if reason == ExtraReason::Hedge && !pool.has_room_for_hedge(now_us, replica, self.profile) {
+            return false;
+        }
+        if reason == ExtraReason::Hedge
+            && let Some(at_us) = self.later_hedge_us(pool, now_us, replica)
+        {
+            self.legs[leg_index].hedge_at_us = Some(at_us);
+            return false;
+        }
         if reason == ExtraReason::Hedge && !pool.allows_hedges(self.route.legs_key) {
             return false;
         }
@@ -131,6 +146,15 @@
         true
     }
 
+    /// Returns when a hedge is sent whose replica is in another data centre; `None` if it is due.
+    fn later_hedge_us(&self, pool: &Pool, now_us: u64, replica: ReplicaKey) -> Option<u64> {
+        let wanted = pool.policy().later_remote_hedges;
+        let extra_us = pool.distance_us(replica).filter(|_| wanted)?;
+        let lead_us = locality::remote_hedge_lead_us(self.profile, extra_us);
+        let at_us = self.soft_deadline_us.saturating_sub(lead_us);
+        (now_us < at_us).then_some(at_us)
+    }
+
     /// Returns whether a replica may have run the request.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -6,7 +6,7 @@
 /// Half-life of the observed slowness and failure rate of a replica.
 const HALF_LIFE_US: f64 = 2_000_000.0;
 
-/// Weight of the newest sample in the moving averages.
+/// Weight of the newest sample in the share of failures.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
 /// Maximum ratio of one sample to the mean latency, so that a single pause does not make a
@@ -121,9 +121,9 @@
     fn add_sample(&mut self, policy: &Policy, ratio: f64, failed: f64) {
         let ratio = ratio.clamp(0.25, MAX_LATENCY_RATIO);
         if policy.geometric_slowness {
-            self.slowness *= (ratio / self.slowness).powf(SAMPLE_WEIGHT);
+            self.slowness *= (ratio / self.slowness).powf(policy.slowness_weight);
         } else {
-            self.slowness += (ratio - self.slowness) * SAMPLE_WEIGHT;
+            self.slowness += (ratio - self.slowness) * policy.slowness_weight;
         }
         self.failure_share += (failed - self.failure_share) * SAMPLE_WEIGHT;
     }
--- a/crates/dispatch/src/policy.rs
+++ b/crates/dispatch/src/policy.rs
@@ -16,8 +16,8 @@
     pub admission: bool,
     /// Whether a cold (newly started) replica gets no more requests than its service states.
     pub cold_rate: bool,
-    /// Cost factor of a replica in another data centre; traffic between data centres is charged
-    /// for.
+    /// Cost factor of a replica in another data centre, at least; traffic between data centres is
+    /// charged for.
     pub cross_data_centre_cost: f64,
     /// Whether a gather that cannot succeed is refused before anything is sent.
     pub early_refusal: bool,
@@ -28,6 +28,8 @@
     /// Whether the slowness of a replica is the geometric mean of its latencies, in which a single
     /// long one counts for less.
     pub geometric_slowness: bool,
+    /// Whether hedges are sent only to data centres whose responses show room for them.
+    pub hedge_room: bool,
     /// Whether late legs are sent to a second replica.
     pub hedging: bool,
     /// Share of the legs of recent gathers, from 0 to 1, that were queued by their replicas, above
@@ -35,6 +37,14 @@
     pub hedging_queue_share: f64,
     /// Whether a leg without an available replica is sent to a suspended one.
     pub last_resort: bool,
+    /// Whether hedges to another data centre are sent only when the time left is needed for them.
+    pub later_remote_hedges: bool,
+    /// Whether the cost factor of a replica in another data centre follows the time that callers have
+    /// left, the distance, and the load there.
+    pub locality: bool,
+    /// Whether the latencies of a replica are compared with the median of their route instead of the
+    /// moving mean, which follows the slowest parts of the last gather.
+    pub median_ratio: bool,
     /// Whether hedges are postponed once when many legs are late at the same time.
     pub postponement: bool,
     /// Whether connections to replicas are opened before the first request.
@@ -55,6 +65,11 @@
     pub shared_single_slots: bool,
     /// Whether the latencies of a replica change its cost.
     pub slowness: bool,
+    /// Weight of the newest latency in the slowness of a replica. A node sends few requests to one
+    /// replica, and sees within a few that it has become slow.
+    pub slowness_weight: f64,
+    /// Whether a replica with requests in flight costs more the longer it returns no result.
+    pub stall_costs: bool,
     /// Whether replicas are suspended after failures and refusals.
     pub suspension: bool,
     /// Largest share by which the cost of a replica is raised at random.
@@ -71,9 +86,13 @@
             early_refusal: true,
             failure_exponent: 2.0,
             geometric_slowness: true,
+            hedge_room: true,
             hedging: true,
             hedging_queue_share: 0.35,
             last_resort: true,
+            later_remote_hedges: true,
+            locality: true,
+            median_ratio: true,
             postponement: true,
             preconnects: true,
             prolonged_retries: true,
@@ -83,6 +102,8 @@
             shared_gathers: true,
             shared_single_slots: true,
             slowness: true,
+            slowness_weight: 0.3,
+            stall_costs: true,
             suspension: true,
             tie_breaking: 0.05,
         }
@@ -90,6 +111,20 @@
 }
 
 impl Policy {
+    /// Returns the policy that charges for other data centres by a constant factor alone.
+    #[must_use]
+    pub fn constant_distance() -> Self {
+        Self {
+            hedge_room: false,
+            later_remote_hedges: false,
+            locality: false,
+            median_ratio: false,
+            slowness_weight: 0.2,
+            stall_costs: false,
+            ..Self::default()
+        }
+    }
+
     /// Returns the round trips by which answers are timed; `measured` is `None` if they are unknown.
     #[must_use]
     pub fn round_trip(&self, measured: Option<RoundTrip>) -> RoundTrip {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -16,6 +16,7 @@
 use crate::ServiceSpec;
 use crate::admission::Admission;
 use crate::connect_latency::ConnectLatency;
+use crate::data_centres::DataCentres;
 use crate::departed_replicas::DepartedReplicas;
 use crate::service::Service;
 
@@ -30,7 +31,7 @@
     pub(crate) arena: Vec<ArenaSlot>,
     pub(crate) by_id: HashMap<Arc<str>, ReplicaKey>,
     connect_latency: ConnectLatency,
-    pub(crate) data_centre: Arc<str>,
+    pub(crate) data_centres: DataCentres,
     /// Extra sub-requests, that is hedges and retries, that operators allow for each service.
     extra_allowance: ExtraAllowance,
     /// Dropped replicas, some of which register again.
@@ -88,7 +89,7 @@
             arena: Vec::new(),
             by_id: HashMap::new(),
             connect_latency: ConnectLatency::default(),
-            data_centre,
+            data_centres: DataCentres::new(data_centre),
             extra_allowance: ExtraAllowance::default(),
             departed: DepartedReplicas::default(),
             free_slots: Vec::new(),
@@ -187,17 +188,6 @@
             .flatten()
     }
 
-    /// Chooses the replica for the next sub-request, excluding those in `tried`.
-    pub fn choose(
-        &mut self,
-        now_us: u64,
-        service: ServiceKey,
-        tried: &[ReplicaKey],
-    ) -> Option<ReplicaKey> {
-        let ranked = self.rank(now_us, service, tried);
-        ranked.first().map(|(_, key)| *key)
-    }
-
     /// Returns the replica that a request without any available replica is sent to: among those
     /// whose last request failed and that have no request of this node in flight, the one whose
     /// suspension ends first.
@@ -239,34 +229,6 @@
         self.by_id.get(id).copied()
     }
 
-    /// Returns the usable replicas of a service with their expected costs, the lowest first.
-    fn rank(
-        &mut self,
-        now_us: u64,
-        service: ServiceKey,
-        tried: &[ReplicaKey],
-    ) -> Vec<(f64, ReplicaKey)> {
-        let rates = self.sending_rates(service);
-        let policy = self.policy;
-        let rng = &mut self.rng;
-        let entry = &self.services[service.0 as usize];
-        let mut ranked: Vec<(f64, ReplicaKey)> = Vec::with_capacity(entry.replicas.len());
-        for key in &entry.replicas {
-            let Some(replica) = self.arena[key.index as usize].replica.as_ref() else {
-                continue;
-            };
-            let availability = replica.availability(now_us, rates);
-            if tried.contains(key) || availability != Availability::Ready {
-                continue;
-            }
-            let variation = 1.0 + rng.f64() * policy.tie_breaking;
-            let cost = expected_cost(&policy, replica, now_us, &self.data_centre) * variation;
-            ranked.push((cost, *key));
-        }
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        ranked
-    }
-
     /// Returns the replicas among `new` that this node would choose first for the services in
     /// `used_services`; connections to them are worth opening in advance.
     ///
@@ -317,6 +279,9 @@
         let Some(replica) = self.replica_mut(key) else {
             return;
         };
+        if replica.in_flight == 0 {
+            replica.progress_us = now_us;
+        }
         replica.in_flight += 1;
         if replica.limit_per_s().is_some() {
             replica.notice_state.rate_limit.record_request();
@@ -327,7 +292,7 @@
         }
     }
 
-    /// Records the result of a request; `latency_ratio` is its latency divided by the mean
+    /// Records the result of a request; `latency_ratio` is its latency divided by the typical
     /// latency of the route's requests on this node.
     pub fn request_finished(
         &mut self,
@@ -341,6 +306,7 @@
             return;
         };
         replica.in_flight = replica.in_flight.saturating_sub(1);
+        replica.progress_us = now_us;
         replica
             .health
             .observe(&policy, now_us, reply, latency_ratio);
@@ -349,11 +315,18 @@
             // sweep.
             replica.removed_at_us = Some(now_us);
         }
+        let data_centre = replica.data_centre;
+        let data_centre = self.data_centres.get_mut(data_centre);
+        data_centre.observe(now_us, reply, latency_ratio);
     }
 
     /// Records the latency of a connection that this node opened to a replica.
-    pub fn observe_connect(&mut self, latency_us: u64) {
+    pub fn observe_connect(&mut self, key: ReplicaKey, latency_us: u64) {
         self.connect_latency.observe(latency_us);
+        if let Some(data_centre) = self.replica(key).map(|replica| replica.data_centre) {
+            let data_centre = self.data_centres.get_mut(data_centre);
+            data_centre.observe_connect(latency_us);
+        }
     }
 
     /// Returns the timeout in microseconds for opening a connection to a replica.
@@ -409,28 +382,3 @@
         counts
     }
 }
-
-fn expected_cost(policy: &Policy, replica: &Replica, now_us: u64, data_centre: &str) -> f64 {
-    /// Cost factor of a replica that is still slow because of its cold start.
-    const COLD_COST_FACTOR: f64 = 2.0;
-    /// Cost factor of a replica that has not named its limit for some time and may have lifted it.
-    const OUTDATED_LIMIT_COST_FACTOR: f64 = 0.7;
-    let utilisation = f64::from(replica.in_flight) / f64::from(replica.registration.slots.max(1));
-    let distance_factor = if *replica.registration.data_centre == *data_centre {
-        1.0
-    } else {
-        policy.cross_data_centre_cost
-    };
-    let cold = if now_us < replica.warm_at_us {
-        COLD_COST_FACTOR
-    } else {
-        1.0
-    };
-    // Only a response shows that a limit has ended, and few requests are within it.
-    let outdated = if replica.notice_state.rate_limit.is_outdated(now_us) {
-        OUTDATED_LIMIT_COST_FACTOR
-    } else {
-        1.0
-    };
-    replica.health.cost(policy, now_us) * (1.0 + utilisation) * distance_factor * cold * outdated
-}
--- /dev/null
+++ b/crates/dispatch/src/pool_choice.rs
@@ -0,0 +1,136 @@
+use crate::Availability;
+use crate::Policy;
+use crate::Pool;
+use crate::Replica;
+use crate::ReplicaKey;
+use crate::Room;
+use crate::RouteProfile;
+use crate::ServiceKey;
+use crate::data_centres::OWN;
+use crate::locality;
+
+/// A replica with its expected cost.
+type Candidate = (f64, ReplicaKey);
+
+/// Chooses the replicas of sub-requests.
+impl Pool {
+    /// Chooses the replica for the next sub-request, excluding those in `tried`, without knowing the
+    /// time that is left for it.
+    pub fn choose(
+        &mut self,
+        now_us: u64,
+        service: ServiceKey,
+        tried: &[ReplicaKey],
+    ) -> Option<ReplicaKey> {
+        self.choose_within(now_us, service, tried, Room::default())
+    }
+
+    /// Chooses the replica for the next sub-request, excluding those in `tried`.
+    pub fn choose_within(
+        &mut self,
+        now_us: u64,
+        service: ServiceKey,
+        tried: &[ReplicaKey],
+        room: Room,
+    ) -> Option<ReplicaKey> {
+        let (near, far) = self.cheapest(now_us, service, tried, room);
+        let (Some((near_cost, near)), Some((far_cost, far))) = (near, far) else {
+            return near.or(far).map(|(_, key)| key);
+        };
+        let draw = if self.policy.locality {
+            self.rng.f64()
+        } else {
+            0.5
+        };
+        let factor = locality::remote_factor(&self.policy, room, near_cost, draw);
+        Some(if near_cost <= far_cost * factor {
+            near
+        } else {
+            far
+        })
+    }
+
+    /// Returns whether the responses from the data centre of a replica show room for hedges.
+    pub(crate) fn has_room_for_hedge(
+        &self,
+        now_us: u64,
+        key: ReplicaKey,
+        profile: RouteProfile,
+    ) -> bool {
+        let Some(replica) = self.replica(key).filter(|_| self.policy.hedge_room) else {
+            return true;
+        };
+        let extra_us = self.data_centres.extra_us(replica.data_centre);
+        let data_centre = self.data_centres.get(replica.data_centre);
+        data_centre.cost(&self.policy, now_us) <= locality::hedge_cost_max(profile, extra_us)
+    }
+
+    /// Returns by how much a round trip to a replica in another data centre takes longer than within
+    /// the own one; `None` for replicas of the own one.
+    pub(crate) fn distance_us(&self, key: ReplicaKey) -> Option<f64> {
+        let replica = self.replica(key)?;
+        let elsewhere = replica.data_centre != OWN;
+        elsewhere.then(|| self.data_centres.extra_us(replica.data_centre))
+    }
+
+    /// Returns the usable replica with the lowest expected cost in the own data centre, and that in
+    /// the others.
+    fn cheapest(
+        &mut self,
+        now_us: u64,
+        service: ServiceKey,
+        tried: &[ReplicaKey],
+        room: Room,
+    ) -> (Option<Candidate>, Option<Candidate>) {
+        let rates = self.sending_rates(service);
+        let policy = self.policy;
+        let rng = &mut self.rng;
+        let (mut near, mut far): (Option<Candidate>, Option<Candidate>) = (None, None);
+        for key in &self.services[service.0 as usize].replicas {
+            let Some(replica) = self.arena[key.index as usize].replica.as_ref() else {
+                continue;
+            };
+            let availability = replica.availability(now_us, rates);
+            if tried.contains(key) || availability != Availability::Ready {
+                continue;
+            }
+            let mut cost = expected_cost(&policy, replica, now_us);
+            if replica.in_flight > 0 {
+                let silent_us = now_us.saturating_sub(replica.progress_us);
+                cost += locality::stall_cost(&policy, room, silent_us);
+            }
+            let is_near = replica.data_centre == OWN;
+            if !is_near {
+                let extra_us = self.data_centres.extra_us(replica.data_centre);
+                let elsewhere = self.data_centres.get(replica.data_centre);
+                cost = locality::remote_cost(&policy, room, cost, extra_us, elsewhere, now_us);
+            }
+            cost *= 1.0 + rng.f64() * policy.tie_breaking;
+            let cheapest = if is_near { &mut near } else { &mut far };
+            if cheapest.is_none_or(|(lowest, _)| cost < lowest) {
+                *cheapest = Some((cost, *key));
+            }
+        }
+        (near, far)
+    }
+}
+
+fn expected_cost(policy: &Policy, replica: &Replica, now_us: u64) -> f64 {
+    /// Cost factor of a replica that is still slow because of its cold start.
+    const COLD_COST_FACTOR: f64 = 2.0;
+    /// Cost factor of a replica that has not named its limit for some time and may have lifted it.
+    const OUTDATED_LIMIT_COST_FACTOR: f64 = 0.7;
+    let utilisation = f64::from(replica.in_flight) / f64::from(replica.registration.slots.max(1));
+    let cold = if now_us < replica.warm_at_us {
+        COLD_COST_FACTOR
+    } else {
+        1.0
+    };
+    // Only a response shows that a limit has ended, and few requests are within it.
+    let outdated = if replica.notice_state.rate_limit.is_outdated(now_us) {
+        OUTDATED_LIMIT_COST_FACTOR
+    } else {
+        1.0
+    };
+    replica.health.cost(policy, now_us) * (1.0 + utilisation) * cold * outdated
+}
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -18,6 +18,7 @@
         let evacuated = self.evacuated.contains(&registration.data_centre);
         let cold_us = registration.cold_for_ms.saturating_mul(1_000);
         let warm_at_us = now_us.saturating_add(cold_us);
+        let data_centre = self.data_centres.index(&registration.data_centre);
         if let Some(key) = self.by_id.get(&registration.id).copied()
             && let Some(replica) = self.replica_mut(key)
         {
@@ -32,6 +33,7 @@
                 && registration.service == known.service;
             if same {
                 replica.registration = registration;
+                replica.data_centre = data_centre;
                 replica.removed_at_us = None;
                 replica.evacuated = evacuated;
                 replica.warm_at_us = warm_at_us;
@@ -155,6 +157,7 @@
         evacuated: bool,
     ) -> ReplicaKey {
         let service = self.service_key(&registration.service);
+        let data_centre = self.data_centres.index(&registration.data_centre);
         let id = registration.id.clone();
         let started_unix_ms = registration.started_unix_ms;
         let notice_state = self.departed.take_notices(&id, started_unix_ms);
@@ -162,8 +165,10 @@
         let number = self.services[service.0 as usize].replicas.len();
         let replica = Replica {
             cold_allowance,
+            data_centre,
             health: Health::new(now_us),
             in_flight: 0,
+            progress_us: now_us,
             limit_allowance: self.limit_allowance(number),
             registration,
             removed_at_us: None,
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -11,10 +11,14 @@
 pub struct Replica {
     /// Requests that this node may send while the replica is cold (newly started and slow).
     pub(crate) cold_allowance: RateAllowance,
+    /// Index of the replica's data centre among those that this node knows.
+    pub(crate) data_centre: u32,
     /// Failures and latencies of this node's requests.
     pub(crate) health: Health,
     /// Number of this node's requests in flight.
     pub(crate) in_flight: u32,
+    /// Time of the newest result, or since when a request of this node is in flight.
+    pub(crate) progress_us: u64,
     /// Requests that this node may send while the replica names a limit of their rate.
     pub(crate) limit_allowance: RateAllowance,
     /// Newest registration of the replica.
--- a/crates/dispatch/src/route_latency.rs
+++ b/crates/dispatch/src/route_latency.rs
@@ -1,5 +1,9 @@
 use wigeonhall_query::LatencyQuantile;
 
+use crate::Policy;
+use crate::Reply;
+use crate::RouteProfile;
+
 /// Weight of the newest sample in the moving mean.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
@@ -29,7 +33,12 @@
 pub struct RouteLatency {
     /// Latency of a fast reply, without a queue; estimates the lowest tenth of the latencies.
     fast_us: Option<f64>,
+    /// Median latency; `None` before the first sample. Unlike the moving mean it does not follow the
+    /// slowest parts, which are the last ones of each gather.
+    median_us: Option<f64>,
     quantile: LatencyQuantile,
+    /// Moving mean of the sizes of responses; `None` before the first one.
+    response_bytes: Option<f64>,
     samples: u32,
     /// Moving mean latency; `None` before the first sample.
     mean_us: Option<f64>,
@@ -45,16 +54,36 @@
         let sample_us = (latency_us as f64).min(mean_us * 3.0);
         self.mean_us = Some(mean_us + (sample_us - mean_us) * SAMPLE_WEIGHT);
         self.quantile.observe(latency_us);
-        self.observe_fast(latency_us as f64);
+        self.observe_quantiles(latency_us as f64);
         ratio
     }
 
-    fn observe_fast(&mut self, latency_us: f64) {
-        let fast_us = self.fast_us.unwrap_or(latency_us);
+    /// Records the size of a response's body.
+    pub fn observe_bytes(&mut self, bytes: usize) {
+        let sample = bytes as f64;
+        let mean = self.response_bytes.unwrap_or(sample);
+        self.response_bytes = Some(mean + (sample - mean) * SAMPLE_WEIGHT);
+    }
+
+    /// Returns the typical responses.
+    #[must_use]
+    pub const fn profile(&self) -> RouteProfile {
+        RouteProfile {
+            latency_us: self.median_us,
+            response_bytes: self.response_bytes,
+        }
+    }
+
+    fn observe_quantiles(&mut self, latency_us: f64) {
         let known = self.samples >= FAST_SAMPLES;
         let step = if known { FAST_STEP } else { FIRST_FAST_STEP };
-        let below = f64::from(latency_us < fast_us);
-        self.fast_us = Some(fast_us * (1.0 + step * (FAST_SHARE - below)));
+        let moved = |quantile_us: Option<f64>, share: f64| {
+            let quantile_us = quantile_us.unwrap_or(latency_us);
+            let below = f64::from(latency_us < quantile_us);
+            Some(quantile_us * (1.0 + step * (share - below)))
+        };
+        self.fast_us = moved(self.fast_us, FAST_SHARE);
+        self.median_us = moved(self.median_us, 0.5);
         self.samples = self.samples.saturating_add(1);
     }
 
@@ -75,6 +104,20 @@
         }
     }
 
+    /// Adds the latency of a reply if it is a success; returns its ratio to the typical latency.
+    pub fn observe_reply(&mut self, policy: &Policy, reply: Reply, latency_us: u64) -> f64 {
+        let median_us = self.median_us;
+        let mean_ratio = if reply == Reply::Success {
+            self.observe(latency_us)
+        } else {
+            self.ratio(latency_us)
+        };
+        let median_us = median_us.filter(|_| policy.median_ratio);
+        median_us.map_or(mean_ratio, |median_us| {
+            latency_us as f64 / median_us.max(1.0)
+        })
+    }
+
     /// Returns the delay in microseconds after which a sub-request without a response is hedged.
     #[must_use]
     pub fn hedge_delay_us(&self, target_latency_ms: u64) -> u64 {
--- a/crates/dispatch/tests/connect_timeout.rs
+++ b/crates/dispatch/tests/connect_timeout.rs
@@ -16,8 +16,9 @@
 /// Returns a pool that opened connections with this latency.
 fn pool_with_connections(latency_us: u64) -> Pool {
     let mut pool = pool();
+    let replica = add(&mut pool, "b", 9);
     for _ in 0..100 {
-        pool.observe_connect(latency_us);
+        pool.observe_connect(replica, latency_us);
     }
     pool
 }
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -201,7 +201,8 @@
         hedge_delay_us,
     )
     .with_fallbacks(&fallbacks)
-    .with_queueing_latency(shared.queueing_us(&head.route));
+    .with_queueing_latency(shared.queueing_us(&head.route))
+    .with_profile(shared.route_profile(&head.route));
     Some(PeerQuery {
         legs,
         query: Query::new(shared, exchange, Rc::new(outgoing)),
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -20,6 +20,7 @@
 use wigeonhall_dispatch::ResponseMemoryBudget;
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::RouteLatency;
+use wigeonhall_dispatch::RouteProfile;
 use wigeonhall_dispatch::RouteTable;
 use wigeonhall_dispatch::StopLimit;
 
@@ -139,6 +140,13 @@
         latencies.get(&route.spec.name)?.queueing_us()
     }
 
+    /// Returns the typical responses of the replicas on this route.
+    pub(crate) fn route_profile(&self, route: &Route) -> RouteProfile {
+        let latencies = self.latencies.borrow();
+        let latency = latencies.get(&route.spec.name);
+        latency.map(RouteLatency::profile).unwrap_or_default()
+    }
+
     /// Returns whether the platform may send callers to this node.
     pub(crate) fn ready(&self) -> bool {
         let known = self.table.borrow().is_some() && self.replicas_fresh_us.get().is_some();
--- a/crates/entry/src/replicas/replica_client.rs
+++ b/crates/entry/src/replicas/replica_client.rs
@@ -211,7 +211,8 @@
     match http_client::connect(destination.address, timeout).await {
         Ok(sender) => {
             let latency_us = shared.clock.now_us() - started_us;
-            shared.pool.borrow_mut().observe_connect(latency_us);
+            let mut pool = shared.pool.borrow_mut();
+            pool.observe_connect(destination.key, latency_us);
             Some(sender)
         }
         Err(error) => {
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -57,7 +57,8 @@
     let deadline_us = arrived_us.saturating_add(timeout_us.min(remaining_us));
     let hedge_delay_us = shared.hedge_delay_us(&route);
     let mut exchange = Exchange::new(arrival, deadline_us, hedge_delay_us, route.clone())
-        .with_queueing_latency(shared.queueing_us(&route));
+        .with_queueing_latency(shared.queueing_us(&route))
+        .with_profile(shared.route_profile(&route));
     let soft_deadline_us = exchange.soft_deadline_us();
     let outgoing = Rc::new(outgoing);
     let admitted = if is_too_late(shared, &route) {
--- a/crates/entry/src/requests/query.rs
+++ b/crates/entry/src/requests/query.rs
@@ -343,16 +343,17 @@
         let latency_us = now_us - self.sent_us;
         let mut latencies = shared.latencies.borrow_mut();
         let latency = latencies.entry(self.route.spec.name.clone()).or_default();
-        // Relative to the mean latency of the route.
-        let ratio = if reply == Reply::Success {
+        if let Some(response) = result.response.as_ref().filter(|_| reply == Reply::Success) {
+            latency.observe_bytes(response.body.len());
+        }
+        if reply == Reply::Success {
             shared
                 .metrics
                 .replica_latency_s
                 .observe(latency_us as f64 / 1_000_000.0);
-            latency.observe(latency_us)
-        } else {
-            latency.ratio(latency_us)
-        };
+        }
+        let policy = *shared.pool.borrow().policy();
+        let ratio = latency.observe_reply(&policy, reply, latency_us);
         shared
             .metrics
             .replica_replies
--- a/crates/entry/src/requests/shared_gather.rs
+++ b/crates/entry/src/requests/shared_gather.rs
@@ -208,7 +208,8 @@
             self.hedge_delay_us,
         )
         .with_fallbacks(fallbacks)
-        .with_queueing_latency(self.shared.queueing_us(&self.route));
+        .with_queueing_latency(self.shared.queueing_us(&self.route))
+        .with_profile(self.shared.route_profile(&self.route));
         let query = Query::new(&self.shared, exchange, self.outgoing.clone());
         let parts = group_stream::collect(query, legs, self.route.top_records());
         let updates = parts.map(|parts| GatherUpdate::Parts { node: None, parts });
--- a/crates/measure/src/entry/callers.rs
+++ b/crates/measure/src/entry/callers.rs
@@ -47,7 +47,9 @@
         } else {
             self.load.load
         };
-        let rate = self.shape.capacity_per_s() * load;
+        let data_centres = self.shape.data_centres as f64;
+        let factors = data_centres - 1.0 + self.first_factor(now_us);
+        let rate = self.shape.capacity_per_s() * load * factors / data_centres;
         let next_us = now_us + (-self.rng.f64().max(1e-12).ln() / rate * 1e6) as u64;
         if next_us < self.load.run_us {
             self.events.push(next_us, EntryEvent::Arrival);
@@ -73,6 +75,31 @@
         0
     }
 
+    /// Returns the load of the first data centre relative to each other one.
+    fn first_factor(&self, now_us: u64) -> f64 {
+        if now_us < WARM_UP_US {
+            1.0
+        } else {
+            self.load.first_factor
+        }
+    }
+
+    /// Draws a node; those of the first data centre are as much likelier as its load is larger.
+    fn draw_node(&mut self, now_us: u64) -> usize {
+        let factor = self.first_factor(now_us);
+        loop {
+            let node = self.rng.usize(..self.nodes.len());
+            let weight = if self.nodes[node].data_centre == 0 {
+                factor
+            } else {
+                1.0
+            };
+            if weight >= factor || self.rng.f64() * factor < weight {
+                return node;
+            }
+        }
+    }
+
     /// Sends an attempt of a caller to a node; half of the attempts open a connection first.
     fn attempt(
         &mut self,
@@ -82,7 +109,7 @@
         route: usize,
         attempt: u32,
     ) {
-        let node = self.rng.usize(..self.nodes.len());
+        let node = self.draw_node(now_us);
         let connection_reused = !self.rng.bool();
         let ways = if connection_reused { 1 } else { 3 };
         self.queries.push(Query {
--- a/crates/measure/src/entry/deployment_shape.rs
+++ b/crates/measure/src/entry/deployment_shape.rs
@@ -28,6 +28,8 @@
     pub routes: Vec<RouteShape>,
     /// Number of shards.
     pub shards: usize,
+    /// Share of the time in which a replica is slow, at times of its own; 0 if none ever is.
+    pub slow_share: f64,
     /// Number of requests that a replica runs at once.
     pub slots: u32,
 }
@@ -47,6 +49,8 @@
     pub timeout_ms: u64,
     /// Mean time that a replica works on a part.
     pub work_ms: f64,
+    /// Size of a replica's response.
+    pub part_bytes: u64,
     /// Benefit of a whole answer in time.
     pub worth: f64,
 }
--- a/crates/measure/src/entry/drawn_shapes.rs
+++ b/crates/measure/src/entry/drawn_shapes.rs
@@ -23,6 +23,7 @@
         replicas: 2,
         routes: routes(120, 15.0, 0.89, 0.75),
         shards: 20,
+        slow_share: 0.0,
         slots: 2,
     }
 }
@@ -61,6 +62,7 @@
         target_ms: 500,
         timeout_ms: 8_000,
         work_ms: 120.0,
+        part_bytes: 1_000,
         worth: 1.0,
     };
     DeploymentShape {
@@ -72,6 +74,25 @@
     }
 }
 
+/// Returns a deployment whose data centres are far apart: each has one replica of each shard, of
+/// uneven speed, and callers with little time beside ones with more.
+#[must_use]
+pub fn distant_shape() -> DeploymentShape {
+    let mut routes = routes(150, 15.0, 0.95, 0.85);
+    routes[1].target_ms = 80;
+    routes[1].part_bytes = 100;
+    DeploymentShape {
+        cross_us: 3_900,
+        name: "distant data centres".to_owned(),
+        nodes: 66,
+        replicas: 3,
+        routes,
+        shards: 90,
+        slow_share: 0.15,
+        ..customer_shape()
+    }
+}
+
 /// Draws deployments of many sizes; the same ones for the same seed.
 #[must_use]
 pub fn drawn_shapes(seed: u64, count: usize) -> Vec<DeploymentShape> {
@@ -98,6 +119,7 @@
         replicas: rng.usize(2..=5),
         routes: routes(target_ms, work_ms, min_fraction, min_fraction - 0.1),
         shards: pick(rng, &[2, 8, 20, 40, 90]),
+        slow_share: 0.0,
         slots: pick(rng, &[1, 2, 4, 8]),
     }
 }
@@ -111,6 +133,7 @@
         target_ms,
         timeout_ms: target_ms * 16,
         work_ms,
+        part_bytes: 1_000,
         worth: 2.0,
     };
     let short = RouteShape {
@@ -120,6 +143,7 @@
         target_ms: target_ms / 2,
         timeout_ms: target_ms * 8,
         work_ms: work_ms / 3.0,
+        part_bytes: 1_000,
         worth: 1.0,
     };
     vec![long, short]
--- a/crates/measure/src/entry/entry_load.rs
+++ b/crates/measure/src/entry/entry_load.rs
@@ -9,7 +9,10 @@
 pub struct EntryLoad {
     /// Faults of replicas.
     pub faults: Vec<EntryFault>,
-    /// Offered load, as a share of the capacity of all slots.
+    /// Load of the callers of the first data centre after the calm, relative to those of each other
+    /// one.
+    pub first_factor: f64,
+    /// Offered load of the others, as a share of the capacity of all slots.
     pub load: f64,
     /// Name in tables.
     pub name: &'static str,
@@ -55,6 +58,7 @@
 pub fn entry_loads() -> Vec<EntryLoad> {
     let calm = |name, load| EntryLoad {
         faults: Vec::new(),
+        first_factor: 1.0,
         load,
         name,
         run_us: RUN_US,
@@ -67,6 +71,7 @@
             share,
             until_us: RUN_US,
         }],
+        first_factor: 1.0,
         load: 0.3,
         name,
         run_us: RUN_US,
@@ -96,6 +101,7 @@
             share: 0.7,
             until_us: 2 * RUN_US,
         }],
+        first_factor: 1.0,
         load: 0.3,
         name: "limited",
         run_us: 2 * RUN_US,
@@ -113,6 +119,7 @@
             share: 1.0,
             until_us: FAULT_FROM_US + outage_us,
         }],
+        first_factor: 1.0,
         load: 0.3,
         name: "outage",
         run_us: RUN_US,
--- a/crates/measure/src/entry/entry_node.rs
+++ b/crates/measure/src/entry/entry_node.rs
@@ -57,7 +57,9 @@
         }
         for number in 0..EARLIER_CONNECTIONS {
             let index = number % (shape.shards * shape.replicas);
-            pool.observe_connect(connect_us(shape, data_centre, index));
+            if let Some(key) = pool.key_of(&format!("replica-{index}")) {
+                pool.observe_connect(key, connect_us(shape, data_centre, index));
+            }
         }
         for shard in 0..shape.shards {
             let service = pool.service_key(&shard_name(shard));
--- a/crates/measure/src/entry/entry_result.rs
+++ b/crates/measure/src/entry/entry_result.rs
@@ -3,6 +3,10 @@
 /// What callers and replicas saw of a simulated load.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EntryResult {
+    /// Bytes of responses that nodes received from replicas.
+    pub bytes: u64,
+    /// Those of them that came from another data centre.
+    pub cross_bytes: u64,
     /// Sub-requests beyond the first of each leg.
     pub extra_sends: u64,
     /// Sub-requests in total.
@@ -50,6 +54,12 @@
         benefit / owed.max(1.0)
     }
 
+    /// Returns the share of the bytes that came from another data centre.
+    #[must_use]
+    pub fn cross_share(&self) -> f64 {
+        self.cross_bytes as f64 / self.bytes.max(1) as f64
+    }
+
     /// Returns the sum over all routes.
     #[must_use]
     pub fn total(&self) -> RouteResult {
--- a/crates/measure/src/entry/entry_world.rs
+++ b/crates/measure/src/entry/entry_world.rs
@@ -144,6 +144,7 @@
         let route = self.queries[query].route;
         let hedge_us = node.latencies[route].hedge_delay_us(shape.target_ms);
         let queueing_us = node.latencies[route].queueing_us();
+        let profile = node.latencies[route].profile();
         let route = node.routes[route].clone();
         let round_trip = RoundTrip {
             deviation_us: 0,
@@ -156,8 +157,9 @@
             processor_share: self.shape.processor_share,
             round_trip: node.pool.policy().round_trip(Some(round_trip)),
         };
-        let mut exchange =
-            Exchange::new(arrival, deadline_us, hedge_us, route).with_queueing_latency(queueing_us);
+        let mut exchange = Exchange::new(arrival, deadline_us, hedge_us, route)
+            .with_queueing_latency(queueing_us)
+            .with_profile(profile);
         let mut sends = Vec::new();
         let outcome = exchange.start(&mut node.pool, now_us, &mut sends);
         self.queries[query].exchange = Some(exchange);
--- a/crates/measure/src/entry/fake_replica.rs
+++ b/crates/measure/src/entry/fake_replica.rs
@@ -15,6 +15,12 @@
 /// Factor of the work time of these.
 const TAIL_FACTOR: f64 = 5.0;
 
+/// Factor of the work times of a replica while it is slow.
+const SLOW_FACTOR: f64 = 2.5;
+
+/// Time from the start of a slow period of a replica to that of the next one.
+const SLOW_EVERY_US: u64 = 6_000_000;
+
 /// A replica with slots, a queue and pauses at regular times of its own.
 #[derive(Debug)]
 pub(crate) struct FakeReplica {
@@ -27,6 +33,8 @@
     pub(crate) queue_max: usize,
     pub(crate) running: Vec<JobKey>,
     pub(crate) slots: usize,
+    pub(crate) slow_offset_us: u64,
+    pub(crate) slow_us: u64,
     pub(crate) speed: f64,
 }
 
@@ -74,6 +82,12 @@
             Some(FaultKind::Slow(factor)) => factor,
             _ => 1.0,
         };
+        let slow = (now_us + self.slow_offset_us) % SLOW_EVERY_US < self.slow_us;
+        let slowness = if slow {
+            SLOW_FACTOR * slowness
+        } else {
+            slowness
+        };
         let factor = work_factor(rng) * self.speed * slowness;
         self.after_pauses_us(now_us, (work_ms * 1_000.0 * factor) as u64)
     }
@@ -118,6 +132,8 @@
 
 /// Creates the replicas of a deployment, all of them sound.
 pub(crate) fn fake_replicas(shape: &DeploymentShape, rng: &mut Rng) -> Vec<FakeReplica> {
+    /// Time between the slow periods of a replica and the next one; no divisor of their distance.
+    const SLOW_OFFSET_STEP_US: u64 = 1_700_000;
     /// Work times of replicas relative to the mean.
     const SPEEDS: [f64; 3] = [0.8, 1.0, 1.2];
     let replica = |index: usize| FakeReplica {
@@ -130,6 +146,8 @@
         queue_max: shape.queue,
         running: Vec::new(),
         slots: shape.slots as usize,
+        slow_offset_us: (index as u64 * SLOW_OFFSET_STEP_US) % SLOW_EVERY_US,
+        slow_us: (shape.slow_share * SLOW_EVERY_US as f64) as u64,
         speed: SPEEDS[rng.usize(..SPEEDS.len())],
     };
     (0..shape.shards * shape.replicas).map(replica).collect()
--- a/crates/measure/src/entry/mod.rs
+++ b/crates/measure/src/entry/mod.rs
@@ -22,6 +22,7 @@
 pub use deployment_shape::DeploymentShape;
 pub use deployment_shape::RouteShape;
 pub use drawn_shapes::customer_shape;
+pub use drawn_shapes::distant_shape;
 pub use drawn_shapes::drawn_shapes;
 pub use drawn_shapes::far_callers_shape;
 pub use drawn_shapes::lookup_shape;
--- a/crates/measure/src/entry/policy_variant.rs
+++ b/crates/measure/src/entry/policy_variant.rs
@@ -34,6 +34,7 @@
         with("hedges under load", |policy| {
             policy.hedging_queue_share = 1.0;
         }),
+        with("hedges without room", |policy| policy.hedge_room = false),
         with("no hedges", |policy| policy.hedging = false),
         with("no prolonged retries", |policy| {
             policy.prolonged_retries = false;
@@ -49,7 +50,20 @@
         }),
         with("no suspension", |policy| policy.suspension = false),
         with("no last resort", |policy| policy.last_resort = false),
-        with("no distance", |policy| policy.cross_data_centre_cost = 1.0),
+        with("constant distance", |policy| {
+            *policy = Policy::constant_distance();
+        }),
+        with("early remote hedges", |policy| {
+            policy.later_remote_hedges = false;
+        }),
+        with("constant factor", |policy| policy.locality = false),
+        with("mean ratio", |policy| policy.median_ratio = false),
+        with("no stall costs", |policy| policy.stall_costs = false),
+        with("slow slowness", |policy| policy.slowness_weight = 0.2),
+        with("no distance", |policy| {
+            policy.cross_data_centre_cost = 1.0;
+            policy.locality = false;
+        }),
         with("no tie breaking", |policy| policy.tie_breaking = 0.0),
     ]
 }
--- a/crates/measure/src/entry/replica_events.rs
+++ b/crates/measure/src/entry/replica_events.rs
@@ -90,15 +90,14 @@
         if reply != Reply::NotRun(NotRunCause::Unreachable) {
             self.hear_limit(now_us, job);
         }
+        if reply == Reply::Success {
+            self.count_bytes(job);
+        }
         let query = &self.queries[job.query];
         let node = &mut self.nodes[query.node];
         let latency = &mut node.latencies[query.route];
         let latency_us = now_us - job.sent_us;
-        let ratio = if reply == Reply::Success {
-            latency.observe(latency_us)
-        } else {
-            latency.ratio(latency_us)
-        };
+        let ratio = latency.observe_reply(node.pool.policy(), reply, latency_us);
         let replica = job.sub_request.replica;
         node.pool.request_finished(now_us, replica, reply, ratio);
         self.drive(now_us, job.query, |exchange, pool, sends| {
@@ -106,6 +105,16 @@
         });
     }
 
+    fn count_bytes(&mut self, job: Job) {
+        let query = &self.queries[job.query];
+        let bytes = self.shape.routes[query.route].part_bytes;
+        let node = &mut self.nodes[query.node];
+        node.latencies[query.route].observe_bytes(bytes as usize);
+        let near = node.data_centre == self.replicas[job.replica].data_centre;
+        self.result.bytes += bytes;
+        self.result.cross_bytes += if near { 0 } else { bytes };
+    }
+
     /// Tells a node what the response to a job says about the rate that its replica accepts.
     fn hear_limit(&mut self, now_us: u64, job: Job) {
         let node = self.queries[job.query].node;
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -80,6 +80,7 @@
 pub use entry::RouteResult;
 pub use entry::RouteShape;
 pub use entry::customer_shape;
+pub use entry::distant_shape;
 pub use entry::drawn_shapes;
 pub use entry::entry_loads;
 pub use entry::far_callers_shape;
