--- a/crates/dispatch/src/locality.rs
+++ b/crates/dispatch/src/locality.rs
@@ -46,7 +46,7 @@
 
 /// Largest cost of a data centre's replicas, apart from the distance, that get hedges. Hedges to
 /// replicas that queue requests delay others by as much as they gain.
-const HEDGE_COST_MAX: f64 = 1.4;
+const HEDGE_COST_MAX: f64 = 1.6;
 
 /// Time that is left for a sub-request, and the responses that its route gets.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/dispatch/src/pool_choice.rs
+++ b/crates/dispatch/src/pool_choice.rs
@@ -65,6 +65,13 @@
         data_centre.cost(&self.policy, now_us) <= locality::hedge_cost_max(profile, extra_us)
     }
 
+    /// Returns whether a replica is in another data centre.
+    #[must_use]
+    pub fn is_elsewhere(&self, key: ReplicaKey) -> bool {
+        self.replica(key)
+            .is_some_and(|replica| replica.data_centre != OWN)
+    }
+
     /// Returns by how much a round trip to a replica in another data centre takes longer than within
     /// the own one; `None` for replicas of the own one.
     pub(crate) fn distance_us(&self, key: ReplicaKey) -> Option<f64> {
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -25,6 +25,7 @@
     pub(crate) passed_on_batches: IntCounterVec,
     registry: Registry,
     pub(crate) relay_failures: IntCounter,
+    pub(crate) replica_bytes: IntCounterVec,
     pub(crate) replica_connection_errors: IntCounter,
     pub(crate) replica_connections: IntCounter,
     pub(crate) replica_latency_s: Histogram,
@@ -72,6 +73,13 @@
                 "relay_failures_total",
                 "Parts that another node did not hand over",
             )?,
+            replica_bytes: IntCounterVec::new(
+                Opts::new(
+                    "replica_bytes_total",
+                    "Bytes of the bodies of replicas' responses",
+                ),
+                &["data_centre"],
+            )?,
             replica_connection_errors: IntCounter::new(
                 "replica_connection_errors_total",
                 "Connections to replicas that could not be opened",
@@ -119,6 +127,7 @@
         registry.register(Box::new(self.crash_suspicions.clone()))?;
         registry.register(Box::new(self.passed_on_batches.clone()))?;
         registry.register(Box::new(self.relay_failures.clone()))?;
+        registry.register(Box::new(self.replica_bytes.clone()))?;
         registry.register(Box::new(self.replica_connection_errors.clone()))?;
         registry.register(Box::new(self.replica_connections.clone()))?;
         registry.register(Box::new(self.replica_latency_s.clone()))?;
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -147,6 +147,16 @@
         latency.map(RouteLatency::profile).unwrap_or_default()
     }
 
+    /// Counts the bytes of a replica's response by whether they came from another data centre.
+    pub(crate) fn count_replica_bytes(&self, replica: ReplicaKey, bytes: usize) {
+        let elsewhere = self.pool.borrow().is_elsewhere(replica);
+        let data_centre = if elsewhere { "other" } else { "own" };
+        let replica_bytes = &self.metrics.replica_bytes;
+        replica_bytes
+            .with_label_values(&[data_centre])
+            .inc_by(bytes as u64);
+    }
+
     /// Returns whether the platform may send callers to this node.
     pub(crate) fn ready(&self) -> bool {
         let known = self.table.borrow().is_some() && self.replicas_fresh_us.get().is_some();
--- a/crates/entry/src/requests/query.rs
+++ b/crates/entry/src/requests/query.rs
@@ -345,6 +345,7 @@
         let latency = latencies.entry(self.route.spec.name.clone()).or_default();
         if let Some(response) = result.response.as_ref().filter(|_| reply == Reply::Success) {
             latency.observe_bytes(response.body.len());
+            shared.count_replica_bytes(self.replica, response.body.len());
         }
         if reply == Reply::Success {
             shared
