Deliver no status of a replica outside 200 to 599

Cause: the client library accepts any number of three digits from 100 as a status, and takes 204 for the end of a response whatever it announces. So 101, 600 and 999 of a faulty replica reached the caller, and 204 with a body reached it as a success without the body. Ruled out: 000, 099 and statuses that are not three digits, which the library rejects already; the other client, which speaks to the store only.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -64,6 +64,7 @@
             | Reply::Unknown(
                 UnknownCause::Crashed
                 | UnknownCause::Foreign
+                | UnknownCause::InvalidStatus
                 | UnknownCause::Reset
                 | UnknownCause::Unproved,
             ) => self.add_sample(policy, 1.0, 1.0),
--- a/crates/dispatch/src/reply.rs
+++ b/crates/dispatch/src/reply.rs
@@ -43,6 +43,8 @@
     Crashed,
     /// The response belongs to another request.
     Foreign,
+    /// The status is none that a replica may end a request with, or forbids the body that follows.
+    InvalidStatus,
     /// The connection ended before the whole response was received.
     Reset,
     /// No response was received in time.
--- a/crates/entry/src/replicas/replica_client.rs
+++ b/crates/entry/src/replicas/replica_client.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use http::StatusCode;
 use http::Uri;
 use http::header;
+use http::response::Parts;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -55,6 +57,9 @@
 /// Timeout of the connection that shows whether a replica has crashed.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(30);
 
+/// Statuses with which a replica may end a request.
+const VALID_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// A caller's request as it is sent to replicas.
 #[derive(Debug)]
 pub(crate) struct OutgoingRequest {
@@ -299,6 +304,9 @@
         // The connection is out of sync; it is dropped with all bytes that follow.
         return (unknown_result(UnknownCause::Foreign), None);
     }
+    if !has_valid_status(&head) {
+        return (unknown_result(UnknownCause::InvalidStatus), None);
+    }
     let (bytes, memory) = match response_body::read(shared, body).await {
         Ok(read) => read,
         Err(cause) => return (unknown_result(cause), None),
@@ -319,6 +327,18 @@
     (result, idle_timeout_us)
 }
 
+/// Returns whether a replica may end a request with this status. The library accepts any number of
+/// three digits from 100, and takes a body after 204 for the start of the next response.
+fn has_valid_status(head: &Parts) -> bool {
+    let announces_body = head.headers.contains_key(header::TRANSFER_ENCODING)
+        || head
+            .headers
+            .get(header::CONTENT_LENGTH)
+            .is_some_and(|length| length != "0");
+    let forbidden_body = head.status == StatusCode::NO_CONTENT && announces_body;
+    VALID_STATUSES.contains(&head.status.as_u16()) && !forbidden_body
+}
+
 fn classify(response: &ReplicaResponse) -> Reply {
     if response.status == StatusCode::MISDIRECTED_REQUEST {
         return Reply::NotRun(NotRunCause::OtherInstance);
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod feed;
 mod forwarding;
 mod notices;
+mod odd_statuses;
 mod planned_stop;
 mod process;
 #[path = "../soak/proxy.rs"]
