Replace API keys by digests as objects come from the store

Cause: readers passed the configuration to followers as the store sent it, so that keys stood in messages between nodes and in their copies, and an error of a decoder quoted the value that it did not expect. Batches of the configuration are encoded again, in their order. Ruled out: replacing keys in messages only, which leaves them in each copy; and dropping all unknown fields of the configuration. Measured: platform/tests/api_keys.rs and crates/dispatch/tests/tenants.rs pass; the decoders' other tests as before.

--- a/crates/dispatch/src/change_log.rs
+++ b/crates/dispatch/src/change_log.rs
@@ -13,7 +13,7 @@
 /// Changes of one collection between two revisions of the store in one era.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ChangeBatch {
-    /// The changes as the store sent them; empty if there are none.
+    /// The changes as the store sent them, without API keys; empty if there are none.
     pub body: Bytes,
     /// Store revision before the changes.
     pub from: StoreRevision,
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -17,6 +17,7 @@
 use wigeonhall_adapter::Freshness;
 use wigeonhall_adapter::decode_changes;
 use wigeonhall_adapter::decode_listing;
+use wigeonhall_adapter::encode_object_changes;
 use wigeonhall_adapter::list_path;
 use wigeonhall_adapter::watch_path;
 use wigeonhall_dispatch::ChangeBatch;
@@ -334,6 +335,9 @@
         let changes = decode_changes(&response.body).map_err(StoreError::Decode)?;
         let body = if changes.changes.is_empty() {
             Bytes::new()
+        } else if self.view.collection.has_api_keys() {
+            let body = encode_object_changes(&changes.changes, changes.revision);
+            body.map_err(StoreError::Decode)?.into()
         } else {
             response.body
         };
