Authenticate callers again once their body has arrived

Cause: a caller's Connection header could remove the tenant's name, several or odd Authorization headers were read by their first value, a tenant's name that no header can hold refused its callers with 400, and a key that was revoked while the body arrived still ran. Credentials are read once as a digest, checked with the head and again with the body, and the headers for replicas and peers are set last. A peer declines parts whose credentials nobody has checked. The log names the tenant of a request; a metric counts unknown keys. Ruled out: checking at the time of sending, which would hand the key to hedges, retries and peers.

--- a/crates/entry/src/callers/caller_request.rs
+++ b/crates/entry/src/callers/caller_request.rs
@@ -16,14 +16,12 @@
 use wigeonhall_adapter::EXPECTED_INSTANCE;
 use wigeonhall_adapter::REMAINING_MS;
 use wigeonhall_adapter::REQUEST_ID;
-use wigeonhall_adapter::TENANT;
-use wigeonhall_adapter::api_key;
-use wigeonhall_dispatch::KeyDigest;
 use wigeonhall_dispatch::RequestLimits;
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::RouteTable;
 use wigeonhall_dispatch::TenantSpec;
 
+use crate::callers::credentials::Credentials;
 use crate::replicas::replica_client::OutgoingRequest;
 
 /// Headers that apply to a single connection and aren't forwarded.
@@ -48,7 +46,7 @@
 }
 
 impl Rejection {
-    const fn new(status: StatusCode, reason: &'static str) -> Self {
+    pub(crate) const fn new(status: StatusCode, reason: &'static str) -> Self {
         Self { reason, status }
     }
 
@@ -61,6 +59,7 @@
 /// The parsed head of a request.
 #[derive(Debug)]
 pub(crate) struct CallerHead {
+    pub(crate) credentials: Credentials,
     pub(crate) request_id: HeaderValue,
     /// Milliseconds until the caller's deadline; `None` if the request states none.
     pub(crate) remaining_ms: Option<u64>,
@@ -89,6 +88,7 @@
         .get(&REQUEST_ID)
         .ok_or_else(|| bad("no request id"))?;
     Ok(CallerHead {
+        credentials: Credentials::read(headers),
         request_id: request_id.clone(),
         remaining_ms: remaining_ms(headers)?,
         route: route.clone(),
@@ -96,37 +96,28 @@
     })
 }
 
-/// Parses the head of a caller's request, finds its route and its tenant, and replaces the caller's
-/// key by the name of the tenant, which replicas and peers get instead.
+/// Parses the head of a caller's request, and finds its route and its tenant.
 pub(crate) fn read_caller_head<B>(
-    request: &mut Request<B>,
+    request: &Request<B>,
     table: &RouteTable,
 ) -> Result<CallerHead, Rejection> {
     let mut head = read_head(request, table)?;
-    let Some(tenants) = &table.tenants else {
-        return Ok(head);
-    };
-    let headers = request.headers_mut();
-    let tenant = match api_key(headers) {
-        Some(key) => tenants.by_key(KeyDigest::new(key)).cloned(),
-        None => None,
-    };
-    let anonymous =
-        head.route.spec.allows_anonymous && !headers.contains_key(header::AUTHORIZATION);
-    if tenant.is_none() && !anonymous {
-        return Err(Rejection::new(StatusCode::UNAUTHORIZED, "unknown key"));
-    }
-    headers.remove(header::AUTHORIZATION);
-    headers.remove(&TENANT);
-    if let Some(tenant) = &tenant {
-        let name = HeaderValue::from_str(&tenant.name)
-            .map_err(|_| Rejection::new(StatusCode::BAD_REQUEST, "malformed name of the tenant"))?;
-        headers.insert(TENANT, name);
-    }
-    head.tenant = tenant;
+    head.authenticate(table)?;
     Ok(head)
 }
 
+impl CallerHead {
+    /// Finds the tenant that holds the caller's key under a configuration.
+    pub(crate) fn authenticate(&mut self, table: &RouteTable) -> Result<(), Rejection> {
+        let anonymous = self.route.spec.allows_anonymous;
+        self.tenant = match &table.tenants {
+            None => None,
+            Some(tenants) => self.credentials.tenant(tenants, anonymous)?,
+        };
+        Ok(())
+    }
+}
+
 /// Returns the milliseconds until the caller's deadline; `None` if the request states none.
 pub(crate) fn remaining_ms(headers: &HeaderMap) -> Result<Option<u64>, Rejection> {
     let Some(value) = headers.get(&REMAINING_MS) else {
--- a/crates/entry/src/callers/caller_server.rs
+++ b/crates/entry/src/callers/caller_server.rs
@@ -8,6 +8,7 @@
 
 use http::HeaderValue;
 use http::Request;
+use http::StatusCode;
 use http::header;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -27,6 +28,7 @@
 use crate::callers::caller_request::Rejection;
 use crate::callers::caller_stream;
 use crate::callers::caller_stream::CallerActivity;
+use crate::callers::credentials;
 use crate::callers::probed_listener::ProbedListener;
 use crate::callers::responses;
 use crate::callers::responses::CallerResponse;
@@ -137,7 +139,7 @@
 /// Answers a request; its deadline counts from its arrival.
 async fn respond(
     shared: &Rc<NodeState>,
-    mut request: Request<Incoming>,
+    request: Request<Incoming>,
     arrival: Arrival,
 ) -> CallerResponse {
     let table = shared.table.borrow().clone();
@@ -147,16 +149,33 @@
         let retry_after_ms = health.unconfigured_retry_ms(shared.clock.now_us(), remaining_ms);
         return responses::refusal("no configuration is known yet", retry_after_ms);
     };
-    let head = match caller_request::read_caller_head(&mut request, &table) {
+    let mut head = match caller_request::read_caller_head(&request, &table) {
         Ok(head) => head,
         Err(rejection) => return reject(shared, &rejection, arrival.arrived_us, table.version),
     };
-    match read_within_timeout(request, &head, &table).await {
+    let outgoing = read_within_timeout(request, &head, &table).await;
+    match outgoing.and_then(|outgoing| identify(shared, &mut head, outgoing)) {
         Ok(outgoing) => answer::answer(shared, &head, outgoing, arrival).await,
         Err(rejection) => reject(shared, &rejection, arrival.arrived_us, table.version),
     }
 }
 
+/// Replaces the caller's key by the name of its tenant. The key may have been revoked while the body
+/// was read.
+fn identify(
+    shared: &NodeState,
+    head: &mut CallerHead,
+    mut outgoing: OutgoingRequest,
+) -> Result<OutgoingRequest, Rejection> {
+    if let Some(table) = shared.table.borrow().as_deref() {
+        head.authenticate(table)?;
+        if table.tenants.is_some() {
+            credentials::set_tenant(&mut outgoing.headers, head.tenant.as_deref());
+        }
+    }
+    Ok(outgoing)
+}
+
 /// Reads the body within the timeout of the route.
 async fn read_within_timeout(
     request: Request<Incoming>,
@@ -182,6 +201,9 @@
         .requests
         .with_label_values(&["rejected"])
         .inc();
+    if rejection.status == StatusCode::UNAUTHORIZED {
+        shared.metrics.unknown_key_refusals.inc();
+    }
     shared.log(&Event::Request(RequestEvent {
         config_version,
         deadline_ms: 0,
@@ -196,6 +218,7 @@
         route: "",
         status: rejection.status.as_u16(),
         store_age_ms: 0,
+        tenant: None,
     }));
     responses::plain(rejection.status, rejection.reason)
 }
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod caller_request;
 pub(crate) mod caller_server;
 pub(crate) mod caller_stream;
+pub(crate) mod credentials;
 pub(crate) mod probed_listener;
 pub(crate) mod responses;
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -26,6 +26,7 @@
 
 use crate::callers::accepted_connection::AcceptedConnection;
 use crate::callers::caller_request;
+use crate::callers::credentials::Credentials;
 use crate::callers::probed_listener::ProbedListener;
 use crate::peers::crash_reports;
 use crate::peers::feed_protocol;
@@ -180,6 +181,10 @@
     let legs = relay_protocol::take_legs(headers)?;
     let fallbacks = relay_protocol::take_fallbacks(headers, &shared.pool.borrow())?;
     let head = caller_request::read_head(&request, &table).ok()?;
+    // The peer routes by an earlier configuration, without tenants, and has not checked the key.
+    if table.tenants.is_some() && !matches!(head.credentials, Credentials::None) {
+        return None;
+    }
     // The peer's configuration has other legs for the route.
     if legs_key != head.route.legs_key {
         return None;
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -151,4 +151,7 @@
     pub(crate) status: u16,
     /// Time since the registrations of replicas were last known to be current.
     pub(crate) store_age_ms: u64,
+    /// Tenant of the caller; left out if callers need no keys or the caller is anonymous.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) tenant: Option<&'a str>,
 }
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -33,6 +33,7 @@
     pub(crate) requests: IntCounterVec,
     pub(crate) store_age_ms: IntGauge,
     pub(crate) store_calls: IntCounterVec,
+    pub(crate) unknown_key_refusals: IntCounter,
 }
 
 impl Metrics {
@@ -104,6 +105,10 @@
                 ),
                 &["collection", "outcome", "purpose"],
             )?,
+            unknown_key_refusals: IntCounter::new(
+                "unknown_key_refusals_total",
+                "Requests refused without a known API key",
+            )?,
             registry,
         };
         metrics.register()?;
@@ -126,7 +131,8 @@
         registry.register(Box::new(self.request_latency_s.clone()))?;
         registry.register(Box::new(self.requests.clone()))?;
         registry.register(Box::new(self.store_age_ms.clone()))?;
-        registry.register(Box::new(self.store_calls.clone()))
+        registry.register(Box::new(self.store_calls.clone()))?;
+        registry.register(Box::new(self.unknown_key_refusals.clone()))
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -219,6 +219,7 @@
         route: &route.spec.name,
         status: status.as_u16(),
         store_age_ms: (now_us - fresh_us) / 1_000,
+        tenant: head.tenant.as_ref().map(|tenant| &*tenant.name),
     }));
 }
 
--- a/crates/entry/src/store/collection_effects.rs
+++ b/crates/entry/src/store/collection_effects.rs
@@ -10,6 +10,8 @@
 use wigeonhall_adapter::decode_configuration;
 use wigeonhall_adapter::decode_registration;
 use wigeonhall_adapter::is_current_configuration;
+use wigeonhall_adapter::tenant_value;
+use wigeonhall_dispatch::Configuration;
 use wigeonhall_dispatch::Registration;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::RouteTable;
@@ -149,7 +151,7 @@
         if !is_current_configuration(object) {
             return;
         }
-        let configuration = match decode_configuration(object) {
+        let mut configuration = match decode_configuration(object) {
             Ok(configuration) => configuration,
             Err(error) => return self.report_malformed(object, error.to_string()),
         };
@@ -162,6 +164,7 @@
                 version: configuration.version,
             });
         }
+        self.drop_unnamed_tenants(object, &mut configuration);
         let mut pool = shared.pool.borrow_mut();
         for service in &configuration.services {
             pool.apply_service_spec(service);
@@ -171,6 +174,23 @@
         route_switch::set_pending(shared, table);
     }
 
+    /// Drops the tenants whose names cannot be sent to replicas; their keys are unknown.
+    fn drop_unnamed_tenants(&self, object: &StoredObject, configuration: &mut Configuration) {
+        let Some(tenants) = &mut configuration.tenants else {
+            return;
+        };
+        let mut position = 0;
+        tenants.retain(|tenant| {
+            position += 1;
+            let has_value = tenant_value(&tenant.name).is_some();
+            if !has_value {
+                let reason = format!("tenant {position}: its name is not a header value");
+                self.report_malformed(object, reason);
+            }
+            has_value
+        });
+    }
+
     fn apply_evacuations(&self, revision: u64, restored: bool) {
         let evacuated = self.evacuated.borrow();
         self.shared.log(&Event::Evacuation {
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -16,3 +16,5 @@
 mod shared_gather;
 mod store;
 mod suspended;
+mod tenant_messages;
+mod tenants;
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -14,6 +14,7 @@
 #[path = "../entry/deployment.rs"]
 mod deployment;
 mod faults;
+mod identity;
 mod oracle;
 mod proxy;
 mod soak_run;
