--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -17,3 +17,5 @@
 mod shared_gather;
 mod store;
 mod suspended;
+mod tenant_messages;
+mod tenants;
