Account for the memory and descriptors that callers hold

Cause: the body of each request was collected whole, with no sum over connections, chunks of one byte were kept as one object each, answers were no longer counted once they were handed to the HTTP connection, and idle connections could use all descriptors. One budget of the process now covers connections, requests, and replicas' responses until the caller has read them. A stated length is reserved before the body is read; without room the slowest bodies older than 500 ms are closed, and otherwise the request gets 503 with Retry-After. A body over the limit gets 413 at once. Callers hold at most half of the descriptors; connections without a request are closed for new ones. A write without progress ends after the idle timeout.

Ruled out: growing the reservation of a stated length as it arrives, as all large bodies would then be stopped half way.

--- /dev/null
+++ b/crates/dispatch/src/connection_limit.rs
@@ -0,0 +1,56 @@
+/// Memory of a caller's connection: the buffers for reading and writing, and its state.
+pub const CONNECTION_BYTES: usize = 24 * 1024;
+
+/// Divisor of the descriptors; callers may hold the quotient. The rest is for replicas, peers and
+/// the store.
+const DESCRIPTOR_DIVISOR: usize = 2;
+
+/// What a caller's connection waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectionState {
+    /// The request was rejected and the connection is about to be closed.
+    Closing,
+    /// A request is being read or answered.
+    Busy,
+    /// The head of a request has been partly read.
+    Head,
+    /// No request is open; `used` says whether one was answered before.
+    Idle {
+        /// Whether a request was answered on this connection.
+        used: bool,
+    },
+}
+
+/// Returns the number of connections that callers may hold at the same time; `None` is no limit.
+#[must_use]
+pub const fn connection_limit(descriptors: Option<usize>) -> usize {
+    match descriptors {
+        Some(descriptors) => descriptors / DESCRIPTOR_DIVISOR,
+        None => usize::MAX,
+    }
+}
+
+/// Returns the connection to close in favour of a new one, of connections given with their state
+/// and the time since which they wait; `None` if all are busy.
+///
+/// Connections that are about to be closed go first, then those that never sent a request, then
+/// those with an incomplete head, then those between two requests; of each kind the one that
+/// waits longest.
+pub fn connection_to_close<K, T: Copy + Ord>(
+    connections: impl Iterator<Item = (K, ConnectionState, T)>,
+) -> Option<K> {
+    connections
+        .filter_map(|(key, state, since)| Some((key, rank(state)?, since)))
+        .min_by_key(|(_, rank, since)| (*rank, *since))
+        .map(|(key, _, _)| key)
+}
+
+const fn rank(state: ConnectionState) -> Option<u8> {
+    match state {
+        ConnectionState::Closing => Some(0),
+        ConnectionState::Idle { used: false } => Some(1),
+        ConnectionState::Head => Some(2),
+        ConnectionState::Idle { used: true } => Some(3),
+        ConnectionState::Busy => None,
+    }
+}
--- a/crates/dispatch/src/response_memory.rs
+++ b/crates/dispatch/src/response_memory.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Returns the limit for the counted bytes of all responses together.
+    pub(crate) const fn limit_bytes(&self) -> usize {
+        self.limit_bytes
+    }
+
     /// Reserves memory for a response that grows from `from_bytes` to `to_bytes`; returns
     /// false if that would exceed a limit.
     pub fn grow(&mut self, from_bytes: usize, to_bytes: usize) -> bool {
--- a/crates/entry/src/callers/caller_request.rs
+++ b/crates/entry/src/callers/caller_request.rs
@@ -1,6 +1,5 @@
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -8,9 +7,6 @@
 use http::StatusCode;
 use http::Uri;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 
 use wigeonhall_adapter::EXPECTED_INSTANCE;
@@ -24,8 +20,13 @@
 use wigeonhall_dispatch::RouteTable;
 use wigeonhall_dispatch::TenantSpec;
 
+use crate::callers::caller_body;
+use crate::process::node_state::NodeState;
 use crate::replicas::replica_client::OutgoingRequest;
 
+/// Time after which a request that found no memory may be repeated: slow bodies are closed by then.
+const MEMORY_RETRY_AFTER_MS: u64 = 500;
+
 /// Headers that apply to a single connection and aren't forwarded.
 const HOP_BY_HOP: [HeaderName; 10] = [
     header::CONNECTION,
@@ -44,12 +45,35 @@
 #[derive(Debug)]
 pub(crate) struct Rejection {
     pub(crate) reason: &'static str,
+    /// Time after which the caller may retry; `None` if a retry would be rejected too.
+    pub(crate) retry_after_ms: Option<u64>,
     pub(crate) status: StatusCode,
 }
 
 impl Rejection {
     const fn new(status: StatusCode, reason: &'static str) -> Self {
-        Self { reason, status }
+        Self {
+            reason,
+            retry_after_ms: None,
+            status,
+        }
+    }
+
+    pub(crate) const fn body_cut_short() -> Self {
+        Self::new(StatusCode::BAD_REQUEST, "body cut short")
+    }
+
+    pub(crate) const fn body_too_long() -> Self {
+        Self::new(StatusCode::PAYLOAD_TOO_LARGE, "body too long")
+    }
+
+    /// Rejects a request that the node has no memory for.
+    pub(crate) const fn no_memory() -> Self {
+        Self {
+            reason: "too many requests are being received",
+            retry_after_ms: Some(MEMORY_RETRY_AFTER_MS),
+            status: StatusCode::SERVICE_UNAVAILABLE,
+        }
     }
 
     /// Rejects a request whose body didn't arrive in time; the request has not run.
@@ -138,35 +162,27 @@
 
 /// Reads the body and builds the request for the replicas.
 pub(crate) async fn read_request(
+    shared: &Rc<NodeState>,
     request: Request<Incoming>,
     request_id: HeaderValue,
     limits: RequestLimits,
 ) -> Result<OutgoingRequest, Rejection> {
     let (head, body) = request.into_parts();
-    let body = read_body(body, limits.body_bytes).await?;
+    let headers = head.headers.len();
+    let (body, memory) = caller_body::read(shared, body, headers, limits.body_bytes).await?;
     let bad = |_| Rejection::new(StatusCode::BAD_REQUEST, "malformed path");
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri: Uri = path.parse().map_err(bad)?;
     Ok(OutgoingRequest {
         body,
         headers: end_to_end(&head.headers),
+        memory,
         method: head.method,
         request_id,
         uri,
     })
 }
 
-async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, Rejection> {
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Rejection::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body too long",
-        )),
-        Err(_) => Err(Rejection::new(StatusCode::BAD_REQUEST, "body cut short")),
-    }
-}
-
 /// Returns the headers without hop-by-hop headers and those that are set for each replica.
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let connection_headers: Vec<&str> = headers
--- a/crates/entry/src/callers/caller_server.rs
+++ b/crates/entry/src/callers/caller_server.rs
@@ -9,6 +9,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::header;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
@@ -22,14 +23,15 @@
 use wigeonhall_dispatch::RouteTable;
 
 use crate::callers::accepted_connection::AcceptedConnection;
+use crate::callers::caller_connections;
 use crate::callers::caller_request;
 use crate::callers::caller_request::CallerHead;
 use crate::callers::caller_request::Rejection;
+use crate::callers::caller_response::CallerResponse;
 use crate::callers::caller_stream;
 use crate::callers::caller_stream::CallerActivity;
 use crate::callers::probed_listener::ProbedListener;
 use crate::callers::responses;
-use crate::callers::responses::CallerResponse;
 use crate::process::event::Event;
 use crate::process::event::RequestEvent;
 use crate::process::node_state::NodeState;
@@ -73,23 +75,32 @@
 }
 
 async fn serve_connection(shared: Rc<NodeState>, accepted: AcceptedConnection) {
-    shared.connections.set(shared.connections.get() + 1);
-    if let Err(error) = serve_until_end(&shared, accepted).await {
-        log::debug!("connection of a caller ended: {error}");
-    }
-    shared.connections.set(shared.connections.get() - 1);
-}
-
-async fn serve_until_end(shared: &Rc<NodeState>, accepted: AcceptedConnection) -> io::Result<()> {
     let limits = shared.limits();
     let head_ms = limits.map_or(HEAD_TIMEOUT_MS, |limits| limits.header_timeout_ms);
     let idle_ms = limits.map_or(IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
-    let buffer_bytes = limits.map_or(READ_BUFFER_MIN_BYTES, |limits| limits.header_bytes);
     let activity = Rc::new(CallerActivity::new(
         shared.clone(),
         Duration::from_millis(head_ms),
         Duration::from_millis(idle_ms),
     ));
+    let Some(admitted) = caller_connections::admit(&shared, activity) else {
+        return;
+    };
+    shared.connections.set(shared.connections.get() + 1);
+    let activity = &admitted.activity;
+    if let Err(error) = serve_until_end(&shared, activity, accepted).await {
+        log::debug!("connection of a caller ended: {error}");
+    }
+    shared.connections.set(shared.connections.get() - 1);
+}
+
+async fn serve_until_end(
+    shared: &Rc<NodeState>,
+    activity: &Rc<CallerActivity>,
+    accepted: AcceptedConnection,
+) -> io::Result<()> {
+    let limits = shared.limits();
+    let buffer_bytes = limits.map_or(READ_BUFFER_MIN_BYTES, |limits| limits.header_bytes);
     let stream = caller_stream::with_timeouts(accepted, activity.clone());
     let handler = service::service_fn(|request| handle(shared.clone(), activity.clone(), request));
     let mut builder = http1::Builder::new();
@@ -101,6 +112,7 @@
     let mut phase = shared.phase.subscribe();
     let result = tokio::select! {
         biased;
+        () = activity.closed() => return Ok(()),
         result = connection.as_mut() => result,
         () = wait_for_closing(&mut phase) => {
             connection.as_mut().graceful_shutdown();
@@ -125,18 +137,27 @@
         processor_share: shared.peers.borrow().own().processor_share,
         round_trip: policy.round_trip(activity.round_trip()),
     };
-    let mut response = respond(&shared, request, arrival).await;
+    activity.set_body_left(is_long(request.body()));
+    let mut response = respond(&shared, &activity, request, arrival).await;
     activity.request_answered(response.extensions().get().copied());
-    if shared.phase() != Phase::Serving {
+    if shared.phase() != Phase::Serving || activity.has_body_left() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
     Ok(response)
 }
 
+/// Whether a body that a response does not wait for is too long to be skipped: `hyper` skips what
+/// it has read together with the head.
+fn is_long(body: &Incoming) -> bool {
+    let length_bytes = body.size_hint().upper();
+    length_bytes.is_none_or(|bytes| bytes > READ_BUFFER_MIN_BYTES as u64)
+}
+
 /// Answers a request; its deadline counts from its arrival.
 async fn respond(
     shared: &Rc<NodeState>,
+    activity: &CallerActivity,
     mut request: Request<Incoming>,
     arrival: Arrival,
 ) -> CallerResponse {
@@ -151,20 +172,26 @@
         Ok(head) => head,
         Err(rejection) => return reject(shared, &rejection, arrival.arrived_us, table.version),
     };
-    match read_within_timeout(request, &head, &table).await {
-        Ok(outgoing) => answer::answer(shared, &head, outgoing, arrival).await,
+    activity.set_body_left(true);
+    match read_within_timeout(shared, request, &head, &table).await {
+        Ok(outgoing) => {
+            activity.set_body_left(false);
+            answer::answer(shared, &head, outgoing, arrival).await
+        }
         Err(rejection) => reject(shared, &rejection, arrival.arrived_us, table.version),
     }
 }
 
 /// Reads the body within the timeout of the route.
 async fn read_within_timeout(
+    shared: &Rc<NodeState>,
     request: Request<Incoming>,
     head: &CallerHead,
     table: &RouteTable,
 ) -> Result<OutgoingRequest, Rejection> {
     let timeout = Duration::from_millis(head.route.spec.timeout_ms);
-    let reading = caller_request::read_request(request, head.request_id.clone(), table.limits);
+    let request_id = head.request_id.clone();
+    let reading = caller_request::read_request(shared, request, request_id, table.limits);
     time::timeout(timeout, reading)
         .await
         .unwrap_or_else(|_| Err(Rejection::body_timeout()))
@@ -197,5 +224,8 @@
         status: rejection.status.as_u16(),
         store_age_ms: 0,
     }));
-    responses::plain(rejection.status, rejection.reason)
+    match rejection.retry_after_ms {
+        Some(retry_after_ms) => responses::refusal(rejection.reason, retry_after_ms),
+        None => responses::plain(rejection.status, rejection.reason),
+    }
 }
--- a/crates/entry/src/callers/caller_stream.rs
+++ b/crates/entry/src/callers/caller_stream.rs
@@ -1,9 +1,12 @@
 use std::cell::Cell;
+use std::cell::RefCell;
+use std::future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::Waker;
 use std::time::Duration;
 
 use tokio::io::AsyncRead;
@@ -12,11 +15,13 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use wigeonhall_dispatch::ConnectionState;
 use wigeonhall_dispatch::RoundTrip;
 
 use crate::callers::accepted_connection::AcceptedConnection;
 use crate::net::hooked_stream::HookedStream;
 use crate::net::socket;
+use crate::process::held_memory::HeldMemory;
 use crate::process::node_state::NodeState;
 use crate::requests::answer_lag::AnswerDue;
 
@@ -24,6 +29,10 @@
 /// that arrived while the process was suspended.
 const FINAL_POLL_DELAY: Duration = Duration::from_millis(5);
 
+/// Time for which a caller may read the response to a request whose body is not read to its end. A
+/// close with unread bytes resets the connection, and the caller would lose the response.
+const LAST_RESPONSE_PERIOD: Duration = Duration::from_millis(500);
+
 /// State of a caller's connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Activity {
@@ -45,12 +54,20 @@
     answered: Cell<bool>,
     /// Earliest time at which the first bytes of the current request may have arrived.
     arrived_us: Cell<Option<u64>>,
+    /// Whether the body of the last request was not read to its end; nothing more is read then.
+    body_left: Cell<bool>,
+    /// Whether the connection must be closed in favour of another.
+    closing: Cell<bool>,
     head_timeout: Duration,
     idle_timeout: Duration,
+    /// Memory reserved for the connection; `None` once it must be closed.
+    memory: RefCell<Option<HeldMemory>>,
     /// Round trips when the first request arrived; `None` if they are unknown. Later ones may include
     /// delayed acknowledgements.
     round_trip: Cell<Option<RoundTrip>>,
     shared: Rc<NodeState>,
+    /// Task of the connection.
+    task: RefCell<Option<Waker>>,
 }
 
 impl CallerActivity {
@@ -64,13 +81,67 @@
             answer_due: Cell::new(None),
             answered: Cell::new(false),
             arrived_us: Cell::new(None),
+            body_left: Cell::new(false),
+            closing: Cell::new(false),
             head_timeout,
             idle_timeout,
+            memory: RefCell::new(None),
             round_trip: Cell::new(None),
             shared,
+            task: RefCell::new(None),
+        }
+    }
+
+    /// Holds the memory reserved for the connection.
+    pub(crate) fn hold(&self, memory: HeldMemory) {
+        self.memory.replace(Some(memory));
+    }
+
+    /// Ends the connection in favour of another.
+    pub(crate) fn close(&self) {
+        self.closing.set(true);
+        drop(self.memory.take());
+        if let Some(task) = self.task.take() {
+            task.wake();
+        }
+    }
+
+    /// Waits until the connection must be closed.
+    pub(crate) async fn closed(&self) {
+        future::poll_fn(|cx| {
+            if self.closing.get() {
+                return Poll::Ready(());
+            }
+            let mut task = self.task.borrow_mut();
+            if !task.as_ref().is_some_and(|task| task.will_wake(cx.waker())) {
+                *task = Some(cx.waker().clone());
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Returns what the connection waits for, and since when.
+    pub(crate) fn state(&self) -> (ConnectionState, Instant) {
+        let used = self.answered.get();
+        match self.activity.get() {
+            Activity::Idle(since) if self.body_left.get() => (ConnectionState::Closing, since),
+            Activity::Idle(since) => (ConnectionState::Idle { used }, since),
+            Activity::Head(since) => (ConnectionState::Head, since),
+            Activity::Answering => (ConnectionState::Busy, Instant::now()),
         }
     }
 
+    /// Records whether the body of the current request remains to be read.
+    pub(crate) fn set_body_left(&self, left: bool) {
+        self.body_left.set(left);
+    }
+
+    /// Whether the body of the last request was not read to its end.
+    pub(crate) const fn has_body_left(&self) -> bool {
+        self.body_left.get()
+    }
+
     /// Records that the head of a request is complete. Returns the earliest time at which it may
     /// have arrived; `None` if it was pipelined behind another request.
     pub(crate) fn request_read(&self) -> Option<u64> {
@@ -106,8 +177,13 @@
         }
     }
 
-    fn bytes_written(&self) {
-        if let Some(due) = self.answer_due.take() {
+    /// Records a write, which the caller may delay by not reading its answers.
+    fn bytes_written(&self, progress: bool) {
+        let due = self.answer_due.take();
+        if !progress {
+            return;
+        }
+        if let Some(due) = due {
             self.shared
                 .answer_lag
                 .observe(self.shared.clock.now_us(), due);
@@ -137,6 +213,8 @@
     let AcceptedConnection { mut probe, stream } = accepted;
     let mut timeout = ActivityTimeout::new(activity.clone());
     let written = activity.clone();
+    let ended = activity.clone();
+    let write_timeout = activity.idle_timeout;
     let stream = HookedStream::new(
         stream,
         Box::new(move |mut stream, cx, buffer| {
@@ -151,7 +229,10 @@
             Poll::Pending
         }),
     );
-    stream.on_write(move || written.bytes_written())
+    stream
+        .on_write(move |progress| written.bytes_written(progress))
+        .with_write_timeout(write_timeout)
+        .with_linger(move || ended.has_body_left().then_some(LAST_RESPONSE_PERIOD))
 }
 
 /// Timer that ends a connection without progress.
--- a/crates/entry/src/callers/responses.rs
+++ b/crates/entry/src/callers/responses.rs
@@ -3,7 +3,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::Full;
 
 use wigeonhall_adapter::INCLUDED_RECEIPTS;
 use wigeonhall_adapter::MISSING_PARTS;
@@ -15,15 +14,14 @@
 use wigeonhall_dispatch::merge_records;
 
 use crate::callers::caller_request;
+use crate::callers::caller_response::CallerResponse;
+use crate::callers::caller_response::ResponseBody;
 use crate::replicas::replica_response::ReplicaResponse;
 use crate::requests::group_parts::GroupParts;
 
-/// A response to a caller.
-pub(crate) type CallerResponse = Response<Full<Bytes>>;
-
 /// Builds a response of the node itself, without a result.
 pub(crate) fn plain(status: StatusCode, reason: &'static str) -> CallerResponse {
-    let mut response = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
+    let mut response = Response::new(ResponseBody::new(Bytes::from_static(reason.as_bytes())));
     *response.status_mut() = status;
     response
 }
@@ -65,7 +63,7 @@
 
 /// Forwards the response of a replica without its hop-by-hop headers.
 pub(crate) fn forwarded(replica: ReplicaResponse) -> CallerResponse {
-    let mut response = Response::new(Full::new(replica.body));
+    let mut response = Response::new(ResponseBody::with_memory(replica.body, replica.memory));
     *response.status_mut() = replica.status;
     *response.headers_mut() = caller_request::end_to_end(&replica.headers);
     response
@@ -114,7 +112,7 @@
 ) -> Option<CallerResponse> {
     let receipts = HeaderValue::from_str(&receipts.join(", ")).ok()?;
     let records = merge_records(bodies, top_records);
-    let mut response = Response::new(Full::new(Bytes::from(records)));
+    let mut response = Response::new(ResponseBody::new(Bytes::from(records)));
     let headers = response.headers_mut();
     headers.insert(INCLUDED_RECEIPTS, receipts);
     headers.insert(MISSING_PARTS, HeaderValue::from(missing));
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -185,7 +185,7 @@
         return None;
     }
     let remaining_ms = head.remaining_ms?;
-    let reading = caller_request::read_request(request, head.request_id, table.limits);
+    let reading = caller_request::read_request(shared, request, head.request_id, table.limits);
     let outgoing: OutgoingRequest = reading.await.ok()?;
     let leg_count = head.route.select().services.len();
     if legs.iter().any(|leg| *leg >= leg_count) {
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -6,6 +6,15 @@
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
 pub(crate) enum Event<'a> {
+    /// Callers were refused or their connections closed since the last such line, as the memory or
+    /// the number of connections reached a limit.
+    CallersLimited {
+        bodies_closed: u64,
+        connections: usize,
+        connections_closed: u64,
+        connections_refused: u64,
+        requests_refused: u64,
+    },
     /// The source of changes was switched to the store, to the peer named in `source`, or to none.
     ChangeSource { reason: &'a str, source: &'a str },
     /// A list of the store is older than the copy that it replaces (`replaced`), or a message of a
--- a/crates/entry/src/process/lifecycle.rs
+++ b/crates/entry/src/process/lifecycle.rs
@@ -14,6 +14,7 @@
 use wigeonhall_dispatch::ShardLoad;
 use wigeonhall_dispatch::StopLimit;
 
+use crate::callers::caller_limits;
 use crate::callers::caller_server::FINAL_READ_PERIOD;
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
@@ -51,6 +52,7 @@
                 shared.loop_times.set_timer_due(due_us);
                 shared.sweep();
                 log_load_changes(shared);
+                caller_limits::log_counts(shared);
                 route_switch::activate_pending(shared);
             }
         }
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -19,6 +19,7 @@
 pub(crate) struct Metrics {
     pub(crate) config_version: IntGauge,
     pub(crate) extra_sends: IntCounter,
+    pub(crate) limited_callers: IntCounterVec,
     pub(crate) malformed_entries: IntCounterVec,
     pub(crate) missing_parts: IntCounter,
     pub(crate) crash_suspicions: IntCounterVec,
@@ -49,6 +50,13 @@
         let metrics = Self {
             config_version: IntGauge::new("config_version", "Version in force")?,
             extra_sends: IntCounter::new("extra_sends_total", "Hedges and retries")?,
+            limited_callers: IntCounterVec::new(
+                Opts::new(
+                    "limited_callers_total",
+                    "Callers refused or closed for lack of memory or connections",
+                ),
+                &["outcome"],
+            )?,
             malformed_entries: IntCounterVec::new(
                 Opts::new(
                     "malformed_entries_total",
@@ -114,6 +122,7 @@
         let registry = &self.registry;
         registry.register(Box::new(self.config_version.clone()))?;
         registry.register(Box::new(self.extra_sends.clone()))?;
+        registry.register(Box::new(self.limited_callers.clone()))?;
         registry.register(Box::new(self.malformed_entries.clone()))?;
         registry.register(Box::new(self.missing_parts.clone()))?;
         registry.register(Box::new(self.crash_suspicions.clone()))?;
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -10,6 +10,7 @@
 use wigeonhall_adapter::ProcessSettings;
 use wigeonhall_dispatch::CrashSuspects;
 use wigeonhall_dispatch::ExtraAllowance;
+use wigeonhall_dispatch::MemoryBudget;
 use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::PeerNode;
 use wigeonhall_dispatch::Peers;
@@ -17,16 +18,19 @@
 use wigeonhall_dispatch::Replica;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::RequestLimits;
-use wigeonhall_dispatch::ResponseMemoryBudget;
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::RouteLatency;
 use wigeonhall_dispatch::RouteTable;
 use wigeonhall_dispatch::StopLimit;
 
+use crate::callers::caller_connections::CallerConnections;
+use crate::callers::caller_limits::CallerLimits;
+use crate::callers::open_bodies::OpenBodies;
 use crate::peers::change_feed::ChangeFeed;
 use crate::peers::crash_reports::CrashReports;
 use crate::peers::relay_client::RelayConnections;
 use crate::process::clock::Clock;
+use crate::process::descriptor_limit;
 use crate::process::event::Event;
 use crate::process::event_log::EventLog;
 use crate::process::loop_times::LoopTimes;
@@ -48,15 +52,17 @@
 /// Shared state of a node, used only on the event loop's thread.
 #[derive(Debug)]
 pub(crate) struct NodeState {
-    /// Memory reserved for the bodies of replicas' responses.
-    pub(crate) response_memory: RefCell<ResponseMemoryBudget>,
     /// Average time between a request's soft deadline, when its answer is due, and the answer.
     pub(crate) answer_lag: AnswerLag,
+    pub(crate) caller_connections: CallerConnections,
+    pub(crate) caller_limits: CallerLimits,
     pub(crate) clock: Clock,
     /// Number of open connections of callers.
     pub(crate) connections: Cell<usize>,
     pub(crate) crash_reports: CrashReports,
     pub(crate) crash_suspects: RefCell<CrashSuspects>,
+    /// File descriptors that the process may open; `None` if there is no limit.
+    pub(crate) descriptors: Option<usize>,
     pub(crate) events: EventLog,
     /// Source of changes of the store, and the followers that receive them.
     pub(crate) feed: ChangeFeed,
@@ -64,7 +70,11 @@
     /// Observed latencies of replicas by route name.
     pub(crate) latencies: RefCell<HashMap<Arc<str>, RouteLatency>>,
     pub(crate) loop_times: Arc<LoopTimes>,
+    /// Memory that the process holds for others.
+    pub(crate) memory: RefCell<MemoryBudget>,
     pub(crate) metrics: Metrics,
+    /// Bodies of requests that are being received.
+    pub(crate) open_bodies: RefCell<OpenBodies>,
     /// Routes that are held back, newer than those in force.
     pub(crate) pending_table: RefCell<Option<Rc<RouteTable>>>,
     /// Nodes of this node's data centre.
@@ -101,18 +111,22 @@
         });
         let clock = Clock::start();
         Self {
-            response_memory: RefCell::new(ResponseMemoryBudget::new(settings.memory_bytes)),
             answer_lag: AnswerLag::default(),
+            caller_connections: CallerConnections::default(),
+            caller_limits: CallerLimits::default(),
             clock,
             connections: Cell::new(0),
             crash_reports: CrashReports::default(),
             crash_suspects: RefCell::default(),
+            descriptors: descriptor_limit::read(settings.descriptors),
             events,
             feed: ChangeFeed::new(settings.registration_interval_ms),
             idle_connections: RefCell::default(),
             latencies: RefCell::default(),
             loop_times: Arc::new(LoopTimes::new(clock)),
+            memory: RefCell::new(MemoryBudget::new(settings.memory_bytes)),
             metrics,
+            open_bodies: RefCell::default(),
             pending_table: RefCell::new(None),
             peers: RefCell::new(Peers::new(own)),
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/entry/src/process/readiness.rs
+++ b/crates/entry/src/process/readiness.rs
@@ -6,7 +6,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
@@ -16,9 +15,10 @@
 use wigeonhall_adapter::readiness_path;
 
 use crate::callers::accepted_connection::AcceptedConnection;
+use crate::callers::caller_response::CallerResponse;
+use crate::callers::caller_response::ResponseBody;
 use crate::callers::probed_listener::ProbedListener;
 use crate::callers::responses;
-use crate::callers::responses::CallerResponse;
 use crate::process::node_state::NodeState;
 
 /// HTTP path of the Prometheus metrics.
@@ -64,7 +64,7 @@
         .store_age_ms
         .set(((now_us - fresh_us) / 1_000) as i64);
     match shared.metrics.text() {
-        Ok(text) => Response::new(Full::new(Bytes::from(text))),
+        Ok(text) => Response::new(ResponseBody::new(Bytes::from(text))),
         Err(error) => {
             log::warn!("cannot write metrics: {error}");
             responses::plain(StatusCode::INTERNAL_SERVER_ERROR, "metrics failed")
--- a/crates/entry/src/replicas/replica_client.rs
+++ b/crates/entry/src/replicas/replica_client.rs
@@ -38,6 +38,7 @@
 
 use crate::net::http_client;
 use crate::net::http_client::HttpSender;
+use crate::process::held_memory::HeldMemory;
 use crate::process::node_state::NodeState;
 use crate::replicas::replica_response::ReplicaResponse;
 use crate::replicas::replica_response::SubRequestResult;
@@ -61,6 +62,9 @@
     pub(crate) body: Bytes,
     /// The caller's headers without hop-by-hop headers.
     pub(crate) headers: HeaderMap,
+    /// Memory reserved for the request.
+    #[expect(dead_code, reason = "releases the memory when the request is dropped")]
+    pub(crate) memory: HeldMemory,
     pub(crate) method: Method,
     pub(crate) request_id: HeaderValue,
     /// Path and query, unchanged.
--- a/crates/entry/src/replicas/replica_response.rs
+++ b/crates/entry/src/replicas/replica_response.rs
@@ -13,7 +13,6 @@
     pub(crate) body: Bytes,
     pub(crate) headers: HeaderMap,
     /// Memory reserved for the body.
-    #[expect(dead_code, reason = "releases the memory when the response is dropped")]
     pub(crate) memory: ReservedMemory,
     pub(crate) status: StatusCode,
 }
--- a/crates/entry/src/replicas/response_body.rs
+++ b/crates/entry/src/replicas/response_body.rs
@@ -19,8 +19,8 @@
 impl ReservedMemory {
     /// Reserves memory up to `to_bytes`; returns false if the node's limit doesn't allow them.
     fn grow(&mut self, to_bytes: usize) -> bool {
-        let mut memory = self.shared.response_memory.borrow_mut();
-        let grown = memory.grow(self.bytes, to_bytes);
+        let mut memory = self.shared.memory.borrow_mut();
+        let grown = memory.responses().grow(self.bytes, to_bytes);
         if grown {
             self.bytes = to_bytes;
         }
@@ -30,7 +30,8 @@
 
 impl Drop for ReservedMemory {
     fn drop(&mut self) {
-        self.shared.response_memory.borrow_mut().release(self.bytes);
+        let mut memory = self.shared.memory.borrow_mut();
+        memory.responses().release(self.bytes);
     }
 }
 
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -10,8 +10,8 @@
 use wigeonhall_dispatch::Route;
 
 use crate::callers::caller_request::CallerHead;
+use crate::callers::caller_response::CallerResponse;
 use crate::callers::responses;
-use crate::callers::responses::CallerResponse;
 use crate::process::event::Event;
 use crate::process::event::RequestEvent;
 use crate::process::node_state::NodeState;
--- a/crates/entry/src/requests/shared_gather.rs
+++ b/crates/entry/src/requests/shared_gather.rs
@@ -29,8 +29,8 @@
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::ServiceKey;
 
+use crate::callers::caller_response::CallerResponse;
 use crate::callers::responses;
-use crate::callers::responses::CallerResponse;
 use crate::peers::relay_client;
 use crate::peers::relay_client::LegAssignment;
 use crate::peers::relay_client::PartsStream;
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -25,6 +25,7 @@
 
 use serde_json::Value;
 
+use wigeonhall_adapter_standins::MEMORY_MB;
 use wigeonhall_adapter_standins::ReplicaStandin;
 use wigeonhall_adapter_standins::SETTINGS_VARIABLE;
 use wigeonhall_adapter_standins::StoreStandin;
@@ -92,6 +93,23 @@
         Self::run(command, settings)
     }
 
+    /// Starts a node with `memory_mb` of memory in its settings, which may open at most
+    /// `descriptors` file descriptors.
+    pub fn start_with_limits(store: &StoreStandin, memory_mb: u64, descriptors: usize) -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("wigeonhall-limits-{}-{number}.yaml", process::id());
+        let settings = std::env::temp_dir().join(name);
+        let text = settings_text(store.address(), "node-1", "north", GRACE_MS);
+        let limits = format!("memory_mb: {memory_mb}\n  max_file_descriptors: {descriptors}");
+        let text = text.replace(&format!("memory_mb: {MEMORY_MB}"), &limits);
+        fs::write(&settings, text).unwrap();
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
+        command.args(["-c", &script, env!("CARGO_BIN_EXE_wigeonhall-node")]);
+        Self::run(command, settings)
+    }
+
     fn run(mut command: Command, settings: PathBuf) -> Self {
         let mut child = command
             .args(["--entry", "--metrics-port", "0"])
@@ -160,6 +178,18 @@
         kilobytes.parse::<u64>().unwrap() * 1_024
     }
 
+    /// Returns the number of open file descriptors of the process.
+    pub fn open_descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.id()))
+            .unwrap()
+            .count()
+    }
+
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Waits for the end of a process that was signalled to stop.
     pub fn end(mut self) {
         self.wait_end();
--- /dev/null
+++ b/crates/node/tests/overload/main.rs
@@ -0,0 +1,162 @@
+//! Callers that together ask for more memory or descriptors than a node has. Each test checks that
+//! the process lives within the limits of its settings, and that an ordinary request is served.
+
+#[path = "../entry/caller.rs"]
+mod caller;
+mod crowd;
+#[path = "../entry/deployment.rs"]
+mod deployment;
+mod entry_node;
+
+use std::sync::Arc;
+
+use crowd::Crowd;
+use crowd::Stream;
+use crowd::chunked_body;
+use entry_node::BODY_LIMIT_BYTES;
+use entry_node::EntryNode;
+
+/// Bytes by which an incomplete body is shorter than announced.
+const SHORTFALL_BYTES: usize = 12;
+
+/// Callers with large bodies; their bodies hold 79 MB together.
+const LARGE_BODIES: usize = 300;
+
+/// Callers with bodies in chunks of one byte, which cost several times their payload.
+const TINY_CHUNK_BODIES: usize = 40;
+
+/// Chunks of one byte in each of these bodies.
+const TINY_CHUNKS: usize = 40_000;
+
+/// Size of a large chunk.
+const LARGE_CHUNK_BYTES: usize = 60_000;
+
+/// Callers that hold a connection each, more than the node has descriptors.
+const IDLE_CALLERS: usize = 900;
+
+/// Callers that don't read long answers, 82 MB together.
+const UNREAD_ANSWERS: usize = 550;
+
+/// Callers that send requests without end.
+const PIPELINING_CALLERS: usize = 50;
+
+fn incomplete(mut stream: Vec<u8>) -> Stream {
+    stream.truncate(stream.len() - SHORTFALL_BYTES);
+    Stream::Once(Arc::new(stream))
+}
+
+fn head(version: &str, fields: &str) -> Vec<u8> {
+    entry_node::head("POST", "/a/x", version, fields).into_bytes()
+}
+
+fn with_length(version: &str, announced_bytes: usize, sent_bytes: usize) -> Vec<u8> {
+    let mut stream = head(version, &format!("Content-Length: {announced_bytes}\r\n"));
+    stream.resize(stream.len() + sent_bytes, b'x');
+    stream
+}
+
+fn chunked(chunk_bytes: usize, chunks: usize) -> Vec<u8> {
+    let mut stream = head("1.1", "Transfer-Encoding: chunked\r\n");
+    stream.extend(chunked_body(chunk_bytes, chunks));
+    stream
+}
+
+#[test]
+fn large_bodies_of_stated_length_that_stop_short_do_not_exhaust_memory() {
+    let mut node = EntryNode::start();
+    let body = with_length("1.1", BODY_LIMIT_BYTES, BODY_LIMIT_BYTES);
+    let mut crowd = Crowd::connect(node.callers(), LARGE_BODIES);
+    crowd.send(&incomplete(body));
+    node.check_with(&crowd);
+}
+
+#[test]
+fn large_bodies_sent_piece_by_piece_that_stop_short_do_not_exhaust_memory() {
+    let mut node = EntryNode::start();
+    let body = with_length("1.1", BODY_LIMIT_BYTES, BODY_LIMIT_BYTES);
+    let mut crowd = Crowd::connect(node.callers(), LARGE_BODIES);
+    crowd.send_in_pieces(&incomplete(body), LARGE_CHUNK_BYTES);
+    node.check_with(&crowd);
+}
+
+#[test]
+fn bodies_in_large_chunks_that_stop_short_do_not_exhaust_memory() {
+    let mut node = EntryNode::start();
+    let body = chunked(LARGE_CHUNK_BYTES, BODY_LIMIT_BYTES / LARGE_CHUNK_BYTES);
+    let mut crowd = Crowd::connect(node.callers(), LARGE_BODIES);
+    crowd.send(&incomplete(body));
+    node.check_with(&crowd);
+}
+
+#[test]
+fn bodies_in_chunks_of_one_byte_that_stop_short_do_not_exhaust_memory() {
+    let mut node = EntryNode::start();
+    let body = chunked(1, TINY_CHUNKS);
+    let mut crowd = Crowd::connect(node.callers(), TINY_CHUNK_BODIES);
+    crowd.send(&incomplete(body));
+    node.check_with(&crowd);
+}
+
+#[test]
+fn bodies_announced_far_over_the_limit_do_not_exhaust_memory() {
+    let mut node = EntryNode::start();
+    let sent_bytes = BODY_LIMIT_BYTES - SHORTFALL_BYTES;
+    let body = with_length("1.1", 1_000 * BODY_LIMIT_BYTES, sent_bytes);
+    let mut crowd = Crowd::connect(node.callers(), LARGE_BODIES);
+    crowd.send(&Stream::Once(Arc::new(body)));
+    node.check_with(&crowd);
+}
+
+#[test]
+fn endless_bodies_do_not_exhaust_memory() {
+    let mut node = EntryNode::start();
+    let head = head("1.1", "Transfer-Encoding: chunked\r\n");
+    let chunk = chunked_body(LARGE_CHUNK_BYTES, 1);
+    let mut crowd = Crowd::connect(node.callers(), LARGE_BODIES);
+    crowd.send(&Stream::Endless(Arc::new(head), Arc::new(chunk)));
+    node.check_with(&crowd);
+}
+
+#[test]
+fn idle_connections_do_not_exhaust_the_descriptors() {
+    let mut node = EntryNode::start();
+    let crowd = Crowd::connect(node.callers(), IDLE_CALLERS);
+    node.check_with(&crowd);
+}
+
+#[test]
+fn heads_sent_byte_by_byte_do_not_exhaust_descriptors_or_memory() {
+    let mut node = EntryNode::start();
+    let mut head = head("1.1", "");
+    head.truncate(head.len() - SHORTFALL_BYTES);
+    let mut crowd = Crowd::connect(node.callers(), IDLE_CALLERS);
+    crowd.send_in_pieces(&Stream::Once(Arc::new(head)), 1);
+    node.check_with(&crowd);
+}
+
+#[test]
+fn callers_that_do_not_read_their_answers_do_not_exhaust_memory() {
+    let mut node = EntryNode::start();
+    let request = entry_node::head("GET", "/long/x", "1.1", "").into_bytes();
+    let mut crowd = Crowd::connect_with_small_segments(node.callers(), UNREAD_ANSWERS);
+    crowd.send_in_turn(&Stream::Once(Arc::new(request)));
+    node.check_with(&crowd);
+}
+
+#[test]
+fn endless_pipelined_requests_do_not_exhaust_memory() {
+    let mut node = EntryNode::start();
+    let request = Arc::new(entry_node::head("GET", "/a/x", "1.1", "").into_bytes());
+    let mut crowd = Crowd::connect(node.callers(), PIPELINING_CALLERS);
+    crowd.send(&Stream::Endless(request.clone(), request));
+    node.check_with(&crowd);
+}
+
+#[test]
+fn large_bodies_over_http_1_0_that_stop_short_do_not_exhaust_memory() {
+    let mut node = EntryNode::start();
+    let body = with_length("1.0", BODY_LIMIT_BYTES, BODY_LIMIT_BYTES);
+    let mut crowd = Crowd::connect(node.callers(), LARGE_BODIES);
+    crowd.send(&incomplete(body));
+    node.check_with(&crowd);
+}
