Test the limits of callers one by one

Cause: the crowds of the overload tests show memory and descriptors only; these tests show what a single caller gets: 413 before it sends a body that is announced over the limit, its rejection although it goes on sending, an answer to the largest body on the smallest node, an unchanged body that came in chunks of one byte, and 503 with Retry-After for a stalled body.

--- a/crates/node/tests/entry/caller.rs
+++ b/crates/node/tests/entry/caller.rs
@@ -7,6 +7,7 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -78,6 +79,19 @@
         self.send(&text);
     }
 
+    /// Sends the text again and again without reading; returns whether the node closes the
+    /// connection before a write has waited for the longest time.
+    pub fn sends_until_closed(&mut self, text: &str) -> bool {
+        let stream = self.reader.get_mut();
+        stream.set_write_timeout(Some(ANSWER_TIMEOUT)).unwrap();
+        loop {
+            match stream.write_all(text.as_bytes()) {
+                Ok(()) => {}
+                Err(error) => return error.kind() != ErrorKind::WouldBlock,
+            }
+        }
+    }
+
     /// Reads an answer; `None` if the connection ends instead.
     pub fn read(&mut self) -> Option<Answer> {
         let mut line = String::new();
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod caller;
+mod caller_limits;
 mod cancellation;
 mod crashes;
 mod deployment;
