Count the store's responses and peers' messages in the memory budget

Cause: a page of the store or a peer's message may hold megabytes, which callers' requests must then not use. Both keep their own limits and are always granted what they need; callers get what they leave. Ruled out: refusing them when the budget is exhausted, as a node that does not follow the store would be of no use to its callers.

--- a/crates/entry/src/peers/feed_client.rs
+++ b/crates/entry/src/peers/feed_client.rs
@@ -24,6 +24,7 @@
 use wigeonhall_adapter::Collection;
 use wigeonhall_dispatch::BatchFit;
 use wigeonhall_dispatch::ChangeBatch;
+use wigeonhall_dispatch::MemoryUse;
 use wigeonhall_dispatch::ReadingRole;
 
 use crate::net::http_client;
@@ -34,6 +35,7 @@
 use crate::peers::feed_protocol::FeedMessage;
 use crate::peers::feed_server;
 use crate::process::event::Event;
+use crate::process::held_memory::HeldMemory;
 use crate::process::node_state::NodeState;
 use crate::store::collection_view::CollectionView;
 use crate::store::collection_views;
@@ -319,6 +321,7 @@
     let mut stream = PeerStream {
         body,
         fresh_until: confirm_by.min(Instant::now() + silence_limit),
+        memory: HeldMemory::empty(shared, MemoryUse::Peers),
         silence_limit,
         name: name.clone(),
         received: BytesMut::new(),
@@ -370,6 +373,8 @@
     body: Incoming,
     /// Time until which this node's copies of the collections count as current.
     fresh_until: Instant,
+    /// Memory counted for `received`.
+    memory: HeldMemory,
     silence_limit: Duration,
     name: Arc<str>,
     received: BytesMut,
@@ -395,6 +400,7 @@
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
                         self.received.extend_from_slice(&data);
+                        self.memory.resize(self.received.capacity());
                     }
                 }
             }
--- a/crates/entry/src/peers/relay_client.rs
+++ b/crates/entry/src/peers/relay_client.rs
@@ -17,12 +17,14 @@
 use tokio::time;
 
 use wigeonhall_adapter::REMAINING_MS;
+use wigeonhall_dispatch::MemoryUse;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::Route;
 
 use crate::net::http_client;
 use crate::net::http_client::HttpSender;
 use crate::peers::relay_protocol;
+use crate::process::held_memory::HeldMemory;
 use crate::process::node_state::NodeState;
 use crate::replicas::replica_client::OutgoingRequest;
 use crate::requests::group_parts::DecodedParts;
@@ -102,6 +104,7 @@
     Ok(PartsStream {
         address,
         body: response.into_body(),
+        memory: HeldMemory::empty(shared, MemoryUse::Peers),
         received: BytesMut::new(),
         sender,
         shared: shared.clone(),
@@ -113,6 +116,8 @@
 pub(crate) struct PartsStream {
     address: SocketAddr,
     body: Incoming,
+    /// Memory counted for all that was received: parts share the buffer they arrived in.
+    memory: HeldMemory,
     received: BytesMut,
     sender: HttpSender,
     shared: Rc<NodeState>,
@@ -134,6 +139,8 @@
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.received.extend_from_slice(&data);
+                        // Always granted.
+                        self.memory.grow(data.len());
                     }
                 }
                 None if self.received.is_empty() => return Ok(None),
--- a/crates/entry/src/process/held_memory.rs
+++ b/crates/entry/src/process/held_memory.rs
@@ -13,6 +13,15 @@
 }
 
 impl HeldMemory {
+    /// Holds no memory yet, for a use that has a limit of its own and is always granted what it needs.
+    pub(crate) fn empty(shared: &Rc<NodeState>, memory_use: MemoryUse) -> Self {
+        Self {
+            bytes: 0,
+            memory_use,
+            shared: shared.clone(),
+        }
+    }
+
     /// Reserves memory; `None` if the budget has no room.
     pub(crate) fn reserve(
         shared: &Rc<NodeState>,
@@ -27,6 +36,18 @@
         })
     }
 
+    /// Changes the amount; only for a use that is always granted what it needs.
+    pub(crate) fn resize(&mut self, bytes: usize) {
+        let mut memory = self.shared.memory.borrow_mut();
+        memory.release(self.memory_use, self.bytes);
+        // Always granted.
+        self.bytes = if memory.reserve(self.memory_use, bytes) {
+            bytes
+        } else {
+            0
+        };
+    }
+
     /// Reserves more memory; returns false if the budget has no room.
     pub(crate) fn grow(&mut self, bytes: usize) -> bool {
         let mut memory = self.shared.memory.borrow_mut();
--- a/crates/entry/src/store/peer_registry.rs
+++ b/crates/entry/src/store/peer_registry.rs
@@ -133,7 +133,7 @@
 }
 
 /// Removes the node's registration at a planned stop.
-pub(crate) async fn unregister(shared: &NodeState) {
+pub(crate) async fn unregister(shared: &Rc<NodeState>) {
     let mut client = StoreClient::new(shared);
     let path = object_path(Collection::Nodes, &shared.settings.node_name);
     let result = client
--- a/crates/entry/src/store/store_client.rs
+++ b/crates/entry/src/store/store_client.rs
@@ -1,5 +1,6 @@
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,9 +8,7 @@
 use http::Request;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use prometheus::IntCounterVec;
 use tokio::time;
 
@@ -17,9 +16,13 @@
 use wigeonhall_adapter::DecodeError;
 use wigeonhall_adapter::STORE_ERA;
 use wigeonhall_adapter::store_era;
+use wigeonhall_dispatch::MemoryUse;
 
+use crate::net::counted_body;
+use crate::net::counted_body::BodyError;
 use crate::net::http_client;
 use crate::net::http_client::HttpSender;
+use crate::process::held_memory::HeldMemory;
 use crate::process::node_state::NodeState;
 use crate::store::store_call::CallPurpose;
 use crate::store::store_call::StoreCall;
@@ -88,6 +91,9 @@
     /// Era of the store, which rises when the store is restored from a copy; `None` if the response
     /// does not state it.
     pub(crate) era: Option<u64>,
+    /// Memory counted for the body.
+    #[expect(dead_code, reason = "releases the memory when the response is dropped")]
+    pub(crate) memory: HeldMemory,
 }
 
 /// A client of the platform's store over one connection, which is reopened after a failure.
@@ -96,14 +102,16 @@
     address: SocketAddr,
     calls: IntCounterVec,
     sender: Option<HttpSender>,
+    shared: Rc<NodeState>,
 }
 
 impl StoreClient {
-    pub(crate) fn new(shared: &NodeState) -> Self {
+    pub(crate) fn new(shared: &Rc<NodeState>) -> Self {
         Self {
             address: shared.settings.store_address,
             calls: shared.metrics.store_calls.clone(),
             sender: None,
+            shared: shared.clone(),
         }
     }
 
@@ -188,14 +196,13 @@
             .map_err(transport_error)?;
         let status = response.status();
         let era = response.headers().get(&STORE_ERA).and_then(store_era);
-        let body = Limited::new(response.into_body(), RESPONSE_BYTES_MAX)
-            .collect()
+        let mut memory = HeldMemory::empty(&self.shared, MemoryUse::Store);
+        let body = counted_body::read(response.into_body(), RESPONSE_BYTES_MAX, &mut memory)
             .await
-            .map_err(|error| StoreError::Transport(error.to_string()))?
-            .to_bytes();
+            .map_err(body_error)?;
         self.sender = Some(sender);
         match status {
-            StatusCode::OK | StatusCode::CREATED => Ok(StoreResponse { body, era }),
+            StatusCode::OK | StatusCode::CREATED => Ok(StoreResponse { body, era, memory }),
             StatusCode::GONE => Err(StoreError::HistoryGone),
             status => Err(StoreError::Status(status)),
         }
@@ -213,6 +220,13 @@
     }
 }
 
+fn body_error(error: BodyError) -> StoreError {
+    match error {
+        BodyError::TooLong => StoreError::Transport("response too long".to_owned()),
+        BodyError::Transport(error) => transport_error(error),
+    }
+}
+
 #[expect(clippy::needless_pass_by_value, reason = "used with map_err")]
 fn transport_error(error: hyper::Error) -> StoreError {
     StoreError::Transport(error.to_string())
