Limit the requests of tenants over all nodes together

Cause: rate_per_s and burst_size of tenants were decoded but not enforced. Each tenant with a rate has an owner and a backup owner by rendezvous hashing over all nodes. Nodes admit at once and report; near the limit the owner announces the tenant, and nodes ask before they admit. Without an owner a node admits its equal share. Ruled out: static shares of the rate per node, which refuse requests within the quota where a node sees a tenant once a minute. An admission is not given back when the tier refuses the request later: this would take another message to each owner, and requests that the tier has no room for do not show that the quota is too small.

--- a/crates/dispatch/src/node_backoffs.rs
+++ b/crates/dispatch/src/node_backoffs.rs
@@ -21,7 +21,8 @@
 }
 
 impl NodeBackoffs {
-    pub(crate) fn record_failure(&mut self, now_us: u64, name: &Arc<str>) {
+    /// Records a failure; returns whether it is the first in a row.
+    pub(crate) fn record_failure(&mut self, now_us: u64, name: &Arc<str>) -> bool {
         let failures = self
             .by_name
             .get(name)
@@ -32,10 +33,12 @@
             until_us: now_us + backoff_us,
         };
         self.by_name.insert(name.clone(), backoff);
+        failures == 0
     }
 
-    pub(crate) fn clear(&mut self, name: &Arc<str>) {
-        self.by_name.remove(name);
+    /// Ends the backoff of a node; returns whether it had failed.
+    pub(crate) fn clear(&mut self, name: &Arc<str>) -> bool {
+        self.by_name.remove(name).is_some()
     }
 
     /// Whether the node's backoff has passed, or it has none.
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -4,6 +4,7 @@
 
 use crate::GatherSize;
 use crate::node_backoffs::NodeBackoffs;
+use crate::rendezvous::hash_name;
 use crate::rendezvous::score;
 
 /// Processor time for sending one leg of a gather (the request to one shard) and receiving its
@@ -55,8 +56,10 @@
     own: PeerNode,
     /// Backoffs of nodes that did not return the parts of their legs.
     relay_backoffs: NodeBackoffs,
-    /// Data centre and share of a core of each node in all data centres.
-    all_nodes: Vec<(Arc<str>, f64)>,
+    /// Nodes of all data centres, including this node.
+    all_nodes: Vec<PeerNode>,
+    /// Number of times that the known nodes were replaced.
+    generation: u64,
     /// Backoffs of nodes that could not be followed as readers of the store.
     pub(crate) reader_backoffs: NodeBackoffs,
 }
@@ -67,7 +70,8 @@
     pub fn new(own: PeerNode) -> Self {
         Self {
             addresses: Vec::new(),
-            all_nodes: vec![(own.data_centre.clone(), own.processor_share)],
+            all_nodes: vec![own.clone()],
+            generation: 0,
             nodes: vec![own.clone()],
             own,
             relay_backoffs: NodeBackoffs::default(),
@@ -92,16 +96,14 @@
         &self.addresses
     }
 
-    /// Replaces the known nodes by a complete list. For nodes of other data centres only the
-    /// data centre, the share of a core and the address are kept.
+    /// Replaces the known nodes by a complete list.
     pub fn replace(&mut self, nodes: Vec<PeerNode>) {
-        let data_centre_and_share =
-            |node: &PeerNode| (node.data_centre.clone(), node.processor_share);
-        self.all_nodes = nodes.iter().map(data_centre_and_share).collect();
+        self.generation += 1;
+        self.all_nodes.clone_from(&nodes);
         let others = nodes.iter().filter(|node| node.name != self.own.name);
         self.addresses = others.map(|node| node.address).collect();
         if nodes.iter().all(|node| node.name != self.own.name) {
-            self.all_nodes.push(data_centre_and_share(&self.own));
+            self.all_nodes.push(self.own.clone());
         }
         let own = &self.own;
         let in_own_data_centre =
@@ -113,6 +115,36 @@
         self.reader_backoffs.retain(known);
     }
 
+    /// Returns the nodes of all data centres, including this node.
+    #[must_use]
+    pub fn all_nodes(&self) -> &[PeerNode] {
+        &self.all_nodes
+    }
+
+    /// Returns a number that changes with each list of nodes; 0 before the first list.
+    #[must_use]
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Returns the `count` nodes of all data centres with the highest scores for a name, in
+    /// descending order.
+    #[must_use]
+    pub fn ranked_nodes(&self, name: &str, count: usize) -> Vec<&PeerNode> {
+        let key = hash_name(name);
+        let mut scored: Vec<(f64, &PeerNode)> = self
+            .all_nodes
+            .iter()
+            .map(|node| (score(node, key), node))
+            .collect();
+        scored.sort_by(|a, b| b.0.total_cmp(&a.0));
+        scored
+            .into_iter()
+            .take(count)
+            .map(|(_, node)| node)
+            .collect()
+    }
+
     /// Returns the number of known nodes in this data centre.
     #[must_use]
     pub const fn len(&self) -> usize {
@@ -129,8 +161,9 @@
     #[must_use]
     pub fn senders(&self, gather: GatherSize) -> usize {
         let mut by_data_centre: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
-        for (data_centre, share) in &self.all_nodes {
-            by_data_centre.entry(data_centre).or_default().push(*share);
+        for node in &self.all_nodes {
+            let shares = by_data_centre.entry(&node.data_centre).or_default();
+            shares.push(node.processor_share);
         }
         let senders = by_data_centre.values().map(|shares| {
             let alone = |share: &&f64| sends_alone(gather, **share);
--- a/crates/dispatch/src/tenants.rs
+++ b/crates/dispatch/src/tenants.rs
@@ -61,6 +61,18 @@
         self.by_name.get(name)
     }
 
+    /// Returns the number of tenants.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Returns whether there are no tenants.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
     /// Returns all tenants, in no particular order.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<TenantSpec>> {
         self.by_name.values()
--- a/crates/entry/src/callers/caller_server.rs
+++ b/crates/entry/src/callers/caller_server.rs
@@ -28,6 +28,7 @@
 use crate::callers::caller_stream;
 use crate::callers::caller_stream::CallerActivity;
 use crate::callers::probed_listener::ProbedListener;
+use crate::callers::quota_admission;
 use crate::callers::responses;
 use crate::callers::responses::CallerResponse;
 use crate::process::event::Event;
@@ -151,6 +152,9 @@
         Ok(head) => head,
         Err(rejection) => return reject(shared, &rejection, arrival.arrived_us, table.version),
     };
+    if let Err(refusal) = quota_admission::admit(shared, &head, arrival.arrived_us, &table).await {
+        return refusal;
+    }
     match read_within_timeout(request, &head, &table).await {
         Ok(outgoing) => answer::answer(shared, &head, outgoing, arrival).await,
         Err(rejection) => reject(shared, &rejection, arrival.arrived_us, table.version),
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -6,4 +6,5 @@
 pub(crate) mod caller_server;
 pub(crate) mod caller_stream;
 pub(crate) mod probed_listener;
+pub(crate) mod quota_admission;
 pub(crate) mod responses;
--- a/crates/entry/src/callers/responses.rs
+++ b/crates/entry/src/callers/responses.rs
@@ -30,7 +30,22 @@
 
 /// Builds a refusal: the request has not run and never will.
 pub(crate) fn refusal(reason: &'static str, retry_after_ms: u64) -> CallerResponse {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, reason);
+    with_retry_after(
+        plain(StatusCode::SERVICE_UNAVAILABLE, reason),
+        retry_after_ms,
+    )
+}
+
+/// Refuses a request beyond its tenant's quota; it has not run and never will.
+pub(crate) fn over_quota(retry_after_ms: u64) -> CallerResponse {
+    let response = plain(
+        StatusCode::TOO_MANY_REQUESTS,
+        "the tenant's quota is used up",
+    );
+    with_retry_after(response, retry_after_ms)
+}
+
+fn with_retry_after(mut response: CallerResponse, retry_after_ms: u64) -> CallerResponse {
     let value = retry_after_value(retry_after_ms);
     response.headers_mut().insert(RETRY_AFTER, value);
     response
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -1,5 +1,5 @@
 //! The other nodes: the stream of changes from readers to followers, and the gathers whose legs
-//! nodes divide among them.
+//! nodes divide among them, and the quotas of tenants over all nodes.
 
 pub(crate) mod change_feed;
 pub(crate) mod crash_reports;
@@ -7,6 +7,11 @@
 pub(crate) mod feed_protocol;
 pub(crate) mod feed_server;
 pub(crate) mod packing;
+pub(crate) mod quota_client;
+pub(crate) mod quota_exchange;
+pub(crate) mod quota_protocol;
+pub(crate) mod quota_server;
+pub(crate) mod quotas;
 pub(crate) mod relay_client;
 pub(crate) mod relay_protocol;
 pub(crate) mod relay_server;
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -32,6 +32,8 @@
 use crate::peers::feed_protocol::Revisions;
 use crate::peers::feed_server;
 use crate::peers::feed_server::FeedRefusal;
+use crate::peers::quota_protocol;
+use crate::peers::quota_server;
 use crate::peers::relay_protocol;
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
@@ -95,6 +97,12 @@
             .extend(crash_reports::all_reports(shared));
         return response;
     }
+    if quota_protocol::is_message(request.headers()) {
+        return match quota_server::handle(shared, request).await {
+            Some(body) => respond(stream::iter([Frame::data(body)])),
+            None => conflict_response(),
+        };
+    }
     match read_query(shared, request, arrived_us).await {
         Some(query) => {
             let legs = query.legs.len();
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -73,6 +73,17 @@
         limited_requests: u32,
         replica: &'a str,
     },
+    /// This node, as an owner of a tenant, declared it limited or no longer limited.
+    /// `reserved_percent` of its quota is kept for nodes that have not acknowledged that.
+    Quota {
+        demand_per_s: f64,
+        reserved_percent: u32,
+        state: &'a str,
+        tenant: &'a str,
+        tokens: f64,
+    },
+    /// An owner of tenants did not reply (`unreachable`) or replies again (`reachable`).
+    QuotaOwner { owner: &'a str, state: &'a str },
     /// A peer failed to deliver the parts that it was asked for.
     Relay {
         peer: &'a str,
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -23,6 +23,7 @@
     pub(crate) missing_parts: IntCounter,
     pub(crate) crash_suspicions: IntCounterVec,
     pub(crate) passed_on_batches: IntCounterVec,
+    pub(crate) quota_decisions: IntCounterVec,
     registry: Registry,
     pub(crate) relay_failures: IntCounter,
     pub(crate) replica_connection_errors: IntCounter,
@@ -68,6 +69,13 @@
                 Opts::new("passed_on_batches_total", "Changes from another node"),
                 &["collection"],
             )?,
+            quota_decisions: IntCounterVec::new(
+                Opts::new(
+                    "quota_decisions_total",
+                    "Requests of tenants by what their quotas decided",
+                ),
+                &["decision", "tenant"],
+            )?,
             relay_failures: IntCounter::new(
                 "relay_failures_total",
                 "Parts that another node did not hand over",
@@ -118,6 +126,7 @@
         registry.register(Box::new(self.missing_parts.clone()))?;
         registry.register(Box::new(self.crash_suspicions.clone()))?;
         registry.register(Box::new(self.passed_on_batches.clone()))?;
+        registry.register(Box::new(self.quota_decisions.clone()))?;
         registry.register(Box::new(self.relay_failures.clone()))?;
         registry.register(Box::new(self.replica_connection_errors.clone()))?;
         registry.register(Box::new(self.replica_connections.clone()))?;
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -25,6 +25,7 @@
 
 use crate::peers::change_feed::ChangeFeed;
 use crate::peers::crash_reports::CrashReports;
+use crate::peers::quotas::Quotas;
 use crate::peers::relay_client::RelayConnections;
 use crate::process::clock::Clock;
 use crate::process::event::Event;
@@ -71,6 +72,8 @@
     pub(crate) peers: RefCell<Peers>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) pool: RefCell<Pool>,
+    /// Quotas of tenants over all nodes.
+    pub(crate) quotas: Quotas,
     /// Idle connections to peers, which collect parts of this node's gathers.
     pub(crate) relay_connections: RefCell<RelayConnections>,
     /// Time at which the registrations of replicas were last known to be current; `None` before
@@ -117,6 +120,7 @@
             peers: RefCell::new(Peers::new(own)),
             phase: watch::Sender::new(Phase::Serving),
             pool: RefCell::new(pool),
+            quotas: Quotas::new(&settings),
             relay_connections: RefCell::default(),
             replicas_fresh_us: Cell::new(None),
             replicas_unavailable: Cell::new(false),
--- a/crates/entry/src/process/run.rs
+++ b/crates/entry/src/process/run.rs
@@ -16,6 +16,7 @@
 use crate::callers::probed_listener::ProbedListener;
 use crate::peers::crash_reports;
 use crate::peers::feed_client;
+use crate::peers::quota_exchange;
 use crate::peers::relay_server;
 use crate::process::event::Event;
 use crate::process::event_log::EventLog;
@@ -148,6 +149,8 @@
     let state = shared.clone();
     supervisor::spawn("peer_registry", move || peer_registry::run(state.clone()));
     let state = shared.clone();
+    supervisor::spawn("quota_exchange", move || quota_exchange::run(state.clone()));
+    let state = shared.clone();
     supervisor::spawn("store_sentinel", move || store_health::run(state.clone()));
 }
 
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -13,6 +13,7 @@
 mod process;
 #[path = "../soak/proxy.rs"]
 mod proxy;
+mod quotas;
 mod shared_gather;
 mod store;
 mod suspended;
