--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -145,6 +145,16 @@
             .collect()
     }
 
+    /// Returns the number of nodes before this one in the order of [`Self::ranked_nodes`].
+    #[must_use]
+    pub fn own_rank(&self, name: &str) -> usize {
+        let key = hash_name(name);
+        let own = score(&self.own, key);
+        let others = self.all_nodes.iter();
+        let before = others.filter(|node| node.name != self.own.name && score(node, key) > own);
+        before.count()
+    }
+
     /// Returns the number of known nodes in this data centre.
     #[must_use]
     pub const fn len(&self) -> usize {
--- a/crates/dispatch/src/quota_message.rs
+++ b/crates/dispatch/src/quota_message.rs
@@ -22,6 +22,8 @@
     pub limited: Vec<Arc<str>>,
     /// Requests since the last message to the same owner.
     pub reports: Vec<TenantReport>,
+    /// Whether the sender failed to reach an owner, so that the receiver may be cut off as well.
+    pub suspicious: bool,
 }
 
 /// What an owner knows of a tenant that a message mentions.
--- a/crates/dispatch/src/quota_owner.rs
+++ b/crates/dispatch/src/quota_owner.rs
@@ -1,9 +1,11 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::Peers;
 use crate::QuotaAnswer;
 use crate::QuotaBounds;
-use crate::TenantReport;
+use crate::QuotaMessage;
+use crate::QuotaReply;
 use crate::TenantSpec;
 use crate::TenantState;
 use crate::quota_tenant::OwnedTenant;
@@ -23,22 +25,21 @@
     pub tokens: f64,
 }
 
-/// Rank of an owner of a tenant, by this node's list of nodes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OwnerRank {
-    /// The second node by hash, which replaces the first.
-    Backup,
-    /// The first node by hash.
-    First,
-    /// Neither; nodes with other lists may still ask this node.
-    Other,
-}
+/// Nodes of this rank or before it accept messages as owners: the lists of nodes differ between
+/// nodes for some seconds after a node was added or removed.
+const ACCEPTING_RANKS: usize = 3;
 
 /// The tenants that a node owns or backs up, with their buckets.
 #[derive(Debug)]
 pub struct QuotaOwner {
     bounds: QuotaBounds,
     changes: Vec<QuotaChange>,
+    /// Number of the list of nodes from which the ranks are taken.
+    generation: u64,
+    /// Rank of this node as an owner of each tenant.
+    ranks: HashMap<Arc<str>, usize>,
+    /// Whether nodes may be cut off.
+    suspicious: bool,
     /// Whether new buckets start with the whole burst, as no former owner has granted any of it.
     starts_full: bool,
     tenants: HashMap<Arc<str>, OwnedTenant>,
@@ -52,29 +53,76 @@
         Self {
             bounds,
             changes: Vec::new(),
+            generation: 0,
+            ranks: HashMap::new(),
             starts_full: first_start,
+            suspicious: false,
             tenants: HashMap::new(),
         }
     }
 
-    /// Decides about one request that a node asks for. The node has learned that the tenant is
-    /// limited, if it is.
-    pub fn ask(&mut self, now_us: u64, spec: &TenantSpec, node: &Arc<str>) -> QuotaAnswer {
+    /// Applies the reports and the question of a message. `find` returns the tenant with a name by
+    /// the configuration in force.
+    pub fn receive<'a>(
+        &mut self,
+        now_us: u64,
+        message: &QuotaMessage,
+        peers: &Peers,
+        find: impl Fn(&str) -> Option<&'a TenantSpec>,
+    ) -> QuotaReply {
+        let mut reply = QuotaReply::default();
+        for report in &message.reports {
+            if let Some(spec) = self.owned(peers, &report.tenant, &find) {
+                self.tenant(now_us, spec).report(now_us, report);
+                reply.states.push(self.state(now_us, spec));
+            }
+        }
+        let Some(name) = &message.ask else {
+            return reply;
+        };
+        let Some(spec) = self.owned(peers, name, &find) else {
+            reply.answer = Some(QuotaAnswer::NotOwner);
+            return reply;
+        };
         let tenant = self.tenant(now_us, spec);
-        let answer = tenant.ask(now_us);
-        tenant.acknowledge(now_us, node);
-        self.observe(now_us, spec);
-        answer
+        reply.answer = Some(tenant.ask(now_us));
+        let state = self.state(now_us, spec);
+        if state.limited {
+            self.acknowledge(now_us, &message.from, std::slice::from_ref(name));
+        }
+        reply.states.push(state);
+        reply
     }
 
-    /// Counts requests that a node decided about by itself.
-    pub fn report(&mut self, now_us: u64, spec: &TenantSpec, report: &TenantReport) {
-        self.tenant(now_us, spec).report(now_us, report);
-        self.observe(now_us, spec);
+    /// Returns the tenant with a name if this node accepts messages as its owner. Before its first list
+    /// of nodes, the list of the sender decides.
+    fn owned<'a>(
+        &mut self,
+        peers: &Peers,
+        name: &Arc<str>,
+        find: &impl Fn(&str) -> Option<&'a TenantSpec>,
+    ) -> Option<&'a TenantSpec> {
+        let spec = find(name).filter(|spec| spec.is_limited())?;
+        (self.rank(peers, name) < ACCEPTING_RANKS).then_some(spec)
+    }
+
+    /// Returns the rank of this node as an owner of a tenant, 0 for the first.
+    fn rank(&mut self, peers: &Peers, name: &Arc<str>) -> usize {
+        if self.generation != peers.generation() {
+            if self.generation == 0 {
+                let tenants = self.tenants.values_mut();
+                tenants.for_each(OwnedTenant::forget_announcement);
+            }
+            self.generation = peers.generation();
+            self.ranks.clear();
+        }
+        let rank = self.ranks.entry(name.clone());
+        *rank.or_insert_with(|| peers.own_rank(name))
     }
 
-    /// Returns the state of a tenant for a reply.
-    pub fn state(&mut self, now_us: u64, spec: &TenantSpec) -> TenantState {
+    /// Returns the state of a tenant for a reply, after its tokens have changed.
+    fn state(&mut self, now_us: u64, spec: &TenantSpec) -> TenantState {
+        self.observe(now_us, spec);
         let tenant = self.tenant(now_us, spec);
         TenantState {
             demand_per_s: tenant.demand_per_s(now_us),
@@ -92,20 +140,37 @@
         }
     }
 
+    /// Records that a node did not reply to an announcement of limited tenants.
+    pub fn unacknowledge(&mut self, node: &Arc<str>, tenants: &[Arc<str>]) {
+        for name in tenants {
+            if let Some(tenant) = self.tenants.get_mut(name) {
+                tenant.unacknowledge(node);
+            }
+        }
+    }
+
+    /// Returns whether this node has a bucket of a tenant.
+    #[must_use]
+    pub fn has_tenants(&self) -> bool {
+        !self.tenants.is_empty()
+    }
+
     /// Returns whether a tenant is limited, so that time must be spent on it.
     #[must_use]
     pub fn has_limited_tenants(&self) -> bool {
         self.tenants.values().any(OwnedTenant::is_limited)
     }
 
-    /// Updates the reserves by what the other nodes acknowledged, ends limited states, and forgets
-    /// tenants that the configuration no longer limits.
+    /// Updates the limited states, and the reserves by what the other nodes acknowledged; forgets
+    /// tenants that the configuration no longer limits. Nodes may be cut off if `suspicious`.
     pub fn refresh<'a>(
         &mut self,
         now_us: u64,
         others: &[Arc<str>],
+        suspicious: bool,
         find: impl Fn(&str) -> Option<&'a TenantSpec>,
     ) {
+        self.suspicious = suspicious;
         self.tenants
             .retain(|name, _| find(name).is_some_and(TenantSpec::is_limited));
         let names: Vec<Arc<str>> = self.tenants.keys().cloned().collect();
@@ -123,18 +188,19 @@
     pub fn announcements(
         &mut self,
         now_us: u64,
-        rank: impl Fn(&str) -> OwnerRank,
+        peers: &Peers,
         is_announced: impl Fn(&str) -> bool,
     ) -> Vec<Arc<str>> {
-        let mut announced = Vec::new();
-        for (name, tenant) in &mut self.tenants {
-            let rank = rank(name);
-            if tenant.is_announcement_due(now_us, rank, is_announced(name)) {
-                tenant.mark_announced(now_us);
-                announced.push(name.clone());
-            }
-        }
-        announced
+        let limited = self.tenants.iter().filter(|(_, it)| it.is_limited());
+        let mut names: Vec<Arc<str>> = limited.map(|(name, _)| name.clone()).collect();
+        names.retain(|name| {
+            let rank = self.rank(peers, name);
+            let Some(tenant) = self.tenants.get_mut(name) else {
+                return false;
+            };
+            tenant.announce(now_us, rank, is_announced(name))
+        });
+        names
     }
 
     /// Returns the changes of states since the last call.
@@ -156,7 +222,7 @@
         let Some(tenant) = self.tenants.get_mut(&spec.name) else {
             return;
         };
-        if tenant.update_limited(now_us, spec) {
+        if tenant.update_limited(now_us, spec, self.suspicious) {
             let change = tenant.change(now_us, &spec.name);
             self.changes.push(change);
         }
--- a/crates/dispatch/src/quota_tenant.rs
+++ b/crates/dispatch/src/quota_tenant.rs
@@ -1,7 +1,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::OwnerRank;
 use crate::QuotaAnswer;
 use crate::QuotaBounds;
 use crate::QuotaChange;
@@ -10,13 +9,26 @@
 use crate::TokenBucket;
 use crate::quota_demand::QuotaDemand;
 
-/// Share of the burst below which a tenant becomes limited. Nodes admit requests on their own until
-/// they hear of it, which the rest of the burst pays for.
+/// Share of the tenant's burst below which it becomes limited. Nodes admit requests on their own
+/// until they hear of it, which the rest pays for.
 const ENTRY_SHARE: f64 = 0.5;
 
-/// Share of the burst above which a tenant is no longer limited.
+/// Share of the bound's slack that is added to the burst. Admissions on the way may then exceed the
+/// burst without a refusal of later requests that are within it, and a tenant with a burst of 1 is
+/// not limited, which costs a message to every node, by each request.
+const SLACK_SHARE: f64 = 0.15;
+
+/// Share of the whole bucket above which a tenant is no longer limited.
 const EXIT_SHARE: f64 = 0.8;
 
+/// Share of the rate from which a tenant is limited while nodes may be cut off. An owner in a part of
+/// the nodes must not grant more than the share of that part, however full its bucket is.
+const SUSPICIOUS_DEMAND_SHARE: f64 = 0.25;
+
+/// Share of the bound's slack up to which a tenant may use the quota of a window once more: such a
+/// tenant is not limited early.
+const SMALL_QUOTA_SHARE: f64 = 0.4;
+
 /// Shortest time for which a tenant is limited; each change costs a message to every node.
 const LIMITED_MIN_US: u64 = 2_000_000;
 
@@ -42,6 +54,7 @@
 /// The bucket of one tenant at its owner, and who knows that it is limited.
 #[derive(Debug)]
 pub(crate) struct OwnedTenant {
+    bounds: QuotaBounds,
     bucket: TokenBucket,
     demand: QuotaDemand,
     limited: Option<Limited>,
@@ -55,20 +68,25 @@
 struct Limited {
     /// Time of the last acknowledgement of each node.
     acknowledged_us: HashMap<Arc<str>, u64>,
+    /// Time of the last announcement.
     announced_us: Option<u64>,
     since_us: u64,
+    /// Time of the first announcement.
+    told_us: Option<u64>,
 }
 
 impl OwnedTenant {
     pub(crate) fn new(now_us: u64, spec: &TenantSpec, bounds: QuotaBounds, full: bool) -> Self {
+        let burst = whole_burst(spec, bounds);
         let tokens = if full {
-            spec.burst.max(1.0)
+            burst
         } else {
             (spec.rate_per_s * NEW_OWNER_S).max(1.0)
         };
         let debt_max = spec.rate_per_s * bounds.window_s();
         Self {
-            bucket: TokenBucket::new(now_us, spec.rate_per_s, spec.burst, tokens)
+            bounds,
+            bucket: TokenBucket::new(now_us, spec.rate_per_s, burst, tokens)
                 .with_debt_max(debt_max),
             demand: QuotaDemand::default(),
             limited: None,
@@ -81,7 +99,7 @@
         self.bucket.set_limits(
             now_us,
             spec.rate_per_s * usable_share,
-            spec.burst * usable_share,
+            whole_burst(spec, self.bounds) * usable_share,
         );
     }
 
@@ -115,42 +133,73 @@
         }
     }
 
+    /// Records that a node did not reply to an announcement.
+    pub(crate) fn unacknowledge(&mut self, node: &Arc<str>) {
+        if let Some(limited) = &mut self.limited {
+            limited.acknowledged_us.remove(node);
+        }
+    }
+
     /// Recalculates the reserve for the nodes that have not acknowledged.
     pub(crate) fn refresh_reserve(&mut self, now_us: u64, others: &[Arc<str>], spec: &TenantSpec) {
         let share = match &self.limited {
             Some(limited) => limited.unacknowledged_share(now_us, others),
             None => 0.0,
         };
-        if (share - self.reserved_share).abs() > f64::EPSILON {
+        self.reserve(now_us, share, spec);
+    }
+
+    /// Reserves a share of the rate and of the burst.
+    fn reserve(&mut self, now_us: u64, share: f64, spec: &TenantSpec) {
+        let added = share - self.reserved_share;
+        if added.abs() > f64::EPSILON {
             self.reserved_share = share;
             self.set_limits(now_us, spec);
+            let burst = whole_burst(spec, self.bounds);
+            self.bucket.charge(now_us, added * burst);
         }
     }
 
-    /// Enters or leaves the limited state by the tokens; returns whether it has changed.
-    pub(crate) fn update_limited(&mut self, now_us: u64, spec: &TenantSpec) -> bool {
+    /// Enters or leaves the limited state by the tokens, and while nodes may be cut off
+    /// (`suspicious`) also by the demand; returns whether it has changed.
+    pub(crate) fn update_limited(
+        &mut self,
+        now_us: u64,
+        spec: &TenantSpec,
+        suspicious: bool,
+    ) -> bool {
         let tokens = self.bucket.tokens(now_us);
+        let early = suspicious && self.may_exceed_if_divided(now_us, spec);
         match &self.limited {
-            None if tokens < spec.burst.max(1.0) * ENTRY_SHARE => {
+            None if early || tokens < spec.burst.max(1.0) * ENTRY_SHARE => {
                 self.limited = Some(Limited {
                     acknowledged_us: HashMap::new(),
                     announced_us: None,
                     since_us: now_us,
+                    told_us: None,
                 });
                 true
             }
             Some(limited)
-                if tokens >= self.bucket.burst() * EXIT_SHARE
+                if !early
+                    && tokens >= self.bucket.burst() * EXIT_SHARE
                     && now_us >= limited.since_us + LIMITED_MIN_US =>
             {
                 self.limited = None;
-                self.reserved_share = 0.0;
+                self.reserve(now_us, 0.0, spec);
                 true
             }
             None | Some(_) => false,
         }
     }
 
+    /// Whether the tenant may exceed its bound if several owners grant it requests.
+    fn may_exceed_if_divided(&self, now_us: u64, spec: &TenantSpec) -> bool {
+        let quota = spec.rate_per_s * self.bounds.window_s() + spec.burst;
+        quota > self.bounds.slack * SMALL_QUOTA_SHARE
+            && self.demand.per_s(now_us) > spec.rate_per_s * SUSPICIOUS_DEMAND_SHARE
+    }
+
     pub(crate) fn change(&mut self, now_us: u64, name: &Arc<str>) -> QuotaChange {
         QuotaChange {
             demand_per_s: self.demand.per_s(now_us),
@@ -161,38 +210,38 @@
         }
     }
 
-    pub(crate) fn is_announcement_due(
-        &self,
-        now_us: u64,
-        rank: OwnerRank,
-        is_announced: bool,
-    ) -> bool {
-        let Some(limited) = &self.limited else {
-            return false;
-        };
-        let announced_us = limited.announced_us;
-        let due = announced_us.is_none_or(|at_us| now_us >= at_us + ANNOUNCEMENT_INTERVAL_US);
-        match rank {
-            OwnerRank::First => due,
-            OwnerRank::Backup => {
-                due && !is_announced && now_us >= limited.since_us + BACKUP_DELAY_US
-            }
-            OwnerRank::Other => false,
+    /// Makes an announcement due, as none was heard by nodes that were not known then.
+    pub(crate) const fn forget_announcement(&mut self) {
+        if let Some(limited) = &mut self.limited {
+            limited.announced_us = None;
+            limited.told_us = None;
         }
     }
 
-    pub(crate) fn mark_announced(&mut self, now_us: u64) {
-        if let Some(limited) = &mut self.limited {
+    /// Decides whether all nodes are told now that the tenant is limited, by this node's rank as its
+    /// owner. The backup owner does so if the owner has not for some time (`is_announced`).
+    pub(crate) fn announce(&mut self, now_us: u64, rank: usize, is_announced: bool) -> bool {
+        let Some(limited) = &mut self.limited else {
+            return false;
+        };
+        let overdue = now_us >= limited.since_us + BACKUP_DELAY_US && !is_announced;
+        let responsible = rank == 0 || (rank == 1 && overdue);
+        let due = limited
+            .announced_us
+            .is_none_or(|at_us| now_us >= at_us + ANNOUNCEMENT_INTERVAL_US);
+        if responsible && due {
             limited.announced_us = Some(now_us);
+            limited.told_us.get_or_insert(now_us);
         }
+        responsible && due
     }
 }
 
 impl Limited {
     /// Returns the share of all nodes that were told but have not acknowledged in time.
     fn unacknowledged_share(&self, now_us: u64, others: &[Arc<str>]) -> f64 {
-        let told = self.announced_us.is_some();
-        if !told || now_us < self.since_us + ACKNOWLEDGEMENT_TIMEOUT_US {
+        let told = |told_us| now_us >= told_us + ACKNOWLEDGEMENT_TIMEOUT_US;
+        if !self.told_us.is_some_and(told) {
             return 0.0;
         }
         let acknowledged = others.iter().filter(|name| {
@@ -203,3 +252,8 @@
         missing as f64 / (others.len() + 1) as f64
     }
 }
+
+/// Returns the burst of the bucket, which exceeds the tenant's.
+fn whole_burst(spec: &TenantSpec, bounds: QuotaBounds) -> f64 {
+    spec.burst + bounds.slack * SLACK_SHARE
+}
--- a/crates/dispatch/src/token_bucket.rs
+++ b/crates/dispatch/src/token_bucket.rs
@@ -13,18 +13,18 @@
 }
 
 impl TokenBucket {
-    /// Creates a bucket with a number of tokens.
+    /// Creates a bucket with a number of tokens. A burst below 1 counts as 1, as no request would
+    /// ever be admitted otherwise.
     #[must_use]
     pub fn new(now_us: u64, rate_per_s: f64, burst: f64, tokens: f64) -> Self {
-        let mut bucket = Self {
-            burst: 1.0,
+        let burst = burst.max(1.0);
+        Self {
+            burst,
             debt_max: f64::INFINITY,
             rate_per_s,
-            tokens,
+            tokens: tokens.min(burst),
             updated_us: now_us,
-        };
-        bucket.set_limits(now_us, rate_per_s, burst);
-        bucket
+        }
     }
 
     /// Bounds the debt that late reports can cause.
@@ -34,8 +34,7 @@
         self
     }
 
-    /// Changes the limits; tokens beyond the new burst are lost. A burst below 1 counts as 1, as no
-    /// request would ever be admitted otherwise.
+    /// Changes the limits; tokens beyond the new burst are lost.
     pub fn set_limits(&mut self, now_us: u64, rate_per_s: f64, burst: f64) {
         self.refill(now_us);
         self.burst = burst.max(1.0);
@@ -65,10 +64,10 @@
         admitted
     }
 
-    /// Takes tokens for requests that were admitted elsewhere.
+    /// Takes tokens for requests that were admitted elsewhere; a negative count gives tokens back.
     pub fn charge(&mut self, now_us: u64, count: f64) {
         self.refill(now_us);
-        self.tokens = (self.tokens - count).max(-self.debt_max);
+        self.tokens = (self.tokens - count).clamp(-self.debt_max, self.burst);
     }
 
     /// Returns the time until there is a token; `u64::MAX` if there never will be.
--- a/crates/entry/src/peers/quota_exchange.rs
+++ b/crates/entry/src/peers/quota_exchange.rs
@@ -1,6 +1,5 @@
 //! Reports requests of tenants to their owners, and announces limited tenants to all nodes.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +7,7 @@
 use tokio::task;
 use tokio::time;
 
+use wigeonhall_dispatch::PeerNode;
 use wigeonhall_dispatch::QuotaMessage;
 use wigeonhall_dispatch::QuotaNode;
 use wigeonhall_dispatch::QuotaReply;
@@ -20,6 +20,9 @@
 /// Timeout for the reply to a report or an announcement.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum number of nodes that are told of an owner that does not reply.
+const SUSPICION_NODES_MAX: usize = 300;
+
 /// Time for which reports and changes are collected before they are sent.
 const COLLECTION_TIME: Duration = Duration::from_millis(2);
 
@@ -33,16 +36,17 @@
     let mut refresh_at_us = 0;
     loop {
         let now_us = shared.clock.now_us();
-        let limited = shared.quotas.owner.borrow().has_limited_tenants();
-        if limited && now_us >= refresh_at_us {
-            refresh_at_us = now_us + CHECK_INTERVAL.as_micros() as u64;
-            refresh(&shared, now_us);
-        }
-        if limited {
+        let owns = is_owner_active(&shared, now_us);
+        if owns {
+            if now_us >= refresh_at_us {
+                refresh_at_us = now_us + CHECK_INTERVAL.as_micros() as u64;
+                refresh(&shared, now_us);
+            }
             announce(&shared, now_us);
         }
+        announce_suspicion(&shared, now_us);
         send_reports(&shared, now_us);
-        if limited || shared.quotas.view.borrow().has_reports() {
+        if owns || shared.quotas.view.borrow().has_reports() {
             drop(time::timeout(CHECK_INTERVAL, due.notified()).await);
         } else {
             due.notified().await;
@@ -51,8 +55,17 @@
     }
 }
 
+/// Whether this node, as an owner, has limited tenants, or tenants while nodes may be cut off.
+fn is_owner_active(shared: &NodeState, now_us: u64) -> bool {
+    let owner = shared.quotas.owner.borrow();
+    let suspicious = shared.quotas.view.borrow().is_suspicious(now_us);
+    owner.has_limited_tenants() || (suspicious && owner.has_tenants())
+}
+
 fn send_reports(shared: &Rc<NodeState>, now_us: u64) {
-    let owners = shared.quotas.view.borrow_mut().due_reports(now_us);
+    let mut view = shared.quotas.view.borrow_mut();
+    let owners = view.due_reports(now_us, &shared.peers.borrow());
+    drop(view);
     for owner in owners {
         send_report(shared, owner);
     }
@@ -79,11 +92,11 @@
 /// Returns a message with all that an owner must be told.
 pub(crate) fn message_to(shared: &NodeState, owner: &Arc<str>) -> QuotaMessage {
     let now_us = shared.clock.now_us();
+    let mut view = shared.quotas.view.borrow_mut();
     QuotaMessage {
-        ask: None,
         from: shared.settings.node_name.clone(),
-        limited: Vec::new(),
-        reports: shared.quotas.view.borrow_mut().take_reports(now_us, owner),
+        reports: view.take_reports(now_us, owner),
+        ..QuotaMessage::default()
     }
 }
 
@@ -125,7 +138,8 @@
     let others = peers.all_nodes().iter().map(|node| &node.name);
     let others: Vec<Arc<str>> = others.filter(|name| *name != own).cloned().collect();
     let mut owner = shared.quotas.owner.borrow_mut();
-    owner.refresh(now_us, &others, |name| {
+    let suspicious = shared.quotas.view.borrow().is_suspicious(now_us);
+    owner.refresh(now_us, &others, suspicious, |name| {
         quota_server::limited_tenant(table.as_deref()?, name)
     });
     drop(owner);
@@ -135,45 +149,56 @@
 /// Announces the limited tenants of this node to all nodes, if that is due.
 fn announce(shared: &Rc<NodeState>, now_us: u64) {
     let peers = shared.peers.borrow();
-    let view = shared.quotas.view.borrow();
-    let limited = shared.quotas.owner.borrow_mut().announcements(
-        now_us,
-        |name| quota_server::own_rank(&peers, name),
-        |name| view.is_announced(now_us, name),
-    );
-    drop(view);
+    let mut view = shared.quotas.view.borrow_mut();
+    let mut owner = shared.quotas.owner.borrow_mut();
+    let limited = owner.announcements(now_us, &peers, |name| view.is_announced(now_us, name));
     if limited.is_empty() {
         return;
     }
-    let mut view = shared.quotas.view.borrow_mut();
     view.mark_limited(now_us, &limited);
     let message = Rc::new(QuotaMessage {
-        ask: None,
         from: shared.settings.node_name.clone(),
         limited,
-        reports: Vec::new(),
+        ..QuotaMessage::default()
     });
     for node in peers.all_nodes() {
-        if !is_own(shared, &node.name) {
-            let node = (node.name.clone(), node.address);
-            task::spawn_local(announce_to(shared.clone(), node, message.clone()));
-        }
+        announce_to(shared, node, &message);
     }
 }
 
-async fn announce_to(
-    shared: Rc<NodeState>,
-    (name, address): (Arc<str>, SocketAddr),
-    message: Rc<QuotaMessage>,
-) {
-    let reply = quota_client::send(&shared, address, &message, MESSAGE_TIMEOUT).await;
-    if reply.is_none() {
-        log::debug!("node {name} could not be told of limited tenants");
+/// Tells other nodes that an owner did not reply, if that is due.
+fn announce_suspicion(shared: &Rc<NodeState>, now_us: u64) {
+    if !shared.quotas.view.borrow_mut().take_suspicion(now_us) {
         return;
     }
-    let now_us = shared.clock.now_us();
-    let mut owner = shared.quotas.owner.borrow_mut();
-    owner.acknowledge(now_us, &name, &message.limited);
+    let message = Rc::new(QuotaMessage {
+        from: shared.settings.node_name.clone(),
+        suspicious: true,
+        ..QuotaMessage::default()
+    });
+    let peers = shared.peers.borrow();
+    for node in fastrand::choose_multiple(peers.all_nodes(), SUSPICION_NODES_MAX) {
+        announce_to(shared, node, &message);
+    }
+}
+
+/// Sends an announcement to another node in the background.
+fn announce_to(shared: &Rc<NodeState>, node: &PeerNode, message: &Rc<QuotaMessage>) {
+    if is_own(shared, &node.name) {
+        return;
+    }
+    let (shared, message) = (shared.clone(), message.clone());
+    let (name, address) = (node.name.clone(), node.address);
+    task::spawn_local(async move {
+        let reply = quota_client::send(&shared, address, &message, MESSAGE_TIMEOUT).await;
+        let mut owner = shared.quotas.owner.borrow_mut();
+        if reply.is_some() {
+            owner.acknowledge(shared.clock.now_us(), &name, &message.limited);
+        } else {
+            log::debug!("node {name} did not reply to an announcement");
+            owner.unacknowledge(&name, &message.limited);
+        }
+    });
 }
 
 /// Logs the changes of the tenants that this node owns, and starts announcements.
--- a/crates/entry/src/peers/quota_protocol.rs
+++ b/crates/entry/src/peers/quota_protocol.rs
@@ -41,6 +41,8 @@
     /// Name, admitted and refused requests of each tenant.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     reports: Vec<(Arc<str>, f64, f64)>,
+    #[serde(default)]
+    suspicious: bool,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -87,6 +89,7 @@
         reports: reports
             .map(|report| (report.tenant.clone(), report.admitted, report.refused))
             .collect(),
+        suspicious: message.suspicious,
     };
     serde_json::to_vec(&wire).map(Bytes::from)
 }
@@ -107,6 +110,7 @@
         from: wire.from,
         limited: wire.limited,
         reports: reports.collect::<Option<Vec<TenantReport>>>()?,
+        suspicious: wire.suspicious,
     })
 }
 
--- a/crates/entry/src/store/peer_registry.rs
+++ b/crates/entry/src/store/peer_registry.rs
@@ -203,6 +203,9 @@
     peers.replace(nodes);
     shared.pool.borrow_mut().set_nodes(peers.total_nodes());
     shared.feed.nodes_listed.send_replace(true);
+    if shared.quotas.view.borrow().has_unassigned() {
+        shared.quotas.due.notify_one();
+    }
     if peers.len() != before {
         shared.log(&Event::Nodes { near: peers.len() });
     }
