Take over the tokens of the other owner when a bucket is new

Cause: an owner that was restarted held one second of the rate and refused the burst that its tenant had not used; a tenant with a rate of 1 and a burst of 100 waited 100 s for it. The new owner now asks the other owner once. Idle connections between nodes for quotas are closed after 30 s.

--- a/crates/dispatch/src/quota_message.rs
+++ b/crates/dispatch/src/quota_message.rs
@@ -35,6 +35,8 @@
     pub limited: bool,
     /// Name of the tenant.
     pub tenant: Arc<str>,
+    /// Tokens in the bucket, for the other owner; `None` while the bucket is new.
+    pub tokens: Option<f64>,
 }
 
 /// The answer of an owner to a request for an admission.
--- a/crates/dispatch/src/quota_owner.rs
+++ b/crates/dispatch/src/quota_owner.rs
@@ -5,7 +5,9 @@
 use crate::QuotaAnswer;
 use crate::QuotaBounds;
 use crate::QuotaMessage;
+use crate::QuotaNode;
 use crate::QuotaReply;
+use crate::TenantReport;
 use crate::TenantSpec;
 use crate::TenantState;
 use crate::quota_tenant::OwnedTenant;
@@ -128,6 +130,7 @@
             demand_per_s: tenant.demand_per_s(now_us),
             limited: tenant.is_limited(),
             tenant: spec.name.clone(),
+            tokens: tenant.settled_tokens(now_us),
         }
     }
 
@@ -203,6 +206,53 @@
         names
     }
 
+    /// Returns whether [`Self::take_syncs`] has messages.
+    #[must_use]
+    pub fn has_syncs(&self) -> bool {
+        self.tenants.values().any(OwnedTenant::is_sync_due)
+    }
+
+    /// Returns the messages by which this node asks the other owners of new buckets for their tokens,
+    /// as it has been restarted or its rank has changed.
+    pub fn take_syncs(&mut self, peers: &Peers) -> Vec<(QuotaNode, QuotaMessage)> {
+        if peers.generation() == 0 {
+            return Vec::new();
+        }
+        let due = self.tenants.iter_mut().filter(|(_, it)| it.is_sync_due());
+        let due = due.filter_map(|(name, tenant)| {
+            tenant.mark_synced();
+            let owners = peers.ranked_nodes(name, 2);
+            let mut others = owners.iter().filter(|it| it.name != peers.own().name);
+            let other = others.next()?;
+            let node = QuotaNode {
+                address: other.address,
+                name: other.name.clone(),
+            };
+            let report = TenantReport {
+                admitted: 0.0,
+                refused: 0.0,
+                tenant: name.clone(),
+            };
+            let message = QuotaMessage {
+                from: peers.own().name.clone(),
+                reports: vec![report],
+                ..QuotaMessage::default()
+            };
+            Some((node, message))
+        });
+        due.collect()
+    }
+
+    /// Applies the reply to a message of [`Self::take_syncs`].
+    pub fn sync(&mut self, now_us: u64, reply: &QuotaReply) {
+        for state in &reply.states {
+            let tenant = self.tenants.get_mut(&state.tenant);
+            if let (Some(tenant), Some(tokens)) = (tenant, state.tokens) {
+                tenant.sync(now_us, tokens);
+            }
+        }
+    }
+
     /// Returns the changes of states since the last call.
     pub fn take_changes(&mut self) -> Vec<QuotaChange> {
         std::mem::take(&mut self.changes)
--- a/crates/dispatch/src/quota_tenant.rs
+++ b/crates/dispatch/src/quota_tenant.rs
@@ -61,6 +61,10 @@
     /// Share of the rate and the burst that is reserved for nodes that did not acknowledge that the
     /// tenant is limited, because these nodes admit requests on their own.
     reserved_share: f64,
+    /// Time from which the bucket holds what the tenant has left, however it started.
+    settled_us: u64,
+    /// Whether the other owner must be asked for its tokens.
+    sync_due: bool,
 }
 
 #[derive(Debug)]
@@ -91,9 +95,39 @@
             demand: QuotaDemand::default(),
             limited: None,
             reserved_share: 0.0,
+            settled_us: if full {
+                now_us
+            } else {
+                now_us + bounds.window_us
+            },
+            sync_due: !full,
         }
     }
 
+    /// Whether the other owner must be asked for its tokens.
+    pub(crate) const fn is_sync_due(&self) -> bool {
+        self.sync_due
+    }
+
+    /// Records that the other owner is asked for its tokens.
+    pub(crate) const fn mark_synced(&mut self) {
+        self.sync_due = false;
+    }
+
+    /// Takes over the tokens of the other owner, whose bucket is older.
+    pub(crate) fn sync(&mut self, now_us: u64, tokens: f64) {
+        if now_us < self.settled_us {
+            let own = self.bucket.tokens(now_us);
+            self.bucket.charge(now_us, own - tokens);
+            self.settled_us = now_us;
+        }
+    }
+
+    /// Returns the tokens without those reserved for other nodes; `None` while the bucket is new.
+    pub(crate) fn settled_tokens(&mut self, now_us: u64) -> Option<f64> {
+        (now_us >= self.settled_us).then(|| self.bucket.tokens(now_us))
+    }
+
     pub(crate) fn set_limits(&mut self, now_us: u64, spec: &TenantSpec) {
         let usable_share = 1.0 - self.reserved_share;
         self.bucket.set_limits(
--- a/crates/dispatch/tests/quota_fleet/exchange.rs
+++ b/crates/dispatch/tests/quota_fleet/exchange.rs
@@ -26,7 +26,7 @@
         let (now_us, id) = (self.now_us, self.next);
         let timeout_us = match purpose {
             Purpose::Ask(..) => ASK_TIMEOUT_US,
-            Purpose::Announce | Purpose::Report => MESSAGE_TIMEOUT_US,
+            Purpose::Announce | Purpose::Report | Purpose::Sync => MESSAGE_TIMEOUT_US,
         };
         let message = Message {
             body: message,
@@ -93,6 +93,7 @@
         match sent.purpose {
             Purpose::Announce => node.owner.acknowledge(now_us, &to, &sent.body.limited),
             Purpose::Report => drop(node.view.apply_reply(now_us, &to, reply)),
+            Purpose::Sync => node.owner.sync(now_us, reply),
             Purpose::Ask(tenant, sent_us, owners) => {
                 node.view.apply_reply(now_us, &to, reply);
                 let answer = reply.answer.expect("an answer");
@@ -112,6 +113,9 @@
         if let Purpose::Announce = sent.purpose {
             return node.owner.unacknowledge(&owner.name, &sent.body.limited);
         }
+        if let Purpose::Sync = sent.purpose {
+            return;
+        }
         let reports = &sent.body.reports;
         node.view.record_failure(self.now_us, &owner, reports);
         self.notify(sent.from);
--- a/crates/dispatch/tests/quota_fleet/mod.rs
+++ b/crates/dispatch/tests/quota_fleet/mod.rs
@@ -47,6 +47,7 @@
     /// A question, with the owners that are asked next.
     Ask(usize, u64, Vec<QuotaNode>),
     Report,
+    Sync,
 }
 
 #[derive(Clone, Debug)]
@@ -334,6 +335,10 @@
             self.announce(number, tell);
         }
         let node = &mut self.nodes[number];
+        for (other, message) in node.owner.take_syncs(&node.peers) {
+            self.send(number, &other, message, Purpose::Sync);
+        }
+        let node = &mut self.nodes[number];
         for owner in node.view.due_reports(now_us, &node.peers) {
             let message = self.message_to(number, &owner);
             self.send(number, &owner, message, Purpose::Report);
--- a/crates/dispatch/tests/quotas.rs
+++ b/crates/dispatch/tests/quotas.rs
@@ -252,3 +252,22 @@
         assert_excess(&fleet, HALF, 0, &format!("seed {seed}"));
     }
 }
+
+/// A restarted owner holds none of the burst that the backup owner knows to be unused.
+#[test]
+fn a_large_burst_is_served_after_its_owners_were_restarted() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(NODES, vec![spec("batch", 1.0, 100.0)], seed, false);
+        fleet.load(0, 0.5, 0, 30 * SECOND_US);
+        let ranked = fleet.ranked(0);
+        for (step, node) in ranked[..2].iter().enumerate() {
+            fleet.run((10 + 10 * step as u64) * SECOND_US);
+            fleet.restart(*node);
+            fleet.list(*node, &(0..NODES).collect::<Vec<usize>>());
+        }
+        fleet.load(0, 80.0, 30 * SECOND_US, 31 * SECOND_US);
+        fleet.run(40 * SECOND_US);
+        let refused = fleet.refused_share();
+        assert!(refused < REFUSED_MAX, "seed {seed}: {refused}");
+    }
+}
--- a/crates/entry/src/peers/quota_client.rs
+++ b/crates/entry/src/peers/quota_client.rs
@@ -21,11 +21,23 @@
 use crate::peers::quota_protocol::MESSAGE_BYTES_MAX;
 use crate::process::node_state::NodeState;
 
-/// Maximum number of idle connections; one needs some 10 KB.
-const IDLE_MAX: usize = 128;
+/// Maximum number of idle connections, enough for one to each node of today's fleets; one needs some
+/// 10 KB.
+const IDLE_MAX: usize = 320;
+
+/// Time after which an idle connection is closed.
+const IDLE_US: u64 = 30_000_000;
 
 /// Idle connections, the one used last at the back.
-pub(crate) type QuotaConnections = VecDeque<(SocketAddr, HttpSender)>;
+pub(crate) type QuotaConnections = VecDeque<IdleConnection>;
+
+/// A connection without a message.
+#[derive(Debug)]
+pub(crate) struct IdleConnection {
+    address: SocketAddr,
+    sender: HttpSender,
+    used_us: u64,
+}
 
 /// Sends a message; `None` if the node does not reply within the timeout.
 pub(crate) async fn send(
@@ -83,12 +95,13 @@
 }
 
 fn take_idle(shared: &NodeState, address: SocketAddr) -> Option<HttpSender> {
+    let expired_us = shared.clock.now_us().saturating_sub(IDLE_US);
     let mut connections = shared.quotas.connections.borrow_mut();
-    connections.retain(|(_, sender)| !sender.is_closed());
+    connections.retain(|idle| idle.used_us >= expired_us && !idle.sender.is_closed());
     let found = connections
         .iter()
-        .rposition(|(other, _)| *other == address)?;
-    connections.remove(found).map(|(_, sender)| sender)
+        .rposition(|idle| idle.address == address)?;
+    connections.remove(found).map(|idle| idle.sender)
 }
 
 fn keep(shared: &NodeState, address: SocketAddr, sender: HttpSender) {
@@ -96,5 +109,9 @@
     if connections.len() >= IDLE_MAX {
         connections.pop_front();
     }
-    connections.push_back((address, sender));
+    connections.push_back(IdleConnection {
+        address,
+        sender,
+        used_us: shared.clock.now_us(),
+    });
 }
--- a/crates/entry/src/peers/quota_exchange.rs
+++ b/crates/entry/src/peers/quota_exchange.rs
@@ -45,6 +45,7 @@
             announce(&shared, now_us);
         }
         announce_suspicion(&shared, now_us);
+        send_syncs(&shared);
         send_reports(&shared, now_us);
         if owns || shared.quotas.view.borrow().has_reports() {
             drop(time::timeout(CHECK_INTERVAL, due.notified()).await);
@@ -71,6 +72,23 @@
     }
 }
 
+/// Asks the other owners of this node's tenants for their tokens, where this node's bucket is new.
+fn send_syncs(shared: &Rc<NodeState>) {
+    let mut owner = shared.quotas.owner.borrow_mut();
+    let syncs = owner.take_syncs(&shared.peers.borrow());
+    for (node, message) in syncs {
+        let shared = shared.clone();
+        task::spawn_local(async move {
+            let reply = quota_client::send(&shared, node.address, &message, MESSAGE_TIMEOUT).await;
+            let now_us = shared.clock.now_us();
+            match reply {
+                Some(reply) => shared.quotas.owner.borrow_mut().sync(now_us, &reply),
+                None => log::debug!("node {} did not state its tokens", node.name),
+            }
+        });
+    }
+}
+
 /// Sends a report, or applies it if this node is the owner.
 fn send_report(shared: &Rc<NodeState>, owner: QuotaNode) {
     let message = message_to(shared, &owner.name);
@@ -203,7 +221,11 @@
 
 /// Logs the changes of the tenants that this node owns, and starts announcements.
 pub(crate) fn log_changes(shared: &NodeState) {
-    let changes = shared.quotas.owner.borrow_mut().take_changes();
+    let mut owner = shared.quotas.owner.borrow_mut();
+    if owner.has_syncs() {
+        shared.quotas.due.notify_one();
+    }
+    let changes = owner.take_changes();
     for change in changes {
         shared.log(&Event::Quota {
             demand_per_s: change.demand_per_s,
--- a/crates/entry/src/peers/quota_protocol.rs
+++ b/crates/entry/src/peers/quota_protocol.rs
@@ -49,9 +49,9 @@
 struct WireReply {
     #[serde(skip_serializing_if = "Option::is_none")]
     answer: Option<WireAnswer>,
-    /// Name and demand of each tenant, and whether it is limited.
+    /// Name and demand of each tenant, whether it is limited, and the tokens of its bucket.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    states: Vec<(Arc<str>, f64, bool)>,
+    states: Vec<(Arc<str>, f64, bool, Option<f64>)>,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -123,7 +123,10 @@
             QuotaAnswer::Refused { retry_after_ms } => WireAnswer::Refused(retry_after_ms),
         }),
         states: states
-            .map(|state| (state.tenant.clone(), state.demand_per_s, state.limited))
+            .map(|state| {
+                let name = state.tenant.clone();
+                (name, state.demand_per_s, state.limited, state.tokens)
+            })
             .collect(),
     };
     serde_json::to_vec(&wire).map(Bytes::from)
@@ -139,10 +142,11 @@
             WireAnswer::Refused(retry_after_ms) => QuotaAnswer::Refused { retry_after_ms },
         }),
         states: states
-            .map(|(tenant, demand_per_s, limited)| TenantState {
+            .map(|(tenant, demand_per_s, limited, tokens)| TenantState {
                 demand_per_s,
                 limited,
                 tenant,
+                tokens,
             })
             .collect(),
     })
