Merge quotas of tenants over all nodes

The quota is checked before the body is read, and a refusal closes the connection only if a long body is left.

--- a/crates/entry/src/callers/caller_server.rs
+++ b/crates/entry/src/callers/caller_server.rs
@@ -33,6 +33,7 @@
 use crate::callers::caller_stream::CallerActivity;
 use crate::callers::credentials;
 use crate::callers::probed_listener::ProbedListener;
+use crate::callers::quota_admission;
 use crate::callers::responses;
 use crate::process::event::Event;
 use crate::process::event::RequestEvent;
@@ -174,6 +175,9 @@
         Ok(head) => head,
         Err(rejection) => return reject(shared, &rejection, arrival.arrived_us, table.version),
     };
+    if let Err(refusal) = quota_admission::admit(shared, &head, arrival.arrived_us, &table).await {
+        return refusal;
+    }
     activity.set_body_left(true);
     let outgoing = read_within_timeout(shared, request, &head, &table).await;
     activity.set_body_left(outgoing.is_err());
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -12,4 +12,5 @@
 pub(crate) mod credentials;
 pub(crate) mod open_bodies;
 pub(crate) mod probed_listener;
+pub(crate) mod quota_admission;
 pub(crate) mod responses;
