Add the decisions of rollouts: versions, exposure, evidence and the coordinator

Replicas register with a version, and the store may hold rollouts. Without the three bounds in the settings the collection is not watched and all versions get requests. Each node sends a share of its own requests to the target version; the coordinator has the slack spent evenly until the decision. A share of the slack for each node was tried first: with 8 requests a second over 50 nodes it gave 12 to 20 responses, too few to accept a good version, since most nodes saw no further request.

--- a/crates/dispatch/src/availability.rs
+++ b/crates/dispatch/src/availability.rs
@@ -3,6 +3,7 @@
 use crate::Replica;
 use crate::ReplicaKey;
 use crate::sending_rates::SendingRates;
+use crate::version_gate::VersionRole;
 
 /// Whether a replica takes requests of this node, or the reason why it does not.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -28,6 +29,8 @@
     /// A probe request is in flight after repeated failures; no other request is sent until
     /// it ends.
     Tried,
+    /// No rollout allows a request to the version of the replica now.
+    Withheld,
 }
 
 impl Pool {
@@ -35,7 +38,7 @@
     #[must_use]
     pub fn availability(&self, now_us: u64, key: ReplicaKey) -> Option<Availability> {
         let replica = self.replica(key)?;
-        let rates = self.sending_rates(replica.service);
+        let rates = self.sending_rates(now_us, replica.service);
         Some(replica.availability(now_us, rates))
     }
 }
@@ -51,6 +54,8 @@
             Availability::Draining
         } else if self.evacuated {
             Availability::Out
+        } else if !self.within_rollout(rates) {
+            Availability::Withheld
         } else if self.notice_state.hold_off_in_force(now_us) {
             Availability::HoldingOff
         } else if now_us < self.health.suspended_until_us {
@@ -71,6 +76,7 @@
         self.registration.state != RegistrationState::Ready
             || self.notice_state.draining
             || self.evacuated
+            || self.role == VersionRole::Withheld
             || self.removed_at_us.is_some_and(|at_us| at_us <= now_us)
     }
 
@@ -96,7 +102,18 @@
 
     /// Whether a request now stays within the rates that the replica accepts.
     pub(crate) fn within_rates(&self, now_us: u64, rates: SendingRates) -> bool {
-        self.within_cold_rate(now_us, rates) && self.within_limit(now_us, rates)
+        self.within_cold_rate(now_us, rates)
+            && self.within_limit(now_us, rates)
+            && self.within_rollout(rates)
+    }
+
+    /// Whether rollouts allow a request to the version of the replica now.
+    const fn within_rollout(&self, rates: SendingRates) -> bool {
+        match self.role {
+            VersionRole::Allowed => true,
+            VersionRole::Trial => rates.allows_trial,
+            VersionRole::Withheld => false,
+        }
     }
 
     /// Whether the replica is warm, or a request now stays within its cold rate.
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -50,6 +50,10 @@
 pub struct Peers {
     /// Addresses of all other nodes.
     addresses: Vec<SocketAddr>,
+    /// Backoffs of nodes that did not answer as coordinators of rollouts.
+    pub(crate) coordinator_backoffs: NodeBackoffs,
+    /// Names and addresses of all other nodes.
+    pub(crate) others: Vec<(Arc<str>, SocketAddr)>,
     /// Nodes of this node's data centre, including this node.
     pub(crate) nodes: Vec<PeerNode>,
     own: PeerNode,
@@ -67,6 +71,8 @@
     pub fn new(own: PeerNode) -> Self {
         Self {
             addresses: Vec::new(),
+            coordinator_backoffs: NodeBackoffs::default(),
+            others: Vec::new(),
             all_nodes: vec![(own.data_centre.clone(), own.processor_share)],
             nodes: vec![own.clone()],
             own,
@@ -93,13 +99,15 @@
     }
 
     /// Replaces the known nodes by a complete list. For nodes of other data centres only the
-    /// data centre, the share of a core and the address are kept.
+    /// data centre, the share of a core, the name and the address are kept.
     pub fn replace(&mut self, nodes: Vec<PeerNode>) {
         let data_centre_and_share =
             |node: &PeerNode| (node.data_centre.clone(), node.processor_share);
         self.all_nodes = nodes.iter().map(data_centre_and_share).collect();
         let others = nodes.iter().filter(|node| node.name != self.own.name);
-        self.addresses = others.map(|node| node.address).collect();
+        let others = others.map(|node| (node.name.clone(), node.address));
+        self.others = others.collect();
+        self.addresses = self.others.iter().map(|(_, address)| *address).collect();
         if nodes.iter().all(|node| node.name != self.own.name) {
             self.all_nodes.push(data_centre_and_share(&self.own));
         }
@@ -110,6 +118,9 @@
         self.nodes.push(self.own.clone());
         let known = |name: &Arc<str>| self.nodes.iter().any(|node| node.name == *name);
         self.relay_backoffs.retain(known);
+        let others = &self.others;
+        let listed = |name: &Arc<str>| others.iter().any(|(other, _)| other == name);
+        self.coordinator_backoffs.retain(listed);
         self.reader_backoffs.retain(known);
     }
 
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -12,6 +12,7 @@
 use crate::Replica;
 use crate::ReplicaKey;
 use crate::Reply;
+use crate::RolloutBounds;
 use crate::ServiceKey;
 use crate::ServiceSpec;
 use crate::admission::Admission;
@@ -40,6 +41,8 @@
     pub(crate) nodes: usize,
     pub(crate) policy: Policy,
     pub(crate) rng: fastrand::Rng,
+    /// Limits of rollouts; `None` if all versions get requests.
+    pub(crate) rollout_bounds: Option<RolloutBounds>,
     pub(crate) seed: u64,
     pub(crate) services: Vec<Service>,
     pub(crate) services_by_name: HashMap<Arc<str>, ServiceKey>,
@@ -95,6 +98,7 @@
             nodes: ASSUMED_NODES,
             policy: Policy::default(),
             rng: fastrand::Rng::with_seed(seed),
+            rollout_bounds: None,
             seed,
             services: Vec::new(),
             services_by_name: HashMap::new(),
@@ -204,7 +208,7 @@
     #[must_use]
     pub fn last_resort(&self, now_us: u64, service: ServiceKey) -> Option<ReplicaKey> {
         let entry = &self.services[service.0 as usize];
-        let rates = self.sending_rates(service);
+        let rates = self.sending_rates(now_us, service);
         let suspended = |key: &ReplicaKey| {
             let replica = self.replica(*key)?;
             let no_request = replica.in_flight == 0 && replica.health.last_request_failed();
@@ -246,7 +250,9 @@
         service: ServiceKey,
         tried: &[ReplicaKey],
     ) -> Vec<(f64, ReplicaKey)> {
-        let rates = self.sending_rates(service);
+        let extra = tried.is_empty() && self.draw_extra(now_us, service);
+        let mut rates = self.sending_rates(now_us, service);
+        rates.allows_trial = self.allows_trial(now_us, service, extra);
         let policy = self.policy;
         let rng = &mut self.rng;
         let entry = &self.services[service.0 as usize];
@@ -264,6 +270,7 @@
             ranked.push((cost, *key));
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        self.prefer_version(&mut ranked, tried.is_empty());
         ranked
     }
 
@@ -314,6 +321,7 @@
 
     /// Records that a request is sent to a replica.
     pub fn request_started(&mut self, now_us: u64, key: ReplicaKey) {
+        self.count_version(key);
         let Some(replica) = self.replica_mut(key) else {
             return;
         };
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -7,6 +7,7 @@
 use crate::ReplicaKey;
 use crate::health::Health;
 use crate::pool::ArenaSlot;
+use crate::version_gate::VersionRole;
 
 /// Adds and removes replicas as their registrations change.
 impl Pool {
@@ -15,6 +16,17 @@
     /// A registration of an earlier incarnation (process under the same id), or an older one of
     /// the current incarnation, is ignored.
     pub fn register(&mut self, now_us: u64, registration: Registration) -> Option<ReplicaKey> {
+        let service = self.service_key(&registration.service);
+        let new = self.apply_registration(now_us, registration);
+        self.settle_versions(service);
+        new
+    }
+
+    fn apply_registration(
+        &mut self,
+        now_us: u64,
+        registration: Registration,
+    ) -> Option<ReplicaKey> {
         let evacuated = self.evacuated.contains(&registration.data_centre);
         let cold_us = registration.cold_for_ms.saturating_mul(1_000);
         let warm_at_us = now_us.saturating_add(cold_us);
@@ -72,10 +84,12 @@
         for id in missing {
             self.unregister(&id, missing_at_us);
         }
-        registrations
-            .into_iter()
-            .filter_map(|item| self.register(now_us, item))
-            .collect()
+        let registrations = registrations.into_iter();
+        let new = registrations
+            .filter_map(|item| self.apply_registration(now_us, item))
+            .collect();
+        self.settle_all_versions();
+        new
     }
 
     /// Applies a complete list of registrations of a store that was restored from an older copy.
@@ -169,6 +183,7 @@
             removed_at_us: None,
             service,
             notice_state,
+            role: VersionRole::default(),
             evacuated,
             warm_at_us,
         };
--- a/crates/dispatch/src/registration.rs
+++ b/crates/dispatch/src/registration.rs
@@ -23,6 +23,8 @@
     pub slots: u32,
     /// Whether the replica takes new requests.
     pub state: RegistrationState,
+    /// Version of its service; empty if it states none.
+    pub version: Arc<str>,
 }
 
 /// Whether a replica takes new requests.
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -5,6 +5,7 @@
 use crate::health::Health;
 use crate::notice::NoticeState;
 use crate::rate_allowance::RateAllowance;
+use crate::version_gate::VersionRole;
 
 /// What this node knows about a replica.
 #[derive(Debug)]
@@ -21,6 +22,8 @@
     pub registration: Registration,
     /// Time at which the replica is dropped; `None` while its registration exists.
     pub(crate) removed_at_us: Option<u64>,
+    /// Whether rollouts allow requests to the version of the replica.
+    pub(crate) role: VersionRole,
     /// Service that the replica belongs to.
     pub service: ServiceKey,
     /// Draining, hold-off (a time without requests) and limit of the rate that its responses
--- a/crates/dispatch/src/retry_after.rs
+++ b/crates/dispatch/src/retry_after.rs
@@ -13,7 +13,7 @@
     /// `service` may retry.
     #[must_use]
     pub fn retry_after_ms(&self, now_us: u64, service: ServiceKey) -> u64 {
-        let rates = self.sending_rates(service);
+        let rates = self.sending_rates(now_us, service);
         let retry_at_us = self
             .replicas_of(service)
             .iter()
--- /dev/null
+++ b/crates/dispatch/src/rollout_verdict.rs
@@ -0,0 +1,271 @@
+//! Compares the versions of a rollout.
+//!
+//! Three sets of responses are tested: all, those of each route, and those of the later half of the
+//! rollout. Let `n` requests to the target version have `f` failures, and let `q` be the share of
+//! failures of the earlier version, by Laplace's rule.
+//!
+//! - Bad at once: the likelihood of the failures, averaged over a uniform prior of the target
+//!   version's rate, is [`FAILURE_BAYES_FACTOR`] times their likelihood at rate `q`. This ratio is a
+//!   nonnegative martingale while the rate is `q`, so that by Ville's inequality any number of looks
+//!   errs with a probability of at most one in [`FAILURE_BAYES_FACTOR`] for each set.
+//! - Slow at once: van Elteren's statistic, the rank sum over strata of one route and one part of
+//!   the rollout, is above [`SLOW_Z`] (3 in a million for one look), and a response of the target
+//!   version is slower than one of the earlier with a probability above [`SLOW_PROBABILITY`].
+//! - Acceptable: `P(X <= f) <= ACCEPT_ERROR` for `X` binomial with `n` and a rate that exceeds `q` by
+//!   a margin, and the rank statistic is below [`ACCEPT_Z`] or the probability is below
+//!   [`SLOW_PROBABILITY`]. A version that exceeds the earlier failures by the margin is accepted
+//!   with at most that probability; with fewer responses than that takes, there is no acceptance.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crate::RolloutTotals;
+use crate::VersionPair;
+use crate::VersionSample;
+use crate::rollout_evidence::ROLLOUT_EPOCHS;
+
+/// Ratio of the likelihoods from which failures show that the target version is bad.
+const FAILURE_BAYES_FACTOR: f64 = 2_000.0;
+
+/// Rank statistic from which a target version is slow at any look.
+const SLOW_Z: f64 = 4.5;
+
+/// Rank statistic from which a target version is not accepted at the last look.
+const ACCEPT_Z: f64 = 3.0;
+
+/// Probability that a response of the target version is slower than one of the earlier version, from
+/// which the difference counts. A cold cache alone gives less.
+const SLOW_PROBABILITY: f64 = 0.65;
+
+/// Probability to accept a version that exceeds the failures of the earlier one by the margin.
+const ACCEPT_ERROR: f64 = 0.01;
+
+/// The same for the later half and for one route; the test of all responses holds as well.
+const PART_ACCEPT_ERROR: f64 = 0.03;
+
+/// Margin of all responses.
+const MARGIN: f64 = 0.2;
+
+/// Margin of the responses of the later half or of one route, which are fewer.
+const PART_MARGIN: f64 = 0.4;
+
+/// Share of the requests to the target version from which a route must have evidence of its own.
+const ROUTE_SHARE_MIN: f64 = 0.15;
+
+/// Fewest responses of each version for a rank statistic.
+const RANKED_MIN: u64 = 6;
+
+/// Route and part of the rollout of some responses.
+type Stratum = (Arc<str>, u8);
+
+/// What the responses show about the target version.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RolloutVerdict {
+    /// Whether the target version may be accepted.
+    pub acceptable: bool,
+    /// Whether the target version is bad whatever further responses show.
+    pub bad: bool,
+    /// The set of responses and the figures that decided it.
+    pub reason: String,
+}
+
+/// Compares the versions of a rollout.
+#[must_use]
+pub fn judge(totals: &RolloutTotals) -> RolloutVerdict {
+    let sets = sets(totals);
+    for (name, set) in &sets {
+        if let Some(reason) = shows_bad(set) {
+            return RolloutVerdict {
+                acceptable: false,
+                bad: true,
+                reason: format!("{name}: {reason}"),
+            };
+        }
+    }
+    let lacking = sets.iter().find_map(|(name, set)| {
+        let reason = lacks(set, sets[0].1.new.total())?;
+        Some(format!("{name}: {reason}"))
+    });
+    RolloutVerdict {
+        acceptable: lacking.is_none(),
+        bad: false,
+        reason: lacking.unwrap_or_else(|| sets[0].1.describe()),
+    }
+}
+
+/// Responses that are tested together.
+struct ResponseSet {
+    /// Probability to accept a version that exceeds the failures by the margin.
+    accept_error: f64,
+    /// Failures above those of the earlier version from which the target version is bad.
+    margin: f64,
+    /// Whether the set must have enough responses even if they are a small share of all.
+    is_required: bool,
+    new: VersionSample,
+    old: VersionSample,
+    strata: Vec<VersionPair>,
+}
+
+impl ResponseSet {
+    fn all(strata: Vec<VersionPair>) -> Self {
+        Self::new(MARGIN, ACCEPT_ERROR, true, strata)
+    }
+
+    fn part(strata: Vec<VersionPair>) -> Self {
+        Self::new(PART_MARGIN, PART_ACCEPT_ERROR, false, strata)
+    }
+
+    fn new(margin: f64, accept_error: f64, is_required: bool, strata: Vec<VersionPair>) -> Self {
+        let (mut new, mut old) = (VersionSample::default(), VersionSample::default());
+        for pair in &strata {
+            new.add(&pair.new);
+            old.add(&pair.old);
+        }
+        Self {
+            accept_error,
+            margin,
+            is_required,
+            new,
+            old,
+            strata,
+        }
+    }
+
+    /// Share of failures of the earlier version.
+    fn old_rate(&self) -> f64 {
+        (self.old.bad as f64 + 1.0) / (self.old.total() as f64 + 2.0)
+    }
+
+    fn describe(&self) -> String {
+        let (z, probability) = slowness(&self.strata);
+        format!(
+            "{} of {} failed, before {} of {}; slower with probability {probability:.2}, z {z:.1}",
+            self.new.bad,
+            self.new.total(),
+            self.old.bad,
+            self.old.total()
+        )
+    }
+}
+
+/// Returns the sets of responses with their names; the first one holds all.
+fn sets(totals: &RolloutTotals) -> Vec<(String, ResponseSet)> {
+    let strata = |keep: &dyn Fn(&Stratum) -> bool| -> Vec<VersionPair> {
+        let kept = totals.by_stratum.iter().filter(|(key, _)| keep(key));
+        kept.map(|(_, pair)| pair.clone()).collect()
+    };
+    let all = ResponseSet::all(strata(&|_| true));
+    let later = |(_, epoch): &Stratum| *epoch >= ROLLOUT_EPOCHS / 2;
+    let later = ResponseSet::part(strata(&later));
+    let mut sets = vec![("all".to_owned(), all), ("later half".to_owned(), later)];
+    let routes: BTreeSet<&Arc<str>> = totals.by_stratum.keys().map(|(route, _)| route).collect();
+    if routes.len() > 1 {
+        for route in routes {
+            let of_route = strata(&|(other, _)| other == route);
+            let set = ResponseSet::part(of_route);
+            sets.push((format!("route {route}"), set));
+        }
+    }
+    sets
+}
+
+/// Returns why the target version is bad, if the set shows it.
+fn shows_bad(set: &ResponseSet) -> Option<String> {
+    let (z, probability) = slowness(&set.strata);
+    let slow = z >= SLOW_Z && probability >= SLOW_PROBABILITY;
+    let (bad, good) = (set.new.bad as f64, set.new.good_total() as f64);
+    let old_rate = set.old_rate();
+    let averaged = ln_beta(bad + 1.0, good + 1.0);
+    let at_old_rate = bad * old_rate.ln() + good * (1.0 - old_rate).ln();
+    let higher = bad > old_rate * (bad + good);
+    let failing = higher && averaged - at_old_rate >= FAILURE_BAYES_FACTOR.ln();
+    (slow || failing).then(|| set.describe())
+}
+
+/// Returns why the target version cannot be accepted by a set of responses; `total` is the number of
+/// all requests to it.
+fn lacks(set: &ResponseSet, total: u64) -> Option<String> {
+    let requests = set.new.total();
+    let (z, probability) = slowness(&set.strata);
+    if z >= ACCEPT_Z && probability >= SLOW_PROBABILITY {
+        return Some(set.describe());
+    }
+    if !set.is_required && (requests as f64) < total as f64 * ROUTE_SHARE_MIN {
+        // Too few requests for evidence of their own; more failures than before still count.
+        let rate = set.old_rate();
+        let unlikely = set.new.bad > 1 && 1.0 - at_most(set.new.bad - 1, requests, rate) < 0.01;
+        return unlikely.then(|| set.describe());
+    }
+    let rate = (set.old_rate() + set.margin).min(0.95);
+    (at_most(set.new.bad, requests, rate) > set.accept_error)
+        .then(|| format!("too little evidence, {}", set.describe()))
+}
+
+/// Returns the rank statistic of the strata, and the probability that a response of the target
+/// version is slower than one of the earlier version to a request of the same stratum.
+fn slowness(strata: &[VersionPair]) -> (f64, f64) {
+    let (mut excess, mut variance, mut pairs, mut slower) = (0.0, 0.0, 0.0, 0.0);
+    let (mut new_ranked, mut old_ranked) = (0, 0);
+    for VersionPair { new, old } in strata {
+        let (n, m) = (new.good_total(), old.good_total());
+        if n == 0 || m == 0 {
+            continue;
+        }
+        new_ranked += n;
+        old_ranked += m;
+        let (n, m) = (n as f64, m as f64);
+        let wins = pairs_slower(new, old);
+        let weight = 1.0 / (n + m + 1.0);
+        excess += weight * (wins - n * m / 2.0);
+        variance += weight * n * m / 12.0;
+        pairs += weight * n * m;
+        slower += weight * wins;
+    }
+    if new_ranked < RANKED_MIN || old_ranked < RANKED_MIN {
+        return (0.0, 0.5);
+    }
+    (excess / variance.sqrt(), slower / pairs)
+}
+
+/// Returns the number of pairs in which the response of the target version is slower; half for
+/// pairs in one bucket.
+fn pairs_slower(new: &VersionSample, old: &VersionSample) -> f64 {
+    let mut wins = 0.0;
+    for (bucket, count) in &new.good {
+        let faster: u64 = old.good.range(..bucket).map(|(_, old)| old).sum();
+        let equal = old.good.get(bucket).copied().unwrap_or(0);
+        wins += *count as f64 * (faster as f64 + equal as f64 / 2.0);
+    }
+    wins
+}
+
+/// Returns the probability of at most `failures` of `requests` at a rate of failures.
+fn at_most(failures: u64, requests: u64, rate: f64) -> f64 {
+    let n = requests as f64;
+    let term = |k: u64| {
+        let k = k as f64;
+        let ln_choose = -ln_beta(k + 1.0, n - k + 1.0) - (n + 1.0).ln();
+        (ln_choose + k * rate.ln() + (n - k) * (1.0 - rate).ln()).exp()
+    };
+    (0..=failures.min(requests)).map(term).sum::<f64>().min(1.0)
+}
+
+/// Logarithm of the beta function.
+fn ln_beta(a: f64, b: f64) -> f64 {
+    ln_gamma(a) + ln_gamma(b) - ln_gamma(a + b)
+}
+
+/// Logarithm of the gamma function for positive values, by Stirling's series.
+fn ln_gamma(value: f64) -> f64 {
+    const SERIES_FROM: f64 = 8.0;
+    let mut shifted = value;
+    let mut product = 1.0;
+    while shifted < SERIES_FROM {
+        product *= shifted;
+        shifted += 1.0;
+    }
+    let inverse = 1.0 / shifted;
+    let series = inverse / 12.0 - inverse.powi(3) / 360.0 + inverse.powi(5) / 1_260.0;
+    let half_ln_tau = 0.5 * std::f64::consts::TAU.ln();
+    (shifted - 0.5) * shifted.ln() - shifted + half_ln_tau + series - product.ln()
+}
--- a/crates/dispatch/src/sending_rates.rs
+++ b/crates/dispatch/src/sending_rates.rs
@@ -28,6 +28,8 @@
 /// some requests.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SendingRates {
+    /// Whether a request to the target version of the service's rollout is allowed.
+    pub(crate) allows_trial: bool,
     /// This node's share of the rate of a cold (newly started) replica; `None` if there is no limit.
     cold_per_s: Option<f64>,
     /// This node's share of the limit that a replica names in its responses, from 0 to 1; `None` if
@@ -50,13 +52,14 @@
 
 impl Pool {
     /// Returns what this node may send to the replicas of a service that limit their rate.
-    pub(crate) fn sending_rates(&self, service: ServiceKey) -> SendingRates {
+    pub(crate) fn sending_rates(&self, now_us: u64, service: ServiceKey) -> SendingRates {
         let entry = &self.services[service.0 as usize];
         let senders = entry.senders.unwrap_or(self.nodes).max(1);
         let cold_per_s = entry.cold_rate_per_s * COLD_USED_FRACTION / senders as f64;
         let share = entry.sender_share.unwrap_or(1.0 / self.nodes as f64);
         let policy = self.policy();
         SendingRates {
+            allows_trial: self.allows_trial(now_us, service, false),
             cold_per_s: (policy.cold_rate && cold_per_s > 0.0).then_some(cold_per_s),
             limit_share: policy.rate_limits.then_some(share),
         }
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -5,6 +5,7 @@
 use crate::ReplicaKey;
 use crate::extra_budget::ExtraBudget;
 use crate::refusal_period::RefusalPeriod;
+use crate::version_gate::VersionGate;
 
 /// Key of a service in a [`Pool`](crate::Pool).
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -29,6 +30,8 @@
     pub(crate) sender_share: Option<f64>,
     /// Number of nodes in all data centres that send to the service; `None` until it is known.
     pub(crate) senders: Option<usize>,
+    /// Versions that get requests.
+    pub(crate) versions: VersionGate,
 }
 
 impl Service {
@@ -41,6 +44,7 @@
             replicas: Vec::new(),
             sender_share: None,
             senders: None,
+            versions: VersionGate::default(),
         }
     }
 }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -47,6 +47,7 @@
         slots: 2,
         state: RegistrationState::Ready,
         cold_for_ms: 0,
+        version: "v1".into(),
     }
 }
 
--- a/crates/entry/src/peers/feed_protocol.rs
+++ b/crates/entry/src/peers/feed_protocol.rs
@@ -34,8 +34,8 @@
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 /// Revisions of the watched collections, in the order of [`Collection::WATCHED`]; `None` for
-/// one that the node has no copy of.
-pub(crate) type Revisions = [Option<StoreRevision>; Collection::WATCHED.len()];
+/// one that the node has no copy of. The last ones are left out if they are not watched.
+pub(crate) type Revisions = Vec<Option<StoreRevision>>;
 
 /// A message from a node that reads the store to a follower.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -149,9 +149,9 @@
 /// Formats the value of [`FOLLOW_HEADER`].
 pub(crate) fn follow_value(revisions: &Revisions) -> Option<HeaderValue> {
     let text =
-        |revision: Option<StoreRevision>| revision.map_or_else(String::new, |it| it.to_string());
-    let text = revisions.map(text).join(",");
-    HeaderValue::from_str(&text).ok()
+        |revision: &Option<StoreRevision>| revision.map_or_else(String::new, |it| it.to_string());
+    let texts: Vec<String> = revisions.iter().map(text).collect();
+    HeaderValue::from_str(&texts.join(",")).ok()
 }
 
 /// Parses the revisions from which a follower needs changes; `None` if the request is not one
@@ -166,6 +166,5 @@
             Some(Some(StoreRevision { era, number }))
         }
     };
-    let revisions: Option<Vec<Option<StoreRevision>>> = text.split(',').map(revision).collect();
-    revisions?.try_into().ok()
+    text.split(',').map(revision).collect()
 }
--- a/crates/entry/src/peers/feed_server.rs
+++ b/crates/entry/src/peers/feed_server.rs
@@ -43,7 +43,8 @@
     views: &CollectionViews,
     revisions: &Revisions,
 ) -> Result<impl Stream<Item = FeedMessage> + use<>, FeedRefusal> {
-    if !serves_from_store(shared) {
+    // A node with other settings watches other collections.
+    if !serves_from_store(shared) || revisions.len() != views.len() {
         return Err(FeedRefusal::NotReading);
     }
     if !is_healthy(shared, views) {
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -10,4 +10,6 @@
 pub(crate) mod relay_client;
 pub(crate) mod relay_protocol;
 pub(crate) mod relay_server;
+pub(crate) mod rollout_protocol;
+pub(crate) mod rollout_reports;
 pub(crate) mod unpack_error;
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -33,6 +33,8 @@
 use crate::peers::feed_server;
 use crate::peers::feed_server::FeedRefusal;
 use crate::peers::relay_protocol;
+use crate::peers::rollout_protocol;
+use crate::peers::rollout_reports;
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
 use crate::process::node_state::Phase;
@@ -95,6 +97,13 @@
             .extend(crash_reports::all_reports(shared));
         return response;
     }
+    if let Some(report) = rollout_protocol::read_report(request.headers()) {
+        let answer = rollout_reports::take_report(shared, Some(report));
+        let mut response = empty_response(StatusCode::NO_CONTENT);
+        let answer = answer.and_then(rollout_protocol::encode_answer);
+        response.headers_mut().extend(answer);
+        return response;
+    }
     match read_query(shared, request, arrived_us).await {
         Some(query) => {
             let legs = query.legs.len();
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -111,6 +111,28 @@
         request_id: &'a str,
         service: &'a str,
     },
+    /// Which versions this node sends requests to during a rollout changed (`trial`, `moving`,
+    /// `stopped`, `succeeded`, `rolled_back`), or this node decided as the coordinator what nodes are
+    /// told (`try`, `move`, `stop`).
+    Rollout {
+        decided_by: &'a str,
+        elapsed_ms: u64,
+        new_requests: u64,
+        reason: &'a str,
+        service: &'a str,
+        state: &'a str,
+        target_version: &'a str,
+    },
+    /// The state of a rollout was written, or the outcome of the write is unknown; `stands` is the
+    /// state that the store holds.
+    RolloutStatus {
+        outcome: &'a str,
+        revision: u64,
+        service: &'a str,
+        stands: Option<&'a str>,
+        state: &'a str,
+        target_version: &'a str,
+    },
     /// The process started.
     Start {
         caller_address: SocketAddr,
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -31,6 +31,8 @@
     pub(crate) replica_replies: IntCounterVec,
     pub(crate) request_latency_s: HistogramVec,
     pub(crate) requests: IntCounterVec,
+    pub(crate) rollout_decisions: IntCounterVec,
+    pub(crate) rollout_report_failures: IntCounter,
     pub(crate) store_age_ms: IntGauge,
     pub(crate) store_calls: IntCounterVec,
 }
@@ -96,6 +98,17 @@
                 Opts::new("requests_total", "Final answers by outcome"),
                 &["outcome"],
             )?,
+            rollout_decisions: IntCounterVec::new(
+                Opts::new(
+                    "rollout_decisions_total",
+                    "Decisions of this node as the coordinator of rollouts",
+                ),
+                &["order"],
+            )?,
+            rollout_report_failures: IntCounter::new(
+                "rollout_report_failures_total",
+                "Reports about rollouts that a node did not answer",
+            )?,
             store_age_ms: IntGauge::new("store_age_ms", "Age of the store's word on replicas")?,
             store_calls: IntCounterVec::new(
                 Opts::new(
@@ -125,6 +138,8 @@
         registry.register(Box::new(self.replica_replies.clone()))?;
         registry.register(Box::new(self.request_latency_s.clone()))?;
         registry.register(Box::new(self.requests.clone()))?;
+        registry.register(Box::new(self.rollout_decisions.clone()))?;
+        registry.register(Box::new(self.rollout_report_failures.clone()))?;
         registry.register(Box::new(self.store_age_ms.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))
     }
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -26,6 +26,7 @@
 use crate::peers::change_feed::ChangeFeed;
 use crate::peers::crash_reports::CrashReports;
 use crate::peers::relay_client::RelayConnections;
+use crate::peers::rollout_reports::RolloutReports;
 use crate::process::clock::Clock;
 use crate::process::event::Event;
 use crate::process::event_log::EventLog;
@@ -78,6 +79,7 @@
     pub(crate) replicas_fresh_us: Cell<Option<u64>>,
     /// Whether the last call to read the replicas failed.
     pub(crate) replicas_unavailable: Cell<bool>,
+    pub(crate) rollouts: RolloutReports,
     pub(crate) settings: ProcessSettings,
     /// End of the process, once it was told to stop.
     pub(crate) stop_limit: Cell<Option<StopLimit>>,
@@ -99,6 +101,7 @@
             slack: settings.extra_slack,
             window_ms: settings.extra_window_ms,
         });
+        pool.set_rollout_bounds(settings.rollout_bounds);
         let clock = Clock::start();
         Self {
             response_memory: RefCell::new(ResponseMemoryBudget::new(settings.memory_bytes)),
@@ -120,6 +123,7 @@
             relay_connections: RefCell::default(),
             replicas_fresh_us: Cell::new(None),
             replicas_unavailable: Cell::new(false),
+            rollouts: RolloutReports::default(),
             settings,
             stop_limit: Cell::new(None),
             table: RefCell::new(None),
--- a/crates/entry/src/process/run.rs
+++ b/crates/entry/src/process/run.rs
@@ -17,6 +17,7 @@
 use crate::peers::crash_reports;
 use crate::peers::feed_client;
 use crate::peers::relay_server;
+use crate::peers::rollout_reports;
 use crate::process::event::Event;
 use crate::process::event_log::EventLog;
 use crate::process::lifecycle;
@@ -146,6 +147,10 @@
     let state = shared.clone();
     supervisor::spawn("crash_reports", move || crash_reports::run(state.clone()));
     let state = shared.clone();
+    supervisor::spawn("rollout_reports", move || {
+        rollout_reports::run(state.clone())
+    });
+    let state = shared.clone();
     supervisor::spawn("peer_registry", move || peer_registry::run(state.clone()));
     let state = shared.clone();
     supervisor::spawn("store_sentinel", move || store_health::run(state.clone()));
--- a/crates/entry/src/requests/query.rs
+++ b/crates/entry/src/requests/query.rs
@@ -359,6 +359,8 @@
             .with_label_values(&[reply_label(reply)])
             .inc();
         let mut pool = shared.pool.borrow_mut();
+        let route = &self.route.spec.name;
+        pool.observe_version(now_us, self.sent_us, self.replica, route, Some(reply));
         pool.request_finished(now_us, self.replica, reply, ratio);
     }
 }
@@ -372,6 +374,8 @@
         let silent = now_us - self.sent_us >= SILENT_SUB_REQUEST_US;
         let mut pool = self.shared.pool.borrow_mut();
         if silent {
+            let route = &self.route.spec.name;
+            pool.observe_version(now_us, self.sent_us, self.replica, route, None);
             let reply = Reply::Unknown(UnknownCause::Silent);
             pool.request_finished(now_us, self.replica, reply, 1.0);
         } else {
--- a/crates/entry/src/store/collection_effects.rs
+++ b/crates/entry/src/store/collection_effects.rs
@@ -39,6 +39,7 @@
                 self.apply_evacuations(revision, restored);
             }
             Collection::Nodes => {}
+            Collection::Rollouts => self.apply_listed_rollouts(objects, restored),
             Collection::Replicas => {
                 let registrations = objects.iter().filter_map(|item| self.registration(item));
                 let registrations: Vec<Registration> = registrations.collect();
@@ -77,6 +78,7 @@
             }
             Collection::Nodes => {}
             Collection::Replicas => self.apply_replicas(changes, revision),
+            Collection::Rollouts => self.apply_rollout_changes(changes),
         }
     }
 
@@ -134,7 +136,7 @@
         }
     }
 
-    fn report_malformed(&self, object: &StoredObject, reason: String) {
+    pub(super) fn report_malformed(&self, object: &StoredObject, reason: String) {
         let labels = [self.collection.wire_name()];
         let malformed = &self.shared.metrics.malformed_entries;
         malformed.with_label_values(&labels).inc();
--- a/crates/entry/src/store/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -73,6 +73,9 @@
             Collection::Configuration => settings.config_apply_ms,
             Collection::Evacuations => settings.evacuation_ms,
             Collection::Nodes | Collection::Replicas => settings.drain_ms,
+            Collection::Rollouts => settings
+                .rollout_bounds
+                .map_or(settings.drain_ms, |bounds| bounds.rollback_ms),
         }
     }
 
@@ -169,7 +172,12 @@
         let deleted = known.keys().filter(|name| !names.contains(name));
         let deleted: Vec<Arc<str>> = deleted.cloned().collect();
         Ok(ChangeBatch {
-            body: packing::pack(&encode_changes(&changed, &deleted, revision.number)?),
+            body: packing::pack(&encode_changes(
+                self.collection,
+                &changed,
+                &deleted,
+                revision.number,
+            )?),
             from: former,
             to: revision,
         })
@@ -185,7 +193,7 @@
         }
         let objects = self.objects.borrow();
         let all: Vec<&StoredObject> = objects.values().collect();
-        let body = match encode_changes(&all, &[], revision.number) {
+        let body = match encode_changes(self.collection, &all, &[], revision.number) {
             Ok(body) => body,
             Err(error) => {
                 log::error!("cannot encode a collection: {error}");
--- a/crates/entry/src/store/collection_views.rs
+++ b/crates/entry/src/store/collection_views.rs
@@ -8,14 +8,20 @@
 
 /// A node's copies of the collections that it watches, in the order of
 /// [`Collection::WATCHED`].
-pub(crate) type CollectionViews = Rc<[Rc<CollectionView>; Collection::WATCHED.len()]>;
+pub(crate) type CollectionViews = Rc<[Rc<CollectionView>]>;
 
 pub(crate) fn new(shared: &Rc<NodeState>) -> CollectionViews {
     let view = |collection| Rc::new(CollectionView::new(shared.clone(), collection));
-    Rc::new(Collection::WATCHED.map(view))
+    let watched = Collection::WATCHED.into_iter();
+    watched
+        .filter(|collection| {
+            *collection != Collection::Rollouts || shared.settings.rollout_bounds.is_some()
+        })
+        .map(view)
+        .collect()
 }
 
 /// Returns the revisions of the copies.
 pub(crate) fn revisions(views: &CollectionViews) -> Revisions {
-    views.each_ref().map(|view| view.revision.get())
+    views.iter().map(|view| view.revision.get()).collect()
 }
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -5,6 +5,8 @@
 pub(crate) mod collection_views;
 pub(crate) mod paged_list;
 pub(crate) mod peer_registry;
+pub(crate) mod rollout_effects;
+pub(crate) mod rollout_status;
 pub(crate) mod route_switch;
 pub(crate) mod store_call;
 pub(crate) mod store_client;
--- a/crates/entry/src/store/store_call.rs
+++ b/crates/entry/src/store/store_call.rs
@@ -16,6 +16,8 @@
     List,
     /// Checks whether the store answers, by a list that may be stale.
     HealthCheck,
+    /// Reads one object after the outcome of a write to it is unknown.
+    Read,
     /// Reads a page of all objects, which may be stale.
     StaleList,
     /// Waits for changes.
@@ -31,6 +33,7 @@
             Self::CatchUp => "catch_up",
             Self::List => "list",
             Self::HealthCheck => "look",
+            Self::Read => "read",
             Self::StaleList => "stale_list",
             Self::Watch => "watch",
             Self::Write => "write",
--- a/crates/measure/src/entry/entry_node.rs
+++ b/crates/measure/src/entry/entry_node.rs
@@ -98,6 +98,7 @@
     Registration {
         address: SocketAddr::from(([10, 0, (index / 256) as u8, (index % 256) as u8], 9_000)),
         cold_for_ms: 0,
+        version: Arc::default(),
         data_centre: data_centre_name(replica_data_centre(shape, index)),
         id: format!("replica-{index}").into(),
         sequence: 1,
