--- a/crates/dispatch/src/rollout_coordinator.rs
+++ b/crates/dispatch/src/rollout_coordinator.rs
@@ -212,16 +212,18 @@
         let left_ms = clock.left_ms();
         let most_report = self.most_report(clock);
         // A coordinator that few nodes reach leaves the decision to another one for as long as it can.
-        let give_up_ms = if most_report {
-            LAST_ACCEPTANCE_MS
+        let (accept_ms, give_up_ms) = if most_report {
+            (clock.acceptance_ms(), LAST_ACCEPTANCE_MS)
         } else {
-            LAST_WRITE_MS / 2
+            (LAST_WRITE_MS, LAST_WRITE_MS / 2)
         };
         let trying = self.order == RolloutOrder::Try;
-        let order = if verdict.bad || (trying && left_ms <= give_up_ms) {
+        let order = if verdict.bad {
             RolloutOrder::Stop
-        } else if trying && left_ms <= clock.acceptance_ms() && verdict.acceptable && most_report {
+        } else if trying && left_ms <= accept_ms && verdict.acceptable {
             RolloutOrder::Move
+        } else if trying && left_ms <= give_up_ms {
+            RolloutOrder::Stop
         } else {
             return None;
         };
--- a/crates/dispatch/src/rollout_verdict.rs
+++ b/crates/dispatch/src/rollout_verdict.rs
@@ -13,7 +13,7 @@
 //!   version is slower than one of the earlier with a probability above [`SLOW_PROBABILITY`].
 //! - Acceptable: `P(X <= f) <= ACCEPT_ERROR` for `X` binomial with `n` and a rate that exceeds `q` by
 //!   a margin, and the rank statistic is below [`ACCEPT_Z`] or the probability is below
-//!   [`SLOW_PROBABILITY`]. A version that exceeds the earlier failures by the margin is accepted
+//!   [`SLOW_PROBABILITY`], and that is below [`SLOW_PROBABILITY_MAX`] by two standard errors. A version that exceeds the earlier failures by the margin is accepted
 //!   with at most that probability; with fewer responses than that takes, there is no acceptance.
 
 use std::collections::BTreeSet;
@@ -30,13 +30,18 @@
 /// Rank statistic from which a target version is slow at any look.
 const SLOW_Z: f64 = 4.5;
 
-/// Rank statistic from which a target version is not accepted at the last look.
-const ACCEPT_Z: f64 = 3.0;
+/// Rank statistic from which a target version is not accepted: 5 in a thousand equally fast versions
+/// for each set.
+const ACCEPT_Z: f64 = 2.6;
 
 /// Probability that a response of the target version is slower than one of the earlier version, from
 /// which the difference counts. A cold cache alone gives less.
 const SLOW_PROBABILITY: f64 = 0.65;
 
+/// Highest such probability, two standard errors above the observed one, of an accepted version.
+/// Versions that are three times slower are at 0.9 with usual latencies.
+const SLOW_PROBABILITY_MAX: f64 = 0.85;
+
 /// Probability to accept a version that exceeds the failures of the earlier one by the margin.
 const ACCEPT_ERROR: f64 = 0.01;
 
@@ -108,23 +113,24 @@
 
 impl ResponseSet {
     fn all(strata: Vec<VersionPair>) -> Self {
-        Self::new(MARGIN, ACCEPT_ERROR, true, strata)
+        Self {
+            accept_error: ACCEPT_ERROR,
+            is_required: true,
+            margin: MARGIN,
+            ..Self::part(strata)
+        }
     }
 
     fn part(strata: Vec<VersionPair>) -> Self {
-        Self::new(PART_MARGIN, PART_ACCEPT_ERROR, false, strata)
-    }
-
-    fn new(margin: f64, accept_error: f64, is_required: bool, strata: Vec<VersionPair>) -> Self {
         let (mut new, mut old) = (VersionSample::default(), VersionSample::default());
         for pair in &strata {
             new.add(&pair.new);
             old.add(&pair.old);
         }
         Self {
-            accept_error,
-            margin,
-            is_required,
+            accept_error: PART_ACCEPT_ERROR,
+            margin: PART_MARGIN,
+            is_required: false,
             new,
             old,
             strata,
@@ -137,7 +143,7 @@
     }
 
     fn describe(&self) -> String {
-        let (z, probability) = slowness(&self.strata);
+        let Slowness { probability, z, .. } = slowness(&self.strata);
         format!(
             "{} of {} failed, before {} of {}; slower with probability {probability:.2}, z {z:.1}",
             self.new.bad,
@@ -171,8 +177,7 @@
 
 /// Returns why the target version is bad, if the set shows it.
 fn shows_bad(set: &ResponseSet) -> Option<String> {
-    let (z, probability) = slowness(&set.strata);
-    let slow = z >= SLOW_Z && probability >= SLOW_PROBABILITY;
+    let slow = slowness(&set.strata).exceeds(SLOW_Z);
     let (bad, good) = (set.new.bad as f64, set.new.good_total() as f64);
     let old_rate = set.old_rate();
     let averaged = ln_beta(bad + 1.0, good + 1.0);
@@ -186,10 +191,13 @@
 /// all requests to it.
 fn lacks(set: &ResponseSet, total: u64) -> Option<String> {
     let requests = set.new.total();
-    let (z, probability) = slowness(&set.strata);
-    if z >= ACCEPT_Z && probability >= SLOW_PROBABILITY {
+    let slowness = slowness(&set.strata);
+    if slowness.exceeds(ACCEPT_Z) {
         return Some(set.describe());
     }
+    if set.is_required && slowness.probability + 2.0 * slowness.error > SLOW_PROBABILITY_MAX {
+        return Some(format!("too little evidence, {}", set.describe()));
+    }
     if !set.is_required && (requests as f64) < total as f64 * ROUTE_SHARE_MIN {
         // Too few requests for evidence of their own; more failures than before still count.
         let rate = set.old_rate();
@@ -201,9 +209,27 @@
         .then(|| format!("too little evidence, {}", set.describe()))
 }
 
-/// Returns the rank statistic of the strata, and the probability that a response of the target
-/// version is slower than one of the earlier version to a request of the same stratum.
-fn slowness(strata: &[VersionPair]) -> (f64, f64) {
+/// Latencies of the target version relative to those of the earlier one.
+#[derive(Clone, Copy, Debug)]
+struct Slowness {
+    /// Standard error of the probability if the versions are equally fast.
+    error: f64,
+    /// Probability that a response of the target version is slower than one of the earlier version
+    /// to a request of the same stratum.
+    probability: f64,
+    /// Van Elteren's rank statistic, standard normal if the versions are equally fast.
+    z: f64,
+}
+
+impl Slowness {
+    /// Whether the difference counts, with a rank statistic of at least `z`.
+    fn exceeds(self, z: f64) -> bool {
+        self.z >= z && self.probability >= SLOW_PROBABILITY
+    }
+}
+
+/// Compares the latencies of the strata.
+fn slowness(strata: &[VersionPair]) -> Slowness {
     let (mut excess, mut variance, mut pairs, mut slower) = (0.0, 0.0, 0.0, 0.0);
     let (mut new_ranked, mut old_ranked) = (0, 0);
     for VersionPair { new, old } in strata {
@@ -222,9 +248,18 @@
         slower += weight * wins;
     }
     if new_ranked < RANKED_MIN || old_ranked < RANKED_MIN {
-        return (0.0, 0.5);
+        return Slowness {
+            error: 1.0,
+            probability: 0.5,
+            z: 0.0,
+        };
+    }
+    let deviation = f64::sqrt(variance);
+    Slowness {
+        error: deviation / pairs,
+        probability: slower / pairs,
+        z: excess / deviation,
     }
-    (excess / variance.sqrt(), slower / pairs)
 }
 
 /// Returns the number of pairs in which the response of the target version is slower; half for
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -29,6 +29,7 @@
 use wigeonhall_adapter_standins::SETTINGS_VARIABLE;
 use wigeonhall_adapter_standins::StoreStandin;
 use wigeonhall_adapter_standins::settings_text;
+use wigeonhall_adapter_standins::with_rollouts;
 use wigeonhall_dispatch::Configuration;
 use wigeonhall_dispatch::RequestLimits;
 use wigeonhall_dispatch::RouteKind;
@@ -66,10 +67,23 @@
         Self::start_at(store.address(), node_name)
     }
 
+    /// Starts a node of a deployment with rollouts.
+    pub fn start_with_rollouts(store: &StoreStandin, node_name: &str) -> Self {
+        let name = format!(
+            "wigeonhall-rollouts-{}-{}.yaml",
+            process::id(),
+            next_number()
+        );
+        let settings = std::env::temp_dir().join(name);
+        let text = settings_text(store.address(), node_name, "north", GRACE_MS);
+        fs::write(&settings, with_rollouts(&text)).unwrap();
+        let command = Command::new(env!("CARGO_BIN_EXE_wigeonhall-node"));
+        Self::run(command, settings)
+    }
+
     /// Starts a node that reaches its store at the given address, such as that of a proxy.
     pub fn start_at(store: SocketAddr, node_name: &str) -> Self {
-        static NEXT: AtomicUsize = AtomicUsize::new(0);
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let number = next_number();
         let name = format!("wigeonhall-entry-{}-{number}.yaml", process::id());
         let settings = std::env::temp_dir().join(name);
         fs::write(
@@ -194,6 +208,12 @@
     }
 }
 
+/// Returns a number for the name of a settings file.
+fn next_number() -> usize {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
 fn collect_lines(output: ChildStdout, lines: &Mutex<Vec<Value>>) {
     for line in BufReader::new(output).lines().map_while(Result::ok) {
         let line = serde_json::from_str(&line).expect("a line of JSON");
--- /dev/null
+++ b/crates/node/tests/entry/rollouts.rs
@@ -0,0 +1,250 @@
+//! Guards against rollouts that end in two states or in none, and against requests to versions that
+//! must get none.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering::Relaxed;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use wigeonhall_adapter::Collection;
+use wigeonhall_adapter_standins::Behaviour;
+use wigeonhall_adapter_standins::ReplicaStandin;
+use wigeonhall_adapter_standins::StoreStandin;
+
+use crate::caller::ask;
+use crate::deployment::Node;
+use crate::deployment::configuration;
+use crate::deployment::deploy;
+use crate::deployment::route_to_a;
+use crate::deployment::wait_until;
+
+const NODES: usize = 3;
+
+/// Duration of the rollouts.
+const DURATION_S: u64 = 8;
+
+/// Pause of each caller between two requests; a service gets some 40 requests a second.
+const CALLER_PAUSE: Duration = Duration::from_millis(60);
+
+/// Time in which a node learns of a change, and in which a status may be written twice.
+const SETTLING: Duration = Duration::from_millis(1_500);
+
+/// Nodes with callers, two replicas of each version, and a store.
+struct Fleet {
+    callers: Vec<JoinHandle<()>>,
+    /// Number of requests that were not answered with success.
+    failed: Arc<AtomicUsize>,
+    /// Number of requests that reached a replica of the first version while the store held a
+    /// success.
+    late: Arc<AtomicUsize>,
+    nodes: Vec<Node>,
+    replicas: Vec<ReplicaStandin>,
+    stopped: Arc<AtomicBool>,
+    store: Arc<StoreStandin>,
+}
+
+impl Fleet {
+    /// Starts nodes and replicas of `v1`.
+    fn start() -> Self {
+        let store = Arc::new(StoreStandin::start().unwrap());
+        store.configure(&configuration(1, vec![route_to_a("one")]));
+        let mut fleet = Self {
+            callers: Vec::new(),
+            failed: Arc::default(),
+            late: Arc::default(),
+            nodes: Vec::new(),
+            replicas: Vec::new(),
+            stopped: Arc::default(),
+            store,
+        };
+        fleet.add_version("v1", 200);
+        for number in 0..NODES {
+            let name = format!("node-{number}");
+            let node = Node::start_with_rollouts(&fleet.store, &name);
+            fleet.nodes.push(node);
+        }
+        for node in &fleet.nodes {
+            node.wait_ready();
+            node.logged(|line| line["event"] == "nodes" && line["near"] == NODES);
+        }
+        fleet.callers = (0..NODES).map(|index| fleet.call(index)).collect();
+        fleet
+    }
+
+    /// Starts two replicas of a version that answer with a status.
+    fn add_version(&mut self, version: &str, status: u16) {
+        for _ in 0..2 {
+            let number = self.replicas.len() + 1;
+            let (late, store) = (self.late.clone(), self.store.clone());
+            let is_first = version == "v1";
+            let decide = move |_: &_| {
+                let succeeded = |(state, _): (String, String)| state == "succeeded";
+                if is_first && store.rollout_status("a").is_some_and(succeeded) {
+                    late.fetch_add(1, Relaxed);
+                }
+                Behaviour::Answer {
+                    body: b"some".to_vec(),
+                    delay: Duration::from_millis(3),
+                    status,
+                }
+            };
+            let replica = ReplicaStandin::start("a", number, decide).unwrap();
+            let mut registration = replica.registration("north");
+            registration.version = version.into();
+            registration.started_unix_ms = number as u64;
+            self.store.register(&registration);
+            self.replicas.push(replica);
+        }
+    }
+
+    /// Sends requests to a node until the test ends or the node does.
+    fn call(&self, index: usize) -> JoinHandle<()> {
+        let (failed, stopped) = (self.failed.clone(), self.stopped.clone());
+        let address = self.nodes[index].callers;
+        thread::spawn(move || {
+            let mut number = 0;
+            while !stopped.load(Relaxed) && std::net::TcpStream::connect(address).is_ok() {
+                number += 1;
+                let id = format!("q-{index}-{number}");
+                let status = ask(address, "GET", "/one/x", &id, "").status;
+                failed.fetch_add(usize::from(status != 200), Relaxed);
+                thread::sleep(CALLER_PAUSE);
+            }
+        })
+    }
+
+    /// Returns the number of requests that the replicas of the `index`th version ran.
+    fn runs(&self, index: usize) -> usize {
+        let replicas = self.replicas.iter().skip(2 * index).take(2);
+        replicas.map(|replica| replica.runs().len()).sum()
+    }
+
+    fn wait_status(&self, state: &str, version: &str) {
+        let status = Some((state.to_owned(), version.to_owned()));
+        wait_until(state, || self.store.rollout_status("a") == status);
+    }
+
+    fn assert_written(&self, states: &[&str]) {
+        thread::sleep(SETTLING);
+        assert_eq!(self.store.rollout_writes("a"), states);
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stopped.store(true, Relaxed);
+        for caller in self.callers.drain(..) {
+            // A caller of a node that was killed may fail.
+            drop(caller.join());
+        }
+    }
+}
+
+/// The replicas of the earlier version stop at the write, without draining.
+#[test]
+fn a_good_version_succeeds_and_the_earlier_one_gets_no_request_after_that() {
+    let mut fleet = Fleet::start();
+    fleet.add_version("v2", 200);
+    fleet.store.request_rollout("a", "v2", DURATION_S);
+    fleet.wait_status("succeeded", "v2");
+    fleet.assert_written(&["running", "succeeded"]);
+    assert!(fleet.runs(1) > 0);
+    assert_eq!(fleet.late.load(Relaxed), 0);
+    assert_eq!(fleet.failed.load(Relaxed), 0);
+}
+
+#[test]
+fn a_bad_version_is_rolled_back_within_its_exposure() {
+    let mut fleet = Fleet::start();
+    fleet.add_version("v2", 500);
+    fleet.store.request_rollout("a", "v2", DURATION_S);
+    fleet.wait_status("rolled_back", "v2");
+    let (earlier, target) = (fleet.runs(0), fleet.runs(1));
+    assert!(target <= (earlier + target) / 10 + 50, "{target} requests");
+    fleet.assert_written(&["running", "rolled_back"]);
+    let settled = fleet.runs(1);
+    thread::sleep(SETTLING);
+    assert_eq!(fleet.runs(1), settled);
+}
+
+/// The write is applied; a second one would be refused or change the state again.
+#[test]
+fn a_final_state_is_written_once_when_the_answer_to_the_write_is_lost() {
+    let mut fleet = Fleet::start();
+    fleet.add_version("v2", 500);
+    fleet.store.refuse_status_writes(true);
+    fleet.store.request_rollout("a", "v2", DURATION_S);
+    for node in &fleet.nodes {
+        node.logged(|line| line["event"] == "rollout" && line["state"] == "stopped");
+    }
+    fleet.store.lose_write_answers(2);
+    fleet.store.refuse_status_writes(false);
+    fleet.wait_status("rolled_back", "v2");
+    fleet.assert_written(&["running", "rolled_back"]);
+}
+
+/// The decision is lost with its node; the next coordinator decides by the totals of the others.
+#[test]
+fn a_rollout_ends_when_its_coordinator_is_killed_before_it_writes() {
+    let mut fleet = Fleet::start();
+    fleet.add_version("v2", 500);
+    fleet.store.request_rollout("a", "v2", DURATION_S);
+    fleet.store.refuse_status_writes(true);
+    let decided = |node: &Node| {
+        let lines = node.all_logged(|line| line["event"] == "rollout" && line["state"] == "stop");
+        !lines.is_empty()
+    };
+    wait_until("a decision", || fleet.nodes.iter().any(decided));
+    let coordinator = fleet.nodes.iter().position(decided).unwrap();
+    fleet.nodes[coordinator].signal("KILL");
+    fleet.nodes.remove(coordinator).end();
+    fleet.store.refuse_status_writes(false);
+    fleet.wait_status("rolled_back", "v2");
+    fleet.assert_written(&["running", "rolled_back"]);
+}
+
+/// The evidence about the replaced version must not decide about the next one.
+#[test]
+fn a_replaced_rollout_starts_again_and_its_version_gets_no_more_requests() {
+    let mut fleet = Fleet::start();
+    fleet.add_version("v2", 200);
+    fleet.store.request_rollout("a", "v2", DURATION_S);
+    wait_until("requests to the target version", || fleet.runs(1) > 3);
+    fleet.add_version("v3", 200);
+    fleet.store.request_rollout("a", "v3", DURATION_S);
+    thread::sleep(SETTLING);
+    let replaced = fleet.runs(1);
+    fleet.wait_status("succeeded", "v3");
+    fleet.assert_written(&["running", "running", "succeeded"]);
+    assert_eq!(fleet.runs(1), replaced);
+    assert_eq!(fleet.failed.load(Relaxed), 0);
+}
+
+/// No rollout names the version.
+#[test]
+fn a_version_that_was_not_rolled_out_gets_no_request() {
+    let mut fleet = Fleet::start();
+    fleet.add_version("v9", 200);
+    let earlier = fleet.runs(0);
+    wait_until("more requests", || fleet.runs(0) > earlier + 60);
+    assert_eq!(fleet.runs(1), 0);
+}
+
+/// Calls to the store cost money, also of deployments without rollouts.
+#[test]
+fn nodes_without_rollouts_do_not_read_them_and_send_to_all_versions() {
+    let replicas = [1, 2]
+        .map(|number| ReplicaStandin::start("a", number, |_| Behaviour::answer("some")).unwrap());
+    let (store, node) = deploy(vec![route_to_a("one")], &[&replicas[0]]);
+    let mut other = replicas[1].registration("north");
+    other.version = "v9".into();
+    store.register(&other);
+    wait_until("a request to the other version", || {
+        ask(node.callers, "GET", "/one/x", "q", "");
+        !replicas[1].runs().is_empty()
+    });
+    assert_eq!(store.calls_for(Collection::Rollouts), 0);
+}
