--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -198,7 +198,14 @@
         service: ServiceKey,
         tried: &[ReplicaKey],
     ) -> Option<ReplicaKey> {
-        let ranked = self.rank(now_us, service, tried);
+        let ranked = self.rank(now_us, service, tried, tried.is_empty());
+        ranked.first().map(|(_, key)| *key)
+    }
+
+    /// Chooses the replica that this node uses if it takes a leg back from another node; not one of
+    /// the target version of a rollout, which may get no request by then.
+    pub fn choose_fallback(&mut self, now_us: u64, service: ServiceKey) -> Option<ReplicaKey> {
+        let ranked = self.rank(now_us, service, &[], false);
         ranked.first().map(|(_, key)| *key)
     }
 
@@ -243,14 +250,16 @@
         self.by_id.get(id).copied()
     }
 
-    /// Returns the usable replicas of a service with their expected costs, the lowest first.
+    /// Returns the usable replicas of a service with their expected costs, the lowest first. Only a
+    /// first request (`may_try`) goes to the target version of a rollout while there are others.
     fn rank(
         &mut self,
         now_us: u64,
         service: ServiceKey,
         tried: &[ReplicaKey],
+        may_try: bool,
     ) -> Vec<(f64, ReplicaKey)> {
-        let extra = tried.is_empty() && self.draw_extra(now_us, service);
+        let extra = may_try && self.draw_extra(now_us, service);
         let mut rates = self.sending_rates(now_us, service);
         rates.allows_trial = self.allows_trial(now_us, service, extra);
         let policy = self.policy;
@@ -270,7 +279,7 @@
             ranked.push((cost, *key));
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        self.prefer_version(&mut ranked, tried.is_empty());
+        self.prefer_version(&mut ranked, may_try);
         ranked
     }
 
--- a/crates/dispatch/src/pool_rollouts.rs
+++ b/crates/dispatch/src/pool_rollouts.rs
@@ -12,14 +12,12 @@
 use crate::exposure_credit::ExposureCredit;
 use crate::version_gate::VersionRole;
 
-/// What a node knows about the time of a rollout's request.
+/// Where a rollout was read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RolloutNews {
-    /// The rollout was requested since this node read the collection before.
-    Changed,
-    /// The rollout is in the first list that this node reads; it may be older.
-    FirstList,
-    /// The rollout is in the first list of a store that was restored from an older copy.
+    /// In the store or a message of a peer.
+    Current,
+    /// In the first list of a store that was restored from an older copy.
     Restored,
 }
 
@@ -289,7 +287,8 @@
             let replica = self.replica(*key);
             replica.is_some_and(|replica| replica.role == preferred)
         };
-        if ranked.iter().any(|(_, key)| is_preferred(key)) {
+        let has_bounds = self.rollout_bounds.is_some();
+        if has_bounds && ranked.iter().any(|(_, key)| is_preferred(key)) {
             ranked.retain(|(_, key)| is_preferred(key));
         }
     }
--- a/crates/dispatch/tests/rollout_tier/mod.rs
+++ b/crates/dispatch/tests/rollout_tier/mod.rs
@@ -158,7 +158,7 @@
             if node.learns_us == now_us || written {
                 let rollout = rollout(self.shape, state.filter(|_| written));
                 let revision = u64::from(written);
-                let news = RolloutNews::Changed;
+                let news = RolloutNews::Current;
                 node.pool.apply_rollout(now_us, rollout, revision, news);
             }
         }
--- a/crates/entry/src/peers/rollout_reports.rs
+++ b/crates/entry/src/peers/rollout_reports.rs
@@ -59,6 +59,13 @@
     pub(crate) writing: RefCell<BTreeSet<ServiceKey>>,
 }
 
+impl RolloutReports {
+    /// Drops what was decided about a service's rollout, which has ended or was replaced.
+    pub(crate) fn forget(&self, service: ServiceKey) {
+        self.coordinators.borrow_mut().remove(&service);
+    }
+}
+
 /// Reports about the running rollouts until the process ends.
 pub(crate) async fn run(shared: Rc<NodeState>) {
     if shared.settings.rollout_bounds.is_none() {
@@ -71,7 +78,6 @@
         let services = shared.pool.borrow().open_rollouts();
         if services.is_empty() {
             shared.rollouts.connections.borrow_mut().clear();
-            shared.rollouts.coordinators.borrow_mut().clear();
         }
         future::join_all(services.into_iter().map(|key| report(&shared, key))).await;
     }
@@ -215,7 +221,7 @@
     let ended = rollout.phase.final_state();
     drop(pool);
     if let Some(state) = ended {
-        shared.rollouts.coordinators.borrow_mut().remove(&service);
+        shared.rollouts.forget(service);
         // A store that was restored from an older copy may lack the state.
         rollout_status::write(shared, service, state);
         let order = match state {
--- a/crates/entry/src/requests/shared_gather.rs
+++ b/crates/entry/src/requests/shared_gather.rs
@@ -185,7 +185,7 @@
     fn assign(&self, legs: Vec<usize>, services: &[ServiceKey]) -> LegAssignment {
         let now_us = self.shared.clock.now_us();
         let mut pool = self.shared.pool.borrow_mut();
-        let fallback = |leg: &usize| pool.choose(now_us, services[*leg], &[]);
+        let fallback = |leg: &usize| pool.choose_fallback(now_us, services[*leg]);
         LegAssignment {
             fallbacks: legs.iter().map(fallback).collect(),
             legs,
--- a/crates/entry/src/store/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -24,6 +24,10 @@
 use crate::process::node_state::NodeState;
 use crate::store::paged_list;
 
+/// Divisor of the rollback time that gives the time within which a change of a rollout must be in
+/// force: a rollout that replaces another one has the same time to its deadline.
+const ROLLOUT_BOUND_DIVISOR: u64 = 2;
+
 /// A node's copy of one collection of the store, as of a revision.
 pub(crate) struct CollectionView {
     pub(crate) collection: Collection,
@@ -73,9 +77,9 @@
             Collection::Configuration => settings.config_apply_ms,
             Collection::Evacuations => settings.evacuation_ms,
             Collection::Nodes | Collection::Replicas => settings.drain_ms,
-            Collection::Rollouts => settings
-                .rollout_bounds
-                .map_or(settings.drain_ms, |bounds| bounds.rollback_ms),
+            Collection::Rollouts => settings.rollout_bounds.map_or(settings.drain_ms, |bounds| {
+                bounds.rollback_ms / ROLLOUT_BOUND_DIVISOR
+            }),
         }
     }
 
--- a/crates/entry/src/store/rollout_effects.rs
+++ b/crates/entry/src/store/rollout_effects.rs
@@ -15,10 +15,10 @@
 impl CollectionView {
     /// Applies a list; `restored` if it is the first one after the store was restored from a copy.
     pub(super) fn apply_listed_rollouts(&self, objects: &[StoredObject], restored: bool) {
-        let news = match self.revision.get() {
-            None => RolloutNews::FirstList,
-            Some(_) if restored => RolloutNews::Restored,
-            Some(_) => RolloutNews::Changed,
+        let news = if restored {
+            RolloutNews::Restored
+        } else {
+            RolloutNews::Current
         };
         let listed: BTreeSet<&Arc<str>> = objects.iter().map(|object| &object.name).collect();
         for (name, object) in &*self.objects.borrow() {
@@ -36,7 +36,7 @@
             if change.deleted {
                 self.remove_rollout(&change.object);
             } else {
-                self.apply_rollout(&change.object, RolloutNews::Changed);
+                self.apply_rollout(&change.object, RolloutNews::Current);
             }
         }
     }
@@ -54,14 +54,14 @@
         let Some(rollout) = pool.rollout(service).filter(|_| changed) else {
             return;
         };
+        shared.rollouts.forget(service);
         shared.log(&Event::Rollout {
             decided_by: "store",
             elapsed_ms: rollout.elapsed_ms(now_us),
             new_requests: rollout.totals.new_total(),
             reason: match news {
-                RolloutNews::Changed => "changed",
-                RolloutNews::FirstList => "first list",
-                RolloutNews::Restored => "restored",
+                RolloutNews::Current => "object",
+                RolloutNews::Restored => "restored object",
             },
             service: &rollout.rollout.service,
             state: rollout.phase.label(),
--- a/crates/entry/src/store/rollout_status.rs
+++ b/crates/entry/src/store/rollout_status.rs
@@ -147,7 +147,9 @@
         let rollout = decode_rollout(&object).map_err(StoreError::Decode)?;
         let now_us = self.shared.clock.now_us();
         let mut pool = self.shared.pool.borrow_mut();
-        pool.apply_rollout(now_us, rollout, object.revision, RolloutNews::Changed);
+        if pool.apply_rollout(now_us, rollout, object.revision, RolloutNews::Current) {
+            self.shared.rollouts.forget(self.service);
+        }
         Ok(())
     }
 
