--- a/crates/dispatch/src/exposure_plan.rs
+++ b/crates/dispatch/src/exposure_plan.rs
@@ -3,11 +3,11 @@
 
 /// Part of the exposure slack that the coordinator spends; the rest is for requests that no report
 /// counts yet, and for those of nodes that ended.
-const SLACK_USED_FRACTION: f64 = 0.7;
+const SLACK_USED_FRACTION: f64 = 0.8;
 
 /// Largest share of the requests that the coordinator has sent to the target version in addition to
 /// the share of each node; the earlier version needs evidence as well.
-const EXTRA_SHARE_MAX: f64 = 0.5;
+const EXTRA_SHARE_MAX: f64 = 0.6;
 
 /// Shortest time over which the slack that is left is spent.
 const SPENDING_MIN_MS: u64 = 1_000;
--- a/crates/dispatch/src/rollout_coordinator.rs
+++ b/crates/dispatch/src/rollout_coordinator.rs
@@ -14,7 +14,7 @@
 
 /// Divisor of a rollout's duration; the version is accepted no sooner than the quotient before its
 /// end, as it may become bad late.
-const ACCEPTANCE_DIVISOR: u64 = 4;
+const ACCEPTANCE_DIVISOR: u64 = 5;
 
 /// Limits of the time between the acceptance and the end of a rollout; nodes move and requests in
 /// flight end within it.
--- a/crates/dispatch/src/rollout_verdict.rs
+++ b/crates/dispatch/src/rollout_verdict.rs
@@ -1,21 +1,25 @@
 //! Compares the versions of a rollout.
 //!
-//! Three sets of responses are tested: all, those of each route, and those of the later half of the
-//! rollout. Let `n` requests to the target version have `f` failures, and let `q` be the share of
-//! failures of the earlier version, by Laplace's rule.
+//! Three kinds of sets of responses are tested: all, those of each route, and those of the later half
+//! of the rollout. Let `n` requests to the target version have `f` failures, and let `q` be the share
+//! of failures of the earlier version, by Laplace's rule.
 //!
-//! - Bad at once: the likelihood of the failures, averaged over a uniform prior of the target
-//!   version's rate, is [`FAILURE_BAYES_FACTOR`] times their likelihood at rate `q`. This ratio is a
-//!   nonnegative martingale while the rate is `q`, so that by Ville's inequality any number of looks
-//!   errs with a probability of at most one in [`FAILURE_BAYES_FACTOR`] for each set.
-//! - Slow at once: van Elteren's statistic, the rank sum over strata of one route and one part of
-//!   the rollout, is above [`SLOW_Z`] (3 in a million for one look), and a response of the target
-//!   version is slower than one of the earlier with a probability above [`SLOW_PROBABILITY`].
-//! - Acceptable: `P(X <= f) <= ACCEPT_ERROR` for `X` binomial with `n` and a rate that exceeds `q` by
-//!   a margin, and the rank statistic is below [`ACCEPT_Z`] or the probability is below
-//!   [`SLOW_PROBABILITY`], and that is below [`SLOW_PROBABILITY_MAX`] by two standard errors. A version that exceeds the earlier failures by the margin is accepted
-//!   with at most that probability; with fewer responses than that takes, there is no acceptance.
+//! - Bad at once, by failures: the likelihood of the failures, averaged over a uniform prior of the
+//!   target version's rate, is [`FAILURE_BAYES_FACTOR`] times their likelihood at rate `q`. This ratio
+//!   is a nonnegative martingale while the rate is `q`, so that by Ville's inequality any number of
+//!   looks errs with a probability of at most one in [`FAILURE_BAYES_FACTOR`] for each set.
+//! - Bad at once, by latency: van Elteren's statistic, the rank sum over strata of one route each, is
+//!   at least [`SLOW_Z`] (3 in a million for one look), and a response of the target version is slower
+//!   than one of the earlier version with a probability of at least [`SLOW_PROBABILITY`].
+//! - Acceptable: for `X` binomial with `n` and the rate `q` plus a margin, `P(X <= f)` is at most
+//!   [`ACCEPT_ERROR`]; the rank statistic is below [`ACCEPT_Z`], or the probability below
+//!   [`SLOW_PROBABILITY`]; and the probability is below [`SLOW_PROBABILITY_MAX`] by two standard
+//!   errors. One look accepts a version whose failures exceed `q` by the margin with at most
+//!   [`ACCEPT_ERROR`]. With too few responses, no version is acceptable.
+//!
+//! Rates over the looks of whole rollouts, by traffic, stand in `docs/design/rollouts.md`.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -35,13 +39,16 @@
 const ACCEPT_Z: f64 = 2.6;
 
 /// Probability that a response of the target version is slower than one of the earlier version, from
-/// which the difference counts. A cold cache alone gives less.
+/// which the difference counts; smaller differences hardly delay callers.
 const SLOW_PROBABILITY: f64 = 0.65;
 
 /// Highest such probability, two standard errors above the observed one, of an accepted version.
-/// Versions that are three times slower are at 0.9 with usual latencies.
+/// A version that is three times slower is at 0.9 if the logarithms of latencies deviate by 0.6.
 const SLOW_PROBABILITY_MAX: f64 = 0.85;
 
+/// The same for the later half and for one route, one standard error above the observed one.
+const PART_SLOW_PROBABILITY_MAX: f64 = 0.95;
+
 /// Probability to accept a version that exceeds the failures of the earlier one by the margin.
 const ACCEPT_ERROR: f64 = 0.01;
 
@@ -58,7 +65,7 @@
 const ROUTE_SHARE_MIN: f64 = 0.15;
 
 /// Fewest responses of each version for a rank statistic.
-const RANKED_MIN: u64 = 6;
+const RANKED_MIN: u64 = 3;
 
 /// Route and part of the rollout of some responses.
 type Stratum = (Arc<str>, u8);
@@ -157,8 +164,13 @@
 /// Returns the sets of responses with their names; the first one holds all.
 fn sets(totals: &RolloutTotals) -> Vec<(String, ResponseSet)> {
     let strata = |keep: &dyn Fn(&Stratum) -> bool| -> Vec<VersionPair> {
-        let kept = totals.by_stratum.iter().filter(|(key, _)| keep(key));
-        kept.map(|(_, pair)| pair.clone()).collect()
+        let mut by_route: BTreeMap<&Arc<str>, VersionPair> = BTreeMap::new();
+        for (key, pair) in totals.by_stratum.iter().filter(|(key, _)| keep(key)) {
+            let sum = by_route.entry(&key.0).or_default();
+            sum.new.add(&pair.new);
+            sum.old.add(&pair.old);
+        }
+        by_route.into_values().collect()
     };
     let all = ResponseSet::all(strata(&|_| true));
     let later = |(_, epoch): &Stratum| *epoch >= ROLLOUT_EPOCHS / 2;
@@ -195,18 +207,20 @@
     if slowness.exceeds(ACCEPT_Z) {
         return Some(set.describe());
     }
-    if set.is_required && slowness.probability + 2.0 * slowness.error > SLOW_PROBABILITY_MAX {
-        return Some(format!("too little evidence, {}", set.describe()));
-    }
     if !set.is_required && (requests as f64) < total as f64 * ROUTE_SHARE_MIN {
         // Too few requests for evidence of their own; more failures than before still count.
         let rate = set.old_rate();
         let unlikely = set.new.bad > 1 && 1.0 - at_most(set.new.bad - 1, requests, rate) < 0.01;
         return unlikely.then(|| set.describe());
     }
+    let may_be_slow = if set.is_required {
+        slowness.probability + 2.0 * slowness.error > SLOW_PROBABILITY_MAX
+    } else {
+        slowness.probability + slowness.error > PART_SLOW_PROBABILITY_MAX
+    };
     let rate = (set.old_rate() + set.margin).min(0.95);
-    (at_most(set.new.bad, requests, rate) > set.accept_error)
-        .then(|| format!("too little evidence, {}", set.describe()))
+    let may_fail = at_most(set.new.bad, requests, rate) > set.accept_error;
+    (may_be_slow || may_fail).then(|| format!("too little evidence, {}", set.describe()))
 }
 
 /// Latencies of the target version relative to those of the earlier one.
