--- a/crates/node/tests/entry/rollouts.rs
+++ b/crates/node/tests/entry/rollouts.rs
@@ -13,11 +13,17 @@
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::ReplicaStandin;
 use wigeonhall_adapter_standins::StoreStandin;
+use wigeonhall_dispatch::RECORD_BYTES;
+use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::RouteSpec;
+use wigeonhall_dispatch::TargetSpec;
 
 use crate::caller::ask;
 use crate::deployment::Node;
 use crate::deployment::configuration;
 use crate::deployment::deploy;
+use crate::deployment::gather;
+use crate::deployment::route;
 use crate::deployment::route_to_a;
 use crate::deployment::wait_until;
 
@@ -38,7 +44,7 @@
     /// Number of requests that were not answered with success.
     failed: Arc<AtomicUsize>,
     /// Number of requests that reached a replica of the first version while the store held a
-    /// success.
+    /// success of its service's rollout.
     late: Arc<AtomicUsize>,
     nodes: Vec<Node>,
     replicas: Vec<ReplicaStandin>,
@@ -47,10 +53,15 @@
 }
 
 impl Fleet {
-    /// Starts nodes and replicas of `v1`.
+    /// Starts nodes and replicas of `v1` of the service `a`.
     fn start() -> Self {
+        Self::with_routes(vec![route_to_a("one")], &["a"])
+    }
+
+    /// Starts nodes, and replicas of `v1` of some services; callers ask the route `one`.
+    fn with_routes(routes: Vec<RouteSpec>, services: &[&str]) -> Self {
         let store = Arc::new(StoreStandin::start().unwrap());
-        store.configure(&configuration(1, vec![route_to_a("one")]));
+        store.configure(&configuration(1, routes));
         let mut fleet = Self {
             callers: Vec::new(),
             failed: Arc::default(),
@@ -60,7 +71,9 @@
             stopped: Arc::default(),
             store,
         };
-        fleet.add_version("v1", 200);
+        for service in services {
+            fleet.add_replicas(service, "v1", 200);
+        }
         for number in 0..NODES {
             let name = format!("node-{number}");
             let node = Node::start_with_rollouts(&fleet.store, &name);
@@ -70,28 +83,38 @@
             node.wait_ready();
             node.logged(|line| line["event"] == "nodes" && line["near"] == NODES);
         }
-        fleet.callers = (0..NODES).map(|index| fleet.call(index)).collect();
+        let paths: &[&str] = if services.len() > 1 {
+            &["/one/x", "/two/x"]
+        } else {
+            &["/one/x"]
+        };
+        fleet.callers = (0..NODES).map(|index| fleet.call(index, paths)).collect();
         fleet
     }
 
-    /// Starts two replicas of a version that answer with a status.
+    /// Starts two replicas of a version of the service `a` that answer with a status.
     fn add_version(&mut self, version: &str, status: u16) {
+        self.add_replicas("a", version, status);
+    }
+
+    fn add_replicas(&mut self, service: &str, version: &str, status: u16) {
         for _ in 0..2 {
             let number = self.replicas.len() + 1;
             let (late, store) = (self.late.clone(), self.store.clone());
             let is_first = version == "v1";
+            let name = service.to_owned();
             let decide = move |_: &_| {
                 let succeeded = |(state, _): (String, String)| state == "succeeded";
-                if is_first && store.rollout_status("a").is_some_and(succeeded) {
+                if is_first && store.rollout_status(&name).is_some_and(succeeded) {
                     late.fetch_add(1, Relaxed);
                 }
                 Behaviour::Answer {
-                    body: b"some".to_vec(),
+                    body: vec![7; RECORD_BYTES],
                     delay: Duration::from_millis(3),
                     status,
                 }
             };
-            let replica = ReplicaStandin::start("a", number, decide).unwrap();
+            let replica = ReplicaStandin::start(service, number, decide).unwrap();
             let mut registration = replica.registration("north");
             registration.version = version.into();
             registration.started_unix_ms = number as u64;
@@ -101,7 +124,7 @@
     }
 
     /// Sends requests to a node until the test ends or the node does.
-    fn call(&self, index: usize) -> JoinHandle<()> {
+    fn call(&self, index: usize, paths: &'static [&'static str]) -> JoinHandle<()> {
         let (failed, stopped) = (self.failed.clone(), self.stopped.clone());
         let address = self.nodes[index].callers;
         thread::spawn(move || {
@@ -109,22 +132,27 @@
             while !stopped.load(Relaxed) && std::net::TcpStream::connect(address).is_ok() {
                 number += 1;
                 let id = format!("q-{index}-{number}");
-                let status = ask(address, "GET", "/one/x", &id, "").status;
+                let path = paths[number % paths.len()];
+                let status = ask(address, "GET", path, &id, "").status;
                 failed.fetch_add(usize::from(status != 200), Relaxed);
                 thread::sleep(CALLER_PAUSE);
             }
         })
     }
 
-    /// Returns the number of requests that the replicas of the `index`th version ran.
+    /// Returns the number of requests that the `index`th pair of replicas ran.
     fn runs(&self, index: usize) -> usize {
         let replicas = self.replicas.iter().skip(2 * index).take(2);
         replicas.map(|replica| replica.runs().len()).sum()
     }
 
     fn wait_status(&self, state: &str, version: &str) {
+        self.wait_status_of("a", state, version);
+    }
+
+    fn wait_status_of(&self, service: &str, state: &str, version: &str) {
         let status = Some((state.to_owned(), version.to_owned()));
-        wait_until(state, || self.store.rollout_status("a") == status);
+        wait_until(state, || self.store.rollout_status(service) == status);
     }
 
     fn assert_written(&self, states: &[&str]) {
@@ -223,6 +251,31 @@
     assert_eq!(fleet.failed.load(Relaxed), 0);
 }
 
+/// One of a shard, and one of a part of a split that has its requests from another route.
+#[test]
+fn rollouts_of_two_services_at_once_end_independently() {
+    let one = route(
+        "one",
+        "/one/",
+        RouteKind::Idempotent,
+        gather(&["a", "b"], 1.0),
+    );
+    let split = TargetSpec::Split(vec![("b".into(), 1.0), ("c".into(), 1.0)]);
+    let two = route("two", "/two/", RouteKind::Idempotent, split);
+    let mut fleet = Fleet::with_routes(vec![one, two], &["a", "b", "c"]);
+    fleet.add_replicas("a", "v2", 500);
+    fleet.add_replicas("b", "v2", 200);
+    fleet.store.request_rollout("a", "v2", DURATION_S);
+    fleet.store.request_rollout("b", "v2", DURATION_S);
+    fleet.wait_status_of("a", "rolled_back", "v2");
+    fleet.wait_status_of("b", "succeeded", "v2");
+    fleet.assert_written(&["running", "rolled_back"]);
+    assert_eq!(fleet.store.rollout_writes("b"), ["running", "succeeded"]);
+    assert_eq!(fleet.late.load(Relaxed), 0);
+    // Each failed request met the bad version of a shard.
+    assert!(fleet.failed.load(Relaxed) <= fleet.runs(3));
+}
+
 /// No rollout names the version.
 #[test]
 fn a_version_that_was_not_rolled_out_gets_no_request() {
