Count failures of any status, and cold replicas without their latency

A version that fails with statuses below 500 looked good; those that requests cause are as frequent at the earlier version. Responses of cold replicas count as not failed.

--- a/crates/dispatch/src/pool_rollouts.rs
+++ b/crates/dispatch/src/pool_rollouts.rs
@@ -196,18 +196,16 @@
         route: &Arc<str>,
         reply: Option<Reply>,
     ) {
-        let Some(replica) = self.replica(key) else {
+        let Some(slot) = self.arena.get(key.index as usize) else {
             return;
         };
-        // A cold replica is slow whatever its version.
-        let is_cold = sent_us < replica.warm_at_us;
-        let (service, version) = (replica.service, replica.registration.version.clone());
-        let succeeded = matches!(reply, Some(Reply::Success) | None);
-        if is_cold && succeeded {
+        let replica = slot.replica.as_ref();
+        let Some(replica) = replica.filter(|_| slot.generation == key.generation) else {
             return;
-        }
-        if let Some(rollout) = self.rollout_mut(service) {
-            rollout.count_reply(now_us, sent_us, &version, route, reply);
+        };
+        let service = &mut self.services[replica.service.0 as usize];
+        if let Some(rollout) = service.versions.rollout.as_mut() {
+            rollout.count_reply(now_us, sent_us, replica, route, reply);
         }
     }
 
--- a/crates/dispatch/src/rollout_evidence.rs
+++ b/crates/dispatch/src/rollout_evidence.rs
@@ -21,23 +21,27 @@
     pub bad: u64,
     /// Number of other requests by the bucket of their latency.
     pub good: BTreeMap<u8, u64>,
+    /// Number of other requests to cold (newly started) replicas, which are slow whatever their
+    /// version.
+    pub good_cold: u64,
 }
 
 impl VersionSample {
-    /// Returns the number of requests that did not fail.
+    /// Returns the number of requests that did not fail and whose latency counts.
     #[must_use]
-    pub fn good_total(&self) -> u64 {
+    pub fn ranked(&self) -> u64 {
         self.good.values().sum()
     }
 
     /// Returns the number of all requests.
     #[must_use]
     pub fn total(&self) -> u64 {
-        self.bad + self.good_total()
+        self.bad + self.good_cold + self.ranked()
     }
 
     pub(crate) fn add(&mut self, other: &Self) {
         self.bad += other.bad;
+        self.good_cold += other.good_cold;
         for (bucket, count) in &other.good {
             *self.good.entry(*bucket).or_default() += count;
         }
--- a/crates/dispatch/src/rollout_verdict.rs
+++ b/crates/dispatch/src/rollout_verdict.rs
@@ -14,7 +14,8 @@
 //! - Acceptable: for `X` binomial with `n` and the rate `q` plus a margin, `P(X <= f)` is at most
 //!   [`ACCEPT_ERROR`]; the rank statistic is below [`ACCEPT_Z`], or the probability below
 //!   [`SLOW_PROBABILITY`]; and the probability is below [`SLOW_PROBABILITY_MAX`] by two standard
-//!   errors. One look accepts a version whose failures exceed `q` by the margin with at most
+//!   errors. The same as for failures holds for responses that are slower than all but a share
+//!   [`TAIL`] of the earlier version's, with [`TAIL_MARGIN`]. One look accepts a version whose failures exceed `q` by the margin with at most
 //!   [`ACCEPT_ERROR`]. With too few responses, no version is acceptable.
 //!
 //! Rates over the looks of whole rollouts, by traffic, stand in `docs/design/rollouts.md`.
@@ -61,6 +62,13 @@
 /// Margin of the responses of the later half or of one route, which are fewer.
 const PART_MARGIN: f64 = 0.4;
 
+/// Share of the responses of the earlier version that are slow by definition.
+const TAIL: f64 = 0.05;
+
+/// Slow responses of the target version above those of the earlier one, as a share, that are accepted
+/// with [`ACCEPT_ERROR`]: a version may be slow only under load.
+const TAIL_MARGIN: f64 = 0.35;
+
 /// Share of the requests to the target version from which a route must have evidence of its own.
 const ROUTE_SHARE_MIN: f64 = 0.15;
 
@@ -190,7 +198,8 @@
 /// Returns why the target version is bad, if the set shows it.
 fn shows_bad(set: &ResponseSet) -> Option<String> {
     let slow = slowness(&set.strata).exceeds(SLOW_Z);
-    let (bad, good) = (set.new.bad as f64, set.new.good_total() as f64);
+    let bad = set.new.bad as f64;
+    let good = set.new.total() as f64 - bad;
     let old_rate = set.old_rate();
     let averaged = ln_beta(bad + 1.0, good + 1.0);
     let at_old_rate = bad * old_rate.ln() + good * (1.0 - old_rate).ln();
@@ -215,6 +224,7 @@
     }
     let may_be_slow = if set.is_required {
         slowness.probability + 2.0 * slowness.error > SLOW_PROBABILITY_MAX
+            || may_be_slow_at_times(&set.strata)
     } else {
         slowness.probability + slowness.error > PART_SLOW_PROBABILITY_MAX
     };
@@ -247,7 +257,7 @@
     let (mut excess, mut variance, mut pairs, mut slower) = (0.0, 0.0, 0.0, 0.0);
     let (mut new_ranked, mut old_ranked) = (0, 0);
     for VersionPair { new, old } in strata {
-        let (n, m) = (new.good_total(), old.good_total());
+        let (n, m) = (new.ranked(), old.ranked());
         if n == 0 || m == 0 {
             continue;
         }
@@ -276,6 +286,36 @@
     }
 }
 
+/// Whether a part of the responses of the target version may be slow.
+fn may_be_slow_at_times(strata: &[VersionPair]) -> bool {
+    let (mut new_slow, mut new_total, mut old_slow, mut old_total) = (0, 0, 0, 0);
+    for VersionPair { new, old } in strata {
+        let limit = tail_limit(old);
+        let slow = |sample: &VersionSample| -> u64 {
+            let above = sample.good.iter().filter(|(bucket, _)| **bucket > limit);
+            above.map(|(_, count)| count).sum()
+        };
+        new_slow += slow(new);
+        old_slow += slow(old);
+        new_total += new.ranked();
+        old_total += old.ranked();
+    }
+    let old_share = (old_slow as f64 + 1.0) / (old_total as f64 + 2.0);
+    at_most(new_slow, new_total, (old_share + TAIL_MARGIN).min(0.95)) > ACCEPT_ERROR
+}
+
+/// Returns the lowest bucket above which at most a share [`TAIL`] of the responses is.
+fn tail_limit(old: &VersionSample) -> u8 {
+    let mut left = old.ranked() as f64 * TAIL;
+    for (bucket, count) in old.good.iter().rev() {
+        left -= *count as f64;
+        if left < 0.0 {
+            return *bucket;
+        }
+    }
+    0
+}
+
 /// Returns the number of pairs in which the response of the target version is slower; half for
 /// pairs in one bucket.
 fn pairs_slower(new: &VersionSample, old: &VersionSample) -> f64 {
--- a/crates/dispatch/src/service_rollout.rs
+++ b/crates/dispatch/src/service_rollout.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use crate::Replica;
 use crate::Reply;
 use crate::RequestCounts;
 use crate::Rollout;
@@ -162,7 +163,7 @@
         &mut self,
         now_us: u64,
         sent_us: u64,
-        version: &str,
+        replica: &Replica,
         route: &Arc<str>,
         reply: Option<Reply>,
     ) {
@@ -171,22 +172,23 @@
             return;
         }
         let bad = match reply {
-            // A status below 500 is caused by the request itself.
-            Some(Reply::Failed { status }) => status >= 500,
+            // Statuses that the request itself causes are as frequent at both versions.
+            Some(Reply::Failed { .. } | Reply::Unknown(_)) => true,
             Some(Reply::NotRun(_)) => return,
             Some(Reply::Success) | None => false,
-            Some(Reply::Unknown(_)) => true,
         };
         let epoch = self.elapsed_fraction(sent_us) * f64::from(ROLLOUT_EPOCHS);
         let stratum = (route.clone(), (epoch as u8).min(ROLLOUT_EPOCHS - 1));
         let pair = self.totals.by_stratum.entry(stratum).or_default();
-        let sample = if *version == *self.rollout.target_version {
+        let sample = if replica.registration.version == self.rollout.target_version {
             &mut pair.new
         } else {
             &mut pair.old
         };
         if bad {
             sample.bad += 1;
+        } else if sent_us < replica.warm_at_us {
+            sample.good_cold += 1;
         } else {
             let bucket = bucket_of(now_us.saturating_sub(sent_us));
             *sample.good.entry(bucket).or_default() += 1;
--- a/crates/entry/src/peers/rollout_protocol.rs
+++ b/crates/entry/src/peers/rollout_protocol.rs
@@ -53,9 +53,10 @@
     totals: Vec<(Arc<str>, u8, WireSample, WireSample)>,
 }
 
-/// Number of failures, and of other responses by the bucket of their latency.
+/// Number of failures, of other responses of cold replicas, and of all others by the bucket of their
+/// latency.
 #[derive(Deserialize, Serialize)]
-struct WireSample(u64, Vec<(u8, u64)>);
+struct WireSample(u64, u64, Vec<(u8, u64)>);
 
 #[derive(Deserialize, Serialize)]
 struct WireAnswer {
@@ -160,6 +161,7 @@
     let good = sample.good.iter();
     WireSample(
         sample.bad,
+        sample.good_cold,
         good.map(|(bucket, count)| (*bucket, *count)).collect(),
     )
 }
@@ -167,6 +169,7 @@
 fn sample(wire: WireSample) -> VersionSample {
     VersionSample {
         bad: wire.0,
-        good: wire.1.into_iter().collect::<BTreeMap<u8, u64>>(),
+        good_cold: wire.1,
+        good: wire.2.into_iter().collect::<BTreeMap<u8, u64>>(),
     }
 }
--- a/crates/node/tests/entry/rollouts.rs
+++ b/crates/node/tests/entry/rollouts.rs
@@ -9,6 +9,8 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use serde_json::Value;
+
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::ReplicaStandin;
@@ -155,6 +157,20 @@
         wait_until(state, || self.store.rollout_status(service) == status);
     }
 
+    /// Waits until a node decides as the coordinator that a version is bad, and returns its index.
+    fn wait_decision(&self) -> usize {
+        let decided = |node: &Node| {
+            let is_decision = |line: &Value| line["event"] == "rollout" && line["state"] == "stop";
+            node.last_logged(is_decision).is_some()
+        };
+        let mut coordinator = None;
+        wait_until("a decision", || {
+            coordinator = self.nodes.iter().position(decided);
+            coordinator.is_some()
+        });
+        coordinator.unwrap()
+    }
+
     fn assert_written(&self, states: &[&str]) {
         thread::sleep(SETTLING);
         assert_eq!(self.store.rollout_writes("a"), states);
@@ -221,12 +237,7 @@
     fleet.add_version("v2", 500);
     fleet.store.request_rollout("a", "v2", DURATION_S);
     fleet.store.refuse_status_writes(true);
-    let decided = |node: &Node| {
-        let lines = node.all_logged(|line| line["event"] == "rollout" && line["state"] == "stop");
-        !lines.is_empty()
-    };
-    wait_until("a decision", || fleet.nodes.iter().any(decided));
-    let coordinator = fleet.nodes.iter().position(decided).unwrap();
+    let coordinator = fleet.wait_decision();
     fleet.nodes[coordinator].signal("KILL");
     fleet.nodes.remove(coordinator).end();
     fleet.store.refuse_status_writes(false);
@@ -234,6 +245,39 @@
     fleet.assert_written(&["running", "rolled_back"]);
 }
 
+/// A coordinator that was frozen still has its decision, and the object as it was before.
+#[test]
+fn a_coordinator_that_resumes_after_another_one_wrote_does_not_write_again() {
+    let mut fleet = Fleet::start();
+    fleet.add_version("v2", 500);
+    fleet.store.refuse_status_writes(true);
+    fleet.store.request_rollout("a", "v2", DURATION_S);
+    let coordinator = fleet.wait_decision();
+    fleet.nodes[coordinator].signal("STOP");
+    fleet.store.refuse_status_writes(false);
+    fleet.wait_status("rolled_back", "v2");
+    fleet.nodes[coordinator].signal("CONT");
+    fleet.assert_written(&["running", "rolled_back"]);
+}
+
+/// The replicas of the rolled back version have drained already.
+#[test]
+fn a_final_state_is_written_again_after_the_store_was_restored_without_it() {
+    let mut fleet = Fleet::start();
+    fleet.add_version("v2", 500);
+    fleet.store.request_rollout("a", "v2", DURATION_S);
+    fleet.wait_status("running", "v2");
+    fleet.store.keep_copy();
+    fleet.wait_status("rolled_back", "v2");
+    thread::sleep(SETTLING);
+    let settled = fleet.runs(1);
+    fleet.store.restore_copy();
+    fleet.wait_status("running", "v2");
+    fleet.wait_status("rolled_back", "v2");
+    fleet.assert_written(&["running", "rolled_back", "rolled_back"]);
+    assert_eq!(fleet.runs(1), settled);
+}
+
 /// The evidence about the replaced version must not decide about the next one.
 #[test]
 fn a_replaced_rollout_starts_again_and_its_version_gets_no_more_requests() {
