--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -123,8 +123,8 @@
         state: &'a str,
         target_version: &'a str,
     },
-    /// The state of a rollout was written, or the outcome of the write is unknown; `stands` is the
-    /// state that the store holds.
+    /// The state of a rollout was written (`written`), or not (`refused`, `conflict`), or that is
+    /// `unknown`; `stands` is the state that the store holds.
     RolloutStatus {
         outcome: &'a str,
         revision: u64,
--- a/crates/entry/src/store/rollout_status.rs
+++ b/crates/entry/src/store/rollout_status.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::Method;
+use http::StatusCode;
 use tokio::time;
 
 use wigeonhall_adapter::Collection;
@@ -30,11 +31,11 @@
 /// Timeout of one call; a lost answer leaves time for another call before the end of a rollout.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Mean pause after a failed call.
+/// Mean pause after the first failed write; doubles with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Calls of one task; the coordinator starts another one with its next report.
-const CALLS_MAX: u32 = 6;
+/// Writes of one task; the coordinator starts another one with its next report.
+const WRITES_MAX: u32 = 6;
 
 /// Has a state of a service's rollout written, unless the store holds it or a final one.
 pub(crate) fn write(shared: &Rc<NodeState>, service: ServiceKey, state: RolloutState) {
@@ -83,20 +84,18 @@
     /// Writes `running` if the object has no state, and then the state, each on the condition that
     /// the object has not changed.
     async fn run(mut self) {
-        for _ in 0..CALLS_MAX {
+        let mut pause = RETRY_PAUSE;
+        for _ in 0..WRITES_MAX {
             let Some((revision, next)) = self.next_state() else {
                 return;
             };
             let outcome = match self.put(revision, next).await {
                 Ok(()) => "written",
-                // After a conflict or a lost answer, the object shows which state stands.
                 Err(error) => {
                     log::warn!("cannot write a rollout: {error}");
-                    time::sleep(RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
-                    if let Err(error) = self.read().await {
-                        log::warn!("cannot read a rollout: {error}");
-                    }
-                    "unknown"
+                    time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+                    pause *= 2;
+                    self.read_after(&error).await
                 }
             };
             self.log(outcome, next);
@@ -132,6 +131,20 @@
         self.apply(&response.body)
     }
 
+    /// Reads the object after a conflict or a lost answer, as it shows which state stands; returns the
+    /// outcome of the write for the log.
+    async fn read_after(&mut self, error: &StoreError) -> &'static str {
+        let (outcome, reads) = match error {
+            StoreError::Status(StatusCode::CONFLICT) => ("conflict", true),
+            StoreError::Status(_) => ("refused", false),
+            _ => ("unknown", true),
+        };
+        if reads && let Err(error) = self.read().await {
+            log::warn!("cannot read a rollout: {error}");
+        }
+        outcome
+    }
+
     async fn read(&mut self) -> Result<(), StoreError> {
         let path = object_path(Collection::Rollouts, &self.name);
         let call = StoreCall {
