--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -51,6 +51,10 @@
 pub struct Peers {
     /// Addresses of all other nodes.
     addresses: Vec<SocketAddr>,
+    /// Backoffs of nodes that did not answer as coordinators of rollouts.
+    pub(crate) coordinator_backoffs: NodeBackoffs,
+    /// Names and addresses of all other nodes.
+    pub(crate) others: Vec<(Arc<str>, SocketAddr)>,
     /// Nodes of this node's data centre, including this node.
     pub(crate) nodes: Vec<PeerNode>,
     own: PeerNode,
@@ -71,7 +75,9 @@
         Self {
             addresses: Vec::new(),
             all_nodes: vec![own.clone()],
+            coordinator_backoffs: NodeBackoffs::default(),
             generation: 0,
+            others: Vec::new(),
             nodes: vec![own.clone()],
             own,
             relay_backoffs: NodeBackoffs::default(),
@@ -101,7 +107,9 @@
         self.generation += 1;
         self.all_nodes.clone_from(&nodes);
         let others = nodes.iter().filter(|node| node.name != self.own.name);
-        self.addresses = others.map(|node| node.address).collect();
+        let others = others.map(|node| (node.name.clone(), node.address));
+        self.others = others.collect();
+        self.addresses = self.others.iter().map(|(_, address)| *address).collect();
         if nodes.iter().all(|node| node.name != self.own.name) {
             self.all_nodes.push(self.own.clone());
         }
@@ -112,6 +120,9 @@
         self.nodes.push(self.own.clone());
         let known = |name: &Arc<str>| self.nodes.iter().any(|node| node.name == *name);
         self.relay_backoffs.retain(known);
+        let others = &self.others;
+        let listed = |name: &Arc<str>| others.iter().any(|(other, _)| other == name);
+        self.coordinator_backoffs.retain(listed);
         self.reader_backoffs.retain(known);
     }
 
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -12,6 +12,7 @@
 use crate::Replica;
 use crate::ReplicaKey;
 use crate::Reply;
+use crate::RolloutBounds;
 use crate::ServiceKey;
 use crate::ServiceSpec;
 use crate::admission::Admission;
@@ -40,6 +41,8 @@
     pub(crate) nodes: usize,
     pub(crate) policy: Policy,
     pub(crate) rng: fastrand::Rng,
+    /// Limits of rollouts; `None` if all versions get requests.
+    pub(crate) rollout_bounds: Option<RolloutBounds>,
     pub(crate) seed: u64,
     pub(crate) services: Vec<Service>,
     pub(crate) services_by_name: HashMap<Arc<str>, ServiceKey>,
@@ -95,6 +98,7 @@
             nodes: ASSUMED_NODES,
             policy: Policy::default(),
             rng: fastrand::Rng::with_seed(seed),
+            rollout_bounds: None,
             seed,
             services: Vec::new(),
             services_by_name: HashMap::new(),
@@ -194,7 +198,14 @@
         service: ServiceKey,
         tried: &[ReplicaKey],
     ) -> Option<ReplicaKey> {
-        let ranked = self.rank(now_us, service, tried);
+        let ranked = self.rank(now_us, service, tried, tried.is_empty());
+        ranked.first().map(|(_, key)| *key)
+    }
+
+    /// Chooses the replica that this node uses if it takes a leg back from another node; not one of
+    /// the target version of a rollout, which may get no request by then.
+    pub fn choose_fallback(&mut self, now_us: u64, service: ServiceKey) -> Option<ReplicaKey> {
+        let ranked = self.rank(now_us, service, &[], false);
         ranked.first().map(|(_, key)| *key)
     }
 
@@ -204,7 +215,7 @@
     #[must_use]
     pub fn last_resort(&self, now_us: u64, service: ServiceKey) -> Option<ReplicaKey> {
         let entry = &self.services[service.0 as usize];
-        let rates = self.sending_rates(service);
+        let rates = self.sending_rates(now_us, service);
         let suspended = |key: &ReplicaKey| {
             let replica = self.replica(*key)?;
             let no_request = replica.in_flight == 0 && replica.health.last_request_failed();
@@ -239,14 +250,18 @@
         self.by_id.get(id).copied()
     }
 
-    /// Returns the usable replicas of a service with their expected costs, the lowest first.
+    /// Returns the usable replicas of a service with their expected costs, the lowest first. Only a
+    /// first request (`may_try`) goes to the target version of a rollout while there are others.
     fn rank(
         &mut self,
         now_us: u64,
         service: ServiceKey,
         tried: &[ReplicaKey],
+        may_try: bool,
     ) -> Vec<(f64, ReplicaKey)> {
-        let rates = self.sending_rates(service);
+        let extra = may_try && self.draw_extra(now_us, service);
+        let mut rates = self.sending_rates(now_us, service);
+        rates.allows_trial = self.allows_trial(now_us, service, extra);
         let policy = self.policy;
         let rng = &mut self.rng;
         let entry = &self.services[service.0 as usize];
@@ -264,6 +279,7 @@
             ranked.push((cost, *key));
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        self.prefer_version(&mut ranked, may_try);
         ranked
     }
 
@@ -314,6 +330,7 @@
 
     /// Records that a request is sent to a replica.
     pub fn request_started(&mut self, now_us: u64, key: ReplicaKey) {
+        self.count_version(key);
         let Some(replica) = self.replica_mut(key) else {
             return;
         };
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -30,6 +30,7 @@
 use crate::peers::crash_reports::CrashReports;
 use crate::peers::quotas::Quotas;
 use crate::peers::relay_client::RelayConnections;
+use crate::peers::rollout_reports::RolloutReports;
 use crate::process::clock::Clock;
 use crate::process::descriptor_limit;
 use crate::process::event::Event;
@@ -91,6 +92,7 @@
     pub(crate) replicas_fresh_us: Cell<Option<u64>>,
     /// Whether the last call to read the replicas failed.
     pub(crate) replicas_unavailable: Cell<bool>,
+    pub(crate) rollouts: RolloutReports,
     pub(crate) settings: ProcessSettings,
     /// End of the process, once it was told to stop.
     pub(crate) stop_limit: Cell<Option<StopLimit>>,
@@ -112,6 +114,7 @@
             slack: settings.extra_slack,
             window_ms: settings.extra_window_ms,
         });
+        pool.set_rollout_bounds(settings.rollout_bounds);
         let clock = Clock::start();
         Self {
             answer_lag: AnswerLag::default(),
@@ -138,6 +141,7 @@
             relay_connections: RefCell::default(),
             replicas_fresh_us: Cell::new(None),
             replicas_unavailable: Cell::new(false),
+            rollouts: RolloutReports::default(),
             settings,
             stop_limit: Cell::new(None),
             table: RefCell::new(None),
