Bound unconfirmed admissions by the equal share of the rate, and check settings

Cause: with three nodes and a tenant of 150 requests per second, four unconfirmed requests are reached between two reports, so that requests within the quota would wait for an answer. Names of the bounds in the settings are covered by the check of settings.

--- a/crates/dispatch/src/quota_view.rs
+++ b/crates/dispatch/src/quota_view.rs
@@ -23,6 +23,10 @@
 /// It bounds what one node admits before it notices that it is cut off.
 const UNCONFIRMED_MAX: f64 = 4.0;
 
+/// Equal share of the rate that a node admits on its own, in seconds, where that is more: three
+/// intervals between reports.
+const UNCONFIRMED_S: f64 = 0.3;
+
 /// What a node knows about the quotas of tenants, and what it must tell their owners.
 #[derive(Debug)]
 pub struct QuotaView {
@@ -72,7 +76,9 @@
             return refusal;
         }
         let sampled = spec.rate_per_s > REPORTED_PER_S_MAX;
-        let confirmed = tenant.unconfirmed < UNCONFIRMED_MAX / sampling_probability(spec);
+        let share_per_s = spec.rate_per_s / peers.total_nodes() as f64;
+        let unconfirmed_max = UNCONFIRMED_MAX / sampling_probability(spec);
+        let confirmed = tenant.unconfirmed < unconfirmed_max.max(share_per_s * UNCONFIRMED_S);
         let limited = tenant.is_limited(now_us);
         if !limited && confirmed && (sampled || !suspicious) {
             tenant.unconfirmed += 1.0;
--- a/crates/dispatch/tests/quotas.rs
+++ b/crates/dispatch/tests/quotas.rs
@@ -231,7 +231,7 @@
         for cut_us in [8 * SECOND_US, 13 * SECOND_US] {
             let mut fleet = overloaded(NODES, seed);
             let node = fleet.ranked(0)[5];
-            fleet.load_at(&[node], 0, 50.0, cut_us, END_US);
+            fleet.load_at(&[node], 0, 200.0, cut_us, END_US);
             fleet.run(cut_us);
             fleet.set_island(node, 1);
             fleet.run(END_US);
--- a/crates/entry/src/peers/quota_protocol.rs
+++ b/crates/entry/src/peers/quota_protocol.rs
@@ -41,7 +41,7 @@
     /// Name, admitted and refused requests of each tenant.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     reports: Vec<(Arc<str>, f64, f64)>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     suspicious: bool,
 }
 
--- a/crates/node/tests/entry/process.rs
+++ b/crates/node/tests/entry/process.rs
@@ -54,3 +54,15 @@
     assert!(error.contains("zone"), "{error}");
     assert_eq!(error.lines().count(), 1, "{error}");
 }
+
+/// A bound that is not read would be replaced by its default without notice.
+#[test]
+fn a_malformed_bound_on_quotas_is_found_by_the_check() {
+    let store = "127.0.0.1:1".parse().unwrap();
+    let text = settings_text(store, "node-1", "north", 6_000);
+    for name in ["quota_overage", "quota_slack", "quota_window_s"] {
+        let with = |value: &str| text.replace("bounds:", &format!("bounds:\n  {name}: {value}"));
+        assert!(check(&with("5")).0, "{name}");
+        assert!(!check(&with("many")).0, "{name}");
+    }
+}
