--- a/crates/dispatch/src/quota_owner.rs
+++ b/crates/dispatch/src/quota_owner.rs
@@ -12,6 +12,9 @@
 use crate::TenantState;
 use crate::quota_tenant::OwnedTenant;
 
+/// Processor time for an announcement to one node and its reply, on a whole core.
+const ANNOUNCEMENT_PROCESSOR_US: f64 = 150.0;
+
 /// A change of a tenant's state at its owner, with the inputs of the decision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QuotaChange {
@@ -152,6 +155,13 @@
         }
     }
 
+    /// Returns the time that this node needs to announce limited tenants to all nodes.
+    #[must_use]
+    pub fn announcement_us(peers: &Peers) -> u64 {
+        let share = peers.own().processor_share.max(0.01);
+        (peers.total_nodes() as f64 * ANNOUNCEMENT_PROCESSOR_US / share) as u64
+    }
+
     /// Returns whether this node has a bucket of a tenant.
     #[must_use]
     pub fn has_tenants(&self) -> bool {
@@ -169,7 +179,7 @@
     pub fn refresh<'a>(
         &mut self,
         now_us: u64,
-        others: &[Arc<str>],
+        peers: &Peers,
         suspicious: bool,
         find: impl Fn(&str) -> Option<&'a TenantSpec>,
     ) {
@@ -179,7 +189,7 @@
         let names: Vec<Arc<str>> = self.tenants.keys().cloned().collect();
         for spec in names.iter().filter_map(|name| find(name)) {
             let tenant = self.tenant(now_us, spec);
-            tenant.refresh_reserve(now_us, others, spec);
+            tenant.refresh_reserve(now_us, peers, spec);
             self.observe(now_us, spec);
         }
     }
--- a/crates/dispatch/src/quota_suspicion.rs
+++ b/crates/dispatch/src/quota_suspicion.rs
@@ -20,11 +20,19 @@
         now_us < self.until_us
     }
 
-    /// Records that this node failed to reach an owner.
+    /// Records that an owner did not reply to a report.
     pub(crate) const fn record_failure(&mut self, now_us: u64) {
         self.until_us = now_us + SUSPICION_US;
     }
 
+    /// Records that an owner did not reply to a question. Its timeout is so short that a busy owner may
+    /// exceed it, which only shows that a suspicion still holds.
+    pub(crate) const fn record_question_failure(&mut self, now_us: u64) {
+        if self.is_active(now_us) {
+            self.until_us = now_us + SUSPICION_US;
+        }
+    }
+
     /// Records that another node failed to reach an owner, and has told the others.
     pub(crate) const fn record_message(&mut self, now_us: u64) {
         self.until_us = now_us + SUSPICION_US;
--- a/crates/dispatch/src/quota_tenant.rs
+++ b/crates/dispatch/src/quota_tenant.rs
@@ -1,9 +1,11 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::Peers;
 use crate::QuotaAnswer;
 use crate::QuotaBounds;
 use crate::QuotaChange;
+use crate::QuotaOwner;
 use crate::TenantReport;
 use crate::TenantSpec;
 use crate::TokenBucket;
@@ -32,8 +34,8 @@
 /// Shortest time for which a tenant is limited; each change costs a message to every node.
 const LIMITED_MIN_US: u64 = 2_000_000;
 
-/// Time after which a node that has not acknowledged a limited tenant counts as unreachable. Nodes
-/// of one region answer within 10 ms.
+/// Time after which a node that has not acknowledged a limited tenant counts as unreachable, in addition
+/// to the time for the announcement. Nodes of one region answer within 10 ms.
 const ACKNOWLEDGEMENT_TIMEOUT_US: u64 = 100_000;
 
 /// Time for which an acknowledgement counts: two announcements and a timeout.
@@ -175,9 +177,9 @@
     }
 
     /// Recalculates the reserve for the nodes that have not acknowledged.
-    pub(crate) fn refresh_reserve(&mut self, now_us: u64, others: &[Arc<str>], spec: &TenantSpec) {
+    pub(crate) fn refresh_reserve(&mut self, now_us: u64, peers: &Peers, spec: &TenantSpec) {
         let share = match &self.limited {
-            Some(limited) => limited.unacknowledged_share(now_us, others),
+            Some(limited) => limited.unacknowledged_share(now_us, peers),
             None => 0.0,
         };
         self.reserve(now_us, share, spec);
@@ -273,17 +275,19 @@
 
 impl Limited {
     /// Returns the share of all nodes that were told but have not acknowledged in time.
-    fn unacknowledged_share(&self, now_us: u64, others: &[Arc<str>]) -> f64 {
-        let told = |told_us| now_us >= told_us + ACKNOWLEDGEMENT_TIMEOUT_US;
-        if !self.told_us.is_some_and(told) {
+    fn unacknowledged_share(&self, now_us: u64, peers: &Peers) -> f64 {
+        let timeout_us = ACKNOWLEDGEMENT_TIMEOUT_US + QuotaOwner::announcement_us(peers);
+        let due = |told_us| now_us >= told_us + timeout_us;
+        if !self.told_us.is_some_and(due) {
             return 0.0;
         }
-        let acknowledged = others.iter().filter(|name| {
-            let at_us = self.acknowledged_us.get(*name);
-            at_us.is_some_and(|at_us| now_us <= at_us + ACKNOWLEDGED_US)
+        let own = &peers.own().name;
+        let missing = peers.all_nodes().iter().filter(|node| {
+            let at_us = self.acknowledged_us.get(&node.name);
+            let acknowledged = at_us.is_some_and(|at_us| now_us <= at_us + ACKNOWLEDGED_US);
+            node.name != *own && !acknowledged
         });
-        let missing = others.len() - acknowledged.count();
-        missing as f64 / (others.len() + 1) as f64
+        missing.count() as f64 / peers.total_nodes() as f64
     }
 }
 
--- a/crates/dispatch/src/quota_view.rs
+++ b/crates/dispatch/src/quota_view.rs
@@ -5,6 +5,7 @@
 use crate::QuotaAnswer;
 use crate::QuotaBounds;
 use crate::QuotaDecision;
+use crate::QuotaMessage;
 use crate::QuotaNode;
 use crate::QuotaReply;
 use crate::TenantReport;
@@ -177,10 +178,14 @@
         &mut self,
         now_us: u64,
         owner: &QuotaNode,
-        reports: &[TenantReport],
+        message: &QuotaMessage,
     ) -> bool {
-        self.suspicion.record_failure(now_us);
-        for report in reports {
+        if message.ask.is_some() {
+            self.suspicion.record_question_failure(now_us);
+        } else {
+            self.suspicion.record_failure(now_us);
+        }
+        for report in &message.reports {
             self.reports.add(now_us, owner, report);
         }
         self.backoffs.record_failure(now_us, &owner.name)
--- a/crates/entry/src/peers/quota_exchange.rs
+++ b/crates/entry/src/peers/quota_exchange.rs
@@ -10,6 +10,7 @@
 use wigeonhall_dispatch::PeerNode;
 use wigeonhall_dispatch::QuotaMessage;
 use wigeonhall_dispatch::QuotaNode;
+use wigeonhall_dispatch::QuotaOwner;
 use wigeonhall_dispatch::QuotaReply;
 
 use crate::peers::quota_client;
@@ -135,7 +136,7 @@
 pub(crate) fn record_failure(shared: &NodeState, owner: &QuotaNode, message: &QuotaMessage) {
     let now_us = shared.clock.now_us();
     let mut view = shared.quotas.view.borrow_mut();
-    if view.record_failure(now_us, owner, &message.reports) {
+    if view.record_failure(now_us, owner, message) {
         log_owner(shared, owner, "unreachable");
     }
     shared.quotas.due.notify_one();
@@ -151,13 +152,9 @@
 /// Updates the limited states of this node's tenants.
 fn refresh(shared: &NodeState, now_us: u64) {
     let table = shared.table.borrow().clone();
-    let peers = shared.peers.borrow();
-    let own = &peers.own().name;
-    let others = peers.all_nodes().iter().map(|node| &node.name);
-    let others: Vec<Arc<str>> = others.filter(|name| *name != own).cloned().collect();
-    let mut owner = shared.quotas.owner.borrow_mut();
     let suspicious = shared.quotas.view.borrow().is_suspicious(now_us);
-    owner.refresh(now_us, &others, suspicious, |name| {
+    let mut owner = shared.quotas.owner.borrow_mut();
+    owner.refresh(now_us, &shared.peers.borrow(), suspicious, |name| {
         quota_server::limited_tenant(table.as_deref()?, name)
     });
     drop(owner);
@@ -207,8 +204,10 @@
     }
     let (shared, message) = (shared.clone(), message.clone());
     let (name, address) = (node.name.clone(), node.address);
+    let sending = Duration::from_micros(QuotaOwner::announcement_us(&shared.peers.borrow()));
+    let timeout = MESSAGE_TIMEOUT + sending;
     task::spawn_local(async move {
-        let reply = quota_client::send(&shared, address, &message, MESSAGE_TIMEOUT).await;
+        let reply = quota_client::send(&shared, address, &message, timeout).await;
         let mut owner = shared.quotas.owner.borrow_mut();
         if reply.is_some() {
             owner.acknowledge(shared.clock.now_us(), &name, &message.limited);
