Check that tenants without a rate cost nothing, and the demand that owners state

Cause: fair admission will weigh tenants by their demand over all nodes, and deployments without rates must not pay for quotas.

--- a/crates/dispatch/tests/quota_fleet/measures.rs
+++ b/crates/dispatch/tests/quota_fleet/measures.rs
@@ -48,4 +48,13 @@
         let admitted = outcomes().filter(|it| it.admitted).count();
         (admitted, outcomes().filter(|it| it.owed).count())
     }
+
+    /// Returns the mean of the demand of a tenant that the nodes know of.
+    pub fn stated_demand(&self, tenant: usize) -> f64 {
+        let name = &self.specs[tenant].name;
+        let nodes = self.nodes.iter();
+        let stated = nodes.filter_map(|node| node.view.demand_per_s(self.now_us, name));
+        let stated: Vec<f64> = stated.collect();
+        stated.iter().sum::<f64>() / stated.len() as f64
+    }
 }
--- a/crates/dispatch/tests/quotas.rs
+++ b/crates/dispatch/tests/quotas.rs
@@ -271,3 +271,28 @@
         assert!(refused < REFUSED_MAX, "seed {seed}: {refused}");
     }
 }
+
+#[test]
+fn a_tenant_without_a_rate_causes_no_message() {
+    let mut fleet = Fleet::new(NODES, vec![spec("free", 0.0, 0.0)], 0, false);
+    fleet.load(0, 100.0, 0, 5 * SECOND_US);
+    fleet.run(END_US);
+    assert_eq!(fleet.messages, 0);
+    assert!(fleet.outcomes.iter().all(|it| it.admitted));
+}
+
+/// Fair admission weighs tenants by their demand over all nodes, refused requests included.
+#[test]
+fn owners_state_the_demand_over_all_nodes() {
+    for factor in [1.0, OVERLOAD] {
+        let mut fleet = Fleet::new(NODES, vec![spec("large", RATE_PER_S, BURST)], 0, false);
+        fleet.load(0, USUAL_PER_S * factor, 0, END_US);
+        fleet.run(END_US);
+        let demand = fleet.stated_demand(0);
+        let expected = USUAL_PER_S * factor;
+        assert!(
+            (demand / expected - 1.0).abs() < 0.4,
+            "{demand} of {expected}"
+        );
+    }
+}
