Create the buckets of a node's tenants before their first request

A node now creates the buckets of its tenants, and asks the other owner, when its list of nodes or its configuration changes.

--- a/crates/dispatch/src/quota_owner.rs
+++ b/crates/dispatch/src/quota_owner.rs
@@ -12,6 +12,9 @@
 use crate::TenantState;
 use crate::quota_tenant::OwnedTenant;
 
+/// Number of owners of a tenant: the first one and its backup.
+pub(crate) const OWNERS: usize = 2;
+
 /// Processor time for an announcement to one node and its reply, on a whole core.
 const ANNOUNCEMENT_PROCESSOR_US: f64 = 150.0;
 
@@ -216,6 +219,25 @@
         names
     }
 
+    /// Creates the buckets of the tenants that this node owns or backs up, after a change of the nodes
+    /// or of the configuration. They fill, and take over the tokens of the other owners, before the
+    /// first request.
+    pub fn adopt<'a>(
+        &mut self,
+        now_us: u64,
+        peers: &Peers,
+        specs: impl Iterator<Item = &'a TenantSpec>,
+    ) {
+        if peers.generation() == 0 {
+            return;
+        }
+        for spec in specs.filter(|spec| spec.is_limited()) {
+            if self.rank(peers, &spec.name) < OWNERS {
+                self.tenant(now_us, spec);
+            }
+        }
+    }
+
     /// Returns whether [`Self::take_syncs`] has messages.
     #[must_use]
     pub fn has_syncs(&self) -> bool {
@@ -231,7 +253,7 @@
         let due = self.tenants.iter_mut().filter(|(_, it)| it.is_sync_due());
         let due = due.filter_map(|(name, tenant)| {
             tenant.mark_synced();
-            let owners = peers.ranked_nodes(name, 2);
+            let owners = peers.ranked_nodes(name, OWNERS);
             let mut others = owners.iter().filter(|it| it.name != peers.own().name);
             let other = others.next()?;
             let node = QuotaNode {
--- a/crates/dispatch/src/quota_tenant_view.rs
+++ b/crates/dispatch/src/quota_tenant_view.rs
@@ -6,11 +6,9 @@
 use crate::QuotaNode;
 use crate::TenantSpec;
 use crate::TenantState;
+use crate::quota_owner::OWNERS;
 use crate::quota_share::QuotaShare;
 
-/// Number of owners of a tenant: the first one and its backup.
-const OWNERS: usize = 2;
-
 /// Time for which a tenant counts as limited after an announcement: three intervals.
 const LIMITED_US: u64 = 3_000_000;
 
--- a/crates/dispatch/src/quota_view.rs
+++ b/crates/dispatch/src/quota_view.rs
@@ -204,13 +204,6 @@
         self.reports.take(now_us, owner)
     }
 
-    /// Returns whether requests were admitted before the first list of nodes, so that their owners
-    /// must be told of them after it.
-    #[must_use]
-    pub fn has_unassigned(&self) -> bool {
-        self.tenants.values().any(|tenant| tenant.unassigned > 0.0)
-    }
-
     /// Returns whether an owner still must be told of requests.
     #[must_use]
     pub fn has_reports(&self) -> bool {
--- a/crates/dispatch/tests/quota_fleet/mod.rs
+++ b/crates/dispatch/tests/quota_fleet/mod.rs
@@ -158,10 +158,11 @@
     /// Gives a node a list of nodes.
     pub fn list(&mut self, node: usize, listed: &[usize]) {
         let listed = listed.iter().map(|number| peer(*number)).collect();
-        self.nodes[node].peers.replace(listed);
-        if self.nodes[node].view.has_unassigned() {
-            self.notify(node);
-        }
+        let (now_us, specs) = (self.now_us, &self.specs);
+        let it = &mut self.nodes[node];
+        it.peers.replace(listed);
+        it.owner.adopt(now_us, &it.peers, specs.iter());
+        self.notify(node);
     }
 
     /// Returns the nodes in the order in which they own a tenant.
--- a/crates/entry/src/peers/quota_exchange.rs
+++ b/crates/entry/src/peers/quota_exchange.rs
@@ -12,6 +12,7 @@
 use wigeonhall_dispatch::QuotaNode;
 use wigeonhall_dispatch::QuotaOwner;
 use wigeonhall_dispatch::QuotaReply;
+use wigeonhall_dispatch::Tenants;
 
 use crate::peers::quota_client;
 use crate::peers::quota_server;
@@ -35,8 +36,10 @@
 pub(crate) async fn run(shared: Rc<NodeState>) {
     let due = &shared.quotas.due;
     let mut refresh_at_us = 0;
+    let mut adopted = None;
     loop {
         let now_us = shared.clock.now_us();
+        adopt(&shared, now_us, &mut adopted);
         let owns = is_owner_active(&shared, now_us);
         if owns {
             if now_us >= refresh_at_us {
@@ -57,6 +60,31 @@
     }
 }
 
+/// Wakes the task after a change of the nodes or the configuration, if any tenant has a rate.
+pub(crate) fn notify_change(shared: &NodeState) {
+    let table = shared.table.borrow();
+    let tenants = table.as_ref().and_then(|table| table.tenants.as_ref());
+    if tenants.is_some_and(|tenants| tenants.iter().any(|it| it.is_limited())) {
+        shared.quotas.due.notify_one();
+    }
+}
+
+/// Creates the buckets of this node's tenants if the list of nodes or the configuration is not the one
+/// for which that was done.
+fn adopt(shared: &NodeState, now_us: u64, adopted: &mut Option<(u64, u64)>) {
+    let Some(table) = shared.table.borrow().clone() else {
+        return;
+    };
+    let peers = shared.peers.borrow();
+    let current = Some((peers.generation(), table.version));
+    if *adopted != current {
+        *adopted = current;
+        let specs = table.tenants.iter().flat_map(Tenants::iter);
+        let mut owner = shared.quotas.owner.borrow_mut();
+        owner.adopt(now_us, &peers, specs.map(|spec| &**spec));
+    }
+}
+
 /// Whether this node, as an owner, has limited tenants, or tenants while nodes may be cut off.
 fn is_owner_active(shared: &NodeState, now_us: u64) -> bool {
     let owner = shared.quotas.owner.borrow();
--- a/crates/entry/src/store/peer_registry.rs
+++ b/crates/entry/src/store/peer_registry.rs
@@ -19,6 +19,7 @@
 use wigeonhall_adapter::object_path;
 use wigeonhall_dispatch::PeerNode;
 
+use crate::peers::quota_exchange;
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
 use crate::process::node_state::Phase;
@@ -203,9 +204,7 @@
     peers.replace(nodes);
     shared.pool.borrow_mut().set_nodes(peers.total_nodes());
     shared.feed.nodes_listed.send_replace(true);
-    if shared.quotas.view.borrow().has_unassigned() {
-        shared.quotas.due.notify_one();
-    }
+    quota_exchange::notify_change(shared);
     if peers.len() != before {
         shared.log(&Event::Nodes { near: peers.len() });
     }
--- a/crates/entry/src/store/route_switch.rs
+++ b/crates/entry/src/store/route_switch.rs
@@ -4,6 +4,7 @@
 
 use wigeonhall_dispatch::RouteTable;
 
+use crate::peers::quota_exchange;
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
 use crate::replicas::preconnect;
@@ -49,6 +50,7 @@
     });
     shared.metrics.config_version.set(table.version as i64);
     shared.table.replace(Some(table));
+    quota_exchange::notify_change(shared);
     sender_counts::update(shared);
     preconnect::to_services(shared);
     true
