--- a/crates/dispatch/src/quota_owner.rs
+++ b/crates/dispatch/src/quota_owner.rs
@@ -248,7 +248,7 @@
             return;
         }
         for spec in specs.filter(|spec| spec.is_limited()) {
-            if self.rank(peers, &spec.name) < OWNERS {
+            if self.rank(now_us, peers, &spec.name) < OWNERS {
                 self.tenant(now_us, spec);
             }
         }
