--- a/crates/dispatch/src/quota_owner.rs
+++ b/crates/dispatch/src/quota_owner.rs
@@ -12,6 +12,12 @@
 use crate::TenantState;
 use crate::quota_tenant::OwnedTenant;
 
+/// Number of owners of a tenant: the first one and its backup.
+pub(crate) const OWNERS: usize = 2;
+
+/// Processor time for an announcement to one node and its reply, on a whole core.
+const ANNOUNCEMENT_PROCESSOR_US: f64 = 150.0;
+
 /// A change of a tenant's state at its owner, with the inputs of the decision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QuotaChange {
@@ -31,6 +37,10 @@
 /// nodes for some seconds after a node was added or removed.
 const ACCEPTING_RANKS: usize = 3;
 
+/// Time after a change of this node's list of nodes in which the lists of other nodes may differ, so that
+/// a tenant has several owners: they list the nodes every 10 s, give or take a quarter.
+const LISTS_DIFFER_US: u64 = 12_500_000;
+
 /// The tenants that a node owns or backs up, with their buckets.
 #[derive(Debug)]
 pub struct QuotaOwner {
@@ -38,6 +48,10 @@
     changes: Vec<QuotaChange>,
     /// Number of the list of nodes from which the ranks are taken.
     generation: u64,
+    /// Time until which the lists of other nodes may differ.
+    lists_differ_until_us: u64,
+    /// Digest of the names in the list of nodes.
+    members: u64,
     /// Rank of this node as an owner of each tenant.
     ranks: HashMap<Arc<str>, usize>,
     /// Whether nodes may be cut off.
@@ -56,6 +70,8 @@
             bounds,
             changes: Vec::new(),
             generation: 0,
+            lists_differ_until_us: 0,
+            members: 0,
             ranks: HashMap::new(),
             starts_full: first_start,
             suspicious: false,
@@ -74,7 +90,7 @@
     ) -> QuotaReply {
         let mut reply = QuotaReply::default();
         for report in &message.reports {
-            if let Some(spec) = self.owned(peers, &report.tenant, &find) {
+            if let Some(spec) = self.owned(now_us, peers, &report.tenant, &find) {
                 self.tenant(now_us, spec).report(now_us, report);
                 reply.states.push(self.state(now_us, spec));
             }
@@ -82,7 +98,7 @@
         let Some(name) = &message.ask else {
             return reply;
         };
-        let Some(spec) = self.owned(peers, name, &find) else {
+        let Some(spec) = self.owned(now_us, peers, name, &find) else {
             reply.answer = Some(QuotaAnswer::NotOwner);
             return reply;
         };
@@ -100,22 +116,28 @@
     /// of nodes, the list of the sender decides.
     fn owned<'a>(
         &mut self,
+        now_us: u64,
         peers: &Peers,
         name: &Arc<str>,
         find: &impl Fn(&str) -> Option<&'a TenantSpec>,
     ) -> Option<&'a TenantSpec> {
         let spec = find(name).filter(|spec| spec.is_limited())?;
-        (self.rank(peers, name) < ACCEPTING_RANKS).then_some(spec)
+        (self.rank(now_us, peers, name) < ACCEPTING_RANKS).then_some(spec)
     }
 
     /// Returns the rank of this node as an owner of a tenant, 0 for the first.
-    fn rank(&mut self, peers: &Peers, name: &Arc<str>) -> usize {
+    fn rank(&mut self, now_us: u64, peers: &Peers, name: &Arc<str>) -> usize {
         if self.generation != peers.generation() {
             if self.generation == 0 {
                 let tenants = self.tenants.values_mut();
                 tenants.for_each(OwnedTenant::forget_announcement);
             }
             self.generation = peers.generation();
+            let members = peers.members();
+            if members != self.members {
+                self.members = members;
+                self.lists_differ_until_us = now_us + LISTS_DIFFER_US;
+            }
             self.ranks.clear();
         }
         let rank = self.ranks.entry(name.clone());
@@ -152,6 +174,13 @@
         }
     }
 
+    /// Returns the time that this node needs to announce limited tenants to all nodes.
+    #[must_use]
+    pub fn announcement_us(peers: &Peers) -> u64 {
+        let share = peers.own().processor_share.max(0.01);
+        (peers.total_nodes() as f64 * ANNOUNCEMENT_PROCESSOR_US / share) as u64
+    }
+
     /// Returns whether this node has a bucket of a tenant.
     #[must_use]
     pub fn has_tenants(&self) -> bool {
@@ -169,7 +198,7 @@
     pub fn refresh<'a>(
         &mut self,
         now_us: u64,
-        others: &[Arc<str>],
+        peers: &Peers,
         suspicious: bool,
         find: impl Fn(&str) -> Option<&'a TenantSpec>,
     ) {
@@ -179,7 +208,7 @@
         let names: Vec<Arc<str>> = self.tenants.keys().cloned().collect();
         for spec in names.iter().filter_map(|name| find(name)) {
             let tenant = self.tenant(now_us, spec);
-            tenant.refresh_reserve(now_us, others, spec);
+            tenant.refresh_reserve(now_us, peers, spec);
             self.observe(now_us, spec);
         }
     }
@@ -197,7 +226,7 @@
         let limited = self.tenants.iter().filter(|(_, it)| it.is_limited());
         let mut names: Vec<Arc<str>> = limited.map(|(name, _)| name.clone()).collect();
         names.retain(|name| {
-            let rank = self.rank(peers, name);
+            let rank = self.rank(now_us, peers, name);
             let Some(tenant) = self.tenants.get_mut(name) else {
                 return false;
             };
@@ -206,6 +235,25 @@
         names
     }
 
+    /// Creates the buckets of the tenants that this node owns or backs up, after a change of the nodes
+    /// or of the configuration. They fill, and take over the tokens of the other owners, before the
+    /// first request.
+    pub fn adopt<'a>(
+        &mut self,
+        now_us: u64,
+        peers: &Peers,
+        specs: impl Iterator<Item = &'a TenantSpec>,
+    ) {
+        if peers.generation() == 0 {
+            return;
+        }
+        for spec in specs.filter(|spec| spec.is_limited()) {
+            if self.rank(now_us, peers, &spec.name) < OWNERS {
+                self.tenant(now_us, spec);
+            }
+        }
+    }
+
     /// Returns whether [`Self::take_syncs`] has messages.
     #[must_use]
     pub fn has_syncs(&self) -> bool {
@@ -221,7 +269,7 @@
         let due = self.tenants.iter_mut().filter(|(_, it)| it.is_sync_due());
         let due = due.filter_map(|(name, tenant)| {
             tenant.mark_synced();
-            let owners = peers.ranked_nodes(name, 2);
+            let owners = peers.ranked_nodes(name, OWNERS);
             let mut others = owners.iter().filter(|it| it.name != peers.own().name);
             let other = others.next()?;
             let node = QuotaNode {
@@ -272,6 +320,9 @@
         let Some(tenant) = self.tenants.get_mut(&spec.name) else {
             return;
         };
+        if self.suspicious || now_us < self.lists_differ_until_us {
+            tenant.mark_divided(now_us);
+        }
         if tenant.update_limited(now_us, spec, self.suspicious) {
             let change = tenant.change(now_us, &spec.name);
             self.changes.push(change);
--- a/crates/dispatch/src/quota_view.rs
+++ b/crates/dispatch/src/quota_view.rs
@@ -5,6 +5,7 @@
 use crate::QuotaAnswer;
 use crate::QuotaBounds;
 use crate::QuotaDecision;
+use crate::QuotaMessage;
 use crate::QuotaNode;
 use crate::QuotaReply;
 use crate::TenantReport;
@@ -23,6 +24,10 @@
 /// It bounds what one node admits before it notices that it is cut off.
 const UNCONFIRMED_MAX: f64 = 4.0;
 
+/// Equal share of the rate that a node admits on its own, in seconds, where that is more: three
+/// intervals between reports.
+const UNCONFIRMED_S: f64 = 0.3;
+
 /// What a node knows about the quotas of tenants, and what it must tell their owners.
 #[derive(Debug)]
 pub struct QuotaView {
@@ -72,7 +77,9 @@
             return refusal;
         }
         let sampled = spec.rate_per_s > REPORTED_PER_S_MAX;
-        let confirmed = tenant.unconfirmed < UNCONFIRMED_MAX / sampling_probability(spec);
+        let share_per_s = spec.rate_per_s / peers.total_nodes() as f64;
+        let unconfirmed_max = UNCONFIRMED_MAX / sampling_probability(spec);
+        let confirmed = tenant.unconfirmed < unconfirmed_max.max(share_per_s * UNCONFIRMED_S);
         let limited = tenant.is_limited(now_us);
         if !limited && confirmed && (sampled || !suspicious) {
             tenant.unconfirmed += 1.0;
@@ -171,10 +178,14 @@
         &mut self,
         now_us: u64,
         owner: &QuotaNode,
-        reports: &[TenantReport],
+        message: &QuotaMessage,
     ) -> bool {
-        self.suspicion.record_failure(now_us);
-        for report in reports {
+        if message.ask.is_some() {
+            self.suspicion.record_question_failure(now_us);
+        } else {
+            self.suspicion.record_failure(now_us);
+        }
+        for report in &message.reports {
             self.reports.add(now_us, owner, report);
         }
         self.backoffs.record_failure(now_us, &owner.name)
@@ -193,13 +204,6 @@
         self.reports.take(now_us, owner)
     }
 
-    /// Returns whether requests were admitted before the first list of nodes, so that their owners
-    /// must be told of them after it.
-    #[must_use]
-    pub fn has_unassigned(&self) -> bool {
-        self.tenants.values().any(|tenant| tenant.unassigned > 0.0)
-    }
-
     /// Returns whether an owner still must be told of requests.
     #[must_use]
     pub fn has_reports(&self) -> bool {
--- a/crates/dispatch/tests/quota_fleet/mod.rs
+++ b/crates/dispatch/tests/quota_fleet/mod.rs
@@ -158,10 +158,11 @@
     /// Gives a node a list of nodes.
     pub fn list(&mut self, node: usize, listed: &[usize]) {
         let listed = listed.iter().map(|number| peer(*number)).collect();
-        self.nodes[node].peers.replace(listed);
-        if self.nodes[node].view.has_unassigned() {
-            self.notify(node);
-        }
+        let (now_us, specs) = (self.now_us, &self.specs);
+        let it = &mut self.nodes[node];
+        it.peers.replace(listed);
+        it.owner.adopt(now_us, &it.peers, specs.iter());
+        self.notify(node);
     }
 
     /// Returns the nodes in the order in which they own a tenant.
@@ -356,7 +357,7 @@
         let specs = &self.specs;
         let find = |name: &str| specs.iter().find(|it| *it.name == *name);
         let suspicious = node.view.is_suspicious(now_us);
-        node.owner.refresh(now_us, &others, suspicious, find);
+        node.owner.refresh(now_us, &node.peers, suspicious, find);
         let view = &node.view;
         let is_announced = |name: &str| view.is_announced(now_us, name);
         let limited = node.owner.announcements(now_us, &node.peers, is_announced);
--- a/crates/entry/src/peers/quota_exchange.rs
+++ b/crates/entry/src/peers/quota_exchange.rs
@@ -10,7 +10,9 @@
 use wigeonhall_dispatch::PeerNode;
 use wigeonhall_dispatch::QuotaMessage;
 use wigeonhall_dispatch::QuotaNode;
+use wigeonhall_dispatch::QuotaOwner;
 use wigeonhall_dispatch::QuotaReply;
+use wigeonhall_dispatch::Tenants;
 
 use crate::peers::quota_client;
 use crate::peers::quota_server;
@@ -34,8 +36,10 @@
 pub(crate) async fn run(shared: Rc<NodeState>) {
     let due = &shared.quotas.due;
     let mut refresh_at_us = 0;
+    let mut adopted = None;
     loop {
         let now_us = shared.clock.now_us();
+        adopt(&shared, now_us, &mut adopted);
         let owns = is_owner_active(&shared, now_us);
         if owns {
             if now_us >= refresh_at_us {
@@ -56,6 +60,31 @@
     }
 }
 
+/// Wakes the task after a change of the nodes or the configuration, if any tenant has a rate.
+pub(crate) fn notify_change(shared: &NodeState) {
+    let table = shared.table.borrow();
+    let tenants = table.as_ref().and_then(|table| table.tenants.as_ref());
+    if tenants.is_some_and(|tenants| tenants.iter().any(|it| it.is_limited())) {
+        shared.quotas.due.notify_one();
+    }
+}
+
+/// Creates the buckets of this node's tenants if the list of nodes or the configuration is not the one
+/// for which that was done.
+fn adopt(shared: &NodeState, now_us: u64, adopted: &mut Option<(u64, u64)>) {
+    let Some(table) = shared.table.borrow().clone() else {
+        return;
+    };
+    let peers = shared.peers.borrow();
+    let current = Some((peers.generation(), table.version));
+    if *adopted != current {
+        *adopted = current;
+        let specs = table.tenants.iter().flat_map(Tenants::iter);
+        let mut owner = shared.quotas.owner.borrow_mut();
+        owner.adopt(now_us, &peers, specs.map(|spec| &**spec));
+    }
+}
+
 /// Whether this node, as an owner, has limited tenants, or tenants while nodes may be cut off.
 fn is_owner_active(shared: &NodeState, now_us: u64) -> bool {
     let owner = shared.quotas.owner.borrow();
@@ -135,7 +164,7 @@
 pub(crate) fn record_failure(shared: &NodeState, owner: &QuotaNode, message: &QuotaMessage) {
     let now_us = shared.clock.now_us();
     let mut view = shared.quotas.view.borrow_mut();
-    if view.record_failure(now_us, owner, &message.reports) {
+    if view.record_failure(now_us, owner, message) {
         log_owner(shared, owner, "unreachable");
     }
     shared.quotas.due.notify_one();
@@ -151,13 +180,9 @@
 /// Updates the limited states of this node's tenants.
 fn refresh(shared: &NodeState, now_us: u64) {
     let table = shared.table.borrow().clone();
-    let peers = shared.peers.borrow();
-    let own = &peers.own().name;
-    let others = peers.all_nodes().iter().map(|node| &node.name);
-    let others: Vec<Arc<str>> = others.filter(|name| *name != own).cloned().collect();
-    let mut owner = shared.quotas.owner.borrow_mut();
     let suspicious = shared.quotas.view.borrow().is_suspicious(now_us);
-    owner.refresh(now_us, &others, suspicious, |name| {
+    let mut owner = shared.quotas.owner.borrow_mut();
+    owner.refresh(now_us, &shared.peers.borrow(), suspicious, |name| {
         quota_server::limited_tenant(table.as_deref()?, name)
     });
     drop(owner);
@@ -207,8 +232,10 @@
     }
     let (shared, message) = (shared.clone(), message.clone());
     let (name, address) = (node.name.clone(), node.address);
+    let sending = Duration::from_micros(QuotaOwner::announcement_us(&shared.peers.borrow()));
+    let timeout = MESSAGE_TIMEOUT + sending;
     task::spawn_local(async move {
-        let reply = quota_client::send(&shared, address, &message, MESSAGE_TIMEOUT).await;
+        let reply = quota_client::send(&shared, address, &message, timeout).await;
         let mut owner = shared.quotas.owner.borrow_mut();
         if reply.is_some() {
             owner.acknowledge(shared.clock.now_us(), &name, &message.limited);
