--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -8,6 +8,7 @@
 use crate::ReplicaKey;
 use crate::Reply;
 use crate::Route;
+use crate::TenantClaim;
 use crate::UnknownCause;
 use crate::leg::Leg;
 
@@ -25,6 +26,8 @@
 pub struct Exchange {
     /// Whether this node answers the caller; false for legs that another node assigned to it.
     pub(crate) answers_caller: bool,
+    /// Claim to capacity; `None` where the configuration names no tenants.
+    pub(crate) claim: Option<TenantClaim>,
     /// Number of replicas that crashed under the request.
     pub(crate) crashes: usize,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
@@ -70,6 +73,7 @@
         let min_wait_us = target_us / MIN_WAIT_DIVISOR;
         Self {
             answers_caller: true,
+            claim: None,
             crashes: 0,
             deadline_us,
             extra_sends: 0,
@@ -107,6 +111,7 @@
         let legs = legs.iter().filter_map(|index| services.get(*index));
         Self {
             answers_caller: false,
+            claim: None,
             crashes: 0,
             deadline_us,
             extra_sends: 0,
@@ -130,6 +135,13 @@
         self
     }
 
+    /// Sets the claim to capacity; `None` where the configuration names no tenants.
+    #[must_use]
+    pub fn with_claim(mut self, claim: Option<TenantClaim>) -> Self {
+        self.claim = claim;
+        self
+    }
+
     /// Sets the fallback replica of each leg, which another node uses if it takes the leg back.
     ///
     /// The fallback counts toward the replicas that may run the leg, so that both nodes
@@ -185,7 +197,7 @@
             // The request waited in the node's queue until after its deadline.
             return Some(self.refuse(pool, now_us, self.refusal_reason(true)));
         }
-        if let Some(refusal) = self.refuse_overload(pool) {
+        if let Some(refusal) = self.refuse_overload(pool, now_us) {
             return Some(refusal);
         }
         let replicas = self.choose_first(pool, now_us);
--- a/crates/dispatch/src/exchange_outcome.rs
+++ b/crates/dispatch/src/exchange_outcome.rs
@@ -47,11 +47,11 @@
     }
 
     /// Refuses a gather that is not admitted because its shards are overloaded.
-    pub fn refuse_overload(&self, pool: &mut Pool) -> Option<Outcome> {
+    pub fn refuse_overload(&self, pool: &mut Pool, now_us: u64) -> Option<Outcome> {
         if self.min_parts.is_none() || !self.answers_caller {
             return None;
         }
-        let reason = pool.refuse_gather(self.route.legs_key, self.route.rank)?;
+        let reason = pool.refuse_gather(now_us, &self.route, self.claim.as_ref())?;
         Some(Outcome::Refuse {
             reason,
             retry_after_ms: OVERLOAD_RETRY_AFTER_MS,
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -17,6 +17,7 @@
 use crate::admission::Admission;
 use crate::connect_latency::ConnectLatency;
 use crate::departed_replicas::DepartedReplicas;
+use crate::fair_shares::FairShares;
 use crate::service::Service;
 
 /// Number of nodes that are assumed to share the rate of a replica until their number is known.
@@ -35,6 +36,8 @@
     extra_allowance: ExtraAllowance,
     /// Dropped replicas, some of which register again.
     pub(crate) departed: DepartedReplicas,
+    /// Fair shares of tenants by [`Route::legs_key`](crate::Route::legs_key) and rank.
+    pub(crate) fair_shares: HashMap<(LegsKey, u32), FairShares>,
     pub(crate) free_slots: Vec<u32>,
     /// Number of nodes in all data centres.
     pub(crate) nodes: usize,
@@ -91,6 +94,7 @@
             data_centre,
             extra_allowance: ExtraAllowance::default(),
             departed: DepartedReplicas::default(),
+            fair_shares: HashMap::new(),
             free_slots: Vec::new(),
             nodes: ASSUMED_NODES,
             policy: Policy::default(),
--- a/crates/dispatch/src/pool_load.rs
+++ b/crates/dispatch/src/pool_load.rs
@@ -2,15 +2,29 @@
 use crate::LoadChange;
 use crate::Pool;
 use crate::RefuseReason;
+use crate::Route;
+use crate::TenantClaim;
 
 /// Observes the load of the shards of gathers, and decides what gives way to it.
 impl Pool {
-    /// Refuses some gathers of a `rank` over the shards with this
-    /// [`Route::legs_key`](crate::Route::legs_key), while more arrive than can be answered in time.
-    pub(crate) fn refuse_gather(&mut self, legs_key: LegsKey, rank: u32) -> Option<RefuseReason> {
+    /// Refuses some gathers of a route, while more arrive than can be answered in time; `claim` is
+    /// `None` where the configuration names no tenants.
+    pub(crate) fn refuse_gather(
+        &mut self,
+        now_us: u64,
+        route: &Route,
+        claim: Option<&TenantClaim>,
+    ) -> Option<RefuseReason> {
         let draw = self.rng.f64();
-        let admission = self.admissions.entry(legs_key).or_default();
-        let admitted_share = admission.admitted_share(rank);
+        let rank = route.rank(claim.and_then(|claim| claim.priority));
+        let admission = *self.admissions.entry(route.legs_key).or_default();
+        let mut admitted_share = admission.admitted_share(rank);
+        if let Some(claim) = claim {
+            let shares = self.fair_shares.entry((route.legs_key, rank)).or_default();
+            shares.record(now_us, claim, &route.spec.name);
+            let most_urgent_share = admission.admitted_share(0);
+            admitted_share = shares.admitted_share(admitted_share, most_urgent_share, self.nodes);
+        }
         let refused = self.policy.admission && draw > admitted_share;
         refused.then_some(RefuseReason::Overloaded {
             admitted_percent: (admitted_share * 100.0) as u32,
@@ -34,6 +48,8 @@
     pub fn load_changes(&mut self, is_used: impl Fn(LegsKey) -> bool) -> Vec<LoadChange> {
         let policy = self.policy;
         self.admissions.retain(|legs_key, _| is_used(*legs_key));
+        self.fair_shares
+            .retain(|(legs_key, _), _| is_used(*legs_key));
         let changes = self.admissions.iter_mut().filter_map(|(key, admission)| {
             let load = admission.load_change(&policy)?;
             Some(LoadChange {
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -113,8 +113,8 @@
 pub struct Route {
     /// Digest of a gather's shards and `max_attempts`.
     pub legs_key: LegsKey,
-    /// Number of more urgent priorities among the gathers over the same shards.
-    pub rank: u32,
+    /// Priorities of the requests for gathers over the same shards, the most urgent first.
+    pub priorities: Vec<u32>,
     /// The route as written in the configuration.
     pub spec: RouteSpec,
     /// Target of its requests.
@@ -135,6 +135,14 @@
 }
 
 impl Route {
+    /// Returns the number of more urgent priorities among the gathers over the same shards; the
+    /// tenant's priority replaces the route's.
+    #[must_use]
+    pub fn rank(&self, tenant_priority: Option<u32>) -> u32 {
+        let priority = tenant_priority.unwrap_or(self.spec.priority);
+        self.priorities.partition_point(|other| *other < priority) as u32
+    }
+
     /// Returns the number of records in the answer to a gather; 0 for other routes.
     #[must_use]
     pub fn top_records(&self) -> usize {
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -37,7 +37,7 @@
         for spec in &configuration.routes {
             let route = Rc::new(Route {
                 legs_key: spec.legs_key(),
-                rank: rank(spec, &configuration.routes),
+                priorities: priorities(spec, configuration),
                 spec: spec.clone(),
                 target: resolve_target(spec, pool),
                 version: configuration.version,
@@ -193,22 +193,26 @@
     }
 }
 
-/// Returns the number of priorities before that of a route, among gathers over the same shards.
-fn rank(spec: &RouteSpec, routes: &[RouteSpec]) -> u32 {
+/// Returns the priorities of the requests for gathers over the same shards as a route, each once, the
+/// most urgent first. The priority of a tenant replaces that of a route.
+fn priorities(spec: &RouteSpec, configuration: &Configuration) -> Vec<u32> {
     let TargetSpec::Gather { shards, .. } = &spec.target else {
-        return 0;
+        return Vec::new();
     };
     let same_shards = |other: &&RouteSpec| match &other.target {
         TargetSpec::Gather { shards: others, .. } => others == shards,
         TargetSpec::Service(_) | TargetSpec::Split(_) => false,
     };
-    let more_urgent: BTreeSet<u32> = routes
-        .iter()
-        .filter(|other| other.priority < spec.priority)
-        .filter(same_shards)
-        .map(|other| other.priority)
-        .collect();
-    more_urgent.len() as u32
+    let mut all = BTreeSet::new();
+    for route in configuration.routes.iter().filter(same_shards) {
+        let tenants = configuration.tenants.as_deref();
+        if tenants.is_none() || route.allows_anonymous {
+            all.insert(route.priority);
+        }
+        let tenants = tenants.unwrap_or_default().iter();
+        all.extend(tenants.map(|tenant| tenant.priority.unwrap_or(route.priority)));
+    }
+    all.into_iter().collect()
 }
 
 fn resolve_target(spec: &RouteSpec, pool: &mut Pool) -> RouteTarget {
--- a/crates/dispatch/src/tenants.rs
+++ b/crates/dispatch/src/tenants.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::KeyDigest;
+use crate::TenantClaim;
 
 /// A tenant, who holds API keys, as written in the configuration.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,13 +33,18 @@
 pub struct Tenants {
     by_key: HashMap<KeyDigest, Rc<TenantSpec>>,
     by_name: HashMap<Arc<str>, Rc<TenantSpec>>,
+    /// Weight of tenants without a limit, and of all anonymous callers together.
+    default_weight: f64,
 }
 
 impl Tenants {
     /// Indexes the tenants of a configuration. A key that two tenants hold belongs to the first.
     #[must_use]
     pub fn new(specs: &[TenantSpec]) -> Self {
-        let mut tenants = Self::default();
+        let mut tenants = Self {
+            default_weight: mean_rate(specs),
+            ..Self::default()
+        };
         for spec in specs {
             let tenant = Rc::new(spec.clone());
             for key in &tenant.key_digests {
@@ -61,8 +67,31 @@
         self.by_name.get(name)
     }
 
+    /// Returns the claim of a request to capacity; `demand_per_s` is the tenant's recent demand over
+    /// all nodes, if it is known.
+    #[must_use]
+    pub fn claim(&self, tenant: Option<&TenantSpec>, demand_per_s: Option<f64>) -> TenantClaim {
+        let weight = tenant.filter(|tenant| tenant.is_limited());
+        TenantClaim {
+            demand_per_s,
+            priority: tenant.and_then(|tenant| tenant.priority),
+            tenant: tenant.map_or_else(|| "".into(), |tenant| tenant.name.clone()),
+            weight: weight.map_or(self.default_weight, |tenant| tenant.rate_per_s),
+        }
+    }
+
     /// Returns all tenants, in no particular order.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<TenantSpec>> {
         self.by_name.values()
     }
 }
+
+/// Returns the mean rate of the tenants with a limit; 1 without any.
+fn mean_rate(specs: &[TenantSpec]) -> f64 {
+    let limited = specs.iter().filter(|spec| spec.is_limited());
+    let rates: Vec<f64> = limited.map(|spec| spec.rate_per_s).collect();
+    if rates.is_empty() {
+        return 1.0;
+    }
+    rates.iter().sum::<f64>() / rates.len() as f64
+}
--- a/crates/dispatch/tests/routes.rs
+++ b/crates/dispatch/tests/routes.rs
@@ -142,7 +142,7 @@
     let table = RouteTable::new(&configuration(1, routes), &mut pool());
     let rank = |name: &str| {
         let route = table.find("a.example", &format!("/{name}/x"));
-        route.unwrap().rank
+        route.unwrap().rank(None)
     };
     let ranks = ["urgent", "later", "last", "elsewhere"].map(rank);
     assert_eq!(ranks, [0, 1, 2, 0]);
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -8,6 +8,7 @@
 use wigeonhall_dispatch::Outcome;
 use wigeonhall_dispatch::RefuseReason;
 use wigeonhall_dispatch::Route;
+use wigeonhall_dispatch::TenantClaim;
 
 use crate::callers::caller_request::CallerHead;
 use crate::callers::responses;
@@ -57,7 +58,8 @@
     let deadline_us = arrived_us.saturating_add(timeout_us.min(remaining_us));
     let hedge_delay_us = shared.hedge_delay_us(&route);
     let mut exchange = Exchange::new(arrival, deadline_us, hedge_delay_us, route.clone())
-        .with_queueing_latency(shared.queueing_us(&route));
+        .with_queueing_latency(shared.queueing_us(&route))
+        .with_claim(claim(shared, head));
     let soft_deadline_us = exchange.soft_deadline_us();
     let outgoing = Rc::new(outgoing);
     let admitted = if is_too_late(shared, &route) {
@@ -98,6 +100,13 @@
     response
 }
 
+/// Returns the claim of a request to capacity; `None` where the configuration names no tenants.
+fn claim(shared: &NodeState, head: &CallerHead) -> Option<TenantClaim> {
+    let table = shared.table.borrow();
+    let tenants = table.as_ref()?.tenants.as_ref()?;
+    Some(tenants.claim(head.tenant.as_deref(), None))
+}
+
 /// Whether the node stops before a request on this route can be answered.
 fn is_too_late(shared: &NodeState, route: &Route) -> bool {
     let now_us = shared.clock.now_us();
@@ -121,7 +130,7 @@
     let now_us = shared.clock.now_us();
     let mut pool = shared.pool.borrow_mut();
     let refusal = exchange.refuse_unservable(&pool, now_us);
-    refusal.or_else(|| exchange.refuse_overload(&mut pool))
+    refusal.or_else(|| exchange.refuse_overload(&mut pool, now_us))
 }
 
 /// Refuses a request before any node is asked for its parts.
