--- a/crates/entry/src/peers/rollout_reports.rs
+++ b/crates/entry/src/peers/rollout_reports.rs
@@ -96,10 +96,11 @@
         let answer = match address {
             None => take_report(shared, own_report(shared, service)),
             Some(address) => {
-                let answer = send(shared, &name, address, &report).await;
+                let response = send(shared, &name, address, &report).await;
                 let mut peers = shared.peers.borrow_mut();
-                peers.record_coordinator(shared.clock.now_us(), &name, answer.is_some());
-                answer
+                peers.record_coordinator(shared.clock.now_us(), &name, response.is_some());
+                // A node that does not know the rollout yet will know it soon.
+                response.flatten()
             }
         };
         if let Some(answer) = answer {
@@ -167,14 +168,14 @@
     });
 }
 
-/// Sends a report to a node over a kept connection; `None` if it does not answer or does not know
-/// the rollout.
+/// Sends a report to a node over a kept connection; `None` if it does not answer, `Some(None)` if it
+/// does not know the rollout.
 async fn send(
     shared: &NodeState,
     name: &Arc<str>,
     address: SocketAddr,
     report: &RolloutReport,
-) -> Option<RolloutAnswer> {
+) -> Option<Option<RolloutAnswer>> {
     let (header_name, value) = rollout_protocol::encode_report(report)?;
     let kept = shared.rollouts.connections.borrow_mut().remove(name);
     let message = async {
@@ -200,7 +201,7 @@
     let (sender, answer) = time::timeout(REPORT_TIMEOUT, message).await.ok()??;
     let mut connections = shared.rollouts.connections.borrow_mut();
     connections.insert(name.clone(), sender);
-    answer
+    Some(answer)
 }
 
 /// Takes in a report as the coordinator; `None` if this node does not know the rollout.
