--- a/crates/dispatch/src/rollout_verdict.rs
+++ b/crates/dispatch/src/rollout_verdict.rs
@@ -13,10 +13,11 @@
 //!   than one of the earlier version with a probability of at least [`SLOW_PROBABILITY`].
 //! - Acceptable: for `X` binomial with `n` and the rate `q` plus a margin, `P(X <= f)` is at most
 //!   [`ACCEPT_ERROR`]; the rank statistic is below [`ACCEPT_Z`], or the probability below
-//!   [`SLOW_PROBABILITY`]; and the probability is below [`SLOW_PROBABILITY_MAX`] by two standard
-//!   errors. The same as for failures holds for responses that are slower than all but a share
-//!   [`TAIL`] of the earlier version's, with [`TAIL_MARGIN`]. One look accepts a version whose failures exceed `q` by the margin with at most
-//!   [`ACCEPT_ERROR`]. With too few responses, no version is acceptable.
+//!   [`SLOW_PROBABILITY`]; the probability is below [`SLOW_PROBABILITY_MAX`] by two standard errors;
+//!   and the same as for failures holds for responses that are slower than all but a share [`TAIL`]
+//!   of the earlier version's, with [`TAIL_MARGIN`]. One look accepts a version whose failures exceed
+//!   `q` by the margin with at most [`ACCEPT_ERROR`]. With too few responses, no version is
+//!   acceptable.
 //!
 //! Rates over the looks of whole rollouts, by traffic, stand in `docs/design/rollouts.md`.
 
