--- a/crates/dispatch/src/rollout_coordinator.rs
+++ b/crates/dispatch/src/rollout_coordinator.rs
@@ -243,19 +243,19 @@
 
     /// Returns the final state that is to be written now.
     ///
-    /// Before a success, all nodes must have moved and ended their requests to the earlier version,
-    /// whose replicas stop at the write; near the end of the rollout, absent nodes are not awaited.
+    /// Before a success, all nodes that reported recently must have moved and ended their requests to
+    /// the earlier version, whose replicas stop at the write. Absent nodes cannot be told, and a wait
+    /// for them would add to the exposure; at the end of the rollout, no node is awaited.
     #[must_use]
     pub fn due_state(&self, clock: RolloutClock) -> Option<RolloutState> {
         match self.order {
             RolloutOrder::Stop => Some(RolloutState::RolledBack),
             RolloutOrder::Try => None,
             RolloutOrder::Move => {
-                let moved = |report: &&NodeReport| {
+                let moved = |report: &NodeReport| {
                     report.phase == RolloutPhase::Moving && report.earlier_in_flight == 0
                 };
-                let all_moved =
-                    self.recent(clock.now_us).filter(moved).count() >= clock.known_nodes;
+                let all_moved = self.recent(clock.now_us).all(moved);
                 let last = clock.left_ms() <= LAST_WRITE_MS;
                 (all_moved || last).then_some(RolloutState::Succeeded)
             }
