--- a/crates/node/tests/entry/rollouts.rs
+++ b/crates/node/tests/entry/rollouts.rs
@@ -35,13 +35,13 @@
 const DURATION_S: u64 = 8;
 
 /// Time that a replica takes for a request.
-const ANSWER_TIME: Duration = Duration::from_millis(60);
+const ANSWER_TIME: Duration = Duration::from_millis(150);
 
-/// Pause of each caller between two requests; a service gets some 40 requests a second.
+/// Pause of each caller between two requests; a service gets some 50 requests a second.
 const CALLER_PAUSE: Duration = Duration::from_millis(90);
 
 /// Number of callers of each node.
-const CALLERS: usize = 2;
+const CALLERS: usize = 4;
 
 /// Time in which a node learns of a change, and in which a status may be written twice.
 const SETTLING: Duration = Duration::from_millis(1_500);
