Serve the product's own interface with hyper

Cause: tiny_http reads the rest of a body before it lets go of an answered request, so that 32 refused callers that did not send their body held all threads for refusals; idle connections held a thread and a descriptor each. One thread with an event loop now serves all connections. The limits stay: 256 callers at a time, 256 KiB a body. New ones: 32 MiB for all bodies, 30 s for a body, 60 s for a head, half of the descriptors and 2,048 connections, of which the oldest one without a request is closed for a new one. rouille goes, with multipart and buf_redux, which a future compiler rejects.

Ruled out: closing slow bodies for others as in the entry tier, as the callers that are served at a time include those without their body, and a test requires that all of them are served later. Headers keep their former capitals: a test of the burst reads "Retry-After" with capitals.

--- a/crates/dispatch/tests/incomplete_bodies.rs
+++ b/crates/dispatch/tests/incomplete_bodies.rs
@@ -26,9 +26,9 @@
     bodies.received(fast, 200_000);
     bodies.received(slow, 100);
     let now_us = 2 * SECOND_US;
-    let order: Vec<_> = (0..5).map(|_| bodies.close_slowest(now_us)).collect();
+    let closed: Vec<_> = (0..5).map(|_| bodies.close_slowest(now_us)).collect();
     let expected = [Some(older), Some(newer), Some(slow), Some(fast), None];
-    assert_eq!(order, expected);
+    assert_eq!(closed, expected);
 }
 
 /// Guards against a new body that is closed, as it has the index of one that ended.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod requests;
 mod store;
 
+pub use process::descriptor_limit::descriptor_limit;
 pub use process::run::EntryError;
 pub use process::run::EntryOptions;
 pub use process::run::check_settings;
--- a/crates/entry/src/process/descriptor_limit.rs
+++ b/crates/entry/src/process/descriptor_limit.rs
@@ -8,7 +8,8 @@
 
 /// Returns how many file descriptors the process may open: the least of what the settings and the
 /// kernel allow; `None` if neither states a limit.
-pub(crate) fn read(settings: Option<usize>) -> Option<usize> {
+#[must_use]
+pub fn descriptor_limit(settings: Option<usize>) -> Option<usize> {
     settings.into_iter().chain(kernel_limit()).min()
 }
 
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -30,7 +30,7 @@
 use crate::peers::crash_reports::CrashReports;
 use crate::peers::relay_client::RelayConnections;
 use crate::process::clock::Clock;
-use crate::process::descriptor_limit;
+use crate::process::descriptor_limit::descriptor_limit;
 use crate::process::event::Event;
 use crate::process::event_log::EventLog;
 use crate::process::loop_times::LoopTimes;
@@ -118,7 +118,7 @@
             connections: Cell::new(0),
             crash_reports: CrashReports::default(),
             crash_suspects: RefCell::default(),
-            descriptors: descriptor_limit::read(settings.descriptors),
+            descriptors: descriptor_limit(settings.descriptors),
             events,
             feed: ChangeFeed::new(settings.registration_interval_ms),
             idle_connections: RefCell::default(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,7 +21,7 @@
 use crate::clock::unix_ms;
 use crate::engine::Engine;
 use crate::engine::StopStage;
-use crate::front::NodeHttpServer;
+use crate::front_server::NodeHttpServer;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::readiness::Readiness;
--- a/crates/node/tests/entry/caller_limits.rs
+++ b/crates/node/tests/entry/caller_limits.rs
@@ -114,7 +114,9 @@
     let body: Vec<u8> = (0..20_000).map(|index| b'a' + (index % 23) as u8).collect();
     let mut text = head("Transfer-Encoding: chunked");
     for byte in &body {
-        text += &format!("1\r\n{}\r\n", char::from(*byte));
+        text.push_str("1\r\n");
+        text.push(char::from(*byte));
+        text.push_str("\r\n");
     }
     text += "0\r\n\r\n";
     let mut caller = Caller::connect(deployment.node.callers);
--- a/crates/node/tests/overload/entry_node.rs
+++ b/crates/node/tests/overload/entry_node.rs
@@ -69,7 +69,7 @@
 
 impl EntryNode {
     pub fn start() -> Self {
-        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        let running = only_one();
         let replicas = vec![
             ReplicaStandin::start("a", 1, |_| Behaviour::answer("1")).unwrap(),
             ReplicaStandin::start("b", 1, |_| Behaviour::answer([7; LONG_ANSWER_BYTES])).unwrap(),
@@ -148,6 +148,11 @@
     }
 }
 
+/// Waits until no other test runs.
+pub fn only_one() -> MutexGuard<'static, ()> {
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns the head of a request up to its last header.
 pub fn head(method: &str, path: &str, version: &str, fields: &str) -> String {
     format!(
--- a/crates/node/tests/overload/main.rs
+++ b/crates/node/tests/overload/main.rs
@@ -3,10 +3,13 @@
 
 #[path = "../entry/caller.rs"]
 mod caller;
+#[path = "../common/mod.rs"]
+mod common;
 mod crowd;
 #[path = "../entry/deployment.rs"]
 mod deployment;
 mod entry_node;
+mod front_node;
 
 use std::sync::Arc;
 
@@ -15,6 +18,7 @@
 use crowd::chunked_body;
 use entry_node::BODY_LIMIT_BYTES;
 use entry_node::EntryNode;
+use front_node::FrontNode;
 
 /// Bytes by which an incomplete body is shorter than announced.
 const SHORTFALL_BYTES: usize = 12;
@@ -40,6 +44,16 @@
 /// Callers that send requests without end.
 const PIPELINING_CALLERS: usize = 50;
 
+/// Callers with large bodies of the product's own interface, fewer than it serves at a time.
+const FRONT_BODIES: usize = 200;
+
+fn front_body(bytes: usize) -> Vec<u8> {
+    let head = format!("POST /query HTTP/1.1\r\nHost: node\r\nContent-Length: {bytes}\r\n\r\n");
+    let mut stream = head.into_bytes();
+    stream.resize(stream.len() + bytes, b' ');
+    stream
+}
+
 fn incomplete(mut stream: Vec<u8>) -> Stream {
     stream.truncate(stream.len() - SHORTFALL_BYTES);
     Stream::Once(Arc::new(stream))
@@ -160,3 +174,37 @@
     crowd.send(&incomplete(body));
     node.check_with(&crowd);
 }
+
+#[test]
+fn idle_connections_do_not_exhaust_the_descriptors_of_the_own_interface() {
+    let mut node = FrontNode::start();
+    let _crowd = Crowd::connect(node.address(), IDLE_CALLERS);
+    node.check();
+}
+
+#[test]
+fn heads_sent_byte_by_byte_do_not_exhaust_the_own_interface() {
+    let mut node = FrontNode::start();
+    let mut crowd = Crowd::connect(node.address(), IDLE_CALLERS);
+    let head = b"POST /query HTTP/1.1\r\nHost: node\r\n".to_vec();
+    crowd.send_in_pieces(&Stream::Once(Arc::new(head)), 1);
+    node.check();
+}
+
+#[test]
+fn bodies_that_stop_short_do_not_exhaust_the_own_interface() {
+    let mut node = FrontNode::start();
+    let mut crowd = Crowd::connect(node.address(), FRONT_BODIES);
+    crowd.send(&incomplete(front_body(BODY_LIMIT_BYTES)));
+    node.check();
+}
+
+#[test]
+fn endless_bodies_do_not_exhaust_the_own_interface() {
+    let mut node = FrontNode::start();
+    let head = b"POST /query HTTP/1.1\r\nHost: node\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunk = chunked_body(LARGE_CHUNK_BYTES, 1);
+    let mut crowd = Crowd::connect(node.address(), FRONT_BODIES);
+    crowd.send(&Stream::Endless(Arc::new(head.to_vec()), Arc::new(chunk)));
+    node.check();
+}
