--- a/crates/entry/src/callers/caller_body.rs
+++ b/crates/entry/src/callers/caller_body.rs
@@ -23,14 +23,18 @@
 /// Memory of a request without its headers and body; its header values keep a read buffer alive.
 const REQUEST_BYTES: usize = 8 * 1024;
 
+/// Memory that `hyper` holds for a body that is being received: a frame that was not taken yet.
+const FRAME_BYTES: usize = 16 * 1024;
+
 /// Memory of a header in the parsed head and in its copy for replicas, without its text.
 const HEADER_BYTES: usize = 256;
 
 /// First buffer of a body without a stated length.
 const FIRST_BUFFER_BYTES: usize = 4 * 1024;
 
-/// Factor by which a full buffer grows; a small one leaves more holes in the heap.
-const BUFFER_GROWTH: usize = 4;
+/// Further buffers of such a body. All have one size, so that the heap keeps no holes between bodies
+/// of different lengths.
+const BLOCK_BYTES: usize = 16 * 1024;
 
 /// Reserves memory for a request and receives its whole body, at most `limit_bytes` of it.
 ///
@@ -48,7 +52,8 @@
         return Err(Rejection::body_too_long());
     }
     let buffer_bytes = stated_bytes.unwrap_or(FIRST_BUFFER_BYTES);
-    let request_bytes = REQUEST_BYTES + headers * HEADER_BYTES + buffer_bytes;
+    let frame_bytes = if body.is_end_stream() { 0 } else { FRAME_BYTES };
+    let request_bytes = REQUEST_BYTES + headers * HEADER_BYTES + frame_bytes + buffer_bytes;
     let Some(memory) = make_room(shared, || {
         HeldMemory::reserve(shared, MemoryUse::Requests, request_bytes)
     }) else {
@@ -130,51 +135,46 @@
         Poll::Pending
     }
 
-    /// Appends to the buffer; chunks of any size end up in one buffer.
+    /// Appends to the last buffer, and adds buffers as needed; chunks of any size fill them.
     fn push(&self, data: &[u8], first_bytes: usize, limit_bytes: usize) -> Result<(), Rejection> {
-        let (length_bytes, capacity_bytes) = self.with_body(|body| {
-            if body.buffer.capacity() == 0 {
-                body.buffer.reserve_exact(first_bytes);
-            }
-            (body.buffer.len() + data.len(), body.buffer.capacity())
-        })?;
+        let mut data = data;
+        let length_bytes = data.len() + self.with_body(|body| body.len())?;
         if length_bytes > limit_bytes {
             return Err(Rejection::body_too_long());
         }
-        if length_bytes > capacity_bytes {
-            let grown_bytes = (BUFFER_GROWTH * capacity_bytes)
-                .min(limit_bytes)
-                .max(length_bytes);
-            self.grow(grown_bytes - capacity_bytes)?;
+        while !data.is_empty() {
+            if self.with_body(|body| body.spare_bytes())? == 0 {
+                self.add_block(first_bytes)?;
+            }
+            data = self.with_body(|body| body.fill(data))?;
         }
-        self.with_body(|body| body.buffer.extend_from_slice(data))?;
         let mut bodies = self.shared.open_bodies.borrow_mut();
         bodies.received(self.key, length_bytes);
         Ok(())
     }
 
-    /// Enlarges the buffer by `bytes`, which are reserved before.
-    fn grow(&self, bytes: usize) -> Result<(), Rejection> {
-        let grown = make_room(self.shared, || {
-            let grown = self.with_body(|body| body.memory.grow(bytes));
+    /// Adds a buffer; the memory of the first one was reserved with the request.
+    fn add_block(&self, first_bytes: usize) -> Result<(), Rejection> {
+        if self.with_body(|body| body.len())? == 0 {
+            return self.with_body(|body| body.add_block(first_bytes));
+        }
+        let reserved = make_room(self.shared, || {
+            let grown = self.with_body(|body| body.memory.grow(BLOCK_BYTES));
             // A closed body needs no more room.
             grown.map_or(Some(false), |grown| grown.then_some(true))
         });
-        if grown != Some(true) {
+        if reserved != Some(true) {
             self.shared.caller_limits.count(CallerLimit::BodyClosed);
             return Err(Rejection::no_memory());
         }
-        self.with_body(|body| {
-            body.buffer
-                .reserve_exact(body.buffer.capacity() + bytes - body.buffer.len());
-        })
+        self.with_body(|body| body.add_block(BLOCK_BYTES))
     }
 
     /// Returns the body and its memory.
     fn finish(self) -> Result<(Bytes, HeldMemory), Rejection> {
         let body = self.shared.open_bodies.borrow_mut().remove(self.key);
         let body = body.ok_or(Rejection::no_memory())?;
-        Ok((Bytes::from(body.buffer), body.memory))
+        Ok(body.finish())
     }
 
     fn with_body<T>(&self, apply: impl FnOnce(&mut OpenBody) -> T) -> Result<T, Rejection> {
--- a/crates/entry/src/callers/open_bodies.rs
+++ b/crates/entry/src/callers/open_bodies.rs
@@ -1,5 +1,7 @@
 use std::task::Waker;
 
+use bytes::Bytes;
+
 use wigeonhall_dispatch::BodyKey;
 use wigeonhall_dispatch::IncompleteBodies;
 
@@ -8,7 +10,9 @@
 /// The received part of a body.
 #[derive(Debug)]
 pub(crate) struct OpenBody {
-    pub(crate) buffer: Vec<u8>,
+    /// Buffers of which all but the last are full.
+    blocks: Vec<Vec<u8>>,
+    length_bytes: usize,
     pub(crate) memory: HeldMemory,
     /// Task that reads the body.
     pub(crate) reader: Option<Waker>,
@@ -23,11 +27,50 @@
     progress: IncompleteBodies,
 }
 
+impl OpenBody {
+    /// Returns the length of the received part.
+    pub(crate) const fn len(&self) -> usize {
+        self.length_bytes
+    }
+
+    /// Returns how many more bytes the last buffer takes.
+    pub(crate) fn spare_bytes(&self) -> usize {
+        self.blocks
+            .last()
+            .map_or(0, |block| block.capacity() - block.len())
+    }
+
+    /// Adds a buffer, whose memory is reserved.
+    pub(crate) fn add_block(&mut self, bytes: usize) {
+        self.blocks.push(Vec::with_capacity(bytes));
+    }
+
+    /// Appends as much of `data` as the last buffer takes; returns the rest.
+    pub(crate) fn fill<'a>(&mut self, data: &'a [u8]) -> &'a [u8] {
+        let (now, rest) = data.split_at(data.len().min(self.spare_bytes()));
+        if let Some(block) = self.blocks.last_mut() {
+            block.extend_from_slice(now);
+            self.length_bytes += now.len();
+        }
+        rest
+    }
+
+    /// Returns the whole body and its memory.
+    pub(crate) fn finish(mut self) -> (Bytes, HeldMemory) {
+        let whole = match self.blocks.len() {
+            0 | 1 => self.blocks.pop().unwrap_or_default(),
+            _ => self.blocks.concat(),
+        };
+        (Bytes::from(whole), self.memory)
+    }
+}
+
 impl OpenBodies {
     pub(crate) fn add(&mut self, started_us: u64, memory: HeldMemory) -> BodyKey {
         let key = self.progress.add(started_us);
         let body = Some(OpenBody {
-            buffer: Vec::new(),
+            blocks: Vec::new(),
+            length_bytes: 0,
             memory,
             reader: None,
         });
