--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -9,6 +9,7 @@
 use crate::Reply;
 use crate::Route;
 use crate::RouteProfile;
+use crate::TenantClaim;
 use crate::UnknownCause;
 use crate::leg::Leg;
 
@@ -26,6 +27,8 @@
 pub struct Exchange {
     /// Whether this node answers the caller; false for legs that another node assigned to it.
     pub(crate) answers_caller: bool,
+    /// Claim to capacity; `None` where the configuration names no tenants.
+    pub(crate) claim: Option<TenantClaim>,
     /// Number of replicas that crashed under the request.
     pub(crate) crashes: usize,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
@@ -73,6 +76,7 @@
         let min_wait_us = target_us / MIN_WAIT_DIVISOR;
         Self {
             answers_caller: true,
+            claim: None,
             crashes: 0,
             deadline_us,
             extra_sends: 0,
@@ -111,6 +115,7 @@
         let legs = legs.iter().filter_map(|index| services.get(*index));
         Self {
             answers_caller: false,
+            claim: None,
             crashes: 0,
             deadline_us,
             extra_sends: 0,
@@ -143,6 +148,13 @@
         self
     }
 
+    /// Sets the claim to capacity; `None` where the configuration names no tenants.
+    #[must_use]
+    pub fn with_claim(mut self, claim: Option<TenantClaim>) -> Self {
+        self.claim = claim;
+        self
+    }
+
     /// Sets the fallback replica of each leg, which another node uses if it takes the leg back.
     ///
     /// The fallback counts toward the replicas that may run the leg, so that both nodes
@@ -198,7 +210,7 @@
             // The request waited in the node's queue until after its deadline.
             return Some(self.refuse(pool, now_us, self.refusal_reason(true)));
         }
-        if let Some(refusal) = self.refuse_overload(pool) {
+        if let Some(refusal) = self.refuse_overload(pool, now_us) {
             return Some(refusal);
         }
         let replicas = self.choose_first(pool, now_us);
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -12,12 +12,14 @@
 use crate::Replica;
 use crate::ReplicaKey;
 use crate::Reply;
+use crate::RolloutBounds;
 use crate::ServiceKey;
 use crate::ServiceSpec;
 use crate::admission::Admission;
 use crate::connect_latency::ConnectLatency;
 use crate::data_centres::DataCentres;
 use crate::departed_replicas::DepartedReplicas;
+use crate::fair_shares::FairShares;
 use crate::service::Service;
 
 /// Number of nodes that are assumed to share the rate of a replica until their number is known.
@@ -36,11 +38,15 @@
     extra_allowance: ExtraAllowance,
     /// Dropped replicas, some of which register again.
     pub(crate) departed: DepartedReplicas,
+    /// Fair shares of tenants by [`Route::legs_key`](crate::Route::legs_key).
+    pub(crate) fair_shares: HashMap<LegsKey, FairShares>,
     pub(crate) free_slots: Vec<u32>,
     /// Number of nodes in all data centres.
     pub(crate) nodes: usize,
     pub(crate) policy: Policy,
     pub(crate) rng: fastrand::Rng,
+    /// Limits of rollouts; `None` if all versions get requests.
+    pub(crate) rollout_bounds: Option<RolloutBounds>,
     pub(crate) seed: u64,
     pub(crate) services: Vec<Service>,
     pub(crate) services_by_name: HashMap<Arc<str>, ServiceKey>,
@@ -92,10 +98,12 @@
             data_centres: DataCentres::new(data_centre),
             extra_allowance: ExtraAllowance::default(),
             departed: DepartedReplicas::default(),
+            fair_shares: HashMap::new(),
             free_slots: Vec::new(),
             nodes: ASSUMED_NODES,
             policy: Policy::default(),
             rng: fastrand::Rng::with_seed(seed),
+            rollout_bounds: None,
             seed,
             services: Vec::new(),
             services_by_name: HashMap::new(),
@@ -194,7 +202,7 @@
     #[must_use]
     pub fn last_resort(&self, now_us: u64, service: ServiceKey) -> Option<ReplicaKey> {
         let entry = &self.services[service.0 as usize];
-        let rates = self.sending_rates(service);
+        let rates = self.sending_rates(now_us, service);
         let suspended = |key: &ReplicaKey| {
             let replica = self.replica(*key)?;
             let no_request = replica.in_flight == 0 && replica.health.last_request_failed();
@@ -276,6 +284,7 @@
 
     /// Records that a request is sent to a replica.
     pub fn request_started(&mut self, now_us: u64, key: ReplicaKey) {
+        self.count_version(key);
         let Some(replica) = self.replica_mut(key) else {
             return;
         };
--- a/crates/dispatch/src/pool_choice.rs
+++ b/crates/dispatch/src/pool_choice.rs
@@ -12,6 +12,30 @@
 /// A replica with its expected cost.
 type Candidate = (f64, ReplicaKey);
 
+/// The usable replicas with the lowest expected costs.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cheapest {
+    far: Option<Candidate>,
+    near: Option<Candidate>,
+}
+
+impl Cheapest {
+    fn add(&mut self, is_near: bool, cost: f64, key: ReplicaKey) {
+        let cheapest = if is_near {
+            &mut self.near
+        } else {
+            &mut self.far
+        };
+        if cheapest.is_none_or(|(lowest, _)| cost < lowest) {
+            *cheapest = Some((cost, key));
+        }
+    }
+
+    const fn is_empty(&self) -> bool {
+        self.far.is_none() && self.near.is_none()
+    }
+}
+
 /// Chooses the replicas of sub-requests.
 impl Pool {
     /// Chooses the replica for the next sub-request, excluding those in `tried`, without knowing the
@@ -25,6 +49,12 @@
         self.choose_within(now_us, service, tried, Room::default())
     }
 
+    /// Chooses the replica that this node uses if it takes a leg back from another node; not one of
+    /// the target version of a rollout, which may get no request by then.
+    pub fn choose_fallback(&mut self, now_us: u64, service: ServiceKey) -> Option<ReplicaKey> {
+        self.choose_for(now_us, service, &[], Room::default(), false)
+    }
+
     /// Chooses the replica for the next sub-request, excluding those in `tried`.
     pub fn choose_within(
         &mut self,
@@ -33,7 +63,20 @@
         tried: &[ReplicaKey],
         room: Room,
     ) -> Option<ReplicaKey> {
-        let (near, far) = self.cheapest(now_us, service, tried, room);
+        self.choose_for(now_us, service, tried, room, tried.is_empty())
+    }
+
+    /// Chooses a replica; only a first request (`is_first`) goes to the target version of a rollout
+    /// while there are others.
+    fn choose_for(
+        &mut self,
+        now_us: u64,
+        service: ServiceKey,
+        tried: &[ReplicaKey],
+        room: Room,
+        is_first: bool,
+    ) -> Option<ReplicaKey> {
+        let Cheapest { far, near } = self.cheapest(now_us, service, tried, room, is_first);
         let (Some((near_cost, near)), Some((far_cost, far))) = (near, far) else {
             return near.or(far).map(|(_, key)| key);
         };
@@ -81,18 +124,23 @@
     }
 
     /// Returns the usable replica with the lowest expected cost in the own data centre, and that in
-    /// the others.
+    /// the others; of the version that a request should go to, if there are any.
     fn cheapest(
         &mut self,
         now_us: u64,
         service: ServiceKey,
         tried: &[ReplicaKey],
         room: Room,
-    ) -> (Option<Candidate>, Option<Candidate>) {
-        let rates = self.sending_rates(service);
+        is_first: bool,
+    ) -> Cheapest {
+        let extra = is_first && self.draw_extra(now_us, service);
+        let mut rates = self.sending_rates(now_us, service);
+        rates.allows_trial = self.allows_trial(now_us, service, extra);
+        let preferred_role = self.preferred_role(is_first);
         let policy = self.policy;
         let rng = &mut self.rng;
-        let (mut near, mut far): (Option<Candidate>, Option<Candidate>) = (None, None);
+        let mut cheapest = Cheapest::default();
+        let mut preferred = Cheapest::default();
         for key in &self.services[service.0 as usize].replicas {
             let Some(replica) = self.arena[key.index as usize].replica.as_ref() else {
                 continue;
@@ -113,12 +161,16 @@
                 cost = locality::remote_cost(&policy, room, cost, extra_us, elsewhere, now_us);
             }
             cost *= 1.0 + rng.f64() * policy.tie_breaking;
-            let cheapest = if is_near { &mut near } else { &mut far };
-            if cheapest.is_none_or(|(lowest, _)| cost < lowest) {
-                *cheapest = Some((cost, *key));
+            cheapest.add(is_near, cost, *key);
+            if preferred_role == Some(replica.role) {
+                preferred.add(is_near, cost, *key);
             }
         }
-        (near, far)
+        if preferred.is_empty() {
+            cheapest
+        } else {
+            preferred
+        }
     }
 }
 
--- a/crates/entry/src/callers/caller_request.rs
+++ b/crates/entry/src/callers/caller_request.rs
@@ -1,6 +1,5 @@
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -8,24 +7,24 @@
 use http::StatusCode;
 use http::Uri;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 
 use wigeonhall_adapter::EXPECTED_INSTANCE;
 use wigeonhall_adapter::REMAINING_MS;
 use wigeonhall_adapter::REQUEST_ID;
-use wigeonhall_adapter::TENANT;
-use wigeonhall_adapter::api_key;
-use wigeonhall_dispatch::KeyDigest;
 use wigeonhall_dispatch::RequestLimits;
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::RouteTable;
 use wigeonhall_dispatch::TenantSpec;
 
+use crate::callers::caller_body;
+use crate::callers::credentials::Credentials;
+use crate::process::node_state::NodeState;
 use crate::replicas::replica_client::OutgoingRequest;
 
+/// Time after which a request that found no memory may be repeated: slow bodies are closed by then.
+const MEMORY_RETRY_AFTER_MS: u64 = 500;
+
 /// Headers that apply to a single connection and aren't forwarded.
 const HOP_BY_HOP: [HeaderName; 10] = [
     header::CONNECTION,
@@ -44,12 +43,35 @@
 #[derive(Debug)]
 pub(crate) struct Rejection {
     pub(crate) reason: &'static str,
+    /// Time after which the caller may retry; `None` if a retry would be rejected too.
+    pub(crate) retry_after_ms: Option<u64>,
     pub(crate) status: StatusCode,
 }
 
 impl Rejection {
-    const fn new(status: StatusCode, reason: &'static str) -> Self {
-        Self { reason, status }
+    pub(crate) const fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            reason,
+            retry_after_ms: None,
+            status,
+        }
+    }
+
+    pub(crate) const fn body_cut_short() -> Self {
+        Self::new(StatusCode::BAD_REQUEST, "body cut short")
+    }
+
+    pub(crate) const fn body_too_long() -> Self {
+        Self::new(StatusCode::PAYLOAD_TOO_LARGE, "body too long")
+    }
+
+    /// Rejects a request that the node has no memory for.
+    pub(crate) const fn no_memory() -> Self {
+        Self {
+            reason: "too many requests are being received",
+            retry_after_ms: Some(MEMORY_RETRY_AFTER_MS),
+            status: StatusCode::SERVICE_UNAVAILABLE,
+        }
     }
 
     /// Rejects a request whose body didn't arrive in time; the request has not run.
@@ -61,6 +83,7 @@
 /// The parsed head of a request.
 #[derive(Debug)]
 pub(crate) struct CallerHead {
+    pub(crate) credentials: Credentials,
     pub(crate) request_id: HeaderValue,
     /// Milliseconds until the caller's deadline; `None` if the request states none.
     pub(crate) remaining_ms: Option<u64>,
@@ -89,6 +112,7 @@
         .get(&REQUEST_ID)
         .ok_or_else(|| bad("no request id"))?;
     Ok(CallerHead {
+        credentials: Credentials::read(headers),
         request_id: request_id.clone(),
         remaining_ms: remaining_ms(headers)?,
         route: route.clone(),
@@ -96,37 +120,28 @@
     })
 }
 
-/// Parses the head of a caller's request, finds its route and its tenant, and replaces the caller's
-/// key by the name of the tenant, which replicas and peers get instead.
+/// Parses the head of a caller's request, and finds its route and its tenant.
 pub(crate) fn read_caller_head<B>(
-    request: &mut Request<B>,
+    request: &Request<B>,
     table: &RouteTable,
 ) -> Result<CallerHead, Rejection> {
     let mut head = read_head(request, table)?;
-    let Some(tenants) = &table.tenants else {
-        return Ok(head);
-    };
-    let headers = request.headers_mut();
-    let tenant = match api_key(headers) {
-        Some(key) => tenants.by_key(KeyDigest::new(key)).cloned(),
-        None => None,
-    };
-    let anonymous =
-        head.route.spec.allows_anonymous && !headers.contains_key(header::AUTHORIZATION);
-    if tenant.is_none() && !anonymous {
-        return Err(Rejection::new(StatusCode::UNAUTHORIZED, "unknown key"));
-    }
-    headers.remove(header::AUTHORIZATION);
-    headers.remove(&TENANT);
-    if let Some(tenant) = &tenant {
-        let name = HeaderValue::from_str(&tenant.name)
-            .map_err(|_| Rejection::new(StatusCode::BAD_REQUEST, "malformed name of the tenant"))?;
-        headers.insert(TENANT, name);
-    }
-    head.tenant = tenant;
+    head.authenticate(table)?;
     Ok(head)
 }
 
+impl CallerHead {
+    /// Finds the tenant that holds the caller's key under a configuration.
+    pub(crate) fn authenticate(&mut self, table: &RouteTable) -> Result<(), Rejection> {
+        let anonymous = self.route.spec.allows_anonymous;
+        self.tenant = match &table.tenants {
+            None => None,
+            Some(tenants) => self.credentials.tenant(tenants, anonymous)?,
+        };
+        Ok(())
+    }
+}
+
 /// Returns the milliseconds until the caller's deadline; `None` if the request states none.
 pub(crate) fn remaining_ms(headers: &HeaderMap) -> Result<Option<u64>, Rejection> {
     let Some(value) = headers.get(&REMAINING_MS) else {
@@ -138,35 +153,27 @@
 
 /// Reads the body and builds the request for the replicas.
 pub(crate) async fn read_request(
+    shared: &Rc<NodeState>,
     request: Request<Incoming>,
     request_id: HeaderValue,
     limits: RequestLimits,
 ) -> Result<OutgoingRequest, Rejection> {
     let (head, body) = request.into_parts();
-    let body = read_body(body, limits.body_bytes).await?;
+    let headers = head.headers.len();
+    let (body, memory) = caller_body::read(shared, body, headers, limits.body_bytes).await?;
     let bad = |_| Rejection::new(StatusCode::BAD_REQUEST, "malformed path");
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri: Uri = path.parse().map_err(bad)?;
     Ok(OutgoingRequest {
         body,
         headers: end_to_end(&head.headers),
+        memory,
         method: head.method,
         request_id,
         uri,
     })
 }
 
-async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, Rejection> {
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Rejection::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body too long",
-        )),
-        Err(_) => Err(Rejection::new(StatusCode::BAD_REQUEST, "body cut short")),
-    }
-}
-
 /// Returns the headers without hop-by-hop headers and those that are set for each replica.
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let connection_headers: Vec<&str> = headers
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -26,13 +26,18 @@
 
 use crate::callers::accepted_connection::AcceptedConnection;
 use crate::callers::caller_request;
+use crate::callers::credentials::Credentials;
 use crate::callers::probed_listener::ProbedListener;
 use crate::peers::crash_reports;
 use crate::peers::feed_protocol;
 use crate::peers::feed_protocol::Revisions;
 use crate::peers::feed_server;
 use crate::peers::feed_server::FeedRefusal;
+use crate::peers::quota_protocol;
+use crate::peers::quota_server;
 use crate::peers::relay_protocol;
+use crate::peers::rollout_protocol;
+use crate::peers::rollout_reports;
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
 use crate::process::node_state::Phase;
@@ -95,6 +100,19 @@
             .extend(crash_reports::all_reports(shared));
         return response;
     }
+    if quota_protocol::is_message(request.headers()) {
+        return match quota_server::handle(shared, request).await {
+            Some(body) => respond(stream::iter([Frame::data(body)])),
+            None => conflict_response(),
+        };
+    }
+    if let Some(report) = rollout_protocol::read_report(request.headers()) {
+        let answer = rollout_reports::take_report(shared, Some(report));
+        let mut response = empty_response(StatusCode::NO_CONTENT);
+        let answer = answer.and_then(rollout_protocol::encode_answer);
+        response.headers_mut().extend(answer);
+        return response;
+    }
     match read_query(shared, request, arrived_us).await {
         Some(query) => {
             let legs = query.legs.len();
@@ -180,12 +198,16 @@
     let legs = relay_protocol::take_legs(headers)?;
     let fallbacks = relay_protocol::take_fallbacks(headers, &shared.pool.borrow())?;
     let head = caller_request::read_head(&request, &table).ok()?;
+    // The peer routes by an earlier configuration, without tenants, and has not checked the key.
+    if table.tenants.is_some() && !matches!(head.credentials, Credentials::None) {
+        return None;
+    }
     // The peer's configuration has other legs for the route.
     if legs_key != head.route.legs_key {
         return None;
     }
     let remaining_ms = head.remaining_ms?;
-    let reading = caller_request::read_request(request, head.request_id, table.limits);
+    let reading = caller_request::read_request(shared, request, head.request_id, table.limits);
     let outgoing: OutgoingRequest = reading.await.ok()?;
     let leg_count = head.route.select().services.len();
     if legs.iter().any(|leg| *leg >= leg_count) {
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -6,6 +6,15 @@
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
 pub(crate) enum Event<'a> {
+    /// Callers were refused or their connections closed since the last such line, as the memory or
+    /// the number of connections reached a limit.
+    CallersLimited {
+        bodies_closed: u64,
+        connections: usize,
+        connections_closed: u64,
+        connections_refused: u64,
+        requests_refused: u64,
+    },
     /// The source of changes was switched to the store, to the peer named in `source`, or to none.
     ChangeSource { reason: &'a str, source: &'a str },
     /// A list of the store is older than the copy that it replaces (`replaced`), or a message of a
@@ -73,6 +82,17 @@
         limited_requests: u32,
         replica: &'a str,
     },
+    /// This node, as an owner of a tenant, declared it limited or no longer limited.
+    /// `reserved_percent` of its quota is kept for nodes that have not acknowledged that.
+    Quota {
+        demand_per_s: f64,
+        reserved_percent: u32,
+        state: &'a str,
+        tenant: &'a str,
+        tokens: f64,
+    },
+    /// An owner of tenants did not reply (`unreachable`) or replies again (`reachable`).
+    QuotaOwner { owner: &'a str, state: &'a str },
     /// A peer failed to deliver the parts that it was asked for.
     Relay {
         peer: &'a str,
@@ -111,6 +131,28 @@
         request_id: &'a str,
         service: &'a str,
     },
+    /// Which versions this node sends requests to during a rollout changed (`trial`, `moving`,
+    /// `stopped`, `succeeded`, `rolled_back`), or this node decided as the coordinator what nodes are
+    /// told (`try`, `move`, `stop`).
+    Rollout {
+        decided_by: &'a str,
+        elapsed_ms: u64,
+        new_requests: u64,
+        reason: &'a str,
+        service: &'a str,
+        state: &'a str,
+        target_version: &'a str,
+    },
+    /// The state of a rollout was written (`written`), or not (`refused`, `conflict`), or that is
+    /// `unknown`; `stands` is the state that the store holds.
+    RolloutStatus {
+        outcome: &'a str,
+        revision: u64,
+        service: &'a str,
+        stands: Option<&'a str>,
+        state: &'a str,
+        target_version: &'a str,
+    },
     /// The process started.
     Start {
         caller_address: SocketAddr,
@@ -151,4 +193,7 @@
     pub(crate) status: u16,
     /// Time since the registrations of replicas were last known to be current.
     pub(crate) store_age_ms: u64,
+    /// Tenant of the caller; left out if callers need no keys or the caller is anonymous.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) tenant: Option<&'a str>,
 }
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -19,10 +19,12 @@
 pub(crate) struct Metrics {
     pub(crate) config_version: IntGauge,
     pub(crate) extra_sends: IntCounter,
+    pub(crate) limited_callers: IntCounterVec,
     pub(crate) malformed_entries: IntCounterVec,
     pub(crate) missing_parts: IntCounter,
     pub(crate) crash_suspicions: IntCounterVec,
     pub(crate) passed_on_batches: IntCounterVec,
+    pub(crate) quota_decisions: IntCounterVec,
     registry: Registry,
     pub(crate) relay_failures: IntCounter,
     pub(crate) replica_bytes: IntCounterVec,
@@ -32,8 +34,11 @@
     pub(crate) replica_replies: IntCounterVec,
     pub(crate) request_latency_s: HistogramVec,
     pub(crate) requests: IntCounterVec,
+    pub(crate) rollout_decisions: IntCounterVec,
+    pub(crate) rollout_report_failures: IntCounter,
     pub(crate) store_age_ms: IntGauge,
     pub(crate) store_calls: IntCounterVec,
+    pub(crate) unknown_key_refusals: IntCounter,
 }
 
 impl Metrics {
@@ -50,34 +55,39 @@
         let metrics = Self {
             config_version: IntGauge::new("config_version", "Version in force")?,
             extra_sends: IntCounter::new("extra_sends_total", "Hedges and retries")?,
-            malformed_entries: IntCounterVec::new(
-                Opts::new(
-                    "malformed_entries_total",
-                    "Entries of the store that cannot be read",
-                ),
+            limited_callers: counters(
+                "limited_callers_total",
+                "Callers refused or closed for lack of memory or connections",
+                &["outcome"],
+            )?,
+            malformed_entries: counters(
+                "malformed_entries_total",
+                "Entries of the store that cannot be read",
                 &["collection"],
             )?,
             missing_parts: IntCounter::new("missing_parts_total", "Parts left out of answers")?,
-            crash_suspicions: IntCounterVec::new(
-                Opts::new(
-                    "crash_suspicions_total",
-                    "Requests under which replicas crashed",
-                ),
+            crash_suspicions: counters(
+                "crash_suspicions_total",
+                "Requests under which replicas crashed",
                 &["state"],
             )?,
-            passed_on_batches: IntCounterVec::new(
-                Opts::new("passed_on_batches_total", "Changes from another node"),
+            passed_on_batches: counters(
+                "passed_on_batches_total",
+                "Changes from another node",
                 &["collection"],
             )?,
+            quota_decisions: counters(
+                "quota_decisions_total",
+                "Requests of tenants by what their quotas decided",
+                &["decision", "tenant"],
+            )?,
             relay_failures: IntCounter::new(
                 "relay_failures_total",
                 "Parts that another node did not hand over",
             )?,
-            replica_bytes: IntCounterVec::new(
-                Opts::new(
-                    "replica_bytes_total",
-                    "Bytes of the bodies of replicas' responses",
-                ),
+            replica_bytes: counters(
+                "replica_bytes_total",
+                "Bytes of the bodies of replicas' responses",
                 &["data_centre"],
             )?,
             replica_connection_errors: IntCounter::new(
@@ -92,26 +102,31 @@
                 "replica_latency_seconds",
                 "Latency of replicas",
             ))?,
-            replica_replies: IntCounterVec::new(
-                Opts::new("replica_replies_total", "What came of sends"),
-                &["reply"],
-            )?,
+            replica_replies: counters("replica_replies_total", "What came of sends", &["reply"])?,
             request_latency_s: HistogramVec::new(
                 latency("request_latency_seconds", "Latency of requests by route"),
                 &["route"],
             )?,
-            requests: IntCounterVec::new(
-                Opts::new("requests_total", "Final answers by outcome"),
-                &["outcome"],
+            requests: counters("requests_total", "Final answers by outcome", &["outcome"])?,
+            rollout_decisions: counters(
+                "rollout_decisions_total",
+                "Decisions of this node as the coordinator of rollouts",
+                &["order"],
+            )?,
+            rollout_report_failures: IntCounter::new(
+                "rollout_report_failures_total",
+                "Reports about rollouts that a node did not answer",
             )?,
             store_age_ms: IntGauge::new("store_age_ms", "Age of the store's word on replicas")?,
-            store_calls: IntCounterVec::new(
-                Opts::new(
-                    "store_calls_total",
-                    "Calls to the store by collection, outcome and purpose",
-                ),
+            store_calls: counters(
+                "store_calls_total",
+                "Calls to the store by collection, outcome and purpose",
                 &["collection", "outcome", "purpose"],
             )?,
+            unknown_key_refusals: IntCounter::new(
+                "unknown_key_refusals_total",
+                "Requests refused without a known API key",
+            )?,
             registry,
         };
         metrics.register()?;
@@ -122,10 +137,12 @@
         let registry = &self.registry;
         registry.register(Box::new(self.config_version.clone()))?;
         registry.register(Box::new(self.extra_sends.clone()))?;
+        registry.register(Box::new(self.limited_callers.clone()))?;
         registry.register(Box::new(self.malformed_entries.clone()))?;
         registry.register(Box::new(self.missing_parts.clone()))?;
         registry.register(Box::new(self.crash_suspicions.clone()))?;
         registry.register(Box::new(self.passed_on_batches.clone()))?;
+        registry.register(Box::new(self.quota_decisions.clone()))?;
         registry.register(Box::new(self.relay_failures.clone()))?;
         registry.register(Box::new(self.replica_bytes.clone()))?;
         registry.register(Box::new(self.replica_connection_errors.clone()))?;
@@ -134,8 +151,11 @@
         registry.register(Box::new(self.replica_replies.clone()))?;
         registry.register(Box::new(self.request_latency_s.clone()))?;
         registry.register(Box::new(self.requests.clone()))?;
+        registry.register(Box::new(self.rollout_decisions.clone()))?;
+        registry.register(Box::new(self.rollout_report_failures.clone()))?;
         registry.register(Box::new(self.store_age_ms.clone()))?;
-        registry.register(Box::new(self.store_calls.clone()))
+        registry.register(Box::new(self.store_calls.clone()))?;
+        registry.register(Box::new(self.unknown_key_refusals.clone()))
     }
 
     /// Returns all metrics in the Prometheus text format.
@@ -149,3 +169,8 @@
         Ok(text)
     }
 }
+
+/// Creates counters with labels.
+fn counters(name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(Opts::new(name, help), labels)
+}
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -10,6 +10,7 @@
 use wigeonhall_adapter::ProcessSettings;
 use wigeonhall_dispatch::CrashSuspects;
 use wigeonhall_dispatch::ExtraAllowance;
+use wigeonhall_dispatch::MemoryBudget;
 use wigeonhall_dispatch::Notice;
 use wigeonhall_dispatch::PeerNode;
 use wigeonhall_dispatch::Peers;
@@ -17,17 +18,22 @@
 use wigeonhall_dispatch::Replica;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::RequestLimits;
-use wigeonhall_dispatch::ResponseMemoryBudget;
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::RouteLatency;
 use wigeonhall_dispatch::RouteProfile;
 use wigeonhall_dispatch::RouteTable;
 use wigeonhall_dispatch::StopLimit;
 
+use crate::callers::caller_connections::CallerConnections;
+use crate::callers::caller_limits::CallerLimits;
+use crate::callers::open_bodies::OpenBodies;
 use crate::peers::change_feed::ChangeFeed;
 use crate::peers::crash_reports::CrashReports;
+use crate::peers::quotas::Quotas;
 use crate::peers::relay_client::RelayConnections;
+use crate::peers::rollout_reports::RolloutReports;
 use crate::process::clock::Clock;
+use crate::process::descriptor_limit::descriptor_limit;
 use crate::process::event::Event;
 use crate::process::event_log::EventLog;
 use crate::process::loop_times::LoopTimes;
@@ -49,15 +55,17 @@
 /// Shared state of a node, used only on the event loop's thread.
 #[derive(Debug)]
 pub(crate) struct NodeState {
-    /// Memory reserved for the bodies of replicas' responses.
-    pub(crate) response_memory: RefCell<ResponseMemoryBudget>,
     /// Average time between a request's soft deadline, when its answer is due, and the answer.
     pub(crate) answer_lag: AnswerLag,
+    pub(crate) caller_connections: CallerConnections,
+    pub(crate) caller_limits: CallerLimits,
     pub(crate) clock: Clock,
     /// Number of open connections of callers.
     pub(crate) connections: Cell<usize>,
     pub(crate) crash_reports: CrashReports,
     pub(crate) crash_suspects: RefCell<CrashSuspects>,
+    /// File descriptors that the process may open; `None` if there is no limit.
+    pub(crate) descriptors: Option<usize>,
     pub(crate) events: EventLog,
     /// Source of changes of the store, and the followers that receive them.
     pub(crate) feed: ChangeFeed,
@@ -65,13 +73,19 @@
     /// Observed latencies of replicas by route name.
     pub(crate) latencies: RefCell<HashMap<Arc<str>, RouteLatency>>,
     pub(crate) loop_times: Arc<LoopTimes>,
+    /// Memory that the process holds for others.
+    pub(crate) memory: RefCell<MemoryBudget>,
     pub(crate) metrics: Metrics,
+    /// Bodies of requests that are being received.
+    pub(crate) open_bodies: RefCell<OpenBodies>,
     /// Routes that are held back, newer than those in force.
     pub(crate) pending_table: RefCell<Option<Rc<RouteTable>>>,
     /// Nodes of this node's data centre.
     pub(crate) peers: RefCell<Peers>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) pool: RefCell<Pool>,
+    /// Quotas of tenants over all nodes.
+    pub(crate) quotas: Quotas,
     /// Idle connections to peers, which collect parts of this node's gathers.
     pub(crate) relay_connections: RefCell<RelayConnections>,
     /// Time at which the registrations of replicas were last known to be current; `None` before
@@ -79,6 +93,7 @@
     pub(crate) replicas_fresh_us: Cell<Option<u64>>,
     /// Whether the last call to read the replicas failed.
     pub(crate) replicas_unavailable: Cell<bool>,
+    pub(crate) rollouts: RolloutReports,
     pub(crate) settings: ProcessSettings,
     /// End of the process, once it was told to stop.
     pub(crate) stop_limit: Cell<Option<StopLimit>>,
@@ -100,27 +115,34 @@
             slack: settings.extra_slack,
             window_ms: settings.extra_window_ms,
         });
+        pool.set_rollout_bounds(settings.rollout_bounds);
         let clock = Clock::start();
         Self {
-            response_memory: RefCell::new(ResponseMemoryBudget::new(settings.memory_bytes)),
             answer_lag: AnswerLag::default(),
+            caller_connections: CallerConnections::default(),
+            caller_limits: CallerLimits::default(),
             clock,
             connections: Cell::new(0),
             crash_reports: CrashReports::default(),
             crash_suspects: RefCell::default(),
+            descriptors: descriptor_limit(settings.descriptors),
             events,
             feed: ChangeFeed::new(settings.registration_interval_ms),
             idle_connections: RefCell::default(),
             latencies: RefCell::default(),
             loop_times: Arc::new(LoopTimes::new(clock)),
+            memory: RefCell::new(MemoryBudget::new(settings.memory_bytes)),
             metrics,
+            open_bodies: RefCell::default(),
             pending_table: RefCell::new(None),
             peers: RefCell::new(Peers::new(own)),
             phase: watch::Sender::new(Phase::Serving),
             pool: RefCell::new(pool),
+            quotas: Quotas::new(&settings),
             relay_connections: RefCell::default(),
             replicas_fresh_us: Cell::new(None),
             replicas_unavailable: Cell::new(false),
+            rollouts: RolloutReports::default(),
             settings,
             stop_limit: Cell::new(None),
             table: RefCell::new(None),
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -8,10 +8,11 @@
 use wigeonhall_dispatch::Outcome;
 use wigeonhall_dispatch::RefuseReason;
 use wigeonhall_dispatch::Route;
+use wigeonhall_dispatch::TenantClaim;
 
 use crate::callers::caller_request::CallerHead;
+use crate::callers::caller_response::CallerResponse;
 use crate::callers::responses;
-use crate::callers::responses::CallerResponse;
 use crate::process::event::Event;
 use crate::process::event::RequestEvent;
 use crate::process::node_state::NodeState;
@@ -58,7 +59,8 @@
     let hedge_delay_us = shared.hedge_delay_us(&route);
     let mut exchange = Exchange::new(arrival, deadline_us, hedge_delay_us, route.clone())
         .with_queueing_latency(shared.queueing_us(&route))
-        .with_profile(shared.route_profile(&route));
+        .with_profile(shared.route_profile(&route))
+        .with_claim(claim(shared, head));
     let soft_deadline_us = exchange.soft_deadline_us();
     let outgoing = Rc::new(outgoing);
     let admitted = if is_too_late(shared, &route) {
@@ -99,6 +101,17 @@
     response
 }
 
+/// Returns the claim of a request to capacity; `None` where the configuration names no tenants.
+fn claim(shared: &NodeState, head: &CallerHead) -> Option<TenantClaim> {
+    let table = shared.table.borrow();
+    let tenants = table.as_ref()?.tenants.as_ref()?;
+    let tenant = head.tenant.as_deref();
+    let view = shared.quotas.view.borrow();
+    let now_us = shared.clock.now_us();
+    let demand_per_s = tenant.and_then(|tenant| view.demand_per_s(now_us, &tenant.name));
+    Some(tenants.claim(tenant, demand_per_s))
+}
+
 /// Whether the node stops before a request on this route can be answered.
 fn is_too_late(shared: &NodeState, route: &Route) -> bool {
     let now_us = shared.clock.now_us();
@@ -122,7 +135,7 @@
     let now_us = shared.clock.now_us();
     let mut pool = shared.pool.borrow_mut();
     let refusal = exchange.refuse_unservable(&pool, now_us);
-    refusal.or_else(|| exchange.refuse_overload(&mut pool))
+    refusal.or_else(|| exchange.refuse_overload(&mut pool, now_us))
 }
 
 /// Refuses a request before any node is asked for its parts.
@@ -220,6 +233,7 @@
         route: &route.spec.name,
         status: status.as_u16(),
         store_age_ms: (now_us - fresh_us) / 1_000,
+        tenant: head.tenant.as_ref().map(|tenant| &*tenant.name),
     }));
 }
 
--- a/crates/entry/src/requests/shared_gather.rs
+++ b/crates/entry/src/requests/shared_gather.rs
@@ -29,8 +29,8 @@
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::ServiceKey;
 
+use crate::callers::caller_response::CallerResponse;
 use crate::callers::responses;
-use crate::callers::responses::CallerResponse;
 use crate::peers::relay_client;
 use crate::peers::relay_client::LegAssignment;
 use crate::peers::relay_client::PartsStream;
@@ -185,7 +185,7 @@
     fn assign(&self, legs: Vec<usize>, services: &[ServiceKey]) -> LegAssignment {
         let now_us = self.shared.clock.now_us();
         let mut pool = self.shared.pool.borrow_mut();
-        let fallback = |leg: &usize| pool.choose(now_us, services[*leg], &[]);
+        let fallback = |leg: &usize| pool.choose_fallback(now_us, services[*leg]);
         LegAssignment {
             fallbacks: legs.iter().map(fallback).collect(),
             legs,
--- a/crates/entry/src/store/peer_registry.rs
+++ b/crates/entry/src/store/peer_registry.rs
@@ -19,6 +19,7 @@
 use wigeonhall_adapter::object_path;
 use wigeonhall_dispatch::PeerNode;
 
+use crate::peers::quota_exchange;
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
 use crate::process::node_state::Phase;
@@ -133,7 +134,7 @@
 }
 
 /// Removes the node's registration at a planned stop.
-pub(crate) async fn unregister(shared: &NodeState) {
+pub(crate) async fn unregister(shared: &Rc<NodeState>) {
     let mut client = StoreClient::new(shared);
     let path = object_path(Collection::Nodes, &shared.settings.node_name);
     let result = client
@@ -203,6 +204,7 @@
     peers.replace(nodes);
     shared.pool.borrow_mut().set_nodes(peers.total_nodes());
     shared.feed.nodes_listed.send_replace(true);
+    quota_exchange::notify_change(shared);
     if peers.len() != before {
         shared.log(&Event::Nodes { near: peers.len() });
     }
--- a/crates/node/tests/entry/caller.rs
+++ b/crates/node/tests/entry/caller.rs
@@ -7,6 +7,7 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -56,9 +57,10 @@
         })
     }
 
-    /// Sends a request to a node that may have stopped, in which case no answer follows.
-    pub fn try_ask(&mut self, method: &str, path: &str, id: &str, body: &str) {
-        let text = request(method, path, id, 1_500, body);
+    /// Sends a request with further headers, each with its line end, to a node that may have stopped,
+    /// in which case no answer follows.
+    pub fn try_ask(&mut self, method: &str, path: &str, id: &str, body: &str, headers: &str) {
+        let text = with_headers(&request(method, path, id, 1_500, body), headers);
         drop(self.reader.get_mut().write_all(text.as_bytes()));
     }
 
@@ -78,6 +80,19 @@
         self.send(&text);
     }
 
+    /// Sends the text again and again without reading; returns whether the node closes the
+    /// connection before a write has waited for the longest time.
+    pub fn sends_until_closed(&mut self, text: &str) -> bool {
+        let stream = self.reader.get_mut();
+        stream.set_write_timeout(Some(ANSWER_TIMEOUT)).unwrap();
+        loop {
+            match stream.write_all(text.as_bytes()) {
+                Ok(()) => {}
+                Err(error) => return error.kind() != ErrorKind::WouldBlock,
+            }
+        }
+    }
+
     /// Reads an answer; `None` if the connection ends instead.
     pub fn read(&mut self) -> Option<Answer> {
         let mut line = String::new();
@@ -118,6 +133,19 @@
     )
 }
 
+/// Adds headers, each with its line end, to a request.
+pub fn with_headers(request: &str, headers: &str) -> String {
+    request.replacen("\r\n", &format!("\r\n{headers}"), 1)
+}
+
+/// Sends one request with further headers, each with its line end, and returns its answer.
+pub fn ask_with(address: SocketAddr, path: &str, id: &str, headers: &str) -> Answer {
+    let mut caller = Caller::connect(address);
+    let text = request("GET", path, id, 5_000, "");
+    caller.send(&with_headers(&text, headers));
+    caller.read().expect("an answer")
+}
+
 /// Sends one request over a new connection and returns its answer.
 pub fn ask(address: SocketAddr, method: &str, path: &str, id: &str, body: &str) -> Answer {
     let mut caller = Caller::connect(address);
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -25,10 +25,12 @@
 
 use serde_json::Value;
 
+use wigeonhall_adapter_standins::MEMORY_MB;
 use wigeonhall_adapter_standins::ReplicaStandin;
 use wigeonhall_adapter_standins::SETTINGS_VARIABLE;
 use wigeonhall_adapter_standins::StoreStandin;
 use wigeonhall_adapter_standins::settings_text;
+use wigeonhall_adapter_standins::with_rollouts;
 use wigeonhall_dispatch::Configuration;
 use wigeonhall_dispatch::RequestLimits;
 use wigeonhall_dispatch::RouteKind;
@@ -66,10 +68,23 @@
         Self::start_at(store.address(), node_name)
     }
 
+    /// Starts a node of a deployment with rollouts.
+    pub fn start_with_rollouts(store: &StoreStandin, node_name: &str) -> Self {
+        let name = format!(
+            "wigeonhall-rollouts-{}-{}.yaml",
+            process::id(),
+            next_number()
+        );
+        let settings = std::env::temp_dir().join(name);
+        let text = settings_text(store.address(), node_name, "north", GRACE_MS);
+        fs::write(&settings, with_rollouts(&text)).unwrap();
+        let command = Command::new(env!("CARGO_BIN_EXE_wigeonhall-node"));
+        Self::run(command, settings)
+    }
+
     /// Starts a node that reaches its store at the given address, such as that of a proxy.
     pub fn start_at(store: SocketAddr, node_name: &str) -> Self {
-        static NEXT: AtomicUsize = AtomicUsize::new(0);
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let number = next_number();
         let name = format!("wigeonhall-entry-{}-{number}.yaml", process::id());
         let settings = std::env::temp_dir().join(name);
         fs::write(
@@ -92,6 +107,23 @@
         Self::run(command, settings)
     }
 
+    /// Starts a node with `memory_mb` of memory in its settings, which may open at most
+    /// `descriptors` file descriptors.
+    pub fn start_with_limits(store: &StoreStandin, memory_mb: u64, descriptors: usize) -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("wigeonhall-limits-{}-{number}.yaml", process::id());
+        let settings = std::env::temp_dir().join(name);
+        let text = settings_text(store.address(), "node-1", "north", GRACE_MS);
+        let limits = format!("memory_mb: {memory_mb}\n  max_file_descriptors: {descriptors}");
+        let text = text.replace(&format!("memory_mb: {MEMORY_MB}"), &limits);
+        fs::write(&settings, text).unwrap();
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
+        command.args(["-c", &script, env!("CARGO_BIN_EXE_wigeonhall-node")]);
+        Self::run(command, settings)
+    }
+
     fn run(mut command: Command, settings: PathBuf) -> Self {
         let mut child = command
             .args(["--entry", "--metrics-port", "0"])
@@ -160,6 +192,18 @@
         kilobytes.parse::<u64>().unwrap() * 1_024
     }
 
+    /// Returns the number of open file descriptors of the process.
+    pub fn open_descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.id()))
+            .unwrap()
+            .count()
+    }
+
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Waits for the end of a process that was signalled to stop.
     pub fn end(mut self) {
         self.wait_end();
@@ -194,6 +238,12 @@
     }
 }
 
+/// Returns a number for the name of a settings file.
+fn next_number() -> usize {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
 fn collect_lines(output: ChildStdout, lines: &Mutex<Vec<Value>>) {
     for line in BufReader::new(output).lines().map_while(Result::ok) {
         let line = serde_json::from_str(&line).expect("a line of JSON");
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod caller;
+mod caller_limits;
 mod cancellation;
 mod crashes;
 mod deployment;
@@ -9,10 +10,15 @@
 mod feed;
 mod forwarding;
 mod notices;
+mod odd_statuses;
 mod planned_stop;
 mod process;
 #[path = "../soak/proxy.rs"]
 mod proxy;
+mod quotas;
+mod rollouts;
 mod shared_gather;
 mod store;
 mod suspended;
+mod tenant_messages;
+mod tenants;
