--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -103,6 +103,11 @@
         slowness / (1.0 - failure_share).max(0.1).powf(policy.failure_exponent)
     }
 
+    /// Decaying share of the recent requests that failed or were refused.
+    pub(crate) fn failure_share(&self, now_us: u64) -> f64 {
+        self.failure_share * self.decay_factor(now_us)
+    }
+
     /// Number of consecutive requests without a usable response.
     pub(crate) const fn failures(&self) -> u32 {
         self.failures
--- a/crates/dispatch/src/locality.rs
+++ b/crates/dispatch/src/locality.rs
@@ -24,6 +24,10 @@
 /// Expected share of the time left from which [`Policy::cross_data_centre_cost`] applies.
 const SHORT_SHARE: f64 = 0.5;
 
+/// Share of failures and refusals of an own replica from which
+/// [`Policy::cross_data_centre_cost`] applies; one failure raises it to 0.2.
+const FAILURE_SHARE_MAX: f64 = 0.2;
+
 /// Range of the random part of the factor, as a share of it. Nodes that see the same replicas
 /// thereby neither leave nor return at once.
 const SPREAD: f64 = 0.25;
@@ -60,8 +64,15 @@
 /// Returns the factor by which the cost of a replica in another data centre is multiplied.
 ///
 /// It falls as the expected latency of the best own replica, `near_cost` times the median, uses up
-/// the time that is left. `draw` is a random number from 0 to 1.
-pub(crate) fn remote_factor(policy: &Policy, room: Room, near_cost: f64, draw: f64) -> f64 {
+/// the time that is left, or as its requests fail: a failed request needs a retry, of which there are
+/// few. `draw` is a random number from 0 to 1.
+pub(crate) fn remote_factor(
+    policy: &Policy,
+    room: Room,
+    near_cost: f64,
+    near_failure_share: f64,
+    draw: f64,
+) -> f64 {
     let least = policy.cross_data_centre_cost;
     let (Some(left_us), Some(latency_us)) = (room.left_us, room.profile.latency_us) else {
         return least;
@@ -70,7 +81,9 @@
         return least;
     }
     let needed_share = near_cost * latency_us / (left_us as f64).max(1.0);
-    let calm = ((SHORT_SHARE - needed_share) / (SHORT_SHARE - CALM_SHARE)).clamp(0.0, 1.0);
+    let in_time = (SHORT_SHARE - needed_share) / (SHORT_SHARE - CALM_SHARE);
+    let healthy = 1.0 - near_failure_share / FAILURE_SHARE_MAX;
+    let calm = in_time.clamp(0.0, 1.0) * healthy.max(0.0);
     let bytes = room.profile.response_bytes.unwrap_or(FULL_PRICE_BYTES) + HEAD_BYTES;
     let price = (CALM_FACTOR - least).max(0.0) * (bytes / FULL_PRICE_BYTES).min(1.0);
     (least + price * calm) * (1.0 + SPREAD * calm * (draw - 0.5))
--- a/crates/dispatch/src/pool_choice.rs
+++ b/crates/dispatch/src/pool_choice.rs
@@ -42,7 +42,8 @@
         } else {
             0.5
         };
-        let factor = locality::remote_factor(&self.policy, room, near_cost, draw);
+        let failure_share = self.failure_share(now_us, near);
+        let factor = locality::remote_factor(&self.policy, room, near_cost, failure_share, draw);
         Some(if near_cost <= far_cost * factor {
             near
         } else {
@@ -65,6 +66,12 @@
         data_centre.cost(&self.policy, now_us) <= locality::hedge_cost_max(profile, extra_us)
     }
 
+    /// Returns the share of recent requests to a replica that failed or were refused.
+    fn failure_share(&self, now_us: u64, key: ReplicaKey) -> f64 {
+        let replica = self.replica(key);
+        replica.map_or(0.0, |replica| replica.health.failure_share(now_us))
+    }
+
     /// Returns whether a replica is in another data centre.
     #[must_use]
     pub fn is_elsewhere(&self, key: ReplicaKey) -> bool {
--- a/crates/dispatch/tests/locality.rs
+++ b/crates/dispatch/tests/locality.rs
@@ -165,3 +165,15 @@
     let (small, large) = (leaving(100.0), leaving(1_000.0));
     assert!(small > large, "{small}, {large}");
 }
+
+/// A refused leg needs a retry, of which the budget of the service has few.
+#[test]
+fn legs_leave_a_replica_that_refuses() {
+    let mut case = Case::new(Policy::default());
+    case.respond(case.near, Reply::Success, 1.0, 20);
+    let refused = Reply::NotRun(NotRunCause::Busy);
+    case.respond(case.near, refused, 1.0, 2);
+    // The suspension after a refusal has ended.
+    let share = case.leaving(NOW_US + 50 * MS, room(150));
+    assert!(share >= 0.9, "{share}");
+}
