Weigh the choice of data centres only where they are far

From a round trip of 5 ms the choice weighs distance and bytes; below, the constant factor holds as before. Ruled out: switching off single mechanisms, which would need a measurement of each.

--- a/crates/dispatch/src/data_centres.rs
+++ b/crates/dispatch/src/data_centres.rs
@@ -65,6 +65,12 @@
         &mut self.known[index as usize]
     }
 
+    /// Returns the distance of the farthest data centre.
+    pub(crate) fn farthest_us(&self) -> f64 {
+        let distances = (0..self.known.len()).map(|index| self.extra_us(index as u32));
+        distances.fold(0.0, f64::max)
+    }
+
     /// Returns by how much a round trip to a data centre takes longer than within the own one.
     pub(crate) fn extra_us(&self, index: u32) -> f64 {
         let own_us = self.get(OWN).connect_us.unwrap_or(0.0);
--- a/crates/dispatch/src/policy.rs
+++ b/crates/dispatch/src/policy.rs
@@ -25,6 +25,10 @@
     /// failures do not raise the cost. A failed request costs its own time and a retry, which the
     /// budget of its service limits.
     pub failure_exponent: f64,
+    /// Distance of another data centre, in time of a round trip, from which the choice between data
+    /// centres weighs more than a constant factor. A replica that is nearer is as good for callers as
+    /// an own one, and each detour to an own replica that is slow costs them more.
+    pub far_distance_us: f64,
     /// Whether the slowness of a replica is the geometric mean of its latencies, in which a single
     /// long one counts for less.
     pub geometric_slowness: bool,
@@ -85,6 +89,7 @@
             cross_data_centre_cost: 1.3,
             early_refusal: true,
             failure_exponent: 2.0,
+            far_distance_us: 5_000.0,
             geometric_slowness: true,
             hedge_room: true,
             hedging: true,
@@ -114,6 +119,11 @@
     /// Returns the policy that charges for other data centres by a constant factor alone.
     #[must_use]
     pub fn constant_distance() -> Self {
+        Self::default().without_locality()
+    }
+
+    /// Returns this policy with a constant factor alone for other data centres.
+    pub(crate) const fn without_locality(self) -> Self {
         Self {
             hedge_room: false,
             later_remote_hedges: false,
@@ -121,7 +131,7 @@
             median_ratio: false,
             slowness_weight: 0.2,
             stall_costs: false,
-            ..Self::default()
+            ..self
         }
     }
 
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -43,7 +43,10 @@
     pub(crate) free_slots: Vec<u32>,
     /// Number of nodes in all data centres.
     pub(crate) nodes: usize,
+    /// Policy in force, by the distance of the other data centres.
     pub(crate) policy: Policy,
+    /// Policy that was set.
+    pub(crate) configured_policy: Policy,
     pub(crate) rng: fastrand::Rng,
     /// Limits of rollouts; `None` if all versions get requests.
     pub(crate) rollout_bounds: Option<RolloutBounds>,
@@ -101,7 +104,8 @@
             fair_shares: HashMap::new(),
             free_slots: Vec::new(),
             nodes: ASSUMED_NODES,
-            policy: Policy::default(),
+            policy: Policy::constant_distance(),
+            configured_policy: Policy::default(),
             rng: fastrand::Rng::with_seed(seed),
             rollout_bounds: None,
             seed,
@@ -118,8 +122,9 @@
     }
 
     /// Sets the policy of this node.
-    pub const fn set_policy(&mut self, policy: Policy) {
-        self.policy = policy;
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.configured_policy = policy;
+        self.apply_distance();
     }
 
     /// Returns the policy of this node.
@@ -335,9 +340,20 @@
         if let Some(data_centre) = self.replica(key).map(|replica| replica.data_centre) {
             let data_centre = self.data_centres.get_mut(data_centre);
             data_centre.observe_connect(latency_us);
+            self.apply_distance();
         }
     }
 
+    /// Puts the policy in force that fits the distance of the other data centres.
+    fn apply_distance(&mut self) {
+        let is_far = self.data_centres.farthest_us() >= self.configured_policy.far_distance_us;
+        self.policy = if is_far {
+            self.configured_policy
+        } else {
+            self.configured_policy.without_locality()
+        };
+    }
+
     /// Returns the timeout in microseconds for opening a connection to a replica.
     #[must_use]
     pub fn connect_timeout_us(&self, key: ReplicaKey) -> u64 {
