Run the process tests of rollouts apart from the other ones

Beside them, on a machine with a load of 20 to 50, one of two tests of the entry tier failed in two of four runs, a different one each time: the memory beside endless responses, and the lists after a compaction. Alone the former passed four times; whether the load or a change is the cause was not traced.

--- a/crates/node/tests/entry/rollouts.rs
+++ b/crates/node/tests/rollouts/main.rs
@@ -1,5 +1,11 @@
 //! Guards against rollouts that end in two states or in none, and against requests to versions that
-//! must get none.
+//! must get none. They run apart from the other tests of processes, whose times their load would
+//! change.
+
+#[path = "../entry/caller.rs"]
+mod caller;
+#[path = "../entry/deployment.rs"]
+mod deployment;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
