Record polls also while the event loop is never idle

Cause: beside callers with endless pipelined requests an ordinary request sometimes got 503 "no replica was reached in time". The runtime calls its hooks only when it is idle; polls between tasks of a busy loop were not recorded, so that a request counted as waiting since the loop was idle last, and its deadline as passed. A timer every 50 ms now records that a poll began after the timer was started. This was found by reading the runtime's code; no trace of a refused request shows it.

Ruled out: the time at which a timer was due, as a process may be paused between the poll and the timer.

--- a/crates/entry/src/process/loop_times.rs
+++ b/crates/entry/src/process/loop_times.rs
@@ -1,10 +1,17 @@
+use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time;
 
 use wigeonhall_dispatch::EventPoll;
 
 use crate::process::clock::Clock;
 
+/// Interval at which the times of polls are recorded while the loop is never idle.
+const BUSY_MARK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Times at which the event loop polled for events.
 ///
 /// Uses atomics because the runtime's hooks and wakers, which write the times, must be `Sync`,
@@ -45,6 +52,11 @@
         self.known_until_us.store(known_until_us, Ordering::Relaxed);
     }
 
+    /// Records that a poll which began after `at_us` has ended.
+    fn mark_polled_since(&self, at_us: u64) {
+        self.known_until_us.fetch_max(at_us, Ordering::Relaxed);
+    }
+
     /// Records when the periodic timer is due.
     pub(crate) fn set_timer_due(&self, at_us: u64) {
         self.timer_due_us.store(at_us, Ordering::Relaxed);
@@ -68,3 +80,16 @@
         }
     }
 }
+
+/// Records polls also while the loop is never idle: the runtime then polls between tasks without
+/// calling its hooks, and requests would seem to have waited since the loop was idle last.
+///
+/// A timer that is started now ends in a poll that begins later, so that all events that have
+/// arrived by now are known once it ends.
+pub(crate) async fn mark_polls(times: Arc<LoopTimes>) {
+    loop {
+        let began_us = times.clock.now_us();
+        time::sleep(BUSY_MARK_INTERVAL).await;
+        times.mark_polled_since(began_us);
+    }
+}
--- a/crates/entry/src/process/run.rs
+++ b/crates/entry/src/process/run.rs
@@ -20,6 +20,7 @@
 use crate::process::event::Event;
 use crate::process::event_log::EventLog;
 use crate::process::lifecycle;
+use crate::process::loop_times;
 use crate::process::metrics::Metrics;
 use crate::process::node_state::NodeState;
 use crate::process::readiness;
@@ -125,6 +126,7 @@
     });
     task::spawn_local(caller_server::serve(shared.clone(), probed(callers)));
     task::spawn_local(readiness::serve(shared.clone(), probed(platform)));
+    task::spawn_local(loop_times::mark_polls(shared.loop_times.clone()));
     let views = collection_views::new(shared);
     start_supervised_tasks(shared, &views);
     task::spawn_local(relay_server::serve(shared.clone(), views, probed(nodes)));
