--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -8,6 +8,7 @@
 use crate::ReplicaKey;
 use crate::Reply;
 use crate::Route;
+use crate::RouteProfile;
 use crate::TenantClaim;
 use crate::UnknownCause;
 use crate::leg::Leg;
@@ -48,6 +49,8 @@
     pub(crate) observed: bool,
     /// Latency of a part above which its replica queued the request; `None` if it is unknown.
     pub(crate) queueing_us: Option<u64>,
+    /// Typical responses of the replicas on the route.
+    pub(crate) profile: RouteProfile,
     pub(crate) route: Rc<Route>,
     /// Time from which the request is answered as soon as it has `min_parts`.
     pub(crate) soft_deadline_us: u64,
@@ -84,6 +87,7 @@
             min_parts: selection.min_parts,
             observed: false,
             queueing_us: None,
+            profile: RouteProfile::default(),
             route,
             soft_deadline_us: arrival.arrived_us.saturating_add(
                 target_us
@@ -122,6 +126,7 @@
             min_parts: Some(0),
             observed: false,
             queueing_us: None,
+            profile: RouteProfile::default(),
             route,
             soft_deadline_us,
         }
@@ -135,6 +140,14 @@
         self
     }
 
+    /// Sets the typical responses on the route; without them, the choice between data centres does
+    /// not follow the time that is left.
+    #[must_use]
+    pub const fn with_profile(mut self, profile: RouteProfile) -> Self {
+        self.profile = profile;
+        self
+    }
+
     /// Sets the claim to capacity; `None` where the configuration names no tenants.
     #[must_use]
     pub fn with_claim(mut self, claim: Option<TenantClaim>) -> Self {
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -6,7 +6,7 @@
 /// Half-life of the observed slowness and failure rate of a replica.
 const HALF_LIFE_US: f64 = 2_000_000.0;
 
-/// Weight of the newest sample in the moving averages.
+/// Weight of the newest sample in the share of failures.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
 /// Maximum ratio of one sample to the mean latency, so that a single pause does not make a
@@ -104,6 +104,11 @@
         slowness / (1.0 - failure_share).max(0.1).powf(policy.failure_exponent)
     }
 
+    /// Decaying share of the recent requests that failed or were refused.
+    pub(crate) fn failure_share(&self, now_us: u64) -> f64 {
+        self.failure_share * self.decay_factor(now_us)
+    }
+
     /// Number of consecutive requests without a usable response.
     pub(crate) const fn failures(&self) -> u32 {
         self.failures
@@ -122,9 +127,9 @@
     fn add_sample(&mut self, policy: &Policy, ratio: f64, failed: f64) {
         let ratio = ratio.clamp(0.25, MAX_LATENCY_RATIO);
         if policy.geometric_slowness {
-            self.slowness *= (ratio / self.slowness).powf(SAMPLE_WEIGHT);
+            self.slowness *= (ratio / self.slowness).powf(policy.slowness_weight);
         } else {
-            self.slowness += (ratio - self.slowness) * SAMPLE_WEIGHT;
+            self.slowness += (ratio - self.slowness) * policy.slowness_weight;
         }
         self.failure_share += (failed - self.failure_share) * SAMPLE_WEIGHT;
     }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -17,6 +17,7 @@
 use crate::ServiceSpec;
 use crate::admission::Admission;
 use crate::connect_latency::ConnectLatency;
+use crate::data_centres::DataCentres;
 use crate::departed_replicas::DepartedReplicas;
 use crate::fair_shares::FairShares;
 use crate::service::Service;
@@ -32,7 +33,7 @@
     pub(crate) arena: Vec<ArenaSlot>,
     pub(crate) by_id: HashMap<Arc<str>, ReplicaKey>,
     connect_latency: ConnectLatency,
-    pub(crate) data_centre: Arc<str>,
+    pub(crate) data_centres: DataCentres,
     /// Extra sub-requests, that is hedges and retries, that operators allow for each service.
     extra_allowance: ExtraAllowance,
     /// Dropped replicas, some of which register again.
@@ -42,7 +43,10 @@
     pub(crate) free_slots: Vec<u32>,
     /// Number of nodes in all data centres.
     pub(crate) nodes: usize,
+    /// Policy in force, by the distance of the other data centres.
     pub(crate) policy: Policy,
+    /// Policy that was set.
+    pub(crate) configured_policy: Policy,
     pub(crate) rng: fastrand::Rng,
     /// Limits of rollouts; `None` if all versions get requests.
     pub(crate) rollout_bounds: Option<RolloutBounds>,
@@ -94,13 +98,14 @@
             arena: Vec::new(),
             by_id: HashMap::new(),
             connect_latency: ConnectLatency::default(),
-            data_centre,
+            data_centres: DataCentres::new(data_centre),
             extra_allowance: ExtraAllowance::default(),
             departed: DepartedReplicas::default(),
             fair_shares: HashMap::new(),
             free_slots: Vec::new(),
             nodes: ASSUMED_NODES,
-            policy: Policy::default(),
+            policy: Policy::constant_distance(),
+            configured_policy: Policy::default(),
             rng: fastrand::Rng::with_seed(seed),
             rollout_bounds: None,
             seed,
@@ -117,8 +122,9 @@
     }
 
     /// Sets the policy of this node.
-    pub const fn set_policy(&mut self, policy: Policy) {
-        self.policy = policy;
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.configured_policy = policy;
+        self.apply_distance();
     }
 
     /// Returns the policy of this node.
@@ -195,24 +201,6 @@
             .flatten()
     }
 
-    /// Chooses the replica for the next sub-request, excluding those in `tried`.
-    pub fn choose(
-        &mut self,
-        now_us: u64,
-        service: ServiceKey,
-        tried: &[ReplicaKey],
-    ) -> Option<ReplicaKey> {
-        let ranked = self.rank(now_us, service, tried, tried.is_empty());
-        ranked.first().map(|(_, key)| *key)
-    }
-
-    /// Chooses the replica that this node uses if it takes a leg back from another node; not one of
-    /// the target version of a rollout, which may get no request by then.
-    pub fn choose_fallback(&mut self, now_us: u64, service: ServiceKey) -> Option<ReplicaKey> {
-        let ranked = self.rank(now_us, service, &[], false);
-        ranked.first().map(|(_, key)| *key)
-    }
-
     /// Returns the replica that a request without any available replica is sent to: among those
     /// whose last request failed and that have no request of this node in flight, the one whose
     /// suspension ends first.
@@ -254,39 +242,6 @@
         self.by_id.get(id).copied()
     }
 
-    /// Returns the usable replicas of a service with their expected costs, the lowest first. Only a
-    /// first request (`may_try`) goes to the target version of a rollout while there are others.
-    fn rank(
-        &mut self,
-        now_us: u64,
-        service: ServiceKey,
-        tried: &[ReplicaKey],
-        may_try: bool,
-    ) -> Vec<(f64, ReplicaKey)> {
-        let extra = may_try && self.draw_extra(now_us, service);
-        let mut rates = self.sending_rates(now_us, service);
-        rates.allows_trial = self.allows_trial(now_us, service, extra);
-        let policy = self.policy;
-        let rng = &mut self.rng;
-        let entry = &self.services[service.0 as usize];
-        let mut ranked: Vec<(f64, ReplicaKey)> = Vec::with_capacity(entry.replicas.len());
-        for key in &entry.replicas {
-            let Some(replica) = self.arena[key.index as usize].replica.as_ref() else {
-                continue;
-            };
-            let availability = replica.availability(now_us, rates);
-            if tried.contains(key) || availability != Availability::Ready {
-                continue;
-            }
-            let variation = 1.0 + rng.f64() * policy.tie_breaking;
-            let cost = expected_cost(&policy, replica, now_us, &self.data_centre) * variation;
-            ranked.push((cost, *key));
-        }
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        self.prefer_version(&mut ranked, may_try);
-        ranked
-    }
-
     /// Returns the replicas among `new` that this node would choose first for the services in
     /// `used_services`; connections to them are worth opening in advance.
     ///
@@ -338,6 +293,9 @@
         let Some(replica) = self.replica_mut(key) else {
             return;
         };
+        if replica.in_flight == 0 {
+            replica.progress_us = now_us;
+        }
         replica.in_flight += 1;
         if replica.limit_per_s().is_some() {
             replica.notice_state.rate_limit.record_request();
@@ -348,7 +306,7 @@
         }
     }
 
-    /// Records the result of a request; `latency_ratio` is its latency divided by the mean
+    /// Records the result of a request; `latency_ratio` is its latency divided by the typical
     /// latency of the route's requests on this node.
     pub fn request_finished(
         &mut self,
@@ -362,6 +320,7 @@
             return;
         };
         replica.in_flight = replica.in_flight.saturating_sub(1);
+        replica.progress_us = now_us;
         replica
             .health
             .observe(&policy, now_us, reply, latency_ratio);
@@ -370,11 +329,29 @@
             // sweep.
             replica.removed_at_us = Some(now_us);
         }
+        let data_centre = replica.data_centre;
+        let data_centre = self.data_centres.get_mut(data_centre);
+        data_centre.observe(now_us, reply, latency_ratio);
     }
 
     /// Records the latency of a connection that this node opened to a replica.
-    pub fn observe_connect(&mut self, latency_us: u64) {
+    pub fn observe_connect(&mut self, key: ReplicaKey, latency_us: u64) {
         self.connect_latency.observe(latency_us);
+        if let Some(data_centre) = self.replica(key).map(|replica| replica.data_centre) {
+            let data_centre = self.data_centres.get_mut(data_centre);
+            data_centre.observe_connect(latency_us);
+            self.apply_distance();
+        }
+    }
+
+    /// Puts the policy in force that fits the distance of the other data centres.
+    fn apply_distance(&mut self) {
+        let is_far = self.data_centres.farthest_us() >= self.configured_policy.far_distance_us;
+        self.policy = if is_far {
+            self.configured_policy
+        } else {
+            self.configured_policy.without_locality()
+        };
     }
 
     /// Returns the timeout in microseconds for opening a connection to a replica.
@@ -430,28 +407,3 @@
         counts
     }
 }
-
-fn expected_cost(policy: &Policy, replica: &Replica, now_us: u64, data_centre: &str) -> f64 {
-    /// Cost factor of a replica that is still slow because of its cold start.
-    const COLD_COST_FACTOR: f64 = 2.0;
-    /// Cost factor of a replica that has not named its limit for some time and may have lifted it.
-    const OUTDATED_LIMIT_COST_FACTOR: f64 = 0.7;
-    let utilisation = f64::from(replica.in_flight) / f64::from(replica.registration.slots.max(1));
-    let distance_factor = if *replica.registration.data_centre == *data_centre {
-        1.0
-    } else {
-        policy.cross_data_centre_cost
-    };
-    let cold = if now_us < replica.warm_at_us {
-        COLD_COST_FACTOR
-    } else {
-        1.0
-    };
-    // Only a response shows that a limit has ended, and few requests are within it.
-    let outdated = if replica.notice_state.rate_limit.is_outdated(now_us) {
-        OUTDATED_LIMIT_COST_FACTOR
-    } else {
-        1.0
-    };
-    replica.health.cost(policy, now_us) * (1.0 + utilisation) * distance_factor * cold * outdated
-}
--- a/crates/dispatch/src/pool_rollouts.rs
+++ b/crates/dispatch/src/pool_rollouts.rs
@@ -276,21 +276,17 @@
         }
     }
 
-    /// Keeps those of the replicas that a request should go to: of the target version of a rollout
-    /// if its credit allows a first request, and of the earlier version for hedges and retries.
-    pub(crate) fn prefer_version(&self, ranked: &mut Vec<(f64, ReplicaKey)>, is_first: bool) {
-        let preferred = if is_first {
+    /// Returns the role of the replicas that a request should go to, if there are any: the target
+    /// version of a rollout if its credit allows a first request, and the earlier version for hedges
+    /// and retries. `None` where there are no rollouts.
+    pub(crate) const fn preferred_role(&self, is_first: bool) -> Option<VersionRole> {
+        if self.rollout_bounds.is_none() {
+            return None;
+        }
+        Some(if is_first {
             VersionRole::Trial
         } else {
             VersionRole::Allowed
-        };
-        let is_preferred = |key: &ReplicaKey| {
-            let replica = self.replica(*key);
-            replica.is_some_and(|replica| replica.role == preferred)
-        };
-        let has_bounds = self.rollout_bounds.is_some();
-        if has_bounds && ranked.iter().any(|(_, key)| is_preferred(key)) {
-            ranked.retain(|(_, key)| is_preferred(key));
-        }
+        })
     }
 }
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -27,6 +27,7 @@
     pub(crate) quota_decisions: IntCounterVec,
     registry: Registry,
     pub(crate) relay_failures: IntCounter,
+    pub(crate) replica_bytes: IntCounterVec,
     pub(crate) replica_connection_errors: IntCounter,
     pub(crate) replica_connections: IntCounter,
     pub(crate) replica_latency_s: Histogram,
@@ -54,43 +55,41 @@
         let metrics = Self {
             config_version: IntGauge::new("config_version", "Version in force")?,
             extra_sends: IntCounter::new("extra_sends_total", "Hedges and retries")?,
-            limited_callers: IntCounterVec::new(
-                Opts::new(
-                    "limited_callers_total",
-                    "Callers refused or closed for lack of memory or connections",
-                ),
+            limited_callers: counters(
+                "limited_callers_total",
+                "Callers refused or closed for lack of memory or connections",
                 &["outcome"],
             )?,
-            malformed_entries: IntCounterVec::new(
-                Opts::new(
-                    "malformed_entries_total",
-                    "Entries of the store that cannot be read",
-                ),
+            malformed_entries: counters(
+                "malformed_entries_total",
+                "Entries of the store that cannot be read",
                 &["collection"],
             )?,
             missing_parts: IntCounter::new("missing_parts_total", "Parts left out of answers")?,
-            crash_suspicions: IntCounterVec::new(
-                Opts::new(
-                    "crash_suspicions_total",
-                    "Requests under which replicas crashed",
-                ),
+            crash_suspicions: counters(
+                "crash_suspicions_total",
+                "Requests under which replicas crashed",
                 &["state"],
             )?,
-            passed_on_batches: IntCounterVec::new(
-                Opts::new("passed_on_batches_total", "Changes from another node"),
+            passed_on_batches: counters(
+                "passed_on_batches_total",
+                "Changes from another node",
                 &["collection"],
             )?,
-            quota_decisions: IntCounterVec::new(
-                Opts::new(
-                    "quota_decisions_total",
-                    "Requests of tenants by what their quotas decided",
-                ),
+            quota_decisions: counters(
+                "quota_decisions_total",
+                "Requests of tenants by what their quotas decided",
                 &["decision", "tenant"],
             )?,
             relay_failures: IntCounter::new(
                 "relay_failures_total",
                 "Parts that another node did not hand over",
             )?,
+            replica_bytes: counters(
+                "replica_bytes_total",
+                "Bytes of the bodies of replicas' responses",
+                &["data_centre"],
+            )?,
             replica_connection_errors: IntCounter::new(
                 "replica_connection_errors_total",
                 "Connections to replicas that could not be opened",
@@ -103,23 +102,15 @@
                 "replica_latency_seconds",
                 "Latency of replicas",
             ))?,
-            replica_replies: IntCounterVec::new(
-                Opts::new("replica_replies_total", "What came of sends"),
-                &["reply"],
-            )?,
+            replica_replies: counters("replica_replies_total", "What came of sends", &["reply"])?,
             request_latency_s: HistogramVec::new(
                 latency("request_latency_seconds", "Latency of requests by route"),
                 &["route"],
             )?,
-            requests: IntCounterVec::new(
-                Opts::new("requests_total", "Final answers by outcome"),
-                &["outcome"],
-            )?,
-            rollout_decisions: IntCounterVec::new(
-                Opts::new(
-                    "rollout_decisions_total",
-                    "Decisions of this node as the coordinator of rollouts",
-                ),
+            requests: counters("requests_total", "Final answers by outcome", &["outcome"])?,
+            rollout_decisions: counters(
+                "rollout_decisions_total",
+                "Decisions of this node as the coordinator of rollouts",
                 &["order"],
             )?,
             rollout_report_failures: IntCounter::new(
@@ -127,11 +118,9 @@
                 "Reports about rollouts that a node did not answer",
             )?,
             store_age_ms: IntGauge::new("store_age_ms", "Age of the store's word on replicas")?,
-            store_calls: IntCounterVec::new(
-                Opts::new(
-                    "store_calls_total",
-                    "Calls to the store by collection, outcome and purpose",
-                ),
+            store_calls: counters(
+                "store_calls_total",
+                "Calls to the store by collection, outcome and purpose",
                 &["collection", "outcome", "purpose"],
             )?,
             unknown_key_refusals: IntCounter::new(
@@ -155,6 +144,7 @@
         registry.register(Box::new(self.passed_on_batches.clone()))?;
         registry.register(Box::new(self.quota_decisions.clone()))?;
         registry.register(Box::new(self.relay_failures.clone()))?;
+        registry.register(Box::new(self.replica_bytes.clone()))?;
         registry.register(Box::new(self.replica_connection_errors.clone()))?;
         registry.register(Box::new(self.replica_connections.clone()))?;
         registry.register(Box::new(self.replica_latency_s.clone()))?;
@@ -179,3 +169,8 @@
         Ok(text)
     }
 }
+
+/// Creates counters with labels.
+fn counters(name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(Opts::new(name, help), labels)
+}
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -59,6 +59,7 @@
     let hedge_delay_us = shared.hedge_delay_us(&route);
     let mut exchange = Exchange::new(arrival, deadline_us, hedge_delay_us, route.clone())
         .with_queueing_latency(shared.queueing_us(&route))
+        .with_profile(shared.route_profile(&route))
         .with_claim(claim(shared, head));
     let soft_deadline_us = exchange.soft_deadline_us();
     let outgoing = Rc::new(outgoing);
