--- a/crates/entry/src/process/loop_times.rs
+++ b/crates/entry/src/process/loop_times.rs
@@ -9,8 +9,9 @@
 
 use crate::process::clock::Clock;
 
-/// Interval at which the times of polls are recorded while the loop is never idle.
-const BUSY_MARK_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which the times of polls are recorded while the loop is never idle; requests may seem
+/// older by as much. Each record wakes an idle node, which a shorter interval would do too often.
+const BUSY_MARK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Times at which the event loop polled for events.
 ///
