--- a/crates/node/tests/entry/tenant_messages.rs
+++ b/crates/node/tests/entry/tenant_messages.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 
 use wigeonhall_adapter::Collection;
+use wigeonhall_adapter::TENANT;
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::Listener;
 use wigeonhall_adapter_standins::ReplicaStandin;
@@ -163,7 +164,7 @@
         pair.nodes[1].callers,
         "/all/x",
         "q1",
-        &format!("{}Connection: Tenant-Id\r\n", authorization(KEY)),
+        &format!("{}Connection: {TENANT}\r\n", authorization(KEY)),
     );
     assert_eq!(answer.status, 200);
     pair.nodes[0].logged(|line| line["event"] == "relayed" && line["request_id"] == "q1");
--- a/crates/node/tests/entry/tenants.rs
+++ b/crates/node/tests/entry/tenants.rs
@@ -115,12 +115,13 @@
     let replica = replica();
     let (_store, node) = deploy(&replica, &[KEY]);
     let key = authorization(KEY);
+    let upper_case = TENANT.as_str().to_ascii_uppercase();
     let forms = [
         key.clone(),
-        format!("{key}Tenant-Id: zeta\r\n"),
-        format!("{key}Tenant-Id: zeta\r\ntenant-id: other\r\nTENANT-ID:\r\n"),
-        format!("{key}Connection: Tenant-Id\r\n"),
-        format!("{key}Connection: keep-alive, tenant-id, Authorization\r\nTenant-Id: zeta\r\n"),
+        format!("{key}{TENANT}: zeta\r\n"),
+        format!("{key}{TENANT}: zeta\r\n{TENANT}: other\r\n{upper_case}:\r\n"),
+        format!("{key}Connection: {TENANT}\r\n"),
+        format!("{key}Connection: keep-alive, {TENANT}, Authorization\r\n{TENANT}: zeta\r\n"),
         format!("authorization: token   {KEY}  \r\n"),
         format!("{key}{key}"),
     ];
@@ -146,7 +147,7 @@
         unknown.clone(),
         format!("{}{unknown}", authorization(KEY)),
         format!("{unknown}{}", authorization(KEY)),
-        format!("{unknown}Tenant-Id: acme\r\n"),
+        format!("{unknown}{TENANT}: acme\r\n"),
         format!("{unknown}Connection: Authorization\r\n"),
         format!("Authorization: Basic {KEY}\r\n"),
         format!("Authorization: {KEY}\r\n"),
@@ -178,8 +179,8 @@
     let (_store, node) = deploy(&replica, &[KEY]);
     for headers in [
         "",
-        "Tenant-Id: acme\r\n",
-        "Tenant-Id: a\r\nTenant-Id: b\r\n",
+        &format!("{TENANT}: acme\r\n"),
+        &format!("{TENANT}: a\r\n{TENANT}: b\r\n"),
     ] {
         let answer = ask_with(node.callers, "/open/x", "q", headers);
         assert_eq!(answer.status, 200);
@@ -200,7 +201,7 @@
     store.register(&replica.registration("north"));
     let node = Node::start(&store);
     node.wait_ready();
-    let headers = "Authorization: Basic YTpi\r\nTenant-Id: own\r\n";
+    let headers = &format!("Authorization: Basic YTpi\r\n{TENANT}: own\r\n");
     let answer = ask_with(node.callers, "/closed/x", "q", headers);
     assert_eq!(answer.status, 200);
     let run = &replica.runs()[0];
--- a/crates/node/tests/soak/identity.rs
+++ b/crates/node/tests/soak/identity.rs
@@ -72,9 +72,9 @@
 
     /// Returns the headers that the caller sends; each caller also names a tenant that it isn't.
     pub fn headers(self) -> String {
-        let claim = "Tenant-Id: other\r\nConnection: Tenant-Id\r\n";
+        let claim = format!("{TENANT}: other\r\nConnection: {TENANT}\r\n");
         match self {
-            Self::Anonymous => claim.to_owned(),
+            Self::Anonymous => claim,
             Self::Tenant(index) => {
                 format!("Authorization: Token {}\r\n{claim}", KEYS[index].1)
             }
