Show a popular request that is blocked after an outage of its service

Case 10, from the entry of innocent_requests.rs in KNOWN-RED.txt, in place of the dropped evacuation, a lesser case: the two replicas of a service end 0.1 s apart and are back two seconds later; what many consumers ask of it is refused by all nodes from then on.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/wigeonhall-review-2
 [ -x "$program" ] && [ -x target/release/wigeonhall-node ] || exit 2
-exec "$program" evacuation review/10/record.txt
+exec "$program" popular review/10/record.txt
--- a/review/harness-2/src/http.rs
+++ b/review/harness-2/src/http.rs
@@ -121,6 +121,8 @@
     pub fn crash(&self) {
         self.ended.store(true, Ordering::SeqCst);
         drop(TcpStream::connect(self.address));
+        // The listener is closed first, as a node asks it whether the process has ended.
+        thread::sleep(Duration::from_millis(5));
         for stream in self.streams.lock().expect("the connections").drain(..) {
             drop(stream.shutdown(Shutdown::Both));
         }
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -3,11 +3,11 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. With
 //! `TROUBLE=0` the disruption is left out.
 
-mod evacuation;
 mod failback;
 mod http;
 mod json;
 mod node;
+mod popular;
 mod quota;
 mod record;
 mod recover;
@@ -56,8 +56,8 @@
     };
     let record = case.record.clone();
     let run = match name.as_str() {
-        "evacuation" => evacuation::run,
         "failback" => failback::run,
+        "popular" => popular::run,
         "quota" => quota::run,
         "recover" => recover::run,
         "refused" => refused::run,
