--- a/review/harness-2/src/node.rs
+++ b/review/harness-2/src/node.rs
@@ -1,16 +1,17 @@
 //! Nodes of the system: the project's own program, started with the command of the deploy file.
 
-use std::collections::BTreeSet;
 use std::fs;
 use std::fs::File;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
+use std::process;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
-use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -125,15 +126,18 @@
         .expect("the program of the deploy file, built")
 }
 
-/// Returns ports that are free now and that no other node of this run got.
+/// Returns ports that are free now and that no other node of this run got. They lie below those that
+/// the system gives to connections, which could take one before the node has opened it.
 fn free_ports<const COUNT: usize>() -> [u16; COUNT] {
-    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
-    let mut given = GIVEN.lock().expect("the ports");
+    const FIRST: u32 = 11_000;
+    const PORTS: u32 = 20_000;
+    static TRIED: AtomicU32 = AtomicU32::new(0);
     [(); COUNT].map(|()| {
         loop {
-            let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
-            let port = listener.local_addr().expect("an address").port();
-            if given.insert(port) {
+            let number = TRIED.fetch_add(1, Ordering::Relaxed);
+            let port = FIRST + (process::id().wrapping_mul(311) + number) % PORTS;
+            let port = u16::try_from(port).expect("a port");
+            if TcpListener::bind(("127.0.0.1", port)).is_ok() {
                 return port;
             }
         }
