Let the replicas of the cases keep to their slots

A second look at the cases: the stand-in of a replica now works on two requests at once and rejects what its queue can't hold, states Warmup-Ms, and the tenant of case 8 stays within hot_tenant. Checks and bounds are as before; cases 7 and 8 have a control of their cause.

--- a/review/harness-2/src/failback.rs
+++ b/review/harness-2/src/failback.rs
@@ -5,8 +5,6 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use crate::Case;
 use crate::Verdict;
@@ -17,6 +15,7 @@
 use crate::record::Record;
 use crate::replica::Ending;
 use crate::replica::Replica;
+use crate::replica::unix_ms;
 use crate::store::Store;
 
 const NODES: usize = 4;
@@ -110,9 +109,7 @@
     let (store, present) = (store.clone(), present.clone());
     let check_in = move |sequence| {
         for replica in present.lock().expect("the replicas").iter() {
-            let age_ms = unix_ms().saturating_sub(replica.born_ms);
-            let cold_ms = (COLD.as_millis() as u64).saturating_sub(age_ms);
-            replica.check_in_cold(&store, sequence, cold_ms);
+            replica.check_in(&store, sequence);
         }
     };
     check_in(1);
@@ -124,11 +121,6 @@
     });
 }
 
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
-
 /// Lets the replica crash and start again under its id and address; it checks in at once.
 fn crash_and_start(
     case: &Case,
@@ -149,7 +141,7 @@
     let replica = Replica::start_at(record, "svc-a", &former.id, "z-a", port, unix_ms(), |_| {
         Ending::Success
     });
-    replica.check_in_cold(store, 0, COLD.as_millis() as u64);
+    replica.check_in(store, 0);
     case.record.line(&format!(
         "{} has started again, cold, and checked in",
         replica.id
--- a/review/harness-2/src/popular.rs
+++ b/review/harness-2/src/popular.rs
@@ -6,8 +6,6 @@
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use crate::Case;
 use crate::Verdict;
@@ -18,13 +16,14 @@
 use crate::record::Record;
 use crate::replica::Ending;
 use crate::replica::Replica;
+use crate::replica::unix_ms;
 use crate::store::Store;
 
 const NODES: usize = 3;
 
 /// Consumers of each route at each node, and the pause of each between two requests.
 const CONSUMERS: usize = 3;
-const PAUSE: Duration = Duration::from_millis(50);
+const PAUSE: Duration = Duration::from_millis(180);
 
 /// Work of a request; the site's farm-history has a mean of 120 ms.
 const WORK: Duration = Duration::from_millis(120);
@@ -118,8 +117,14 @@
     if with_late {
         routes = format!("{routes},{}", route("late"));
     }
+    let service = |name: &str| {
+        format!(
+            r#"{{"name":"svc-{name}","health_check_path":"/health","max_connections":214,"warmup_s":3.0,"warmup_per_s":0.0}}"#
+        )
+    };
+    let services = [service("first"), service("late")].join(",");
     format!(
-        r#"{{"version":{version},"routes":[{routes}],"services":[],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+        r#"{{"version":{version},"routes":[{routes}],"services":[{services}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
     )
 }
 
@@ -139,11 +144,6 @@
     });
 }
 
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
-
 /// Sends the same request to a node, with a new id each time, for as long as this process runs.
 fn consume(record: &Arc<Record>, node: &Node, path: &'static str, number: usize, counts: &Counts) {
     let (record, front, counts) = (record.clone(), node.front, counts.clone());
--- a/review/harness-2/src/quota.rs
+++ b/review/harness-2/src/quota.rs
@@ -1,5 +1,6 @@
 //! In a drill the store comes back from a copy that was made before the nodes had registered.
 
+use std::env;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -30,14 +31,18 @@
 const STALE: Duration = Duration::from_secs(3);
 
 /// Times after the start of the processes: the store goes away, comes back from the copy, traffic
-/// begins (10 s, as on the sheets) and ends.
+/// begins (10 s, as on the sheets), the tenant is hot, and traffic ends.
 const AWAY: Duration = Duration::from_secs(8);
 const BACK: Duration = Duration::from_secs(9);
 const TRAFFIC: Duration = Duration::from_secs(10);
-const END: Duration = Duration::from_secs(32);
+const HOT: Duration = Duration::from_secs(16);
+const CALM: Duration = Duration::from_millis(22_500);
+const END: Duration = Duration::from_millis(24_500);
 
-/// Pause of each consumer between two requests.
-const PAUSE: Duration = Duration::from_millis(50);
+/// What the tenant sends as usual, over all nodes, and how many times that while it is hot, for 6.5 s
+/// (`hot_tenant`).
+const USUAL_PER_S: f64 = 8.0;
+const HOT_FACTOR: f64 = 7.5;
 
 const BOUNDS: &str = "  quota_window_s: 5\n  quota_overage: 0.1\n  quota_slack: 20\n";
 
@@ -72,6 +77,10 @@
     {
         return Verdict::CannotRun;
     }
+    // A control of the cause: with REVIEW_COPY=late the copy has the nodes' registrations.
+    let late = env::var("REVIEW_COPY").is_ok_and(|value| value == "late");
+    sleep_until(start + AWAY - Duration::from_secs(1));
+    let copy = if late { store.copy() } else { copy };
     sleep_until(start + AWAY);
     if case.trouble {
         store.set_down(true);
@@ -83,7 +92,7 @@
     sleep_until(start + TRAFFIC);
     thread::scope(|scope| {
         for node in &nodes {
-            scope.spawn(|| consume(case, node, start + END));
+            scope.spawn(|| consume(case, node, start));
         }
     });
     judge(case, &replica)
@@ -106,12 +115,20 @@
     thread::sleep(at.saturating_duration_since(Instant::now()));
 }
 
+/// Returns the pause between two requests to one node.
+fn pause(start: Instant) -> Duration {
+    let hot = (HOT..CALM).contains(&start.elapsed());
+    let factor = if hot { HOT_FACTOR } else { 1.0 };
+    Duration::from_secs_f64(NODES as f64 / (USUAL_PER_S * factor))
+}
+
 /// Sends requests of the tenant to a node.
-fn consume(case: &Case, node: &Node, end: Instant) {
+fn consume(case: &Case, node: &Node, start: Instant) {
+    let end = start + END;
     let mut number = 0;
     while Instant::now() < end {
         let Some(mut connection) = Connection::open(node.front) else {
-            thread::sleep(PAUSE);
+            thread::sleep(pause(start));
             continue;
         };
         while Instant::now() < end {
@@ -124,7 +141,7 @@
             let status = answer.as_ref().map_or(0, crate::http::Message::status);
             case.record
                 .line(&format!("sent {request_id}, answered {status}"));
-            thread::sleep(PAUSE);
+            thread::sleep(pause(start));
             if answer.is_none() {
                 break;
             }
--- a/review/harness-2/src/recover.rs
+++ b/review/harness-2/src/recover.rs
@@ -1,6 +1,7 @@
 //! An entry of another writer lies among the replicas' entries when all processes are killed and
 //! start again.
 
+use std::env;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -61,10 +62,12 @@
     {
         return Verdict::CannotRun;
     }
+    // A control of the cause: REVIEW_NAME gives the entry another name.
+    let name = env::var("REVIEW_NAME").unwrap_or_else(|_| ODD_NAME.to_owned());
     if case.trouble {
-        store.put("servers", ODD_NAME, r#"{"note":"kept for comparison"}"#);
+        store.put("servers", &name, r#"{"note":"kept for comparison"}"#);
         case.record.line(&format!(
-            "entry servers/{ODD_NAME} without the fields of a replica"
+            "entry servers/{name} without the fields of a replica"
         ));
     }
     let before = served_share(case, &nodes, "before");
--- a/review/harness-2/src/replica.rs
+++ b/review/harness-2/src/replica.rs
@@ -3,10 +3,13 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use crate::http::Message;
 use crate::http::Server;
@@ -16,6 +19,13 @@
 /// Time for which a replica works on a request.
 const WORK: Duration = Duration::from_millis(5);
 
+/// Requests that a replica works on at once, as its entry says, and those that may wait for that.
+const SLOTS: usize = 2;
+const QUEUE: usize = 8;
+
+/// `warmup_s`.
+const COLD_MS: u64 = 3_000;
+
 /// How a replica ends a request that it has run.
 pub enum Ending {
     /// With 200 and its receipt.
@@ -70,8 +80,9 @@
     ) -> Self {
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
         let (own, kept, record) = (id.to_owned(), runs.clone(), record.clone());
+        let load = Load::default();
         let server = Server::start(port, move |request, output| {
-            let text = respond(&own, &kept, &record, &ending, request);
+            let text = respond(&own, born_ms, &load, &kept, &record, &ending, request);
             output.write_all(text.as_bytes()).is_ok()
         });
         Self {
@@ -87,15 +98,11 @@
 
     /// Checks in at the store.
     pub fn check_in(&self, store: &Store, sequence: u64) {
-        self.check_in_cold(store, sequence, 0);
-    }
-
-    /// Checks in at the store with the time for which it stays cold.
-    pub fn check_in_cold(&self, store: &Store, sequence: u64, cold_ms: u64) {
         let born_ms = self.born_ms;
+        let cold_ms = cold_ms(born_ms);
         let (service, address, zone) = (&self.service, self.address, &self.zone);
         let spec = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":2,"state":"ready","warmup_remaining_ms":{cold_ms},"sequence":{sequence},"born":{born_ms}}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{SLOTS},"state":"ready","warmup_remaining_ms":{cold_ms},"sequence":{sequence},"born":{born_ms}}}"#
         );
         store.put("servers", &self.id, &spec);
     }
@@ -110,8 +117,49 @@
     }
 }
 
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Returns how long a replica that started at a time stays cold.
+fn cold_ms(born_ms: u64) -> u64 {
+    COLD_MS.saturating_sub(unix_ms().saturating_sub(born_ms))
+}
+
+/// The requests that a replica works on, and those that wait.
+#[derive(Default)]
+struct Load {
+    counts: Mutex<(usize, usize)>,
+    freed: Condvar,
+}
+
+impl Load {
+    /// Waits for a slot; returns false if too many wait already.
+    fn enter(&self) -> bool {
+        let mut counts = self.counts.lock().expect("the load");
+        if counts.0 >= SLOTS && counts.1 >= QUEUE {
+            return false;
+        }
+        counts.1 += 1;
+        while counts.0 >= SLOTS {
+            counts = self.freed.wait(counts).expect("the load");
+        }
+        counts.1 -= 1;
+        counts.0 += 1;
+        true
+    }
+
+    fn leave(&self) {
+        self.counts.lock().expect("the load").0 -= 1;
+        self.freed.notify_one();
+    }
+}
+
 fn respond(
     own: &str,
+    born_ms: u64,
+    load: &Load,
     runs: &Mutex<Vec<Run>>,
     record: &Record,
     ending: &impl Fn(usize) -> Ending,
@@ -127,7 +175,16 @@
         );
     }
     if request.word(1) == "/health" {
-        return format!("HTTP/1.1 200 OK\r\nInstance-Id: {own}\r\nContent-Length: 0\r\n\r\n");
+        let cold_ms = cold_ms(born_ms);
+        return format!(
+            "HTTP/1.1 200 OK\r\nInstance-Id: {own}\r\nWarmup-Ms: {cold_ms}\r\nContent-Length: 0\r\n\r\n"
+        );
+    }
+    if !load.enter() {
+        record.line(&format!("rejected {request_id} by {own}, which is full"));
+        return format!(
+            "HTTP/1.1 503 X\r\nRequest-Id: {request_id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        );
     }
     let body = String::from_utf8_lossy(&request.body).into_owned();
     let run = Run {
@@ -146,6 +203,7 @@
         Ending::Failure(status) => (status, WORK),
     };
     thread::sleep(work);
+    load.leave();
     record.line(&format!("run {request_id} by {own}, answered {status}"));
     format!(
         "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nServer-Stamp: {own}.{request_id}\r\nContent-Length: 4\r\n\r\ndone"
