Escape the names of objects in calls to the store

What callers saw: while an entry of another writer stood among the replicas and all processes were restarted, almost every request got 503.

Cause: a list of several pages goes on after the last name of a page, and the name was put into the query as it was. A blank made a call that could not be sent, `&` and `#` ended the name, `+` and `%7E` stood for other characters. The list failed, came back to its first page without end, or skipped entries; a node that starts has no routes to replicas until the list is read. Running nodes were struck as well, as soon as they had to list anew.

Change: calls to the store take a `StorePath`, which is built only in the adapter and escapes each name that gets into a segment or a parameter. No call can be written without it.

It works because the store now reads the very name that it sent, whatever characters it has.

--- a/crates/entry/src/store/store_client.rs
+++ b/crates/entry/src/store/store_client.rs
@@ -15,6 +15,7 @@
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::DecodeError;
 use wigeonhall_adapter::STORE_ERA;
+use wigeonhall_adapter::StorePath;
 use wigeonhall_adapter::store_era;
 use wigeonhall_dispatch::MemoryUse;
 
@@ -125,7 +126,7 @@
     pub(crate) async fn get(
         &mut self,
         call: StoreCall,
-        path: &str,
+        path: &StorePath,
         timeout: Duration,
     ) -> Result<StoreResponse, StoreError> {
         self.call_with_timeout(call, Method::GET, path, Bytes::new(), timeout)
@@ -137,7 +138,7 @@
         &mut self,
         collection: Collection,
         method: Method,
-        path: &str,
+        path: &StorePath,
         body: String,
         timeout: Duration,
     ) -> Result<StoreResponse, StoreError> {
@@ -153,7 +154,7 @@
         &mut self,
         call: StoreCall,
         method: Method,
-        path: &str,
+        path: &StorePath,
         body: Bytes,
         timeout: Duration,
     ) -> Result<StoreResponse, StoreError> {
@@ -180,13 +181,13 @@
     async fn call(
         &mut self,
         method: Method,
-        path: &str,
+        path: &StorePath,
         body: Bytes,
     ) -> Result<StoreResponse, StoreError> {
         let mut sender = self.take_connection().await?;
         let request = Request::builder()
             .method(method)
-            .uri(path)
+            .uri(path.as_str())
             .header(header::HOST, self.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod feed;
 mod forwarding;
 mod notices;
+mod odd_entries;
 mod odd_statuses;
 mod planned_stop;
 mod process;
--- /dev/null
+++ b/crates/node/tests/entry/odd_entries.rs
@@ -0,0 +1,155 @@
+//! Guards against one entry of another writer that stops nodes from reading the others: all
+//! replicas stay in use while it stands, also on nodes that start.
+
+use serde_json::json;
+
+use wigeonhall_adapter::Collection;
+use wigeonhall_adapter_standins::Behaviour;
+use wigeonhall_adapter_standins::PAGE_OBJECTS;
+use wigeonhall_adapter_standins::ReplicaStandin;
+use wigeonhall_adapter_standins::StoreStandin;
+
+use crate::caller::ask;
+use crate::deployment::Node;
+use crate::deployment::configuration;
+use crate::deployment::route_to_a;
+use crate::deployment::wait_until;
+use crate::feed;
+
+/// Number of replicas; more than fit on a page together with the odd entry.
+const REPLICAS: usize = 4;
+
+/// A store with replicas, for nodes to start with.
+struct Deployment {
+    _replicas: Vec<ReplicaStandin>,
+    store: StoreStandin,
+}
+
+impl Deployment {
+    fn new() -> Self {
+        let store = StoreStandin::start().unwrap();
+        store.configure(&configuration(1, vec![route_to_a("one")]));
+        let replica = |number| ReplicaStandin::start("a", number, |_| Behaviour::answer("1"));
+        let replicas: Vec<_> = (1..=REPLICAS).map(|it| replica(it).unwrap()).collect();
+        for replica in &replicas {
+            store.register(&replica.registration("north"));
+        }
+        Self {
+            _replicas: replicas,
+            store,
+        }
+    }
+
+    /// Writes an entry that names no replica: a copy by hand that lost its fields.
+    fn write_odd_entry(&self, name: &str) {
+        self.store
+            .put(Collection::Replicas, name, &json!({ "service": "a" }));
+    }
+}
+
+/// Waits until a node knows all replicas, and checks that it serves.
+fn assert_serves(node: &Node) {
+    node.wait_ready();
+    node.logged(|line| line["event"] == "replicas" && line["ready"] == REPLICAS);
+    assert_eq!(ask(node.callers, "GET", "/one/x", "q", "").status, 200);
+}
+
+/// Starts a node while an entry stands that ends a page, for a name that begins with the
+/// characters and for one that has them between others.
+fn assert_starts_beside(characters: &str) {
+    let names = [characters.to_owned(), format!("a-2{characters}x")];
+    for name in &names {
+        // An entry of a megabyte is alone on its page.
+        for page_objects in [1, PAGE_OBJECTS] {
+            let deployment = Deployment::new();
+            deployment.write_odd_entry(name);
+            deployment.store.set_page_objects(page_objects);
+            let node = Node::start(&deployment.store);
+            assert_serves(&node);
+            let lists = deployment.store.lists_of(Collection::Replicas);
+            assert_eq!(lists, 1, "{name:?}, {page_objects} on a page");
+        }
+    }
+}
+
+#[test]
+fn a_node_starts_beside_an_entry_with_a_blank_in_its_name() {
+    assert_starts_beside(" ");
+}
+
+#[test]
+fn a_node_starts_beside_an_entry_with_an_ampersand_in_its_name() {
+    assert_starts_beside("&");
+}
+
+#[test]
+fn a_node_starts_beside_an_entry_with_a_plus_sign_in_its_name() {
+    assert_starts_beside("+");
+}
+
+#[test]
+fn a_node_starts_beside_an_entry_with_a_number_sign_in_its_name() {
+    assert_starts_beside("#");
+}
+
+#[test]
+fn a_node_starts_beside_an_entry_with_a_percent_sign_in_its_name() {
+    assert_starts_beside("%");
+}
+
+/// The name looks like an escape, which stands for a name that sorts after other entries.
+#[test]
+fn no_replica_is_skipped_beside_an_entry_whose_name_looks_like_an_escape() {
+    assert_starts_beside("%7E");
+}
+
+#[test]
+fn a_node_starts_beside_entries_with_other_characters_in_their_names() {
+    for characters in ["?", "/", "=", "\"", "\\", "\n", "\u{7f}", "é", "&watch=1"] {
+        assert_starts_beside(characters);
+    }
+}
+
+/// All processes end and start again while the entry stands; later ones follow a peer.
+#[test]
+fn all_nodes_serve_after_a_restart_beside_an_odd_entry() {
+    let deployment = Deployment::new();
+    let start = || -> Vec<Node> {
+        let names = (0..3).map(|index| format!("node-{index}"));
+        names
+            .map(|name| Node::start_named(&deployment.store, &name))
+            .collect()
+    };
+    let nodes = start();
+    for node in &nodes {
+        assert_serves(node);
+    }
+    deployment.write_odd_entry("a-2 &+#%");
+    drop(nodes);
+    let nodes = start();
+    for node in &nodes {
+        assert_serves(node);
+    }
+    let reader = feed::wait_for_reader(&nodes);
+    let name = format!("node-{}", nodes.len());
+    let late = Node::start_named(&deployment.store, &name);
+    assert_serves(&late);
+    late.logged(|line| line["source"] == format!("node-{reader}"));
+}
+
+/// A node that runs must list the collection when the store has dropped the history.
+#[test]
+fn a_node_lists_anew_beside_an_odd_entry() {
+    let deployment = Deployment::new();
+    let store = &deployment.store;
+    let node = Node::start(store);
+    assert_serves(&node);
+    deployment.write_odd_entry("a-2 &+#%");
+    store.set_silent(true);
+    store.unregister("a-4");
+    store.compact();
+    store.set_silent(false);
+    wait_until("the list", || store.lists_of(Collection::Replicas) >= 2);
+    node.logged(|line| line["event"] == "removals" && line["removals"] == 1);
+    assert_eq!(ask(node.callers, "GET", "/one/x", "q", "").status, 200);
+}
