Decode each object and each change of a response on its own

What callers saw: the same as with a name that was not escaped. While one entry stood whose metadata could not be read, nodes that started never became ready.

Cause: a page of a list, and the changes of a watch, were decoded as a whole. One object with a name of another type, without metadata, or with an escape of half a surrogate pair made all others undecodable; the node listed again without end. A name with bytes that are not UTF-8 was taken with other characters in their place, and the list went on after a name that the store does not have, past other entries. Raw control characters in a string made the whole body malformed.

Evidence: entry/odd_entries.rs, ..._whose_name_cannot_be_read, both tests on the code before: they failed for an escape of half a surrogate pair, for bytes at the beginning of the name, for a raw control character and for a number in place of a name; bytes at the end of the name held, as the replaced name sorts to the same place there. That case keeps its place.

Change: items are decoded one by one; malformed ones are counted and logged with the beginning of their names, and the others are used. A name that is not UTF-8 is malformed, so the list goes on after the last name that can be read. Control characters in strings are replaced like bytes that are not UTF-8. The changes of a watch are decoded once instead of twice.

It works because what one writer leaves in an item cannot reach beyond the item.

--- a/crates/entry/src/store/collection_effects.rs
+++ b/crates/entry/src/store/collection_effects.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use wigeonhall_adapter::Collection;
+use wigeonhall_adapter::MalformedItem;
 use wigeonhall_adapter::ObjectChange;
 use wigeonhall_adapter::StoredObject;
 use wigeonhall_adapter::decode_configuration;
@@ -132,19 +133,26 @@
         match decode_registration(object) {
             Ok(registration) => Some(registration),
             Err(error) => {
-                self.report_malformed(object, error.to_string());
+                self.report_malformed(&object.name, error.to_string());
                 None
             }
         }
     }
 
-    pub(super) fn report_malformed(&self, object: &StoredObject, reason: String) {
+    /// Reports items of a response that cannot be decoded.
+    pub(super) fn report_items(&self, items: &[MalformedItem]) {
+        for item in items {
+            self.report_malformed(&item.name, item.reason.to_string());
+        }
+    }
+
+    pub(super) fn report_malformed(&self, name: &str, reason: String) {
         let labels = [self.collection.wire_name()];
         let malformed = &self.shared.metrics.malformed_entries;
         malformed.with_label_values(&labels).inc();
         self.shared.log(&Event::Malformed {
             collection: self.collection.wire_name(),
-            name: &object.name,
+            name,
             reason,
         });
     }
@@ -155,7 +163,7 @@
         }
         let mut configuration = match decode_configuration(object) {
             Ok(configuration) => configuration,
-            Err(error) => return self.report_malformed(object, error.to_string()),
+            Err(error) => return self.report_malformed(&object.name, error.to_string()),
         };
         let shared = &self.shared;
         if shared.newest_version() >= Some(configuration.version) {
@@ -187,7 +195,7 @@
             let has_value = tenant_value(&tenant.name).is_some();
             if !has_value {
                 let reason = format!("tenant {position}: its name is not a header value");
-                self.report_malformed(object, reason);
+                self.report_malformed(&object.name, reason);
             }
             has_value
         });
--- a/crates/entry/src/store/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use wigeonhall_adapter::Changes;
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::DecodeError;
 use wigeonhall_adapter::ObjectChange;
 use wigeonhall_adapter::StoredObject;
-use wigeonhall_adapter::decode_changes;
 use wigeonhall_adapter::encode_changes;
 use wigeonhall_dispatch::BatchFit;
 use wigeonhall_dispatch::ChangeBatch;
@@ -227,21 +227,18 @@
             self.log_older(revision, "ignored");
             return Ok(());
         }
-        let changes = packing::unpack(body)?.changes;
-        let objects = changes.into_iter().map(|change| change.object);
+        let changes = packing::unpack(body)?;
+        self.report_items(&changes.malformed);
+        let objects = changes.changes.into_iter().map(|change| change.object);
         self.apply_list(objects.collect(), revision);
         Ok(())
     }
 
-    /// Applies changes read from the store and publishes them to followers; returns their number.
-    ///
-    /// # Errors
-    ///
-    /// When the body cannot be decoded.
-    pub(crate) fn apply_store_batch(&self, batch: &ChangeBatch) -> Result<usize, DecodeError> {
-        let changes = decode_batch(batch)?;
-        let count = changes.len();
-        self.apply_changes(changes, batch.to);
+    /// Applies changes read from the store and publishes them to followers; `batch` has the same
+    /// changes as text.
+    pub(crate) fn apply_store_batch(&self, batch: &ChangeBatch, changes: Changes) {
+        self.report_items(&changes.malformed);
+        self.apply_changes(changes.changes, batch.to);
         let packed = ChangeBatch {
             body: packing::pack(&batch.body),
             from: batch.from,
@@ -249,7 +246,6 @@
         };
         self.shared.feed.publish(self.collection, &packed);
         self.log.borrow_mut().push(packed);
-        Ok(count)
     }
 
     /// Applies changes sent by a peer, if they continue from the copy's revision.
@@ -266,7 +262,9 @@
             let changes = if batch.body.is_empty() {
                 Vec::new()
             } else {
-                packing::unpack(&batch.body)?.changes
+                let changes = packing::unpack(&batch.body)?;
+                self.report_items(&changes.malformed);
+                changes.changes
             };
             self.apply_changes(changes, batch.to);
             self.log.borrow_mut().push(batch.clone());
@@ -335,11 +333,3 @@
         Some(unavailable_since_us)
     }
 }
-
-/// Decodes the changes of a batch; an empty body holds none.
-fn decode_batch(batch: &ChangeBatch) -> Result<Vec<ObjectChange>, DecodeError> {
-    if batch.body.is_empty() {
-        return Ok(Vec::new());
-    }
-    Ok(decode_changes(&batch.body)?.changes)
-}
--- a/crates/entry/src/store/paged_list.rs
+++ b/crates/entry/src/store/paged_list.rs
@@ -1,7 +1,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use wigeonhall_adapter::Changes;
 use wigeonhall_adapter::Listing;
+use wigeonhall_adapter::MalformedItem;
 use wigeonhall_adapter::ObjectChange;
 use wigeonhall_adapter::StoredObject;
 
@@ -12,6 +14,8 @@
 /// their order, gives the collection at one revision.
 #[derive(Debug, Default)]
 pub(crate) struct PagedList {
+    /// Items of pages and of changes that cannot be decoded.
+    malformed: Vec<MalformedItem>,
     /// Largest revision of a page.
     newest: u64,
     objects: BTreeMap<Arc<str>, StoredObject>,
@@ -29,16 +33,18 @@
             .map_or(page.revision, |it| it.min(page.revision));
         self.revision = Some(oldest);
         self.newest = self.newest.max(page.revision);
+        self.malformed.extend(page.malformed);
         let objects = page.objects.into_iter();
         self.objects
             .extend(objects.map(|object| (object.name.clone(), object)));
         last.filter(|_| page.more)
     }
 
-    /// Applies the changes from [`Self::revision`] on; `revision` is the one that they lead to.
-    pub(crate) fn apply_changes(&mut self, changes: Vec<ObjectChange>, revision: u64) {
-        apply_to(&mut self.objects, changes);
-        self.revision = Some(revision);
+    /// Applies the changes from [`Self::revision`] on.
+    pub(crate) fn apply_changes(&mut self, changes: Changes) {
+        self.malformed.extend(changes.malformed);
+        apply_to(&mut self.objects, changes.changes);
+        self.revision = Some(changes.revision);
     }
 
     /// Returns whether all pages are included as of [`Self::revision`].
@@ -51,6 +57,11 @@
         self.revision.unwrap_or(0)
     }
 
+    /// Returns the items that cannot be decoded.
+    pub(crate) fn malformed(&self) -> &[MalformedItem] {
+        &self.malformed
+    }
+
     /// Returns the objects, by name.
     pub(crate) fn into_objects(self) -> Vec<StoredObject> {
         self.objects.into_values().collect()
--- a/crates/entry/src/store/rollout_effects.rs
+++ b/crates/entry/src/store/rollout_effects.rs
@@ -44,7 +44,7 @@
     fn apply_rollout(&self, object: &StoredObject, news: RolloutNews) {
         let rollout = match decode_rollout(object) {
             Ok(rollout) => rollout,
-            Err(error) => return self.report_malformed(object, error.to_string()),
+            Err(error) => return self.report_malformed(&object.name, error.to_string()),
         };
         let shared = &self.shared;
         let now_us = shared.clock.now_us();
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -249,6 +249,7 @@
             era,
             number: list.revision(),
         };
+        self.view.report_items(list.malformed());
         self.view.apply_list(list.into_objects(), revision);
         self.view.confirm(began_us);
         completed.map(|()| 0)
@@ -296,7 +297,7 @@
                 return Err(StoreError::OtherEra);
             }
             let changes = decode_changes(&response.body).map_err(StoreError::Decode)?;
-            list.apply_changes(changes.changes, changes.revision);
+            list.apply_changes(changes);
         }
         Ok(())
     }
@@ -355,10 +356,8 @@
         if answered_us >= sent_us + WAITED_MIN_US {
             self.view.confirm(answered_us);
         }
-        let count = self
-            .view
-            .apply_store_batch(&batch)
-            .map_err(StoreError::Decode)?;
+        let count = changes.changes.len();
+        self.view.apply_store_batch(&batch, changes);
         self.view.confirm(sent_us);
         Ok(count)
     }
--- a/crates/node/tests/entry/odd_entries.rs
+++ b/crates/node/tests/entry/odd_entries.rs
@@ -153,3 +153,51 @@
     node.logged(|line| line["event"] == "removals" && line["removals"] == 1);
     assert_eq!(ask(node.callers, "GET", "/one/x", "q", "").status, 200);
 }
+
+/// Names of entries that end the first page in the order of the store, which nodes don't rely on,
+/// and the bytes that it sends in their place.
+const UNREADABLE_NAMES: [(&str, &[u8]); 5] = [
+    ("a-2 escape", br"a-2\ud800"),
+    ("a-2 bytes", b"a-2\xff\xfe"),
+    ("a-2 bytes first", b"\xff\xfea-2"),
+    ("a-2 control", b"a-2\x01"),
+    ("a-2 number", br#"x","name":7,"y":"z"#),
+];
+
+/// The list cannot go on after a name that the node does not know.
+#[test]
+fn a_node_starts_beside_an_entry_whose_name_cannot_be_read() {
+    for (name, bytes) in UNREADABLE_NAMES {
+        let deployment = Deployment::new();
+        deployment.store.replace_text(name, bytes);
+        deployment.write_odd_entry(name);
+        let node = Node::start(&deployment.store);
+        assert_serves(&node);
+        node.logged(|line| line["event"] == "malformed" && line["collection"] == "servers");
+    }
+}
+
+/// A change that cannot be read must not hold up the changes after it, on the node that reads the
+/// store or on those that follow it.
+#[test]
+fn changes_arrive_beside_an_entry_whose_name_cannot_be_read() {
+    for (name, bytes) in UNREADABLE_NAMES {
+        let deployment = Deployment::new();
+        let store = &deployment.store;
+        let start = |index| Node::start_named(store, &format!("node-{index}"));
+        let nodes: Vec<Node> = (0..2).map(start).collect();
+        for node in &nodes {
+            assert_serves(node);
+        }
+        feed::wait_for_reader(&nodes);
+        store.replace_text(name, bytes);
+        deployment.write_odd_entry(name);
+        store.unregister("a-4");
+        for node in &nodes {
+            node.logged(|line| line["event"] == "removals" && line["removals"] == 1);
+        }
+        let late = start(2);
+        late.wait_ready();
+        late.logged(|line| line["event"] == "replicas" && line["ready"] == REPLICAS - 1);
+    }
+}
