End a list whose pages do not go on

What callers saw: the same 503 without end on a node that starts, here beside an entry whose name is too long for a call, or with a store that answers each call for a page with the first one.

Cause: two loops read the pages of a list, one for the watched collections and one for the nodes, and both trusted that each page brings the list on. A name of 50,000 characters made a call that cannot be built; a page that came back was read again, without a pause and without end.

Evidence: on the code before, a_list_that_does_not_advance_ends, ..._removes_nothing and ..._whose_name_is_too_long_for_a_call failed (the node was not ready within 20 s, or never finished its list).

Change: one function reads pages for both. A list goes on after the last name that fits into a call (4 KiB with escapes), and ends with the first page that brings no new object, which is logged. What a running node knows beyond that page stays in use: nothing shows that it was removed. Weighed as well: to fail and list again; a node that starts would then serve nothing, and each try costs a call a page.

It works because each page adds an object, so the number of pages is bounded by that of the objects.

A page of which no name can be read ends the list as well, with the entries after it unread; with some 500 entries on a page, one odd entry cannot cause that unless it is alone on its page.

--- a/crates/entry/src/store/paged_list.rs
+++ b/crates/entry/src/store/paged_list.rs
@@ -14,6 +14,9 @@
 /// their order, gives the collection at one revision.
 #[derive(Debug, Default)]
 pub(crate) struct PagedList {
+    /// Whether the store announced more pages, but the last one brought nothing new or has no name
+    /// to continue after.
+    is_cut_short: bool,
     /// Items of pages and of changes that cannot be decoded.
     malformed: Vec<MalformedItem>,
     /// Largest revision of a page.
@@ -27,17 +30,37 @@
 impl PagedList {
     /// Adds a page and returns the name after which the next one begins; `None` after the last.
     pub(crate) fn add_page(&mut self, page: Listing) -> Option<Arc<str>> {
-        let last = page.objects.last().map(|object| object.name.clone());
         let oldest = self
             .revision
             .map_or(page.revision, |it| it.min(page.revision));
         self.revision = Some(oldest);
         self.newest = self.newest.max(page.revision);
+        let known = self.objects.len();
+        let last = page.last_name().cloned();
         self.malformed.extend(page.malformed);
         let objects = page.objects.into_iter();
         self.objects
             .extend(objects.map(|object| (object.name.clone(), object)));
-        last.filter(|_| page.more)
+        if !page.more {
+            return None;
+        }
+        let next = last.filter(|_| self.objects.len() > known);
+        self.is_cut_short = next.is_none();
+        next
+    }
+
+    /// Returns whether the list ended although the store announced more pages.
+    pub(crate) const fn is_cut_short(&self) -> bool {
+        self.is_cut_short
+    }
+
+    /// Adds the objects of a former copy that the list lacks, where it is cut short: nothing shows
+    /// that they were removed.
+    pub(crate) fn keep_unlisted(&mut self, copy: &BTreeMap<Arc<str>, StoredObject>) {
+        for (name, object) in copy {
+            let listed = self.objects.entry(name.clone());
+            listed.or_insert_with(|| object.clone());
+        }
     }
 
     /// Applies the changes from [`Self::revision`] on.
--- a/crates/entry/src/store/peer_registry.rs
+++ b/crates/entry/src/store/peer_registry.rs
@@ -1,7 +1,6 @@
 //! Registers this node in the store and lists its peers.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use http::Method;
@@ -12,10 +11,8 @@
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::Freshness;
 use wigeonhall_adapter::create_path;
-use wigeonhall_adapter::decode_listing;
 use wigeonhall_adapter::decode_node;
 use wigeonhall_adapter::encode_node;
-use wigeonhall_adapter::list_path;
 use wigeonhall_adapter::object_path;
 use wigeonhall_dispatch::PeerNode;
 
@@ -25,10 +22,10 @@
 use crate::process::node_state::Phase;
 use crate::replicas::preconnect;
 use crate::replicas::sender_counts;
-use crate::store::store_call::CallPurpose;
-use crate::store::store_call::StoreCall;
+use crate::store::list_pages;
 use crate::store::store_client::StoreClient;
 use crate::store::store_client::StoreError;
+use crate::store::store_client::StoreResponse;
 
 /// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -176,26 +173,17 @@
 }
 
 async fn list(client: &mut StoreClient) -> Result<Vec<PeerNode>, StoreError> {
-    let call = StoreCall {
-        collection: Collection::Nodes,
-        purpose: CallPurpose::StaleList,
-    };
-    let mut nodes = Vec::new();
-    let mut after: Option<Arc<str>> = None;
-    loop {
-        let path = list_path(Collection::Nodes, after.as_deref(), Freshness::Stale);
-        let response = client.get(call, &path, CALL_TIMEOUT).await?;
-        let page = decode_listing(&response.body).map_err(StoreError::Decode)?;
-        after = page.objects.last().map(|object| object.name.clone());
-        nodes.extend(
-            page.objects
-                .iter()
-                .filter_map(|object| decode_node(object).ok()),
-        );
-        if !page.more || after.is_none() {
-            return Ok(nodes);
-        }
-    }
+    let unchecked = |_: &StoreResponse| Ok(());
+    let list = list_pages::read(
+        client,
+        Collection::Nodes,
+        Freshness::Stale,
+        CALL_TIMEOUT,
+        unchecked,
+    );
+    let objects = list.await?.into_objects();
+    let nodes = objects.iter().filter_map(|object| decode_node(object).ok());
+    Ok(nodes.collect())
 }
 
 fn replace_peers(shared: &NodeState, nodes: Vec<PeerNode>) {
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -6,7 +6,6 @@
 use std::future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,9 +15,7 @@
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::Freshness;
 use wigeonhall_adapter::decode_changes;
-use wigeonhall_adapter::decode_listing;
 use wigeonhall_adapter::encode_object_changes;
-use wigeonhall_adapter::list_path;
 use wigeonhall_adapter::watch_path;
 use wigeonhall_dispatch::ChangeBatch;
 use wigeonhall_dispatch::StoreRevision;
@@ -28,7 +25,9 @@
 use wigeonhall_dispatch::watch_wait_ms;
 
 use crate::peers::change_feed::ChangeSource;
+use crate::process::node_state::NodeState;
 use crate::store::collection_view::CollectionView;
+use crate::store::list_pages;
 use crate::store::paged_list::PagedList;
 use crate::store::store_call::CallPurpose;
 use crate::store::store_call::StoreCall;
@@ -120,6 +119,13 @@
     future::pending::<()>().await;
 }
 
+/// Returns the era of a response; the newest known one if the response states none.
+fn observe_era(shared: &NodeState, response: &StoreResponse) -> u64 {
+    let era = response.era.unwrap_or_else(|| shared.feed.era());
+    shared.observe_era(era);
+    era
+}
+
 struct StoreWatcher {
     client: StoreClient,
     /// Consecutive failed calls while the store passed health checks.
@@ -227,14 +233,6 @@
         }
     }
 
-    /// Returns the era of a response; the newest known one if the response states none.
-    fn observe_era(&self, response: &StoreResponse) -> u64 {
-        let shared = &self.view.shared;
-        let era = response.era.unwrap_or_else(|| shared.feed.era());
-        shared.observe_era(era);
-        era
-    }
-
     /// Lists the whole collection. Returns 0 changes, so that the next watch follows without a
     /// pause.
     async fn list(&mut self) -> Result<usize, StoreError> {
@@ -245,6 +243,11 @@
             return completed.map(|()| 0);
         }
         self.freshness = Freshness::Current;
+        if list.is_cut_short() {
+            let name = self.view.collection.wire_name();
+            log::warn!("the pages of {name} do not go on; objects after them keep their state");
+            list.keep_unlisted(&self.view.objects.borrow());
+        }
         let revision = StoreRevision {
             era,
             number: list.revision(),
@@ -257,26 +260,25 @@
 
     /// Reads all pages of a list; returns them with their era.
     async fn list_pages(&mut self) -> Result<(PagedList, u64), StoreError> {
-        let mut list = PagedList::default();
-        let mut after: Option<Arc<str>> = None;
+        let view = self.view.clone();
         let mut list_era = None;
-        let call = self.call(match self.freshness {
-            Freshness::Current => CallPurpose::List,
-            Freshness::Stale => CallPurpose::StaleList,
-        });
-        loop {
-            let path = list_path(self.view.collection, after.as_deref(), self.freshness);
-            let response = self.client.get(call, &path, self.call_timeout()).await?;
-            let era = self.observe_era(&response);
-            if *list_era.get_or_insert(era) != era || era < self.view.shared.feed.era() {
+        let same_era = |response: &StoreResponse| {
+            let era = observe_era(&view.shared, response);
+            if *list_era.get_or_insert(era) != era || era < view.shared.feed.era() {
                 return Err(StoreError::OtherEra);
             }
-            let page = decode_listing(&response.body).map_err(StoreError::Decode)?;
-            after = list.add_page(page);
-            if after.is_none() {
-                return Ok((list, era));
-            }
-        }
+            Ok(())
+        };
+        let timeout = self.call_timeout();
+        let list = list_pages::read(
+            &mut self.client,
+            view.collection,
+            self.freshness,
+            timeout,
+            same_era,
+        );
+        let list = list.await?;
+        Ok((list, list_era.unwrap_or_default()))
     }
 
     /// Applies the changes made while the pages of a list were read.
@@ -293,7 +295,7 @@
                 Err(StoreError::HistoryGone) => return Err(StoreError::ListExpired),
                 response => response?,
             };
-            if self.observe_era(&response) != era {
+            if observe_era(&self.view.shared, &response) != era {
                 return Err(StoreError::OtherEra);
             }
             let changes = decode_changes(&response.body).map_err(StoreError::Decode)?;
@@ -332,7 +334,7 @@
                 return Err(StoreError::OtherEra);
             }
         };
-        if self.observe_era(&response) != revision.era {
+        if observe_era(&self.view.shared, &response) != revision.era {
             return Err(StoreError::OtherEra);
         }
         let changes = decode_changes(&response.body).map_err(StoreError::Decode)?;
--- a/crates/node/tests/entry/odd_entries.rs
+++ b/crates/node/tests/entry/odd_entries.rs
@@ -201,3 +201,50 @@
         late.logged(|line| line["event"] == "replicas" && line["ready"] == REPLICAS - 1);
     }
 }
+
+/// Longer than any server accepts in a call; with escapes it takes three times the space.
+#[test]
+fn a_node_starts_beside_an_entry_whose_name_is_too_long_for_a_call() {
+    for character in ["x", "é"] {
+        let deployment = Deployment::new();
+        deployment.write_odd_entry(&format!("a-2{}", character.repeat(50_000)));
+        let node = Node::start(&deployment.store);
+        assert_serves(&node);
+    }
+}
+
+/// A list whose pages do not go on must not be read without end: each call costs money, and a node
+/// that starts serves only after it.
+#[test]
+fn a_list_that_does_not_advance_ends() {
+    let deployment = Deployment::new();
+    let store = &deployment.store;
+    store.repeat_pages(true);
+    let node = Node::start(store);
+    node.wait_ready();
+    assert_eq!(ask(node.callers, "GET", "/one/x", "q", "").status, 200);
+    assert_eq!(store.lists_of(Collection::Replicas), 1);
+    assert!(store.calls_for(Collection::Replicas) < 10);
+}
+
+/// What a running node knows of the objects after the pages that it could read stays in use.
+#[test]
+fn a_list_that_does_not_advance_removes_nothing() {
+    let deployment = Deployment::new();
+    let store = &deployment.store;
+    let node = Node::start(store);
+    assert_serves(&node);
+    store.repeat_pages(true);
+    store.set_silent(true);
+    store.put(Collection::Nodes, "other", &json!({}));
+    store.compact();
+    store.set_silent(false);
+    node.logged(|line| {
+        let text = line["text"].as_str().unwrap_or_default();
+        text.contains("the pages of servers do not go on")
+    });
+    store.unregister("a-1");
+    node.logged(|line| line["event"] == "removals" && line["removals"] == 1);
+    let removals = node.all_logged(|line| line["event"] == "removals");
+    assert_eq!(removals.len(), 1, "{removals:?}");
+}
