Use no replica that requests cannot name, and escape ids between nodes

What callers saw: an entry of another writer with all its fields, and a name that no header can hold, was used as a replica. Requests to it did not name the replica that they were for, so whichever server had the address ran them.

Where the id of a replica was no value of a header, the header was left out without a word. Between nodes, ids of replicas stood in a list with commas, and a peer could not read ids beyond ASCII: it declined to collect parts, and the asking node sent all legs itself.

Evidence: an_entry_whose_name_cannot_be_sent_names_no_replica failed on the code before (the entry counted as a replica), and so did a_gather_is_shared_although_ids_of_replicas_have_odd_characters, for ids with é (three peers declined); its ids with a comma and an escape were not reached there.

Change: a registration whose id cannot be sent is malformed and names no replica; the check is that of the names of tenants. The value of the header is made with the destination, so a request without it cannot be written. Ids in the list between nodes are percent-encoded; plain ids read as before, so nodes of both versions understand each other.

--- a/crates/entry/src/peers/relay_protocol.rs
+++ b/crates/entry/src/peers/relay_protocol.rs
@@ -4,6 +4,10 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use percent_encoding::AsciiSet;
+use percent_encoding::CONTROLS;
+use percent_encoding::percent_decode_str;
+use percent_encoding::utf8_percent_encode;
 
 use wigeonhall_dispatch::LegsKey;
 use wigeonhall_dispatch::Pool;
@@ -16,11 +20,15 @@
 /// Header with the legs that the peer is asked for, separated by commas.
 pub(crate) const LEGS: HeaderName = HeaderName::from_static("x-wigeonhall-legs");
 
-/// Header with the id of the fallback replica of each leg, separated by commas; empty for a
-/// leg without one. The asking node sends the leg to its fallback if it takes the leg back from
+/// Header with the id of the fallback replica of each leg, percent-encoded, separated by commas;
+/// empty for a leg without one. The asking node sends the leg to its fallback if it takes the leg back from
 /// the peer.
 pub(crate) const FALLBACKS: HeaderName = HeaderName::from_static("x-wigeonhall-fallbacks");
 
+/// Characters that are escaped in ids, besides those that are not ASCII: the separator and what a
+/// header cannot hold.
+const ESCAPED_IN_IDS: &AsciiSet = &CONTROLS.add(b' ').add(b'%').add(b',');
+
 /// Header with the soft deadline in milliseconds, after which the parts collected so far are
 /// sent.
 pub(crate) const SOFT_DEADLINE_MS: HeaderName = HeaderName::from_static("x-wigeonhall-soft-ms");
@@ -52,7 +60,10 @@
     pool: &Pool,
 ) -> Option<Vec<Option<ReplicaKey>>> {
     let value = headers.remove(&FALLBACKS)?;
-    let key = |id: &str| (!id.is_empty()).then(|| pool.key_of(id).unwrap_or(ReplicaKey::UNKNOWN));
+    let key = |id: &str| {
+        let id = percent_decode_str(id).decode_utf8_lossy();
+        (!id.is_empty()).then(|| pool.key_of(&id).unwrap_or(ReplicaKey::UNKNOWN))
+    };
     Some(value.to_str().ok()?.split(',').map(key).collect())
 }
 
@@ -63,9 +74,10 @@
 ) -> Option<HeaderValue> {
     let id = |key: &Option<ReplicaKey>| {
         let replica = key.and_then(|key| pool.replica(key));
-        replica.map_or("", |replica| replica.id())
+        let id = replica.map_or("", |replica| replica.id());
+        utf8_percent_encode(id, ESCAPED_IN_IDS).to_string()
     };
-    let ids: Vec<&str> = fallbacks.iter().map(id).collect();
+    let ids: Vec<String> = fallbacks.iter().map(id).collect();
     HeaderValue::from_str(&ids.join(",")).ok()
 }
 
--- a/crates/entry/src/replicas/replica_client.rs
+++ b/crates/entry/src/replicas/replica_client.rs
@@ -29,6 +29,7 @@
 use wigeonhall_adapter::REMAINING_MS;
 use wigeonhall_adapter::REQUEST_ID;
 use wigeonhall_adapter::RETRY_AFTER;
+use wigeonhall_adapter::instance_value;
 use wigeonhall_adapter::rate_limit_per_s;
 use wigeonhall_adapter::retry_after_ms;
 use wigeonhall_dispatch::NotRunCause;
@@ -133,6 +134,8 @@
 struct Destination {
     address: SocketAddr,
     id: Arc<str>,
+    /// Value of [`EXPECTED_INSTANCE`].
+    instance: HeaderValue,
     key: ReplicaKey,
 }
 
@@ -208,6 +211,7 @@
     Some(Destination {
         address: replica.registration.address,
         id: replica.id().clone(),
+        instance: instance_value(replica.id())?,
         key,
     })
 }
@@ -284,9 +288,7 @@
     let headers = message.headers_mut();
     headers.clone_from(&request.headers);
     headers.insert(REMAINING_MS, HeaderValue::from(remaining_ms));
-    if let Ok(id) = HeaderValue::from_str(&destination.id) {
-        headers.insert(EXPECTED_INSTANCE, id);
-    }
+    headers.insert(EXPECTED_INSTANCE, destination.instance.clone());
     message
 }
 
--- a/crates/node/tests/entry/odd_entries.rs
+++ b/crates/node/tests/entry/odd_entries.rs
@@ -248,3 +248,24 @@
     let removals = node.all_logged(|line| line["event"] == "removals");
     assert_eq!(removals.len(), 1, "{removals:?}");
 }
+
+/// A request that cannot name its replica would be run by whichever server has the address.
+#[test]
+fn an_entry_whose_name_cannot_be_sent_names_no_replica() {
+    for name in ["a-2\n", "a-2\u{7f}", " a-2", "a-2 "] {
+        let deployment = Deployment::new();
+        let other = ReplicaStandin::start("b", 1, |_| Behaviour::answer("other")).unwrap();
+        let mut odd = other.registration("north");
+        odd.id = name.into();
+        odd.service = "a".into();
+        deployment.store.register(&odd);
+        let node = Node::start(&deployment.store);
+        assert_serves(&node);
+        for number in 0..4 * REPLICAS {
+            let id = format!("q{number}");
+            let answer = ask(node.callers, "GET", "/one/x", &id, "");
+            assert_eq!(answer.message.body, b"1", "{name:?}");
+        }
+        assert!(other.runs().is_empty(), "{name:?}");
+    }
+}
--- a/crates/node/tests/entry/shared_gather.rs
+++ b/crates/node/tests/entry/shared_gather.rs
@@ -17,6 +17,7 @@
 use serde_json::json;
 
 use wigeonhall_adapter::Collection;
+use wigeonhall_adapter::EXPECTED_INSTANCE;
 use wigeonhall_adapter::REMAINING_MS;
 use wigeonhall_adapter::REQUEST_ID;
 use wigeonhall_adapter_standins::Behaviour;
@@ -65,7 +66,18 @@
     count: usize,
     decide: impl Fn(usize) -> Behaviour + Clone + Send + Sync + 'static,
 ) -> Fleet {
-    let names: Vec<String> = (0..SHARDS).map(|index| format!("s{index:02}")).collect();
+    fleet_of_shards("s", store, count, decide)
+}
+
+/// Starts a fleet whose shards and replicas have names with this beginning.
+fn fleet_of_shards(
+    prefix: &str,
+    store: StoreStandin,
+    count: usize,
+    decide: impl Fn(usize) -> Behaviour + Clone + Send + Sync + 'static,
+) -> Fleet {
+    let name = |index| format!("{prefix}{index:02}");
+    let names: Vec<String> = (0..SHARDS).map(name).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     let mut all = route("all", "/all/", RouteKind::Idempotent, gather(&names, 1.0));
     all.target_latency_ms = 600;
@@ -135,6 +147,39 @@
     }
 }
 
+/// Nodes name replicas in headers, to the replicas and to each other, whatever their ids are. A
+/// request that does not name its replica may be run by another one, and a peer that cannot read
+/// the ids does not collect parts.
+#[test]
+fn a_gather_is_shared_although_ids_of_replicas_have_odd_characters() {
+    for prefix in ["é", "s,%2C "] {
+        let store = StoreStandin::start().unwrap();
+        let answer = |index| Behaviour::answer(record(index));
+        let fleet = fleet_of_shards(prefix, store, NODES, answer);
+        let second = |index| {
+            let name = format!("{prefix}{index:02}");
+            ReplicaStandin::start(&name, 2, move |_| answer(index)).unwrap()
+        };
+        let seconds: Vec<ReplicaStandin> = (0..SHARDS).map(second).collect();
+        for replica in &seconds {
+            fleet.store.register(&replica.registration("north"));
+        }
+        for node in &fleet.nodes {
+            node.logged(|line| line["event"] == "replicas" && line["ready"] == 2 * SHARDS);
+        }
+        assert_whole(&fleet, "q1");
+        assert!(nodes_of(&fleet, "q1") > 1, "{prefix:?}");
+        let refused = fleet.nodes[0].all_logged(|line| line["event"] == "relay");
+        assert!(refused.is_empty(), "{refused:?}");
+        for replica in fleet.replicas.iter().chain(&seconds) {
+            let id = &*replica.registration("north").id;
+            for run in replica.runs() {
+                assert_eq!(run.header(EXPECTED_INSTANCE.as_str()), Some(id));
+            }
+        }
+    }
+}
+
 #[test]
 fn a_gather_is_whole_while_peers_are_killed_or_suspended() {
     let fleet = fleet(|index| Behaviour::answer(record(index)));
