Leave a part whose receipt cannot be listed out of a gather

What callers saw: one replica whose receipt held a byte beyond ASCII cost the answers of all other shards: the gather ended with 502. A receipt with a comma stood in the answer as two.

A part counted as done before anybody knew whether its receipt can stand there.

Evidence: both tests of entry/odd_receipts.rs failed on the code before, at the first of six receipts (a byte beyond ASCII): 502 in place of 200, also where another replica of the shard was sound.

Change: for a gather, a success whose receipt is not a single word of printable ASCII counts as one without proof (`Unproved`), as a success without a receipt does: the leg goes to another replica where the route allows it, or is stated as missing. One function reads the receipt, in place of two copies of it. Routes to one service are as before: the receipt is returned unchanged.

--- a/crates/entry/src/callers/responses.rs
+++ b/crates/entry/src/callers/responses.rs
@@ -6,7 +6,6 @@
 
 use wigeonhall_adapter::INCLUDED_RECEIPTS;
 use wigeonhall_adapter::MISSING_PARTS;
-use wigeonhall_adapter::RECEIPT;
 use wigeonhall_adapter::RETRY_AFTER;
 use wigeonhall_adapter::retry_after_value;
 use wigeonhall_dispatch::GiveUpReason;
@@ -101,20 +100,13 @@
 
 /// Merges parts into the greatest records, with the receipts of exactly these parts.
 ///
-/// `None` when a part has no receipt that is a valid header value.
+/// `None` when a part has no receipt that can be listed.
 pub(crate) fn merged_parts(
     parts: &[ReplicaResponse],
     missing: usize,
     top_records: usize,
 ) -> Option<CallerResponse> {
-    let receipts: Option<Vec<&str>> = parts
-        .iter()
-        .map(|part| {
-            part.headers
-                .get(&RECEIPT)
-                .and_then(|value| value.to_str().ok())
-        })
-        .collect();
+    let receipts: Option<Vec<&str>> = parts.iter().map(ReplicaResponse::listed_receipt).collect();
     let bodies: Vec<&[u8]> = parts.iter().map(|part| &*part.body).collect();
     gather_response(&receipts?, &bodies, missing, top_records)
 }
--- a/crates/entry/src/requests/group_parts.rs
+++ b/crates/entry/src/requests/group_parts.rs
@@ -8,7 +8,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use wigeonhall_adapter::RECEIPT;
 use wigeonhall_dispatch::merge_records;
 
 use crate::replicas::replica_response::ReplicaResponse;
@@ -61,8 +60,7 @@
 }
 
 impl GroupParts {
-    /// Merges parts into a message; a part without a receipt, or whose receipt is not text, is left
-    /// out.
+    /// Merges parts into a message; a part without a receipt that can be listed is left out.
     pub(crate) fn merge(
         mut head: GroupHead,
         parts: &[(usize, ReplicaResponse)],
@@ -70,11 +68,7 @@
     ) -> Self {
         let mut bodies: Vec<&[u8]> = Vec::with_capacity(parts.len());
         for (leg, part) in parts {
-            let receipt = part
-                .headers
-                .get(&RECEIPT)
-                .and_then(|value| value.to_str().ok());
-            if let Some(receipt) = receipt {
+            if let Some(receipt) = part.listed_receipt() {
                 head.legs.push(*leg);
                 head.receipts.push(receipt.to_owned());
                 bodies.push(&part.body);
--- a/crates/entry/src/requests/query.rs
+++ b/crates/entry/src/requests/query.rs
@@ -26,6 +26,7 @@
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::Route;
 use wigeonhall_dispatch::SubRequest;
+use wigeonhall_dispatch::TargetSpec;
 use wigeonhall_dispatch::UnknownCause;
 
 use crate::process::event::Event;
@@ -159,10 +160,14 @@
         let outgoing = self.outgoing.clone();
         let deadline_us = self.exchange.deadline_us();
         let route = self.exchange.route().clone();
+        let is_gather = matches!(route.spec.target, TargetSpec::Gather { .. });
         let in_flight = InFlightSubRequest::new(shared.clone(), sub_request.replica, route);
         self.pending.push(Box::pin(async move {
-            let result =
+            let mut result =
                 replica_client::send(&shared, sub_request.replica, &outgoing, deadline_us).await;
+            if is_gather {
+                result.require_listed_receipt();
+            }
             in_flight.complete(&result);
             // Also a sub-request that ends after its request was answered.
             if result.reply == Reply::Unknown(UnknownCause::Crashed) {
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod forwarding;
 mod notices;
 mod odd_entries;
+mod odd_receipts;
 mod odd_statuses;
 mod planned_stop;
 mod process;
