Decode the heads of the object API's lists one by one

What operators saw: while one object had a path that cannot be read, old claims were never deleted (`claim_clean_up_failed`), unused parts of configurations stayed, and `wigeonhall history` failed. Callers were not affected.

Evidence: a_path_that_cannot_be_read_does_not_hide_the_others failed on the code before, at the first of six heads ("unexpected end of hex escape").

Change: heads are decoded one by one; one that cannot be read, or whose path is not UTF-8, is left out with a warning. A body that is no list stays an error. Paths with odd characters were read back before already (any_text_is_valid_in_a_path).

--- a/crates/platform/src/object_api.rs
+++ b/crates/platform/src/object_api.rs
@@ -6,6 +6,7 @@
 
 use attohttpc::Method;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::ChangeOutcome;
 use crate::ObjectCallCounts;
@@ -34,8 +35,9 @@
 }
 
 #[derive(Deserialize)]
-struct ListBody {
-    objects: Vec<ObjectHead>,
+struct ListBody<'a> {
+    #[serde(borrow)]
+    objects: Vec<&'a RawValue>,
 }
 
 impl ObjectApi {
@@ -97,7 +99,8 @@
         }
     }
 
-    /// Lists the objects whose path begins with `prefix`, sorted by path.
+    /// Lists the objects whose path begins with `prefix`, sorted by path. Objects whose path or
+    /// version cannot be read are left out.
     ///
     /// # Errors
     ///
@@ -112,7 +115,7 @@
             .send()
         })?;
         match reply.status {
-            200 => reply.json::<ListBody>().map(|body| body.objects),
+            200 => decode_heads(&reply.body),
             _ => reply.unexpected(),
         }
     }
@@ -227,3 +230,31 @@
         })
     }
 }
+
+/// Decodes the objects of a list one by one, so that one that cannot be read does not hide the
+/// others.
+fn decode_heads(body: &[u8]) -> Result<Vec<ObjectHead>, PlatformError> {
+    let text = String::from_utf8_lossy(body);
+    let list: ListBody<'_> =
+        serde_json::from_str(&text).map_err(|error| PlatformError::BadReply {
+            reason: error.to_string(),
+        })?;
+    let heads = list.objects.iter().filter_map(|item| decode_head(item));
+    Ok(heads.collect())
+}
+
+fn decode_head(item: &RawValue) -> Option<ObjectHead> {
+    let head: ObjectHead = match serde_json::from_str(item.get()) {
+        Ok(head) => head,
+        Err(error) => {
+            log::warn!("an object of the store cannot be read: {error}");
+            return None;
+        }
+    };
+    // The store has another path for the object: calls with this one would not find it.
+    if head.path.contains(char::REPLACEMENT_CHARACTER) {
+        log::warn!("an object of the store has a path that is not UTF-8");
+        return None;
+    }
+    Some(head)
+}
