Bound the log lines about one malformed entry

What operators saw: a line for each time that a malformed entry was read, on each node; a writer that wrote it again and again filled the log. Malformed entries of the list of nodes were left out without a word.

Cause: each report was a line, whether or not it said anything new; the list of nodes dropped the error.

Evidence: on the code before, an_odd_entry_that_is_written_again_and_again... found 100 lines for 100 writes, and an_odd_entry_among_the_nodes... no line.

Change: `MalformedEntries` reports for each collection, the list of nodes included: all reports are counted, and ten in a row about one entry with the same reason are logged; the count begins anew when the entry can be read, is removed, or has another reason. One line in all was tried first and not kept: an operator who writes a malformed configuration again must see each attempt (no_key_appears_in_logs... failed with it). The line about pages that do not go on is written where pages are read, for both lists.

--- a/crates/entry/src/peers/relay_protocol.rs
+++ b/crates/entry/src/peers/relay_protocol.rs
@@ -21,8 +21,8 @@
 pub(crate) const LEGS: HeaderName = HeaderName::from_static("x-wigeonhall-legs");
 
 /// Header with the id of the fallback replica of each leg, percent-encoded, separated by commas;
-/// empty for a leg without one. The asking node sends the leg to its fallback if it takes the leg back from
-/// the peer.
+/// empty for a leg without one. The asking node sends the leg to its fallback if it takes the leg
+/// back from the peer.
 pub(crate) const FALLBACKS: HeaderName = HeaderName::from_static("x-wigeonhall-fallbacks");
 
 /// Characters that are escaped in ids, besides those that are not ASCII: the separator and what a
--- a/crates/entry/src/store/collection_effects.rs
+++ b/crates/entry/src/store/collection_effects.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use wigeonhall_adapter::Collection;
-use wigeonhall_adapter::MalformedItem;
 use wigeonhall_adapter::ObjectChange;
 use wigeonhall_adapter::StoredObject;
 use wigeonhall_adapter::decode_configuration;
@@ -93,6 +92,7 @@
         let mut new = Vec::new();
         for change in changes {
             if change.deleted {
+                self.malformed.forget(&change.object.name);
                 let mut pool = self.shared.pool.borrow_mut();
                 pool.unregister(&change.object.name, removed_at_us);
             } else if let Some(registration) = self.registration(&change.object) {
@@ -131,40 +131,30 @@
 
     fn registration(&self, object: &StoredObject) -> Option<Registration> {
         match decode_registration(object) {
-            Ok(registration) => Some(registration),
+            Ok(registration) => {
+                self.malformed.forget(&object.name);
+                Some(registration)
+            }
             Err(error) => {
-                self.report_malformed(&object.name, error.to_string());
+                let reason = error.to_string();
+                self.malformed.report(&self.shared, &object.name, reason);
                 None
             }
         }
     }
 
-    /// Reports items of a response that cannot be decoded.
-    pub(super) fn report_items(&self, items: &[MalformedItem]) {
-        for item in items {
-            self.report_malformed(&item.name, item.reason.to_string());
-        }
-    }
-
-    pub(super) fn report_malformed(&self, name: &str, reason: String) {
-        let labels = [self.collection.wire_name()];
-        let malformed = &self.shared.metrics.malformed_entries;
-        malformed.with_label_values(&labels).inc();
-        self.shared.log(&Event::Malformed {
-            collection: self.collection.wire_name(),
-            name,
-            reason,
-        });
-    }
-
     fn apply_configuration(&self, object: &StoredObject) {
         if !is_current_configuration(object) {
             return;
         }
         let mut configuration = match decode_configuration(object) {
             Ok(configuration) => configuration,
-            Err(error) => return self.report_malformed(&object.name, error.to_string()),
+            Err(error) => {
+                let reason = error.to_string();
+                return self.malformed.report(&self.shared, &object.name, reason);
+            }
         };
+        self.malformed.forget(&object.name);
         let shared = &self.shared;
         if shared.newest_version() >= Some(configuration.version) {
             return shared.log(&Event::Configuration {
@@ -195,7 +185,7 @@
             let has_value = tenant_value(&tenant.name).is_some();
             if !has_value {
                 let reason = format!("tenant {position}: its name is not a header value");
-                self.report_malformed(&object.name, reason);
+                self.malformed.report(&self.shared, &object.name, reason);
             }
             has_value
         });
--- a/crates/entry/src/store/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -22,6 +22,7 @@
 use crate::peers::unpack_error::UnpackError;
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
+use crate::store::malformed_entries::MalformedEntries;
 use crate::store::paged_list;
 
 /// Divisor of the rollback time that gives the time within which a change of a rollout must be in
@@ -44,6 +45,8 @@
     pub(crate) list_due: Cell<bool>,
     /// Time of the first failed call of the current outage; `None` while calls succeed.
     unavailable_since_us: Cell<Option<u64>>,
+    /// Reports entries that cannot be decoded.
+    pub(super) malformed: MalformedEntries,
     /// The objects of the collection at `revision`, by name.
     pub(super) objects: RefCell<BTreeMap<Arc<str>, StoredObject>>,
     /// Revision of the copy; `None` before the first list.
@@ -62,6 +65,7 @@
             current_us: Cell::new(None),
             list_due: Cell::new(false),
             log: RefCell::default(),
+            malformed: MalformedEntries::new(collection),
             unavailable_since_us: Cell::new(None),
             objects: RefCell::default(),
             revision: Cell::new(None),
@@ -228,7 +232,8 @@
             return Ok(());
         }
         let changes = packing::unpack(body)?;
-        self.report_items(&changes.malformed);
+        self.malformed
+            .report_items(&self.shared, &changes.malformed);
         let objects = changes.changes.into_iter().map(|change| change.object);
         self.apply_list(objects.collect(), revision);
         Ok(())
@@ -237,7 +242,8 @@
     /// Applies changes read from the store and publishes them to followers; `batch` has the same
     /// changes as text.
     pub(crate) fn apply_store_batch(&self, batch: &ChangeBatch, changes: Changes) {
-        self.report_items(&changes.malformed);
+        self.malformed
+            .report_items(&self.shared, &changes.malformed);
         self.apply_changes(changes.changes, batch.to);
         let packed = ChangeBatch {
             body: packing::pack(&batch.body),
@@ -263,7 +269,8 @@
                 Vec::new()
             } else {
                 let changes = packing::unpack(&batch.body)?;
-                self.report_items(&changes.malformed);
+                self.malformed
+                    .report_items(&self.shared, &changes.malformed);
                 changes.changes
             };
             self.apply_changes(changes, batch.to);
--- a/crates/entry/src/store/list_pages.rs
+++ b/crates/entry/src/store/list_pages.rs
@@ -43,7 +43,12 @@
         let page = decode_listing(&response.body).map_err(StoreError::Decode)?;
         after = list.add_page(page);
         if after.is_none() {
-            return Ok(list);
+            break;
         }
     }
+    if list.is_cut_short() {
+        let name = collection.wire_name();
+        log::warn!("the pages of {name} do not go on; the objects after them are not read");
+    }
+    Ok(list)
 }
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod collection_view;
 pub(crate) mod collection_views;
 pub(crate) mod list_pages;
+pub(crate) mod malformed_entries;
 pub(crate) mod paged_list;
 pub(crate) mod peer_registry;
 pub(crate) mod rollout_effects;
--- a/crates/entry/src/store/peer_registry.rs
+++ b/crates/entry/src/store/peer_registry.rs
@@ -23,6 +23,7 @@
 use crate::replicas::preconnect;
 use crate::replicas::sender_counts;
 use crate::store::list_pages;
+use crate::store::malformed_entries::MalformedEntries;
 use crate::store::store_client::StoreClient;
 use crate::store::store_client::StoreError;
 use crate::store::store_client::StoreResponse;
@@ -58,6 +59,7 @@
 /// may show a registration that was removed, so later lists are checked as well.
 pub(crate) async fn run(shared: Rc<NodeState>) {
     let mut client = StoreClient::new(&shared);
+    let malformed = MalformedEntries::new(Collection::Nodes);
     let first_pauses = if shared.settings.first_start {
         FIRST_START_LIST_PAUSES
     } else {
@@ -71,7 +73,7 @@
     loop {
         let pause = pauses.next().unwrap_or(LIST_INTERVAL);
         time::sleep(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
-        let nodes = list_with_retries(&shared, &mut client).await;
+        let nodes = list_with_retries(&shared, &mut client, &malformed).await;
         let listed = *shared.feed.nodes_listed.borrow();
         let registering = registration
             .as_ref()
@@ -89,10 +91,14 @@
 }
 
 /// Lists the nodes; retries until the store answers.
-async fn list_with_retries(shared: &NodeState, client: &mut StoreClient) -> Vec<PeerNode> {
+async fn list_with_retries(
+    shared: &NodeState,
+    client: &mut StoreClient,
+    malformed: &MalformedEntries,
+) -> Vec<PeerNode> {
     loop {
         wait_for_store(shared).await;
-        match list(client).await {
+        match list(shared, client, malformed).await {
             Ok(nodes) => return nodes,
             Err(error) => pause_after_failure(shared, "list the nodes", &error).await,
         }
@@ -172,7 +178,11 @@
     }
 }
 
-async fn list(client: &mut StoreClient) -> Result<Vec<PeerNode>, StoreError> {
+async fn list(
+    shared: &NodeState,
+    client: &mut StoreClient,
+    malformed: &MalformedEntries,
+) -> Result<Vec<PeerNode>, StoreError> {
     let unchecked = |_: &StoreResponse| Ok(());
     let list = list_pages::read(
         client,
@@ -181,8 +191,21 @@
         CALL_TIMEOUT,
         unchecked,
     );
-    let objects = list.await?.into_objects();
-    let nodes = objects.iter().filter_map(|object| decode_node(object).ok());
+    let list = list.await?;
+    malformed.report_items(shared, list.malformed());
+    let objects = list.into_objects();
+    let nodes = objects
+        .iter()
+        .filter_map(|object| match decode_node(object) {
+            Ok(node) => {
+                malformed.forget(&object.name);
+                Some(node)
+            }
+            Err(error) => {
+                malformed.report(shared, &object.name, error.to_string());
+                None
+            }
+        });
     Ok(nodes.collect())
 }
 
--- a/crates/entry/src/store/rollout_effects.rs
+++ b/crates/entry/src/store/rollout_effects.rs
@@ -44,8 +44,12 @@
     fn apply_rollout(&self, object: &StoredObject, news: RolloutNews) {
         let rollout = match decode_rollout(object) {
             Ok(rollout) => rollout,
-            Err(error) => return self.report_malformed(&object.name, error.to_string()),
+            Err(error) => {
+                let reason = error.to_string();
+                return self.malformed.report(&self.shared, &object.name, reason);
+            }
         };
+        self.malformed.forget(&object.name);
         let shared = &self.shared;
         let now_us = shared.clock.now_us();
         let mut pool = shared.pool.borrow_mut();
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -244,15 +244,14 @@
         }
         self.freshness = Freshness::Current;
         if list.is_cut_short() {
-            let name = self.view.collection.wire_name();
-            log::warn!("the pages of {name} do not go on; objects after them keep their state");
             list.keep_unlisted(&self.view.objects.borrow());
         }
         let revision = StoreRevision {
             era,
             number: list.revision(),
         };
-        self.view.report_items(list.malformed());
+        let malformed = &self.view.malformed;
+        malformed.report_items(&self.view.shared, list.malformed());
         self.view.apply_list(list.into_objects(), revision);
         self.view.confirm(began_us);
         completed.map(|()| 0)
