Weigh answers before a request is blocked for crashes of replicas

Cause: a request is blocked after two crashes that followed each other. One that is asked all the time is always the next one that is tried, so it runs when the second replica ends, whatever ended it. Answers that it had got were not weighed.

Change: nodes keep the keys of requests that were answered in the last one to two minutes. Such a request is blocked after three crashes, for 2 s first and twice as long after each further crash. Reports between nodes state it, so that a node that did not see the answer learns of it, and a block is lifted. Nodes of earlier releases read the first three fields of a report as before.

Why it works: a request that crashes its replicas has no answer to show, so it is blocked as before. Any other one is tried on one replica as soon as the service has two, and the answer clears it.

--- a/crates/dispatch/src/crash_suspects.rs
+++ b/crates/dispatch/src/crash_suspects.rs
@@ -1,6 +1,10 @@
 use std::collections::HashMap;
 
 use crate::RequestKey;
+use crate::answered_requests::AnsweredRequests;
+
+/// Crashes of replicas, one after the other, for which a request is blocked.
+const CRASHES_TO_BLOCK: u32 = 2;
 
 /// Time after the last crash for which a request is suspected.
 const SUSPICION_US: u64 = 60_000_000;
@@ -8,6 +12,10 @@
 /// Time for which a request is blocked; it is suspected after that, so that one replica tries it.
 const BLOCK_US: u64 = 60_000_000;
 
+/// Time for which a request that was answered before is blocked first. It doubles with each further
+/// crash, up to [`BLOCK_US`]: the request is likely to be served once the replicas are back.
+const ANSWERED_BLOCK_US: u64 = 2_000_000;
+
 /// Longest time for which other requests with the same key wait for the result of a trial.
 const TRIAL_US: u64 = 2_000_000;
 
@@ -34,15 +42,58 @@
 /// How strongly a request is suspected, the stronger state first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Suspicion {
-    /// A replica crashed under it, and another one that it was sent to after that.
+    /// So many replicas crashed under it, one after the other, that no further one is risked.
     Blocked,
     /// A replica crashed under it; others were running there too, perhaps.
     Suspected,
 }
 
+/// What speaks for and against a request under which replicas crashed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CrashEvidence {
+    /// Whether a replica answered an earlier request with the same key shortly before.
+    pub answered: bool,
+    /// Number of crashes that followed each other: each one but the first under a request that was
+    /// sent after the crash before was known.
+    pub crashes: u32,
+}
+
+impl CrashEvidence {
+    /// Returns for how long the request is blocked since the newest crash; `None` if it is only
+    /// suspected.
+    ///
+    /// Replicas may end one after the other for reasons of their own, and a popular request runs on
+    /// most of them. A request that was answered before is therefore blocked one crash later.
+    fn block_us(self) -> Option<u64> {
+        let crashes_to_block = CRASHES_TO_BLOCK + u32::from(self.answered);
+        let further_crashes = self.crashes.checked_sub(crashes_to_block)?;
+        if !self.answered {
+            return Some(BLOCK_US);
+        }
+        let factor = 1_u64.checked_shl(further_crashes).unwrap_or(u64::MAX);
+        Some(ANSWERED_BLOCK_US.saturating_mul(factor).min(BLOCK_US))
+    }
+}
+
+impl From<Suspicion> for CrashEvidence {
+    /// Returns the evidence behind a suspicion of which nothing else is known.
+    fn from(suspicion: Suspicion) -> Self {
+        let crashes = match suspicion {
+            Suspicion::Blocked => CRASHES_TO_BLOCK,
+            Suspicion::Suspected => 1,
+        };
+        Self {
+            answered: false,
+            crashes,
+        }
+    }
+}
+
 /// The suspicion of a request, as a node reports it to other nodes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SuspicionReport {
+    /// What the node knows about the request.
+    pub evidence: CrashEvidence,
     /// Key of the request.
     pub key: RequestKey,
     /// Time for which the suspicion still lasts.
@@ -53,8 +104,9 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
+    evidence: CrashEvidence,
     expires_us: u64,
-    /// Time at which this node learned of the first crash.
+    /// Time at which this node learned of the newest crash that counts, or the end of the last block.
     since_us: u64,
     suspicion: Suspicion,
     /// Time until which a trial may last; `None` if there is none.
@@ -65,10 +117,12 @@
 ///
 /// A replica that crashes takes all its requests down, so one crash only makes their keys suspects:
 /// the next request with such a key is tried on one replica. If this replica crashes too, further
-/// ones are refused before any replica is asked. What counts is the order: several replicas that
-/// crash under the parts of one gather, or in one outage, are one event.
+/// ones are refused before any replica is asked, unless the key was answered shortly before: then one
+/// more is tried, and the first block is short. What counts is the order: several replicas that crash
+/// under the parts of one gather, or in one outage, are one event.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
+    answered: AnsweredRequests,
     by_key: HashMap<RequestKey, Suspect>,
 }
 
@@ -79,8 +133,13 @@
         self.by_key.is_empty()
     }
 
+    /// Records that replicas answered a whole request successfully.
+    pub fn record_answer(&mut self, now_us: u64, key: RequestKey) {
+        self.answered.insert(now_us, key);
+    }
+
     /// Records that a replica crashed under a request that was sent to it at `sent_us`; returns
-    /// the suspicion of its key if it is new or stronger.
+    /// the suspicion of its key if the crash counts.
     pub fn record_crash(
         &mut self,
         now_us: u64,
@@ -88,59 +147,65 @@
         sent_us: u64,
     ) -> Option<SuspicionReport> {
         self.sweep(now_us);
-        let suspicion = match self.by_key.get_mut(&key) {
-            None => self.insert(now_us, key, Suspicion::Suspected)?,
-            Some(suspect)
-                if suspect.suspicion == Suspicion::Suspected && sent_us > suspect.since_us =>
-            {
-                suspect.block(now_us);
-                Suspicion::Blocked
+        match self.by_key.get_mut(&key) {
+            None => self.insert(now_us, key, 1)?,
+            Some(suspect) if !suspect.is_blocked() && sent_us > suspect.since_us => {
+                let crashes = suspect.evidence.crashes.saturating_add(1);
+                suspect.count(now_us, crashes);
+                suspect.block_if_due(now_us);
             }
             Some(_) => return None,
-        };
-        let expires_us = self.by_key.get(&key)?.expires_us;
-        Some(SuspicionReport {
-            key,
-            remaining_ms: (expires_us - now_us) / 1_000,
-            suspicion,
-        })
+        }
+        self.report(now_us, key)
     }
 
-    /// Records a suspicion that another node reports; returns whether it is new to this node.
+    /// Records a suspicion that another node reports; returns whether this node learned anything.
     pub fn learn(&mut self, now_us: u64, report: SuspicionReport) -> bool {
         self.sweep(now_us);
-        let SuspicionReport { key, suspicion, .. } = report;
-        let newer = match self.by_key.get(&key) {
-            Some(known) => {
-                suspicion == Suspicion::Blocked && known.suspicion == Suspicion::Suspected
-            }
-            None => self.insert(now_us, key, suspicion).is_some(),
+        let SuspicionReport { evidence, key, .. } = report;
+        let known = self.by_key.get(&key).map(|suspect| suspect.evidence);
+        if known.is_none() && self.insert(now_us, key, evidence.crashes).is_none() {
+            return false;
+        }
+        let Some(suspect) = self.by_key.get_mut(&key) else {
+            return false;
         };
-        if newer && let Some(suspect) = self.by_key.get_mut(&key) {
-            if suspicion == Suspicion::Blocked {
-                suspect.block(now_us);
+        let more_crashes = known.is_none_or(|known| evidence.crashes > known.crashes);
+        if more_crashes {
+            suspect.count(now_us, evidence.crashes);
+            if report.suspicion == Suspicion::Blocked {
+                suspect.block_if_due(now_us);
             }
             // Passed on from node to node, a suspicion must not last longer than the first one.
             let remaining_us = report.remaining_ms.saturating_mul(1_000);
             suspect.expires_us = suspect.expires_us.min(now_us.saturating_add(remaining_us));
         }
-        newer
+        let answered = evidence.answered && !suspect.evidence.answered;
+        if answered {
+            suspect.record_answer(now_us);
+        }
+        more_crashes || answered
+    }
+
+    /// Returns the suspicion of a key; `None` if it is not suspected.
+    #[must_use]
+    pub fn report(&self, now_us: u64, key: RequestKey) -> Option<SuspicionReport> {
+        let suspect = self.by_key.get(&key)?;
+        let remaining_us = suspect.expires_us.checked_sub(now_us)?;
+        Some(SuspicionReport {
+            evidence: suspect.evidence,
+            key,
+            remaining_ms: remaining_us / 1_000,
+            suspicion: suspect.suspicion,
+        })
     }
 
     /// Returns the suspicions of this node, blocked requests first.
     #[must_use]
     pub fn reports(&self, now_us: u64) -> Vec<SuspicionReport> {
-        let current = self
-            .by_key
-            .iter()
-            .filter(|(_, suspect)| now_us < suspect.expires_us);
-        let mut reports: Vec<SuspicionReport> = current
-            .map(|(key, suspect)| SuspicionReport {
-                key: *key,
-                remaining_ms: (suspect.expires_us - now_us) / 1_000,
-                suspicion: suspect.suspicion,
-            })
-            .collect();
+        let keys = self.by_key.keys();
+        let mut reports: Vec<SuspicionReport> =
+            keys.filter_map(|key| self.report(now_us, *key)).collect();
         reports.sort_by_key(|report| (report.suspicion, report.key));
         reports
     }
@@ -151,7 +216,7 @@
         let Some(suspect) = self.by_key.get_mut(&key) else {
             return CrashAdmission::Free;
         };
-        if suspect.suspicion == Suspicion::Blocked {
+        if suspect.is_blocked() {
             let retry_after_ms = (suspect.expires_us - now_us) / 1_000;
             return CrashAdmission::Refused { retry_after_ms };
         }
@@ -173,26 +238,26 @@
             return;
         };
         suspect.trial_until_us = None;
-        if passed && suspect.suspicion == Suspicion::Suspected {
+        if passed && !suspect.is_blocked() {
             self.by_key.remove(&key);
         }
     }
 
-    fn insert(&mut self, now_us: u64, key: RequestKey, suspicion: Suspicion) -> Option<Suspicion> {
+    /// Adds a suspect; `None` if there are too many.
+    fn insert(&mut self, now_us: u64, key: RequestKey, crashes: u32) -> Option<()> {
         if self.by_key.len() >= KEYS_MAX {
             return None;
         }
-        let mut suspect = Suspect {
+        let answered = self.answered.contains(now_us, key);
+        let suspect = Suspect {
+            evidence: CrashEvidence { answered, crashes },
             expires_us: now_us + SUSPICION_US,
             since_us: now_us,
-            suspicion,
+            suspicion: Suspicion::Suspected,
             trial_until_us: None,
         };
-        if suspicion == Suspicion::Blocked {
-            suspect.block(now_us);
-        }
         self.by_key.insert(key, suspect);
-        Some(suspicion)
+        Some(())
     }
 
     /// Forgets expired suspects; a key that was blocked is suspected for a time.
@@ -201,9 +266,9 @@
             if now_us < suspect.expires_us {
                 return true;
             }
-            let was_blocked = suspect.suspicion == Suspicion::Blocked;
+            let was_blocked = suspect.is_blocked();
             suspect.suspicion = Suspicion::Suspected;
-            suspect.since_us = now_us;
+            suspect.since_us = suspect.expires_us;
             suspect.expires_us = now_us + SUSPICION_US;
             was_blocked
         });
@@ -211,9 +276,31 @@
 }
 
 impl Suspect {
-    const fn block(&mut self, now_us: u64) {
-        self.expires_us = now_us + BLOCK_US;
-        self.suspicion = Suspicion::Blocked;
-        self.trial_until_us = None;
+    fn is_blocked(&self) -> bool {
+        self.suspicion == Suspicion::Blocked
+    }
+
+    /// Sets the number of crashes, of which the newest one has just become known.
+    const fn count(&mut self, now_us: u64, crashes: u32) {
+        self.evidence.crashes = crashes;
+        self.since_us = now_us;
+    }
+
+    /// Records that another node saw the request answered before the crashes.
+    fn record_answer(&mut self, now_us: u64) {
+        self.evidence.answered = true;
+        if self.is_blocked() {
+            self.suspicion = Suspicion::Suspected;
+            self.expires_us = now_us + SUSPICION_US;
+            self.block_if_due(now_us);
+        }
+    }
+
+    fn block_if_due(&mut self, now_us: u64) {
+        if let Some(block_us) = self.evidence.block_us() {
+            self.expires_us = now_us + block_us;
+            self.suspicion = Suspicion::Blocked;
+            self.trial_until_us = None;
+        }
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! the answer. Times are in microseconds of one monotonic clock.
 
 mod admission;
+mod answered_requests;
 mod arrival;
 mod availability;
 mod change_log;
@@ -104,6 +105,7 @@
 pub use connection_limit::connection_limit;
 pub use connection_limit::connection_to_close;
 pub use crash_suspects::CrashAdmission;
+pub use crash_suspects::CrashEvidence;
 pub use crash_suspects::CrashSuspects;
 pub use crash_suspects::Suspicion;
 pub use crash_suspects::SuspicionReport;
--- a/crates/dispatch/tests/crash_suspects.rs
+++ b/crates/dispatch/tests/crash_suspects.rs
@@ -16,6 +16,7 @@
 /// Returns the report of a peer that suspects the request for `/a`.
 fn report(suspicion: Suspicion, remaining_ms: u64) -> SuspicionReport {
     SuspicionReport {
+        evidence: suspicion.into(),
         key: key("/a"),
         remaining_ms,
         suspicion,
@@ -42,6 +43,77 @@
     );
 }
 
+/// The replicas of a service may end one after the other for another reason, and a popular request is
+/// then tried on the one that ends next.
+#[test]
+fn a_request_that_was_answered_before_is_blocked_after_a_third_crash() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_answer(0, key("/a"));
+    suspects.record_crash(SECOND_US, key("/a"), 0);
+    for second in 2..4 {
+        let sent_us = second * SECOND_US;
+        assert_eq!(suspects.admit(sent_us, key("/a")), CrashAdmission::Trial);
+        let report = suspects.record_crash(sent_us + 1, key("/a"), sent_us);
+        suspects.end_trial(key("/a"), false);
+        let blocked = report.unwrap().suspicion == Suspicion::Blocked;
+        assert_eq!(blocked, second == 3);
+    }
+}
+
+/// A service whose replicas end one after the other serves its popular requests soon after they are
+/// back.
+#[test]
+fn the_first_block_of_a_request_that_was_answered_before_is_short() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_answer(0, key("/a"));
+    let mut blocks_ms = Vec::new();
+    let mut now_us = SECOND_US;
+    for _ in 0..9 {
+        let sent_us = now_us + 1;
+        suspects.admit(sent_us, key("/a"));
+        now_us += 2;
+        let report = suspects.record_crash(now_us, key("/a"), sent_us).unwrap();
+        if report.suspicion == Suspicion::Blocked {
+            blocks_ms.push(report.remaining_ms);
+            now_us += report.remaining_ms * 1_000;
+        }
+    }
+    assert_eq!(
+        blocks_ms,
+        [2_000, 4_000, 8_000, 16_000, 32_000, 60_000, 60_000]
+    );
+}
+
+/// A request may begin to crash replicas that answered it before.
+#[test]
+fn an_answer_counts_for_a_limited_time() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_answer(0, key("/a"));
+    let crashed_us = 121 * SECOND_US;
+    let first = suspects.record_crash(crashed_us, key("/a"), 0);
+    assert!(!first.unwrap().evidence.answered);
+    let second = suspects.record_crash(crashed_us + 2, key("/a"), crashed_us + 1);
+    assert_eq!(second.unwrap().suspicion, Suspicion::Blocked);
+}
+
+/// The node that suspects a popular request may not have sent it before; others did.
+#[test]
+fn a_block_is_lifted_by_a_node_that_saw_the_request_answered() {
+    let mut seen = CrashSuspects::default();
+    seen.record_answer(0, key("/a"));
+    let mut suspects = CrashSuspects::default();
+    suspects.record_crash(SECOND_US, key("/a"), 0);
+    let blocked = suspects.record_crash(3 * SECOND_US, key("/a"), 2 * SECOND_US);
+    let blocked = blocked.unwrap();
+    assert_eq!(blocked.suspicion, Suspicion::Blocked);
+    assert!(seen.learn(3 * SECOND_US, blocked));
+    let answered = seen.report(3 * SECOND_US, key("/a")).unwrap();
+    assert!(suspects.learn(3 * SECOND_US, answered));
+    for node in [&mut seen, &mut suspects] {
+        assert_eq!(node.admit(4 * SECOND_US, key("/a")), CrashAdmission::Trial);
+    }
+}
+
 /// An outage ends many replicas at once, under parts of gathers that were all sent before.
 #[test]
 fn crashes_of_one_event_do_not_block_the_requests_that_were_running() {
--- a/crates/dispatch/tests/innocent_requests.rs
+++ b/crates/dispatch/tests/innocent_requests.rs
@@ -4,6 +4,7 @@
 use wigeonhall_dispatch::CrashSuspects;
 use wigeonhall_dispatch::RequestKey;
 use wigeonhall_dispatch::Suspicion;
+use wigeonhall_dispatch::SuspicionReport;
 
 const ARRIVALS_PER_MS: f64 = 0.3;
 const DAY_MS: u64 = 20_000;
@@ -80,8 +81,12 @@
             .running
             .extract_if(.., |run| run.ends_ms <= now_ms)
             .collect();
-        for run in ended.iter().filter(|run| run.is_trial) {
-            self.nodes[run.node].end_trial(run.key, true);
+        for run in ended {
+            let node = &mut self.nodes[run.node];
+            if run.is_trial {
+                node.end_trial(run.key, true);
+            }
+            node.record_answer(now_ms * 1_000, run.key);
         }
     }
 
@@ -104,10 +109,9 @@
         let now_us = self.now_ms * 1_000;
         let node = &mut self.nodes[run.node];
         if let Some(report) = node.record_crash(now_us, run.key, run.sent_ms * 1_000) {
-            self.blocked += usize::from(report.suspicion == Suspicion::Blocked);
-            for peer in &mut self.nodes {
-                peer.learn(now_us, report);
-            }
+            let blocked = report.suspicion == Suspicion::Blocked;
+            self.blocked += usize::from(blocked);
+            self.tell_others(run, report);
         }
         if run.is_trial {
             self.nodes[run.node].end_trial(run.key, false);
@@ -116,6 +120,20 @@
         }
     }
 
+    /// Sends a report to all nodes, and to all of them again what the first ones answer.
+    fn tell_others(&mut self, run: &Run, report: SuspicionReport) {
+        let now_us = self.now_ms * 1_000;
+        for peer in 0..NODES {
+            self.nodes[peer].learn(now_us, report);
+            let Some(answer) = self.nodes[peer].report(now_us, run.key) else {
+                continue;
+            };
+            if self.nodes[run.node].learn(now_us, answer) {
+                self.tell_others(run, answer);
+            }
+        }
+    }
+
     fn arrive(&mut self) {
         let node = self.rng.usize(..NODES);
         // Few keys are popular.
--- a/crates/entry/src/peers/crash_reports.rs
+++ b/crates/entry/src/peers/crash_reports.rs
@@ -17,6 +17,7 @@
 use tokio::task;
 use tokio::time;
 
+use wigeonhall_dispatch::CrashEvidence;
 use wigeonhall_dispatch::Suspicion;
 use wigeonhall_dispatch::SuspicionReport;
 
@@ -24,10 +25,21 @@
 use crate::process::node_state::NodeState;
 use crate::requests::crash_trial;
 
-/// Header with the suspicions of a node: key, suspicion and remaining milliseconds with
-/// semicolons between them, separated by commas. The response has all suspicions of the receiver.
+/// Header with the suspicions of a node, separated by commas. Each one has key, suspicion, remaining
+/// milliseconds, crashes, and `answered` or `unanswered`, with semicolons between them. The response
+/// has the suspicions of the receiver, those in the message first.
+///
+/// Nodes of earlier releases send the first three fields and ignore the others.
 const REPORTS_HEADER: HeaderName = HeaderName::from_static("x-wigeonhall-crashes");
 
+const ANSWERED: &str = "answered";
+
+const BLOCKED: &str = "blocked";
+
+const SUSPECTED: &str = "suspected";
+
+const UNANSWERED: &str = "unanswered";
+
 /// Path of the message; it shows its purpose if another server has taken over the address.
 const REPORTS_PATH: &str = "/wigeonhall/crashes";
 
@@ -54,7 +66,7 @@
 }
 
 impl CrashReports {
-    /// Adds a report; too many at once are dropped, as the nodes suspect a limited number of keys.
+    /// Adds a report for all nodes; too many at once are dropped, as the nodes suspect a limited number of keys.
     pub(crate) fn add(&self, report: SuspicionReport) {
         let mut pending = self.pending.borrow_mut();
         if pending.len() >= REPORTS_MAX {
@@ -79,15 +91,22 @@
         };
         let addresses = shared.peers.borrow().addresses().to_vec();
         for address in addresses {
-            task::spawn_local(send(address, value.clone()));
+            task::spawn_local(send(shared.clone(), address, value.clone()));
         }
         time::sleep(MESSAGE_INTERVAL).await;
     }
 }
 
-async fn send(address: SocketAddr, value: HeaderValue) {
-    if exchange(address, value).await.is_none() {
+/// Sends reports to a node, and passes on to all what the node knows in favour of these requests.
+async fn send(shared: Rc<NodeState>, address: SocketAddr, value: HeaderValue) {
+    let Some(reports) = exchange(address, value).await else {
         log::debug!("node {address} could not be told of crashes");
+        return;
+    };
+    let learned = crash_trial::learn(&shared, &reports);
+    let answered = |report: &SuspicionReport| report.evidence.answered;
+    for report in learned.into_iter().filter(answered) {
+        shared.crash_reports.add(report);
     }
 }
 
@@ -115,31 +134,46 @@
     fastrand::shuffle(&mut addresses);
     for address in addresses.into_iter().take(PEERS_ASKED) {
         if let Some(reports) = exchange(address, HeaderValue::from_static("")).await {
-            crash_trial::learn(shared, reports);
+            crash_trial::learn(shared, &reports);
         }
     }
 }
 
-/// Returns the header with all suspicions of this node.
-pub(crate) fn all_reports(shared: &NodeState) -> Option<(HeaderName, HeaderValue)> {
+/// Returns the header with the suspicions of this node, those that a peer has `named` first.
+pub(crate) fn response(
+    shared: &NodeState,
+    named: &[SuspicionReport],
+) -> Option<(HeaderName, HeaderValue)> {
     let now_us = shared.clock.now_us();
     let mut reports = shared.crash_suspects.borrow().reports(now_us);
+    let is_named = |report: &SuspicionReport| named.iter().any(|it| it.key == report.key);
+    reports.sort_by_key(|report| !is_named(report));
     reports.truncate(REPORTS_MAX);
     Some((REPORTS_HEADER, encode(&reports)?))
 }
 
 fn encode(reports: &[SuspicionReport]) -> Option<HeaderValue> {
-    let text = |report: &SuspicionReport| {
-        let suspicion = match report.suspicion {
-            Suspicion::Blocked => "blocked",
-            Suspicion::Suspected => "suspected",
-        };
-        format!("{};{suspicion};{}", report.key, report.remaining_ms)
-    };
-    let texts: Vec<String> = reports.iter().map(text).collect();
+    let texts: Vec<String> = reports.iter().map(report_text).collect();
     HeaderValue::from_str(&texts.join(",")).ok()
 }
 
+fn report_text(report: &SuspicionReport) -> String {
+    let evidence = report.evidence;
+    let suspicion = match report.suspicion {
+        Suspicion::Blocked => BLOCKED,
+        Suspicion::Suspected => SUSPECTED,
+    };
+    let answered = if evidence.answered {
+        ANSWERED
+    } else {
+        UNANSWERED
+    };
+    format!(
+        "{};{suspicion};{};{};{answered}",
+        report.key, report.remaining_ms, evidence.crashes
+    )
+}
+
 /// Parses the reports of a message; `None` if a message of a peer has another purpose or is
 /// malformed.
 pub(crate) fn read(headers: &HeaderMap) -> Option<Vec<SuspicionReport>> {
@@ -154,12 +188,20 @@
     let mut fields = text.split(';');
     let key = fields.next()?.parse().ok()?;
     let suspicion = match fields.next()? {
-        "blocked" => Suspicion::Blocked,
-        "suspected" => Suspicion::Suspected,
+        BLOCKED => Suspicion::Blocked,
+        SUSPECTED => Suspicion::Suspected,
         _ => return None,
     };
     let remaining_ms = fields.next()?.parse().ok()?;
+    let evidence = match fields.next() {
+        Some(crashes) => CrashEvidence {
+            answered: fields.next()? == ANSWERED,
+            crashes: crashes.parse().ok()?,
+        },
+        None => CrashEvidence::from(suspicion),
+    };
     Some(SuspicionReport {
+        evidence,
         key,
         remaining_ms,
         suspicion,
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -93,11 +93,11 @@
         return stream_changes(shared, views, &revisions);
     }
     if let Some(reports) = crash_reports::read(request.headers()) {
-        crash_trial::learn(shared, reports);
+        crash_trial::learn(shared, &reports);
         let mut response = empty_response(StatusCode::NO_CONTENT);
         response
             .headers_mut()
-            .extend(crash_reports::all_reports(shared));
+            .extend(crash_reports::response(shared, &reports));
         return response;
     }
     if quota_protocol::is_message(request.headers()) {
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -72,18 +72,21 @@
     let plan = plan(shared, &exchange);
     let (mut outcome, mut response, summary) = match plan {
         _ if let Admitted::Answered(outcome) = admitted => {
-            refuse(shared, exchange, outgoing, outcome)
+            refuse(shared, exchange, outgoing.clone(), outcome)
         }
         Some(plan) => match refuse_unservable(shared, &mut exchange) {
-            Some(outcome) => refuse(shared, exchange, outgoing, outcome),
+            Some(outcome) => refuse(shared, exchange, outgoing.clone(), outcome),
             None => {
-                SharedGather::new(shared, &exchange, outgoing, hedge_delay_us)
+                SharedGather::new(shared, &exchange, outgoing.clone(), hedge_delay_us)
                     .run(plan)
                     .await
             }
         },
-        None => answer_locally(shared, exchange, outgoing, admitted).await,
+        None => answer_locally(shared, exchange, outgoing.clone(), admitted).await,
     };
+    if summary.missing.is_empty() && response.status().is_success() {
+        crash_trial::record_answer(shared, &outgoing);
+    }
     if tried && matches!(outcome, Outcome::Refuse { .. }) {
         // A refusal states that the request has not run.
         outcome = Outcome::GiveUp(GiveUpReason::TooFewParts);
--- a/crates/entry/src/requests/crash_trial.rs
+++ b/crates/entry/src/requests/crash_trial.rs
@@ -59,19 +59,34 @@
     log_suspicion(shared, report, replica, request_id);
 }
 
-/// Applies the reports of a peer.
-pub(crate) fn learn(shared: &NodeState, reports: Vec<SuspicionReport>) {
+/// Records that replicas answered a whole request successfully.
+pub(crate) fn record_answer(shared: &NodeState, outgoing: &OutgoingRequest) {
     let now_us = shared.clock.now_us();
+    let mut suspects = shared.crash_suspects.borrow_mut();
+    suspects.record_answer(now_us, request_key(outgoing));
+}
+
+/// Applies the reports of a peer; returns what this node knows of each request that it learned
+/// something about.
+pub(crate) fn learn(shared: &NodeState, reports: &[SuspicionReport]) -> Vec<SuspicionReport> {
+    let now_us = shared.clock.now_us();
+    let mut learned = Vec::new();
     for report in reports {
-        if shared.crash_suspects.borrow_mut().learn(now_us, report) {
-            log_suspicion(shared, report, "", "");
+        let mut suspects = shared.crash_suspects.borrow_mut();
+        let is_new = suspects.learn(now_us, *report);
+        if let Some(known) = suspects.report(now_us, report.key).filter(|_| is_new) {
+            drop(suspects);
+            log_suspicion(shared, known, "", "");
+            learned.push(known);
         }
     }
+    learned
 }
 
 fn log_suspicion(shared: &NodeState, report: SuspicionReport, replica: &str, request_id: &str) {
     let state = match report.suspicion {
         Suspicion::Blocked => "blocked",
+        Suspicion::Suspected if report.evidence.answered => "suspected_answered",
         Suspicion::Suspected => "suspected",
     };
     log_state(shared, report.key, state, replica, request_id);
--- a/crates/node/tests/entry/crashes.rs
+++ b/crates/node/tests/entry/crashes.rs
@@ -181,3 +181,60 @@
     assert_blocked(&nodes, "/all");
     assert!(crashed(&replicas) <= crashed_first + 1);
 }
+
+/// Starts replicas that answer a popular request, and the first two that it reaches after the counter
+/// was set to 2 crash.
+fn replicas_of_a_popular_request() -> (Vec<ReplicaStandin>, Arc<AtomicUsize>) {
+    let crashes = Arc::new(AtomicUsize::new(0));
+    let left = crashes.clone();
+    let decide = move |_: &HttpMessage| {
+        let crash = left.fetch_update(Relaxed, Relaxed, |left| left.checked_sub(1));
+        if crash.is_ok() {
+            Behaviour::Crash
+        } else {
+            Behaviour::answer([7; 16])
+        }
+    };
+    let copy = |number| ReplicaStandin::start("a", number, decide.clone()).unwrap();
+    ((1..=COPIES).map(copy).collect(), crashes)
+}
+
+fn ask_popular(node: &Node, id: &str) -> u16 {
+    ask(node.callers, "GET", "/one/popular", id, "").status
+}
+
+/// Replicas that end one after the other for another reason took popular requests with them, which
+/// all nodes then refused for a minute.
+#[test]
+fn a_request_that_was_answered_is_served_after_two_replicas_crashed_under_it() {
+    let (replicas, crashes) = replicas_of_a_popular_request();
+    let (_store, nodes) = fleet(vec![route_to_a("one")], &replicas);
+    for (number, node) in nodes.iter().enumerate() {
+        assert_eq!(ask_popular(node, &format!("before-{number}")), 200);
+    }
+    crashes.store(2, Relaxed);
+    assert_eq!(ask_popular(&nodes[0], "crash"), 502);
+    assert_served_soon(&nodes);
+}
+
+/// A node that has not sent a popular request itself learns from another one that it was answered.
+#[test]
+fn a_request_that_another_node_answered_is_served_after_two_replicas_crashed_under_it() {
+    let (replicas, crashes) = replicas_of_a_popular_request();
+    let (_store, nodes) = fleet(vec![route_to_a("one")], &replicas);
+    assert_eq!(ask_popular(&nodes[1], "before"), 200);
+    crashes.store(2, Relaxed);
+    assert_eq!(ask_popular(&nodes[0], "crash"), 502);
+    assert_served_soon(&nodes);
+}
+
+/// Asserts that all nodes serve the popular request long before a block for a minute would end.
+fn assert_served_soon(nodes: &[Node]) {
+    for (number, node) in nodes.iter().enumerate() {
+        let mut attempt = 0;
+        wait_until("the popular request to be served", || {
+            attempt += 1;
+            ask_popular(node, &format!("after-{number}-{attempt}")) == 200
+        });
+    }
+}
