Answer with 502 when a replica fails like a refusal after a run

What callers saw: a replica failed with 503 after it had worked on a request that may run only once.

Cause: the node tells a refusal from a failure by Not-Executed and does not repeat a failure, but forwards its response with any status, also with one that states "not run" in the tier's own answers (408, 421, 429, 503).

Change: Exchange::give_up ends such a request with GiveUp(FalseRefusal), which is 502 without the receipt, if the route is not idempotent. Other failures are forwarded unchanged, and so are failures of idempotent requests: PROTOCOL.md asks for the replica's status there, and a repetition does no harm. The trial of a suspected request passes with it, as the replica lives.

Why it works: a response of a failure reaches a caller only by give_up, where the kind of the route and the reply are known.

--- a/crates/dispatch/src/exchange_outcome.rs
+++ b/crates/dispatch/src/exchange_outcome.rs
@@ -111,9 +111,13 @@
             return self.refuse(pool, now_us, reason);
         }
         if self.min_parts.is_none()
-            && let Some(attempt) = self.failed_attempt()
+            && let Some((attempt, reply)) = self.failed_attempt()
         {
-            return Outcome::Forward { attempt };
+            return if reply.resembles_refusal() && !self.may_repeat() {
+                Outcome::GiveUp(GiveUpReason::FalseRefusal)
+            } else {
+                Outcome::Forward { attempt }
+            };
         }
         Outcome::GiveUp(if deadline_passed {
             GiveUpReason::DeadlinePassed
@@ -124,10 +128,14 @@
         })
     }
 
-    /// Returns the latest failed sub-request, whose response is forwarded to the caller.
-    fn failed_attempt(&self) -> Option<usize> {
-        let failed = |attempt: &Attempt| matches!(attempt.reply, Some(Reply::Failed { .. }));
-        self.legs[0].attempts.iter().rposition(failed)
+    /// Returns the latest sub-request that a replica ran and answered with a failure.
+    fn failed_attempt(&self) -> Option<(usize, Reply)> {
+        let failed = |(index, attempt): (usize, &Attempt)| {
+            let reply = attempt.reply?;
+            matches!(reply, Reply::Failed { .. }).then_some((index, reply))
+        };
+        let attempts = self.legs[0].attempts.iter();
+        attempts.enumerate().rev().find_map(failed)
     }
 
     /// Returns the reason for a refusal before any replica ran the request.
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -25,6 +25,9 @@
 /// Why a request that may have run has no result.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum GiveUpReason {
+    /// A replica ran a request that may run only once, and failed with a status that would tell the
+    /// caller that it has not run.
+    FalseRefusal,
     /// No replica returned a usable response.
     NoAnswer,
     /// Too few legs of a gather succeeded or can still succeed.
--- a/crates/dispatch/src/reply.rs
+++ b/crates/dispatch/src/reply.rs
@@ -1,3 +1,6 @@
+/// Statuses that tell a caller that its request has not run and never will.
+const REFUSAL_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// Result of a sub-request, one request to one replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reply {
@@ -20,6 +23,13 @@
     pub const fn may_have_run(self) -> bool {
         !matches!(self, Self::NotRun(_))
     }
+
+    /// Returns whether the replica may have run the request, but the status of its response would
+    /// tell the caller that it has not.
+    #[must_use]
+    pub fn resembles_refusal(self) -> bool {
+        matches!(self, Self::Failed { status } if REFUSAL_STATUSES.contains(&status))
+    }
 }
 
 /// Why a replica did not run a request.
--- a/crates/dispatch/tests/promises.rs
+++ b/crates/dispatch/tests/promises.rs
@@ -65,6 +65,8 @@
         1 => Just(Reply::Unknown(UnknownCause::Unproved)),
         1 => Just(Reply::Failed { status: 500 }),
         1 => Just(Reply::Failed { status: 404 }),
+        1 => Just(Reply::Failed { status: 429 }),
+        1 => Just(Reply::Failed { status: 503 }),
     ]
 }
 
@@ -259,6 +261,11 @@
             let reply = found.and_then(|(_, reply)| *reply);
             let answered = matches!(reply, Some(Reply::Success | Reply::Failed { .. }));
             assert!(answered, "the forwarded sub-request has no response");
+            let refusal = matches!(reply, Some(Reply::Failed { status: 429 | 503 }));
+            assert!(
+                case.idempotent || !refusal,
+                "a caller is told that a request that ran has not"
+            );
         }
         Outcome::GiveUp(_) => assert!(
             any_run,
--- a/crates/entry/src/callers/responses.rs
+++ b/crates/entry/src/callers/responses.rs
@@ -52,6 +52,7 @@
 pub(crate) fn given_up(reason: GiveUpReason) -> CallerResponse {
     let (status, text) = match reason {
         GiveUpReason::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, "the deadline passed"),
+        GiveUpReason::FalseRefusal => (StatusCode::BAD_GATEWAY, "the replica failed"),
         GiveUpReason::NoAnswer => (StatusCode::BAD_GATEWAY, "no replica gave a usable answer"),
         GiveUpReason::TooFewParts => (StatusCode::BAD_GATEWAY, "too few shards can answer"),
     };
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -160,7 +160,10 @@
     let mut query = Query::new(shared, exchange, outgoing);
     let outcome = query.run().await;
     if let Admitted::Trial(key) = admitted {
-        let passed = matches!(outcome, Outcome::Forward { .. });
+        let passed = matches!(
+            outcome,
+            Outcome::Forward { .. } | Outcome::GiveUp(GiveUpReason::FalseRefusal)
+        );
         crash_trial::end_trial(shared, key, passed);
     }
     finish(query, outcome)
@@ -246,6 +249,7 @@
         Outcome::Gather { missing: 0 } => "whole",
         Outcome::Gather { .. } => "partial",
         Outcome::GiveUp(GiveUpReason::DeadlinePassed) => "deadline_passed",
+        Outcome::GiveUp(GiveUpReason::FalseRefusal) => "false_refusal",
         Outcome::GiveUp(GiveUpReason::NoAnswer) => "no_answer",
         Outcome::GiveUp(GiveUpReason::TooFewParts) => "too_few_parts",
         Outcome::Refuse { .. } => "refused",
--- a/crates/node/tests/entry/forwarding.rs
+++ b/crates/node/tests/entry/forwarding.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use wigeonhall_adapter::RECEIPT;
 use wigeonhall_adapter::REMAINING_MS;
 use wigeonhall_adapter_standins::Behaviour;
+use wigeonhall_adapter_standins::HttpMessage;
 use wigeonhall_adapter_standins::ReplicaStandin;
 use wigeonhall_adapter_standins::StoreStandin;
 use wigeonhall_dispatch::RouteKind;
@@ -11,6 +13,7 @@
 use wigeonhall_dispatch::TargetSpec;
 
 use crate::caller;
+use crate::caller::Answer;
 use crate::caller::Caller;
 use crate::caller::ask;
 use crate::deployment::Node;
@@ -62,6 +65,50 @@
     assert_eq!(answer.message.body, b"fill 12");
 }
 
+/// Returns the answers to a request that a replica ran and failed with this status, on a route that
+/// is idempotent and on one that is not.
+fn answers_to_failure(status: u16) -> [Answer; 2] {
+    let fail = move |_: &HttpMessage| Behaviour::Answer {
+        body: b"failed".to_vec(),
+        delay: Duration::ZERO,
+        status,
+    };
+    let replica = ReplicaStandin::start("a", 1, fail).unwrap();
+    let target = || TargetSpec::Service("a".into());
+    let routes = vec![
+        route("one", "/one/", RouteKind::Idempotent, target()),
+        route("order", "/order/", RouteKind::AtMostOnce, target()),
+    ];
+    let (_store, node) = deploy(routes, &[&replica]);
+    let answers = ["/one/x", "/order/x"].map(|path| ask(node.callers, "POST", path, path, ""));
+    assert_eq!(replica.runs().len(), 2);
+    answers
+}
+
+/// Callers repeat an order that they are told has not run: 408, 429 and 503 state this.
+#[test]
+fn a_failure_of_a_request_that_ran_is_not_forwarded_as_a_refusal() {
+    for status in [408, 429, 503] {
+        let [idempotent, at_most_once] = answers_to_failure(status);
+        assert_eq!(at_most_once.status, 502, "{status}");
+        assert_eq!(at_most_once.header(RECEIPT.as_str()), None);
+        assert_eq!(idempotent.status, status);
+        assert_eq!(idempotent.message.body, b"failed");
+    }
+}
+
+/// Other failures state nothing about whether the request ran, and callers need their bodies.
+#[test]
+fn other_failures_of_a_request_that_ran_are_forwarded_unchanged() {
+    for status in [404, 500, 502, 504] {
+        for answer in answers_to_failure(status) {
+            assert_eq!(answer.status, status);
+            assert!(answer.header(RECEIPT.as_str()).is_some());
+            assert_eq!(answer.message.body, b"failed");
+        }
+    }
+}
+
 /// Two framings of one body would allow request smuggling.
 #[test]
 fn a_request_with_two_framings_smuggles_no_second_request() {
