Treat a replica as cold that responds after its process ended

Cause: only a registration told a node that a replica is cold. A refused connection only suspended it, and the first success ended the suspension.

Change: a refused connection is NotRun(ConnectionRefused) now.

Why it works: a process that listens does not refuse connections, so the next one to respond has started since.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -37,6 +37,8 @@
     /// Requests per second that a cold (newly started) replica accepts from all nodes together; 0
     /// means no limit.
     pub cold_rate_per_s: f64,
+    /// Length of the cold start of a replica; 0 if it is not stated.
+    pub cold_start_ms: u64,
     /// Maximum number of connections that one replica accepts from all nodes together.
     pub max_connections: u32,
     /// Name of the service.
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -82,9 +82,11 @@
                 self.failure_share += (1.0 - self.failure_share) * SAMPLE_WEIGHT;
                 self.suspended_until_us = self.suspended_until_us.max(now_us + BUSY_SUSPENSION_US);
             }
-            Reply::NotRun(NotRunCause::OtherInstance | NotRunCause::Unreachable) => {
-                self.record_failure(now_us, 1);
-            }
+            Reply::NotRun(
+                NotRunCause::ConnectionRefused
+                | NotRunCause::OtherInstance
+                | NotRunCause::Unreachable,
+            ) => self.record_failure(now_us, 1),
             Reply::NotRun(NotRunCause::Withdrawn) => {}
         }
         if !policy.slowness {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -170,7 +170,9 @@
     /// Applies the operators' settings of a service.
     pub fn apply_service_spec(&mut self, spec: &ServiceSpec) {
         let key = self.service_key(&spec.name);
-        self.services[key.0 as usize].cold_rate_per_s = spec.cold_rate_per_s;
+        let service = &mut self.services[key.0 as usize];
+        service.cold_rate_per_s = spec.cold_rate_per_s;
+        service.cold_start_us = spec.cold_start_ms.saturating_mul(1_000);
     }
 
     /// Returns the name of a service.
@@ -301,7 +303,7 @@
             replica.notice_state.rate_limit.record_request();
             replica.limit_allowance.record_request(now_us);
         }
-        if now_us < replica.warm_at_us {
+        if replica.is_cold(now_us) {
             replica.cold_allowance.record_request(now_us);
         }
     }
@@ -316,9 +318,13 @@
         latency_ratio: f64,
     ) {
         let policy = self.policy;
+        let cold_start_us = self.cold_start_us(key);
         let Some(replica) = self.replica_mut(key) else {
             return;
         };
+        replica
+            .presumed_restart
+            .observe(now_us, reply, cold_start_us);
         replica.in_flight = replica.in_flight.saturating_sub(1);
         replica.progress_us = now_us;
         replica
@@ -334,6 +340,12 @@
         data_centre.observe(now_us, reply, latency_ratio);
     }
 
+    /// Returns the length of a replica's cold start; 0 if it is not known.
+    fn cold_start_us(&self, key: ReplicaKey) -> u64 {
+        let service = self.replica(key).map(|replica| replica.service);
+        service.map_or(0, |service| self.services[service.0 as usize].cold_start_us)
+    }
+
     /// Records the latency of a connection that this node opened to a replica.
     pub fn observe_connect(&mut self, key: ReplicaKey, latency_us: u64) {
         self.connect_latency.observe(latency_us);
--- a/crates/dispatch/src/pool_choice.rs
+++ b/crates/dispatch/src/pool_choice.rs
@@ -187,7 +187,7 @@
     /// Cost factor of a replica that has not named its limit for some time and may have lifted it.
     const OUTDATED_LIMIT_COST_FACTOR: f64 = 0.7;
     let utilisation = f64::from(replica.in_flight) / f64::from(replica.registration.slots.max(1));
-    let cold = if now_us < replica.warm_at_us {
+    let cold = if replica.is_cold(now_us) {
         COLD_COST_FACTOR
     } else {
         1.0
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -7,6 +7,7 @@
 use crate::ReplicaKey;
 use crate::health::Health;
 use crate::pool::ArenaSlot;
+use crate::presumed_restart::PresumedRestart;
 use crate::service_versions::VersionRole;
 
 /// Adds and removes replicas as their registrations change.
@@ -190,6 +191,7 @@
             notice_state,
             role: VersionRole::default(),
             evacuated,
+            presumed_restart: PresumedRestart::default(),
             warm_at_us,
         };
         let key = self.insert_into_arena(replica);
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -4,6 +4,7 @@
 use crate::ServiceKey;
 use crate::health::Health;
 use crate::notice::NoticeState;
+use crate::presumed_restart::PresumedRestart;
 use crate::rate_allowance::RateAllowance;
 use crate::service_versions::VersionRole;
 
@@ -35,7 +36,9 @@
     pub(crate) notice_state: NoticeState,
     /// Whether operators evacuated the replica's data centre, so that it gets no requests.
     pub(crate) evacuated: bool,
-    /// Time at which the replica's cold start ends.
+    /// Whether the replica's process has ended, and another one may have started.
+    pub(crate) presumed_restart: PresumedRestart,
+    /// Time at which the replica's cold start ends, by its registration.
     pub(crate) warm_at_us: u64,
 }
 
@@ -46,6 +49,11 @@
         &self.registration.id
     }
 
+    /// Whether the replica is cold, that is newly started, or presumed to be.
+    pub(crate) const fn is_cold(&self, now_us: u64) -> bool {
+        now_us < self.warm_at_us || self.presumed_restart.is_cold(now_us)
+    }
+
     /// Returns the requests per second that the replica accepts from all nodes together; `None`
     /// while it names no limit.
     #[must_use]
--- a/crates/dispatch/src/reply.rs
+++ b/crates/dispatch/src/reply.rs
@@ -37,9 +37,11 @@
 pub enum NotRunCause {
     /// The replica refused the request without running it.
     Busy,
+    /// The connection was refused: no process listens at the replica's address.
+    ConnectionRefused,
     /// The address now belongs to another replica.
     OtherInstance,
-    /// No connection could be opened.
+    /// No connection could be opened, for another reason.
     Unreachable,
     /// The replica stopped taking requests before this one was written.
     Withdrawn,
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -25,6 +25,8 @@
     /// Requests per second that a cold (newly started) replica accepts from all nodes together; 0
     /// means no limit.
     pub(crate) cold_rate_per_s: f64,
+    /// Length of the cold start of a replica; 0 if it is not known.
+    pub(crate) cold_start_us: u64,
     /// This node's share of the requests of all nodes to the service, from 0 to 1; `None` until it
     /// is known.
     pub(crate) sender_share: Option<f64>,
@@ -39,6 +41,7 @@
         Self {
             budget: ExtraBudget::new(allowance),
             cold_rate_per_s: 0.0,
+            cold_start_us: 0,
             name,
             refusals: Cell::default(),
             replicas: Vec::new(),
--- a/crates/dispatch/src/service_rollout.rs
+++ b/crates/dispatch/src/service_rollout.rs
@@ -187,7 +187,7 @@
         };
         if bad {
             sample.bad += 1;
-        } else if sent_us < replica.warm_at_us {
+        } else if replica.is_cold(sent_us) {
             sample.good_cold += 1;
         } else {
             let bucket = bucket_of(now_us.saturating_sub(sent_us));
--- a/crates/dispatch/tests/exchange_replicas.rs
+++ b/crates/dispatch/tests/exchange_replicas.rs
@@ -218,6 +218,7 @@
     let mut pool = pool();
     pool.apply_service_spec(&ServiceSpec {
         cold_rate_per_s: 1.0,
+        cold_start_ms: 0,
         max_connections: 50,
         name: "a".into(),
     });
--- a/crates/dispatch/tests/pool.rs
+++ b/crates/dispatch/tests/pool.rs
@@ -219,6 +219,7 @@
             max_connections: 50,
             name: "a".into(),
             cold_rate_per_s: RATE_PER_S as f64,
+            cold_start_ms: 0,
         });
         let mut cold = registration("a", 1, "north");
         cold.cold_for_ms = 10_000;
@@ -249,6 +250,7 @@
                 max_connections: 50,
                 name: "a".into(),
                 cold_rate_per_s: rate_per_s,
+                cold_start_ms: 0,
             });
             let mut cold = registration("a", 1, "north");
             cold.cold_for_ms = 70_000;
--- a/crates/entry/src/replicas/replica_client.rs
+++ b/crates/entry/src/replicas/replica_client.rs
@@ -159,12 +159,8 @@
                 Err(_) => continue,
             },
             None => match open(shared, &destination).await {
-                Some(sender) => sender,
-                None => {
-                    return SubRequestResult::without_response(Reply::NotRun(
-                        NotRunCause::Unreachable,
-                    ));
-                }
+                Ok(sender) => sender,
+                Err(cause) => return SubRequestResult::without_response(Reply::NotRun(cause)),
             },
         };
         if !shared
@@ -190,7 +186,7 @@
     let Some(destination) = destination(shared, key) else {
         return;
     };
-    if let Some(sender) = open(shared, &destination).await {
+    if let Ok(sender) = open(shared, &destination).await {
         let expires_us = shared.clock.now_us() + IDLE_TIMEOUT_US;
         shared
             .idle_connections
@@ -216,7 +212,7 @@
     })
 }
 
-async fn open(shared: &NodeState, destination: &Destination) -> Option<HttpSender> {
+async fn open(shared: &NodeState, destination: &Destination) -> Result<HttpSender, NotRunCause> {
     shared.metrics.replica_connections.inc();
     let timeout_us = shared.pool.borrow().connect_timeout_us(destination.key);
     let started_us = shared.clock.now_us();
@@ -226,12 +222,16 @@
             let latency_us = shared.clock.now_us() - started_us;
             let mut pool = shared.pool.borrow_mut();
             pool.observe_connect(destination.key, latency_us);
-            Some(sender)
+            Ok(sender)
         }
         Err(error) => {
             log::debug!("cannot connect to replica {}: {error}", destination.id);
             shared.metrics.replica_connection_errors.inc();
-            None
+            Err(if error.kind() == ErrorKind::ConnectionRefused {
+                NotRunCause::ConnectionRefused
+            } else {
+                NotRunCause::Unreachable
+            })
         }
     }
 }
