Keep the rate of a cold replica for the second in which it becomes warm

What callers saw: a replica got its full share from the end of its cold start on, so that a second that began in the cold start had up to 129 requests where 20 were allowed, and a replica that has just become warm was flooded.

Cause: operators count the requests to a cold replica in any second. The rate ended with the cold start, in the middle of such seconds.

Change: the cold rate is in force for one second more (Replica::has_cold_rate). A replica that has always stated a remaining time of 0 has no such second; set_cold_for keeps the time at which a replica became warm. The choice of replicas and the evidence of rollouts use is_cold as before.

Why it works: a second that begins in the cold start lies wholly in the time of the rate.

--- a/crates/dispatch/src/availability.rs
+++ b/crates/dispatch/src/availability.rs
@@ -118,9 +118,9 @@
         }
     }
 
-    /// Whether the replica is warm, or a request now stays within its cold rate.
+    /// Whether the replica has no cold rate, or a request now stays within it.
     fn within_cold_rate(&self, now_us: u64, rates: SendingRates) -> bool {
-        let own_per_s = rates.cold_per_s().filter(|_| self.is_cold(now_us));
+        let own_per_s = rates.cold_per_s().filter(|_| self.has_cold_rate(now_us));
         own_per_s.is_none_or(|per_s| self.cold_allowance.allows(now_us, per_s))
     }
 
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -303,7 +303,7 @@
             replica.notice_state.rate_limit.record_request();
             replica.limit_allowance.record_request(now_us);
         }
-        if replica.is_cold(now_us) {
+        if replica.has_cold_rate(now_us) {
             replica.cold_allowance.record_request(now_us);
         }
     }
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -29,8 +29,6 @@
         registration: Registration,
     ) -> Option<ReplicaKey> {
         let evacuated = self.evacuated.contains(&registration.data_centre);
-        let cold_us = registration.cold_for_ms.saturating_mul(1_000);
-        let warm_at_us = now_us.saturating_add(cold_us);
         let data_centre = self.data_centres.index(&registration.data_centre);
         if let Some(key) = self.by_id.get(&registration.id).copied()
             && let Some(replica) = self.replica_mut(key)
@@ -45,17 +43,17 @@
                 && registration.address == known.address
                 && registration.service == known.service;
             if same {
+                replica.set_cold_for(now_us, registration.cold_for_ms);
                 replica.registration = registration;
                 replica.data_centre = data_centre;
                 replica.removed_at_us = None;
                 replica.evacuated = evacuated;
-                replica.warm_at_us = warm_at_us;
                 return None;
             }
             self.remove(now_us, key);
         }
         self.drop_older_at_address(now_us, &registration);
-        Some(self.insert(now_us, registration, warm_at_us, evacuated))
+        Some(self.insert(now_us, registration, evacuated))
     }
 
     /// Records that the registration of a replica was removed; the replica is dropped at `at_us`.
@@ -164,13 +162,7 @@
         }
     }
 
-    fn insert(
-        &mut self,
-        now_us: u64,
-        registration: Registration,
-        warm_at_us: u64,
-        evacuated: bool,
-    ) -> ReplicaKey {
+    fn insert(&mut self, now_us: u64, registration: Registration, evacuated: bool) -> ReplicaKey {
         let service = self.service_key(&registration.service);
         let data_centre = self.data_centres.index(&registration.data_centre);
         let id = registration.id.clone();
@@ -178,7 +170,8 @@
         let notice_state = self.departed.take_notices(&id, started_unix_ms);
         let cold_allowance = self.cold_allowance();
         let number = self.services[service.0 as usize].replicas.len();
-        let replica = Replica {
+        let cold_for_ms = registration.cold_for_ms;
+        let mut replica = Replica {
             cold_allowance,
             data_centre,
             health: Health::new(now_us),
@@ -192,8 +185,9 @@
             role: VersionRole::default(),
             evacuated,
             presumed_restart: PresumedRestart::default(),
-            warm_at_us,
+            warm_at_us: 0,
         };
+        replica.set_cold_for(now_us, cold_for_ms);
         let key = self.insert_into_arena(replica);
         self.by_id.insert(id, key);
         self.services[service.0 as usize].replicas.push(key);
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -8,6 +8,10 @@
 use crate::rate_allowance::RateAllowance;
 use crate::service_versions::VersionRole;
 
+/// Time in which the requests to a replica count together; one that begins in the cold start may end
+/// after it.
+const COUNTING_TIME_US: u64 = 1_000_000;
+
 /// What this node knows about a replica.
 #[derive(Debug)]
 pub struct Replica {
@@ -38,7 +42,7 @@
     pub(crate) evacuated: bool,
     /// Whether the replica's process has ended, and another one may have started.
     pub(crate) presumed_restart: PresumedRestart,
-    /// Time at which the replica's cold start ends, by its registration.
+    /// Time at which the replica's cold start ends, by its registration; 0 if it has always been warm.
     pub(crate) warm_at_us: u64,
 }
 
@@ -54,6 +58,20 @@
         now_us < self.warm_at_us || self.presumed_restart.is_cold(now_us)
     }
 
+    /// Records how much longer the cold start takes, as the replica states it.
+    pub(crate) fn set_cold_for(&mut self, now_us: u64, cold_for_ms: u64) {
+        self.warm_at_us = match cold_for_ms {
+            0 => self.warm_at_us.min(now_us),
+            _ => now_us.saturating_add(cold_for_ms.saturating_mul(1_000)),
+        };
+    }
+
+    /// Whether the replica's cold rate is in force: while it is cold, and until no second that began
+    /// then goes on.
+    pub(crate) const fn has_cold_rate(&self, now_us: u64) -> bool {
+        self.is_cold(now_us.saturating_sub(COUNTING_TIME_US))
+    }
+
     /// Returns the requests per second that the replica accepts from all nodes together; `None`
     /// while it names no limit.
     #[must_use]
