Let a passed-on block of an answered request end with the first one

A node that learned of a short block at its end began it anew for 2 s, so that it could wander from node to node. An answer to a request that was sent before the crash, and arrived after it, did not count.

Cause: a report's answer was applied after its block, and began the block again; answers were looked up only when a suspicion began.

Change: the answer of a report is applied first, and an answer that arrives while the key is suspected counts. A node that tells others of crashes applies only what their responses say about the requests that it named: the others report their own suspicions themselves.

Why it works: the time that remains of a block limits it after all evidence has been applied.

--- a/crates/dispatch/src/crash_suspects.rs
+++ b/crates/dispatch/src/crash_suspects.rs
@@ -66,6 +66,9 @@
     /// Records that replicas answered a whole request successfully.
     pub fn record_answer(&mut self, now_us: u64, key: RequestKey) {
         self.answered.insert(now_us, key);
+        if let Some(suspect) = self.by_key.get_mut(&key) {
+            suspect.record_answer(now_us);
+        }
     }
 
     /// Records that a replica crashed under a request that was sent to it at `sent_us`; returns
@@ -100,6 +103,10 @@
         let Some(suspect) = self.by_key.get_mut(&key) else {
             return false;
         };
+        let is_answer_new = evidence.answered && !suspect.evidence.answered;
+        if evidence.answered {
+            suspect.record_answer(now_us);
+        }
         let more_crashes = known.is_none_or(|known| evidence.crashes > known.crashes);
         if more_crashes {
             suspect.count(now_us, evidence.crashes);
@@ -110,11 +117,7 @@
             let remaining_us = report.remaining_ms.saturating_mul(1_000);
             suspect.expires_us = suspect.expires_us.min(now_us.saturating_add(remaining_us));
         }
-        let answered = evidence.answered && !suspect.evidence.answered;
-        if answered {
-            suspect.record_answer(now_us);
-        }
-        more_crashes || answered
+        more_crashes || is_answer_new
     }
 
     /// Returns the suspicion of a key; `None` if it is not suspected.
@@ -216,10 +219,11 @@
         self.since_us = now_us;
     }
 
-    /// Records that another node saw the request answered before the crashes.
+    /// Records that the request was answered; a block that does not fit this evidence is lifted.
     fn record_answer(&mut self, now_us: u64) {
+        let is_new = !self.evidence.answered;
         self.evidence.answered = true;
-        if self.is_blocked() {
+        if is_new && self.is_blocked() {
             self.suspicion = Suspicion::Suspected;
             self.expires_us = now_us + SUSPICION_US;
             self.block_if_due(now_us);
--- a/crates/dispatch/tests/crash_suspects.rs
+++ b/crates/dispatch/tests/crash_suspects.rs
@@ -2,6 +2,7 @@
 //! are blocked because they ran beside such a one.
 
 use wigeonhall_dispatch::CrashAdmission;
+use wigeonhall_dispatch::CrashEvidence;
 use wigeonhall_dispatch::CrashSuspects;
 use wigeonhall_dispatch::RequestKey;
 use wigeonhall_dispatch::Suspicion;
@@ -193,6 +194,36 @@
     assert!(first.reports(61 * SECOND_US).is_empty());
 }
 
+/// A request that was answered before is blocked for a short time; nodes that learn of the block at its
+/// end must not begin it anew.
+#[test]
+fn block_of_an_answered_request_that_is_passed_on_ends_with_the_first_one() {
+    let mut second = CrashSuspects::default();
+    let passed_on = SuspicionReport {
+        evidence: CrashEvidence {
+            answered: true,
+            crashes: 3,
+        },
+        key: key("/a"),
+        remaining_ms: 500,
+        suspicion: Suspicion::Blocked,
+    };
+    assert!(second.learn(0, passed_on));
+    let admission = second.admit(400_000, key("/a"));
+    assert!(matches!(admission, CrashAdmission::Refused { .. }));
+    assert_eq!(second.admit(600_000, key("/a")), CrashAdmission::Trial);
+}
+
+/// A replica may answer a request that was sent to it before another one crashed under its key.
+#[test]
+fn an_answer_that_arrives_after_a_crash_counts() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_crash(SECOND_US, key("/a"), 0);
+    suspects.record_answer(SECOND_US + 1, key("/a"));
+    let second = suspects.record_crash(3 * SECOND_US, key("/a"), 2 * SECOND_US);
+    assert_eq!(second.unwrap().suspicion, Suspicion::Suspected);
+}
+
 /// A caller that varies its requests must not fill the memory of the nodes.
 #[test]
 fn number_of_suspects_is_limited_and_old_ones_make_room() {
--- a/crates/entry/src/peers/crash_reports.rs
+++ b/crates/entry/src/peers/crash_reports.rs
@@ -18,6 +18,7 @@
 use tokio::time;
 
 use wigeonhall_dispatch::CrashEvidence;
+use wigeonhall_dispatch::RequestKey;
 use wigeonhall_dispatch::Suspicion;
 use wigeonhall_dispatch::SuspicionReport;
 
@@ -89,20 +90,28 @@
         let Some(value) = encode(&reports) else {
             continue;
         };
+        let named: Rc<[RequestKey]> = reports.iter().map(|report| report.key).collect();
         let addresses = shared.peers.borrow().addresses().to_vec();
         for address in addresses {
-            task::spawn_local(send(shared.clone(), address, value.clone()));
+            task::spawn_local(send(shared.clone(), address, value.clone(), named.clone()));
         }
         time::sleep(MESSAGE_INTERVAL).await;
     }
 }
 
-/// Sends reports to a node, and passes on to all what the node knows in favour of these requests.
-async fn send(shared: Rc<NodeState>, address: SocketAddr, value: HeaderValue) {
-    let Some(reports) = exchange(address, value).await else {
+/// Sends reports to a node. What it knows in favour of the requests in these reports, all nodes are
+/// told; its other suspicions it reports itself.
+async fn send(
+    shared: Rc<NodeState>,
+    address: SocketAddr,
+    value: HeaderValue,
+    named: Rc<[RequestKey]>,
+) {
+    let Some(mut reports) = exchange(address, value).await else {
         log::debug!("node {address} could not be told of crashes");
         return;
     };
+    reports.retain(|report| named.contains(&report.key));
     let learned = crash_trial::learn(&shared, &reports);
     let answered = |report: &SuspicionReport| report.evidence.answered;
     for report in learned.into_iter().filter(answered) {
