--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -49,6 +49,7 @@
 mod pool_evacuations;
 mod pool_load;
 mod pool_membership;
+mod pool_requests;
 mod pool_rollouts;
 mod presumed_restart;
 mod quota_bounds;
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -57,6 +57,16 @@
         .unwrap()
 }
 
+/// Returns the settings of the service `a`, whose replicas accept this rate while they are cold.
+pub fn spec_with_cold_start(cold_rate_per_s: f64, cold_start_ms: u64) -> ServiceSpec {
+    ServiceSpec {
+        cold_rate_per_s,
+        cold_start_ms,
+        max_connections: 50,
+        name: "a".into(),
+    }
+}
+
 pub fn route_spec(kind: RouteKind, target: TargetSpec) -> RouteSpec {
     RouteSpec {
         allows_anonymous: false,
--- a/crates/dispatch/tests/exchange_replicas.rs
+++ b/crates/dispatch/tests/exchange_replicas.rs
@@ -13,7 +13,6 @@
 use wigeonhall_dispatch::RegistrationState;
 use wigeonhall_dispatch::Reply;
 use wigeonhall_dispatch::RouteKind;
-use wigeonhall_dispatch::ServiceSpec;
 use wigeonhall_dispatch::SubRequest;
 
 use common::DEADLINE_US;
@@ -27,6 +26,7 @@
 use common::gather;
 use common::pool;
 use common::registration;
+use common::spec_with_cold_start;
 
 /// Returns the replicas that a node sends one leg of another node's gather to, in order. The
 /// replicas in `slow` have high latencies on this node; a hedge follows each sub-request if one
@@ -216,12 +216,7 @@
 #[test]
 fn last_resort_excludes_cold_draining_and_evacuated_replicas() {
     let mut pool = pool();
-    pool.apply_service_spec(&ServiceSpec {
-        cold_rate_per_s: 1.0,
-        cold_start_ms: 0,
-        max_connections: 50,
-        name: "a".into(),
-    });
+    pool.apply_service_spec(&spec_with_cold_start(1.0, 0));
     let mut cold = registration("a", 1, "north");
     cold.cold_for_ms = 60_000;
     let mut draining = registration("a", 2, "north");
--- a/crates/dispatch/tests/pool.rs
+++ b/crates/dispatch/tests/pool.rs
@@ -10,7 +10,6 @@
 use wigeonhall_dispatch::Pool;
 use wigeonhall_dispatch::RegistrationState;
 use wigeonhall_dispatch::Reply;
-use wigeonhall_dispatch::ServiceSpec;
 use wigeonhall_dispatch::UnknownCause;
 
 use common::MS;
@@ -18,6 +17,7 @@
 use common::add;
 use common::pool;
 use common::registration;
+use common::spec_with_cold_start;
 
 fn choose_id(pool: &mut Pool, now_us: u64) -> Option<String> {
     let service = pool.service_key(&Arc::from("a"));
@@ -215,12 +215,7 @@
     for _ in 0..NODES {
         let mut pool = pool();
         pool.set_nodes(NODES as usize);
-        pool.apply_service_spec(&ServiceSpec {
-            max_connections: 50,
-            name: "a".into(),
-            cold_rate_per_s: RATE_PER_S as f64,
-            cold_start_ms: 0,
-        });
+        pool.apply_service_spec(&spec_with_cold_start(RATE_PER_S as f64, 0));
         let mut cold = registration("a", 1, "north");
         cold.cold_for_ms = 10_000;
         let key = pool.register(0, cold).unwrap();
@@ -247,12 +242,7 @@
     for node in 0..NODES {
         let mut pool = Pool::new("north".into(), node);
         pool.set_nodes(NODES as usize);
-        pool.apply_service_spec(&ServiceSpec {
-            max_connections: 50,
-            name: "a".into(),
-            cold_rate_per_s: 10.0,
-            cold_start_ms: 0,
-        });
+        pool.apply_service_spec(&spec_with_cold_start(10.0, 0));
         let mut cold = registration("a", 1, "north");
         cold.cold_for_ms = COLD_US / 1_000;
         let key = pool.register(0, cold).unwrap();
@@ -285,12 +275,7 @@
 #[test]
 fn a_repeated_registration_of_a_warm_replica_does_not_limit_its_rate() {
     let mut pool = pool();
-    pool.apply_service_spec(&ServiceSpec {
-        max_connections: 50,
-        name: "a".into(),
-        cold_rate_per_s: 1.0,
-        cold_start_ms: 3_000,
-    });
+    pool.apply_service_spec(&spec_with_cold_start(1.0, 3_000));
     let key = add(&mut pool, "a", 1);
     for sequence in 2..100 {
         let now_us = sequence * 50 * MS;
@@ -312,12 +297,7 @@
         for seed in 0..nodes {
             let mut pool = Pool::new("north".into(), seed);
             pool.set_nodes(nodes as usize);
-            pool.apply_service_spec(&ServiceSpec {
-                max_connections: 50,
-                name: "a".into(),
-                cold_rate_per_s: rate_per_s,
-                cold_start_ms: 0,
-            });
+            pool.apply_service_spec(&spec_with_cold_start(rate_per_s, 0));
             let mut cold = registration("a", 1, "north");
             cold.cold_for_ms = 70_000;
             let key = pool.register(0, cold).unwrap();
--- a/crates/dispatch/tests/presumed_restarts.rs
+++ b/crates/dispatch/tests/presumed_restarts.rs
@@ -10,13 +10,13 @@
 use wigeonhall_dispatch::Pool;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::Reply;
-use wigeonhall_dispatch::ServiceSpec;
 use wigeonhall_dispatch::UnknownCause;
 
 use common::MS;
 use common::S;
 use common::add;
 use common::registration;
+use common::spec_with_cold_start;
 
 const COLD_START_MS: u64 = 3_000;
 
@@ -28,12 +28,7 @@
 fn pool_of(node: u64, nodes: usize, cold_start_ms: u64) -> (Pool, ReplicaKey) {
     let mut pool = Pool::new("north".into(), node);
     pool.set_nodes(nodes);
-    pool.apply_service_spec(&ServiceSpec {
-        cold_rate_per_s: RATE_PER_S,
-        cold_start_ms,
-        max_connections: 50,
-        name: "a".into(),
-    });
+    pool.apply_service_spec(&spec_with_cold_start(RATE_PER_S, cold_start_ms));
     let key = add(&mut pool, "a", 1);
     (pool, key)
 }
--- a/crates/entry/src/callers/caller_request.rs
+++ b/crates/entry/src/callers/caller_request.rs
@@ -20,7 +20,7 @@
 use crate::callers::caller_body;
 use crate::callers::credentials::Credentials;
 use crate::process::node_state::NodeState;
-use crate::replicas::replica_client::OutgoingRequest;
+use crate::replicas::outgoing_request::OutgoingRequest;
 
 /// Time after which a request that found no memory may be repeated: slow bodies are closed by then.
 const MEMORY_RETRY_AFTER_MS: u64 = 500;
--- a/crates/entry/src/callers/caller_server.rs
+++ b/crates/entry/src/callers/caller_server.rs
@@ -39,7 +39,7 @@
 use crate::process::event::RequestEvent;
 use crate::process::node_state::NodeState;
 use crate::process::node_state::Phase;
-use crate::replicas::replica_client::OutgoingRequest;
+use crate::replicas::outgoing_request::OutgoingRequest;
 use crate::requests::answer;
 
 /// Smallest read buffer that `hyper` accepts.
--- a/crates/entry/src/peers/relay_client.rs
+++ b/crates/entry/src/peers/relay_client.rs
@@ -26,7 +26,7 @@
 use crate::peers::relay_protocol;
 use crate::process::held_memory::HeldMemory;
 use crate::process::node_state::NodeState;
-use crate::replicas::replica_client::OutgoingRequest;
+use crate::replicas::outgoing_request::OutgoingRequest;
 use crate::requests::group_parts::DecodedParts;
 use crate::requests::group_parts::GroupParts;
 
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -41,7 +41,7 @@
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
 use crate::process::node_state::Phase;
-use crate::replicas::replica_client::OutgoingRequest;
+use crate::replicas::outgoing_request::OutgoingRequest;
 use crate::requests::crash_trial;
 use crate::requests::group_parts::GroupParts;
 use crate::requests::group_stream;
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -38,7 +38,7 @@
 use crate::process::event_log::EventLog;
 use crate::process::loop_times::LoopTimes;
 use crate::process::metrics::Metrics;
-use crate::replicas::replica_client::IdleConnections;
+use crate::replicas::idle_connections::IdleConnections;
 use crate::requests::answer_lag::AnswerLag;
 
 /// Phase of the process, until it has stopped.
--- a/crates/entry/src/requests/answer.rs
+++ b/crates/entry/src/requests/answer.rs
@@ -16,7 +16,7 @@
 use crate::process::event::Event;
 use crate::process::event::RequestEvent;
 use crate::process::node_state::NodeState;
-use crate::replicas::replica_client::OutgoingRequest;
+use crate::replicas::outgoing_request::OutgoingRequest;
 use crate::requests::answer_lag::AnswerDue;
 use crate::requests::answer_summary::AnswerSummary;
 use crate::requests::crash_trial;
--- a/crates/entry/src/requests/crash_trial.rs
+++ b/crates/entry/src/requests/crash_trial.rs
@@ -19,7 +19,7 @@
 
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
-use crate::replicas::replica_client::OutgoingRequest;
+use crate::replicas::outgoing_request::OutgoingRequest;
 use crate::requests::query::Query;
 
 /// Available replicas of a service from which one may be risked for a trial.
--- a/crates/entry/src/requests/query.rs
+++ b/crates/entry/src/requests/query.rs
@@ -31,8 +31,8 @@
 
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
+use crate::replicas::outgoing_request::OutgoingRequest;
 use crate::replicas::replica_client;
-use crate::replicas::replica_client::OutgoingRequest;
 use crate::replicas::replica_response::ReplicaResponse;
 use crate::replicas::replica_response::SubRequestResult;
 use crate::requests::crash_trial;
--- a/crates/entry/src/requests/shared_gather.rs
+++ b/crates/entry/src/requests/shared_gather.rs
@@ -38,7 +38,7 @@
 use crate::peers::relay_client::RelayError;
 use crate::process::event::Event;
 use crate::process::node_state::NodeState;
-use crate::replicas::replica_client::OutgoingRequest;
+use crate::replicas::outgoing_request::OutgoingRequest;
 use crate::requests::answer_summary::AnswerSummary;
 use crate::requests::group_parts::GroupHead;
 use crate::requests::group_parts::GroupParts;
