Try a request that was answered before on the only replica of a service

What callers saw: the only replica of a service crashed and started again. A popular request that had been running there was refused for the next minute, by all nodes, though the replica was sound and served all others.

Cause: the same as of a popular request that is blocked: answers were not weighed. A trial needs two available replicas, so that the last one is not risked, and the suspicion lasts for 60 s.

Change: CrashAdmission::Trial states how many available replicas the service must have: one for a request that was answered before, else two.

Why it works: the first request after the restart is the trial, and its answer clears the key. A request that has begun to crash replicas meets the block after three crashes as before.

--- a/crates/dispatch/src/crash_suspects.rs
+++ b/crates/dispatch/src/crash_suspects.rs
@@ -15,6 +15,13 @@
 /// Time after which a caller may come back while another request with its key is tried.
 const TRIAL_RETRY_MS: u64 = 100;
 
+/// Available replicas of a service of which one may be risked for a request.
+const TRIAL_REPLICAS_MIN: usize = 2;
+
+/// The same for a request that was answered before, for which the only replica may be risked: it is
+/// likely to be served, and would be refused while the service has no other one.
+const ANSWERED_TRIAL_REPLICAS_MIN: usize = 1;
+
 /// Maximum number of keys; further ones are not suspected until others expire.
 const KEYS_MAX: usize = 1_024;
 
@@ -29,7 +36,10 @@
         retry_after_ms: u64,
     },
     /// It may be sent to one replica; the result must be reported.
-    Trial,
+    Trial {
+        /// Available replicas that the service must have, one of which is risked.
+        replicas_min: usize,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -162,7 +172,12 @@
             };
         }
         suspect.trial_until_us = Some(now_us + TRIAL_US);
-        CrashAdmission::Trial
+        let replicas_min = if suspect.evidence.answered {
+            ANSWERED_TRIAL_REPLICAS_MIN
+        } else {
+            TRIAL_REPLICAS_MIN
+        };
+        CrashAdmission::Trial { replicas_min }
     }
 
     /// Ends a trial; a request that its replica answered is no longer suspected.
--- a/crates/dispatch/tests/crash_suspects.rs
+++ b/crates/dispatch/tests/crash_suspects.rs
@@ -8,6 +8,12 @@
 use wigeonhall_dispatch::Suspicion;
 use wigeonhall_dispatch::SuspicionReport;
 
+/// Trial of a request that was not answered before.
+const TRIAL: CrashAdmission = CrashAdmission::Trial { replicas_min: 2 };
+
+/// Trial of a request that was answered before; the only replica of its service may be risked.
+const TRIAL_OF_ANSWERED: CrashAdmission = CrashAdmission::Trial { replicas_min: 1 };
+
 const SECOND_US: u64 = 1_000_000;
 
 fn key(path: &str) -> RequestKey {
@@ -30,10 +36,7 @@
     assert_eq!(suspects.admit(0, key("/a")), CrashAdmission::Free);
     let first = suspects.record_crash(SECOND_US, key("/a"), 0);
     assert_eq!(first.unwrap().suspicion, Suspicion::Suspected);
-    assert_eq!(
-        suspects.admit(2 * SECOND_US, key("/a")),
-        CrashAdmission::Trial
-    );
+    assert_eq!(suspects.admit(2 * SECOND_US, key("/a")), TRIAL);
     let second = suspects.record_crash(3 * SECOND_US, key("/a"), 2 * SECOND_US);
     assert_eq!(second.unwrap().suspicion, Suspicion::Blocked);
     let admission = suspects.admit(4 * SECOND_US, key("/a"));
@@ -53,7 +56,7 @@
     suspects.record_crash(SECOND_US, key("/a"), 0);
     for second in 2..4 {
         let sent_us = second * SECOND_US;
-        assert_eq!(suspects.admit(sent_us, key("/a")), CrashAdmission::Trial);
+        assert_eq!(suspects.admit(sent_us, key("/a")), TRIAL_OF_ANSWERED);
         let report = suspects.record_crash(sent_us + 1, key("/a"), sent_us);
         suspects.end_trial(key("/a"), false);
         let blocked = report.unwrap().suspicion == Suspicion::Blocked;
@@ -111,7 +114,7 @@
     let answered = seen.report(3 * SECOND_US, key("/a")).unwrap();
     assert!(suspects.learn(3 * SECOND_US, answered));
     for node in [&mut seen, &mut suspects] {
-        assert_eq!(node.admit(4 * SECOND_US, key("/a")), CrashAdmission::Trial);
+        assert_eq!(node.admit(4 * SECOND_US, key("/a")), TRIAL_OF_ANSWERED);
     }
 }
 
@@ -122,10 +125,7 @@
     for replica in 0..20 {
         suspects.record_crash(SECOND_US + replica, key("/a"), replica);
     }
-    assert_eq!(
-        suspects.admit(2 * SECOND_US, key("/a")),
-        CrashAdmission::Trial
-    );
+    assert_eq!(suspects.admit(2 * SECOND_US, key("/a")), TRIAL);
     suspects.end_trial(key("/a"), true);
     assert!(suspects.is_empty());
 }
@@ -135,14 +135,11 @@
 fn one_request_at_a_time_is_tried() {
     let mut suspects = CrashSuspects::default();
     suspects.record_crash(SECOND_US, key("/a"), 0);
-    assert_eq!(suspects.admit(SECOND_US, key("/a")), CrashAdmission::Trial);
+    assert_eq!(suspects.admit(SECOND_US, key("/a")), TRIAL);
     let admission = suspects.admit(SECOND_US, key("/a"));
     assert!(matches!(admission, CrashAdmission::Refused { .. }));
     // A trial whose caller left has no result.
-    assert_eq!(
-        suspects.admit(10 * SECOND_US, key("/a")),
-        CrashAdmission::Trial
-    );
+    assert_eq!(suspects.admit(10 * SECOND_US, key("/a")), TRIAL);
 }
 
 /// A replica may be mended; a request must not be refused for good.
@@ -152,10 +149,7 @@
     assert!(suspects.learn(0, report(Suspicion::Blocked, 60_000)));
     let admission = suspects.admit(59 * SECOND_US, key("/a"));
     assert!(matches!(admission, CrashAdmission::Refused { .. }));
-    assert_eq!(
-        suspects.admit(61 * SECOND_US, key("/a")),
-        CrashAdmission::Trial
-    );
+    assert_eq!(suspects.admit(61 * SECOND_US, key("/a")), TRIAL);
     suspects.end_trial(key("/a"), true);
     assert_eq!(
         suspects.admit(62 * SECOND_US, key("/a")),
@@ -187,10 +181,7 @@
     }
     let admission = second.admit(59 * SECOND_US, key("/a"));
     assert!(matches!(admission, CrashAdmission::Refused { .. }));
-    assert_eq!(
-        second.admit(61 * SECOND_US, key("/a")),
-        CrashAdmission::Trial
-    );
+    assert_eq!(second.admit(61 * SECOND_US, key("/a")), TRIAL);
     assert!(first.reports(61 * SECOND_US).is_empty());
 }
 
@@ -211,7 +202,7 @@
     assert!(second.learn(0, passed_on));
     let admission = second.admit(400_000, key("/a"));
     assert!(matches!(admission, CrashAdmission::Refused { .. }));
-    assert_eq!(second.admit(600_000, key("/a")), CrashAdmission::Trial);
+    assert_eq!(second.admit(600_000, key("/a")), TRIAL_OF_ANSWERED);
 }
 
 /// A replica may answer a request that was sent to it before another one crashed under its key.
--- a/crates/dispatch/tests/innocent_requests.rs
+++ b/crates/dispatch/tests/innocent_requests.rs
@@ -143,7 +143,7 @@
         match self.nodes[node].admit(self.now_ms * 1_000, key) {
             CrashAdmission::Free => self.send(node, key, false, false),
             CrashAdmission::Refused { .. } => {}
-            CrashAdmission::Trial => self.send(node, key, true, false),
+            CrashAdmission::Trial { .. } => self.send(node, key, true, false),
         }
     }
 
--- a/crates/entry/src/requests/crash_trial.rs
+++ b/crates/entry/src/requests/crash_trial.rs
@@ -22,9 +22,6 @@
 use crate::replicas::outgoing_request::OutgoingRequest;
 use crate::requests::query::Query;
 
-/// Available replicas of a service from which one may be risked for a trial.
-const TRIAL_REPLICAS_MIN: usize = 2;
-
 /// Time after which a caller may come back whose request could not be tried.
 const RETRY_AFTER_MS: u64 = 200;
 
@@ -130,9 +127,9 @@
             log_state(shared, key, "refused", "", request_id);
             Admitted::Answered(refuse(retry_after_ms))
         }
-        CrashAdmission::Trial => {
+        CrashAdmission::Trial { replicas_min } => {
             log_state(shared, key, "tried", "", request_id);
-            try_one(shared, exchange, outgoing, key).await
+            try_one(shared, exchange, outgoing, key, replicas_min).await
         }
     }
 }
@@ -142,6 +139,7 @@
     exchange: &mut Exchange,
     outgoing: &Rc<OutgoingRequest>,
     key: RequestKey,
+    replicas_min: usize,
 ) -> Admitted {
     let now_us = shared.clock.now_us();
     let refusal = exchange.refuse_unservable(&shared.pool.borrow(), now_us);
@@ -150,7 +148,7 @@
         end_trial(shared, key, false);
         return Admitted::Answered(outcome);
     }
-    let Some(leg) = trial_leg(shared, exchange) else {
+    let Some(leg) = trial_leg(shared, exchange, replicas_min) else {
         end_trial(shared, key, false);
         return Admitted::Answered(refuse(RETRY_AFTER_MS));
     };
@@ -188,15 +186,15 @@
     shared.crash_suspects.borrow_mut().end_trial(key, passed);
 }
 
-/// Returns the leg whose service has the most available replicas; `None` if each has only one, which
-/// is kept for other requests.
-fn trial_leg(shared: &NodeState, exchange: &Exchange) -> Option<usize> {
+/// Returns the leg whose service has the most available replicas; `None` if it has fewer than
+/// `replicas_min`, which are kept for other requests.
+fn trial_leg(shared: &NodeState, exchange: &Exchange, replicas_min: usize) -> Option<usize> {
     let pool = shared.pool.borrow();
     let now_us = shared.clock.now_us();
     let legs = exchange.legs().count();
     let available = |leg: &usize| count_available(&pool, now_us, exchange.service(*leg));
     let leg = (0..legs).max_by_key(available)?;
-    (available(&leg) >= TRIAL_REPLICAS_MIN).then_some(leg)
+    (available(&leg) >= replicas_min).then_some(leg)
 }
 
 fn count_available(pool: &Pool, now_us: u64, service: ServiceKey) -> usize {
--- a/crates/node/tests/entry/crashes.rs
+++ b/crates/node/tests/entry/crashes.rs
@@ -182,9 +182,8 @@
     assert!(crashed(&replicas) <= crashed_first + 1);
 }
 
-/// Starts replicas that answer a popular request, and the first two that it reaches after the counter
-/// was set to 2 crash.
-fn replicas_of_a_popular_request() -> (Vec<ReplicaStandin>, Arc<AtomicUsize>) {
+/// Starts replicas that answer a popular request; as many as the counter states crash under it.
+fn replicas_of_a_popular_request(copies: usize) -> (Vec<ReplicaStandin>, Arc<AtomicUsize>) {
     let crashes = Arc::new(AtomicUsize::new(0));
     let left = crashes.clone();
     let decide = move |_: &HttpMessage| {
@@ -196,7 +195,7 @@
         }
     };
     let copy = |number| ReplicaStandin::start("a", number, decide.clone()).unwrap();
-    ((1..=COPIES).map(copy).collect(), crashes)
+    ((1..=copies).map(copy).collect(), crashes)
 }
 
 fn ask_popular(node: &Node, id: &str) -> u16 {
@@ -207,7 +206,7 @@
 /// all nodes then refused for a minute.
 #[test]
 fn a_request_that_was_answered_is_served_after_two_replicas_crashed_under_it() {
-    let (replicas, crashes) = replicas_of_a_popular_request();
+    let (replicas, crashes) = replicas_of_a_popular_request(COPIES);
     let (_store, nodes) = fleet(vec![route_to_a("one")], &replicas);
     for (number, node) in nodes.iter().enumerate() {
         assert_eq!(ask_popular(node, &format!("before-{number}")), 200);
@@ -220,7 +219,7 @@
 /// A node that has not sent a popular request itself learns from another one that it was answered.
 #[test]
 fn a_request_that_another_node_answered_is_served_after_two_replicas_crashed_under_it() {
-    let (replicas, crashes) = replicas_of_a_popular_request();
+    let (replicas, crashes) = replicas_of_a_popular_request(COPIES);
     let (_store, nodes) = fleet(vec![route_to_a("one")], &replicas);
     assert_eq!(ask_popular(&nodes[1], "before"), 200);
     crashes.store(2, Relaxed);
@@ -228,6 +227,21 @@
     assert_served_soon(&nodes);
 }
 
+/// The last replica of a service is not risked for a request that may crash it, but a popular request
+/// that it has answered must not be refused for a minute after it has started again.
+#[test]
+fn a_request_that_was_answered_is_served_by_the_only_replica_after_it_crashed() {
+    let (replicas, crashes) = replicas_of_a_popular_request(1);
+    let (_store, nodes) = fleet(vec![route_to_a("one")], &replicas);
+    assert_eq!(ask_popular(&nodes[0], "before"), 200);
+    crashes.store(1, Relaxed);
+    assert_eq!(ask_popular(&nodes[0], "crash"), 502);
+    let address = replicas[0].registration("north").address;
+    let answer = |_: &HttpMessage| Behaviour::answer([7; 16]);
+    let _restarted = ReplicaStandin::start_at(address, "a", 1, answer).unwrap();
+    assert_served_soon(&nodes);
+}
+
 /// Asserts that all nodes serve the popular request long before a block for a minute would end.
 fn assert_served_soon(nodes: &[Node]) {
     for (number, node) in nodes.iter().enumerate() {
