--- a/crates/entry/src/peers/crash_reports.rs
+++ b/crates/entry/src/peers/crash_reports.rs
@@ -99,8 +99,8 @@
     }
 }
 
-/// Sends reports to a node. What it knows in favour of the requests in these reports, all nodes are
-/// told; its other suspicions it reports itself.
+/// Sends reports to a node, and tells all nodes if its response shows that a request in them was
+/// answered. Its other suspicions are not applied here: it reports them itself.
 async fn send(
     shared: Rc<NodeState>,
     address: SocketAddr,
