Log the age of a version that comes into force

The lines of a node did not tell which stage delayed a version after an outage: the check that detects the end, a call that is repeated late, or a version that is held back. The `configuration` line states the longest time for which the store has had the version, and the `dependency` line of the store's return how long ago the last failed check was sent.

--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -26,8 +26,10 @@
         revision: String,
     },
     /// A configuration came into force, is held back, or was ignored as older than the current
-    /// one; `lacking` counts the services that would newly have no replica in service.
+    /// one; `lacking` counts the services that would newly have no replica in service. The store
+    /// has had the version for at most `age_ms`.
     Configuration {
+        age_ms: u64,
         lacking: usize,
         outcome: &'a str,
         routes: usize,
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -40,6 +40,7 @@
 use crate::process::metrics::Metrics;
 use crate::replicas::idle_connections::IdleConnections;
 use crate::requests::answer_lag::AnswerLag;
+use crate::store::pending_routes::PendingRoutes;
 
 /// Phase of the process, until it has stopped.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -79,7 +80,7 @@
     /// Bodies of requests that are being received.
     pub(crate) open_bodies: RefCell<OpenBodies>,
     /// Routes that are held back, newer than those in force.
-    pub(crate) pending_table: RefCell<Option<Rc<RouteTable>>>,
+    pub(crate) pending_routes: RefCell<Option<PendingRoutes>>,
     /// The known nodes of all data centres.
     pub(crate) peers: RefCell<Peers>,
     pub(crate) phase: watch::Sender<Phase>,
@@ -134,7 +135,7 @@
             memory: RefCell::new(MemoryBudget::new(settings.memory_bytes)),
             metrics,
             open_bodies: RefCell::default(),
-            pending_table: RefCell::new(None),
+            pending_routes: RefCell::new(None),
             peers: RefCell::new(Peers::new(own)),
             phase: watch::Sender::new(Phase::Serving),
             pool: RefCell::new(pool),
@@ -207,9 +208,10 @@
 
     /// Returns the version of the newest routes, in force or held back.
     pub(crate) fn newest_version(&self) -> Option<u64> {
-        let pending = self.pending_table.borrow();
+        let pending = self.pending_routes.borrow();
         let current = self.table.borrow();
-        let newest = pending.as_ref().or(current.as_ref());
+        let pending_table = pending.as_ref().map(|routes| &routes.table);
+        let newest = pending_table.or(current.as_ref());
         newest.map(|table| table.version)
     }
 
--- a/crates/entry/src/store/collection_effects.rs
+++ b/crates/entry/src/store/collection_effects.rs
@@ -2,6 +2,7 @@
 //! evacuations.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use wigeonhall_adapter::Collection;
@@ -19,6 +20,7 @@
 use crate::process::event::Event;
 use crate::replicas::preconnect;
 use crate::store::collection_view::CollectionView;
+use crate::store::pending_routes::PendingRoutes;
 use crate::store::route_switch;
 
 impl CollectionView {
@@ -158,6 +160,7 @@
         let shared = &self.shared;
         if shared.newest_version() >= Some(configuration.version) {
             return shared.log(&Event::Configuration {
+                age_ms: self.change_age_us(shared.clock.now_us()) / 1_000,
                 lacking: 0,
                 outcome: "older",
                 routes: configuration.routes.len(),
@@ -171,7 +174,12 @@
         }
         let table = RouteTable::new(&configuration, &mut pool);
         drop(pool);
-        route_switch::set_pending(shared, table);
+        let now_us = shared.clock.now_us();
+        let pending = PendingRoutes {
+            table: Rc::new(table),
+            written_us: now_us.saturating_sub(self.change_age_us(now_us)),
+        };
+        route_switch::set_pending(shared, pending);
     }
 
     /// Drops the tenants whose names cannot be sent to replicas; their keys are unknown.
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod malformed_entries;
 pub(crate) mod paged_list;
 pub(crate) mod peer_registry;
+pub(crate) mod pending_routes;
 pub(crate) mod rollout_effects;
 pub(crate) mod rollout_status;
 pub(crate) mod route_switch;
--- a/crates/entry/src/store/store_health.rs
+++ b/crates/entry/src/store/store_health.rs
@@ -50,6 +50,7 @@
     let mut source = shared.feed.source();
     let mut listed = shared.feed.nodes_listed.subscribe();
     let mut last_success_sent_us = 0;
+    let mut last_failure_sent_us = 0;
     let mut unavailable = false;
     loop {
         wait_until_responsible(&mut source, &mut listed).await;
@@ -69,14 +70,17 @@
                     .borrow_mut()
                     .record_response(shared.clock.now_us(), sent_us);
                 if unavailable {
-                    log_store_state(&shared, "answers again", "back");
                     let now_us = shared.clock.now_us();
+                    let failed_ms = (now_us - last_failure_sent_us) / 1_000;
+                    let reason = format!("answers again, last failed check {failed_ms} ms ago");
+                    log_store_state(&shared, &reason, "back");
                     shared.feed.record_outage_end(now_us, last_success_sent_us);
                 }
                 last_success_sent_us = sent_us;
                 unavailable = false;
             }
             Err(error) => {
+                last_failure_sent_us = sent_us;
                 if !unavailable {
                     log_store_state(&shared, &error.to_string(), "lost");
                     shared
