--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -18,6 +18,7 @@
 #[path = "../soak/proxy.rs"]
 mod proxy;
 mod quotas;
+mod recovery;
 mod restarted_replicas;
 mod shared_gather;
 mod store;
