Bound the time until a follower notices the end of an outage

Cause: a node that may follow a peer paused for 3 s after a health check in an outage had ended, and a lost check ends after 1 s, so that the node heard of the end up to 4.0 s later. 4 s are all that there is for this and every later stage, and the node's readers do not help while they lack the store themselves. Nobody owned the sum of the stages.

`RecoveryTimes` derives the times from the stabilization time. The next check is sent within half of it whatever the phase of the timers; for followers the period counts from the sending of a check, so that lost and refused ones cost the same.

--- /dev/null
+++ b/crates/dispatch/src/recovery_times.rs
@@ -0,0 +1,59 @@
+/// Shortest stabilization time that the times are derived from; a shorter one would have nodes call
+/// the store without a pause.
+const STABILIZATION_MIN_MS: u64 = 1_000;
+
+/// Longest timeout of a health check of the store.
+const CHECK_TIMEOUT_MAX_MS: u64 = 1_000;
+
+/// Longest pause of a reader between two health checks in an outage.
+const CHECK_PAUSE_MAX_MS: u64 = 700;
+
+/// Times of the stages by which a node has all changes again after a disturbance of the store or
+/// of its own links.
+///
+/// A change that the store confirmed in a disturbance must be in force everywhere when the
+/// stabilization time after its end has passed. A node learns of the end from its own calls only,
+/// and the last one before the end may be lost. Shares of the stabilization time, from the end:
+///
+/// | share | stage |
+/// | --- | --- |
+/// | 1/2 | the next health check is sent |
+/// | 1 | the change is in force |
+#[derive(Clone, Copy, Debug)]
+pub struct RecoveryTimes {
+    stabilization_ms: u64,
+}
+
+impl RecoveryTimes {
+    /// Creates the times for a stabilization time.
+    #[must_use]
+    pub const fn new(stabilization_ms: u64) -> Self {
+        let too_short = stabilization_ms < STABILIZATION_MIN_MS;
+        Self {
+            stabilization_ms: if too_short {
+                STABILIZATION_MIN_MS
+            } else {
+                stabilization_ms
+            },
+        }
+    }
+
+    /// Returns the timeout of a health check of the store.
+    #[must_use]
+    pub fn check_timeout_ms(self) -> u64 {
+        CHECK_TIMEOUT_MAX_MS.min(self.stabilization_ms / 4)
+    }
+
+    /// Returns the pause of a reader after a health check in an outage.
+    #[must_use]
+    pub fn check_pause_ms(self) -> u64 {
+        CHECK_PAUSE_MAX_MS.min(self.stabilization_ms / 5)
+    }
+
+    /// Returns the pause of a node that may follow a reader, `elapsed_ms` after it sent a health
+    /// check in an outage: checks are sent at an even period, also when they get no response.
+    #[must_use]
+    pub const fn follower_check_pause_ms(self, elapsed_ms: u64) -> u64 {
+        (self.stabilization_ms / 2).saturating_sub(elapsed_ms)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/recovery_times.rs
@@ -0,0 +1,44 @@
+//! Guards against changes that come into force too late after a disturbance, because each stage of
+//! the recovery has a limit of its own and nothing bounds their sum.
+
+use wigeonhall_dispatch::RecoveryTimes;
+
+/// Stabilization times of small, grown and large deployments.
+const STABILIZATION_MS: [u64; 5] = [1_000, 4_000, 5_000, 6_000, 60_000];
+
+/// Step between two phases of the timers.
+const PHASE_STEP_MS: usize = 10;
+
+/// Returns when the first health check is sent at or after `end_ms`, if each check before is sent
+/// `gap_ms` after the previous one.
+const fn next_check_ms(end_ms: u64, gap_ms: u64) -> u64 {
+    end_ms.div_ceil(gap_ms) * gap_ms
+}
+
+/// A node that may follow a reader paused for 3 s after a lost check had timed out after 1 s, and heard
+/// of the end of a disturbance up to 4 s later.
+#[test]
+fn health_checks_are_sent_within_half_of_the_time_at_every_phase() {
+    for stabilization_ms in STABILIZATION_MS {
+        let times = RecoveryTimes::new(stabilization_ms);
+        let timeout_ms = times.check_timeout_ms();
+        let follower_gap_ms = timeout_ms + times.follower_check_pause_ms(timeout_ms);
+        let refused_gap_ms = times.follower_check_pause_ms(0);
+        let reader_gap_ms = timeout_ms + times.check_pause_ms();
+        for gap_ms in [follower_gap_ms, refused_gap_ms, reader_gap_ms] {
+            for end_ms in (0..3 * gap_ms).step_by(PHASE_STEP_MS) {
+                let late_ms = next_check_ms(end_ms, gap_ms) - end_ms;
+                assert!(late_ms * 2 <= stabilization_ms, "{late_ms} ms");
+            }
+        }
+    }
+}
+
+/// A setting of 0 would have nodes check the store without a pause.
+#[test]
+fn health_checks_pause_without_a_stabilization_time() {
+    let times = RecoveryTimes::new(0);
+    assert!(times.check_timeout_ms() > 0);
+    assert!(times.check_pause_ms() > 0);
+    assert!(times.follower_check_pause_ms(times.check_timeout_ms()) > 0);
+}
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -15,6 +15,7 @@
 use wigeonhall_dispatch::PeerNode;
 use wigeonhall_dispatch::Peers;
 use wigeonhall_dispatch::Pool;
+use wigeonhall_dispatch::RecoveryTimes;
 use wigeonhall_dispatch::Replica;
 use wigeonhall_dispatch::ReplicaKey;
 use wigeonhall_dispatch::RequestLimits;
@@ -206,6 +207,11 @@
         limit.map_or(u64::MAX, StopLimit::answers_due_us)
     }
 
+    /// Returns the times of the stages by which this node has all changes after a disturbance.
+    pub(crate) const fn recovery_times(&self) -> RecoveryTimes {
+        RecoveryTimes::new(self.settings.stabilization_ms)
+    }
+
     /// Returns the version of the newest routes, in force or held back.
     pub(crate) fn newest_version(&self) -> Option<u64> {
         let pending = self.pending_routes.borrow();
--- a/crates/entry/src/store/store_health.rs
+++ b/crates/entry/src/store/store_health.rs
@@ -25,16 +25,6 @@
 /// peers follow this node: their copies count as current only as of the last successful check.
 const CHECKS_PER_SILENCE_LIMIT: u32 = 2;
 
-/// Interval between health checks during an outage.
-const OUTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(700);
-
-/// Interval between health checks during an outage for a node that may follow a peer; the
-/// readers, from which other nodes receive the store's changes, detect the end of the outage first.
-const FOLLOWER_OUTAGE_CHECK_INTERVAL: Duration = Duration::from_secs(3);
-
-/// Timeout of one health check.
-const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Checks the health of the store periodically and records the end of an outage.
 ///
 /// A watch that was sent while the store answered no calls is never answered, and its
@@ -51,15 +41,17 @@
     let mut listed = shared.feed.nodes_listed.subscribe();
     let mut last_success_sent_us = 0;
     let mut last_failure_sent_us = 0;
+    let mut sent_us = 0;
     let mut unavailable = false;
     loop {
         wait_until_responsible(&mut source, &mut listed).await;
         tokio::select! {
-            () = time::sleep(check_interval(&shared, unavailable)) => {}
+            () = time::sleep(check_pause(&shared, unavailable, sent_us)) => {}
             () = shared.feed.health_check_due.notified() => {}
         }
-        let sent_us = shared.clock.now_us();
-        match client.get(check, &path, CHECK_TIMEOUT).await {
+        sent_us = shared.clock.now_us();
+        let timeout = Duration::from_millis(shared.recovery_times().check_timeout_ms());
+        match client.get(check, &path, timeout).await {
             Ok(response) => {
                 if let Some(era) = response.era {
                     shared.observe_era(era);
@@ -110,12 +102,18 @@
     }
 }
 
-fn check_interval(shared: &NodeState, unavailable: bool) -> Duration {
+/// Returns the pause before the next health check, after one that was sent at `sent_us`.
+///
+/// In an outage a node that may follow a peer checks more rarely: the readers, from which other
+/// nodes receive the store's changes, detect the end first.
+fn check_pause(shared: &NodeState, unavailable: bool, sent_us: u64) -> Duration {
     let outage = unavailable || shared.feed.is_store_outage_suspected();
+    let times = shared.recovery_times();
     if outage && shared.feed.may_follow.get() {
-        FOLLOWER_OUTAGE_CHECK_INTERVAL
+        let elapsed_ms = (shared.clock.now_us() - sent_us) / 1_000;
+        Duration::from_millis(times.follower_check_pause_ms(elapsed_ms))
     } else if outage {
-        OUTAGE_CHECK_INTERVAL
+        Duration::from_millis(times.check_pause_ms())
     } else if shared.feed.has_followers() {
         feed_server::silence_limit(shared) / CHECKS_PER_SILENCE_LIMIT
     } else {
