--- a/crates/entry/src/store/collection_effects.rs
+++ b/crates/entry/src/store/collection_effects.rs
@@ -179,7 +179,7 @@
             table: Rc::new(table),
             written_us: now_us.saturating_sub(self.change_age_us(now_us)),
         };
-        route_switch::set_pending(shared, pending);
+        route_switch::set_pending(shared, &pending);
     }
 
     /// Drops the tenants whose names cannot be sent to replicas; their keys are unknown.
--- a/crates/entry/src/store/route_switch.rs
+++ b/crates/entry/src/store/route_switch.rs
@@ -10,10 +10,10 @@
 use crate::store::pending_routes::PendingRoutes;
 
 /// Makes the routes of a newer configuration pending and puts them in force if possible.
-pub(crate) fn set_pending(shared: &Rc<NodeState>, pending: PendingRoutes) {
+pub(crate) fn set_pending(shared: &Rc<NodeState>, pending: &PendingRoutes) {
     shared.pending_routes.replace(Some(pending.clone()));
     if !activate_pending(shared) {
-        log_switch(shared, &pending, "held", count_newly_unserved(shared));
+        log_switch(shared, pending, "held", count_newly_unserved(shared));
     }
 }
 
