Replace a lost watch before a change of the disturbance is due

Cause: a watch whose answer is lost looks like one that waits, and timed out after 5.5 s. That was derived for a change that is confirmed after the stabilization time; one that is confirmed in the disturbance is due when that time has passed, 4 s after the loss.

Watches of versions and evacuations now time out after 5/6 of the stabilization time. Removals of replicas count only if they are confirmed after it, so that watches of the replicas wait as before; each watch costs a call.

--- a/crates/dispatch/src/pacing.rs
+++ b/crates/dispatch/src/pacing.rs
@@ -44,7 +44,8 @@
     }
 }
 
-/// Returns how long a watch waits for changes that must be in force within `bound_ms`.
+/// Returns how long a watch waits for changes that must be in force within `bound_ms` if they are
+/// confirmed after the stabilization time that follows a disturbance.
 ///
 /// A watch whose answer is lost looks like one that waits. The bound holds again
 /// `stabilization_ms` after the last disturbance, in which an answer may be lost; a new watch must
--- a/crates/dispatch/src/recovery_times.rs
+++ b/crates/dispatch/src/recovery_times.rs
@@ -18,6 +18,7 @@
 /// | share | stage |
 /// | --- | --- |
 /// | 1/2 | the next health check is sent |
+/// | 5/6 | a watch whose answer was lost times out |
 /// | 1 | the change is in force |
 #[derive(Clone, Copy, Debug)]
 pub struct RecoveryTimes {
@@ -56,4 +57,17 @@
     pub const fn follower_check_pause_ms(self, elapsed_ms: u64) -> u64 {
         (self.stabilization_ms / 2).saturating_sub(elapsed_ms)
     }
+
+    /// Returns how long a watch waits for changes that are due after a disturbance although they
+    /// were confirmed in it; a watch whose answer is lost looks like one that waits.
+    #[must_use]
+    pub const fn watch_wait_ms(self) -> u64 {
+        self.stabilization_ms * 13 / 20
+    }
+
+    /// Returns the timeout of such a watch.
+    #[must_use]
+    pub const fn watch_timeout_ms(self) -> u64 {
+        self.stabilization_ms * 5 / 6
+    }
 }
--- a/crates/dispatch/tests/recovery_times.rs
+++ b/crates/dispatch/tests/recovery_times.rs
@@ -34,6 +34,18 @@
     }
 }
 
+/// Changes that were confirmed in a disturbance, and whose watch lost its answer, came into force up to
+/// 5.5 s after it: the wait allowed for changes confirmed after the stabilization time only.
+#[test]
+fn lost_watches_are_replaced_before_the_changes_of_the_disturbance_are_due() {
+    for stabilization_ms in STABILIZATION_MS {
+        let times = RecoveryTimes::new(stabilization_ms);
+        assert!(times.watch_wait_ms() < times.watch_timeout_ms());
+        // The rest is for a pause after the loss, for a call and for a follower of the reader.
+        assert!(times.watch_timeout_ms() * 6 <= stabilization_ms * 5);
+    }
+}
+
 /// A setting of 0 would have nodes check the store without a pause.
 #[test]
 fn health_checks_pause_without_a_stabilization_time() {
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -308,10 +308,12 @@
         let (wait_ms, timeout, purpose) = if self.view.catch_up_due.get() {
             (CATCH_UP_WAIT_MS, self.call_timeout(), CallPurpose::CatchUp)
         } else {
-            let stabilization_ms = self.view.shared.settings.stabilization_ms;
-            let wait_ms = watch_wait_ms(self.view.bound_ms(), stabilization_ms);
-            let timeout = Duration::from_millis(watch_timeout_ms(wait_ms));
-            (wait_ms, timeout, CallPurpose::Watch)
+            let (wait_ms, timeout_ms) = self.watch_times_ms();
+            (
+                wait_ms,
+                Duration::from_millis(timeout_ms),
+                CallPurpose::Watch,
+            )
         };
         let path = watch_path(self.view.collection, revision.number, wait_ms);
         let shared = &self.view.shared;
@@ -387,6 +389,25 @@
         self.failures += 1;
     }
 
+    /// Returns the wait and the timeout of a watch.
+    ///
+    /// A version or an evacuation is due when the stabilization time after a disturbance has
+    /// passed, also if it was confirmed in the disturbance; other changes only if they are
+    /// confirmed after that time.
+    fn watch_times_ms(&self) -> (u64, u64) {
+        match self.view.collection {
+            Collection::Configuration | Collection::Evacuations => {
+                let times = self.view.shared.recovery_times();
+                (times.watch_wait_ms(), times.watch_timeout_ms())
+            }
+            Collection::Nodes | Collection::Replicas | Collection::Rollouts => {
+                let stabilization_ms = self.view.shared.settings.stabilization_ms;
+                let wait_ms = watch_wait_ms(self.view.bound_ms(), stabilization_ms);
+                (wait_ms, watch_timeout_ms(wait_ms))
+            }
+        }
+    }
+
     /// Returns the timeout of a call that does not wait for changes.
     fn call_timeout(&self) -> Duration {
         Duration::from_millis(call_timeout_ms(self.view.bound_ms()))
