Put a held version in force before it is due after an outage

Cause: a version that names services without replicas is held back for 2.3 s, which counted from the moment at which the node noticed the end of the outage. It notices it up to 1.7 or 2 s after the end, so that the sum exceeds the 4 s that are allowed.

The newest failed call shows that the disturbance did not end before it was sent. From that time a version is held back for 9/10 of the stabilization time at most, whenever the node notices the end.

--- a/crates/dispatch/src/recovery_times.rs
+++ b/crates/dispatch/src/recovery_times.rs
@@ -19,6 +19,7 @@
 /// | --- | --- |
 /// | 1/2 | the next health check is sent |
 /// | 5/6 | a watch whose answer was lost times out |
+/// | 9/10 | a version is held back no longer |
 /// | 1 | the change is in force |
 #[derive(Clone, Copy, Debug)]
 pub struct RecoveryTimes {
@@ -58,6 +59,13 @@
         (self.stabilization_ms / 2).saturating_sub(elapsed_ms)
     }
 
+    /// Returns the time until which a version may be held back, if the newest call that failed was
+    /// sent at `failed_us`: the disturbance did not end before.
+    #[must_use]
+    pub const fn hold_until_us(self, failed_us: u64) -> u64 {
+        failed_us.saturating_add(self.stabilization_ms * 1_000 / 10 * 9)
+    }
+
     /// Returns how long a watch waits for changes that are due after a disturbance although they
     /// were confirmed in it; a watch whose answer is lost looks like one that waits.
     #[must_use]
--- a/crates/dispatch/src/store_health.rs
+++ b/crates/dispatch/src/store_health.rs
@@ -1,3 +1,5 @@
+use crate::RecoveryTimes;
+
 /// Time for which a replica is still used after its registration was removed, if its bound allows
 /// it: the registration may have lapsed in an outage of the store that this node has not detected
 /// yet.
@@ -31,12 +33,15 @@
 pub struct StoreHealth {
     /// Time at which the newest call that got a response was sent.
     answered_call_sent_us: Option<u64>,
+    /// Time at which the newest call that failed was sent.
+    failed_call_sent_us: Option<u64>,
     /// Shortest outage in which registrations of replicas can lapse.
     lapse_us: u64,
     /// Time at which the newest outage ended in which registrations may have lapsed.
     lapses_ended_us: Option<u64>,
     /// Time at which the newest outage ended.
     outage_ended_us: Option<u64>,
+    recovery_times: RecoveryTimes,
     /// Time at which an outage was last suspected.
     suspected_us: Option<u64>,
 }
@@ -45,12 +50,14 @@
     /// Creates the state of a node that has made no call yet; replicas renew their registrations
     /// at the given interval.
     #[must_use]
-    pub const fn new(registration_interval_ms: u64) -> Self {
+    pub const fn new(registration_interval_ms: u64, recovery_times: RecoveryTimes) -> Self {
         Self {
             answered_call_sent_us: None,
+            failed_call_sent_us: None,
             lapse_us: registration_interval_ms * 1_000 * LAPSE_INTERVALS,
             lapses_ended_us: None,
             outage_ended_us: None,
+            recovery_times,
             suspected_us: None,
         }
     }
@@ -73,6 +80,11 @@
         self.answered_call_sent_us = self.answered_call_sent_us.max(Some(sent_us));
     }
 
+    /// Records that a call that was sent at `sent_us` failed.
+    pub fn record_failure(&mut self, sent_us: u64) {
+        self.failed_call_sent_us = self.failed_call_sent_us.max(Some(sent_us));
+    }
+
     /// Records that the store was restored from a copy, in which registrations may be missing.
     pub const fn record_restoration(&mut self, now_us: u64) {
         self.lapses_ended_us = Some(now_us);
@@ -127,10 +139,17 @@
 
     /// Returns whether an outage ended so recently that registrations of replicas may still
     /// be missing: those that lapsed, and those of replicas that started during the outage.
+    ///
+    /// False as soon as a version of the outage must come into force.
     #[must_use]
     pub fn is_settling(&self, now_us: u64) -> bool {
-        self.lapses_ended_us
-            .is_some_and(|ended_us| now_us < ended_us + RESTORED_AFTER_OUTAGE_US)
+        let restored_us = self
+            .lapses_ended_us
+            .map(|ended_us| ended_us + RESTORED_AFTER_OUTAGE_US);
+        let failed_us = self.failed_call_sent_us;
+        let hold_until_us = failed_us.map(|at_us| self.recovery_times.hold_until_us(at_us));
+        restored_us.is_some_and(|at_us| now_us < at_us)
+            && hold_until_us.is_none_or(|at_us| now_us < at_us)
     }
 
     /// Returns the time until which a replica is still used whose registration was removed at most
--- a/crates/dispatch/tests/store_health.rs
+++ b/crates/dispatch/tests/store_health.rs
@@ -1,6 +1,7 @@
 //! Guards against replicas that are dropped because their registrations lapsed in an outage of
 //! the store, and against calls to the store while it is unavailable.
 
+use wigeonhall_dispatch::RecoveryTimes;
 use wigeonhall_dispatch::StoreHealth;
 use wigeonhall_dispatch::silence_limit_ms;
 use wigeonhall_dispatch::watch_pause_ms;
@@ -15,7 +16,7 @@
 
 /// Returns the state of a node whose replicas renew their registrations every 1.2 s.
 fn health() -> StoreHealth {
-    StoreHealth::new(1_200)
+    StoreHealth::new(1_200, RecoveryTimes::new(4_000))
 }
 
 #[test]
@@ -129,3 +130,18 @@
     health.record_response(6 * SECOND_US, 6 * SECOND_US);
     assert_eq!(retry_ms(&health, 6, Some(8_000)), 200);
 }
+
+/// A version waited for its replicas until 2.3 s after the node had noticed the end of an outage, which
+/// ends with the last call that it loses and is noticed up to half of the stabilization time later.
+#[test]
+fn versions_of_an_outage_are_held_back_for_less_than_the_stabilization_time() {
+    let lost_us = 20 * SECOND_US;
+    for noticed_us in (lost_us..=lost_us + 2 * SECOND_US).step_by(SECOND_US as usize / 10) {
+        let mut health = self::health();
+        health.suspect_outage(10 * SECOND_US);
+        health.record_failure(lost_us);
+        health.record_response(noticed_us, noticed_us);
+        assert!(health.is_settling(noticed_us));
+        assert!(!health.is_settling(lost_us + 4 * SECOND_US * 9 / 10));
+    }
+}
--- a/crates/dispatch/tests/version_switch.rs
+++ b/crates/dispatch/tests/version_switch.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use wigeonhall_dispatch::Pool;
+use wigeonhall_dispatch::RecoveryTimes;
 use wigeonhall_dispatch::RouteKind;
 use wigeonhall_dispatch::RouteSpec;
 use wigeonhall_dispatch::RouteTable;
@@ -79,7 +80,7 @@
 /// succession and nodes fall behind, versions that wait come into force too late.
 #[test]
 fn versions_wait_only_while_registrations_are_restored_after_an_outage() {
-    let mut health = StoreHealth::new(1_200);
+    let mut health = StoreHealth::new(1_200, RecoveryTimes::new(4_000));
     assert!(!health.is_settling(S));
     health.record_response(5 * S, 5 * S);
     health.suspect_outage(6 * S);
--- a/crates/entry/src/peers/change_feed.rs
+++ b/crates/entry/src/peers/change_feed.rs
@@ -48,9 +48,8 @@
 }
 
 impl ChangeFeed {
-    /// Creates the state of a node that starts; replicas renew their registrations at the given
-    /// interval.
-    pub(crate) fn new(registration_interval_ms: u64) -> Self {
+    /// Creates the state of a node that starts.
+    pub(crate) fn new(store_health: StoreHealth) -> Self {
         Self {
             followers: broadcast::Sender::new(FOLLOWER_QUEUE_MESSAGES),
             health_check_due: Notify::new(),
@@ -59,7 +58,7 @@
             ended_outage_start_us: watch::Sender::new(0),
             source: watch::Sender::new(ChangeSource::Undecided),
             store_era: watch::Sender::new(0),
-            store_health: RefCell::new(StoreHealth::new(registration_interval_ms)),
+            store_health: RefCell::new(store_health),
         }
     }
 
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -24,6 +24,7 @@
 use wigeonhall_dispatch::RouteProfile;
 use wigeonhall_dispatch::RouteTable;
 use wigeonhall_dispatch::StopLimit;
+use wigeonhall_dispatch::StoreHealth;
 
 use crate::callers::caller_connections::CallerConnections;
 use crate::callers::caller_limits::CallerLimits;
@@ -118,6 +119,8 @@
             window_ms: settings.extra_window_ms,
         });
         pool.set_rollout_bounds(settings.rollout_bounds);
+        let recovery_times = RecoveryTimes::new(settings.stabilization_ms);
+        let store_health = StoreHealth::new(settings.registration_interval_ms, recovery_times);
         let clock = Clock::start();
         Self {
             answer_lag: AnswerLag::default(),
@@ -129,7 +132,7 @@
             crash_suspects: RefCell::default(),
             descriptors: descriptor_limit(settings.descriptors),
             events,
-            feed: ChangeFeed::new(settings.registration_interval_ms),
+            feed: ChangeFeed::new(store_health),
             idle_connections: RefCell::default(),
             latencies: RefCell::default(),
             loop_times: Arc::new(LoopTimes::new(clock)),
--- a/crates/entry/src/store/route_switch.rs
+++ b/crates/entry/src/store/route_switch.rs
@@ -22,7 +22,7 @@
 ///
 /// After an outage of the store a version may name services whose replicas have not registered
 /// yet. The previous version serves until they have, or until the time in which replicas register
-/// again after an outage (`is_settling`) has passed.
+/// again after an outage has passed or the version is due (`is_settling`).
 pub(crate) fn activate_pending(shared: &Rc<NodeState>) -> bool {
     let Some(pending) = shared.pending_routes.borrow().clone() else {
         return true;
--- a/crates/entry/src/store/store_client.rs
+++ b/crates/entry/src/store/store_client.rs
@@ -57,6 +57,17 @@
 }
 
 impl StoreError {
+    /// Whether the store or the links to it were disturbed.
+    fn shows_disturbance(&self) -> bool {
+        match self {
+            Self::Status(status) => {
+                status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS
+            }
+            Self::Timeout | Self::Transport(_) | Self::WatchLost(_) => true,
+            Self::Decode(_) | Self::HistoryGone | Self::ListExpired | Self::OtherEra => false,
+        }
+    }
+
     /// Returns the value of the metric's `outcome` label.
     const fn label(&self) -> &'static str {
         match self {
@@ -158,6 +169,7 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<StoreResponse, StoreError> {
+        let sent_us = self.shared.clock.now_us();
         // Counted before the response arrives: a call that is dropped meanwhile still costs money.
         self.count(call, "sent");
         let result = match time::timeout(timeout, self.call(method, path, body)).await {
@@ -169,6 +181,10 @@
         }
         if let Err(error) = &result {
             self.count(call, error.label());
+            if error.shows_disturbance() {
+                let mut health = self.shared.feed.store_health.borrow_mut();
+                health.record_failure(sent_us);
+            }
         }
         result
     }
--- a/crates/node/tests/entry/recovery.rs
+++ b/crates/node/tests/entry/recovery.rs
@@ -8,12 +8,15 @@
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::ReplicaStandin;
 use wigeonhall_adapter_standins::StoreStandin;
+use wigeonhall_dispatch::RouteKind;
+use wigeonhall_dispatch::TargetSpec;
 use wigeonhall_dispatch::watch_pause_ms;
 
 use crate::caller::ask;
 use crate::deployment::Node;
 use crate::deployment::configuration;
 use crate::deployment::deploy;
+use crate::deployment::route;
 use crate::deployment::route_to_a;
 use crate::deployment::wait_until;
 use crate::feed::wait_for_reader;
@@ -65,15 +68,36 @@
     store.set_answer_delay(ANSWER_DELAY);
     add_route(&store, 2);
     follower.logged(|line| line["event"] == "dependency" && line["name"] == "store");
-    let calls = store.calls_for(Collection::Evacuations);
+    let checks = store.lists_of(Collection::Evacuations);
     wait_until("the next health check", || {
-        store.calls_for(Collection::Evacuations) > calls
+        store.lists_of(Collection::Evacuations) > checks
     });
     store.set_silent(false);
     let elapsed = time_in_force(follower, 2, Instant::now());
     assert!(elapsed <= STABILIZATION, "in force after {elapsed:?}");
 }
 
+/// A version waited for the replicas of its services for 2.3 s after the node had noticed the end of the outage.
+#[test]
+fn a_version_held_back_for_its_replicas_is_in_force_in_time() {
+    let replica = replica();
+    let (store, node) = deploy(vec![route_to_a("moved")], &[&replica]);
+    store.set_silent(true);
+    store.set_answer_delay(ANSWER_DELAY);
+    let missing = TargetSpec::Service("b".into());
+    let moved = route("moved", "/moved/", RouteKind::Idempotent, missing);
+    store.configure(&configuration(2, vec![route_to_a("at-2"), moved]));
+    node.logged(|line| line["event"] == "dependency" && line["name"] == "store");
+    let checks = store.lists_of(Collection::Evacuations);
+    wait_until("the next health check", || {
+        store.lists_of(Collection::Evacuations) > checks
+    });
+    store.set_silent(false);
+    let elapsed = time_in_force(&node, 2, Instant::now());
+    assert!(elapsed <= STABILIZATION, "in force after {elapsed:?}");
+    node.logged(|line| line["outcome"] == "held" && line["version"] == 2);
+}
+
 /// A watch whose answer is lost was replaced in time only for changes made after the disturbance.
 #[test]
 fn a_version_whose_answer_was_lost_is_in_force_in_time() {
