Read changes in time after a call that was lost in a disturbance

Cause: while some calls are lost and health checks pass, the pause after a failed call doubles up to 3 s. It begins when the lost call times out, 2 s after it was sent (3.3 s for evacuations). The waits for the readers (0.5 s) and for the replicas (1.2 s) follow. 4 s are allowed.

A lost call times out within half of the stabilization time, and every wait of choice ends 3/4 of it after the newest failed call was sent, as the disturbance may have ended right then. Pauses after failures that are none of a disturbance, such as a response that cannot be decoded, stay as they were, since nothing else limits those calls.

calls_after_a_lost_one_are_not_put_off_until_changes_are_late_at_every_phase fails with the limit prolonged by 3 s.

--- a/crates/dispatch/src/recovery_times.rs
+++ b/crates/dispatch/src/recovery_times.rs
@@ -1,3 +1,5 @@
+use crate::pacing;
+
 /// Shortest stabilization time that the times are derived from; a shorter one would have nodes call
 /// the store without a pause.
 const STABILIZATION_MIN_MS: u64 = 1_000;
@@ -17,7 +19,8 @@
 ///
 /// | share | stage |
 /// | --- | --- |
-/// | 1/2 | the next health check is sent |
+/// | 1/2 | the next health check is sent, a lost call that does not wait times out |
+/// | 3/4 | the changes are read, whatever the node waits for otherwise |
 /// | 5/6 | a watch whose answer was lost times out |
 /// | 9/10 | a version is held back no longer |
 /// | 1 | the change is in force |
@@ -59,6 +62,20 @@
         (self.stabilization_ms / 2).saturating_sub(elapsed_ms)
     }
 
+    /// Returns the timeout of a call that does not wait, and that a change depends on which must be
+    /// in force within `bound_ms`.
+    #[must_use]
+    pub fn call_timeout_ms(self, bound_ms: u64) -> u64 {
+        pacing::call_timeout_ms(bound_ms).min(self.stabilization_ms / 2)
+    }
+
+    /// Returns the time until which a node may put off reading the changes, if the newest call that
+    /// failed was sent at `failed_us`: the disturbance did not end before.
+    #[must_use]
+    pub const fn read_by_us(self, failed_us: u64) -> u64 {
+        failed_us.saturating_add(self.stabilization_ms * 1_000 / 4 * 3)
+    }
+
     /// Returns the time until which a version may be held back, if the newest call that failed was
     /// sent at `failed_us`: the disturbance did not end before.
     #[must_use]
--- a/crates/dispatch/src/store_health.rs
+++ b/crates/dispatch/src/store_health.rs
@@ -29,7 +29,6 @@
 /// Availability of the store, in which replicas register and operators write the configuration,
 /// as observed by this node. Times are in microseconds.
 #[derive(Debug)]
-#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 pub struct StoreHealth {
     /// Time at which the newest call that got a response was sent.
     answered_call_sent_us: Option<u64>,
@@ -85,6 +84,14 @@
         self.failed_call_sent_us = self.failed_call_sent_us.max(Some(sent_us));
     }
 
+    /// Returns for how long a node may put off reading changes, for its own or the store's relief.
+    #[must_use]
+    pub fn read_slack_us(&self, now_us: u64) -> u64 {
+        let failed_us = self.failed_call_sent_us;
+        let read_by_us = failed_us.map(|at_us| self.recovery_times.read_by_us(at_us));
+        read_by_us.map_or(u64::MAX, |at_us| at_us.saturating_sub(now_us))
+    }
+
     /// Records that the store was restored from a copy, in which registrations may be missing.
     pub const fn record_restoration(&mut self, now_us: u64) {
         self.lapses_ended_us = Some(now_us);
--- a/crates/dispatch/tests/recovery_times.rs
+++ b/crates/dispatch/tests/recovery_times.rs
@@ -2,6 +2,7 @@
 //! the recovery has a limit of its own and nothing bounds their sum.
 
 use wigeonhall_dispatch::RecoveryTimes;
+use wigeonhall_dispatch::StoreHealth;
 
 /// Stabilization times of small, grown and large deployments.
 const STABILIZATION_MS: [u64; 5] = [1_000, 4_000, 5_000, 6_000, 60_000];
@@ -46,6 +47,25 @@
     }
 }
 
+/// The pause after failed calls doubled to 3 s although the store answered again, and a lost call for
+/// evacuations took 3.3 s before; the waits for readers and replicas came on top.
+#[test]
+fn calls_after_a_lost_one_are_not_put_off_until_changes_are_late_at_every_phase() {
+    for stabilization_ms in STABILIZATION_MS {
+        let times = RecoveryTimes::new(stabilization_ms);
+        for bound_ms in [1_000, 3_000, 5_000, 60_000] {
+            let timeout_us = times.call_timeout_ms(bound_ms) * 1_000;
+            let noticed_us = timeout_us.max(stabilization_ms * 1_000 / 2);
+            let mut health = StoreHealth::new(1_200, times);
+            health.record_failure(0);
+            for now_us in (0..=noticed_us).step_by(PHASE_STEP_MS * 1_000) {
+                let read_us = now_us + health.read_slack_us(now_us);
+                assert!(read_us * 10 <= stabilization_ms * 1_000 * 9, "{read_us} us");
+            }
+        }
+    }
+}
+
 /// A setting of 0 would have nodes check the store without a pause.
 #[test]
 fn health_checks_pause_without_a_stabilization_time() {
--- a/crates/entry/src/store/store_client.rs
+++ b/crates/entry/src/store/store_client.rs
@@ -58,7 +58,7 @@
 
 impl StoreError {
     /// Whether the store or the links to it were disturbed.
-    fn shows_disturbance(&self) -> bool {
+    pub(crate) fn shows_disturbance(&self) -> bool {
         match self {
             Self::Status(status) => {
                 status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -19,7 +19,6 @@
 use wigeonhall_adapter::watch_path;
 use wigeonhall_dispatch::ChangeBatch;
 use wigeonhall_dispatch::StoreRevision;
-use wigeonhall_dispatch::call_timeout_ms;
 use wigeonhall_dispatch::watch_pause_ms;
 use wigeonhall_dispatch::watch_timeout_ms;
 use wigeonhall_dispatch::watch_wait_ms;
@@ -84,6 +83,7 @@
         failures: 0,
         freshness,
         waited_for_readers: false,
+        was_disturbed: false,
         view,
     };
     loop {
@@ -135,6 +135,8 @@
     freshness: Freshness,
     /// Whether this node already waited for the readers after the current outage.
     waited_for_readers: bool,
+    /// Whether the last call failed because of a disturbance, and not because of its response.
+    was_disturbed: bool,
     view: Rc<CollectionView>,
 }
 
@@ -146,6 +148,7 @@
             Some(revision) if !self.view.must_list() => self.watch(revision).await,
             Some(_) | None => self.list().await,
         };
+        self.was_disturbed = matches!(&result, Err(error) if error.shows_disturbance());
         match result {
             Ok(changes) => {
                 self.failures = 0;
@@ -210,14 +213,27 @@
         }
         if let Some(doublings) = self.failures.checked_sub(1) {
             let pause = (RETRY_PAUSE * (1 << doublings.min(4))).min(RETRY_PAUSE_MAX);
-            time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+            let pause = pause.mul_f64(0.5 + fastrand::f64());
+            if self.was_disturbed {
+                self.put_off(pause).await;
+            } else {
+                time::sleep(pause).await;
+            }
         }
         if self.view.is_unavailable() && shared.feed.may_follow.get() && !self.waited_for_readers {
             self.waited_for_readers = true;
-            time::sleep(CALL_DELAY_AFTER_OUTAGE).await;
+            self.put_off(CALL_DELAY_AFTER_OUTAGE).await;
         }
     }
 
+    /// Waits before a call, but no longer than changes made in the last disturbance allow.
+    async fn put_off(&self, wait: Duration) {
+        let shared = &self.view.shared;
+        let now_us = shared.clock.now_us();
+        let slack_us = shared.feed.store_health.borrow().read_slack_us(now_us);
+        time::sleep(wait.min(Duration::from_micros(slack_us))).await;
+    }
+
     /// After an outage, delays reading the configuration until the replicas are read: a version
     /// that names services without a known replica can't serve callers.
     async fn wait_for_replicas(&self) {
@@ -229,7 +245,7 @@
             if !self.view.shared.replicas_unavailable.get() {
                 return;
             }
-            time::sleep(REPLICAS_CHECK_INTERVAL).await;
+            self.put_off(REPLICAS_CHECK_INTERVAL).await;
         }
     }
 
@@ -410,7 +426,8 @@
 
     /// Returns the timeout of a call that does not wait for changes.
     fn call_timeout(&self) -> Duration {
-        Duration::from_millis(call_timeout_ms(self.view.bound_ms()))
+        let times = self.view.shared.recovery_times();
+        Duration::from_millis(times.call_timeout_ms(self.view.bound_ms()))
     }
 
     fn call(&self, purpose: CallPurpose) -> StoreCall {
