Notice lapsed registrations although another call fails meanwhile

After an outage a version could come into force before the replicas of its services had registered again; callers of moved routes were refused until then.

Cause: a response shows that registrations may have lapsed only if its call was sent after the last suspicion of an outage. A call that fails between the sending and the response of the first health check that is answered renews the suspicion; the next check finds a recent response, and the outage is forgotten.

Whether registrations may have lapsed follows from the time between two answered calls alone, which the rule checks already.

--- a/crates/dispatch/src/store_health.rs
+++ b/crates/dispatch/src/store_health.rs
@@ -72,8 +72,7 @@
     /// It ends a suspected outage. Registrations may have lapsed if no call was answered for
     /// long enough: the loss of a peer or of a single response is no such outage.
     pub fn record_response(&mut self, now_us: u64, sent_us: u64) {
-        if self.outage_suspected() && Some(sent_us) >= self.suspected_us && self.may_lapse(sent_us)
-        {
+        if self.outage_suspected() && self.may_lapse(sent_us) {
             self.lapses_ended_us = Some(now_us);
         }
         self.answered_call_sent_us = self.answered_call_sent_us.max(Some(sent_us));
--- a/crates/dispatch/tests/store_health.rs
+++ b/crates/dispatch/tests/store_health.rs
@@ -145,3 +145,17 @@
         assert!(!health.is_settling(lost_us + 4 * SECOND_US * 9 / 10));
     }
 }
+
+/// A call that failed while the response that ends the outage was on its way hid the outage: versions came
+/// into force before the replicas of their services had registered again.
+#[test]
+fn a_failed_call_does_not_hide_that_registrations_may_have_lapsed() {
+    let mut health = self::health();
+    health.record_response(10 * SECOND_US, 10 * SECOND_US);
+    health.suspect_outage(13 * SECOND_US);
+    let sent_us = 13 * SECOND_US;
+    health.suspect_outage(sent_us + 20_000);
+    health.record_response(sent_us + 50_000, sent_us);
+    health.record_response(sent_us + 80_000, sent_us + 60_000);
+    assert!(health.is_settling(sent_us + 80_000));
+}
