Limit the bytes of callers that arrive and are not read

With callers that send far more than the limit, the memory of a node and the bytes in its receive queues together exceeded the memory of the machine, which ends the process.

Cause: the account of memory holds what the process spends. The kernel's receive buffers are not part of it, and grow to megabytes for a caller that keeps sending to a connection that is not read, as after a refusal. Nothing bounded their sum.

The listener for callers has a receive buffer of 32 KiB, which accepted connections inherit, and a connection costs as much more in the account. With 112 MB callers may hold 555 connections, with 182 MB 974 (before: 1,048 and 1,840; half of the descriptors limits them too).

--- a/crates/dispatch/src/connection_limit.rs
+++ b/crates/dispatch/src/connection_limit.rs
@@ -1,6 +1,11 @@
+/// Size of the kernel's receive buffer of a caller's connection: the bytes that a caller can send
+/// before they are read.
+pub const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Memory of a caller's connection: buffers for reading (16 KiB with a head of the largest usual
-/// size) and writing (8 KiB), its task and its timers.
-pub const CONNECTION_BYTES: usize = 36 * 1024;
+/// size) and writing (8 KiB), its task and its timers, and the bytes that have arrived and were
+/// not read.
+pub const CONNECTION_BYTES: usize = 36 * 1024 + RECEIVE_BUFFER_BYTES;
 
 /// Divisor of the descriptors; callers may hold the quotient. The rest is for replicas, peers and
 /// the store.
--- a/crates/entry/src/net/mod.rs
+++ b/crates/entry/src/net/mod.rs
@@ -3,4 +3,5 @@
 pub(crate) mod counted_body;
 pub(crate) mod hooked_stream;
 pub(crate) mod http_client;
+pub(crate) mod listener;
 pub(crate) mod socket;
--- a/crates/entry/src/process/run.rs
+++ b/crates/entry/src/process/run.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::task;
 use tokio::task::LocalSet;
@@ -14,6 +13,7 @@
 
 use crate::callers::caller_server;
 use crate::callers::probed_listener::ProbedListener;
+use crate::net::listener;
 use crate::peers::crash_reports;
 use crate::peers::feed_client;
 use crate::peers::quota_exchange;
@@ -106,16 +106,16 @@
 
 async fn serve(shared: &Rc<NodeState>, options: EntryOptions) -> Result<(), EntryError> {
     let settings = &shared.settings;
-    let callers = listen(settings.caller_address).await?;
-    let platform = listen(settings.readiness_address).await?;
-    let nodes = listen(settings.internal_address).await?;
+    let callers = listener::for_callers(settings.caller_address)?;
+    let platform = listener::with_defaults(settings.readiness_address).await?;
+    let nodes = listener::with_defaults(settings.internal_address).await?;
     let internal_address = nodes.local_addr().map_err(EntryError::System)?;
     let probed = |listener| ProbedListener::new(listener, shared.loop_times.clone());
     shared.peers.borrow_mut().set_own_address(internal_address);
     let mut metrics_address = None;
     if let Some(port) = options.metrics_port {
         let address = SocketAddr::new(settings.caller_address.ip(), port);
-        let listener = listen(address).await?;
+        let listener = listener::with_defaults(address).await?;
         metrics_address = listener.local_addr().ok();
         task::spawn_local(readiness::serve(shared.clone(), probed(listener)));
     }
@@ -160,9 +160,3 @@
     let state = shared.clone();
     supervisor::spawn("store_sentinel", move || store_health::run(state.clone()));
 }
-
-async fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|error| EntryError::Listen(address, error))
-}
