Keep connections whose first request is on its way for longest

Beside callers that keep bodies incomplete and connect again at once, ordinary callers were closed without an answer.

Cause: at the limit of connections a new one displaced the one that waited longest for its first request, if only for some milliseconds, and incomplete bodies were closed only if there was no such connection. Callers that connect again at once therefore displaced every caller that had just connected. Closing a body did not free the memory of its connection either, so that the new connection was refused all the same.

An incomplete body is chosen like any other state, and its whole connection is closed.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -107,6 +107,7 @@
 pub use connection_limit::CONNECTION_BYTES;
 pub use connection_limit::ConnectionState;
 pub use connection_limit::RECEIVE_BUFFER_BYTES;
+pub use connection_limit::REQUEST_GRACE_MS;
 pub use connection_limit::connection_limit;
 pub use connection_limit::connection_to_close;
 pub use crash_evidence::CrashEvidence;
--- a/crates/dispatch/tests/incomplete_bodies.rs
+++ b/crates/dispatch/tests/incomplete_bodies.rs
@@ -59,13 +59,34 @@
     ];
     let mut open = states.to_vec();
     let mut order = Vec::new();
-    while let Some(key) = connection_to_close(open.iter().copied()) {
+    while let Some(key) = connection_to_close(open.iter().copied(), 10) {
         order.push(key);
         open.retain(|(other, _, _)| *other != key);
     }
     assert_eq!(order, [5, 4, 3, 2, 1]);
 }
 
+/// Callers that connect again at once displaced others whose first request was on its way.
+#[test]
+fn connections_whose_first_request_may_be_on_its_way_are_closed_last() {
+    let idle = |used| ConnectionState::Idle { used };
+    let mut open = vec![
+        (1, idle(false), 21),
+        (2, ConnectionState::Head, 21),
+        (3, ConnectionState::Busy, 1),
+        (4, ConnectionState::Body, 22),
+        (5, ConnectionState::Body, 2),
+        (6, idle(false), 3),
+        (7, idle(true), 21),
+    ];
+    let mut order = Vec::new();
+    while let Some(key) = connection_to_close(open.iter().copied(), 20) {
+        order.push(key);
+        open.retain(|(other, _, _)| *other != key);
+    }
+    assert_eq!(order, [6, 7, 5, 4, 2, 1]);
+}
+
 #[test]
 fn callers_leave_half_of_the_descriptors() {
     assert_eq!(connection_limit(Some(2_870)), 1_435);
--- a/crates/entry/src/callers/caller_body.rs
+++ b/crates/entry/src/callers/caller_body.rs
@@ -85,7 +85,7 @@
 }
 
 /// Closes the slowest incomplete body, if one has had time enough; returns whether one was closed.
-pub(crate) fn close_slowest(shared: &NodeState) -> bool {
+fn close_slowest(shared: &NodeState) -> bool {
     let now_us = shared.clock.now_us();
     let closed = shared.open_bodies.borrow_mut().close_slowest(now_us);
     if closed.is_some() {
--- a/crates/entry/src/callers/caller_connections.rs
+++ b/crates/entry/src/callers/caller_connections.rs
@@ -1,12 +1,15 @@
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
 
 use wigeonhall_dispatch::CONNECTION_BYTES;
 use wigeonhall_dispatch::MemoryUse;
+use wigeonhall_dispatch::REQUEST_GRACE_MS;
 use wigeonhall_dispatch::connection_limit;
 use wigeonhall_dispatch::connection_to_close;
 
-use crate::callers::caller_body;
 use crate::callers::caller_limits::CallerLimit;
 use crate::callers::caller_stream::CallerActivity;
 use crate::process::held_memory::HeldMemory;
@@ -30,14 +33,17 @@
         }
     }
 
-    /// Closes a connection in favour of a new one; returns false if all are busy.
+    /// Closes a connection in favour of a new one; returns false if there is none to close.
     fn close_one(&self) -> bool {
         let mut open = self.open.borrow_mut();
         let states = open.iter().enumerate().map(|(index, activity)| {
             let (state, since) = activity.state();
             (index, state, since)
         });
-        let Some(index) = connection_to_close(states) else {
+        let grace = Duration::from_millis(REQUEST_GRACE_MS);
+        let young_since = Instant::now().checked_sub(grace);
+        let young_since = young_since.unwrap_or_else(Instant::now);
+        let Some(index) = connection_to_close(states, young_since) else {
             return false;
         };
         open.swap_remove(index).close();
@@ -58,7 +64,7 @@
     }
 }
 
-/// Admits a connection, if need be in favour of others without a request; `None` if all are busy.
+/// Admits a connection, if need be in favour of others without a whole request; `None` if all are busy.
 pub(crate) fn admit(
     shared: &Rc<NodeState>,
     activity: Rc<CallerActivity>,
@@ -84,12 +90,11 @@
     reserve().or_else(|| make_room(shared).then(reserve).flatten())
 }
 
-/// Closes a connection without a request, or else the slowest incomplete body, whose connection
-/// ends soon afterwards; returns false if there is neither.
+/// Closes a connection without a whole request; returns false if there is none.
 fn make_room(shared: &NodeState) -> bool {
     let closed = shared.caller_connections.close_one();
     if closed {
         shared.caller_limits.count(CallerLimit::ConnectionClosed);
     }
-    closed || caller_body::close_slowest(shared)
+    closed
 }
--- a/crates/entry/src/callers/caller_stream.rs
+++ b/crates/entry/src/callers/caller_stream.rs
@@ -36,8 +36,8 @@
 /// State of a caller's connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Activity {
-    /// A request was read and isn't answered yet.
-    Answering,
+    /// The head of a request was read at this time, and the request isn't answered yet.
+    Answering(Instant),
     /// The head of a request has been partly read; holds the time of its first bytes.
     Head(Instant),
     /// No request is open; holds the time of the last progress.
@@ -128,7 +128,8 @@
             Activity::Idle(since) if self.body_left.get() => (ConnectionState::Closing, since),
             Activity::Idle(since) => (ConnectionState::Idle { used }, since),
             Activity::Head(since) => (ConnectionState::Head, since),
-            Activity::Answering => (ConnectionState::Busy, Instant::now()),
+            Activity::Answering(since) if self.body_left.get() => (ConnectionState::Body, since),
+            Activity::Answering(since) => (ConnectionState::Busy, since),
         }
     }
 
@@ -145,7 +146,7 @@
     /// Records that the head of a request is complete. Returns the earliest time at which it may
     /// have arrived; `None` if it was pipelined behind another request.
     pub(crate) fn request_read(&self) -> Option<u64> {
-        self.activity.set(Activity::Answering);
+        self.activity.set(Activity::Answering(Instant::now()));
         self.arrived_us.take()
     }
 
@@ -197,7 +198,7 @@
     /// a request is being answered.
     fn closes_at(&self) -> Option<Instant> {
         match self.activity.get() {
-            Activity::Answering => None,
+            Activity::Answering(_) => None,
             Activity::Head(since) => Some(since + self.head_timeout),
             Activity::Idle(since) => Some(since + self.idle_timeout),
         }
