Let displaced connections of the own interface end before others are accepted

At the limit of connections of the product's own interface the process held up to 592 descriptors in place of about 430; a quarter of 800 must stay free.

Cause: a connection that is closed in favour of a new one counts as closed at once, but holds its descriptor until its task runs. The accept loop takes all connections that wait in one turn.

--- a/crates/node/src/front_server.rs
+++ b/crates/node/src/front_server.rs
@@ -124,6 +124,9 @@
                     );
                     open_tasks.spawn_local(serving);
                 }
+                // A connection that was closed for this one holds its descriptor until its task
+                // has run.
+                task::yield_now().await;
             }
             Err(error) => {
                 log::warn!("cannot accept a connection: {error}");
