Move the pauses before calls to the store to a file of their own

No change of behaviour. The watcher of a collection keeps what it reads; when it may call is decided in one place, with one step each for an outage, failures, the readers and the replicas.

--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's store: calls, watches, copies of its collections, and what follows from changes.
 
+mod call_pauses;
 pub(crate) mod collection_effects;
 pub(crate) mod collection_view;
 pub(crate) mod collection_views;
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -25,6 +25,8 @@
 
 use crate::peers::change_feed::ChangeSource;
 use crate::process::node_state::NodeState;
+use crate::store::call_pauses;
+use crate::store::call_pauses::CallPauses;
 use crate::store::collection_view::CollectionView;
 use crate::store::list_pages;
 use crate::store::paged_list::PagedList;
@@ -34,16 +36,6 @@
 use crate::store::store_client::StoreError;
 use crate::store::store_client::StoreResponse;
 
-/// Interval between checks whether an outage of the store is still suspected.
-const SUSPECTED_OUTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Longest wait of a call while an outage of the store is suspected.
-const SUSPECTED_OUTAGE_WAIT_MAX: Duration = Duration::from_secs(4);
-
-/// Longest wait of a call while an outage of the store is suspected, for a node that may follow
-/// a peer; the readers find out whether the store answers calls although it fails health checks.
-const SUSPECTED_OUTAGE_WAIT_MAX_FOLLOWER: Duration = Duration::from_secs(10);
-
 /// Wait of a watch that catches up, which returns at once, in milliseconds.
 const CATCH_UP_WAIT_MS: u64 = 1;
 
@@ -52,22 +44,6 @@
 /// sent.
 const WAITED_MIN_US: u64 = 500_000;
 
-/// Interval between checks whether the replicas were read after an outage.
-const REPLICAS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Checks after which the configuration is read anyway.
-const REPLICAS_CHECKS_MAX: u32 = 12;
-
-/// Mean pause after a failed call; doubles with each further failure.
-const RETRY_PAUSE: Duration = Duration::from_millis(125);
-
-/// Time after an outage in which a node that may follow a peer makes no calls, so that the readers
-/// read the changes made in the outage first.
-const CALL_DELAY_AFTER_OUTAGE: Duration = Duration::from_millis(500);
-
-/// Upper bound of the mean pause after failed calls.
-const RETRY_PAUSE_MAX: Duration = Duration::from_secs(2);
-
 /// Lists and watches one collection until the process ends, whenever the node reads the store
 /// itself.
 pub(crate) async fn run(view: Rc<CollectionView>) {
@@ -80,10 +56,8 @@
     let mut ended_outages = view.shared.feed.ended_outage_start_us.subscribe();
     let mut watcher = StoreWatcher {
         client: StoreClient::new(&view.shared),
-        failures: 0,
         freshness,
-        waited_for_readers: false,
-        was_disturbed: false,
+        pauses: CallPauses::new(view.clone()),
         view,
     };
     loop {
@@ -128,31 +102,23 @@
 
 struct StoreWatcher {
     client: StoreClient,
-    /// Consecutive failed calls while the store passed health checks.
-    failures: u32,
     /// Freshness of the next list. A stale one suffices only while the whole tier starts for the
     /// first time: later, it may be of a time before the store was restored from a copy.
     freshness: Freshness,
-    /// Whether this node already waited for the readers after the current outage.
-    waited_for_readers: bool,
-    /// Whether the last call failed because of a disturbance, and not because of its response.
-    was_disturbed: bool,
+    pauses: CallPauses,
     view: Rc<CollectionView>,
 }
 
 impl StoreWatcher {
     async fn step(&mut self) {
-        self.wait_for_store().await;
-        self.wait_for_replicas().await;
+        self.pauses.wait_before_call().await;
         let result = match self.view.revision.get() {
             Some(revision) if !self.view.must_list() => self.watch(revision).await,
             Some(_) | None => self.list().await,
         };
-        self.was_disturbed = matches!(&result, Err(error) if error.shows_disturbance());
         match result {
             Ok(changes) => {
-                self.failures = 0;
-                self.waited_for_readers = false;
+                self.pauses.record_success();
                 if let Some(unavailable_since_us) = self.view.mark_available() {
                     let shared = &self.view.shared;
                     let now_us = shared.clock.now_us();
@@ -165,20 +131,18 @@
                 time::sleep(Duration::from_millis(pause_ms)).await;
             }
             Err(StoreError::HistoryGone) => self.list_anew(),
-            Err(StoreError::ListExpired) => {
+            Err(error @ StoreError::ListExpired) => {
                 self.list_anew();
-                self.failures += 1;
+                self.pauses.record_failure(&error);
             }
-            // The next call, which returns at once, shows whether the store is available. The store
-            // may have cut off the watches of all nodes, which must not reconnect at the same
-            // moment.
+            // The next call, which returns at once, shows whether the store is available.
             Err(StoreError::WatchLost(reason)) => {
                 log::warn!(
                     "a watch of {} ended: {reason}",
                     self.view.collection.wire_name()
                 );
                 self.view.catch_up_due.set(true);
-                time::sleep(RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+                call_pauses::wait_after_lost_watch().await;
             }
             // A list that is not stale either must not be repeated without a pause.
             Err(StoreError::OtherEra) if !self.view.list_due.get() => self.list_anew(),
@@ -192,63 +156,6 @@
         self.freshness = Freshness::Current;
     }
 
-    /// Waits while an outage of the store is suspected, and backs off after calls that failed
-    /// although the store passed health checks. A node that may follow a peer first gives the
-    /// readers time to catch up.
-    async fn wait_for_store(&mut self) {
-        let shared = self.view.shared.clone();
-        let outage_end = async {
-            while shared.feed.is_store_outage_suspected() {
-                time::sleep(SUSPECTED_OUTAGE_CHECK_INTERVAL).await;
-            }
-        };
-        let limit = if shared.feed.may_follow.get() {
-            SUSPECTED_OUTAGE_WAIT_MAX_FOLLOWER
-        } else {
-            SUSPECTED_OUTAGE_WAIT_MAX
-        };
-        if time::timeout(limit, outage_end).await.is_err() {
-            log::debug!("an outage of the store is still suspected; calling it anyway");
-            self.failures = 0;
-        }
-        if let Some(doublings) = self.failures.checked_sub(1) {
-            let pause = (RETRY_PAUSE * (1 << doublings.min(4))).min(RETRY_PAUSE_MAX);
-            let pause = pause.mul_f64(0.5 + fastrand::f64());
-            if self.was_disturbed {
-                self.put_off(pause).await;
-            } else {
-                time::sleep(pause).await;
-            }
-        }
-        if self.view.is_unavailable() && shared.feed.may_follow.get() && !self.waited_for_readers {
-            self.waited_for_readers = true;
-            self.put_off(CALL_DELAY_AFTER_OUTAGE).await;
-        }
-    }
-
-    /// Waits before a call, but no longer than changes made in the last disturbance allow.
-    async fn put_off(&self, wait: Duration) {
-        let shared = &self.view.shared;
-        let now_us = shared.clock.now_us();
-        let slack_us = shared.feed.store_health.borrow().read_slack_us(now_us);
-        time::sleep(wait.min(Duration::from_micros(slack_us))).await;
-    }
-
-    /// After an outage, delays reading the configuration until the replicas are read: a version
-    /// that names services without a known replica can't serve callers.
-    async fn wait_for_replicas(&self) {
-        let recovering = self.view.is_unavailable();
-        if self.view.collection != Collection::Configuration || !recovering {
-            return;
-        }
-        for _ in 0..REPLICAS_CHECKS_MAX {
-            if !self.view.shared.replicas_unavailable.get() {
-                return;
-            }
-            self.put_off(REPLICAS_CHECK_INTERVAL).await;
-        }
-    }
-
     /// Lists the whole collection. Returns 0 changes, so that the next watch follows without a
     /// pause.
     async fn list(&mut self) -> Result<usize, StoreError> {
@@ -402,7 +309,7 @@
             .catch_up_due
             .set(self.view.revision.get().is_some());
         shared.feed.suspect_store_outage(shared.clock.now_us());
-        self.failures += 1;
+        self.pauses.record_failure(error);
     }
 
     /// Returns the wait and the timeout of a watch.
