--- a/crates/entry/src/peers/change_feed.rs
+++ b/crates/entry/src/peers/change_feed.rs
@@ -1,9 +1,11 @@
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::sync::broadcast;
 use tokio::sync::watch;
+use tokio::time;
 
 use wigeonhall_adapter::Collection;
 use wigeonhall_dispatch::ChangeBatch;
@@ -11,6 +13,9 @@
 
 use crate::peers::feed_protocol::FeedMessage;
 
+/// Interval between checks whether an outage of the store is still suspected.
+const SUSPECTED_OUTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Messages queued for a follower; its stream ends when it falls further behind.
 const FOLLOWER_QUEUE_MESSAGES: usize = 64;
 
@@ -129,6 +134,21 @@
         self.store_health.borrow().outage_suspected()
     }
 
+    /// Waits while an outage of the store is suspected, but no longer than `limit`; returns whether
+    /// none is suspected any more.
+    pub(crate) async fn wait_for_store(&self, limit: Duration) -> bool {
+        let outage_end = async {
+            while self.is_store_outage_suspected() {
+                time::sleep(SUSPECTED_OUTAGE_CHECK_INTERVAL).await;
+            }
+        };
+        let available = time::timeout(limit, outage_end).await.is_ok();
+        if !available {
+            log::debug!("an outage of the store is still suspected; calling it anyway");
+        }
+        available
+    }
+
     /// Announces the end of an outage of the store, once per outage.
     pub(crate) fn record_outage_end(&self, now_us: u64, began_us: u64) {
         let mut health = self.store_health.borrow_mut();
--- a/crates/entry/src/store/call_pauses.rs
+++ b/crates/entry/src/store/call_pauses.rs
@@ -10,9 +10,6 @@
 use crate::store::collection_view::CollectionView;
 use crate::store::store_client::StoreError;
 
-/// Interval between checks whether an outage of the store is still suspected.
-const SUSPECTED_OUTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Longest wait of a call while an outage of the store is suspected.
 const SUSPECTED_OUTAGE_WAIT_MAX: Duration = Duration::from_secs(4);
 
@@ -79,19 +76,13 @@
 
     /// Waits while an outage of the store is suspected.
     async fn wait_for_store(&mut self) {
-        let shared = self.view.shared.clone();
-        let outage_end = async {
-            while shared.feed.is_store_outage_suspected() {
-                time::sleep(SUSPECTED_OUTAGE_CHECK_INTERVAL).await;
-            }
-        };
-        let limit = if shared.feed.may_follow.get() {
+        let feed = &self.view.shared.feed;
+        let limit = if feed.may_follow.get() {
             SUSPECTED_OUTAGE_WAIT_MAX_FOLLOWER
         } else {
             SUSPECTED_OUTAGE_WAIT_MAX
         };
-        if time::timeout(limit, outage_end).await.is_err() {
-            log::debug!("an outage of the store is still suspected; calling it anyway");
+        if !feed.wait_for_store(limit).await {
             self.failures = 0;
         }
     }
--- a/crates/entry/src/store/peer_registry.rs
+++ b/crates/entry/src/store/peer_registry.rs
@@ -34,9 +34,6 @@
 /// Mean pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
-/// Interval between checks whether an outage of the store is still suspected.
-const SUSPECTED_OUTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Longest wait while an outage of the store is suspected. A follower, which receives the store's
 /// changes from a peer, makes no health checks of its own and may not learn that the outage has
 /// ended.
@@ -97,7 +94,7 @@
     malformed: &MalformedEntries,
 ) -> Vec<PeerNode> {
     loop {
-        wait_for_store(shared).await;
+        shared.feed.wait_for_store(SUSPECTED_OUTAGE_WAIT_MAX).await;
         match list(shared, client, malformed).await {
             Ok(nodes) => return nodes,
             Err(error) => pause_after_failure(shared, "list the nodes", &error).await,
@@ -107,10 +104,10 @@
 
 async fn register_with_retries(shared: Rc<NodeState>) {
     let mut client = StoreClient::new(&shared);
-    wait_for_store(&shared).await;
+    shared.feed.wait_for_store(SUSPECTED_OUTAGE_WAIT_MAX).await;
     while let Err(error) = register(&shared, &mut client).await {
         pause_after_failure(&shared, "register the node", &error).await;
-        wait_for_store(&shared).await;
+        shared.feed.wait_for_store(SUSPECTED_OUTAGE_WAIT_MAX).await;
     }
 }
 
@@ -121,21 +118,6 @@
     time::sleep(RETRY_PAUSE.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
 }
 
-/// Waits while an outage of the store is suspected, for a limited time.
-async fn wait_for_store(shared: &NodeState) {
-    let outage_end = async {
-        while shared.feed.is_store_outage_suspected() {
-            time::sleep(SUSPECTED_OUTAGE_CHECK_INTERVAL).await;
-        }
-    };
-    if time::timeout(SUSPECTED_OUTAGE_WAIT_MAX, outage_end)
-        .await
-        .is_err()
-    {
-        log::debug!("an outage of the store is still suspected; calling it anyway");
-    }
-}
-
 /// Removes the node's registration at a planned stop.
 pub(crate) async fn unregister(shared: &Rc<NodeState>) {
     let mut client = StoreClient::new(shared);
