--- a/crates/entry/src/callers/caller_connections.rs
+++ b/crates/entry/src/callers/caller_connections.rs
@@ -64,7 +64,8 @@
     }
 }
 
-/// Admits a connection, if need be in favour of others without a whole request; `None` if all are busy.
+/// Admits a connection, if need be in favour of others without a whole request; `None` if all are
+/// busy.
 pub(crate) fn admit(
     shared: &Rc<NodeState>,
     activity: Rc<CallerActivity>,
--- a/crates/entry/src/callers/caller_limits.rs
+++ b/crates/entry/src/callers/caller_limits.rs
@@ -8,7 +8,7 @@
 pub(crate) enum CallerLimit {
     /// An incomplete body was closed, as others needed the memory.
     BodyClosed,
-    /// A connection without a request was closed in favour of a new one.
+    /// A connection without a whole request was closed in favour of a new one.
     ConnectionClosed,
     /// A new connection was closed, as all others were busy.
     ConnectionRefused,
