--- a/crates/dispatch/src/store_health.rs
+++ b/crates/dispatch/src/store_health.rs
@@ -161,8 +161,8 @@
     /// Returns the time until which a replica is still used whose registration was removed at most
     /// `change_age_us` ago; requests must no longer reach it `drain_us` after the removal.
     ///
-    /// Only an outage in which registrations may have lapsed lets a replica be used for longer, also
-    /// one that other calls than those for the registrations detected.
+    /// Only an outage in which registrations may have lapsed lets a replica be used for longer,
+    /// also one that other calls than those for the registrations detected.
     #[must_use]
     pub fn removal_at_us(&self, now_us: u64, change_age_us: u64, drain_us: u64) -> u64 {
         if self.outage_suspected() && self.may_lapse(now_us) {
--- a/crates/dispatch/tests/recovery_times.rs
+++ b/crates/dispatch/tests/recovery_times.rs
@@ -16,8 +16,7 @@
     end_ms.div_ceil(gap_ms) * gap_ms
 }
 
-/// A node that may follow a reader paused for 3 s after a lost check had timed out after 1 s, and heard
-/// of the end of a disturbance up to 4 s later.
+/// A node paused for 3 s after a lost check of 1 s, and noticed the end of an outage 4 s later.
 #[test]
 fn health_checks_are_sent_within_half_of_the_time_at_every_phase() {
     for stabilization_ms in STABILIZATION_MS {
@@ -35,8 +34,7 @@
     }
 }
 
-/// Changes that were confirmed in a disturbance, and whose watch lost its answer, came into force up to
-/// 5.5 s after it: the wait allowed for changes confirmed after the stabilization time only.
+/// Watches allowed only for changes that are confirmed after the stabilization time.
 #[test]
 fn lost_watches_are_replaced_before_the_changes_of_the_disturbance_are_due() {
     for stabilization_ms in STABILIZATION_MS {
@@ -47,8 +45,7 @@
     }
 }
 
-/// The pause after failed calls doubled to 3 s although the store answered again, and a lost call for
-/// evacuations took 3.3 s before; the waits for readers and replicas came on top.
+/// Pauses after failed calls, for readers and for replicas added up to more than the time.
 #[test]
 fn calls_after_a_lost_one_are_not_put_off_until_changes_are_late_at_every_phase() {
     for stabilization_ms in STABILIZATION_MS {
--- a/crates/dispatch/tests/store_health.rs
+++ b/crates/dispatch/tests/store_health.rs
@@ -131,8 +131,7 @@
     assert_eq!(retry_ms(&health, 6, Some(8_000)), 200);
 }
 
-/// A version waited for its replicas until 2.3 s after the node had noticed the end of an outage, which
-/// ends with the last call that it loses and is noticed up to half of the stabilization time later.
+/// Versions were held back for 2.3 s from the moment at which the node noticed the end.
 #[test]
 fn versions_of_an_outage_are_held_back_for_less_than_the_stabilization_time() {
     let lost_us = 20 * SECOND_US;
@@ -146,8 +145,7 @@
     }
 }
 
-/// A call that failed while the response that ends the outage was on its way hid the outage: versions came
-/// into force before the replicas of their services had registered again.
+/// A call that failed before the response that ends an outage arrived hid the outage.
 #[test]
 fn a_failed_call_does_not_hide_that_registrations_may_have_lapsed() {
     let mut health = self::health();
--- a/crates/entry/src/store/call_pauses.rs
+++ b/crates/entry/src/store/call_pauses.rs
@@ -134,8 +134,8 @@
     }
 }
 
-/// Waits after the end of a watch that had waited for changes: the store may have cut off the watches
-/// of all nodes, which must not reconnect at the same moment.
+/// Waits after the end of a watch that had waited for changes: the store may have cut off the
+/// watches of all nodes, which must not reconnect at the same moment.
 pub(super) async fn wait_after_lost_watch() {
     time::sleep(vary(RETRY_PAUSE)).await;
 }
--- a/crates/node/tests/entry/recovery.rs
+++ b/crates/node/tests/entry/recovery.rs
@@ -48,7 +48,7 @@
     since.elapsed()
 }
 
-/// A lost check of a node whose reader stays without the store delayed the next one beyond the time.
+/// A lost check of a node whose reader stays without the store delayed the next one too long.
 #[test]
 fn a_version_of_an_outage_is_in_force_in_time_after_a_lost_health_check() {
     let replica = replica();
@@ -77,7 +77,7 @@
     assert!(elapsed <= STABILIZATION, "in force after {elapsed:?}");
 }
 
-/// A version waited for the replicas of its services for 2.3 s after the node had noticed the end of the outage.
+/// A version was held back for 2.3 s from the moment at which the node noticed the end.
 #[test]
 fn a_version_held_back_for_its_replicas_is_in_force_in_time() {
     let replica = replica();
@@ -98,7 +98,7 @@
     node.logged(|line| line["outcome"] == "held" && line["version"] == 2);
 }
 
-/// A watch whose answer is lost was replaced in time only for changes made after the disturbance.
+/// A lost watch was replaced in time only for changes made after the disturbance.
 #[test]
 fn a_version_whose_answer_was_lost_is_in_force_in_time() {
     let replica = replica();
--- a/crates/node/tests/overload/crowd.rs
+++ b/crates/node/tests/overload/crowd.rs
@@ -93,7 +93,8 @@
         self.send_in_pieces(stream, usize::MAX);
     }
 
-    /// Lets each caller write what the node takes; those that were answered or closed connect again.
+    /// Lets each caller write what the node takes; those that were answered or closed connect
+    /// again.
     fn write_and_return(&mut self, address: SocketAddr, stream: &Stream) {
         for sender in &mut self.senders {
             while sender.write(stream, usize::MAX) {}
--- a/crates/node/tests/overload/main.rs
+++ b/crates/node/tests/overload/main.rs
@@ -172,8 +172,7 @@
     EntryNode::check_memory(&watch);
 }
 
-/// Connections of ordinary callers were closed before their request was read, in favour of the
-/// connections of callers that keep incomplete bodies open and connect again.
+/// Connections of ordinary callers were closed before their request was read.
 #[test]
 fn callers_that_connect_again_do_not_displace_ordinary_requests() {
     let mut node = EntryNode::start();
