--- /dev/null
+++ b/review/harness-3/src/main.rs
@@ -0,0 +1,346 @@
+//! `review-harness-3 CASE FOLDER`: plays a case; exits with 1 if the rule was broken, 0 if it held,
+//! 2 if the case could not run. With `TROUBLE=0` it plays the case without the disruption.
+
+mod deployment;
+mod http;
+mod node;
+mod replica;
+mod store;
+
+use std::collections::BTreeMap;
+use std::env;
+use std::net::SocketAddr;
+use std::panic::{self, AssertUnwindSafe};
+use std::process;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use deployment::{Deployment, RECOVERY, Record, Rotation};
+
+/// `memory_mb` of the site file.
+const MEMORY_MB: u64 = 182;
+
+/// How a case ended.
+#[derive(Clone, Copy, Debug)]
+pub enum Verdict {
+    Held = 0,
+    Broken = 1,
+    NotRun = 2,
+}
+
+fn main() {
+    let mut args = env::args().skip(1);
+    let (Some(case), Some(folder)) = (args.next(), args.next()) else {
+        eprintln!("usage: review-harness-3 CASE FOLDER");
+        process::exit(2);
+    };
+    let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Record::create(&folder);
+    record.line(&format!("case {case}, with the disruption: {trouble}"));
+    thread::spawn(node::end_after_limit);
+    let played = panic::catch_unwind(AssertUnwindSafe(|| play(&case, &record, trouble)));
+    let verdict = played.unwrap_or(Verdict::NotRun);
+    record.line(&format!("verdict: {verdict:?}"));
+    process::exit(verdict as i32);
+}
+
+fn play(case: &str, record: &Record, trouble: bool) -> Verdict {
+    match case {
+        "odd-address" => odd_address(record, trouble),
+        "odd-page" => odd_page(record, trouble),
+        "quota" => quota(record, trouble),
+        "heads" => heads(record, trouble),
+        _ => Verdict::NotRun,
+    }
+}
+
+/// All processes are killed and started again; RECOVER is judged from `recovery_s` on.
+fn recover(
+    record: &Record,
+    deployment: &mut Deployment,
+    disrupt: impl FnOnce(&mut Deployment),
+) -> Verdict {
+    if deployment.start_nodes(Duration::from_secs(20)) < deployment.nodes.len() {
+        record.line("not all processes became ready");
+        return Verdict::NotRun;
+    }
+    thread::sleep(Duration::from_secs(2));
+    let before = deployment.press(record, "before the final fault", Duration::from_secs(4));
+    if !before.has_quarter() {
+        return Verdict::NotRun;
+    }
+    disrupt(deployment);
+    deployment.nodes.iter_mut().for_each(node::Node::kill);
+    record.line("final fault: all processes were killed");
+    thread::sleep(Duration::from_secs(1));
+    deployment.nodes.iter_mut().for_each(node::Node::start);
+    record.line("all processes were started again");
+    thread::sleep(RECOVERY + Duration::from_secs(1));
+    let ready = deployment.nodes.iter().filter(|node| node.ready()).count();
+    record.line(&format!(
+        "{ready} of {} processes are ready",
+        deployment.nodes.len()
+    ));
+    let after = deployment.press(
+        record,
+        "later than recovery_s after the start",
+        Duration::from_secs(6),
+    );
+    if after.has_quarter() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
+}
+
+/// Another writer has an entry for the address of each replica, under names of its own and of a
+/// service that no configuration names.
+fn odd_address(record: &Record, trouble: bool) -> Verdict {
+    let mut deployment = Deployment::start(3, MEMORY_MB, Duration::from_millis(15));
+    recover(record, &mut deployment, |deployment| {
+        if !trouble {
+            return;
+        }
+        for (number, replica) in deployment.replicas.iter().enumerate() {
+            let mut entry = replica.entry("gh-south-accra", 1_700_000_000_000);
+            entry["service"] = json!("uptime-checks");
+            deployment
+                .store
+                .put("servers", &format!("probe-{number}"), entry);
+        }
+        record.line("another writer wrote one entry for the address of each of the 45 replicas");
+    })
+}
+
+/// One entry of another writer, of nearly `value_bytes`, whose name needs over 4,096 bytes in a path.
+fn odd_page(record: &Record, trouble: bool) -> Verdict {
+    let mut deployment = Deployment::start(3, MEMORY_MB, Duration::from_millis(15));
+    recover(record, &mut deployment, |deployment| {
+        if trouble {
+            let name = "backup&".repeat(500);
+            let note = "x".repeat(store::VALUE_BYTES - name.len() - 200);
+            deployment
+                .store
+                .put("servers", &name, json!({ "note": note }));
+            record.line("another writer wrote one entry under a long name");
+        }
+    })
+}
+
+/// Callers that come at the same moment.
+const CROWD: usize = 350;
+
+/// Headers of each of them, besides those of the protocol.
+const HEADERS: usize = 90;
+
+/// Size of a head; `max_header_bytes` of the configuration is 16,384.
+const HEAD_BYTES: usize = 16_000;
+
+/// Many callers come at once, with heads inside `max_header_bytes`; a process over `memory_mb` is
+/// killed by the platform.
+fn heads(record: &Record, trouble: bool) -> Verdict {
+    let mut deployment = Deployment::start(1, MEMORY_MB, Duration::from_millis(15));
+    if deployment.start_nodes(Duration::from_secs(20)) < deployment.nodes.len() {
+        record.line("the process did not become ready");
+        return Verdict::NotRun;
+    }
+    thread::sleep(Duration::from_secs(2));
+    let node = &deployment.nodes[0];
+    record.line(&format!(
+        "resident before the crowd: {} kB",
+        node.memory().0 / 1024
+    ));
+    let front = node.front();
+    let callers: Vec<_> = (0..CROWD)
+        .map(|caller| thread::spawn(move || call(front, caller, trouble)))
+        .collect();
+    record.line(&format!(
+        "{CROWD} callers sent one request each at the same moment"
+    ));
+    for _ in 0..10 {
+        thread::sleep(Duration::from_millis(300));
+        let (now, peak) = node.memory();
+        let open: usize = deployment
+            .replicas
+            .iter()
+            .map(replica::Replica::connections)
+            .sum();
+        let (now, peak) = (now / 1024, peak / 1024);
+        record.line(&format!(
+            "resident {now} kB, peak {peak} kB; {open} connections to replicas"
+        ));
+    }
+    let mut answers: BTreeMap<String, u64> = BTreeMap::new();
+    for caller in callers {
+        let answer = caller.join().unwrap_or_else(|_| "none".to_owned());
+        *answers.entry(answer).or_default() += 1;
+    }
+    let runs: u64 = deployment.replicas.iter().map(replica::Replica::runs).sum();
+    record.line(&format!("answers {answers:?}; replicas ran {runs} parts"));
+    let peak = deployment.nodes[0].memory().1;
+    let limit = MEMORY_MB * 1_000_000;
+    let lives = deployment.nodes[0].runs();
+    record.line(&format!(
+        "peak {peak} bytes, limit {limit} bytes; the process runs: {lives}"
+    ));
+    if peak > limit || !lives {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+/// Sends one gather; returns the status of its answer.
+fn call(front: SocketAddr, caller: usize, large_head: bool) -> String {
+    let mut head = format!(
+        "GET /ziti980/ti38/c{caller} HTTP/1.1\r\nHost: {}\r\nRequest-Id: c{caller:015x}\r\n\
+         Request-Deadline-Ms: 2000\r\nConnection: close\r\n",
+        deployment::HOST
+    );
+    let value = "n".repeat((HEAD_BYTES - head.len()) / HEADERS - 16);
+    for header in 0..if large_head { HEADERS } else { 0 } {
+        head.push_str(&format!("x-note-{header}: {value}\r\n"));
+    }
+    head.push_str("\r\n");
+    match http::ask(front, &head, b"", Duration::from_secs(4)) {
+        Ok(response) => response.status().to_string(),
+        Err(error) => format!("none ({})", error.kind()),
+    }
+}
+
+/// Figures of `demands/horizonte-busca-grown.toml`: QUOTA's bounds, `gap_s` of `roll_term`, and a hot
+/// tenant that asks 7.5 times its usual, of which its allotment is 1.6 times.
+const QUOTA_WINDOW: Duration = Duration::from_secs(5);
+const QUOTA_OVERAGE: f64 = 0.1;
+const QUOTA_SLACK: f64 = 20.0;
+const ROLL_GAP: Duration = Duration::from_millis(1_300);
+const HOT_PER_S: f64 = 7.5 * deployment::RATE_PER_S / 1.6;
+
+/// A tenant asks for more than its allotment while machines are stopped and started in turn.
+fn quota(record: &Record, trouble: bool) -> Verdict {
+    let mut deployment = Deployment::start(3, MEMORY_MB, Duration::from_millis(15));
+    deployment
+        .store
+        .put("config", "main", deployment::with_tenant(9));
+    if deployment.start_nodes(Duration::from_secs(20)) < deployment.nodes.len() {
+        record.line("not all processes became ready");
+        return Verdict::NotRun;
+    }
+    // The processes have listed each other twice by then.
+    thread::sleep(Duration::from_secs(14));
+    let rotation = Rotation::start(&deployment.nodes);
+    let began = Instant::now();
+    let caller = thread::spawn(move || hot_tenant(&rotation, began + Duration::from_secs(20)));
+    record.line(&format!(
+        "the tenant asks for {HOT_PER_S:.0} requests a second, its rate is {}",
+        deployment::RATE_PER_S
+    ));
+    thread::sleep(Duration::from_secs(6));
+    if trouble {
+        roll(record, &mut deployment);
+    }
+    let sent = caller.join().unwrap_or_default();
+    thread::sleep(Duration::from_secs(1));
+    judge_quota(record, &deployment, began, &sent)
+}
+
+/// Stops all processes in turn with SIGTERM; each starts again when it has ended.
+fn roll(record: &Record, deployment: &mut Deployment) {
+    let began = Instant::now();
+    let mut stopped = 0;
+    let mut started = 0;
+    while started < deployment.nodes.len() && began.elapsed() < Duration::from_secs(12) {
+        let nodes = &mut deployment.nodes;
+        if stopped < nodes.len() && began.elapsed() >= ROLL_GAP * stopped as u32 {
+            nodes[stopped].terminate();
+            record.line(&format!("SIGTERM to {}", nodes[stopped].spec.name));
+            stopped += 1;
+        }
+        if started < stopped && !nodes[started].runs() {
+            nodes[started].start();
+            record.line(&format!(
+                "{} has ended and is started again",
+                nodes[started].spec.name
+            ));
+            started += 1;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Sends the requests of the tenant at an even pace to the machines in rotation; returns the time
+/// of each by its id.
+fn hot_tenant(rotation: &Rotation, ends: Instant) -> BTreeMap<String, Instant> {
+    let mut sent = BTreeMap::new();
+    let gap = Duration::from_secs_f64(1.0 / HOT_PER_S);
+    let mut next = Instant::now();
+    for number in 0_usize.. {
+        if Instant::now() >= ends {
+            break;
+        }
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+        next += gap;
+        let id = format!("e{number:015x}");
+        sent.insert(id.clone(), Instant::now());
+        let front = rotation.choose(number);
+        thread::spawn(move || {
+            let head = format!(
+                "GET /timi402/{id} HTTP/1.1\r\nHost: {}\r\nRequest-Id: {id}\r\nRequest-Deadline-Ms: 8000\r\n\
+                 Authorization: Token {}\r\nConnection: close\r\n\r\n",
+                deployment::HOST,
+                deployment::KEY
+            );
+            drop(http::ask(front, &head, b"", Duration::from_secs(9)));
+        });
+    }
+    sent
+}
+
+/// Counts the requests of the tenant that were sent and arrived in any span of the window's length.
+fn judge_quota(
+    record: &Record,
+    deployment: &Deployment,
+    began: Instant,
+    sent: &BTreeMap<String, Instant>,
+) -> Verdict {
+    let ran = deployment.replicas.iter().flat_map(replica::Replica::ran);
+    let mut runs: Vec<(Instant, Instant)> = ran
+        .filter(|run| run.tenant == deployment::TENANT)
+        .filter_map(|run| Some((*sent.get(&run.request)?, run.at)))
+        .collect();
+    runs.sort();
+    let bound = (deployment::RATE_PER_S * QUOTA_WINDOW.as_secs_f64() + deployment::BURST)
+        * (1.0 + QUOTA_OVERAGE)
+        + QUOTA_SLACK;
+    let in_window = |from: Instant| {
+        let inside = runs
+            .iter()
+            .filter(|(sent, at)| *sent >= from && *at <= from + QUOTA_WINDOW);
+        inside.count()
+    };
+    for second in 0..20 {
+        let from = began + Duration::from_secs(second);
+        let ran = runs
+            .iter()
+            .filter(|(_, at)| *at >= from && *at < from + Duration::from_secs(1))
+            .count();
+        record.line(&format!("second {second}: ran {ran}"));
+    }
+    let most = runs.iter().map(|(sent, _)| (in_window(*sent), *sent)).max();
+    let Some((most, from)) = most else {
+        return Verdict::NotRun;
+    };
+    let from = from.duration_since(began).as_secs_f64();
+    record.line(&format!(
+        "sent {}, ran {}; most in a window {most}, from {from:.1} s on; bound {bound:.1}",
+        sent.len(),
+        runs.len()
+    ));
+    if most as f64 > bound {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
