--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -52,6 +52,7 @@
         "odd-page" => odd_page(record, trouble),
         "quota" => quota(record, trouble),
         "heads" => heads(record, trouble),
+        "odd-memory" => odd_memory(record, trouble),
         _ => Verdict::NotRun,
     }
 }
@@ -60,7 +61,7 @@
 fn recover(
     record: &Record,
     deployment: &mut Deployment,
-    disrupt: impl FnOnce(&mut Deployment),
+    disrupt: impl FnOnce(&mut Deployment) -> Vec<String>,
 ) -> Verdict {
     if deployment.start_nodes(Duration::from_secs(20)) < deployment.nodes.len() {
         record.line("not all processes became ready");
@@ -71,7 +72,7 @@
     if !before.has_quarter() {
         return Verdict::NotRun;
     }
-    disrupt(deployment);
+    let odd_names = disrupt(deployment);
     deployment.nodes.iter_mut().for_each(node::Node::kill);
     record.line("final fault: all processes were killed");
     thread::sleep(Duration::from_secs(1));
@@ -88,6 +89,7 @@
         "later than recovery_s after the start",
         Duration::from_secs(6),
     );
+    remove_entries(record, deployment, &odd_names);
     if after.has_quarter() {
         Verdict::Held
     } else {
@@ -95,22 +97,34 @@
     }
 }
 
+/// Shows what the processes do once the other writer has removed its entries; for the record only.
+fn remove_entries(record: &Record, deployment: &Deployment, names: &[String]) {
+    if names.is_empty() {
+        return;
+    }
+    for name in names {
+        deployment.store.remove("servers", name);
+    }
+    thread::sleep(Duration::from_secs(4));
+    let what = "4 s after the other writer removed its entries (not judged)";
+    deployment.press(record, what, Duration::from_secs(6));
+}
+
 /// Another writer has an entry for the address of each replica, under names of its own and of a
 /// service that no configuration names.
 fn odd_address(record: &Record, trouble: bool) -> Verdict {
     let mut deployment = Deployment::start(3, MEMORY_MB, Duration::from_millis(15));
     recover(record, &mut deployment, |deployment| {
-        if !trouble {
-            return;
-        }
-        for (number, replica) in deployment.replicas.iter().enumerate() {
+        let mut names = Vec::new();
+        for (number, replica) in deployment.replicas.iter().enumerate().filter(|_| trouble) {
             let mut entry = replica.entry("gh-south-accra", 1_700_000_000_000);
             entry["service"] = json!("uptime-checks");
-            deployment
-                .store
-                .put("servers", &format!("probe-{number}"), entry);
+            let name = format!("probe-{number}");
+            deployment.store.put("servers", &name, entry);
+            names.push(name);
         }
-        record.line("another writer wrote one entry for the address of each of the 45 replicas");
+        record.line(&format!("another writer wrote {} entries", names.len()));
+        names
     })
 }
 
@@ -118,14 +132,16 @@
 fn odd_page(record: &Record, trouble: bool) -> Verdict {
     let mut deployment = Deployment::start(3, MEMORY_MB, Duration::from_millis(15));
     recover(record, &mut deployment, |deployment| {
-        if trouble {
-            let name = "backup&".repeat(500);
-            let note = "x".repeat(store::VALUE_BYTES - name.len() - 200);
-            deployment
-                .store
-                .put("servers", &name, json!({ "note": note }));
-            record.line("another writer wrote one entry under a long name");
+        if !trouble {
+            return Vec::new();
         }
+        let name = "backup&".repeat(500);
+        let note = "x".repeat(store::VALUE_BYTES - name.len() - 200);
+        deployment
+            .store
+            .put("servers", &name, json!({ "note": note }));
+        record.line("another writer wrote one entry under a long name");
+        vec![name]
     })
 }
 
@@ -344,3 +360,68 @@
         Verdict::Held
     }
 }
+
+/// Entries that another writer has, of nearly `value_bytes` each.
+const LARGE_ENTRIES: usize = 72;
+
+/// Another writer has large entries; all processes are killed and start again.
+fn odd_memory(record: &Record, trouble: bool) -> Verdict {
+    let mut deployment = Deployment::start(3, MEMORY_MB, Duration::from_millis(15));
+    if deployment.start_nodes(Duration::from_secs(20)) < deployment.nodes.len() {
+        record.line("not all processes became ready");
+        return Verdict::NotRun;
+    }
+    thread::sleep(Duration::from_secs(2));
+    let mut random = 1_u64;
+    for number in (0..LARGE_ENTRIES).filter(|_| trouble) {
+        let note = noise(&mut random, store::VALUE_BYTES - 300);
+        deployment.store.put(
+            "servers",
+            &format!("blob-{number:03}"),
+            json!({ "note": note }),
+        );
+        thread::sleep(Duration::from_millis(100));
+    }
+    record.line(&format!(
+        "entries in `servers`: {}",
+        deployment.store.names("servers").len()
+    ));
+    thread::sleep(Duration::from_secs(2));
+    let before = memory_line(record, &deployment, "before the final fault");
+    deployment.nodes.iter_mut().for_each(node::Node::kill);
+    thread::sleep(Duration::from_secs(1));
+    deployment.nodes.iter_mut().for_each(node::Node::start);
+    record.line("all processes were killed and started again");
+    let mut peak = before;
+    for _ in 0..8 {
+        thread::sleep(Duration::from_secs(2));
+        peak = peak.max(memory_line(record, &deployment, "after the start"));
+    }
+    if peak > MEMORY_MB * 1_000_000 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+/// Records the memory of all processes; returns the highest peak.
+fn memory_line(record: &Record, deployment: &Deployment, what: &str) -> u64 {
+    let memory: Vec<(u64, u64)> = deployment.nodes.iter().map(node::Node::memory).collect();
+    let shown: Vec<String> = memory
+        .iter()
+        .map(|(now, peak)| format!("{} ({})", now / 1_000_000, peak / 1_000_000))
+        .collect();
+    record.line(&format!("{what}, MB resident (peak): {}", shown.join(", ")));
+    memory.into_iter().map(|(_, peak)| peak).max().unwrap_or(0)
+}
+
+/// Returns text that does not compress well.
+fn noise(random: &mut u64, length: usize) -> String {
+    let mut next = || {
+        *random = random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        char::from(b'A' + (*random >> 59) as u8 % 26)
+    };
+    (0..length).map(|_| next()).collect()
+}
--- a/review/harness-3/src/store.rs
+++ b/review/harness-3/src/store.rs
@@ -72,6 +72,24 @@
         Self { address, shared }
     }
 
+    /// Returns the names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = lock(&self.shared);
+        let names = state.objects.keys().filter(|(of, _)| of == kind);
+        names.map(|(_, name)| name.clone()).collect()
+    }
+
+    /// Removes an object that has no finalizers.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = lock(&self.shared);
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some(known) = state.objects.remove(&key) {
+            record_removal(&mut state, kind, &known.text);
+        }
+        drop(state);
+        self.shared.changed.notify_all();
+    }
+
     /// Writes an object, as the operator, a replica or another writer does.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         put(&mut lock(&self.shared), kind, name, spec);
@@ -117,6 +135,14 @@
     text
 }
 
+fn record_removal(state: &mut State, kind: &str, text: &str) {
+    state.revision += 1;
+    let event = format!("{{\"deleted\":true,\"object\":{text}}}");
+    state
+        .events
+        .push((state.revision, kind.to_owned(), event.into()));
+}
+
 fn serve(shared: &Shared, stream: TcpStream) {
     drop(stream.set_nodelay(true));
     let Ok(mut output) = stream.try_clone() else {
@@ -199,10 +225,7 @@
         }
         ("DELETE", Some((text, _))) => {
             state.objects.remove(&key);
-            state.revision += 1;
-            let revision = state.revision;
-            let event = format!("{{\"deleted\":true,\"object\":{text}}}");
-            state.events.push((revision, kind.to_owned(), event.into()));
+            record_removal(&mut state, kind, &text);
             (200, text.to_string())
         }
         _ => (
