--- a/review/harness-3/src/deployment.rs
+++ b/review/harness-3/src/deployment.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -30,7 +31,10 @@
 
 impl Record {
     pub fn create(folder: &str) -> Self {
-        let file = File::create(PathBuf::from(folder).join("record.txt")).expect("record.txt");
+        let Ok(file) = File::create(PathBuf::from(folder).join("record.txt")) else {
+            eprintln!("cannot write record.txt");
+            process::exit(2);
+        };
         Self {
             file: Mutex::new(file),
             began: Instant::now(),
