Log each replica that another registration replaces at its address

A replica that another one replaced at its address left no line: `replicas` counts only those whose registration was removed, and `ready` counted the entries that had taken their places.

`replica_replaced` names both with their services. No decision changes.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -7,6 +7,7 @@
 use crate::ExtraAllowance;
 use crate::LegsKey;
 use crate::Policy;
+use crate::ReplacedReplica;
 use crate::Replica;
 use crate::ReplicaKey;
 use crate::RolloutBounds;
@@ -44,6 +45,8 @@
     pub(crate) policy: Policy,
     /// Policy that was set.
     pub(crate) configured_policy: Policy,
+    /// Replicas that were replaced at their addresses, until they are reported.
+    pub(crate) replaced: Vec<ReplacedReplica>,
     pub(crate) rng: fastrand::Rng,
     /// Limits of rollouts; `None` if all versions get requests.
     pub(crate) rollout_bounds: Option<RolloutBounds>,
@@ -103,6 +106,7 @@
             nodes: ASSUMED_NODES,
             policy: Policy::constant_distance(),
             configured_policy: Policy::default(),
+            replaced: Vec::new(),
             rng: fastrand::Rng::with_seed(seed),
             rollout_bounds: None,
             seed,
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -1,8 +1,10 @@
 use std::collections::HashSet;
+use std::mem;
 use std::sync::Arc;
 
 use crate::Pool;
 use crate::Registration;
+use crate::ReplacedReplica;
 use crate::Replica;
 use crate::ReplicaKey;
 use crate::health::Health;
@@ -158,10 +160,24 @@
             })
             .collect();
         for key in older {
+            if let Some(replica) = self.replica(key) {
+                self.replaced.push(ReplacedReplica {
+                    address: registration.address,
+                    replica: replica.id().clone(),
+                    service: replica.registration.service.clone(),
+                    successor: registration.id.clone(),
+                    successor_service: registration.service.clone(),
+                });
+            }
             self.remove(now_us, key);
         }
     }
 
+    /// Returns the replicas that were replaced at their addresses since the last call.
+    pub fn take_replaced(&mut self) -> Vec<ReplacedReplica> {
+        mem::take(&mut self.replaced)
+    }
+
     fn insert(&mut self, now_us: u64, registration: Registration, evacuated: bool) -> ReplicaKey {
         let service = self.service_key(&registration.service);
         let data_centre = self.data_centres.index(&registration.data_centre);
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -115,6 +115,14 @@
         delay_ms: u64,
         removals: usize,
     },
+    /// A replica was dropped, as a later one, `successor`, registered its address.
+    ReplicaReplaced {
+        address: SocketAddr,
+        replica: &'a str,
+        service: &'a str,
+        successor: &'a str,
+        successor_service: &'a str,
+    },
     /// Registrations of replicas changed.
     Replicas {
         gone: usize,
--- a/crates/entry/src/store/collection_effects.rs
+++ b/crates/entry/src/store/collection_effects.rs
@@ -131,6 +131,19 @@
         }
     }
 
+    fn log_replaced(&self) {
+        let replaced = self.shared.pool.borrow_mut().take_replaced();
+        for item in &replaced {
+            self.shared.log(&Event::ReplicaReplaced {
+                address: item.address,
+                replica: &item.replica,
+                service: &item.service,
+                successor: &item.successor,
+                successor_service: &item.successor_service,
+            });
+        }
+    }
+
     fn registration(&self, object: &StoredObject) -> Option<Registration> {
         match decode_registration(object) {
             Ok(registration) => {
@@ -215,6 +228,7 @@
     }
 
     fn replicas_changed(&self, new: &[ReplicaKey], revision: u64) {
+        self.log_replaced();
         let removed = self.shared.sweep();
         let now_us = self.shared.clock.now_us();
         let counts = self.shared.pool.borrow().counts(now_us);
