Keep entries of services that nobody named from taking replicas out of use

All replicas lived and stood registered, and every request got 503, on nodes that ran and that started, also after the entries were removed.

Cause: the pool applied each registration that could be decoded, whatever its service. An address belonged to the entry that was applied last among those with the newest start, so that each foreign entry removed the replica at its address. Class: an entry that names nothing takes effect by one of its fields; names of services and data centres were also kept for ever.

Change: the pool knows the services that configurations in force or about to be name; a registration of another one adds no replica and claims no address. It waits in the copy of the collection, and a configuration that names its service finds it there before its routes come into force, without a call. Rollouts likewise.

Why it works: all registrations (lists, changes, peers, a restored store) pass one function, which reads an address or a name only after the service was found to be named. A real successor is of a named service.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::RouteSpec;
@@ -18,6 +19,17 @@
     pub version: u64,
 }
 
+impl Configuration {
+    /// Returns the names of the services that it has settings for or routes to.
+    #[must_use]
+    pub fn service_names(&self) -> BTreeSet<Arc<str>> {
+        let set_up = self.services.iter().map(|service| &service.name);
+        let routed = self.routes.iter();
+        let routed = routed.flat_map(|route| route.target.service_names());
+        set_up.chain(routed).cloned().collect()
+    }
+}
+
 /// Limits on the size and duration of callers' requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RequestLimits {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -39,6 +39,8 @@
     /// Fair shares of tenants by [`Route::legs_key`](crate::Route::legs_key).
     pub(crate) fair_shares: HashMap<LegsKey, FairShares>,
     pub(crate) free_slots: Vec<u32>,
+    /// Services that configurations name; `None` if all count as named.
+    pub(crate) named_services: Option<BTreeSet<Arc<str>>>,
     /// Number of nodes in all data centres.
     pub(crate) nodes: usize,
     /// Policy in force: the configured one, without locality while all data centres are near.
@@ -90,7 +92,8 @@
 
 impl Pool {
     /// Creates an empty pool for a node in `data_centre`; `seed` is for the random numbers
-    /// that vary the costs of replicas a little and spread the requests of nodes over time.
+    /// that vary the costs of replicas a little and spread the requests of nodes over time. All
+    /// services count as named until [`Self::set_named_services`] is called.
     #[must_use]
     pub fn new(data_centre: Arc<str>, seed: u64) -> Self {
         Self {
@@ -103,6 +106,7 @@
             departed: DepartedReplicas::default(),
             fair_shares: HashMap::new(),
             free_slots: Vec::new(),
+            named_services: None,
             nodes: ASSUMED_NODES,
             policy: Policy::constant_distance(),
             configured_policy: Policy::default(),
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::mem;
 use std::sync::Arc;
@@ -18,20 +19,37 @@
     ///
     /// A registration of an earlier incarnation (process under the same id), or an older one of
     /// the current incarnation, is ignored.
+    ///
+    /// A registration of a service that no configuration names adds no replica; it is to be applied
+    /// again when one does ([`Self::set_named_services`]).
     pub fn register(&mut self, now_us: u64, registration: Registration) -> Option<ReplicaKey> {
-        let service = self.service_key(&registration.service);
+        let service = registration.service.clone();
         let new = self.apply_registration(now_us, registration);
-        self.update_version_roles(service);
+        if let Some(service) = self.services_by_name.get(&service) {
+            self.update_version_roles(*service);
+        }
         new
     }
 
+    /// Sets the services that configurations in force or about to be name. Registrations of others
+    /// add no replicas; replicas that are known already stay.
+    pub fn set_named_services(&mut self, names: BTreeSet<Arc<str>>) {
+        self.named_services = Some(names);
+    }
+
+    /// Returns whether a configuration names a service.
+    #[must_use]
+    pub fn names_service(&self, service: &Arc<str>) -> bool {
+        let names = self.named_services.as_ref();
+        names.is_none_or(|names| names.contains(service))
+    }
+
     fn apply_registration(
         &mut self,
         now_us: u64,
         registration: Registration,
     ) -> Option<ReplicaKey> {
         let evacuated = self.evacuated.contains(&registration.data_centre);
-        let data_centre = self.data_centres.index(&registration.data_centre);
         if let Some(key) = self.by_id.get(&registration.id).copied()
             && let Some(replica) = self.replica_mut(key)
         {
@@ -45,6 +63,8 @@
                 && registration.address == known.address
                 && registration.service == known.service;
             if same {
+                let data_centre = self.data_centres.index(&registration.data_centre);
+                let replica = self.replica_mut(key)?;
                 replica.set_cold_for(now_us, registration.cold_for_ms);
                 replica.registration = registration;
                 replica.data_centre = data_centre;
@@ -54,6 +74,10 @@
             }
             self.remove(now_us, key);
         }
+        // Names no replica to use, so that neither its address nor its names may have an effect.
+        if !self.names_service(&registration.service) {
+            return None;
+        }
         self.drop_older_at_address(now_us, &registration);
         Some(self.insert(now_us, registration, evacuated))
     }
@@ -146,7 +170,7 @@
     }
 
     /// Drops the older replicas with the address of a registration; an address belongs to the
-    /// newest replica that registered it.
+    /// newest replica that registered it. A copy of a registration under another id is not newer.
     fn drop_older_at_address(&mut self, now_us: u64, registration: &Registration) {
         let older: Vec<ReplicaKey> = self
             .by_id
@@ -155,7 +179,7 @@
             .filter(|key| {
                 self.replica(*key).is_some_and(|replica| {
                     replica.registration.address == registration.address
-                        && replica.registration.started_unix_ms <= registration.started_unix_ms
+                        && replica.registration.started_unix_ms < registration.started_unix_ms
                 })
             })
             .collect();
--- a/crates/dispatch/src/pool_rollouts.rs
+++ b/crates/dispatch/src/pool_rollouts.rs
@@ -85,7 +85,9 @@
     /// Removes a rollout that the store no longer holds; the version that got the requests last
     /// keeps them.
     pub fn remove_rollout(&mut self, service: &Arc<str>) {
-        let service = self.service_key(service);
+        let Some(service) = self.known_service(service) else {
+            return;
+        };
         self.services[service.0 as usize].versions.rollout = None;
         self.update_version_roles(service);
     }
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -57,6 +57,17 @@
     Split(Vec<(Arc<str>, f64)>),
 }
 
+impl TargetSpec {
+    /// Returns the names of its services.
+    pub(crate) fn service_names(&self) -> Vec<&Arc<str>> {
+        match self {
+            Self::Gather { shards, .. } => shards.iter().collect(),
+            Self::Service(name) => vec![name],
+            Self::Split(entries) => entries.iter().map(|(name, _)| name).collect(),
+        }
+    }
+}
+
 /// A service of a weighted split.
 #[derive(Clone, Debug)]
 pub struct WeightedService {
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -23,6 +23,8 @@
     by_host: HashMap<Arc<str>, Vec<Rc<Route>>>,
     /// Limits on callers' requests and connections.
     pub limits: RequestLimits,
+    /// Names of the services that the configuration names.
+    pub service_names: BTreeSet<Arc<str>>,
     /// Tenants, whose keys callers must present; `None` if callers need no keys.
     pub tenants: Option<Tenants>,
     /// Version of the configuration.
@@ -51,6 +53,7 @@
         Self {
             by_host,
             limits: configuration.limits,
+            service_names: configuration.service_names(),
             tenants: configuration.tenants.as_deref().map(Tenants::new),
             version: configuration.version,
         }
--- a/crates/entry/src/process/event.rs
+++ b/crates/entry/src/process/event.rs
@@ -123,13 +123,15 @@
         successor: &'a str,
         successor_service: &'a str,
     },
-    /// Registrations of replicas changed.
+    /// Registrations of replicas changed; `unnamed` counts those that are kept until a configuration
+    /// names their service.
     Replicas {
         gone: usize,
         new: usize,
         ready: usize,
         revision: u64,
         suspended: usize,
+        unnamed: usize,
     },
     /// A request was answered.
     Request(RequestEvent<'a>),
--- a/crates/entry/src/process/node_state.rs
+++ b/crates/entry/src/process/node_state.rs
@@ -1,5 +1,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::future;
 use std::rc::Rc;
@@ -119,6 +120,7 @@
             window_ms: settings.extra_window_ms,
         });
         pool.set_rollout_bounds(settings.rollout_bounds);
+        pool.set_named_services(BTreeSet::new());
         let recovery_times = RecoveryTimes::new(settings.stabilization_ms);
         let store_health = StoreHealth::new(settings.registration_interval_ms, recovery_times);
         let clock = Clock::start();
--- a/crates/entry/src/store/collection_effects.rs
+++ b/crates/entry/src/store/collection_effects.rs
@@ -45,18 +45,10 @@
             Collection::Nodes => {}
             Collection::Rollouts => self.apply_listed_rollouts(objects, restored),
             Collection::Replicas => {
-                let registrations = objects.iter().filter_map(|item| self.registration(item));
-                let registrations: Vec<Registration> = registrations.collect();
                 let now_us = self.shared.clock.now_us();
                 let missing_at_us = self.removal_at_us(now_us);
                 self.log_removals(now_us, missing_at_us, self.count_missing(objects));
-                let mut pool = self.shared.pool.borrow_mut();
-                let new = if restored {
-                    pool.register_restored(now_us, registrations, missing_at_us)
-                } else {
-                    pool.register_all(now_us, registrations, missing_at_us)
-                };
-                drop(pool);
+                let new = self.register_listed(now_us, objects, missing_at_us, restored);
                 self.replicas_changed(&new, revision);
             }
         }
@@ -95,11 +87,11 @@
         for change in changes {
             if change.deleted {
                 self.malformed.forget(&change.object.name);
+                self.unnamed.borrow_mut().remove(&change.object.name);
                 let mut pool = self.shared.pool.borrow_mut();
                 pool.unregister(&change.object.name, removed_at_us);
             } else if let Some(registration) = self.registration(&change.object) {
-                let mut pool = self.shared.pool.borrow_mut();
-                new.extend(pool.register(now_us, registration));
+                new.extend(self.register(now_us, &change.object, registration));
             }
         }
         self.replicas_changed(&new, revision);
@@ -144,7 +136,7 @@
         }
     }
 
-    fn registration(&self, object: &StoredObject) -> Option<Registration> {
+    pub(super) fn registration(&self, object: &StoredObject) -> Option<Registration> {
         match decode_registration(object) {
             Ok(registration) => {
                 self.malformed.forget(&object.name);
@@ -186,7 +178,15 @@
             pool.apply_service_spec(service);
         }
         let table = RouteTable::new(&configuration, &mut pool);
+        let mut names = table.service_names.clone();
+        if let Some(in_force) = &*shared.table.borrow() {
+            names.extend(in_force.service_names.iter().cloned());
+        }
+        pool.set_named_services(names);
         drop(pool);
+        for view in &self.service_views {
+            view.apply_newly_named_services();
+        }
         let now_us = shared.clock.now_us();
         let pending = PendingRoutes {
             table: Rc::new(table),
@@ -227,7 +227,7 @@
         }
     }
 
-    fn replicas_changed(&self, new: &[ReplicaKey], revision: u64) {
+    pub(super) fn replicas_changed(&self, new: &[ReplicaKey], revision: u64) {
         self.log_replaced();
         let removed = self.shared.sweep();
         let now_us = self.shared.clock.now_us();
@@ -238,6 +238,7 @@
             ready: counts.ready,
             revision,
             suspended: counts.suspended,
+            unnamed: self.unnamed.borrow().len(),
         });
         preconnect::to_replicas(&self.shared, new);
         route_switch::activate_pending(&self.shared);
--- a/crates/entry/src/store/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -24,6 +24,7 @@
 use crate::process::node_state::NodeState;
 use crate::store::malformed_entries::MalformedEntries;
 use crate::store::paged_list;
+use crate::store::unnamed_services::UnnamedRegistrations;
 
 /// Divisor of the rollback time that gives the time within which a change of a rollout must be in
 /// force: a rollout that replaces another one has the same time to its deadline.
@@ -43,6 +44,9 @@
     /// Whether the whole collection must be listed, as the store no longer has the changes after
     /// `revision`.
     pub(crate) list_due: Cell<bool>,
+    /// Copies with entries of services, which are applied once the configuration names these; empty
+    /// except for the configuration's own copy.
+    pub(super) service_views: Vec<Rc<CollectionView>>,
     /// Time of the first failed call of the current outage; `None` while calls succeed.
     unavailable_since_us: Cell<Option<u64>>,
     /// Reports entries that cannot be decoded.
@@ -52,12 +56,18 @@
     /// Revision of the copy; `None` before the first list.
     pub(crate) revision: Cell<Option<StoreRevision>>,
     pub(crate) shared: Rc<NodeState>,
+    /// Registrations of services that no configuration names.
+    pub(super) unnamed: RefCell<UnnamedRegistrations>,
     /// Cached message with the whole collection and its revision, reused for all followers.
     snapshot: RefCell<Option<(StoreRevision, FeedMessage)>>,
 }
 
 impl CollectionView {
-    pub(crate) fn new(shared: Rc<NodeState>, collection: Collection) -> Self {
+    pub(crate) fn new(
+        shared: Rc<NodeState>,
+        collection: Collection,
+        service_views: Vec<Rc<Self>>,
+    ) -> Self {
         Self {
             collection,
             evacuated: RefCell::default(),
@@ -66,7 +76,9 @@
             list_due: Cell::new(false),
             log: RefCell::default(),
             malformed: MalformedEntries::new(collection),
+            service_views,
             unavailable_since_us: Cell::new(None),
+            unnamed: RefCell::default(),
             objects: RefCell::default(),
             revision: Cell::new(None),
             shared,
--- a/crates/entry/src/store/collection_views.rs
+++ b/crates/entry/src/store/collection_views.rs
@@ -11,14 +11,29 @@
 pub(crate) type CollectionViews = Rc<[Rc<CollectionView>]>;
 
 pub(crate) fn new(shared: &Rc<NodeState>) -> CollectionViews {
-    let view = |collection| Rc::new(CollectionView::new(shared.clone(), collection));
-    let watched = Collection::WATCHED.into_iter();
-    watched
-        .filter(|collection| {
-            *collection != Collection::Rollouts || shared.settings.rollout_bounds.is_some()
-        })
-        .map(view)
-        .collect()
+    let is_watched = |collection: &Collection| {
+        *collection != Collection::Rollouts || shared.settings.rollout_bounds.is_some()
+    };
+    let new_view = |collection, service_views| {
+        Rc::new(CollectionView::new(
+            shared.clone(),
+            collection,
+            service_views,
+        ))
+    };
+    let service_collections = [Collection::Replicas, Collection::Rollouts].into_iter();
+    let service_views = service_collections.filter(is_watched);
+    let service_views: Vec<_> = service_views.map(|it| new_view(it, Vec::new())).collect();
+    let watched = Collection::WATCHED.into_iter().filter(is_watched);
+    let view = |collection| {
+        let service_view = service_views.iter().find(|it| it.collection == collection);
+        match (service_view, collection) {
+            (Some(view), _) => view.clone(),
+            (None, Collection::Configuration) => new_view(collection, service_views.clone()),
+            (None, _) => new_view(collection, Vec::new()),
+        }
+    };
+    watched.map(view).collect()
 }
 
 /// Returns the revisions of the copies.
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -16,3 +16,4 @@
 pub(crate) mod store_client;
 pub(crate) mod store_health;
 pub(crate) mod store_watch;
+pub(crate) mod unnamed_services;
--- a/crates/entry/src/store/rollout_effects.rs
+++ b/crates/entry/src/store/rollout_effects.rs
@@ -41,6 +41,22 @@
         }
     }
 
+    /// Applies the rollouts that were left out, as no configuration named their services.
+    pub(super) fn apply_unknown_rollouts(&self) {
+        for object in self.objects.borrow().values() {
+            let unknown = decode_rollout(object).is_ok_and(|it| !self.knows_rollout(&it.service));
+            if unknown {
+                self.apply_rollout(object, RolloutNews::Current);
+            }
+        }
+    }
+
+    fn knows_rollout(&self, service: &str) -> bool {
+        let pool = self.shared.pool.borrow();
+        let key = pool.known_service(service);
+        key.is_some_and(|key| pool.rollout(key).is_some())
+    }
+
     fn apply_rollout(&self, object: &StoredObject, news: RolloutNews) {
         let rollout = match decode_rollout(object) {
             Ok(rollout) => rollout,
@@ -51,6 +67,10 @@
         };
         self.malformed.forget(&object.name);
         let shared = &self.shared;
+        let is_named = shared.pool.borrow().names_service(&rollout.service);
+        if !is_named && !self.knows_rollout(&rollout.service) {
+            return;
+        }
         let now_us = shared.clock.now_us();
         let mut pool = shared.pool.borrow_mut();
         let service = pool.service_key(&rollout.service);
--- a/crates/entry/src/store/route_switch.rs
+++ b/crates/entry/src/store/route_switch.rs
@@ -37,6 +37,8 @@
     log_switch(shared, &pending, "in_force", lacking);
     let version = pending.table.version;
     shared.metrics.config_version.set(version as i64);
+    let names = pending.table.service_names.clone();
+    shared.pool.borrow_mut().set_named_services(names);
     shared.table.replace(Some(pending.table));
     quota_exchange::notify_change(shared);
     sender_counts::update(shared);
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -25,3 +25,4 @@
 mod suspended;
 mod tenant_messages;
 mod tenants;
+mod unnamed_services;
