Bound the memory that objects of the store take on a node

Each node came to over its 182 MB while they arrived, was killed, and came to over 182 MB again at each start.

Cause: a node kept, copied and passed on what writers stored, not what it uses. None of it was counted or bounded. Class: memory whose amount others choose.

Change: lists and changes are split into items while they arrive, and of each item the fields that nodes use are kept, 4 KiB at most; nothing of one that cannot be decoded. Entries of services that no configuration names are kept up to a sixteenth of the memory, 8 MiB at most; a configuration that names their service has the reader read what was left out, beside its watch, and send it to its followers. Followers share a message's body. Reports of malformed entries are bounded. A page of which nothing is kept does not end a list. A replica whose entry cannot be read any more stays in use while the entry stands, after a list as after a change before.

Why it works: what a node holds no longer depends on what others store: one item of bounded size, bounded fields of what the configuration names, and a bounded amount of anything else. The rest is counted.

--- a/crates/dispatch/src/change_log.rs
+++ b/crates/dispatch/src/change_log.rs
@@ -17,7 +17,8 @@
     pub body: Bytes,
     /// Store revision before the changes.
     pub from: StoreRevision,
-    /// Store revision after the changes, in the era of `from` and not below it.
+    /// Store revision after the changes, in the era of `from` and not below it. The same as `from` if
+    /// the body adds entries that had been left out.
     pub to: StoreRevision,
 }
 
@@ -28,7 +29,8 @@
     Gap,
     /// All of its changes have been applied.
     Applied,
-    /// It begins at or before the applied revision and ends after it.
+    /// It begins at or before the applied revision and ends after it, or adds entries that were left
+    /// out as of the applied revision.
     Next,
 }
 
@@ -37,7 +39,9 @@
     /// `None` means that the node has not read a list yet.
     #[must_use]
     pub fn fit(&self, revision: Option<StoreRevision>) -> BatchFit {
+        let adds_left_out = self.from == self.to && !self.body.is_empty();
         match revision {
+            Some(applied) if self.to == applied && adds_left_out => BatchFit::Next,
             Some(applied) if self.to <= applied => BatchFit::Applied,
             Some(applied) if self.from <= applied => BatchFit::Next,
             Some(_) | None => BatchFit::Gap,
@@ -82,6 +86,12 @@
         }
     }
 
+    /// Returns the size of all batches.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns all changes after `revision`; `None` if some of them are no longer held.
     ///
     /// The first batch may also contain changes up to `revision`. Applying those again in
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -131,6 +131,8 @@
 pub use locality::ChoiceContext;
 pub use memory_budget::MemoryBudget;
 pub use memory_budget::MemoryUse;
+pub use memory_budget::PROCESS_BYTES;
+pub use memory_budget::unneeded_bytes_max;
 pub use merge::RECORD_BYTES;
 pub use merge::merge_records;
 pub use notice::Notice;
--- a/crates/dispatch/src/memory_budget.rs
+++ b/crates/dispatch/src/memory_budget.rs
@@ -1,7 +1,8 @@
 use crate::ResponseMemoryBudget;
 
-/// Memory of the program itself: code, copies of the store's collections, log and metrics.
-const PROCESS_BYTES: usize = 16_000_000;
+/// Memory of the program itself: code, log, metrics, and one item of the store that is being read.
+/// Copies of the store's collections are counted apart.
+pub const PROCESS_BYTES: usize = 16_000_000;
 
 /// Divisor of a node's memory; the quotient may be held for others however little memory the node
 /// has.
@@ -11,6 +12,20 @@
 /// stays free for requests with small bodies.
 const FREE_DIVISOR: usize = 4;
 
+/// Divisor of a node's memory that gives the memory of a collection's entries without a use.
+const UNNEEDED_DIVISOR: usize = 16;
+
+/// Maximum memory of a collection's entries without a use, however much memory the node has: a
+/// message to a peer has 16 MiB at most, and holds them beside those in use.
+const UNNEEDED_BYTES_MAX: usize = 8 * 1024 * 1024;
+
+/// Returns the memory that a collection of the store may take on a node with `memory_bytes` before
+/// entries are left out of which the node has no use yet. Any writer may leave any number of them.
+#[must_use]
+pub fn unneeded_bytes_max(memory_bytes: usize) -> usize {
+    (memory_bytes / UNNEEDED_DIVISOR).min(UNNEEDED_BYTES_MAX)
+}
+
 /// What memory is held for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum MemoryUse {
@@ -20,7 +35,7 @@
     Peers,
     /// Requests of callers and peers: parsed heads and bodies.
     Requests,
-    /// Responses of the store.
+    /// Copies of the store's collections, and its responses.
     Store,
 }
 
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -23,6 +23,9 @@
 /// Number of nodes that are assumed to share the rate of a replica until their number is known.
 const ASSUMED_NODES: usize = 16;
 
+/// Memory of a replica, with the texts of its registration and its places in tables.
+const REPLICA_BYTES: usize = 1_024;
+
 /// The services and replicas that a node knows; chooses the replica for each sub-request.
 #[derive(Debug)]
 pub struct Pool {
@@ -294,6 +297,12 @@
         self.services[service.0 as usize].budget.earn();
     }
 
+    /// Returns the memory that the replicas take.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.by_id.len() * REPLICA_BYTES
+    }
+
     /// Counts the replicas by whether they take requests.
     #[must_use]
     pub fn counts(&self, now_us: u64) -> PoolCounts {
--- a/crates/dispatch/src/pool_membership.rs
+++ b/crates/dispatch/src/pool_membership.rs
@@ -32,9 +32,12 @@
     }
 
     /// Sets the services that configurations in force or about to be name. Registrations of others
-    /// add no replicas; replicas that are known already stay.
-    pub fn set_named_services(&mut self, names: BTreeSet<Arc<str>>) {
-        self.named_services = Some(names);
+    /// add no replicas; replicas that are known already stay. Returns whether some of them were not
+    /// named before.
+    pub fn set_named_services(&mut self, names: BTreeSet<Arc<str>>) -> bool {
+        let former = self.named_services.replace(names);
+        let names = self.named_services.iter().flatten();
+        former.is_some_and(|former| names.into_iter().any(|name| !former.contains(name)))
     }
 
     /// Returns whether a configuration names a service.
--- a/crates/dispatch/tests/memory_budget.rs
+++ b/crates/dispatch/tests/memory_budget.rs
@@ -3,6 +3,7 @@
 use wigeonhall_dispatch::CONNECTION_BYTES;
 use wigeonhall_dispatch::MemoryBudget;
 use wigeonhall_dispatch::MemoryUse;
+use wigeonhall_dispatch::unneeded_bytes_max;
 
 /// Memory of the smallest node.
 const SMALLEST_BYTES: usize = 112_000_000;
@@ -90,3 +91,20 @@
     let second = fill(&mut memory, MemoryUse::Requests, LARGEST_REQUEST_BYTES);
     assert_eq!(first, second);
 }
+
+/// Entries of other writers must leave room for callers, and fit into a message to a peer together
+/// with those that are needed.
+#[test]
+fn entries_without_a_use_take_a_small_part_of_the_memory() {
+    for memory_bytes in [
+        32_000_000,
+        48_000_000,
+        SMALLEST_BYTES,
+        512_000_000,
+        usize::MAX,
+    ] {
+        let bytes = unneeded_bytes_max(memory_bytes);
+        assert!(bytes <= memory_bytes / 16);
+        assert!(bytes <= 8 * 1024 * 1024);
+    }
+}
--- a/crates/entry/src/peers/feed_protocol.rs
+++ b/crates/entry/src/peers/feed_protocol.rs
@@ -33,6 +33,9 @@
 /// Largest body of a message; a response of the store is about 1 MB at most.
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 
+/// Size of the frames in which a body is sent, so that a connection queues a part of it.
+const FRAME_BYTES_MAX: usize = 64 * 1024;
+
 /// Revisions of the watched collections, in the order of [`Collection::WATCHED`]; `None` for
 /// one that the node has no copy of. The last ones are left out if they are not watched.
 pub(crate) type Revisions = Vec<Option<StoreRevision>>;
@@ -62,37 +65,46 @@
 }
 
 impl FeedMessage {
-    pub(crate) fn encode(&self) -> Bytes {
-        let no_body = Bytes::new();
+    /// Encodes the message in frames. The body is shared by all followers, not copied for each.
+    pub(crate) fn into_frames(self) -> Vec<Bytes> {
+        let (head, mut body) = self.encode();
+        let mut frames = vec![head];
+        while !body.is_empty() {
+            frames.push(body.split_to(body.len().min(FRAME_BYTES_MAX)));
+        }
+        frames
+    }
+
+    /// Returns the encoded head and the body.
+    fn encode(self) -> (Bytes, Bytes) {
         let (kind, era, first, second, body) = match self {
-            Self::Heartbeat { age_ms, era } => (HEARTBEAT_KIND, *era, *age_ms, 0, &no_body),
+            Self::Heartbeat { age_ms, era } => (HEARTBEAT_KIND, era, age_ms, 0, Bytes::new()),
             Self::Batch(collection, batch) => (
-                kind_of(*collection),
+                kind_of(collection),
                 batch.to.era,
                 batch.from.number,
                 batch.to.number,
-                &batch.body,
+                batch.body,
             ),
             Self::Snapshot {
                 body,
                 collection,
                 revision,
             } => (
-                kind_of(*collection) | SNAPSHOT_FLAG,
+                kind_of(collection) | SNAPSHOT_FLAG,
                 revision.era,
                 revision.number,
                 revision.number,
                 body,
             ),
         };
-        let mut message = BytesMut::with_capacity(HEAD_BYTES + body.len());
-        message.put_u8(kind);
-        message.put_u64(era);
-        message.put_u64(first);
-        message.put_u64(second);
-        message.put_u32(body.len() as u32);
-        message.put_slice(body);
-        message.freeze()
+        let mut head = BytesMut::with_capacity(HEAD_BYTES);
+        head.put_u8(kind);
+        head.put_u64(era);
+        head.put_u64(first);
+        head.put_u64(second);
+        head.put_u32(body.len() as u32);
+        (head.freeze(), body)
     }
 
     /// Decodes the first message and removes it from `received`.
--- a/crates/entry/src/peers/relay_server.rs
+++ b/crates/entry/src/peers/relay_server.rs
@@ -146,7 +146,10 @@
     revisions: &Revisions,
 ) -> RelayResponse {
     let mut response = match feed_server::open(shared, views, revisions) {
-        Ok(messages) => respond(messages.map(|message| Frame::data(message.encode()))),
+        Ok(messages) => {
+            let frames = messages.flat_map(|message| stream::iter(message.into_frames()));
+            respond(frames.map(Frame::data))
+        }
         Err(FeedRefusal::NotReading) => conflict_response(),
         Err(FeedRefusal::StoreUnavailable) => empty_response(StatusCode::SERVICE_UNAVAILABLE),
     };
--- a/crates/entry/src/process/run.rs
+++ b/crates/entry/src/process/run.rs
@@ -29,6 +29,7 @@
 use crate::process::supervisor;
 use crate::store::collection_views;
 use crate::store::collection_views::CollectionViews;
+use crate::store::left_out_entries;
 use crate::store::peer_registry;
 use crate::store::store_health;
 use crate::store::store_watch;
@@ -141,7 +142,11 @@
 fn start_supervised_tasks(shared: &Rc<NodeState>, views: &CollectionViews) {
     for view in views.iter() {
         let view = view.clone();
+        let left_out_view = view.clone();
         supervisor::spawn("store_watch", move || store_watch::run(view.clone()));
+        supervisor::spawn("left_out_entries", move || {
+            left_out_entries::run(left_out_view.clone())
+        });
     }
     let (state, views) = (shared.clone(), views.clone());
     supervisor::spawn("feed_client", move || {
--- a/crates/entry/src/store/collection_effects.rs
+++ b/crates/entry/src/store/collection_effects.rs
@@ -23,6 +23,9 @@
 use crate::store::pending_routes::PendingRoutes;
 use crate::store::route_switch;
 
+/// Number of evacuated data centres that a log line names; another writer may leave any number.
+const LOGGED_EVACUATIONS_MAX: usize = 100;
+
 impl CollectionView {
     /// Applies a list; `restored` if it is the first one after the store was restored from a copy.
     pub(super) fn apply_listed_objects(
@@ -81,7 +84,8 @@
     fn apply_replicas(&self, changes: &[ObjectChange], revision: u64) {
         let now_us = self.shared.clock.now_us();
         let removed_at_us = self.removal_at_us(now_us);
-        let removals = changes.iter().filter(|change| change.deleted).count();
+        let deleted = changes.iter().filter(|change| change.deleted);
+        let removals = self.count_replicas(deleted.map(|change| &change.object.name));
         self.log_removals(now_us, removed_at_us, removals);
         let mut new = Vec::new();
         for change in changes {
@@ -106,11 +110,17 @@
         health.removal_at_us(now_us, age_us, drain_us)
     }
 
-    /// Returns the number of objects of the copy that a list lacks.
+    /// Returns the number of replicas whose registrations a list lacks.
     fn count_missing(&self, listed: &[StoredObject]) -> usize {
-        let names: BTreeSet<&Arc<str>> = listed.iter().map(|object| &object.name).collect();
+        let listed: BTreeSet<&Arc<str>> = listed.iter().map(|object| &object.name).collect();
         let known = self.objects.borrow();
-        known.keys().filter(|name| !names.contains(name)).count()
+        self.count_replicas(known.names().filter(|name| !listed.contains(name)))
+    }
+
+    /// Returns how many of the names are those of replicas.
+    fn count_replicas<'a>(&self, names: impl Iterator<Item = &'a Arc<str>>) -> usize {
+        let pool = self.shared.pool.borrow();
+        names.filter(|name| pool.key_of(name).is_some()).count()
     }
 
     fn log_removals(&self, now_us: u64, removed_at_us: u64, removals: usize) {
@@ -144,7 +154,7 @@
             }
             Err(error) => {
                 let reason = error.to_string();
-                self.malformed.report(&self.shared, &object.name, reason);
+                self.malformed.report(&self.shared, &object.name, &reason);
                 None
             }
         }
@@ -158,7 +168,7 @@
             Ok(configuration) => configuration,
             Err(error) => {
                 let reason = error.to_string();
-                return self.malformed.report(&self.shared, &object.name, reason);
+                return self.malformed.report(&self.shared, &object.name, &reason);
             }
         };
         self.malformed.forget(&object.name);
@@ -182,10 +192,12 @@
         if let Some(in_force) = &*shared.table.borrow() {
             names.extend(in_force.service_names.iter().cloned());
         }
-        pool.set_named_services(names);
+        let named_newly = pool.set_named_services(names);
         drop(pool);
-        for view in &self.service_views {
-            view.apply_newly_named_services();
+        if named_newly {
+            self.service_views
+                .iter()
+                .for_each(|view| view.apply_newly_named_services());
         }
         let now_us = shared.clock.now_us();
         let pending = PendingRoutes {
@@ -206,7 +218,7 @@
             let has_value = tenant_value(&tenant.name).is_some();
             if !has_value {
                 let reason = format!("tenant {position}: its name is not a header value");
-                self.malformed.report(&self.shared, &object.name, reason);
+                self.malformed.report(&self.shared, &object.name, &reason);
             }
             has_value
         });
@@ -215,7 +227,11 @@
     fn apply_evacuations(&self, revision: u64, restored: bool) {
         let evacuated = self.evacuated.borrow();
         self.shared.log(&Event::Evacuation {
-            out: evacuated.iter().map(|name| &**name).collect(),
+            out: evacuated
+                .iter()
+                .take(LOGGED_EVACUATIONS_MAX)
+                .map(|name| &**name)
+                .collect(),
             revision,
         });
         let mut pool = self.shared.pool.borrow_mut();
--- a/crates/entry/src/store/collection_view.rs
+++ b/crates/entry/src/store/collection_view.rs
@@ -1,19 +1,24 @@
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
+use tokio::sync::Notify;
+
 use wigeonhall_adapter::Changes;
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::DecodeError;
+use wigeonhall_adapter::MalformedItems;
 use wigeonhall_adapter::ObjectChange;
+use wigeonhall_adapter::ObjectFilter;
 use wigeonhall_adapter::StoredObject;
 use wigeonhall_adapter::encode_changes;
+use wigeonhall_adapter::encode_object_changes;
 use wigeonhall_dispatch::BatchFit;
 use wigeonhall_dispatch::ChangeBatch;
 use wigeonhall_dispatch::ChangeLog;
+use wigeonhall_dispatch::MemoryUse;
 use wigeonhall_dispatch::StoreRevision;
 use wigeonhall_dispatch::watch_pause_ms;
 
@@ -21,9 +26,12 @@
 use crate::peers::packing;
 use crate::peers::unpack_error::UnpackError;
 use crate::process::event::Event;
+use crate::process::held_memory::HeldMemory;
 use crate::process::node_state::NodeState;
 use crate::store::malformed_entries::MalformedEntries;
-use crate::store::paged_list;
+use crate::store::received_changes::keeps_counted;
+use crate::store::store_client::StoreError;
+use crate::store::stored_objects::StoredObjects;
 use crate::store::unnamed_services::UnnamedRegistrations;
 
 /// Divisor of the rollback time that gives the time within which a change of a rollout must be in
@@ -51,8 +59,17 @@
     unavailable_since_us: Cell<Option<u64>>,
     /// Reports entries that cannot be decoded.
     pub(super) malformed: MalformedEntries,
-    /// The objects of the collection at `revision`, by name.
-    pub(super) objects: RefCell<BTreeMap<Arc<str>, StoredObject>>,
+    /// Whether entries have been left out of which the node had no use.
+    pub(super) left_out: Cell<bool>,
+    /// Whether such entries must be read, as a configuration names services newly.
+    pub(super) left_out_due: Cell<bool>,
+    /// Notified when [`Self::left_out_due`] is set.
+    pub(super) left_out_requested: Notify,
+    /// Memory counted for the objects, the log and the cached snapshot.
+    memory: RefCell<HeldMemory>,
+    /// What nodes use of the objects of the collection at `revision`; those of which the node has
+    /// no use yet only as far as they fit.
+    pub(super) objects: RefCell<StoredObjects>,
     /// Revision of the copy; `None` before the first list.
     pub(crate) revision: Cell<Option<StoreRevision>>,
     pub(crate) shared: Rc<NodeState>,
@@ -75,7 +92,11 @@
             current_us: Cell::new(None),
             list_due: Cell::new(false),
             log: RefCell::default(),
+            left_out: Cell::new(false),
+            left_out_due: Cell::new(false),
+            left_out_requested: Notify::new(),
             malformed: MalformedEntries::new(collection),
+            memory: RefCell::new(HeldMemory::empty(&shared, MemoryUse::Store)),
             service_views,
             unavailable_since_us: Cell::new(None),
             unnamed: RefCell::default(),
@@ -156,17 +177,17 @@
             Some(_) | None => self.log.borrow_mut().reset(revision),
         }
         self.apply_listed_objects(&objects, revision.number, restored);
-        let by_name = objects
-            .into_iter()
-            .map(|object| (object.name.clone(), object));
-        self.objects.replace(by_name.collect());
+        self.objects.replace(objects.into_iter().collect());
         self.revision.set(Some(revision));
         self.catch_up_due.set(false);
         self.list_due.set(false);
+        self.left_out_due.set(false);
+        self.snapshot.take();
         if restored && self.shared.feed.has_followers() {
             let snapshot = self.snapshot().into_iter();
             snapshot.for_each(|message| self.shared.feed.publish_message(message));
         }
+        self.count_memory();
     }
 
     /// Whether the collection must be listed before it can be watched.
@@ -183,13 +204,15 @@
         former: StoreRevision,
         revision: StoreRevision,
     ) -> Result<ChangeBatch, DecodeError> {
-        let changed: Vec<&StoredObject> = objects
-            .iter()
-            .filter(|object| object.revision > former.number)
-            .collect();
-        let names: BTreeSet<&Arc<str>> = objects.iter().map(|object| &object.name).collect();
         let known = self.objects.borrow();
-        let deleted = known.keys().filter(|name| !names.contains(name));
+        let is_known = |object: &StoredObject| {
+            let former = known.get(&object.name);
+            former.is_some_and(|former| former.revision == object.revision)
+        };
+        let changed = objects.iter().filter(|object| !is_known(object));
+        let changed: Vec<&StoredObject> = changed.collect();
+        let names: BTreeSet<&Arc<str>> = objects.iter().map(|object| &object.name).collect();
+        let deleted = known.names().filter(|name| !names.contains(name));
         let deleted: Vec<Arc<str>> = deleted.cloned().collect();
         Ok(ChangeBatch {
             body: packing::pack(&encode_changes(
@@ -197,6 +220,7 @@
                 &changed,
                 &deleted,
                 revision.number,
+                self.left_out.get(),
             )?),
             from: former,
             to: revision,
@@ -213,7 +237,8 @@
         }
         let objects = self.objects.borrow();
         let all: Vec<&StoredObject> = objects.values().collect();
-        let body = match encode_changes(self.collection, &all, &[], revision.number) {
+        let left_out = self.left_out.get();
+        let body = match encode_changes(self.collection, &all, &[], revision.number, left_out) {
             Ok(body) => body,
             Err(error) => {
                 log::error!("cannot encode a collection: {error}");
@@ -226,10 +251,13 @@
             revision,
         };
         self.snapshot.replace(Some((revision, message.clone())));
+        drop(objects);
+        self.count_memory();
         Some(message)
     }
 
-    /// Applies the whole collection sent by a peer, if it is newer than the copy.
+    /// Applies the whole collection sent by a peer, unless it is older than the copy. One of the same
+    /// revision may have entries that this node has left out.
     ///
     /// # Errors
     ///
@@ -239,13 +267,14 @@
         body: &[u8],
         revision: StoreRevision,
     ) -> Result<(), UnpackError> {
-        if self.revision.get() >= Some(revision) {
+        let copy = self.revision.get();
+        if copy > Some(revision) || (copy == Some(revision) && !self.left_out.get()) {
             self.log_older(revision, "ignored");
             return Ok(());
         }
-        let changes = packing::unpack(body)?;
-        self.malformed
-            .report_items(&self.shared, &changes.malformed);
+        let formerly_left_out = self.left_out.replace(false);
+        let changes = self.unpack(body, 0);
+        let changes = changes.inspect_err(|_| self.left_out.set(formerly_left_out))?;
         let objects = changes.changes.into_iter().map(|change| change.object);
         self.apply_list(objects.collect(), revision);
         Ok(())
@@ -254,8 +283,7 @@
     /// Applies changes read from the store and publishes them to followers; `batch` has the same
     /// changes as text.
     pub(crate) fn apply_store_batch(&self, batch: &ChangeBatch, changes: Changes) {
-        self.malformed
-            .report_items(&self.shared, &changes.malformed);
+        self.malformed.report_changes(&self.shared, &changes);
         self.apply_changes(changes.changes, batch.to);
         let packed = ChangeBatch {
             body: packing::pack(&batch.body),
@@ -264,6 +292,29 @@
         };
         self.shared.feed.publish(self.collection, &packed);
         self.log.borrow_mut().push(packed);
+        self.count_memory();
+    }
+
+    /// Adds entries that were left out, as of the revision of the copy, and sends them to followers.
+    pub(super) fn add_left_out(&self, changes: Vec<ObjectChange>) -> Result<(), StoreError> {
+        let Some(revision) = self.revision.get().filter(|_| !changes.is_empty()) else {
+            return Ok(());
+        };
+        let body = encode_object_changes(&changes, revision.number, true);
+        let batch = ChangeBatch {
+            body: body.map_err(StoreError::Decode)?.into(),
+            from: revision,
+            to: revision,
+        };
+        let changes = Changes {
+            received: changes.len(),
+            changes,
+            left_out: true,
+            malformed: MalformedItems::new(),
+            revision: revision.number,
+        };
+        self.apply_store_batch(&batch, changes);
+        Ok(())
     }
 
     /// Applies changes sent by a peer, if they continue from the copy's revision.
@@ -280,13 +331,12 @@
             let changes = if batch.body.is_empty() {
                 Vec::new()
             } else {
-                let changes = packing::unpack(&batch.body)?;
-                self.malformed
-                    .report_items(&self.shared, &changes.malformed);
-                changes.changes
+                let held_bytes = self.objects.borrow().held_bytes();
+                self.unpack(&batch.body, held_bytes)?.changes
             };
             self.apply_changes(changes, batch.to);
             self.log.borrow_mut().push(batch.clone());
+            self.count_memory();
         }
         Ok(fit)
     }
@@ -304,14 +354,43 @@
     fn apply_changes(&self, changes: Vec<ObjectChange>, revision: StoreRevision) {
         if !changes.is_empty() {
             self.apply_object_changes(&changes, revision.number);
-            self.update_objects(changes);
+            self.objects.borrow_mut().apply(changes);
         }
         self.revision.set(Some(revision));
         self.catch_up_due.set(false);
+        // Followers that connect later need a newer one.
+        self.snapshot.take();
     }
 
-    fn update_objects(&self, changes: Vec<ObjectChange>) {
-        paged_list::apply_to(&mut self.objects.borrow_mut(), changes);
+    /// Decodes the changes of a peer; the copy takes `held_bytes` before.
+    fn unpack(&self, body: &[u8], held_bytes: usize) -> Result<Changes, UnpackError> {
+        let added_bytes = Cell::new(held_bytes);
+        let keeps = |object: &StoredObject, held_bytes| self.keeps(object, held_bytes);
+        let filter = ObjectFilter {
+            keeps: &|object| keeps_counted(&keeps, object, &added_bytes),
+            knows: &|_| false,
+        };
+        let changes = packing::unpack(body, self.collection, filter)?;
+        self.malformed.report_changes(&self.shared, &changes);
+        if changes.left_out {
+            self.left_out.set(true);
+        }
+        Ok(changes)
+    }
+
+    /// Counts what the copy takes in the memory budget.
+    fn count_memory(&self) {
+        let snapshot_bytes = match &*self.snapshot.borrow() {
+            Some((_, FeedMessage::Snapshot { body, .. })) => body.len(),
+            Some(_) | None => 0,
+        };
+        let log_bytes = self.log.borrow().bytes();
+        let replica_bytes = match self.collection {
+            Collection::Replicas => self.shared.pool.borrow().held_bytes(),
+            _ => 0,
+        };
+        let bytes = self.objects.borrow().held_bytes() + log_bytes + snapshot_bytes + replica_bytes;
+        self.memory.borrow_mut().resize(bytes);
     }
 
     /// Records that the collection could not be read, and logs the start of an outage.
--- a/crates/entry/src/store/collection_views.rs
+++ b/crates/entry/src/store/collection_views.rs
@@ -36,7 +36,9 @@
     watched.map(view).collect()
 }
 
-/// Returns the revisions of the copies.
+/// Returns the revisions from which a peer is to send changes; `None` for a copy of which it is to
+/// send all, as the peer may have entries that were left out.
 pub(crate) fn revisions(views: &CollectionViews) -> Revisions {
-    views.iter().map(|view| view.revision.get()).collect()
+    let revision = |view: &Rc<CollectionView>| view.revision.get().filter(|_| !view.left_out.get());
+    views.iter().map(revision).collect()
 }
--- a/crates/entry/src/store/peer_registry.rs
+++ b/crates/entry/src/store/peer_registry.rs
@@ -15,6 +15,7 @@
 use wigeonhall_adapter::encode_node;
 use wigeonhall_adapter::object_path;
 use wigeonhall_dispatch::PeerNode;
+use wigeonhall_dispatch::unneeded_bytes_max;
 
 use crate::peers::quota_exchange;
 use crate::process::event::Event;
@@ -23,6 +24,7 @@
 use crate::replicas::preconnect;
 use crate::replicas::sender_counts;
 use crate::store::list_pages;
+use crate::store::list_pages::ListFilter;
 use crate::store::malformed_entries::MalformedEntries;
 use crate::store::store_client::StoreClient;
 use crate::store::store_client::StoreError;
@@ -166,11 +168,17 @@
     malformed: &MalformedEntries,
 ) -> Result<Vec<PeerNode>, StoreError> {
     let unchecked = |_: &StoreResponse| Ok(());
+    let bytes_max = unneeded_bytes_max(shared.settings.memory_bytes);
+    let filter = ListFilter {
+        keeps: &|object, held_bytes| held_bytes + object.held_bytes() <= bytes_max,
+        knows: &|_| false,
+    };
     let list = list_pages::read(
         client,
         Collection::Nodes,
         Freshness::Stale,
         CALL_TIMEOUT,
+        filter,
         unchecked,
     );
     let list = list.await?;
@@ -184,7 +192,7 @@
                 Some(node)
             }
             Err(error) => {
-                malformed.report(shared, &object.name, error.to_string());
+                malformed.report(shared, &object.name, &error.to_string());
                 None
             }
         });
--- a/crates/entry/src/store/rollout_effects.rs
+++ b/crates/entry/src/store/rollout_effects.rs
@@ -21,8 +21,8 @@
             RolloutNews::Current
         };
         let listed: BTreeSet<&Arc<str>> = objects.iter().map(|object| &object.name).collect();
-        for (name, object) in &*self.objects.borrow() {
-            if !listed.contains(name) {
+        for object in self.objects.borrow().values() {
+            if !listed.contains(&object.name) {
                 self.remove_rollout(object);
             }
         }
@@ -62,7 +62,7 @@
             Ok(rollout) => rollout,
             Err(error) => {
                 let reason = error.to_string();
-                return self.malformed.report(&self.shared, &object.name, reason);
+                return self.malformed.report(&self.shared, &object.name, &reason);
             }
         };
         self.malformed.forget(&object.name);
--- a/crates/entry/src/store/store_client.rs
+++ b/crates/entry/src/store/store_client.rs
@@ -8,7 +8,9 @@
 use http::Request;
 use http::StatusCode;
 use http::header;
+use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use prometheus::IntCounterVec;
 use tokio::time;
 
@@ -31,8 +33,9 @@
 /// Timeout for opening a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Largest response of the store; a page is about 1 MB at most.
-const RESPONSE_BYTES_MAX: usize = 16 * 1024 * 1024;
+/// Largest response to a call on one object, or with an error. Lists and changes have any length:
+/// they are decoded while they arrive.
+const RESPONSE_BYTES_MAX: usize = 4 * 1024 * 1024;
 
 /// Error of a call to the store.
 #[derive(Debug)]
@@ -50,6 +53,8 @@
     Status(StatusCode),
     /// No response arrived in time.
     Timeout,
+    /// A response has more changes than a node holds at once; a list shows their result.
+    TooManyChanges,
     /// The connection failed.
     Transport(String),
     /// A watch that had waited for changes ended without a response.
@@ -64,7 +69,11 @@
                 status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS
             }
             Self::Timeout | Self::Transport(_) | Self::WatchLost(_) => true,
-            Self::Decode(_) | Self::HistoryGone | Self::ListExpired | Self::OtherEra => false,
+            Self::Decode(_)
+            | Self::HistoryGone
+            | Self::ListExpired
+            | Self::OtherEra
+            | Self::TooManyChanges => false,
         }
     }
 
@@ -77,6 +86,7 @@
             Self::OtherEra => "other_era",
             Self::Status(_) => "refused",
             Self::Timeout => "timeout",
+            Self::TooManyChanges => "too_many_changes",
             Self::Transport(_) => "broken",
             Self::WatchLost(_) => "watch_lost",
         }
@@ -92,14 +102,38 @@
             Self::OtherEra => f.write_str("the store was restored from a copy"),
             Self::Status(status) => write!(f, "status {status}"),
             Self::Timeout => f.write_str("no response in time"),
+            Self::TooManyChanges => f.write_str("too many changes in one response"),
             Self::Transport(error) | Self::WatchLost(error) => f.write_str(error),
         }
     }
 }
 
+/// Receives a body part by part; returns the memory that is held of it, or an error that ends the
+/// call.
+pub(crate) type OnData<'a> = &'a mut dyn FnMut(&[u8]) -> Result<usize, StoreError>;
+
+/// A request to the store.
+#[derive(Debug)]
+struct StoreRequest<'a> {
+    body: Bytes,
+    method: Method,
+    path: &'a StorePath,
+}
+
+impl<'a> StoreRequest<'a> {
+    const fn get(path: &'a StorePath) -> Self {
+        Self {
+            body: Bytes::new(),
+            method: Method::GET,
+            path,
+        }
+    }
+}
+
 /// A successful response of the store.
 #[derive(Debug)]
 pub(crate) struct StoreResponse {
+    /// Body; empty if it was passed on while it arrived.
     pub(crate) body: Bytes,
     /// Era of the store, which rises when the store is restored from a copy; `None` if the response
     /// does not state it.
@@ -128,6 +162,11 @@
         }
     }
 
+    /// Returns an empty reservation for what is kept of responses.
+    pub(crate) fn held_memory(&self) -> HeldMemory {
+        HeldMemory::empty(&self.shared, MemoryUse::Store)
+    }
+
     /// Closes the connection; the next call opens a new one.
     pub(crate) fn disconnect(&mut self) {
         self.sender = None;
@@ -140,7 +179,21 @@
         path: &StorePath,
         timeout: Duration,
     ) -> Result<StoreResponse, StoreError> {
-        self.call_with_timeout(call, Method::GET, path, Bytes::new(), timeout)
+        self.call_with_timeout(call, StoreRequest::get(path), timeout, None)
+            .await
+    }
+
+    /// Reads a path and passes on the body of a successful response while it arrives, in place of
+    /// returning it; a call that exceeds `timeout` closes the connection.
+    pub(crate) async fn read_items(
+        &mut self,
+        call: StoreCall,
+        path: &StorePath,
+        timeout: Duration,
+        on_data: OnData<'_>,
+    ) -> Result<StoreResponse, StoreError> {
+        let request = StoreRequest::get(path);
+        self.call_with_timeout(call, request, timeout, Some(on_data))
             .await
     }
 
@@ -157,22 +210,25 @@
             collection,
             purpose: CallPurpose::Write,
         };
-        self.call_with_timeout(call, method, path, body.into(), timeout)
-            .await
+        let request = StoreRequest {
+            body: body.into(),
+            method,
+            path,
+        };
+        self.call_with_timeout(call, request, timeout, None).await
     }
 
     async fn call_with_timeout(
         &mut self,
         call: StoreCall,
-        method: Method,
-        path: &StorePath,
-        body: Bytes,
+        request: StoreRequest<'_>,
         timeout: Duration,
+        on_data: Option<OnData<'_>>,
     ) -> Result<StoreResponse, StoreError> {
         let sent_us = self.shared.clock.now_us();
         // Counted before the response arrives: a call that is dropped meanwhile still costs money.
         self.count(call, "sent");
-        let result = match time::timeout(timeout, self.call(method, path, body)).await {
+        let result = match time::timeout(timeout, self.call(request, on_data)).await {
             Ok(result) => result,
             Err(_) => Err(StoreError::Timeout),
         };
@@ -196,17 +252,16 @@
 
     async fn call(
         &mut self,
-        method: Method,
-        path: &StorePath,
-        body: Bytes,
+        request: StoreRequest<'_>,
+        on_data: Option<OnData<'_>>,
     ) -> Result<StoreResponse, StoreError> {
         let mut sender = self.take_connection().await?;
         let request = Request::builder()
-            .method(method)
-            .uri(path.as_str())
+            .method(request.method)
+            .uri(request.path.as_str())
             .header(header::HOST, self.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
+            .body(Full::new(request.body))
             .map_err(|error| StoreError::Transport(error.to_string()))?;
         let response = sender
             .send_request(request)
@@ -214,10 +269,17 @@
             .map_err(transport_error)?;
         let status = response.status();
         let era = response.headers().get(&STORE_ERA).and_then(store_era);
-        let mut memory = HeldMemory::empty(&self.shared, MemoryUse::Store);
-        let body = counted_body::read(response.into_body(), RESPONSE_BYTES_MAX, &mut memory)
-            .await
-            .map_err(body_error)?;
+        let mut memory = self.held_memory();
+        let body = response.into_body();
+        let body = match on_data.filter(|_| status == StatusCode::OK) {
+            Some(on_data) => {
+                pass_on(body, &mut memory, on_data).await?;
+                Bytes::new()
+            }
+            None => counted_body::read(body, RESPONSE_BYTES_MAX, &mut memory)
+                .await
+                .map_err(body_error)?,
+        };
         self.sender = Some(sender);
         match status {
             StatusCode::OK | StatusCode::CREATED => Ok(StoreResponse { body, era, memory }),
@@ -238,6 +300,21 @@
     }
 }
 
+/// Passes on a body while it arrives; counts in `memory` what `on_data` holds of it.
+async fn pass_on(
+    mut body: Incoming,
+    memory: &mut HeldMemory,
+    on_data: OnData<'_>,
+) -> Result<(), StoreError> {
+    while let Some(frame) = body.frame().await {
+        // Trailers aren't part of the body.
+        if let Ok(data) = frame.map_err(transport_error)?.into_data() {
+            memory.resize(on_data(&data)?);
+        }
+    }
+    Ok(())
+}
+
 fn body_error(error: BodyError) -> StoreError {
     match error {
         BodyError::TooLong => StoreError::Transport("response too long".to_owned()),
--- a/crates/entry/src/store/store_health.rs
+++ b/crates/entry/src/store/store_health.rs
@@ -51,7 +51,9 @@
         }
         sent_us = shared.clock.now_us();
         let timeout = Duration::from_millis(shared.recovery_times().check_timeout_ms());
-        match client.get(check, &path, timeout).await {
+        // The entries don't matter, whatever their number and size.
+        let discard = &mut |_: &[u8]| Ok(0);
+        match client.read_items(check, &path, timeout, discard).await {
             Ok(response) => {
                 if let Some(era) = response.era {
                     shared.observe_era(era);
--- a/crates/entry/src/store/store_watch.rs
+++ b/crates/entry/src/store/store_watch.rs
@@ -14,7 +14,7 @@
 
 use wigeonhall_adapter::Collection;
 use wigeonhall_adapter::Freshness;
-use wigeonhall_adapter::decode_changes;
+use wigeonhall_adapter::StoredObject;
 use wigeonhall_adapter::encode_object_changes;
 use wigeonhall_adapter::watch_path;
 use wigeonhall_dispatch::ChangeBatch;
@@ -24,20 +24,15 @@
 use wigeonhall_dispatch::watch_wait_ms;
 
 use crate::peers::change_feed::ChangeSource;
-use crate::process::node_state::NodeState;
 use crate::store::call_pauses;
 use crate::store::call_pauses::CallPauses;
+use crate::store::collection_reader;
+use crate::store::collection_reader::CATCH_UP_WAIT_MS;
+use crate::store::collection_reader::CollectionReader;
 use crate::store::collection_view::CollectionView;
-use crate::store::list_pages;
-use crate::store::paged_list::PagedList;
+use crate::store::received_changes::ReceivedChanges;
 use crate::store::store_call::CallPurpose;
-use crate::store::store_call::StoreCall;
-use crate::store::store_client::StoreClient;
 use crate::store::store_client::StoreError;
-use crate::store::store_client::StoreResponse;
-
-/// Wait of a watch that catches up, which returns at once, in milliseconds.
-const CATCH_UP_WAIT_MS: u64 = 1;
 
 /// Time from which the end of a watch shows that it has waited: the changes of its response are
 /// new, or the store has cut it off. A sooner response may hold changes made before the watch was
@@ -55,8 +50,7 @@
     };
     let mut ended_outages = view.shared.feed.ended_outage_start_us.subscribe();
     let mut watcher = StoreWatcher {
-        client: StoreClient::new(&view.shared),
-        freshness,
+        reader: CollectionReader::new(view.clone(), freshness),
         pauses: CallPauses::new(view.clone()),
         view,
     };
@@ -75,7 +69,7 @@
                     return;
                 }
                 // The call in flight belongs to the previous source.
-                watcher.client.disconnect();
+                watcher.reader.client.disconnect();
                 // What this node received from a peer is confirmed by a call of its own.
                 watcher.view.catch_up_due.set(watcher.view.revision.get().is_some());
             }
@@ -93,18 +87,8 @@
     future::pending::<()>().await;
 }
 
-/// Returns the era of a response; the newest known one if the response states none.
-fn observe_era(shared: &NodeState, response: &StoreResponse) -> u64 {
-    let era = response.era.unwrap_or_else(|| shared.feed.era());
-    shared.observe_era(era);
-    era
-}
-
 struct StoreWatcher {
-    client: StoreClient,
-    /// Freshness of the next list. A stale one suffices only while the whole tier starts for the
-    /// first time: later, it may be of a time before the store was restored from a copy.
-    freshness: Freshness,
+    reader: CollectionReader,
     pauses: CallPauses,
     view: Rc<CollectionView>,
 }
@@ -130,7 +114,7 @@
                 let pause_ms = watch_pause_ms(changes, self.view.bound_ms());
                 time::sleep(Duration::from_millis(pause_ms)).await;
             }
-            Err(StoreError::HistoryGone) => self.list_anew(),
+            Err(StoreError::HistoryGone | StoreError::TooManyChanges) => self.list_anew(),
             Err(error @ StoreError::ListExpired) => {
                 self.list_anew();
                 self.pauses.record_failure(&error);
@@ -153,83 +137,44 @@
     fn list_anew(&mut self) {
         self.view.list_due.set(true);
         // A stale list may be of before what made this one necessary.
-        self.freshness = Freshness::Current;
+        self.reader.freshness = Freshness::Current;
     }
 
     /// Lists the whole collection. Returns 0 changes, so that the next watch follows without a
     /// pause.
     async fn list(&mut self) -> Result<usize, StoreError> {
         let began_us = self.view.shared.clock.now_us();
-        let (mut list, era) = self.list_pages().await?;
-        let completed = self.complete_list(&mut list, era).await;
-        if !matches!(completed, Ok(()) | Err(StoreError::ListExpired)) {
-            return completed.map(|()| 0);
-        }
-        self.freshness = Freshness::Current;
-        if list.is_cut_short() {
-            list.keep_unlisted(&self.view.objects.borrow());
-        }
+        let view = self.view.clone();
+        let formerly_left_out = view.left_out.replace(false);
+        let keeps = |object: &StoredObject, held_bytes| view.keeps(object, held_bytes);
+        let read = self.reader.read_list(&keeps).await.inspect_err(|_| {
+            view.left_out.set(formerly_left_out);
+        })?;
+        self.reader.freshness = Freshness::Current;
+        let mut list = read.list;
+        list.keep_unlisted(&self.view.objects.borrow());
         let revision = StoreRevision {
-            era,
+            era: read.era,
             number: list.revision(),
         };
         let malformed = &self.view.malformed;
         malformed.report_items(&self.view.shared, list.malformed());
         self.view.apply_list(list.into_objects(), revision);
         self.view.confirm(began_us);
-        completed.map(|()| 0)
-    }
-
-    /// Reads all pages of a list; returns them with their era.
-    async fn list_pages(&mut self) -> Result<(PagedList, u64), StoreError> {
-        let view = self.view.clone();
-        let mut list_era = None;
-        let same_era = |response: &StoreResponse| {
-            let era = observe_era(&view.shared, response);
-            if *list_era.get_or_insert(era) != era || era < view.shared.feed.era() {
-                return Err(StoreError::OtherEra);
-            }
-            Ok(())
-        };
-        let timeout = self.call_timeout();
-        let list = list_pages::read(
-            &mut self.client,
-            view.collection,
-            self.freshness,
-            timeout,
-            same_era,
-        );
-        let list = list.await?;
-        Ok((list, list_era.unwrap_or_default()))
-    }
-
-    /// Applies the changes made while the pages of a list were read.
-    ///
-    /// # Errors
-    ///
-    /// With [`StoreError::ListExpired`], the pages are still the best that this node can know, but
-    /// must be read anew.
-    async fn complete_list(&mut self, list: &mut PagedList, era: u64) -> Result<(), StoreError> {
-        while !list.is_complete() {
-            let path = watch_path(self.view.collection, list.revision(), CATCH_UP_WAIT_MS);
-            let call = self.call(CallPurpose::CatchUp);
-            let response = match self.client.get(call, &path, self.call_timeout()).await {
-                Err(StoreError::HistoryGone) => return Err(StoreError::ListExpired),
-                response => response?,
-            };
-            if observe_era(&self.view.shared, &response) != era {
-                return Err(StoreError::OtherEra);
-            }
-            let changes = decode_changes(&response.body).map_err(StoreError::Decode)?;
-            list.apply_changes(changes);
+        if read.is_expired {
+            return Err(StoreError::ListExpired);
         }
-        Ok(())
+        Ok(0)
     }
 
     /// Waits for changes, applies them and returns their number.
     async fn watch(&mut self, revision: StoreRevision) -> Result<usize, StoreError> {
         let (wait_ms, timeout, purpose) = if self.view.catch_up_due.get() {
-            (CATCH_UP_WAIT_MS, self.call_timeout(), CallPurpose::CatchUp)
+            (
+                CATCH_UP_WAIT_MS,
+                self.reader.call_timeout(),
+                CallPurpose::CatchUp,
+            )
         } else {
             let (wait_ms, timeout_ms) = self.watch_times_ms();
             (
@@ -244,31 +189,38 @@
         let sent_us = shared.clock.now_us();
         let mut watch_lost = pin!(wait_for_outage_end(ended_outages, sent_us));
         let mut newer_era = shared.feed.store_era.subscribe();
-        let call = self.call(purpose);
-        let call = self.client.get(call, &path, timeout);
+        let call = self.reader.call(purpose);
+        let view = self.view.clone();
+        let held_bytes = view.objects.borrow().held_bytes();
+        let keeps = |object: &StoredObject, held_bytes| view.keeps(object, held_bytes);
+        let mut received = ReceivedChanges::new(view.collection, &keeps, held_bytes);
+        let mut on_data = |data: &[u8]| received.push(data);
+        let call = self
+            .reader
+            .client
+            .read_items(call, &path, timeout, &mut on_data);
         let response = tokio::select! {
             response = call => response.map_err(|error| self.watch_error(error, purpose, sent_us))?,
             () = &mut watch_lost => {
-                self.client.disconnect();
+                self.reader.client.disconnect();
                 return Ok(0);
             }
             _ = newer_era.wait_for(|era| *era > revision.era) => {
                 // The watch waits for changes after a revision of the former era.
-                self.client.disconnect();
+                self.reader.client.disconnect();
                 return Err(StoreError::OtherEra);
             }
         };
-        if observe_era(&self.view.shared, &response) != revision.era {
+        if collection_reader::observe_era(&self.view.shared, &response) != revision.era {
             return Err(StoreError::OtherEra);
         }
-        let changes = decode_changes(&response.body).map_err(StoreError::Decode)?;
+        let changes = received.finish()?;
+        let left_out = self.view.left_out.get();
         let body = if changes.changes.is_empty() {
             Bytes::new()
-        } else if self.view.collection.has_api_keys() {
-            let body = encode_object_changes(&changes.changes, changes.revision);
-            body.map_err(StoreError::Decode)?.into()
         } else {
-            response.body
+            let body = encode_object_changes(&changes.changes, changes.revision, left_out);
+            body.map_err(StoreError::Decode)?.into()
         };
         let batch = ChangeBatch {
             body,
@@ -282,7 +234,7 @@
         if answered_us >= sent_us + WAITED_MIN_US {
             self.view.confirm(answered_us);
         }
-        let count = changes.changes.len();
+        let count = changes.received;
         self.view.apply_store_batch(&batch, changes);
         self.view.confirm(sent_us);
         Ok(count)
@@ -330,17 +282,4 @@
             }
         }
     }
-
-    /// Returns the timeout of a call that does not wait for changes.
-    fn call_timeout(&self) -> Duration {
-        let times = self.view.shared.recovery_times();
-        Duration::from_millis(times.call_timeout_ms(self.view.bound_ms()))
-    }
-
-    fn call(&self, purpose: CallPurpose) -> StoreCall {
-        StoreCall {
-            collection: self.view.collection,
-            purpose,
-        }
-    }
 }
--- a/crates/entry/src/store/unnamed_services.rs
+++ b/crates/entry/src/store/unnamed_services.rs
@@ -93,6 +93,10 @@
 
     /// Applies what the copy holds of services that a configuration names newly.
     pub(super) fn apply_newly_named_services(&self) {
+        if self.left_out.get() {
+            self.left_out_due.set(true);
+            self.left_out_requested.notify_one();
+        }
         match self.collection {
             Collection::Configuration | Collection::Evacuations | Collection::Nodes => {}
             Collection::Replicas => self.register_newly_named(),
--- a/crates/node/tests/entry/caller_limits.rs
+++ b/crates/node/tests/entry/caller_limits.rs
@@ -53,7 +53,7 @@
     let store = StoreStandin::start().unwrap();
     store.configure(&configuration);
     store.register(&replica.registration("north"));
-    let node = Node::start_with_limits(&store, memory_mb, DESCRIPTORS);
+    let node = Node::start_with_limits(&store, "node-1", memory_mb, DESCRIPTORS);
     node.wait_ready();
     Deployment {
         node,
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -109,12 +109,17 @@
 
     /// Starts a node with `memory_mb` of memory in its settings, which may open at most
     /// `descriptors` file descriptors.
-    pub fn start_with_limits(store: &StoreStandin, memory_mb: u64, descriptors: usize) -> Self {
+    pub fn start_with_limits(
+        store: &StoreStandin,
+        node_name: &str,
+        memory_mb: u64,
+        descriptors: usize,
+    ) -> Self {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let name = format!("wigeonhall-limits-{}-{number}.yaml", process::id());
         let settings = std::env::temp_dir().join(name);
-        let text = settings_text(store.address(), "node-1", "north", GRACE_MS);
+        let text = settings_text(store.address(), node_name, "north", GRACE_MS);
         let limits = format!("memory_mb: {memory_mb}\n  max_file_descriptors: {descriptors}");
         let text = text.replace(&format!("memory_mb: {MEMORY_MB}"), &limits);
         fs::write(&settings, text).unwrap();
--- a/crates/node/tests/entry/odd_entries.rs
+++ b/crates/node/tests/entry/odd_entries.rs
@@ -21,7 +21,7 @@
 
 /// A store with replicas, for nodes to start with.
 struct Deployment {
-    _replicas: Vec<ReplicaStandin>,
+    replicas: Vec<ReplicaStandin>,
     store: StoreStandin,
 }
 
@@ -34,10 +34,7 @@
         for replica in &replicas {
             store.register(&replica.registration("north"));
         }
-        Self {
-            _replicas: replicas,
-            store,
-        }
+        Self { replicas, store }
     }
 
     /// Writes an entry that names no replica: a copy by hand that lost its fields.
@@ -156,6 +153,36 @@
     assert_eq!(ask(node.callers, "GET", "/one/x", "q", "").status, 200);
 }
 
+/// The entry stands, so that the replica has not left; nobody knows what else it says.
+#[test]
+fn a_list_does_not_remove_a_replica_whose_entry_cannot_be_read() {
+    let deployment = Deployment::new();
+    let store = &deployment.store;
+    let start = |index| Node::start_named(store, &format!("node-{index}"));
+    let nodes: Vec<Node> = (0..2).map(start).collect();
+    for node in &nodes {
+        assert_serves(node);
+    }
+    deployment.write_odd_entry("a-2");
+    store.set_silent(true);
+    store.unregister("a-4");
+    store.compact();
+    store.set_silent(false);
+    wait_until("the list", || store.lists_of(Collection::Replicas) >= 2);
+    // Both replicas would be dropped at the same time.
+    let mut registration = deployment.replicas[2].registration("north");
+    for node in &nodes {
+        node.logged(|line| line["event"] == "removals" && line["removals"] == 1);
+        wait_until("the drop of the replica that has left", || {
+            registration.sequence += 1;
+            registration.cold_for_ms += 1;
+            store.register(&registration);
+            let last = node.last_logged(|line| line["event"] == "replicas");
+            last.is_some_and(|line| line["ready"] == REPLICAS - 1)
+        });
+    }
+}
+
 /// Names of entries that end the first page in the order of the store, which nodes don't rely on,
 /// and the bytes that it sends in their place.
 const UNREADABLE_NAMES: [(&str, &[u8]); 5] = [
--- a/crates/node/tests/overload/entry_node.rs
+++ b/crates/node/tests/overload/entry_node.rs
@@ -27,10 +27,10 @@
 use crate::unread_bytes::MemoryWatch;
 
 /// Memory of the node in its settings; the resident memory must stay below.
-const MEMORY_MB: u64 = 48;
+pub const MEMORY_MB: u64 = 48;
 
 /// Limit of open descriptors of the node.
-const DESCRIPTORS: usize = 800;
+pub const DESCRIPTORS: usize = 800;
 
 /// Descriptors that stay free for replicas, peers and the store: a quarter.
 const FREE_DESCRIPTORS: usize = DESCRIPTORS / 4;
@@ -95,7 +95,7 @@
         for replica in &replicas {
             store.register(&replica.registration("north"));
         }
-        let node = Node::start_with_limits(&store, MEMORY_MB, DESCRIPTORS);
+        let node = Node::start_with_limits(&store, "node-1", MEMORY_MB, DESCRIPTORS);
         node.wait_ready();
         Self {
             node,
--- a/crates/node/tests/overload/main.rs
+++ b/crates/node/tests/overload/main.rs
@@ -9,6 +9,7 @@
 #[path = "../entry/deployment.rs"]
 mod deployment;
 mod entry_node;
+mod foreign_entries;
 mod front_node;
 mod unread_bytes;
 
