Split the messages of a collection from its copy, and share what tests of entries repeat

Two test files started and registered replicas in the same way, and two tests made a node list in the same way. The tests of large entries take the form of a registration from the stand-ins, so that no name of the platform stands in them.

--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod call_pauses;
 pub(crate) mod collection_effects;
+mod collection_messages;
 pub(crate) mod collection_reader;
 pub(crate) mod collection_view;
 pub(crate) mod collection_views;
--- a/crates/node/tests/entry/deployment.rs
+++ b/crates/node/tests/entry/deployment.rs
@@ -25,6 +25,7 @@
 
 use serde_json::Value;
 
+use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::MEMORY_MB;
 use wigeonhall_adapter_standins::ReplicaStandin;
 use wigeonhall_adapter_standins::SETTINGS_VARIABLE;
@@ -347,6 +348,16 @@
     }
 }
 
+/// Starts replicas of the service `a`, which answer `1`, and registers them.
+pub fn register_replicas(store: &StoreStandin, count: usize) -> Vec<ReplicaStandin> {
+    let start = |number| ReplicaStandin::start("a", number, |_| Behaviour::answer("1")).unwrap();
+    let replicas: Vec<ReplicaStandin> = (1..=count).map(start).collect();
+    for replica in &replicas {
+        store.register(&replica.registration("north"));
+    }
+    replicas
+}
+
 /// Starts a store with routes and replicas, and a node, and waits until the node is ready.
 pub fn deploy(routes: Vec<RouteSpec>, replicas: &[&ReplicaStandin]) -> (StoreStandin, Node) {
     let store = StoreStandin::start().unwrap();
--- a/crates/node/tests/entry/odd_entries.rs
+++ b/crates/node/tests/entry/odd_entries.rs
@@ -13,6 +13,7 @@
 use crate::caller::ask;
 use crate::deployment::Node;
 use crate::deployment::configuration;
+use crate::deployment::register_replicas;
 use crate::deployment::route_to_a;
 use crate::deployment::wait_until;
 
@@ -29,14 +30,21 @@
     fn new() -> Self {
         let store = StoreStandin::start().unwrap();
         store.configure(&configuration(1, vec![route_to_a("one")]));
-        let replica = |number| ReplicaStandin::start("a", number, |_| Behaviour::answer("1"));
-        let replicas: Vec<_> = (1..=REPLICAS).map(|it| replica(it).unwrap()).collect();
-        for replica in &replicas {
-            store.register(&replica.registration("north"));
-        }
+        let replicas = register_replicas(&store, REPLICAS);
         Self { replicas, store }
     }
 
+    /// Removes a registration of which a node that runs learns by a list alone, as the store drops the
+    /// history, and waits for the list.
+    fn remove_unwatched(&self, id: &str) {
+        let store = &self.store;
+        store.set_silent(true);
+        store.unregister(id);
+        store.compact();
+        store.set_silent(false);
+        wait_until("the list", || store.lists_of(Collection::Replicas) >= 2);
+    }
+
     /// Writes an entry that names no replica: a copy by hand that lost its fields.
     fn write_odd_entry(&self, name: &str) {
         self.store
@@ -144,11 +152,7 @@
     let node = Node::start(store);
     assert_serves(&node);
     deployment.write_odd_entry("a-2 &+#%");
-    store.set_silent(true);
-    store.unregister("a-4");
-    store.compact();
-    store.set_silent(false);
-    wait_until("the list", || store.lists_of(Collection::Replicas) >= 2);
+    deployment.remove_unwatched("a-4");
     node.logged(|line| line["event"] == "removals" && line["removals"] == 1);
     assert_eq!(ask(node.callers, "GET", "/one/x", "q", "").status, 200);
 }
@@ -164,11 +168,7 @@
         assert_serves(node);
     }
     deployment.write_odd_entry("a-2");
-    store.set_silent(true);
-    store.unregister("a-4");
-    store.compact();
-    store.set_silent(false);
-    wait_until("the list", || store.lists_of(Collection::Replicas) >= 2);
+    deployment.remove_unwatched("a-4");
     // Both replicas would be dropped at the same time.
     let mut registration = deployment.replicas[2].registration("north");
     for node in &nodes {
--- a/crates/node/tests/entry/unnamed_services.rs
+++ b/crates/node/tests/entry/unnamed_services.rs
@@ -17,6 +17,7 @@
 use crate::caller::ask;
 use crate::deployment::Node;
 use crate::deployment::configuration;
+use crate::deployment::register_replicas;
 use crate::deployment::route;
 use crate::deployment::route_to_a;
 
@@ -35,11 +36,7 @@
     fn new() -> Self {
         let store = StoreStandin::start().unwrap();
         store.configure(&configuration(1, vec![route_to_a("one")]));
-        let replica = |number| ReplicaStandin::start("a", number, |_| Behaviour::answer("1"));
-        let replicas: Vec<_> = (1..=REPLICAS).map(|it| replica(it).unwrap()).collect();
-        for replica in &replicas {
-            store.register(&replica.registration("north"));
-        }
+        let replicas = register_replicas(&store, REPLICAS);
         Self { replicas, store }
     }
 
--- a/crates/node/tests/overload/foreign_entries.rs
+++ b/crates/node/tests/overload/foreign_entries.rs
@@ -2,6 +2,7 @@
 //! arrive, while they stand, and at each start; on nodes that read the store and on followers.
 
 use std::fs;
+use std::net::SocketAddr;
 use std::sync::LazyLock;
 use std::sync::MutexGuard;
 
@@ -12,7 +13,10 @@
 use wigeonhall_adapter_standins::Behaviour;
 use wigeonhall_adapter_standins::ReplicaStandin;
 use wigeonhall_adapter_standins::StoreStandin;
+use wigeonhall_adapter_standins::encode_registration;
 use wigeonhall_dispatch::PROCESS_BYTES;
+use wigeonhall_dispatch::Registration;
+use wigeonhall_dispatch::RegistrationState;
 use wigeonhall_dispatch::RouteKind;
 use wigeonhall_dispatch::RouteSpec;
 use wigeonhall_dispatch::TargetSpec;
@@ -154,18 +158,20 @@
 
 /// An entry that can be decoded, of a service that no configuration names.
 fn unnamed_entry(version: &str, note: &str) -> Value {
-    json!({
-        "service": "uptime-checks",
-        "address": "127.0.0.1:9",
-        "zone": "north",
-        "version": version,
-        "slots": 1,
-        "state": "ready",
-        "warmup_remaining_ms": 0,
-        "sequence": 1,
-        "born": 1,
-        "note": note,
-    })
+    let mut entry = encode_registration(&Registration {
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        started_unix_ms: 1,
+        cold_for_ms: 0,
+        data_centre: "north".into(),
+        id: "".into(),
+        sequence: 1,
+        service: "uptime-checks".into(),
+        slots: 1,
+        state: RegistrationState::Ready,
+        version: version.into(),
+    });
+    entry["note"] = note.into();
+    entry
 }
 
 #[test]
